--- /dev/null
+++ b/include/endiveroad/SampleHold.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <endiveroad/Sample.h>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endiveroad {
+
+/// Finished samples kept until the trainer has them, bounded in bytes. Received samples are dropped first, then the
+/// oldest; what is dropped has to be generated again.
+class SampleHold {
+public:
+    explicit SampleHold(uint64_t maxBytes);
+
+    void setMaxBytes(uint64_t maxBytes);
+    void add(Sample);
+
+    /// Samples held of a step (by digest) whose index is not in the set.
+    std::vector<Sample> missingFrom(
+        const std::string& job, StepNumber, uint64_t digest, std::string_view receivedBits) const;
+
+    const Sample* find(const std::string& job, StepNumber, uint64_t digest, uint32_t index) const;
+
+    /// Marks samples as received: first to go when space is needed.
+    void onReceived(const std::string& job, StepNumber, uint64_t digest, std::string_view receivedBits);
+
+    uint64_t bytes() const { return bytes_; }
+    size_t count() const { return samples_.size(); }
+
+private:
+    struct Key {
+        std::string job;
+        StepNumber step = 0;
+        uint64_t digest = 0;
+        uint32_t index = 0;
+
+        auto operator<=>(const Key&) const = default;
+    };
+
+    struct Held {
+        Sample sample;
+        uint64_t order = 0;
+        bool isReceived = false;
+    };
+
+    static uint64_t sizeOf(const Sample&);
+    void evict();
+
+    uint64_t maxBytes_;
+    uint64_t bytes_ = 0;
+    uint64_t nextOrder_ = 0;
+    std::map<Key, Held> samples_;
+};
+
+} // namespace endiveroad
--- /dev/null
+++ b/src/cli/Commands.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+/// The subcommands of the endiveroad binary. Each takes its own arguments and returns the exit code; failures are
+/// thrown as Error and printed by main() as one line.
+namespace endiveroad::cli {
+
+/// Exit codes, documented in docs/operators/commands.md.
+enum ExitCode {
+    exitOk = 0,
+    exitFailure = 1,
+    exitUsage = 2,
+    exitConflict = 3,
+    exitInvalidSettings = 4,
+    exitUnavailable = 5,
+};
+
+using Arguments = std::vector<std::string>;
+
+int runEntry(const Arguments&);
+int runAgent(const Arguments&);
+int runSettings(const Arguments&);
+int runStatus(const Arguments&);
+int runTimeline(const Arguments&);
+int runDrain(const Arguments&);
+
+} // namespace endiveroad::cli
--- /dev/null
+++ b/src/cli/NodeCommands.cpp
@@ -0,0 +1,52 @@
+#include "cli/Options.h"
+#include "io/agent/AgentNode.h"
+#include "io/entry/EntryNode.h"
+
+#include <endiveroad/Error.h>
+
+namespace endiveroad::cli {
+
+namespace {
+
+template <typename NodeType>
+int runNode(const std::string& role, const std::string& description, const Arguments& arguments)
+{
+    cxxopts::Options options("endiveroad " + role, description);
+    addCommonOptions(options);
+    options.add_options()("name", "Name of this process in the settings", cxxopts::value<std::string>())(
+        "store", "host:port of the key-value service", cxxopts::value<std::string>())(
+        "peer", "host:port of a process to get settings from (repeatable)", cxxopts::value<std::vector<std::string>>());
+    const auto result = parse(options, arguments);
+    if (!result)
+        return exitOk;
+    if (result->count("name") == 0)
+        throw UsageInvalidError("--name is missing");
+    io::NodeOptions node;
+    node.name = (*result)["name"].as<std::string>();
+    node.role = role;
+    if (result->count("store") != 0)
+        node.store = addressOption(*result, "store");
+    if (result->count("peer") != 0) {
+        for (const std::string& peer : (*result)["peer"].as<std::vector<std::string>>())
+            node.peers.push_back(Address::parse(peer));
+    }
+    if (!node.store && node.peers.empty())
+        throw UsageInvalidError("give --store or --peer: without either there is nowhere to get settings from");
+    configureLog(*result, node.name);
+    NodeType(std::move(node)).run();
+    return exitOk;
+}
+
+} // namespace
+
+int runEntry(const Arguments& arguments)
+{
+    return runNode<io::EntryNode>("entry", "Takes callers' HTTP, routes it and coordinates rollout jobs.", arguments);
+}
+
+int runAgent(const Arguments& arguments)
+{
+    return runNode<io::AgentNode>("agent", "The authority for the one backend server beside it.", arguments);
+}
+
+} // namespace endiveroad::cli
--- /dev/null
+++ b/src/cli/Options.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "cli/Commands.h"
+
+#include <cxxopts.hpp>
+#include <endiveroad/Settings.h>
+#include <optional>
+
+/// Shared parts of the command lines.
+namespace endiveroad::cli {
+
+/// Adds --help and the log options.
+void addCommonOptions(cxxopts::Options&);
+
+/// Parses; throws UsageInvalidError for unknown options or values. Returns nothing if help was printed.
+std::optional<cxxopts::ParseResult> parse(cxxopts::Options&, const Arguments&);
+
+/// Sets up the log from the common options.
+void configureLog(const cxxopts::ParseResult&, const std::string& node);
+
+/// Reads "host:port"; throws UsageInvalidError.
+Address addressOption(const cxxopts::ParseResult&, const std::string& name);
+
+} // namespace endiveroad::cli
--- /dev/null
+++ b/src/io/Frame.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// Frames between endiveroad processes: a fixed header, then a Thrift compact struct.
+namespace endiveroad::io {
+
+enum class FrameKind : uint8_t { Request = 1, Answer = 2, Notice = 3, Heartbeat = 4, Cancel = 5, Part = 6 };
+
+/// Type of the struct in a frame. Numbers are never reused.
+enum class MessageType : uint16_t {
+    None = 0,
+    Hello = 1,
+    AgentReport = 2,
+    Call = 3,
+    Generate = 4,
+    Held = 5,
+    Release = 6,
+    Load = 7,
+    SettingsOffer = 8,
+    SettingsRequest = 9,
+    Policy = 10,
+    Forward = 11,
+    Drain = 12,
+    Status = 13,
+    Timeline = 14,
+    Error = 15,
+};
+
+/// Header of a frame. On the wire: magic u16, version u8, kind u8, type u16, zero u16, length u32, budgetMs u32,
+/// correlation u64, checksum u64, all little-endian.
+struct FrameHeader {
+    static constexpr size_t size = 32;
+    static constexpr uint16_t magic = 0x5245;
+    static constexpr uint8_t protocolVersion = 1;
+    static constexpr uint32_t maxLength = 64U << 20;
+
+    FrameKind kind = FrameKind::Notice;
+    MessageType type = MessageType::None;
+    uint32_t length = 0;
+    /// Time left until the deadline of a request, in ms; 0 means none.
+    uint32_t budgetMs = 0;
+    uint64_t correlation = 0;
+    /// XXH3 over the header's other bytes and the payload.
+    uint64_t checksum = 0;
+
+    auto operator<=>(const FrameHeader&) const = default;
+};
+
+/// Whole frame as bytes.
+std::string encodeFrame(FrameHeader, std::string_view payload);
+
+/// Reads a header. Throws FrameInvalidError for another magic or version, an unknown kind or an excessive length.
+FrameHeader decodeHeader(std::string_view bytes);
+
+/// Checks the payload against the header as received. Throws FrameInvalidError.
+void checkPayload(std::string_view headerBytes, std::string_view payload);
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/HttpClient.cpp
@@ -0,0 +1,186 @@
+#include "io/HttpClient.h"
+
+#include "io/Clock.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <endiveroad/Error.h>
+#include <fmt/format.h>
+
+namespace endiveroad::io {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr size_t streamPieceBytes = 16 << 10;
+
+/// Registers the stream with the cancellation for the span of a request.
+class CancellationScope {
+public:
+    CancellationScope(beast::tcp_stream*& slot, beast::tcp_stream* stream)
+        : slot_(slot)
+    {
+        slot_ = stream;
+    }
+    CancellationScope(const CancellationScope&) = delete;
+    CancellationScope& operator=(const CancellationScope&) = delete;
+    ~CancellationScope() { slot_ = nullptr; }
+
+private:
+    beast::tcp_stream*& slot_;
+};
+
+http::request<http::string_body> toBeast(const Address& address, HttpRequest request)
+{
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    for (const auto& [name, value] : request.headers)
+        message.set(name, value);
+    message.set(http::field::host, address.text());
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+HttpResponse toResponse(const http::response_header<>& header)
+{
+    HttpResponse response;
+    response.status = static_cast<int>(header.result_int());
+    for (const auto& field : header)
+        response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    return response;
+}
+
+[[noreturn]] void throwUnknown(const Address& address, const error_code& error)
+{
+    throw OutcomeUnknownError(fmt::format("{}: {}", address.text(), error.message()));
+}
+
+} // namespace
+
+HttpRequest jsonRequest(std::string method, std::string target, std::string body)
+{
+    HttpRequest request;
+    request.method = std::move(method);
+    request.target = std::move(target);
+    request.headers.emplace_back("Content-Type", "application/json");
+    request.body = std::move(body);
+    return request;
+}
+
+void HttpCancellation::cancel()
+{
+    isCancelled_ = true;
+    if (stream_)
+        stream_->close();
+}
+
+std::unique_ptr<beast::tcp_stream> HttpClient::takeIdle(const Address& address)
+{
+    auto& idle = idle_[address];
+    while (!idle.empty()) {
+        Idle candidate = std::move(idle.back());
+        idle.pop_back();
+        if (candidate.expiry < now())
+            continue;
+        // A byte or an end of stream on an idle connection means that the server has closed it.
+        char byte = 0;
+        error_code error;
+        candidate.stream->socket().non_blocking(true, error);
+        candidate.stream->socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        if (error == asio::error::would_block)
+            return std::move(candidate.stream);
+    }
+    return nullptr;
+}
+
+void HttpClient::keepIdle(const Address& address, std::unique_ptr<beast::tcp_stream> stream)
+{
+    auto& idle = idle_[address];
+    stream->expires_never();
+    if (idle.size() < maxIdlePerAddress)
+        idle.push_back({ std::move(stream), now() + idleLifetime });
+}
+
+asio::awaitable<std::unique_ptr<beast::tcp_stream>> HttpClient::open(const Address& address, Instant deadline)
+{
+    if (auto stream = takeIdle(address))
+        co_return stream;
+    auto stream = std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
+    error_code error;
+    const auto host = asio::ip::make_address(address.host, error);
+    if (!error) {
+        stream->expires_at(steady(deadline));
+        const asio::ip::tcp::endpoint endpoint(host, address.port);
+        co_await stream->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error)
+        throw ServerUnavailableError(fmt::format("{}: {}", address.text(), error.message()));
+    stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
+    co_return stream;
+}
+
+asio::awaitable<HttpResponse> HttpClient::request(
+    Address address, HttpRequest request, Instant deadline, HttpCancellation* cancellation)
+{
+    std::string body;
+    auto collect = [&body](std::string_view piece) {
+        body.append(piece);
+        return true;
+    };
+    HttpResponse response = co_await stream(address, std::move(request), deadline, collect, cancellation);
+    response.body = std::move(body);
+    co_return response;
+}
+
+asio::awaitable<HttpResponse> HttpClient::stream(
+    Address address, HttpRequest request, Instant deadline, OnBody onBody, HttpCancellation* cancellation)
+{
+    HttpCancellation unused;
+    HttpCancellation& cancel = cancellation ? *cancellation : unused;
+    auto stream = co_await open(address, deadline);
+    const CancellationScope scope(cancel.stream_, stream.get());
+    stream->expires_at(steady(deadline));
+    auto message = toBeast(address, std::move(request));
+    error_code error;
+    co_await http::async_write(*stream, message, asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        throwUnknown(address, error);
+
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(maxResponseBytes);
+    co_await http::async_read_header(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        throwUnknown(address, error);
+    HttpResponse response = toResponse(parser.get());
+    std::string piece(streamPieceBytes, '\0');
+    while (!parser.is_done()) {
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        parser.get().body().more = true;
+        co_await http::async_read_some(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error == http::error::need_buffer)
+            error = {};
+        const size_t received = piece.size() - parser.get().body().size;
+        if (received > 0 && !onBody(std::string_view(piece).substr(0, received)))
+            co_return response;
+        if (error)
+            throwUnknown(address, error);
+    }
+    // An answer that ends only with its connection does not declare its end, so it cannot be known to be whole.
+    if (parser.get().need_eof())
+        throw OutcomeUnknownError(fmt::format("{}: the answer does not declare its end", address.text()));
+    if (parser.get().keep_alive() && !cancel.isCancelled())
+        keepIdle(address, std::move(stream));
+    co_return response;
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/HttpServer.cpp
@@ -0,0 +1,338 @@
+#include "io/HttpServer.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/PeerConnection.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace endiveroad::io {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+http::response<http::string_body> toBeast(HttpResponse response, bool isKeptAlive)
+{
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(static_cast<unsigned>(response.status));
+    for (const auto& [name, value] : response.headers)
+        message.insert(name, value);
+    message.keep_alive(isKeptAlive);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    return message;
+}
+
+HttpQuery toQuery(http::request<http::string_body> message)
+{
+    HttpQuery query;
+    query.method = std::string(message.method_string());
+    query.target = std::string(message.target());
+    for (const auto& field : message)
+        query.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    query.body = std::move(message.body());
+    return query;
+}
+
+} // namespace
+
+std::string_view HttpQuery::header(std::string_view name) const
+{
+    for (const auto& [key, value] : headers) {
+        if (beast::iequals(key, name))
+            return value;
+    }
+    return {};
+}
+
+HttpResponse jsonResponse(int status, std::string body)
+{
+    return { status, { { "Content-Type", "application/json" } }, std::move(body) };
+}
+
+HttpResponse errorResponse(const Error& error, Duration retryAfter)
+{
+    nlohmann::json body { { "error", { { "code", codeText(error.code()) }, { "detail", error.what() } } } };
+    HttpResponse response = jsonResponse(httpStatus(error.code()), {});
+    if (retryAfter > Duration::zero()) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(retryAfter).count();
+        const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
+        response.headers.emplace_back("Retry-After", fmt::format("{}", seconds));
+        body["error"]["retryAfterMs"] = milliseconds;
+    }
+    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return response;
+}
+
+asio::ip::tcp::acceptor listenOn(asio::io_context& context, const Address& address)
+{
+    error_code error;
+    const auto host = asio::ip::make_address(address.host, error);
+    asio::ip::tcp::acceptor acceptor(context);
+    const asio::ip::tcp::endpoint endpoint(host, address.port);
+    if (!error)
+        acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        throw AddressInUseError(fmt::format("cannot listen on {}: {}", address.text(), error.message()));
+    return acceptor;
+}
+
+/// One connection of a caller: reads a request, lets the handler answer, reads the next.
+class HttpServer::Session : public HttpExchange {
+public:
+    Session(HttpServer& server, asio::ip::tcp::socket socket)
+        : server_(server)
+        , sessions_(server.sessions_)
+        , stream_(std::move(socket))
+    {
+        sessions_->insert(this);
+    }
+    ~Session() override { sessions_->erase(this); }
+
+    asio::awaitable<void> run(std::shared_ptr<Session> self)
+    {
+        error_code ignored;
+        stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        while (!isClosing_ && !server_.isStopping_) {
+            if (!co_await readRequest())
+                break;
+            watchForDisconnect(self);
+            ++server_.inFlight_;
+            co_await handle();
+            --server_.inFlight_;
+            onDisconnect_ = nullptr;
+            ++exchange_;
+        }
+        stream_.close();
+    }
+
+    void closeIfIdle()
+    {
+        if (isIdle_)
+            stream_.close();
+    }
+
+    const HttpQuery& query() const override { return query_; }
+    bool isDisconnected() const override { return isDisconnected_; }
+    void onDisconnect(std::function<void()> callback) override { onDisconnect_ = std::move(callback); }
+
+    asio::awaitable<void> answer(HttpResponse response) override
+    {
+        isAnswered_ = true;
+        if (hasExtraInput() || server_.isStopping_)
+            isClosing_ = true;
+        auto message = toBeast(std::move(response), !isClosing_);
+        stream_.expires_after(writeTimeout);
+        error_code error;
+        co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            isClosing_ = true;
+    }
+
+    asio::awaitable<void> beginStream(int status, HeaderList headers) override
+    {
+        isAnswered_ = true;
+        isStreaming_ = true;
+        http::response<http::empty_body> message;
+        message.version(11);
+        message.result(static_cast<unsigned>(status));
+        for (const auto& [name, value] : headers)
+            message.insert(name, value);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer(message);
+        co_await writeChecked([&](error_code& error) -> asio::awaitable<void> {
+            co_await http::async_write_header(stream_, serializer, asio::redirect_error(asio::use_awaitable, error));
+        });
+    }
+
+    asio::awaitable<void> sendPiece(std::string_view piece) override
+    {
+        if (piece.empty())
+            co_return;
+        co_await writeChecked([&](error_code& error) -> asio::awaitable<void> {
+            co_await asio::async_write(stream_, http::make_chunk(asio::buffer(piece.data(), piece.size())),
+                asio::redirect_error(asio::use_awaitable, error));
+        });
+    }
+
+    asio::awaitable<void> endStream() override
+    {
+        co_await writeChecked([&](error_code& error) -> asio::awaitable<void> {
+            co_await asio::async_write(
+                stream_, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+        });
+        isStreaming_ = false;
+    }
+
+private:
+    template <typename Write>
+    asio::awaitable<void> writeChecked(Write write)
+    {
+        stream_.expires_after(writeTimeout);
+        error_code error;
+        co_await write(error);
+        if (error) {
+            isClosing_ = true;
+            throw AnswerBrokenError(fmt::format("the caller's connection broke: {}", error.message()));
+        }
+    }
+
+    bool hasExtraInput() const { return buffer_.size() > 0; }
+
+    asio::awaitable<bool> readRequest()
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(maxHeaderBytes);
+        parser.body_limit(maxBodyBytes);
+        error_code error;
+        isIdle_ = buffer_.size() == 0;
+        stream_.expires_after(isIdle_ ? idleTimeout : headerTimeout);
+        if (isIdle_) {
+            co_await stream_.socket().async_wait(
+                asio::socket_base::wait_read, asio::redirect_error(asio::use_awaitable, error));
+            isIdle_ = false;
+            stream_.expires_after(headerTimeout);
+        }
+        if (!error)
+            co_await http::async_read_header(
+                stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue"))
+            co_await answerContinue(error);
+        if (!error)
+            co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_await refuse(error);
+            co_return false;
+        }
+        if (hasExtraInput()) {
+            isClosing_ = true;
+            co_await answer(errorResponse(BadRequestError("pipelined requests are not taken")));
+            co_return false;
+        }
+        isClosing_ = !parser.get().keep_alive();
+        isAnswered_ = false;
+        query_ = toQuery(parser.release());
+        co_return true;
+    }
+
+    asio::awaitable<void> answerContinue(error_code& error)
+    {
+        http::response<http::empty_body> message(http::status::continue_, 11);
+        co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, error));
+    }
+
+    asio::awaitable<void> refuse(const error_code& error)
+    {
+        isClosing_ = true;
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
+            co_await answer(errorResponse(HeadersTooLargeError("the header section is too large")));
+        else if (error == http::error::body_limit)
+            co_await answer(errorResponse(BodyTooLargeError("the body is too large")));
+        else if (error.category() == make_error_code(http::error::bad_method).category()
+            && error != http::error::end_of_stream && error != http::error::partial_message)
+            co_await answer(errorResponse(BadRequestError(error.message())));
+    }
+
+    asio::awaitable<void> handle()
+    {
+        try {
+            co_await server_.handler_.onHttp(*this);
+        } catch (const std::exception& error) {
+            log(Event::CallOutcomeUnknown, { { "target", query_.target }, { "reason", error.what() } });
+        }
+        if (isStreaming_)
+            isClosing_ = true;
+        if (!isAnswered_)
+            co_await answer(errorResponse(OutcomeUnknownError("the entry failed while it handled the request")));
+    }
+
+    /// Waits for input while a request is handled: an end of stream means that the caller has gone.
+    void watchForDisconnect(std::shared_ptr<Session> self)
+    {
+        stream_.expires_never();
+        const uint64_t exchange = exchange_;
+        stream_.socket().async_wait(asio::socket_base::wait_read, [self, exchange](error_code error) {
+            if (error || exchange != self->exchange_)
+                return;
+            char byte = 0;
+            self->stream_.socket().non_blocking(true, error);
+            self->stream_.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+            if (!error || error == asio::error::would_block)
+                return;
+            self->isDisconnected_ = true;
+            self->isClosing_ = true;
+            if (self->onDisconnect_)
+                self->onDisconnect_();
+        });
+    }
+
+    HttpServer& server_;
+    std::shared_ptr<std::set<Session*>> sessions_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    HttpQuery query_;
+    std::function<void()> onDisconnect_;
+    uint64_t exchange_ = 0;
+    bool isIdle_ = false;
+    bool isClosing_ = false;
+    bool isAnswered_ = false;
+    bool isStreaming_ = false;
+    bool isDisconnected_ = false;
+};
+
+HttpServer::HttpServer(HttpHandler& handler)
+    : handler_(handler)
+    , sessions_(std::make_shared<std::set<Session*>>())
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::start(asio::io_context& context, const Address& address)
+{
+    acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(listenOn(context, address));
+    spawn(context.get_executor(), [this] { return acceptLoop(); });
+}
+
+void HttpServer::stopAccepting()
+{
+    isStopping_ = true;
+    error_code ignored;
+    if (acceptor_)
+        acceptor_->close(ignored);
+    const auto sessions = *sessions_;
+    for (Session* session : sessions)
+        session->closeIfIdle();
+}
+
+asio::awaitable<void> HttpServer::acceptLoop()
+{
+    while (!isStopping_) {
+        error_code error;
+        auto socket = co_await acceptor_->async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            if (!isStopping_)
+                co_await sleepFor(std::chrono::milliseconds(20));
+            continue;
+        }
+        auto session = std::make_shared<Session>(*this, std::move(socket));
+        spawn(acceptor_->get_executor(), [session] { return session->run(session); });
+    }
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/Node.cpp
@@ -0,0 +1,198 @@
+#include "io/Node.h"
+
+#include "io/Clock.h"
+#include "io/HttpServer.h"
+#include "io/Log.h"
+#include "wire/Codec.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <endiveroad/Error.h>
+#include <endiveroad_types.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace endiveroad::io {
+
+namespace {
+
+constexpr Duration answerFlushTime = std::chrono::milliseconds(100);
+
+std::string timelineJson(int64_t sinceWallMs)
+{
+    nlohmann::json lines = nlohmann::json::array();
+    for (const TimelineEntry& entry : Log::instance().ring().since(sinceWallMs))
+        lines.push_back(nlohmann::json::parse(toJsonLine(entry)));
+    return lines.dump();
+}
+
+std::string textAnswer(std::string json)
+{
+    wire::TextAnswer answer;
+    answer.json = std::move(json);
+    return wire::encode(answer);
+}
+
+} // namespace
+
+Node::Node(NodeOptions options)
+    : options_(std::move(options))
+    , incarnation_(wallMs())
+    , signals_(context_, SIGTERM, SIGINT)
+    , settings_([this](auto before, auto inForce) { settingsChanged(before, inForce); })
+    , mesh_(context_, *this, [this](const std::string&, const PeerConnectionPtr& peer) { sendHello(peer); })
+{
+    if (options_.store)
+        store_ = std::make_unique<EtcdStoreClient>(http_, *options_.store);
+}
+
+void Node::run()
+{
+    signals_.async_wait([this](boost::system::error_code error, int) {
+        if (!error)
+            stop();
+    });
+    if (store_)
+        spawn(context_.get_executor(), [this] { return settings_.follow(*store_); });
+    std::map<std::string, Address> targets;
+    for (const Address& peer : options_.peers)
+        targets.emplace("peer-" + peer.text(), peer);
+    mesh_.setTargets(targets);
+    log(Event::ProcessStarted, { { "role", options_.role }, { "incarnation", std::to_string(incarnation_) } });
+    context_.run();
+    if (failure_)
+        std::rethrow_exception(failure_);
+    log(Event::ProcessStopped);
+}
+
+void Node::settingsChanged(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce)
+{
+    try {
+        const auto address = peerAddress(*inForce);
+        if (address && !acceptor_)
+            listenForPeers(*address);
+        onSettings(before, inForce);
+        if (address)
+            mesh_.setTargets(peerTargets(*inForce));
+        for (const PeerConnectionPtr& peer : mesh_.connections())
+            sendSettings(peer);
+        const auto accepted = accepted_;
+        for (const PeerConnectionPtr& peer : accepted)
+            sendSettings(peer);
+    } catch (const AddressInUseError&) {
+        failure_ = std::current_exception();
+        context_.stop();
+    }
+}
+
+void Node::listenForPeers(const Address& address)
+{
+    acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(listenOn(context_, address));
+    spawn(context_.get_executor(), [this] { return acceptPeers(); });
+}
+
+asio::awaitable<void> Node::acceptPeers()
+{
+    while (acceptor_->is_open()) {
+        boost::system::error_code error;
+        auto socket = co_await acceptor_->async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_await sleepFor(std::chrono::milliseconds(20));
+            continue;
+        }
+        auto connection = std::make_shared<PeerConnection>(std::move(socket), *this);
+        accepted_.insert(connection);
+        connection->start();
+    }
+}
+
+void Node::sendHello(const PeerConnectionPtr& peer)
+{
+    wire::Hello hello;
+    hello.node = options_.name;
+    hello.role = options_.role;
+    hello.incarnation = incarnation_;
+    hello.settingsRevision = settings_.revision();
+    peer->notify(MessageType::Hello, wire::encode(hello));
+}
+
+void Node::sendSettings(const PeerConnectionPtr& peer)
+{
+    if (!settings_.current())
+        return;
+    wire::SettingsAnswer message;
+    message.revision = settings_.revision();
+    message.document = settings_.encodedDocument();
+    peer->notify(MessageType::SettingsOffer, wire::encode(message));
+}
+
+void Node::onHello(const PeerConnectionPtr& peer, const PeerMessage& message)
+{
+    const auto hello = wire::decode<wire::Hello>(message.payload);
+    const bool isFirst = accepted_.contains(peer) && peer->peerName.empty();
+    if (accepted_.contains(peer))
+        peer->peerName = hello.node;
+    if (isFirst)
+        sendHello(peer);
+    if (hello.settingsRevision < settings_.revision())
+        sendSettings(peer);
+    onPeerHello(peer, hello.role);
+}
+
+asio::awaitable<std::string> Node::onRequest(PeerConnectionPtr peer, PeerMessage message)
+{
+    switch (message.type) {
+    case MessageType::Status:
+        co_return textAnswer(statusJson());
+    case MessageType::Timeline:
+        co_return textAnswer(timelineJson(std::stoll("0" + wire::decode<wire::TextRequest>(message.payload).argument)));
+    case MessageType::Drain:
+        stop();
+        co_return textAnswer(statusJson());
+    default:
+        co_return co_await onNodeRequest(std::move(peer), std::move(message));
+    }
+}
+
+void Node::onNotice(const PeerConnectionPtr& peer, const PeerMessage& message)
+{
+    try {
+        if (message.type == MessageType::Hello)
+            onHello(peer, message);
+        else if (message.type == MessageType::SettingsOffer)
+            settings_.offer(wire::decode<wire::SettingsAnswer>(message.payload).document);
+        else
+            onNodeNotice(peer, message);
+    } catch (const Error& error) {
+        log(Event::FrameRefused, { { "peer", peer->peerName }, { "reason", error.what() } });
+    }
+}
+
+void Node::onClosed(const PeerConnectionPtr& peer)
+{
+    accepted_.erase(peer);
+    if (!peer->peerName.empty())
+        log(Event::PeerLost, { { "peer", peer->peerName } });
+    onPeerClosed(peer);
+}
+
+void Node::stop()
+{
+    if (isDraining_)
+        return;
+    isDraining_ = true;
+    log(Event::ProcessStopping);
+    spawn(context_.get_executor(), [this] { return stopGracefully(); });
+}
+
+asio::awaitable<void> Node::stopGracefully()
+{
+    log(Event::DrainStarted);
+    co_await drain();
+    log(Event::DrainFinished);
+    co_await sleepFor(answerFlushTime);
+    context_.stop();
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/Node.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "io/HttpClient.h"
+#include "io/PeerMesh.h"
+#include "io/SettingsKeeper.h"
+#include "io/StoreClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <endiveroad/Settings.h>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+/// What entry and agent processes have in common: settings, peers, orderly end.
+namespace endiveroad::io {
+
+struct NodeOptions {
+    std::string name;
+    std::string role;
+    std::optional<Address> store;
+    std::vector<Address> peers;
+};
+
+class Node : public PeerHandler {
+public:
+    explicit Node(NodeOptions);
+
+    /// Runs until the process was told to stop and has finished its work. Throws AddressInUseError.
+    void run();
+
+    asio::awaitable<std::string> onRequest(PeerConnectionPtr, PeerMessage) final;
+    void onNotice(const PeerConnectionPtr&, const PeerMessage&) final;
+    void onClosed(const PeerConnectionPtr&) final;
+
+protected:
+    /// New settings are in force; before is null for the first.
+    virtual void onSettings(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce) = 0;
+
+    virtual asio::awaitable<std::string> onNodeRequest(PeerConnectionPtr, PeerMessage) = 0;
+    virtual void onNodeNotice(const PeerConnectionPtr&, const PeerMessage&) { }
+    virtual void onPeerHello(const PeerConnectionPtr&, const std::string& role) = 0;
+    virtual void onPeerClosed(const PeerConnectionPtr&) { }
+
+    /// Address for peers to connect to, from the settings; nothing if this process is not declared.
+    virtual std::optional<Address> peerAddress(const Settings&) const = 0;
+
+    /// Peers to connect to under the settings.
+    virtual std::map<std::string, Address> peerTargets(const Settings&) const = 0;
+
+    /// Takes no new work, then returns when none is left or the drain timeout has passed.
+    virtual asio::awaitable<void> drain() = 0;
+
+    /// State for operators as JSON text.
+    virtual std::string statusJson() const = 0;
+
+    asio::io_context& context() { return context_; }
+    HttpClient& http() { return http_; }
+    PeerMesh& mesh() { return mesh_; }
+    const std::set<PeerConnectionPtr>& acceptedPeers() const { return accepted_; }
+    std::shared_ptr<const Settings> settings() const { return settings_.current(); }
+    const SettingsKeeper& keeper() const { return settings_; }
+    const std::string& name() const { return options_.name; }
+    int64_t incarnation() const { return incarnation_; }
+    bool isDraining() const { return isDraining_; }
+
+    /// Starts drain and end of the process; further calls do nothing.
+    void stop();
+
+private:
+    void listenForPeers(const Address&);
+    asio::awaitable<void> acceptPeers();
+    asio::awaitable<void> stopGracefully();
+    void sendHello(const PeerConnectionPtr&);
+    void onHello(const PeerConnectionPtr&, const PeerMessage&);
+    void sendSettings(const PeerConnectionPtr&);
+    void settingsChanged(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce);
+
+    NodeOptions options_;
+    int64_t incarnation_;
+    asio::io_context context_ { 1 };
+    asio::signal_set signals_;
+    HttpClient http_;
+    std::unique_ptr<StoreClient> store_;
+    SettingsKeeper settings_;
+    PeerMesh mesh_;
+    std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
+    std::set<PeerConnectionPtr> accepted_;
+    bool isDraining_ = false;
+    std::exception_ptr failure_;
+};
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/PeerConnection.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "io/Frame.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <endiveroad/Settings.h>
+#include <endiveroad/Time.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+/// Framed connections between endiveroad processes. Both ends may send requests; answers come back in any order and
+/// are matched by correlation number. A connection on which nothing is heard for silenceLimit is closed, and its open
+/// requests end as unknown.
+namespace endiveroad::io {
+
+namespace asio = boost::asio;
+
+class PeerConnection;
+using PeerConnectionPtr = std::shared_ptr<PeerConnection>;
+
+/// A request or notice as received.
+struct PeerMessage {
+    MessageType type = MessageType::None;
+    std::string payload;
+    /// The sender's deadline, mapped onto this process's clock; never if it gave none.
+    Instant deadline = never;
+};
+
+/// What a process does with messages of its peers.
+class PeerHandler {
+public:
+    virtual ~PeerHandler() = default;
+
+    /// Answers a request with an encoded struct. An Error thrown here reaches the sender as the same code.
+    virtual asio::awaitable<std::string> onRequest(PeerConnectionPtr, PeerMessage) = 0;
+
+    virtual void onNotice(const PeerConnectionPtr&, const PeerMessage&) = 0;
+    virtual void onClosed(const PeerConnectionPtr&) = 0;
+};
+
+class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
+public:
+    static constexpr Duration heartbeatInterval = std::chrono::milliseconds(500);
+    static constexpr Duration silenceLimit = std::chrono::milliseconds(2000);
+    static constexpr Duration connectTimeout = std::chrono::milliseconds(1000);
+    static constexpr size_t maxQueuedBytes = 256U << 20;
+
+    PeerConnection(asio::ip::tcp::socket, PeerHandler&);
+
+    /// Connects and starts. Throws PeerUnavailableError.
+    static asio::awaitable<PeerConnectionPtr> connect(Address, PeerHandler&);
+
+    /// Starts reading, writing and heartbeats; the handler must outlive the connection.
+    void start();
+
+    /// Sends a request and waits for its answer. Throws PeerUnavailableError if no byte of it was sent,
+    /// OutcomeUnknownError if the connection or the deadline ended first, else the Error that the peer answered with.
+    asio::awaitable<std::string> call(MessageType, std::string payload, Instant deadline);
+
+    void notify(MessageType, const std::string& payload);
+
+    void close();
+    bool isOpen() const { return isOpen_; }
+
+    /// Name of the peer process, once its Hello has come; empty before.
+    std::string peerName;
+
+private:
+    struct PendingCall {
+        asio::steady_timer timer;
+        std::string payload;
+        bool isAnswered = false;
+        bool isError = false;
+    };
+
+    void send(FrameHeader, std::string_view payload);
+    asio::awaitable<void> readLoop();
+    asio::awaitable<void> writeLoop();
+    asio::awaitable<void> heartbeatLoop();
+    asio::awaitable<void> serve(FrameHeader, PeerMessage);
+    void dispatch(const FrameHeader&, std::string payload);
+    void onAnswer(const FrameHeader&, std::string payload);
+
+    asio::ip::tcp::socket socket_;
+    PeerHandler& handler_;
+    asio::steady_timer writeWakeup_;
+    asio::steady_timer heartbeatTimer_;
+    std::deque<std::string> outgoing_;
+    size_t outgoingBytes_ = 0;
+    std::unordered_map<uint64_t, std::shared_ptr<PendingCall>> pending_;
+    uint64_t nextCorrelation_ = 1;
+    Instant silentAt_ = never;
+    bool isOpen_ = true;
+};
+
+/// Starts a coroutine whose exceptions are logged and end only itself.
+void spawn(const asio::any_io_executor&, std::function<asio::awaitable<void>()>);
+
+/// Waits until the instant; returns early if the timer is cancelled.
+asio::awaitable<void> waitUntil(asio::steady_timer&, Instant);
+
+/// Sleeps for the given time.
+asio::awaitable<void> sleepFor(Duration);
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/StoreClient.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "io/HttpClient.h"
+
+#include <optional>
+
+/// The platform's key-value service.
+namespace endiveroad::io {
+
+/// A value with the service's revision of its last change.
+struct StoredValue {
+    std::string value;
+    int64_t modRevision = 0;
+
+    auto operator<=>(const StoredValue&) const = default;
+};
+
+/// Interface to a key-value service with compare-and-swap and watches. All calls throw StoreUnavailableError when the
+/// service does not answer; a write may then have taken effect.
+class StoreClient {
+public:
+    virtual ~StoreClient() = default;
+
+    virtual asio::awaitable<std::optional<StoredValue>> read(std::string key, Instant deadline) = 0;
+
+    /// Writes if the key's last change is expectedRevision (0: the key does not exist). Returns whether it did.
+    virtual asio::awaitable<bool> compareAndSwap(
+        std::string key, int64_t expectedRevision, std::string value, Instant deadline)
+        = 0;
+
+    /// Calls back for every change of the key after the given revision, until the watch breaks or the deadline.
+    virtual asio::awaitable<void> watch(
+        std::string key, int64_t afterRevision, Instant deadline, std::function<void(StoredValue)> onChange)
+        = 0;
+};
+
+/// The JSON form of etcd v3 (/v3/kv/range, /v3/kv/txn, /v3/watch).
+class EtcdStoreClient : public StoreClient {
+public:
+    EtcdStoreClient(HttpClient&, Address);
+
+    asio::awaitable<std::optional<StoredValue>> read(std::string key, Instant deadline) override;
+    asio::awaitable<bool> compareAndSwap(
+        std::string key, int64_t expectedRevision, std::string value, Instant deadline) override;
+    asio::awaitable<void> watch(
+        std::string key, int64_t afterRevision, Instant deadline, std::function<void(StoredValue)> onChange) override;
+
+private:
+    asio::awaitable<std::string> post(std::string target, std::string body, Instant deadline);
+
+    HttpClient& http_;
+    Address address_;
+};
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/agent/AgentNode.cpp
@@ -0,0 +1,250 @@
+#include "io/agent/AgentNode.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/WireValues.h"
+#include "wire/Codec.h"
+
+#include <endiveroad/Error.h>
+#include <endiveroad_types.h>
+#include <nlohmann/json.hpp>
+
+namespace endiveroad::io {
+
+namespace {
+
+constexpr Duration drainPoll = std::chrono::milliseconds(20);
+constexpr int32_t refusedRetryAfterMs = 200;
+
+/// The pool and replica that a settings tree declares under an agent's name.
+std::pair<const PoolDeclaration*, const ReplicaDeclaration*> findReplica(
+    const Settings& settings, const std::string& name)
+{
+    for (const auto& [poolName, pool] : settings.pools) {
+        const auto found = pool.replicas.find(name);
+        if (found != pool.replicas.end())
+            return { &pool, &found->second };
+    }
+    return { nullptr, nullptr };
+}
+
+} // namespace
+
+AgentNode::AgentNode(NodeOptions options)
+    : Node(std::move(options))
+{
+}
+
+std::optional<Address> AgentNode::peerAddress(const Settings& settings) const
+{
+    const auto [pool, replica] = findReplica(settings, name());
+    return replica ? std::optional(replica->peer) : std::nullopt;
+}
+
+std::map<std::string, Address> AgentNode::peerTargets(const Settings&) const
+{
+    return {};
+}
+
+uint64_t AgentNode::heldBytesLimit(const Settings& settings) const
+{
+    uint64_t limit = RolloutPolicy().heldBytesPerAgent;
+    for (const auto& [jobName, job] : settings.jobs) {
+        if (job.pool == pool_)
+            limit = job.rollout.heldBytesPerAgent;
+    }
+    return limit;
+}
+
+void AgentNode::onSettings(std::shared_ptr<const Settings>, std::shared_ptr<const Settings> inForce)
+{
+    const auto [pool, replica] = findReplica(*inForce, name());
+    if (!replica)
+        return;
+    if (!calls_)
+        start(*pool, *replica);
+    admission_.setSlots(pool->call.slots, pool->call.reservedSlots);
+    calls_->onPolicy(pool->call);
+    drainTimeout_ = pool->call.drainTimeout;
+    hold_.setMaxBytes(heldBytesLimit(*inForce));
+}
+
+void AgentNode::start(const PoolDeclaration& pool, const ReplicaDeclaration& replica)
+{
+    pool_ = pool.name;
+    region_ = pool.region;
+    failureDomain_ = replica.failureDomain;
+    server_ = replica.server;
+    calls_ = std::make_unique<CallRunner>(http(), admission_, server_, incarnation());
+    const auto executor = context().get_executor();
+    if (pool.kind == PoolKind::Engine) {
+        engine_ = std::make_unique<CompletionsEngineClient>(http(), server_);
+        generator_ = std::make_unique<Generator>(context(), *engine_, tracker_, name(), pool.model);
+        spawn(executor, [this] { return generator_->watchEngine([this](bool isUp) { onServerState(isUp); }); });
+    } else {
+        spawn(executor, [this] { return probeServer(); });
+    }
+    spawn(executor, [this] { return reportLoop(); });
+}
+
+void AgentNode::onServerState(bool isUp)
+{
+    if (isUp == admission_.isServerUp())
+        return;
+    admission_.setServerUp(isUp);
+    log(isUp ? Event::ServerUp : Event::ServerDown, { { "server", server_.text() } });
+    sendReports();
+}
+
+asio::awaitable<void> AgentNode::probeServer()
+{
+    while (true) {
+        bool isUp = false;
+        try {
+            const HttpResponse response
+                = co_await http().request(server_, jsonRequest("GET", "/health", {}), now() + probeTimeout);
+            isUp = response.status < 500;
+        } catch (const Error&) {
+            isUp = false;
+        }
+        onServerState(isUp);
+        co_await sleepFor(probeInterval);
+    }
+}
+
+asio::awaitable<void> AgentNode::reportLoop()
+{
+    while (true) {
+        sendReports();
+        co_await sleepFor(reportInterval);
+    }
+}
+
+void AgentNode::sendReports()
+{
+    wire::AgentReport report;
+    report.agent = name();
+    report.pool = pool_;
+    report.region = region_;
+    report.failureDomain = failureDomain_;
+    report.incarnation = incarnation();
+    report.sequence = ++reportSequence_;
+    report.freeSlots = admission_.freeSlots();
+    report.running = admission_.running();
+    report.version = tracker_.version();
+    report.isSwapping = tracker_.isSwapping();
+    report.isDraining = admission_.isDraining();
+    report.isServerUp = admission_.isServerUp();
+    report.settingsRevision = keeper().revision();
+    report.heldBytes = static_cast<int64_t>(hold_.bytes());
+    const std::string payload = wire::encode(report);
+    const auto peers = acceptedPeers();
+    for (const PeerConnectionPtr& peer : peers) {
+        if (!peer->peerName.empty())
+            peer->notify(MessageType::AgentReport, payload);
+    }
+}
+
+void AgentNode::onPeerHello(const PeerConnectionPtr&, const std::string&)
+{
+    if (calls_)
+        sendReports();
+}
+
+asio::awaitable<std::string> AgentNode::onNodeRequest(PeerConnectionPtr, PeerMessage message)
+{
+    if (!calls_)
+        throw NotReadyError("the agent has no settings yet");
+    switch (message.type) {
+    case MessageType::Call: {
+        auto request = wire::decode<wire::CallRequest>(message.payload);
+        co_return wire::encode(co_await calls_->run(std::move(request), message.deadline));
+    }
+    case MessageType::Generate: {
+        auto request = wire::decode<wire::GenerateRequest>(message.payload);
+        co_return co_await generate(std::move(request), message.deadline);
+    }
+    case MessageType::Held: {
+        const auto request = wire::decode<wire::HeldRequest>(message.payload);
+        wire::HeldAnswer answer;
+        for (const Sample& sample : hold_.missingFrom(request.job, static_cast<StepNumber>(request.step),
+                 static_cast<uint64_t>(request.stepDigest), request.receivedBits))
+            answer.samples.push_back(toWire(sample));
+        co_return wire::encode(answer);
+    }
+    case MessageType::Load: {
+        const auto request = wire::decode<wire::LoadRequest>(message.payload);
+        if (!generator_)
+            throw BadRequestError("this backend server is not a model engine");
+        wire::LoadAnswer answer;
+        const bool isLoaded = co_await generator_->load(request.version, request.weights);
+        answer.outcome = isLoaded ? wire::Outcome::Done : wire::Outcome::Unknown;
+        answer.version = tracker_.version();
+        sendReports();
+        co_return wire::encode(answer);
+    }
+    default:
+        throw BadRequestError("an agent does not take this message");
+    }
+}
+
+void AgentNode::onNodeNotice(const PeerConnectionPtr&, const PeerMessage& message)
+{
+    if (message.type != MessageType::Release)
+        return;
+    const auto notice = wire::decode<wire::ReleaseNotice>(message.payload);
+    hold_.onReceived(notice.job, static_cast<StepNumber>(notice.step), static_cast<uint64_t>(notice.stepDigest),
+        notice.receivedBits);
+}
+
+asio::awaitable<std::string> AgentNode::generate(wire::GenerateRequest request, Instant deadline)
+{
+    if (!generator_)
+        throw BadRequestError("this backend server is not a model engine");
+    wire::GenerateAnswer answer;
+    answer.outcome = wire::Outcome::NotRun;
+    answer.errorCode = std::string(codeText(ErrorCode::NotRun));
+    answer.retryAfterMs = refusedRetryAfterMs;
+    const Sample* held = hold_.find(request.job, static_cast<StepNumber>(request.step),
+        static_cast<uint64_t>(request.stepDigest), static_cast<uint32_t>(request.index));
+    if (held && held->oldestVersion() >= request.oldestVersion) {
+        answer.outcome = wire::Outcome::Done;
+        answer.__set_sample(toWire(*held));
+        co_return wire::encode(answer);
+    }
+    if (admission_.admit(request.requestId, false, deadline, now()) != Refusal::None)
+        co_return wire::encode(answer);
+    try {
+        Sample sample = co_await generator_->generate(std::move(request), deadline);
+        answer.outcome = wire::Outcome::Done;
+        answer.errorCode.clear();
+        answer.__set_sample(toWire(sample));
+        hold_.add(std::move(sample));
+    } catch (const Error& error) {
+        answer.errorCode = std::string(codeText(error.code()));
+    }
+    admission_.finish();
+    co_return wire::encode(answer);
+}
+
+asio::awaitable<void> AgentNode::drain()
+{
+    admission_.setDraining(true);
+    if (calls_)
+        sendReports();
+    const Instant deadline = now() + drainTimeout_;
+    while (admission_.running() > 0 && now() < deadline)
+        co_await sleepFor(drainPoll);
+}
+
+std::string AgentNode::statusJson() const
+{
+    return nlohmann::json {
+        { "name", name() }, { "role", "agent" }, { "incarnation", incarnation() }, { "revision", keeper().revision() },
+        { "isDraining", admission_.isDraining() }, { "pool", pool_ }, { "version", tracker_.version() },
+        { "isServerUp", admission_.isServerUp() }, { "running", admission_.running() },
+        { "freeSlots", admission_.freeSlots() }, { "heldSamples", hold_.count() }, { "heldBytes", hold_.bytes() }
+    }.dump();
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/entry/EntryNode.cpp
@@ -0,0 +1,320 @@
+#include "io/entry/EntryNode.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/WireValues.h"
+#include "wire/Codec.h"
+
+#include <charconv>
+#include <endiveroad/Error.h>
+#include <endiveroad/Rendezvous.h>
+#include <endiveroad_types.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace endiveroad::io {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr Duration forwardTimeout = std::chrono::seconds(25);
+constexpr Duration drainPoll = std::chrono::milliseconds(20);
+/// Time for the balancer to see that the entry is not ready before it stops accepting.
+constexpr Duration readinessNotice = std::chrono::milliseconds(1000);
+constexpr Duration maxDrain = std::chrono::seconds(60);
+
+std::vector<std::string> splitPath(std::string_view target)
+{
+    std::vector<std::string> parts;
+    target = target.substr(0, target.find('?'));
+    while (!target.empty()) {
+        target.remove_prefix(1);
+        const size_t end = std::min(target.find('/'), target.size());
+        parts.emplace_back(target.substr(0, end));
+        target.remove_prefix(end);
+    }
+    return parts;
+}
+
+StepNumber parseStepNumber(const std::string& text)
+{
+    StepNumber number = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (result.ec != std::errc() || result.ptr != text.data() + text.size())
+        throw BadRequestError(fmt::format("\"{}\" is not a step number", text));
+    return number;
+}
+
+} // namespace
+
+EntryNode::EntryNode(NodeOptions options)
+    : Node(std::move(options))
+    , agents_(mesh())
+{
+}
+
+std::optional<Address> EntryNode::peerAddress(const Settings& settings) const
+{
+    const auto found = settings.entries.find(name());
+    if (found == settings.entries.end())
+        return std::nullopt;
+    return found->second.peer;
+}
+
+std::map<std::string, Address> EntryNode::peerTargets(const Settings& settings) const
+{
+    std::map<std::string, Address> targets;
+    for (const auto& [entryName, entry] : settings.entries) {
+        if (entryName != name())
+            targets.emplace(entryName, entry.peer);
+    }
+    const std::string& region = settings.entries.at(name()).region;
+    for (const auto& [poolName, pool] : settings.pools) {
+        if (pool.region != region)
+            continue;
+        for (const auto& [replicaName, replica] : pool.replicas)
+            targets.emplace(replicaName, replica.peer);
+    }
+    return targets;
+}
+
+void EntryNode::onSettings(std::shared_ptr<const Settings>, std::shared_ptr<const Settings> inForce)
+{
+    agents_.onSettings(inForce);
+    const auto self = inForce->entries.find(name());
+    if (self == inForce->entries.end())
+        return;
+    if (!calls_) {
+        calls_ = std::make_unique<CallRouter>(agents_, name(), self->second.failureDomain);
+        rollout_ = std::make_unique<WeightRollout>(context(), agents_);
+        server_ = std::make_unique<HttpServer>(*this);
+        server_->start(context(), self->second.http);
+    }
+    for (const auto& [jobName, runner] : runners_) {
+        const auto job = inForce->jobs.find(jobName);
+        if (job != inForce->jobs.end())
+            runner->onDeclaration(job->second);
+    }
+}
+
+asio::awaitable<void> EntryNode::onHttp(HttpExchange& exchange)
+{
+    ++requests_;
+    const HttpQuery& query = exchange.query();
+    constexpr std::string_view servicePrefix = "/v1/services/";
+    if (query.target.starts_with(servicePrefix)) {
+        const std::string_view rest = std::string_view(query.target).substr(servicePrefix.size());
+        const size_t end = std::min(rest.find('/'), rest.size());
+        std::string pool(rest.substr(0, end));
+        std::string target(rest.substr(end));
+        if (target.empty())
+            target = "/";
+        co_await calls_->route(exchange, pool, target);
+        co_return;
+    }
+    HttpResponse response;
+    try {
+        response = co_await respond(query);
+    } catch (const Error& error) {
+        const bool hasRetry = httpStatus(error.code()) == 503;
+        response = errorResponse(error, hasRetry ? CallRouter::retryAfter : Duration::zero());
+    }
+    co_await exchange.answer(std::move(response));
+}
+
+asio::awaitable<HttpResponse> EntryNode::respond(HttpQuery query)
+{
+    const auto path = splitPath(query.target);
+    if (path.size() == 1 && path[0] == "healthz")
+        co_return jsonResponse(200, R"({"status":"alive"})");
+    if (path.size() == 1 && path[0] == "readyz") {
+        if (isDraining())
+            throw NotReadyError("the entry is leaving");
+        co_return jsonResponse(200, fmt::format(R"({{"status":"ready","revision":{}}})", settings()->revision));
+    }
+    if (path.size() == 1 && path[0] == "metrics")
+        co_return metrics();
+    if (path.size() >= 3 && path[0] == "v1" && path[1] == "jobs")
+        co_return co_await jobRequest(std::move(query), path, false);
+    throw NotFoundError(fmt::format("no such path: {}", query.target));
+}
+
+std::string EntryNode::homeOf(const std::string& job) const
+{
+    std::vector<std::string> live;
+    for (const auto& [entryName, entry] : settings()->entries) {
+        if (entryName == name() ? !isDraining() : agents_.connection(entryName) != nullptr)
+            live.push_back(entryName);
+    }
+    const auto owners = rendezvousOwners(job, live, 1);
+    return owners.empty() ? name() : owners.front();
+}
+
+JobRunner& EntryNode::runner(const JobDeclaration& job)
+{
+    auto& runner = runners_[job.name];
+    if (!runner)
+        runner = std::make_unique<JobRunner>(context(), agents_, *calls_, job);
+    return *runner;
+}
+
+asio::awaitable<HttpResponse> EntryNode::jobRequest(HttpQuery query, std::vector<std::string> path, bool isForwarded)
+{
+    settings()->job(path[2]);
+    const std::string home = homeOf(path[2]);
+    if (!isForwarded && home != name()) {
+        // Every call on a job is idempotent, so after a failed forward this entry does it itself.
+        try {
+            co_return co_await forward(agents_.connection(home), query);
+        } catch (const Error& error) {
+            log(Event::PeerLost, { { "peer", home }, { "reason", error.what() } });
+        }
+    }
+    co_return co_await jobRequestHere(query, path);
+}
+
+asio::awaitable<HttpResponse> EntryNode::forward(PeerConnectionPtr peer, const HttpQuery& query)
+{
+    wire::CallRequest request;
+    request.method = query.method;
+    request.target = query.target;
+    request.body = query.body;
+    const std::string payload
+        = co_await peer->call(MessageType::Forward, wire::encode(request), now() + forwardTimeout);
+    auto answer = wire::decode<wire::CallAnswer>(payload);
+    co_return jsonResponse(answer.status, std::move(answer.body));
+}
+
+asio::awaitable<HttpResponse> EntryNode::jobRequestHere(const HttpQuery& query, const std::vector<std::string>& path)
+{
+    const JobDeclaration job = settings()->job(path[2]);
+    JobRunner& runner = this->runner(job);
+    if (path.size() == 3 && query.method == "GET")
+        co_return runner.state();
+    if (path.size() == 5 && path[3] == "steps" && query.method == "PUT")
+        co_return co_await runner.submit(parseStepNumber(path[4]), query.body);
+    if (path.size() == 4 && path[3] == "fetch" && query.method == "POST") {
+        HttpResponse response = co_await runner.fetch(query.body);
+        rollout_->announce(job.pool, { runner.policyVersion(), {} }, job.rollout.swapShare);
+        co_return response;
+    }
+    if (path.size() == 4 && path[3] == "policy" && query.method == "PUT")
+        co_return announce(job, query.body);
+    throw NotFoundError(fmt::format("no such call: {} {}", query.method, query.target));
+}
+
+HttpResponse EntryNode::announce(const JobDeclaration& job, const std::string& body)
+{
+    AnnouncedPolicy policy;
+    try {
+        const Json json = Json::parse(body);
+        policy = { json.at("version").get<WeightVersion>(), json.value("weights", "") };
+    } catch (const Json::exception& error) {
+        throw BadRequestError(fmt::format("policy: {}", error.what()));
+    }
+    if (policy.version < 0)
+        throw BadRequestError("policy: a version is not negative");
+    runner(job).onPolicyVersion(policy.version);
+    if (rollout_->announce(job.pool, policy, job.rollout.swapShare)) {
+        for (const auto& [entryName, entry] : settings()->entries) {
+            if (const auto peer = agents_.connection(entryName))
+                tellPolicies(peer);
+        }
+    }
+    return jsonResponse(200, Json { { "version", policy.version } }.dump());
+}
+
+void EntryNode::tellPolicies(const PeerConnectionPtr& peer)
+{
+    for (const auto& [pool, policy] : rollout_->policies()) {
+        wire::PolicyNotice notice;
+        notice.model = pool;
+        notice.version = policy.version;
+        notice.weights = policy.weights;
+        notice.order = policy.version;
+        peer->notify(MessageType::Policy, wire::encode(notice));
+    }
+}
+
+asio::awaitable<std::string> EntryNode::onNodeRequest(PeerConnectionPtr, PeerMessage message)
+{
+    if (message.type != MessageType::Forward)
+        throw BadRequestError("an entry does not take this message");
+    auto request = wire::decode<wire::CallRequest>(message.payload);
+    HttpQuery query { request.method, request.target, {}, std::move(request.body) };
+    HttpResponse response;
+    try {
+        response = co_await jobRequest(query, splitPath(query.target), true);
+    } catch (const Error& error) {
+        response = errorResponse(error);
+    }
+    wire::CallAnswer answer;
+    answer.outcome = wire::Outcome::Done;
+    answer.status = response.status;
+    answer.body = std::move(response.body);
+    co_return wire::encode(answer);
+}
+
+void EntryNode::onNodeNotice(const PeerConnectionPtr& peer, const PeerMessage& message)
+{
+    if (message.type == MessageType::AgentReport) {
+        const auto report = wire::decode<wire::AgentReport>(message.payload);
+        if (report.agent == peer->peerName)
+            agents_.onReport(report.pool, fromWire(report));
+    } else if (message.type == MessageType::Policy && rollout_) {
+        const auto notice = wire::decode<wire::PolicyNotice>(message.payload);
+        if (settings()->pools.contains(notice.model))
+            rollout_->announce(notice.model, { notice.version, notice.weights }, RolloutPolicy().swapShare);
+    }
+}
+
+void EntryNode::onPeerHello(const PeerConnectionPtr& peer, const std::string& role)
+{
+    if (role == "entry" && rollout_)
+        tellPolicies(peer);
+}
+
+void EntryNode::onPeerClosed(const PeerConnectionPtr& peer)
+{
+    agents_.onLost(peer->peerName);
+}
+
+asio::awaitable<void> EntryNode::drain()
+{
+    co_await sleepFor(readinessNotice);
+    if (server_)
+        server_->stopAccepting();
+    const Instant deadline = now() + maxDrain;
+    while (server_ && server_->inFlight() > 0 && now() < deadline)
+        co_await sleepFor(drainPoll);
+    for (const auto& [jobName, runner] : runners_)
+        runner->stop();
+}
+
+std::string EntryNode::statusJson() const
+{
+    Json status { { "name", name() }, { "role", "entry" }, { "incarnation", incarnation() },
+        { "revision", keeper().revision() }, { "isDraining", isDraining() }, { "pools", Json::object() } };
+    for (const auto& [pool, table] : agents_.tables()) {
+        Json replicas = Json::array();
+        for (const ReplicaReport& report : table.reports()) {
+            replicas.push_back({ { "agent", report.agent }, { "version", report.version },
+                { "freeSlots", report.freeSlots }, { "running", report.running }, { "isDraining", report.isDraining },
+                { "isServerUp", report.isServerUp } });
+        }
+        status["pools"][pool] = replicas;
+    }
+    return status.dump();
+}
+
+HttpResponse EntryNode::metrics() const
+{
+    std::string text
+        = fmt::format("# TYPE endiveroad_requests_total counter\nendiveroad_requests_total {}\n", requests_);
+    text += fmt::format(
+        "# TYPE endiveroad_settings_revision gauge\nendiveroad_settings_revision {}\n", keeper().revision());
+    return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text };
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/entry/EntryNode.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "io/HttpServer.h"
+#include "io/Node.h"
+#include "io/entry/AgentDirectory.h"
+#include "io/entry/CallRouter.h"
+#include "io/entry/JobRunner.h"
+#include "io/entry/WeightRollout.h"
+
+/// The entry process: callers' HTTP, routing, coordination of jobs.
+namespace endiveroad::io {
+
+class EntryNode final : public Node, public HttpHandler {
+public:
+    explicit EntryNode(NodeOptions);
+
+    asio::awaitable<void> onHttp(HttpExchange&) override;
+
+protected:
+    void onSettings(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce) override;
+    asio::awaitable<std::string> onNodeRequest(PeerConnectionPtr, PeerMessage) override;
+    void onNodeNotice(const PeerConnectionPtr&, const PeerMessage&) override;
+    void onPeerHello(const PeerConnectionPtr&, const std::string& role) override;
+    void onPeerClosed(const PeerConnectionPtr&) override;
+    std::optional<Address> peerAddress(const Settings&) const override;
+    std::map<std::string, Address> peerTargets(const Settings&) const override;
+    asio::awaitable<void> drain() override;
+    std::string statusJson() const override;
+
+private:
+    asio::awaitable<HttpResponse> respond(HttpQuery);
+    asio::awaitable<HttpResponse> jobRequest(HttpQuery, std::vector<std::string> path, bool isForwarded);
+    asio::awaitable<HttpResponse> jobRequestHere(const HttpQuery&, const std::vector<std::string>& path);
+    asio::awaitable<HttpResponse> forward(PeerConnectionPtr, const HttpQuery&);
+    HttpResponse announce(const JobDeclaration&, const std::string& body);
+    void tellPolicies(const PeerConnectionPtr&);
+
+    /// The live entry that coordinates a job; this one's name if it is itself.
+    std::string homeOf(const std::string& job) const;
+    JobRunner& runner(const JobDeclaration&);
+    HttpResponse metrics() const;
+
+    std::unique_ptr<HttpServer> server_;
+    AgentDirectory agents_;
+    std::unique_ptr<CallRouter> calls_;
+    std::unique_ptr<WeightRollout> rollout_;
+    std::map<std::string, std::unique_ptr<JobRunner>> runners_;
+    uint64_t requests_ = 0;
+};
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/wire/endiveroad.thrift
@@ -0,0 +1,117 @@
+/**
+ * Messages between endiveroad processes. Only structs are used: framing,
+ * correlation and deadlines belong to the frame header (src/io/Frame.h).
+ * Fields are never renumbered; an unknown field is skipped by the reader.
+ */
+namespace cpp endiveroad.wire
+
+enum Outcome { Done = 1, NotRun = 2, Unknown = 3 }
+
+struct Hello {
+  1: string node
+  2: string role
+  3: i64 incarnation
+  4: i64 settingsRevision
+  5: string organisation
+}
+
+struct AgentReport {
+  1: string agent
+  2: string pool
+  3: i64 incarnation
+  4: i64 sequence
+  5: i32 freeSlots
+  6: i32 running
+  /** -1 while the weight version is unknown. */
+  7: i64 version
+  8: bool isDraining
+  9: i64 settingsRevision
+  10: i64 heldBytes
+  11: bool isSwapping
+  12: bool isServerUp
+  13: string region
+  14: string failureDomain
+}
+
+struct Header { 1: string name  2: string value }
+
+struct CallRequest {
+  1: string requestId
+  2: string pool
+  3: string method
+  4: string target
+  5: list<Header> headers
+  6: binary body
+  7: bool isIdempotent
+  8: string idempotencyKey
+  9: i32 priority
+  10: i64 fingerprint
+  /** Wall time in ms at which the caller made its key; 0 when not stated. */
+  11: i64 keyCreatedMs
+}
+
+struct CallAnswer {
+  1: Outcome outcome
+  2: i32 status
+  3: list<Header> headers
+  4: binary body
+  5: string errorCode
+  6: i32 retryAfterMs
+  7: string detail
+}
+
+struct Segment { 1: i32 firstToken  2: i32 endToken  3: i64 version }
+
+struct Sample {
+  1: string job
+  2: i64 step
+  3: i32 index
+  4: i64 stepDigest
+  5: binary text
+  6: i32 tokens
+  7: list<Segment> segments
+  8: string agent
+  9: string finishReason
+}
+
+struct GenerateRequest {
+  1: string requestId
+  2: string job
+  3: i64 step
+  4: i32 index
+  5: i64 stepDigest
+  6: binary prompt
+  7: i32 maxTokens
+  8: i32 priority
+  9: i64 oldestVersion
+}
+
+struct GenerateAnswer {
+  1: Outcome outcome
+  2: optional Sample sample
+  3: string errorCode
+  4: i32 retryAfterMs
+}
+
+/** Asks an agent for the finished samples it holds of a step. */
+struct HeldRequest { 1: string job  2: i64 step  3: i64 stepDigest  4: binary receivedBits }
+struct HeldAnswer { 1: list<Sample> samples  2: list<i32> running }
+
+/** Tells an agent which samples the trainer has received. */
+struct ReleaseNotice { 1: string job  2: i64 step  3: i64 stepDigest  4: binary receivedBits }
+
+struct CancelNotice { 1: string requestId }
+
+struct LoadRequest { 1: string model  2: i64 version  3: string weights  4: i64 order }
+struct LoadAnswer { 1: Outcome outcome  2: i64 version  3: string errorCode }
+
+struct SettingsOffer { 1: i64 revision }
+struct SettingsRequest { 1: i64 knownRevision }
+struct SettingsAnswer { 1: i64 revision  2: binary document }
+
+/** Newest weights that a trainer announced for a model. */
+struct PolicyNotice { 1: string model  2: i64 version  3: string weights  4: i64 order }
+
+struct DrainRequest { 1: string node  2: i64 withinMs }
+struct TextRequest { 1: string argument }
+struct TextAnswer { 1: binary json }
