Read settings by one table of keys; tell all faults with file, line and column

Cause: the tree was read by JSON exceptions, so an operator saw one fault at a time without a line, a misspelt key was ignored silently (seen: "slotz" left the default in force), and a pool declared in two regions was dropped by emplace(). Ruled out: JSON Schema (no lines, no inheritance or references), a second copy of the keys for docs (it would drift). Change: SettingsKeys.def binds every key to its member; reader, checks, defaults, explain and docs/SETTINGS.md come from it. A SAX handler keeps the place of every key. References, kinds, models, shared names and addresses, reserved slots are checked too; a faulty key doesn't hide faults between parts. Conclusion: validate tells every fault that its checks know in one run.

--- a/include/endiveroad/Settings.h
+++ b/include/endiveroad/Settings.h
@@ -13,6 +13,8 @@
 /// below unless a lower node overrides single keys of them.
 namespace endiveroad {
 
+struct SettingsValue;
+
 /// Where a process or backend server can be reached.
 struct Address {
     std::string host;
@@ -114,9 +116,12 @@
 
     auto operator<=>(const Settings&) const = default;
 
-    /// Resolves a merged tree document. Throws SettingsInvalidError naming the path of the fault.
+    /// Resolves a merged tree document. Throws SettingsInvalidError with one line for each fault.
     static Settings fromDocument(std::string_view json, int64_t revision);
 
+    /// Resolves a tree that was read. Throws SettingsInvalidError with one line for each fault.
+    static Settings fromTree(const SettingsValue&, int64_t revision);
+
     /// Declared pool or job by name. Throws PoolUnknownError or JobUnknownError.
     const PoolDeclaration& pool(const std::string& name) const;
     const JobDeclaration& job(const std::string& name) const;
--- a/src/cli/SettingsCommand.cpp
+++ b/src/cli/SettingsCommand.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <endiveroad/Error.h>
+#include <endiveroad/SettingsExplain.h>
 #include <fmt/format.h>
 #include <random>
 
@@ -33,14 +34,41 @@
     return fmt::format("{:08x}{:08x}{:08x}", source(), source(), source());
 }
 
+std::string requiredOption(const cxxopts::ParseResult& result, const std::string& name)
+{
+    if (result.count(name) == 0)
+        throw UsageInvalidError(fmt::format("--{} is missing", name));
+    return result[name].as<std::string>();
+}
+
 int validate(const std::string& directory)
 {
-    const Settings settings = Settings::fromDocument(mergeSettingsDirectory(directory), 0);
+    const Settings settings = Settings::fromTree(readSettingsDirectory(directory), 0);
     fmt::print(
         "valid: {} entries, {} pools, {} jobs\n", settings.entries.size(), settings.pools.size(), settings.jobs.size());
     return exitOk;
 }
 
+void printExplained(const ExplainedSetting& explained)
+{
+    const auto describe = [](const SettingOrigin& origin) {
+        std::string place = origin.position.text();
+        if (!place.empty())
+            place = fmt::format(" ({})", place);
+        return fmt::format("{} set by {}{}", origin.value.empty() ? "nothing" : origin.value, origin.node, place);
+    };
+    fmt::print("{}: {}\n", explained.path, describe(explained.inForce));
+    for (const SettingOrigin& overridden : explained.overridden)
+        fmt::print("    overrides {}\n", describe(overridden));
+}
+
+int explain(const std::string& directory, const std::string& path)
+{
+    for (const ExplainedSetting& explained : explainSettings(readSettingsDirectory(directory), path))
+        printExplained(explained);
+    return exitOk;
+}
+
 boost::asio::awaitable<int64_t> applyTree(Address storeAddress, std::string tree, std::optional<int64_t> expected)
 {
     io::HttpClient http;
@@ -64,8 +92,9 @@
 
 int apply(const cxxopts::ParseResult& options, const std::string& directory)
 {
-    const std::string tree = mergeSettingsDirectory(directory);
-    Settings::fromDocument(tree, 0);
+    const SettingsValue read = readSettingsDirectory(directory);
+    Settings::fromTree(read, 0);
+    const std::string tree = read.json();
     const Address store = addressOption(options, "store");
     std::optional<int64_t> expected;
     if (options.count("expect-revision") != 0)
@@ -80,25 +109,35 @@
 
 int runSettings(const Arguments& arguments)
 {
-    cxxopts::Options options("endiveroad settings", "validate DIR | apply DIR --store host:port");
+    cxxopts::Options options(
+        "endiveroad settings", "validate DIR | explain PATH --dir DIR | schema | apply DIR --store host:port");
     addCommonOptions(options);
     options.add_options()("store", "host:port of the key-value service", cxxopts::value<std::string>())(
         "expect-revision", "Refuse unless this revision is in force", cxxopts::value<int64_t>())(
-        "action", "", cxxopts::value<std::string>())("directory", "", cxxopts::value<std::string>());
-    options.parse_positional({ "action", "directory" });
-    options.positional_help("ACTION DIR");
+        "dir", "Directory of the tree that explain reads", cxxopts::value<std::string>())(
+        "action", "", cxxopts::value<std::string>())("argument", "", cxxopts::value<std::string>());
+    options.parse_positional({ "action", "argument" });
+    options.positional_help("ACTION [ARGUMENT]");
     const auto result = parse(options, arguments);
     if (!result)
         return exitOk;
-    if (result->count("action") == 0 || result->count("directory") == 0)
-        throw UsageInvalidError("settings needs an action and a directory");
+    if (result->count("action") == 0)
+        throw UsageInvalidError("settings needs an action");
     configureLog(*result, "settings");
     const std::string action = (*result)["action"].as<std::string>();
-    const std::string directory = (*result)["directory"].as<std::string>();
+    if (action == "schema") {
+        fmt::print("{}", settingsReference());
+        return exitOk;
+    }
+    if (result->count("argument") == 0)
+        throw UsageInvalidError(fmt::format("settings {} needs an argument", action));
+    const std::string argument = (*result)["argument"].as<std::string>();
     if (action == "validate")
-        return validate(directory);
+        return validate(argument);
+    if (action == "explain")
+        return explain(requiredOption(*result, "dir"), argument);
     if (action == "apply")
-        return apply(*result, directory);
+        return apply(*result, argument);
     throw UsageInvalidError(fmt::format("settings has no action \"{}\"", action));
 }
 
--- a/src/cli/SettingsFiles.cpp
+++ b/src/cli/SettingsFiles.cpp
@@ -4,36 +4,29 @@
 #include <endiveroad/Error.h>
 #include <filesystem>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <fstream>
-#include <nlohmann/json.hpp>
 #include <sstream>
 
 namespace endiveroad::cli {
 
 namespace fs = std::filesystem;
-using Json = nlohmann::json;
 
 namespace {
 
 constexpr std::string_view rootFile = "organisation.json";
 
-Json readFile(const fs::path& path)
+std::string readFile(const fs::path& path)
 {
     std::ifstream stream(path);
     std::stringstream text;
     text << stream.rdbuf();
     if (!stream)
         throw FileUnreadableError(fmt::format("{} cannot be read", path.string()));
-    try {
-        return Json::parse(text.str(), nullptr, true, true);
-    } catch (const Json::exception& error) {
-        throw SettingsInvalidError(fmt::format("{}: {}", path.string(), error.what()));
-    }
+    return text.str();
 }
 
-} // namespace
-
-std::string mergeSettingsDirectory(const std::string& directory)
+std::vector<fs::path> listFiles(const std::string& directory)
 {
     std::vector<fs::path> files;
     std::error_code error;
@@ -45,19 +38,44 @@
     if (error || files.empty())
         throw FileUnreadableError(fmt::format("{}: {}", directory, error ? error.message() : "holds no .json file"));
     std::sort(files.begin(), files.end());
-    Json tree = Json::object();
-    for (const fs::path& file : files) {
-        fs::path node = fs::relative(file, directory).replace_extension();
-        Json* target = &tree;
-        if (file.filename() != rootFile) {
-            for (const auto& part : node)
-                target = &(*target)[part.string()];
+    return files;
+}
+
+/// Puts the node of a file below the nodes that the file's path names.
+SettingsValue wrap(SettingsValue node, const fs::path& relative)
+{
+    const std::vector<fs::path> parts(relative.begin(), relative.end());
+    for (size_t i = parts.size(); i-- > 0;) {
+        SettingsValue parent;
+        parent.position = node.position;
+        parent.members.emplace(parts[i].string(), std::move(node));
+        node = std::move(parent);
+    }
+    return node;
+}
+
+} // namespace
+
+SettingsValue readSettingsDirectory(const std::string& directory)
+{
+    std::vector<SettingsFault> faults;
+    SettingsValue tree;
+    for (const fs::path& file : listFiles(directory)) {
+        SettingsValue node = parseSettingsText(readFile(file), file.string(), faults);
+        if (!node.isObject()) {
+            faults.push_back({ node.position, "", "is not an object" });
+            continue;
         }
-        if (target->is_null())
-            *target = Json::object();
-        target->update(readFile(file), true);
+        const bool isRoot = file.filename() == rootFile;
+        const fs::path place = isRoot ? fs::path() : fs::relative(file, directory).replace_extension();
+        mergeSettings(tree, wrap(std::move(node), place), "", faults);
     }
-    return tree.dump();
+    std::vector<std::string> lines;
+    for (const SettingsFault& fault : faults)
+        lines.push_back(fault.text());
+    if (!faults.empty())
+        throw SettingsInvalidError(fmt::format("{}", fmt::join(lines, "\n")));
+    return tree;
 }
 
 } // namespace endiveroad::cli
--- a/src/core/settings/Settings.cpp
+++ b/src/core/settings/Settings.cpp
@@ -2,166 +2,198 @@
 
 #include <charconv>
 #include <endiveroad/Error.h>
+#include <endiveroad/SettingsSchema.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace endiveroad {
 
 namespace {
 
-using Json = nlohmann::json;
+/// A node with the nodes above it, outermost first; inherited sections are looked up along it.
+using Chain = std::vector<const SettingsValue*>;
 
-/// A node with the nodes above it, outermost first; inherited sections are merged along it.
-struct Chain {
-    std::vector<const Json*> nodes;
-    std::string path;
-
-    Chain child(const Json& node, const std::string& step) const
-    {
-        Chain result = *this;
-        result.nodes.push_back(&node);
-        result.path += "/" + step;
-        return result;
-    }
-
-    const Json& node() const { return *nodes.back(); }
-
-    Json section(const char* name) const
-    {
-        Json merged = Json::object();
-        for (const Json* node : nodes) {
-            if (node->contains(name))
-                merged.update(node->at(name));
-        }
-        return merged;
-    }
-};
+void readValue(const SettingsValue& value, std::string& member)
+{
+    member = value.text;
+}
+void readValue(const SettingsValue& value, std::optional<std::string>& member)
+{
+    member = value.text;
+}
+void readValue(const SettingsValue& value, Address& member)
+{
+    member = Address::parse(value.text);
+}
+void readValue(const SettingsValue& value, PoolKind& member)
+{
+    if (value.text == "engine")
+        member = PoolKind::Engine;
+    else if (value.text == "scorer")
+        member = PoolKind::Scorer;
+    else
+        member = PoolKind::Service;
+}
+void readValue(const SettingsValue& value, bool& member)
+{
+    member = value.flag;
+}
+void readValue(const SettingsValue& value, double& member)
+{
+    member = value.number;
+}
+void readValue(const SettingsValue& value, Duration& member)
+{
+    member = std::chrono::milliseconds(value.integer);
+}
+template <typename Integer>
+void readValue(const SettingsValue& value, Integer& member)
+{
+    member = static_cast<Integer>(value.integer);
+}
 
-/// The named object below a node, or an empty one. Refers into the node.
-const Json& children(const Json& node, const char* key)
+/// Sets one member from the node's key of that name, if the node has it.
+template <typename Member>
+void readMember(const SettingsValue& node, const char* key, Member& member)
 {
-    static const Json none = Json::object();
-    const auto found = node.find(key);
-    return found == node.end() ? none : *found;
+    if (const SettingsValue* value = node.find(key))
+        readValue(*value, member);
 }
 
-template <typename Value>
-void read(const Json& object, const char* key, Value& value)
+/// Which scope a row of SettingsKeys.def belongs to decides whether its member is read.
+template <SettingsScope scope, SettingsScope rowScope, typename Target, typename Struct, typename Member>
+void readRow(const SettingsValue& node, const char* key, Target& target, Member Struct::*member)
 {
-    if (object.contains(key))
-        object.at(key).get_to(value);
+    if constexpr (scope == rowScope)
+        readMember(node, key, target.*member);
 }
 
-void readMs(const Json& object, const char* key, Duration& value)
+/// Reads all plain keys of a node or section.
+template <SettingsScope scope, typename Target>
+void readKeys(const SettingsValue& node, Target& target)
 {
-    if (object.contains(key))
-        value = std::chrono::milliseconds(object.at(key).get<int64_t>());
+#define SETTING(rowScope, Struct, key, member, minimum, maximum, use, meaning)                                         \
+    readRow<scope, SettingsScope::rowScope>(node, #key, target, &Struct::member);
+#include <endiveroad/SettingsKeys.def>
+#undef SETTING
 }
 
-CallPolicy readCallPolicy(const Json& section)
+/// Reads an inherited section: the lowest node that sets a key decides.
+template <SettingsScope scope, typename Policy>
+void readSection(const Chain& chain, const char* name, Policy& policy)
 {
-    CallPolicy policy;
-    readMs(section, "timeoutMs", policy.timeout);
-    readMs(section, "outcomeRetentionMs", policy.outcomeRetention);
-    readMs(section, "drainTimeoutMs", policy.drainTimeout);
-    read(section, "maxBodyBytes", policy.maxBodyBytes);
-    read(section, "slots", policy.slots);
-    read(section, "reservedSlots", policy.reservedSlots);
-    return policy;
+    for (const SettingsValue* node : chain) {
+        if (const SettingsValue* section = node->find(name))
+            readKeys<scope>(*section, policy);
+    }
 }
 
-RolloutPolicy readRolloutPolicy(const Json& section)
+void readDeclaration(const Chain& chain, EntryDeclaration& entry)
 {
-    RolloutPolicy policy;
-    read(section, "stalenessBoundVersions", policy.stalenessBound);
-    read(section, "idleWeight", policy.idleWeight);
-    read(section, "priority", policy.priority);
-    readMs(section, "stepTimeoutMs", policy.stepTimeout);
-    read(section, "wholeGroups", policy.wholeGroups);
-    read(section, "swapShare", policy.swapShare);
-    read(section, "heldBytesPerAgent", policy.heldBytesPerAgent);
-    return policy;
+    readKeys<SettingsScope::Entry>(*chain.back(), entry);
 }
 
-PoolKind readKind(const Json& node)
+void readDeclaration(const Chain& chain, PoolDeclaration& pool)
 {
-    const std::string kind = node.value("kind", "service");
-    if (kind == "engine")
-        return PoolKind::Engine;
-    if (kind == "scorer")
-        return PoolKind::Scorer;
-    if (kind == "service")
-        return PoolKind::Service;
-    throw SettingsInvalidError(fmt::format("kind is \"{}\"; allowed are engine, service, scorer", kind));
+    const SettingsValue& node = *chain.back();
+    pool.model = pool.name;
+    readKeys<SettingsScope::Pool>(node, pool);
+    readSection<SettingsScope::Call>(chain, "call", pool.call);
+    const SettingsValue* replicas = node.find("replicas");
+    if (!replicas)
+        return;
+    for (const auto& [name, value] : replicas->members) {
+        ReplicaDeclaration replica;
+        replica.name = name;
+        readKeys<SettingsScope::Replica>(value, replica);
+        pool.replicas.emplace(name, std::move(replica));
+    }
 }
 
-EntryDeclaration readEntry(const Chain& chain, const std::string& region, const std::string& name)
+void readDeclaration(const Chain& chain, JobDeclaration& job)
 {
-    const Json& node = chain.node();
-    return { name, region, node.value("failureDomain", ""), Address::parse(node.at("http").get<std::string>()),
-        Address::parse(node.at("peer").get<std::string>()) };
+    readKeys<SettingsScope::Job>(*chain.back(), job);
+    readSection<SettingsScope::Rollout>(chain, "rollout", job.rollout);
 }
 
-PoolDeclaration readPool(const Chain& chain, const std::string& region, const std::string& name)
+template <typename Declaration>
+void readChildren(
+    const Chain& parent, const char* key, const std::string& region, std::map<std::string, Declaration>& declarations)
 {
-    const Json& node = chain.node();
-    PoolDeclaration pool;
-    pool.name = name;
-    pool.region = region;
-    pool.kind = readKind(node);
-    pool.model = node.value("model", name);
-    read(node, "honoursFencing", pool.honoursFencing);
-    read(node, "statesVersion", pool.statesVersion);
-    read(node, "isIdempotent", pool.isIdempotent);
-    pool.call = readCallPolicy(chain.section("call"));
-    for (const auto& [replicaName, replica] : children(node, "replicas").items()) {
-        pool.replicas.emplace(replicaName,
-            ReplicaDeclaration { replicaName, replica.value("failureDomain", ""),
-                Address::parse(replica.at("server").get<std::string>()),
-                Address::parse(replica.at("peer").get<std::string>()) });
+    const SettingsValue* children = parent.back()->find(key);
+    if (!children)
+        return;
+    for (const auto& [name, node] : children->members) {
+        Chain chain = parent;
+        chain.push_back(&node);
+        Declaration declaration;
+        declaration.name = name;
+        declaration.region = region;
+        readDeclaration(chain, declaration);
+        declarations.emplace(name, std::move(declaration));
     }
-    return pool;
 }
 
-JobDeclaration readJob(const Chain& chain, const std::string& region, const std::string& name)
+/// A job trains the model of its pool unless it names one.
+void fillModels(Settings& settings)
 {
-    const Json& node = chain.node();
-    JobDeclaration job;
-    job.name = name;
-    job.region = region;
-    job.trainer = node.value("trainer", "");
-    job.pool = node.at("pool").get<std::string>();
-    job.model = node.value("model", job.pool);
-    if (node.contains("scoringPool"))
-        job.scoringPool = node.at("scoringPool").get<std::string>();
-    job.rollout = readRolloutPolicy(chain.section("rollout"));
-    return job;
+    for (auto& [name, job] : settings.jobs) {
+        const auto pool = settings.pools.find(job.pool);
+        if (job.model.empty())
+            job.model = pool == settings.pools.end() ? job.pool : pool->second.model;
+    }
 }
 
-template <typename Reader, typename Target>
-void readChildren(const Chain& parent, const char* key, Reader reader, const std::string& region, Target& target)
+Settings resolve(const SettingsValue& tree, int64_t revision)
 {
-    for (const auto& [name, node] : children(parent.node(), key).items()) {
-        const Chain chain = parent.child(node, fmt::format("{}/{}", key, name));
-        try {
-            target.emplace(name, reader(chain, region, name));
-        } catch (const std::exception& error) {
-            throw SettingsInvalidError(fmt::format("{}: {}", chain.path, error.what()));
+    Settings settings;
+    settings.revision = revision;
+    readKeys<SettingsScope::Organisation>(tree, settings);
+    if (const SettingsValue* regions = tree.find("regions")) {
+        for (const auto& [name, node] : regions->members) {
+            const Chain chain { &tree, &node };
+            readChildren(chain, "entries", name, settings.entries);
+            readChildren(chain, "pools", name, settings.pools);
+            readChildren(chain, "jobs", name, settings.jobs);
         }
     }
+    fillModels(settings);
+    return settings;
 }
 
-void checkReferences(const Settings& settings)
+/// Takes the value at a path out of a tree, if it is there.
+void remove(SettingsValue& tree, const std::string& path)
 {
-    for (const auto& [name, job] : settings.jobs) {
-        if (!settings.pools.contains(job.pool))
-            throw SettingsInvalidError(fmt::format("job {}: pool \"{}\" is not declared", name, job.pool));
-        if (job.scoringPool && !settings.pools.contains(*job.scoringPool))
-            throw SettingsInvalidError(
-                fmt::format("job {}: scoring pool \"{}\" is not declared", name, *job.scoringPool));
+    auto parts = splitSettingsPath(path);
+    SettingsValue* node = &tree;
+    for (size_t i = 0; i < parts.size(); ++i) {
+        const auto found = node->members.find(parts[i]);
+        if (found == node->members.end())
+            return;
+        if (i + 1 == parts.size())
+            node->members.erase(found);
+        else
+            node = &found->second;
     }
 }
 
+/// Faults between the parts of a tree that has faults of its own: what is faulty is left out.
+std::vector<SettingsFault> checkReferencesWithout(SettingsValue tree, const std::vector<SettingsFault>& faults)
+{
+    for (const SettingsFault& fault : faults)
+        remove(tree, fault.path);
+    return checkReferences(tree, resolve(tree, 0));
+}
+
+void throwFaults(const std::vector<SettingsFault>& faults)
+{
+    if (faults.empty())
+        return;
+    std::string text;
+    for (const SettingsFault& fault : faults)
+        text += (text.empty() ? "" : "\n") + fault.text();
+    throw SettingsInvalidError(text);
+}
+
 } // namespace
 
 Address Address::parse(std::string_view text)
@@ -185,22 +217,22 @@
 
 Settings Settings::fromDocument(std::string_view json, int64_t revision)
 {
-    Settings settings;
-    settings.revision = revision;
-    try {
-        const Json root = Json::parse(json, nullptr, true, true);
-        settings.organisation = root.value("organisation", "");
-        const Chain top { { &root }, "" };
-        for (const auto& [region, node] : children(root, "regions").items()) {
-            const Chain chain = top.child(node, "regions/" + region);
-            readChildren(chain, "entries", readEntry, region, settings.entries);
-            readChildren(chain, "pools", readPool, region, settings.pools);
-            readChildren(chain, "jobs", readJob, region, settings.jobs);
-        }
-    } catch (const Json::exception& error) {
-        throw SettingsInvalidError(error.what());
+    std::vector<SettingsFault> faults;
+    const SettingsValue tree = parseSettingsText(json, "", faults);
+    throwFaults(faults);
+    return fromTree(tree, revision);
+}
+
+Settings Settings::fromTree(const SettingsValue& tree, int64_t revision)
+{
+    std::vector<SettingsFault> faults = checkAgainstSchema(tree);
+    if (!faults.empty()) {
+        const auto further = checkReferencesWithout(tree, faults);
+        faults.insert(faults.end(), further.begin(), further.end());
     }
-    checkReferences(settings);
+    throwFaults(faults);
+    Settings settings = resolve(tree, revision);
+    throwFaults(checkReferences(tree, settings));
     return settings;
 }
 
--- /dev/null
+++ b/src/core/settings/SettingsExplain.cpp
@@ -0,0 +1,222 @@
+#include <endiveroad/SettingsExplain.h>
+
+#include <endiveroad/Error.h>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+namespace endiveroad {
+
+namespace {
+
+/// A node on the way from the root to the path that is explained.
+struct Step {
+    const SettingsValue* node = nullptr;
+    SettingsScope scope = SettingsScope::Organisation;
+    std::string path;
+};
+
+[[noreturn]] void throwUnknown(const std::string& path, const std::string& name, const std::vector<std::string>& known)
+{
+    const std::vector<std::string_view> views(known.begin(), known.end());
+    const std::string nearest = nearestName(name, views);
+    if (!nearest.empty())
+        throw NotFoundError(fmt::format("{}/{}: did you mean \"{}\"?", path, name, nearest));
+    throw NotFoundError(fmt::format("{}/{}: there are {}", path, name, fmt::join(known, ", ")));
+}
+
+std::vector<std::string> partsOf(SettingsScope scope)
+{
+    std::vector<std::string> names;
+    for (const SettingKey& key : settingKeys()) {
+        if (key.scope == scope)
+            names.emplace_back(key.name);
+    }
+    for (const SettingsChild& child : settingsChildren()) {
+        if (child.parent == scope)
+            names.emplace_back(child.name);
+    }
+    return names;
+}
+
+std::vector<std::string> membersOf(const SettingsValue* map)
+{
+    std::vector<std::string> names;
+    if (map) {
+        for (const auto& [name, member] : map->members)
+            names.push_back(name);
+    }
+    return names;
+}
+
+class Explanation {
+public:
+    explicit Explanation(const SettingsValue& tree) { chain_.push_back({ &tree, SettingsScope::Organisation, "" }); }
+
+    std::vector<ExplainedSetting> run(std::string_view path)
+    {
+        const auto parts = splitSettingsPath(path);
+        size_t next = 0;
+        while (next < parts.size() && enterNode(parts, next))
+            next += 2;
+        explain(std::vector<std::string>(parts.begin() + static_cast<ptrdiff_t>(next), parts.end()));
+        return std::move(result_);
+    }
+
+private:
+    /// Steps into a named node; false if the next part is a section or key.
+    bool enterNode(const std::vector<std::string>& parts, size_t next)
+    {
+        const Step& here = chain_.back();
+        const SettingsChild* child = findSettingsChild(here.scope, parts[next]);
+        if (!child || !child->isMap)
+            return false;
+        const SettingsValue* map = here.node->find(parts[next]);
+        const std::string path = fmt::format("{}/{}", here.path, parts[next]);
+        const std::string name = next + 1 < parts.size() ? parts[next + 1] : std::string();
+        const SettingsValue* node = map ? map->find(name) : nullptr;
+        if (!node)
+            throwUnknown(path, name, membersOf(map));
+        chain_.push_back({ node, child->scope, fmt::format("{}/{}", path, name) });
+        return true;
+    }
+
+    /// Explains what is left of the path below the last node: nothing, a section, a key, or a key of a section.
+    void explain(const std::vector<std::string>& rest)
+    {
+        const Step& here = chain_.back();
+        const std::string first = rest.empty() ? std::string() : rest[0];
+        const SettingsChild* section = findSettingsChild(here.scope, first);
+        const bool isKnown = rest.empty() || section || findSettingKey(here.scope, first);
+        if (!isKnown)
+            throwUnknown(here.path, first, partsOf(here.scope));
+        const size_t depth = section ? 2 : 1;
+        if (rest.size() > depth)
+            throwUnknown(fmt::format("{}/{}", here.path, first), rest.back(),
+                section ? partsOf(section->scope) : std::vector<std::string>());
+        if (section && rest.size() == 2 && !findSettingKey(section->scope, rest[1]))
+            throwUnknown(fmt::format("{}/{}", here.path, first), rest[1], partsOf(section->scope));
+        if (!section)
+            explainKeys(here.scope, "", first);
+        for (const SettingsChild& child : settingsChildren()) {
+            if (child.parent == here.scope && !child.isMap && (rest.empty() || &child == section))
+                explainKeys(child.scope, std::string(child.name), rest.size() == 2 ? rest[1] : std::string());
+        }
+    }
+
+    /// Explains the keys of a scope, or the one that is named.
+    void explainKeys(SettingsScope scope, const std::string& section, const std::string& name)
+    {
+        for (const SettingKey& key : settingKeys()) {
+            if (key.scope == scope && (name.empty() || key.name == name))
+                explainKey(key, section);
+        }
+    }
+
+    void explainKey(const SettingKey& key, const std::string& section)
+    {
+        std::vector<SettingOrigin> origins;
+        const std::string name(key.name);
+        for (size_t i = chain_.size(); i-- > 0;) {
+            const Step& step = chain_[i];
+            const SettingsValue* holder = section.empty() ? step.node : step.node->find(section);
+            const SettingsValue* value = holder ? holder->find(name) : nullptr;
+            if (value)
+                origins.push_back({ step.path.empty() ? "/" : step.path, value->json(), value->position });
+            if (section.empty())
+                break;
+        }
+        origins.push_back({ "default", key.defaultText, {} });
+        ExplainedSetting explained;
+        explained.path = fmt::format("{}/{}{}{}", chain_.back().path, section, section.empty() ? "" : "/", name);
+        explained.inForce = origins.front();
+        explained.overridden.assign(origins.begin() + 1, origins.end());
+        result_.push_back(std::move(explained));
+    }
+
+    std::vector<Step> chain_;
+    std::vector<ExplainedSetting> result_;
+};
+
+void compare(const SettingsValue* before, const SettingsValue* after, const std::string& path,
+    std::vector<SettingsChange>& changes)
+{
+    if (before && after && before->isObject() && after->isObject()) {
+        auto left = before->members.begin();
+        auto right = after->members.begin();
+        while (left != before->members.end() || right != after->members.end()) {
+            const bool takesLeft
+                = left != before->members.end() && (right == after->members.end() || left->first <= right->first);
+            const bool takesRight
+                = right != after->members.end() && (left == before->members.end() || right->first <= left->first);
+            const std::string& name = takesLeft ? left->first : right->first;
+            compare(takesLeft ? &left->second : nullptr, takesRight ? &right->second : nullptr,
+                fmt::format("{}/{}", path, name), changes);
+            left = takesLeft ? std::next(left) : left;
+            right = takesRight ? std::next(right) : right;
+        }
+        return;
+    }
+    const std::string oldText = before ? before->json() : std::string();
+    const std::string newText = after ? after->json() : std::string();
+    if (oldText == newText)
+        return;
+    const size_t slash = path.rfind('/');
+    const auto scope = scopeAt(path.substr(0, slash == std::string::npos ? 0 : slash));
+    const SettingKey* key = scope ? findSettingKey(*scope, path.substr(slash + 1)) : nullptr;
+    changes.push_back({ path, oldText, newText, key && key->needsRestart() && before });
+}
+
+template <typename Declaration>
+void compareDeclarations(const std::map<std::string, Declaration>& before,
+    const std::map<std::string, Declaration>& after, std::string_view kind, std::vector<std::string>& result)
+{
+    for (const auto& [name, declaration] : before) {
+        const auto found = after.find(name);
+        if (found == after.end() || found->second != declaration)
+            result.push_back(fmt::format("{} {}", kind, name));
+    }
+    for (const auto& [name, declaration] : after) {
+        if (!before.contains(name))
+            result.push_back(fmt::format("{} {}", kind, name));
+    }
+}
+
+} // namespace
+
+std::vector<ExplainedSetting> explainSettings(const SettingsValue& tree, std::string_view path)
+{
+    return Explanation(tree).run(path);
+}
+
+std::string SettingsChange::text() const
+{
+    const std::string note = needsRestart ? " (takes effect when the process starts again)" : "";
+    if (before.empty())
+        return fmt::format("+ {}: {}{}", path, after, note);
+    if (after.empty())
+        return fmt::format("- {}: {}{}", path, before, note);
+    return fmt::format("~ {}: {} -> {}{}", path, before, after, note);
+}
+
+std::vector<SettingsChange> compareSettings(const SettingsValue& before, const SettingsValue& after)
+{
+    std::vector<SettingsChange> changes;
+    compare(&before, &after, "", changes);
+    return changes;
+}
+
+std::vector<std::string> affectedDeclarations(const Settings& before, const Settings& after)
+{
+    std::vector<std::string> result;
+    compareDeclarations(before.entries, after.entries, "entry", result);
+    compareDeclarations(before.pools, after.pools, "pool", result);
+    compareDeclarations(before.jobs, after.jobs, "job", result);
+    for (const auto& [name, pool] : after.pools) {
+        const auto old = before.pools.find(name);
+        if (old != before.pools.end())
+            compareDeclarations(old->second.replicas, pool.replicas, "replica", result);
+    }
+    return result;
+}
+
+} // namespace endiveroad
