--- a/src/cli/NodeCommands.cpp
+++ b/src/cli/NodeCommands.cpp
@@ -28,7 +28,7 @@
         node.store = addressOption(*result, "store");
     if (result->count("peer") != 0) {
         for (const std::string& peer : (*result)["peer"].as<std::vector<std::string>>())
-            node.peers.push_back(Address::parse(peer));
+            node.peers.push_back(parseAddress("peer", peer));
     }
     if (!node.store && node.peers.empty())
         throw UsageInvalidError("give --store or --peer: without either there is nowhere to get settings from");
--- a/src/cli/OperatorCommands.cpp
+++ b/src/cli/OperatorCommands.cpp
@@ -59,13 +59,13 @@
 {
     cxxopts::Options options("endiveroad " + name, description);
     addCommonOptions(options);
-    options.add_options()("at", "host:port of the process's peer address", cxxopts::value<std::string>())(
-        "since", "Wall time in ms", cxxopts::value<std::string>()->default_value("0"));
+    options.add_options()("at", "host:port of the process's peer address", cxxopts::value<std::string>())("since",
+        "Only events from this wall time on, in ms since 1970", cxxopts::value<uint64_t>()->default_value("0"));
     const auto result = parse(options, arguments);
     if (!result)
         return exitOk;
     configureLog(*result, name);
-    fmt::print("{}\n", ask(addressOption(*result, "at"), type, (*result)["since"].as<std::string>()));
+    fmt::print("{}\n", ask(addressOption(*result, "at"), type, std::to_string((*result)["since"].as<uint64_t>())));
     return exitOk;
 }
 
--- a/src/cli/Options.cpp
+++ b/src/cli/Options.cpp
@@ -2,6 +2,7 @@
 
 #include "io/Log.h"
 
+#include <arpa/inet.h>
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
 
@@ -48,15 +49,28 @@
     throw UsageInvalidError(fmt::format("--log-level is \"{}\"; allowed are debug, info, warning, error", level));
 }
 
-Address addressOption(const cxxopts::ParseResult& result, const std::string& name)
+Address parseAddress(const std::string& name, const std::string& text)
 {
-    if (result.count(name) == 0)
-        throw UsageInvalidError(fmt::format("--{} is missing", name));
+    Address address;
     try {
-        return Address::parse(result[name].as<std::string>());
+        address = Address::parse(text);
     } catch (const SettingsInvalidError& error) {
         throw UsageInvalidError(fmt::format("--{}: {}", name, error.what()));
     }
+    unsigned char bytes[sizeof(in6_addr)];
+    const bool isNumber
+        = inet_pton(AF_INET, address.host.c_str(), bytes) == 1 || inet_pton(AF_INET6, address.host.c_str(), bytes) == 1;
+    if (!isNumber || address.port == 0)
+        throw UsageInvalidError(
+            fmt::format("--{}: \"{}\" is not an IP number with a port, as in 10.0.0.1:9080", name, text));
+    return address;
+}
+
+Address addressOption(const cxxopts::ParseResult& result, const std::string& name)
+{
+    if (result.count(name) == 0)
+        throw UsageInvalidError(fmt::format("--{} is missing", name));
+    return parseAddress(name, result[name].as<std::string>());
 }
 
 } // namespace endiveroad::cli
--- a/src/cli/Options.h
+++ b/src/cli/Options.h
@@ -18,7 +18,10 @@
 /// Sets up the log from the common options.
 void configureLog(const cxxopts::ParseResult&, const std::string& node);
 
-/// Reads "host:port"; throws UsageInvalidError.
+/// Reads "host:port" with an IP number; throws UsageInvalidError that names the option.
+Address parseAddress(const std::string& name, const std::string& text);
+
+/// Reads the value of an address option; throws UsageInvalidError if it is missing or wrong.
 Address addressOption(const cxxopts::ParseResult&, const std::string& name);
 
 } // namespace endiveroad::cli
--- a/src/cli/SettingsFiles.cpp
+++ b/src/cli/SettingsFiles.cpp
@@ -27,7 +27,8 @@
     try {
         return Json::parse(text.str(), nullptr, true, true);
     } catch (const Json::exception& error) {
-        throw SettingsInvalidError(fmt::format("{}: {}", path.string(), error.what()));
+        const std::string_view what = error.what();
+        throw SettingsInvalidError(fmt::format("{}: {}", path.string(), what.substr(what.find(']') + 2)));
     }
 }
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,36 +1,47 @@
-#include "cli/Commands.h"
+#include "cli/Options.h"
 
+#include <algorithm>
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
-#include <map>
 
 namespace {
 
 using namespace endiveroad;
 using namespace endiveroad::cli;
 
-int printVersion(const Arguments&)
+constexpr std::string_view seeMore = "Exit codes and examples: docs/operators/commands.md.\n";
+
+int runVersion(const Arguments& arguments)
 {
-    fmt::print("endiveroad {}\n", ENDIVEROAD_VERSION);
+    cxxopts::Options options("endiveroad version", "Prints the version of this program.");
+    options.add_options()("h,help", "Print this help");
+    if (parse(options, arguments))
+        fmt::print("endiveroad {}\n", ENDIVEROAD_VERSION);
     return exitOk;
 }
 
-const std::map<std::string, int (*)(const Arguments&)> commands {
-    { "entry", runEntry },
-    { "agent", runAgent },
-    { "settings", runSettings },
-    { "status", runStatus },
-    { "timeline", runTimeline },
-    { "drain", runDrain },
-    { "version", printVersion },
+struct Command {
+    std::string_view name;
+    std::string_view summary;
+    int (*run)(const Arguments&);
+};
+
+constexpr Command commands[] {
+    { "entry", "Runs an entry: takes callers' HTTP, routes it, coordinates rollout jobs.", runEntry },
+    { "agent", "Runs the agent of one backend server.", runAgent },
+    { "settings", "Checks a settings directory and puts it in force.", runSettings },
+    { "status", "Shows the state of all processes.", runStatus },
+    { "timeline", "Shows the events of all processes in one order.", runTimeline },
+    { "drain", "Tells a process to finish its work and end.", runDrain },
+    { "version", "Prints the version of this program.", runVersion },
 };
 
 void printUsage(FILE* stream)
 {
-    fmt::print(stream, "usage: endiveroad COMMAND [OPTIONS]; commands:");
-    for (const auto& [name, run] : commands)
-        fmt::print(stream, " {}", name);
-    fmt::print(stream, ". COMMAND --help tells more.\n");
+    fmt::print(stream, "Usage:\n  endiveroad COMMAND [OPTIONS]\n\nCommands:\n");
+    for (const Command& command : commands)
+        fmt::print(stream, "  {:<9} {}\n", command.name, command.summary);
+    fmt::print(stream, "\n`endiveroad COMMAND --help` lists the options of a command. {}", seeMore);
 }
 
 int exitCodeFor(ErrorCode code)
@@ -63,18 +74,19 @@
         printUsage(stdout);
         return exitOk;
     }
-    const auto command = commands.find(arguments.front());
-    if (command == commands.end()) {
+    const auto command = std::find_if(std::begin(commands), std::end(commands),
+        [&](const Command& candidate) { return candidate.name == arguments.front(); });
+    if (command == std::end(commands)) {
         fmt::print(stderr, "endiveroad: unknown command \"{}\"; see endiveroad --help\n", arguments.front());
         return exitUsage;
     }
     try {
-        return command->second(Arguments(arguments.begin() + 1, arguments.end()));
+        return command->run(Arguments(arguments.begin() + 1, arguments.end()));
     } catch (const Error& error) {
-        fmt::print(stderr, "endiveroad {}: {} ({})\n", command->first, error.what(), codeText(error.code()));
+        fmt::print(stderr, "endiveroad {}: {} ({})\n", command->name, error.what(), codeText(error.code()));
         return exitCodeFor(error.code());
     } catch (const std::exception& error) {
-        fmt::print(stderr, "endiveroad {}: {}\n", command->first, error.what());
+        fmt::print(stderr, "endiveroad {}: {}\n", command->name, error.what());
         return exitFailure;
     }
 }
--- /dev/null
+++ b/src/core/http/JsonReader.cpp
@@ -0,0 +1,110 @@
+#include "core/http/JsonReader.h"
+
+#include <endiveroad/Error.h>
+#include <fmt/format.h>
+
+namespace endiveroad {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/// A value as shown in messages, cut so that no body lands in a log.
+std::string shown(const Json& value)
+{
+    constexpr size_t maxShown = 40;
+    if (value.is_structured() || value.is_string())
+        return fmt::format("of type {}", value.type_name());
+    return value.dump().substr(0, maxShown);
+}
+
+} // namespace
+
+Json parseStrictJson(std::string_view text, const std::string& what)
+{
+    std::vector<std::set<std::string>> open;
+    const auto refuseRepeats = [&](int, Json::parse_event_t event, const Json& value) {
+        if (event == Json::parse_event_t::object_start)
+            open.emplace_back();
+        else if (event == Json::parse_event_t::object_end)
+            open.pop_back();
+        else if (event == Json::parse_event_t::key && !open.back().insert(value.get<std::string>()).second)
+            throw BadRequestError(fmt::format("{}: field {} stands twice", what, value.dump()));
+        return true;
+    };
+    try {
+        return Json::parse(text, refuseRepeats);
+    } catch (const Json::parse_error& error) {
+        throw BadRequestError(fmt::format("{} is no JSON: parse error at byte {}", what, error.byte));
+    }
+}
+
+JsonReader::JsonReader(const Json& json, std::string path)
+    : json_(json)
+    , path_(std::move(path))
+{
+    if (!json_.is_object())
+        throw BadRequestError(fmt::format("{} is {}; allowed is an object", path_, shown(json_)));
+}
+
+const Json& JsonReader::field(const std::string& name)
+{
+    known_.insert(name);
+    const auto found = json_.find(name);
+    if (found == json_.end())
+        throw BadRequestError(fmt::format("{}.{} is missing", path_, name));
+    return *found;
+}
+
+bool JsonReader::has(const std::string& name)
+{
+    known_.insert(name);
+    return json_.contains(name);
+}
+
+uint64_t JsonReader::integer(const std::string& name, uint64_t lowest, uint64_t highest)
+{
+    return readInteger(field(name), path_ + "." + name, lowest, highest);
+}
+
+std::string JsonReader::text(const std::string& name)
+{
+    const Json& value = field(name);
+    if (!value.is_string())
+        throw BadRequestError(fmt::format("{}.{} is {}; allowed is a string", path_, name, shown(value)));
+    return value.get<std::string>();
+}
+
+const Json& JsonReader::array(const std::string& name, size_t lowest, size_t highest)
+{
+    const Json& value = field(name);
+    if (!value.is_array())
+        throw BadRequestError(fmt::format("{}.{} is {}; allowed is an array", path_, name, shown(value)));
+    if (value.size() < lowest || value.size() > highest) {
+        throw BadRequestError(
+            fmt::format("{}.{} has {} elements; allowed are {} to {}", path_, name, value.size(), lowest, highest));
+    }
+    return value;
+}
+
+void JsonReader::finish() const
+{
+    for (const auto& [name, value] : json_.items()) {
+        if (!known_.contains(name))
+            throw BadRequestError(fmt::format(
+                "{} has an unknown field {}; allowed are {}", path_, Json(name).dump(), fmt::join(known_, ", ")));
+    }
+}
+
+uint64_t readInteger(const Json& value, const std::string& path, uint64_t lowest, uint64_t highest)
+{
+    const bool isInRange
+        = value.is_number_unsigned() && value.get<uint64_t>() >= lowest && value.get<uint64_t>() <= highest;
+    if (!isInRange) {
+        throw BadRequestError(
+            fmt::format("{} is {}; allowed are whole numbers from {} to {}", path, shown(value), lowest, highest));
+    }
+    return value.get<uint64_t>();
+}
+
+} // namespace endiveroad
--- a/src/io/Node.cpp
+++ b/src/io/Node.cpp
@@ -72,6 +72,8 @@
         const auto address = peerAddress(*inForce);
         if (address && !acceptor_)
             listenForPeers(*address);
+        if (!address)
+            log(Event::NotDeclared, { { "revision", std::to_string(inForce->revision) } });
         onSettings(before, inForce);
         if (address)
             mesh_.setTargets(peerTargets(*inForce));
--- a/src/io/entry/CallRouter.cpp
+++ b/src/io/entry/CallRouter.cpp
@@ -119,7 +119,8 @@
         else
             response = co_await callReplicas(pool, std::move(call), deadline);
     } catch (const Error& error) {
-        response = errorResponse(error, retryAfter);
+        const bool hasRetry = httpStatus(error.code()) == 503;
+        response = errorResponse(error, hasRetry ? retryAfter : Duration::zero());
     }
     co_await exchange.answer(std::move(response));
 }
--- a/src/io/entry/EntryNode.cpp
+++ b/src/io/entry/EntryNode.cpp
@@ -5,8 +5,8 @@
 #include "io/WireValues.h"
 #include "wire/Codec.h"
 
-#include <charconv>
 #include <endiveroad/Error.h>
+#include <endiveroad/JobBody.h>
 #include <endiveroad/Rendezvous.h>
 #include <endiveroad_types.h>
 #include <fmt/format.h>
@@ -24,26 +24,26 @@
 constexpr Duration readinessNotice = std::chrono::milliseconds(1000);
 constexpr Duration maxDrain = std::chrono::seconds(60);
 
-std::vector<std::string> splitPath(std::string_view target)
+/// An error as the caller sees it, with the headers that its status asks for.
+HttpResponse toResponse(const Error& error, const HttpQuery& query)
 {
-    std::vector<std::string> parts;
-    target = target.substr(0, target.find('?'));
-    while (!target.empty()) {
-        target.remove_prefix(1);
-        const size_t end = std::min(target.find('/'), target.size());
-        parts.emplace_back(target.substr(0, end));
-        target.remove_prefix(end);
-    }
-    return parts;
+    const bool hasRetry = httpStatus(error.code()) == 503;
+    HttpResponse response = errorResponse(error, hasRetry ? CallRouter::retryAfter : Duration::zero());
+    if (error.code() == ErrorCode::MethodNotAllowed)
+        response.headers.emplace_back("Allow", Route::allowedMethod(query.target));
+    return response;
 }
 
-StepNumber parseStepNumber(const std::string& text)
+std::vector<wire::Header> headersToWire(const HeaderList& headers)
 {
-    StepNumber number = 0;
-    const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (result.ec != std::errc() || result.ptr != text.data() + text.size())
-        throw BadRequestError(fmt::format("\"{}\" is not a step number", text));
-    return number;
+    std::vector<wire::Header> result;
+    for (const auto& [name, value] : headers) {
+        wire::Header header;
+        header.name = name;
+        header.value = value;
+        result.push_back(std::move(header));
+    }
+    return result;
 }
 
 } // namespace
@@ -102,42 +102,34 @@
 {
     ++requests_;
     const HttpQuery& query = exchange.query();
-    constexpr std::string_view servicePrefix = "/v1/services/";
-    if (query.target.starts_with(servicePrefix)) {
-        const std::string_view rest = std::string_view(query.target).substr(servicePrefix.size());
-        const size_t end = std::min(rest.find('/'), rest.size());
-        std::string pool(rest.substr(0, end));
-        std::string target(rest.substr(end));
-        if (target.empty())
-            target = "/";
-        co_await calls_->route(exchange, pool, target);
-        co_return;
-    }
     HttpResponse response;
     try {
-        response = co_await respond(query);
+        const Route route = Route::parse(query.method, query.target);
+        if (route.kind == RouteKind::ServiceCall) {
+            co_await calls_->route(exchange, route.name, route.serviceTarget);
+            co_return;
+        }
+        response = co_await respond(query, route);
     } catch (const Error& error) {
-        const bool hasRetry = httpStatus(error.code()) == 503;
-        response = errorResponse(error, hasRetry ? CallRouter::retryAfter : Duration::zero());
+        response = toResponse(error, query);
     }
     co_await exchange.answer(std::move(response));
 }
 
-asio::awaitable<HttpResponse> EntryNode::respond(HttpQuery query)
+asio::awaitable<HttpResponse> EntryNode::respond(HttpQuery query, Route route)
 {
-    const auto path = splitPath(query.target);
-    if (path.size() == 1 && path[0] == "healthz")
+    switch (route.kind) {
+    case RouteKind::Health:
         co_return jsonResponse(200, R"({"status":"alive"})");
-    if (path.size() == 1 && path[0] == "readyz") {
+    case RouteKind::Readiness:
         if (isDraining())
             throw NotReadyError("the entry is leaving");
         co_return jsonResponse(200, fmt::format(R"({{"status":"ready","revision":{}}})", settings()->revision));
-    }
-    if (path.size() == 1 && path[0] == "metrics")
+    case RouteKind::Metrics:
         co_return metrics();
-    if (path.size() >= 3 && path[0] == "v1" && path[1] == "jobs")
-        co_return co_await jobRequest(std::move(query), path, false);
-    throw NotFoundError(fmt::format("no such path: {}", query.target));
+    default:
+        co_return co_await jobRequest(std::move(query), std::move(route), false);
+    }
 }
 
 std::string EntryNode::homeOf(const std::string& job) const
@@ -159,10 +151,10 @@
     return *runner;
 }
 
-asio::awaitable<HttpResponse> EntryNode::jobRequest(HttpQuery query, std::vector<std::string> path, bool isForwarded)
+asio::awaitable<HttpResponse> EntryNode::jobRequest(HttpQuery query, Route route, bool isForwarded)
 {
-    settings()->job(path[2]);
-    const std::string home = homeOf(path[2]);
+    settings()->job(route.name);
+    const std::string home = homeOf(route.name);
     if (!isForwarded && home != name()) {
         // Every call on a job is idempotent, so after a failed forward this entry does it itself.
         try {
@@ -171,7 +163,7 @@
             log(Event::PeerLost, { { "peer", home }, { "reason", error.what() } });
         }
     }
-    co_return co_await jobRequestHere(query, path);
+    co_return co_await jobRequestHere(query, route);
 }
 
 asio::awaitable<HttpResponse> EntryNode::forward(PeerConnectionPtr peer, const HttpQuery& query)
@@ -183,38 +175,37 @@
     const std::string payload
         = co_await peer->call(MessageType::Forward, wire::encode(request), now() + forwardTimeout);
     auto answer = wire::decode<wire::CallAnswer>(payload);
-    co_return jsonResponse(answer.status, std::move(answer.body));
+    HttpResponse response;
+    response.status = answer.status;
+    for (wire::Header& header : answer.headers)
+        response.headers.emplace_back(std::move(header.name), std::move(header.value));
+    response.body = std::move(answer.body);
+    co_return response;
 }
 
-asio::awaitable<HttpResponse> EntryNode::jobRequestHere(const HttpQuery& query, const std::vector<std::string>& path)
+asio::awaitable<HttpResponse> EntryNode::jobRequestHere(const HttpQuery& query, const Route& route)
 {
-    const JobDeclaration job = settings()->job(path[2]);
+    const JobDeclaration job = settings()->job(route.name);
     JobRunner& runner = this->runner(job);
-    if (path.size() == 3 && query.method == "GET")
-        co_return runner.state();
-    if (path.size() == 5 && path[3] == "steps" && query.method == "PUT")
-        co_return co_await runner.submit(parseStepNumber(path[4]), query.body);
-    if (path.size() == 4 && path[3] == "fetch" && query.method == "POST") {
+    switch (route.kind) {
+    case RouteKind::SubmitStep:
+        co_return co_await runner.submit(route.step, query.body);
+    case RouteKind::Fetch: {
         HttpResponse response = co_await runner.fetch(query.body);
         rollout_->announce(job.pool, { runner.policyVersion(), {} }, job.rollout.swapShare);
         co_return response;
     }
-    if (path.size() == 4 && path[3] == "policy" && query.method == "PUT")
+    case RouteKind::AnnouncePolicy:
         co_return announce(job, query.body);
-    throw NotFoundError(fmt::format("no such call: {} {}", query.method, query.target));
+    default:
+        co_return runner.state();
+    }
 }
 
 HttpResponse EntryNode::announce(const JobDeclaration& job, const std::string& body)
 {
-    AnnouncedPolicy policy;
-    try {
-        const Json json = Json::parse(body);
-        policy = { json.at("version").get<WeightVersion>(), json.value("weights", "") };
-    } catch (const Json::exception& error) {
-        throw BadRequestError(fmt::format("policy: {}", error.what()));
-    }
-    if (policy.version < 0)
-        throw BadRequestError("policy: a version is not negative");
+    const PolicyBody wanted = PolicyBody::parse(body);
+    const AnnouncedPolicy policy { wanted.version, wanted.weights };
     runner(job).onPolicyVersion(policy.version);
     if (rollout_->announce(job.pool, policy, job.rollout.swapShare)) {
         for (const auto& [entryName, entry] : settings()->entries) {
@@ -245,13 +236,14 @@
     HttpQuery query { request.method, request.target, {}, std::move(request.body) };
     HttpResponse response;
     try {
-        response = co_await jobRequest(query, splitPath(query.target), true);
+        response = co_await jobRequest(query, Route::parse(query.method, query.target), true);
     } catch (const Error& error) {
-        response = errorResponse(error);
+        response = toResponse(error, query);
     }
     wire::CallAnswer answer;
     answer.outcome = wire::Outcome::Done;
     answer.status = response.status;
+    answer.headers = headersToWire(response.headers);
     answer.body = std::move(response.body);
     co_return wire::encode(answer);
 }
--- a/src/io/entry/EntryNode.h
+++ b/src/io/entry/EntryNode.h
@@ -7,6 +7,8 @@
 #include "io/entry/JobRunner.h"
 #include "io/entry/WeightRollout.h"
 
+#include <endiveroad/Route.h>
+
 /// The entry process: callers' HTTP, routing, coordination of jobs.
 namespace endiveroad::io {
 
@@ -28,9 +30,9 @@
     std::string statusJson() const override;
 
 private:
-    asio::awaitable<HttpResponse> respond(HttpQuery);
-    asio::awaitable<HttpResponse> jobRequest(HttpQuery, std::vector<std::string> path, bool isForwarded);
-    asio::awaitable<HttpResponse> jobRequestHere(const HttpQuery&, const std::vector<std::string>& path);
+    asio::awaitable<HttpResponse> respond(HttpQuery, Route);
+    asio::awaitable<HttpResponse> jobRequest(HttpQuery, Route, bool isForwarded);
+    asio::awaitable<HttpResponse> jobRequestHere(const HttpQuery&, const Route&);
     asio::awaitable<HttpResponse> forward(PeerConnectionPtr, const HttpQuery&);
     HttpResponse announce(const JobDeclaration&, const std::string& body);
     void tellPolicies(const PeerConnectionPtr&);
--- a/src/io/entry/JobRunner.cpp
+++ b/src/io/entry/JobRunner.cpp
@@ -6,6 +6,7 @@
 #include "wire/Codec.h"
 
 #include <endiveroad/Error.h>
+#include <endiveroad/JobBody.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -15,51 +16,6 @@
 
 namespace {
 
-constexpr uint32_t maxSamplesPerStep = 1U << 16;
-
-StepRequest parseStep(StepNumber number, const std::string& body)
-{
-    try {
-        const Json json = Json::parse(body);
-        StepRequest step;
-        step.step = number;
-        step.samplesPerGroup = json.value("samplesPerGroup", 1U);
-        for (const Json& sample : json.at("samples"))
-            step.samples.push_back({ sample.at("prompt").get<std::string>(), sample.at("maxTokens").get<uint32_t>() });
-        if (step.samples.empty() || step.samples.size() > maxSamplesPerStep)
-            throw BadRequestError(fmt::format("a step has 1 to {} samples", maxSamplesPerStep));
-        if (step.samplesPerGroup == 0 || step.samples.size() % step.samplesPerGroup != 0)
-            throw BadRequestError("samplesPerGroup does not divide the number of samples");
-        return step;
-    } catch (const Json::exception& error) {
-        throw BadRequestError(fmt::format("step: {}", error.what()));
-    }
-}
-
-struct FetchRequest {
-    std::string cursor;
-    WeightVersion policyVersion = 0;
-    size_t max = JobRunner::defaultFetchSamples;
-    Duration wait = Duration::zero();
-    std::vector<StepNumber> steps;
-};
-
-FetchRequest parseFetch(const std::string& body)
-{
-    try {
-        const Json json = Json::parse(body);
-        FetchRequest fetch;
-        fetch.cursor = json.value("cursor", "");
-        fetch.policyVersion = json.at("policyVersion").get<WeightVersion>();
-        fetch.max = json.value("max", fetch.max);
-        fetch.wait = std::min<Duration>(std::chrono::milliseconds(json.value("waitMs", 0)), JobRunner::maxFetchWait);
-        fetch.steps = json.value("steps", fetch.steps);
-        return fetch;
-    } catch (const Json::exception& error) {
-        throw BadRequestError(fmt::format("fetch: {}", error.what()));
-    }
-}
-
 Json toJson(const Sample& sample)
 {
     Json segments = Json::array();
@@ -251,7 +207,7 @@
 asio::awaitable<HttpResponse> JobRunner::submit(StepNumber number, std::string body)
 {
     activeUntil_ = now() + trainerLease;
-    StepRequest step = parseStep(number, body);
+    StepRequest step = parseStepBody(number, body);
     const uint64_t digest = step.digest();
     const size_t samples = step.samples.size();
     std::vector<Sample> held;
@@ -275,9 +231,9 @@
 asio::awaitable<HttpResponse> JobRunner::fetch(std::string body)
 {
     activeUntil_ = now() + trainerLease;
-    const FetchRequest request = parseFetch(body);
+    const FetchBody request = FetchBody::parse(body);
     const Cursor cursor = Cursor::decode(request.cursor, coordinator_.declaration().name);
-    const Instant waitEnd = now() + request.wait;
+    const Instant waitEnd = now() + std::chrono::milliseconds(request.waitMs);
     sendReleases(cursor);
     FetchResult result = coordinator_.fetch(cursor, request.policyVersion, request.max);
     asio::steady_timer poll(context_);
--- a/src/io/entry/JobRunner.h
+++ b/src/io/entry/JobRunner.h
@@ -18,9 +18,7 @@
     static constexpr Duration scoringTimeout = std::chrono::seconds(5);
     /// Work goes on this long after the trainer was last heard of by this entry.
     static constexpr Duration trainerLease = std::chrono::seconds(60);
-    static constexpr Duration maxFetchWait = std::chrono::seconds(20);
     static constexpr size_t scoringBatch = 16;
-    static constexpr size_t defaultFetchSamples = 256;
 
     JobRunner(asio::io_context&, AgentDirectory&, CallRouter&, JobDeclaration);
 
