status and timeline gather all processes, and messages carry a hybrid clock

Cause: status and timeline answered for one process only, as raw JSON; the events of two processes could not be put in one order, since no message carried a clock; a call had no id that its caller knew, and the ids of its attempts did not lead back to it. A sample's events at the agent named no request.

Ruled out: a collector of events or events in the key-value service (docs/design/0010), vector clocks (grow with the fleet).

X-Request-Id is taken from and given back to the caller, CallDispatched links it with the attempt's id, which the backend server and the engine get. The agent logs SampleStarted, SampleFinished and CallFinished.

--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -186,7 +186,7 @@
 
     def status(self, name):
         """Status of one process by the product's own command."""
-        done = subprocess.run([self.binary, "status", "--at", self.peers[name]], stdout=subprocess.PIPE,
+        done = subprocess.run([self.binary, "status", "--self", "--json", "--at", self.peers[name]], stdout=subprocess.PIPE,
                               stderr=subprocess.DEVNULL, timeout=10, check=False)
         return json.loads(done.stdout) if done.returncode == 0 else None
 
--- a/src/cli/Options.cpp
+++ b/src/cli/Options.cpp
@@ -3,6 +3,7 @@
 #include "io/Log.h"
 
 #include <arpa/inet.h>
+#include <charconv>
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
 
@@ -33,6 +34,19 @@
     return std::nullopt;
 }
 
+uint64_t integerOption(const cxxopts::ParseResult& result, const std::string& name, uint64_t lowest, uint64_t highest)
+{
+    const std::string text = result[name].as<std::string>();
+    uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isWhole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    if (!isWhole || value < lowest || value > highest) {
+        throw UsageInvalidError(
+            fmt::format("--{}: \"{}\" is not a whole number from {} to {}", name, text, lowest, highest));
+    }
+    return value;
+}
+
 void configureLog(const cxxopts::ParseResult& result, const std::string& node)
 {
     const std::string format = result["log-format"].as<std::string>();
--- a/src/cli/Options.h
+++ b/src/cli/Options.h
@@ -15,6 +15,9 @@
 /// Parses; throws UsageInvalidError for unknown options or values. Returns nothing if help was printed.
 std::optional<cxxopts::ParseResult> parse(cxxopts::Options&, const Arguments&);
 
+/// Reads a whole number in a range; throws UsageInvalidError that names the option. The option holds text.
+uint64_t integerOption(const cxxopts::ParseResult&, const std::string& name, uint64_t lowest, uint64_t highest);
+
 /// Sets up the log from the common options.
 void configureLog(const cxxopts::ParseResult&, const std::string& node);
 
--- /dev/null
+++ b/src/cli/PeerQuestion.cpp
@@ -0,0 +1,84 @@
+#include "cli/PeerQuestion.h"
+
+#include "io/Clock.h"
+#include "wire/Codec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <endiveroad/Error.h>
+#include <endiveroad_types.h>
+
+namespace endiveroad::cli {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration orderTimeout = std::chrono::seconds(3);
+
+/// An operator command answers nothing itself.
+class SilentHandler : public io::PeerHandler {
+public:
+    asio::awaitable<std::string> onRequest(io::PeerConnectionPtr, io::PeerMessage) override
+    {
+        throw BadRequestError("an operator command takes no requests");
+        co_return std::string();
+    }
+    void onNotice(const io::PeerConnectionPtr&, const io::PeerMessage&) override { }
+    void onClosed(const io::PeerConnectionPtr&) override { }
+};
+
+using Question = std::function<asio::awaitable<std::string>(io::PeerConnectionPtr)>;
+
+std::string withPeer(const Address& address, const Question& question)
+{
+    asio::io_context context;
+    SilentHandler handler;
+    std::string json;
+    std::exception_ptr failure;
+    auto body = [&]() -> asio::awaitable<void> {
+        auto peer = co_await io::PeerConnection::connect(address, handler);
+        json = co_await question(peer);
+        peer->close();
+    };
+    asio::co_spawn(context, body, [&](std::exception_ptr error) {
+        failure = error;
+        context.stop();
+    });
+    context.run();
+    if (failure)
+        std::rethrow_exception(failure);
+    return json;
+}
+
+asio::awaitable<std::string> order(io::PeerConnectionPtr peer, io::MessageType type)
+{
+    const std::string payload = co_await peer->call(type, wire::encode(wire::TextRequest()), io::now() + orderTimeout);
+    co_return wire::decode<wire::TextAnswer>(payload).json;
+}
+
+} // namespace
+
+void addPeerOptions(cxxopts::Options& options)
+{
+    options.add_options()("at", "host:port of any process's peer address", cxxopts::value<std::string>())(
+        "self", "Only the process that is asked, without the others");
+}
+
+io::SurveyScope scopeOption(const cxxopts::ParseResult& result)
+{
+    return result.count("self") != 0 ? io::SurveyScope::Self : io::SurveyScope::All;
+}
+
+std::string askSurvey(const cxxopts::ParseResult& result, const io::SurveyQuestion& question)
+{
+    return withPeer(addressOption(result, "at"),
+        [&](io::PeerConnectionPtr peer) { return io::askPeer(std::move(peer), question); });
+}
+
+std::string sendOrder(const cxxopts::ParseResult& result, io::MessageType type)
+{
+    return withPeer(
+        addressOption(result, "at"), [&](io::PeerConnectionPtr peer) { return order(std::move(peer), type); });
+}
+
+} // namespace endiveroad::cli
--- /dev/null
+++ b/src/cli/StatusCommand.cpp
@@ -0,0 +1,84 @@
+#include "cli/PeerQuestion.h"
+#include "cli/StatusText.h"
+#include "io/Clock.h"
+
+#include <endiveroad/Error.h>
+#include <fmt/format.h>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace endiveroad::cli {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr uint64_t maxRevision = std::numeric_limits<int64_t>::max();
+constexpr uint64_t maxTimeoutS = 86'400;
+constexpr Duration revisionPoll = std::chrono::milliseconds(200);
+
+Json askStatus(const cxxopts::ParseResult& options)
+{
+    io::SurveyQuestion question;
+    question.type = io::MessageType::Status;
+    question.scope = scopeOption(options);
+    return Json::parse(askSurvey(options, question));
+}
+
+/// Names of live processes that have not reached the revision, or of a process that was not seen.
+std::vector<std::string> behind(const Json& status, int64_t revision)
+{
+    std::vector<std::string> names;
+    for (const Json& process : status.at("processes")) {
+        if (process.value("state", "") == "live" && process.at("revision").get<int64_t>() < revision)
+            names.push_back(process.at("name").get<std::string>());
+    }
+    return names;
+}
+
+/// Asks until all live processes have the revision. Throws DeadlineExceededError.
+Json waitForRevision(const cxxopts::ParseResult& options)
+{
+    const int64_t revision = static_cast<int64_t>(integerOption(options, "wait-revision", 1, maxRevision));
+    const Instant deadline = io::now() + std::chrono::seconds(integerOption(options, "timeout", 0, maxTimeoutS));
+    while (true) {
+        const Json status = askStatus(options);
+        const auto names = behind(status, revision);
+        if (names.empty())
+            return status;
+        if (io::now() >= deadline) {
+            throw DeadlineExceededError(
+                fmt::format("revision {} is not in force at {}", revision, fmt::join(names, ", ")));
+        }
+        std::this_thread::sleep_for(revisionPoll);
+    }
+}
+
+} // namespace
+
+int runStatus(const Arguments& arguments)
+{
+    cxxopts::Options options(
+        "endiveroad status", "Shows the state of all processes, gathered by the one that is asked.");
+    addCommonOptions(options);
+    addPeerOptions(options);
+    options.add_options()("json", "Print JSON in place of text")(
+        "wait-revision", "Wait until all live processes have this settings revision", cxxopts::value<std::string>())(
+        "timeout", "Longest time to wait for the revision, in s", cxxopts::value<std::string>()->default_value("30"));
+    const auto result = parse(options, arguments);
+    if (!result)
+        return exitOk;
+    configureLog(*result, "status");
+    const bool isWaiting = result->count("wait-revision") != 0;
+    if (isWaiting && scopeOption(*result) == io::SurveyScope::Self)
+        throw UsageInvalidError("--wait-revision asks all processes; leave --self out");
+    const Json status = isWaiting ? waitForRevision(*result) : askStatus(*result);
+    if (result->count("json") != 0)
+        fmt::print("{}\n", status.dump());
+    else
+        fmt::print("{}", statusText(status));
+    return exitOk;
+}
+
+} // namespace endiveroad::cli
--- /dev/null
+++ b/src/cli/TimelineCommand.cpp
@@ -0,0 +1,137 @@
+#include "cli/PeerQuestion.h"
+#include "cli/TimelineHtml.h"
+#include "io/Clock.h"
+#include "io/Log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <endiveroad/Error.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace endiveroad::cli {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Reads "90s", "5m", "2h" as a time before now, or a wall time in ms since 1970. Throws UsageInvalidError.
+int64_t parseSince(const std::string& text)
+{
+    uint64_t value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    const std::string unit(result.ptr, text.data() + text.size());
+    if (result.ec == std::errc() && unit.empty())
+        return static_cast<int64_t>(value);
+    const int64_t unitMs = unit == "s" ? 1000 : unit == "m" ? 60'000 : unit == "h" ? 3'600'000 : 0;
+    constexpr uint64_t maxUnits = 1'000'000;
+    if (result.ec != std::errc() || unitMs == 0 || value > maxUnits)
+        throw UsageInvalidError(fmt::format("--since: \"{}\" is not like 90s, 5m, 2h, or ms since 1970", text));
+    return std::max<int64_t>(0, io::wallMs() - static_cast<int64_t>(value) * unitMs);
+}
+
+struct GatheredEvents {
+    std::vector<TimelineEntry> entries;
+    /// Processes that did not answer.
+    std::vector<std::string> missing;
+};
+
+GatheredEvents ask(const cxxopts::ParseResult& options, const io::SurveyQuestion& question)
+{
+    const Json answer = Json::parse(askSurvey(options, question));
+    const Json processes = answer.contains("processes") ? answer.at("processes") : Json::array({ answer });
+    std::vector<std::vector<TimelineEntry>> parts;
+    GatheredEvents gathered;
+    for (const Json& process : processes) {
+        if (!process.contains("entries")) {
+            gathered.missing.push_back(process.at("name").get<std::string>());
+            continue;
+        }
+        parts.emplace_back();
+        for (const Json& line : process.at("entries"))
+            parts.back().push_back(io::fromJsonLine(line.dump()));
+    }
+    gathered.entries = mergeTimelines(std::move(parts));
+    return gathered;
+}
+
+/// Ids of the attempts that entries made for a caller's request.
+std::set<std::string> attemptsOf(const std::vector<TimelineEntry>& entries, const std::string& callerRequest)
+{
+    std::set<std::string> attempts;
+    for (const TimelineEntry& entry : entries) {
+        std::map<std::string, std::string> fields(entry.fields.begin(), entry.fields.end());
+        if (fields["callerRequest"] == callerRequest && fields["request"] != callerRequest)
+            attempts.insert(fields["request"]);
+    }
+    return attempts;
+}
+
+GatheredEvents gather(const cxxopts::ParseResult& options)
+{
+    io::SurveyQuestion question;
+    question.type = io::MessageType::Timeline;
+    question.scope = scopeOption(options);
+    question.timeline.sinceWallMs = parseSince(options["since"].as<std::string>());
+    question.timeline.limit = integerOption(options, "limit", 1, io::Log::ringCapacity);
+    if (options.count("job") != 0)
+        question.timeline.job = options["job"].as<std::string>();
+    if (options.count("request") != 0)
+        question.timeline.request = options["request"].as<std::string>();
+    GatheredEvents gathered = ask(options, question);
+    std::vector<std::vector<TimelineEntry>> parts;
+    for (const std::string& attempt : attemptsOf(gathered.entries, question.timeline.request)) {
+        question.timeline.request = attempt;
+        parts.push_back(ask(options, question).entries);
+    }
+    parts.push_back(std::move(gathered.entries));
+    gathered.entries = mergeTimelines(std::move(parts));
+    const auto repeated = std::unique(gathered.entries.begin(), gathered.entries.end());
+    gathered.entries.erase(repeated, gathered.entries.end());
+    return gathered;
+}
+
+void writeHtml(const std::string& path, const GatheredEvents& gathered)
+{
+    std::ofstream stream(path);
+    stream << timelineHtml(gathered.entries);
+    stream.close();
+    if (!stream)
+        throw FileUnreadableError(fmt::format("{} cannot be written", path));
+}
+
+} // namespace
+
+int runTimeline(const Arguments& arguments)
+{
+    cxxopts::Options options("endiveroad timeline", "Shows the events of all processes in one order.");
+    addCommonOptions(options);
+    addPeerOptions(options);
+    options.add_options()("job", "Only events of this job", cxxopts::value<std::string>())("request",
+        "Only events of this request id, or of a sample as JOB/STEP/INDEX",
+        cxxopts::value<std::string>())("since", "Only events from a time on: 90s, 5m, 2h ago, or ms since 1970",
+        cxxopts::value<std::string>()->default_value("0"))("limit", "Most events of each process, the latest ones",
+        cxxopts::value<std::string>()->default_value(std::to_string(TimelineQuery::defaultLimit)))(
+        "json", "Print one JSON object a line")(
+        "html", "Write a self-contained page with a lane for each process", cxxopts::value<std::string>());
+    const auto result = parse(options, arguments);
+    if (!result)
+        return exitOk;
+    configureLog(*result, "timeline");
+    const GatheredEvents gathered = gather(*result);
+    if (result->count("html") != 0) {
+        writeHtml((*result)["html"].as<std::string>(), gathered);
+    } else {
+        const bool isJson = result->count("json") != 0;
+        for (const TimelineEntry& entry : gathered.entries)
+            fmt::print("{}\n", isJson ? io::toJsonLine(entry) : io::toTextLine(entry));
+    }
+    if (!gathered.missing.empty())
+        fmt::print(stderr, "endiveroad timeline: no answer from {}\n", fmt::join(gathered.missing, ", "));
+    return exitOk;
+}
+
+} // namespace endiveroad::cli
--- a/src/core/http/Route.cpp
+++ b/src/core/http/Route.cpp
@@ -71,8 +71,8 @@
     route.kind = RouteKind::ServiceCall;
     route.name = rest.substr(0, end);
     route.serviceTarget = rest.substr(end);
-    if (!route.serviceTarget.starts_with('/'))
-        route.serviceTarget.insert(0, "/");
+    if (rest.substr(end, 1) != "/")
+        route.serviceTarget = "/" + route.serviceTarget;
     return route;
 }
 
--- a/src/core/timeline/Timeline.cpp
+++ b/src/core/timeline/Timeline.cpp
@@ -1,9 +1,26 @@
 #include <endiveroad/Timeline.h>
 
 #include <algorithm>
+#include <initializer_list>
+#include <tuple>
 
 namespace endiveroad {
 
+namespace {
+
+/// True if one of the fields has the value, or a value that continues it after a slash where a prefix will do.
+bool hasField(const TimelineEntry& entry, std::initializer_list<std::string_view> names, const std::string& wanted,
+    bool isPrefixEnough)
+{
+    return std::any_of(entry.fields.begin(), entry.fields.end(), [&](const auto& field) {
+        if (std::find(names.begin(), names.end(), field.first) == names.end())
+            return false;
+        return field.second == wanted || (isPrefixEnough && field.second.starts_with(wanted + "/"));
+    });
+}
+
+} // namespace
+
 HybridStamp HybridClock::tick(int64_t wallMs)
 {
     if (wallMs > last_.wallMs)
@@ -13,9 +30,32 @@
     return last_;
 }
 
-void HybridClock::observe(HybridStamp stamp)
+bool HybridClock::observe(HybridStamp stamp, int64_t wallMs)
 {
+    if (stamp.wallMs > wallMs + maxAheadMs)
+        return false;
     last_ = std::max(last_, stamp);
+    return true;
+}
+
+bool TimelineQuery::isWanted(const TimelineEntry& entry) const
+{
+    if (entry.stamp.wallMs < sinceWallMs)
+        return false;
+    if (!request.empty() && !hasField(entry, { "request", "callerRequest" }, request, true))
+        return false;
+    return job.empty() || hasField(entry, { "job" }, job, false) || hasField(entry, { "request" }, job, true);
+}
+
+std::vector<TimelineEntry> mergeTimelines(std::vector<std::vector<TimelineEntry>> parts)
+{
+    std::vector<TimelineEntry> merged;
+    for (std::vector<TimelineEntry>& part : parts)
+        std::move(part.begin(), part.end(), std::back_inserter(merged));
+    std::stable_sort(merged.begin(), merged.end(), [](const TimelineEntry& a, const TimelineEntry& b) {
+        return std::tie(a.stamp, a.node) < std::tie(b.stamp, b.node);
+    });
+    return merged;
 }
 
 EventRing::EventRing(size_t capacity)
@@ -30,11 +70,14 @@
     entries_.push_back(std::move(entry));
 }
 
-std::vector<TimelineEntry> EventRing::since(int64_t wallMs) const
+std::vector<TimelineEntry> EventRing::find(const TimelineQuery& query) const
 {
     std::vector<TimelineEntry> result;
-    std::copy_if(entries_.begin(), entries_.end(), std::back_inserter(result),
-        [&](const TimelineEntry& entry) { return entry.stamp.wallMs >= wallMs; });
+    for (auto entry = entries_.rbegin(); entry != entries_.rend() && result.size() < query.limit; ++entry) {
+        if (query.isWanted(*entry))
+            result.push_back(*entry);
+    }
+    std::reverse(result.begin(), result.end());
     return result;
 }
 
--- a/src/io/EngineClient.cpp
+++ b/src/io/EngineClient.cpp
@@ -94,6 +94,7 @@
     std::function<bool(const EngineChunk&)> onChunk, HttpCancellation& cancellation)
 {
     HttpRequest request = jsonRequest("POST", "/v1/completions", completionBody(completion));
+    request.headers.emplace_back("X-Request-Id", completion.requestId);
     std::string pending;
     bool isEnded = false;
     auto onBody = [&](std::string_view piece) {
--- a/src/io/Frame.cpp
+++ b/src/io/Frame.cpp
@@ -31,6 +31,9 @@
     writer.u32(static_cast<uint32_t>(payload.size()));
     writer.u32(header.budgetMs);
     writer.u64(header.correlation);
+    writer.u64(static_cast<uint64_t>(header.stamp.wallMs));
+    writer.u32(header.stamp.counter);
+    writer.u32(0);
     writer.u64(checksum(writer.bytes(), payload));
     writer.raw(payload);
     return writer.bytes();
@@ -57,6 +60,9 @@
         throw FrameInvalidError(fmt::format("frame of {} bytes is over {}", header.length, FrameHeader::maxLength));
     header.budgetMs = reader.u32();
     header.correlation = reader.u64();
+    header.stamp.wallMs = static_cast<int64_t>(reader.u64());
+    header.stamp.counter = reader.u32();
+    reader.u32();
     header.checksum = reader.u64();
     return header;
 }
--- a/src/io/Frame.h
+++ b/src/io/Frame.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
+#include <endiveroad/Timeline.h>
 #include <string>
 #include <string_view>
 
@@ -31,11 +31,11 @@
 };
 
 /// Header of a frame. On the wire: magic u16, version u8, kind u8, type u16, zero u16, length u32, budgetMs u32,
-/// correlation u64, checksum u64, all little-endian.
+/// correlation u64, stamp wall time u64, stamp counter u32, zero u32, checksum u64, all little-endian.
 struct FrameHeader {
-    static constexpr size_t size = 32;
+    static constexpr size_t size = 48;
     static constexpr uint16_t magic = 0x5245;
-    static constexpr uint8_t protocolVersion = 1;
+    static constexpr uint8_t protocolVersion = 2;
     static constexpr uint32_t maxLength = 64U << 20;
 
     FrameKind kind = FrameKind::Notice;
@@ -44,6 +44,8 @@
     /// Time left until the deadline of a request, in ms; 0 means none.
     uint32_t budgetMs = 0;
     uint64_t correlation = 0;
+    /// The sender's hybrid clock, so that what a message causes is ordered after what caused it.
+    HybridStamp stamp;
     /// XXH3 over the header's other bytes and the payload.
     uint64_t checksum = 0;
 
--- a/src/io/Log.cpp
+++ b/src/io/Log.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdio>
 #include <ctime>
+#include <endiveroad/Error.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -65,6 +66,24 @@
     return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+TimelineEntry fromJsonLine(std::string_view text)
+{
+    try {
+        const auto line = nlohmann::ordered_json::parse(text);
+        TimelineEntry entry;
+        entry.stamp = { line.at("wallMs").get<int64_t>(), line.at("counter").get<uint32_t>() };
+        entry.node = line.at("node").get<std::string>();
+        entry.event = static_cast<Event>(line.at("event").get<int>());
+        if (line.contains("fields")) {
+            for (const auto& [name, value] : line.at("fields").items())
+                entry.fields.emplace_back(name, value.get<std::string>());
+        }
+        return entry;
+    } catch (const nlohmann::json::exception& error) {
+        throw FrameInvalidError(fmt::format("a line of the time line cannot be read: {}", error.what()));
+    }
+}
+
 std::string toTextLine(const TimelineEntry& entry)
 {
     std::string line = fmt::format("{} {:<12} {:<7} {} {}", utcTime(entry.stamp.wallMs), entry.node,
--- a/src/io/Log.h
+++ b/src/io/Log.h
@@ -3,6 +3,7 @@
 #include <endiveroad/Event.h>
 #include <endiveroad/Timeline.h>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -43,6 +44,9 @@
 /// One entry as a line of JSON, as `timeline --json` and JSON logs print it.
 std::string toJsonLine(const TimelineEntry&);
 
+/// Reads toJsonLine(). Throws FrameInvalidError.
+TimelineEntry fromJsonLine(std::string_view);
+
 /// One entry as a line for people.
 std::string toTextLine(const TimelineEntry&);
 
--- a/src/io/Node.cpp
+++ b/src/io/Node.cpp
@@ -19,12 +19,14 @@
 
 constexpr Duration answerFlushTime = std::chrono::milliseconds(100);
 
-std::string timelineJson(int64_t sinceWallMs)
+/// The events of this process that a query wants, as JSON text.
+std::string timelineJson(const std::string& name, const std::string& role, const TimelineQuery& query)
 {
-    nlohmann::json lines = nlohmann::json::array();
-    for (const TimelineEntry& entry : Log::instance().ring().since(sinceWallMs))
-        lines.push_back(nlohmann::json::parse(toJsonLine(entry)));
-    return lines.dump();
+    std::vector<std::string> lines;
+    for (const TimelineEntry& entry : Log::instance().ring().find(query))
+        lines.push_back(toJsonLine(entry));
+    const std::string head = nlohmann::json { { "name", name }, { "role", role }, { "state", "live" } }.dump();
+    return fmt::format(R"({},"entries":[{}]}})", head.substr(0, head.size() - 1), fmt::join(lines, ","));
 }
 
 std::string textAnswer(std::string json)
@@ -146,9 +148,10 @@
 {
     switch (message.type) {
     case MessageType::Status:
-        co_return textAnswer(statusJson());
-    case MessageType::Timeline:
-        co_return textAnswer(timelineJson(std::stoll("0" + wire::decode<wire::TextRequest>(message.payload).argument)));
+    case MessageType::Timeline: {
+        std::string json = co_await answerSurvey(std::move(message));
+        co_return textAnswer(std::move(json));
+    }
     case MessageType::Drain:
         stop();
         co_return textAnswer(statusJson());
@@ -157,6 +160,33 @@
     }
 }
 
+std::string Node::answerForSelf(const SurveyQuestion& question) const
+{
+    if (question.type == MessageType::Timeline)
+        return timelineJson(options_.name, options_.role, question.timeline);
+    return statusJson();
+}
+
+asio::awaitable<std::string> Node::answerSurvey(PeerMessage message)
+{
+    const auto request = wire::decode<wire::TextRequest>(message.payload);
+    const SurveyQuestion question = SurveyQuestion::decode(message.type, request.argument);
+    if (question.scope == SurveyScope::Self)
+        co_return answerForSelf(question);
+    if (const PeerConnectionPtr relay = surveyRelay()) {
+        try {
+            co_return co_await askPeer(relay, question);
+        } catch (const Error&) {
+            // The relay has gone; this process answers as far as it can see.
+        }
+    }
+    std::vector<SurveyTarget> targets;
+    if (settings_.current())
+        targets = surveyTargets(question.scope);
+    const std::vector<SurveyAnswer> answers = co_await askPeers(std::move(targets), question);
+    co_return combineAnswers(question, options_.name, answerForSelf(question), answers);
+}
+
 void Node::onNotice(const PeerConnectionPtr& peer, const PeerMessage& message)
 {
     try {
--- a/src/io/Node.h
+++ b/src/io/Node.h
@@ -4,6 +4,7 @@
 #include "io/PeerMesh.h"
 #include "io/SettingsKeeper.h"
 #include "io/StoreClient.h"
+#include "io/Survey.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -52,9 +53,15 @@
     /// Takes no new work, then returns when none is left or the drain timeout has passed.
     virtual asio::awaitable<void> drain() = 0;
 
-    /// State for operators as JSON text.
+    /// State of this process for operators as JSON text, with name, role, state and revision.
     virtual std::string statusJson() const = 0;
 
+    /// Other processes to ask for a question of the given scope.
+    virtual std::vector<SurveyTarget> surveyTargets(SurveyScope) const = 0;
+
+    /// A process that knows better whom to ask, or null.
+    virtual PeerConnectionPtr surveyRelay() const { return nullptr; }
+
     asio::io_context& context() { return context_; }
     HttpClient& http() { return http_; }
     PeerMesh& mesh() { return mesh_; }
@@ -69,6 +76,8 @@
     void stop();
 
 private:
+    asio::awaitable<std::string> answerSurvey(PeerMessage);
+    std::string answerForSelf(const SurveyQuestion&) const;
     void listenForPeers(const Address&);
     asio::awaitable<void> acceptPeers();
     asio::awaitable<void> stopGracefully();
--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -128,6 +128,7 @@
 {
     if (!isOpen_)
         return;
+    header.stamp = Log::instance().clock().last();
     outgoing_.push_back(encodeFrame(header, payload));
     outgoingBytes_ += outgoing_.back().size();
     if (outgoingBytes_ > maxQueuedBytes)
@@ -185,6 +186,7 @@
             co_await asio::async_read(socket_, asio::buffer(payload), asio::use_awaitable);
             checkPayload(headerBytes, payload);
             silentAt_ = now() + silenceLimit;
+            Log::instance().clock().observe(header.stamp, wallMs());
             dispatch(header, std::move(payload));
         }
     } catch (const Error& error) {
--- /dev/null
+++ b/src/io/Survey.cpp
@@ -0,0 +1,151 @@
+#include "io/Survey.h"
+
+#include "core/http/JsonReader.h"
+#include "io/Clock.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <endiveroad/Error.h>
+#include <endiveroad_types.h>
+#include <fmt/format.h>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace endiveroad::io {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/// Bound on a combined document; parts over it are named as missing.
+constexpr size_t maxCombinedBytes = 32U << 20;
+
+constexpr uint64_t maxInteger = std::numeric_limits<int64_t>::max();
+
+std::string scopeName(SurveyScope scope)
+{
+    switch (scope) {
+    case SurveyScope::Self:
+        return "self";
+    case SurveyScope::Region:
+        return "region";
+    case SurveyScope::All:
+        return "all";
+    }
+    return "self";
+}
+
+SurveyScope scopeFromName(const std::string& name)
+{
+    for (SurveyScope scope : { SurveyScope::Self, SurveyScope::Region, SurveyScope::All }) {
+        if (scopeName(scope) == name)
+            return scope;
+    }
+    throw BadRequestError(fmt::format("question.scope is \"{}\"; allowed are self, region, all", name));
+}
+
+/// What concurrent questions share; it lives until the last of them has ended.
+struct Survey {
+    std::vector<SurveyAnswer> answers;
+    size_t open = 0;
+    asio::steady_timer finished;
+};
+
+asio::awaitable<void> askInto(
+    std::shared_ptr<Survey> survey, size_t index, SurveyTarget target, SurveyQuestion question)
+{
+    try {
+        survey->answers[index].json = co_await askPeer(target.connection, question.within(target.scope));
+    } catch (const Error&) {
+        // Without an answer the process is reported as unreachable.
+    }
+    if (--survey->open == 0)
+        survey->finished.cancel();
+}
+
+/// The parts of one answer: itself, or what it has gathered.
+Json partsOf(const Json& answer)
+{
+    return answer.contains("processes") ? answer.at("processes") : Json::array({ answer });
+}
+
+} // namespace
+
+std::string SurveyQuestion::encode() const
+{
+    return Json {
+        { "scope", scopeName(scope) }, { "sinceWallMs", timeline.sinceWallMs }, { "job", timeline.job },
+        { "request", timeline.request }, { "limit", timeline.limit }
+    }.dump();
+}
+
+SurveyQuestion SurveyQuestion::decode(MessageType type, const std::string& argument)
+{
+    const Json json = parseStrictJson(argument, "question");
+    JsonReader reader(json, "question");
+    SurveyQuestion question;
+    question.type = type;
+    question.scope = scopeFromName(reader.text("scope"));
+    question.timeline.sinceWallMs = static_cast<int64_t>(reader.integer("sinceWallMs", 0, maxInteger));
+    question.timeline.job = reader.text("job");
+    question.timeline.request = reader.text("request");
+    question.timeline.limit = reader.integer("limit", 0, maxInteger);
+    reader.finish();
+    return question;
+}
+
+SurveyQuestion SurveyQuestion::within(SurveyScope narrower) const
+{
+    SurveyQuestion question = *this;
+    question.scope = narrower;
+    return question;
+}
+
+asio::awaitable<std::string> askPeer(PeerConnectionPtr peer, SurveyQuestion question)
+{
+    wire::TextRequest request;
+    request.argument = question.encode();
+    const int hops = question.scope == SurveyScope::Self ? 1 : question.scope == SurveyScope::Region ? 2 : 3;
+    const Instant deadline = now() + surveyTimeout * hops;
+    const std::string payload = co_await peer->call(question.type, wire::encode(request), deadline);
+    co_return wire::decode<wire::TextAnswer>(payload).json;
+}
+
+asio::awaitable<std::vector<SurveyAnswer>> askPeers(std::vector<SurveyTarget> targets, SurveyQuestion question)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    auto survey = std::make_shared<Survey>(Survey { {}, 0, asio::steady_timer(executor) });
+    for (const SurveyTarget& target : targets)
+        survey->answers.push_back({ target.name, target.role, std::nullopt });
+    for (size_t index = 0; index < targets.size(); ++index) {
+        const SurveyTarget& target = targets[index];
+        if (!target.connection)
+            continue;
+        ++survey->open;
+        spawn(executor, [survey, index, target, question] { return askInto(survey, index, target, question); });
+    }
+    while (survey->open > 0)
+        co_await waitUntil(survey->finished, never);
+    co_return std::move(survey->answers);
+}
+
+std::string combineAnswers(const SurveyQuestion& question, const std::string& self, const std::string& selfJson,
+    const std::vector<SurveyAnswer>& answers)
+{
+    Json document { { "askedOf", self }, { "scope", scopeName(question.scope) },
+        { "processes", partsOf(Json::parse(selfJson)) } };
+    size_t bytes = selfJson.size();
+    for (const SurveyAnswer& answer : answers) {
+        bytes += answer.json ? answer.json->size() : 0;
+        if (!answer.json || bytes > maxCombinedBytes) {
+            document["processes"].push_back({ { "name", answer.name }, { "role", answer.role },
+                { "state", answer.json ? "left-out" : "unreachable" } });
+            continue;
+        }
+        for (Json& part : partsOf(Json::parse(*answer.json)))
+            document["processes"].push_back(std::move(part));
+    }
+    return document.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace endiveroad::io
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -237,13 +237,31 @@
         co_await sleepFor(drainPoll);
 }
 
+PeerConnectionPtr AgentNode::surveyRelay() const
+{
+    for (const PeerConnectionPtr& peer : acceptedPeers()) {
+        if (peer->isOpen() && settings() && settings()->entries.contains(peer->peerName))
+            return peer;
+    }
+    return nullptr;
+}
+
+std::vector<SurveyTarget> AgentNode::surveyTargets(SurveyScope) const
+{
+    std::vector<SurveyTarget> targets;
+    for (const auto& [entryName, entry] : settings()->entries)
+        targets.push_back({ entryName, "entry", nullptr, SurveyScope::Self });
+    return targets;
+}
+
 std::string AgentNode::statusJson() const
 {
     return nlohmann::json {
-        { "name", name() }, { "role", "agent" }, { "incarnation", incarnation() }, { "revision", keeper().revision() },
-        { "isDraining", admission_.isDraining() }, { "pool", pool_ }, { "version", tracker_.version() },
-        { "isServerUp", admission_.isServerUp() }, { "running", admission_.running() },
-        { "freeSlots", admission_.freeSlots() }, { "heldSamples", hold_.count() }, { "heldBytes", hold_.bytes() }
+        { "name", name() }, { "role", "agent" }, { "state", "live" }, { "incarnation", incarnation() },
+        { "revision", keeper().revision() }, { "isDraining", admission_.isDraining() }, { "pool", pool_ },
+        { "version", tracker_.version() }, { "isServerUp", admission_.isServerUp() },
+        { "running", admission_.running() }, { "freeSlots", admission_.freeSlots() }, { "heldSamples", hold_.count() },
+        { "heldBytes", hold_.bytes() }
     }.dump();
 }
 
--- a/src/io/agent/CallRunner.cpp
+++ b/src/io/agent/CallRunner.cpp
@@ -138,6 +138,7 @@
     log(Event::CallStarted, { { "request", request.requestId } });
     try {
         const HttpResponse response = co_await http_.request(server_, std::move(message), deadline);
+        log(Event::CallFinished, { { "request", request.requestId }, { "status", std::to_string(response.status) } });
         co_return toAnswer({ response.status, response.headers, response.body });
     } catch (const ServerUnavailableError& error) {
         co_return refusal(wire::Outcome::NotRun, ErrorCode::NotRun, error.what());
--- a/src/io/agent/Generator.cpp
+++ b/src/io/agent/Generator.cpp
@@ -21,6 +21,7 @@
 
 asio::awaitable<Sample> Generator::generate(wire::GenerateRequest request, Instant deadline)
 {
+    log(Event::SampleStarted, { { "request", request.requestId }, { "version", std::to_string(tracker_.version()) } });
     Progress progress;
     Sample& sample = progress.sample;
     sample.job = request.job;
@@ -36,6 +37,7 @@
         discardStaleTokens(progress, request.oldestVersion);
         co_await runStream(request, progress, deadline);
     }
+    log(Event::SampleFinished, { { "request", request.requestId }, { "tokens", std::to_string(sample.tokens) } });
     co_return std::move(sample);
 }
 
--- a/src/io/entry/CallRouter.cpp
+++ b/src/io/entry/CallRouter.cpp
@@ -15,6 +15,8 @@
 
 struct CallRouter::Call {
     wire::CallRequest request;
+    /// Names the call towards its caller; each attempt has a request id of its own.
+    std::string callerRequest;
 };
 
 namespace {
@@ -22,8 +24,9 @@
 /// Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1).
 bool isHopHeader(std::string_view name)
 {
-    for (std::string_view hop : { "Connection", "Keep-Alive", "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Host",
-             "Content-Length", "Expect", "Proxy-Authorization", "Proxy-Authenticate" }) {
+    constexpr std::string_view hops[] { "Connection", "Keep-Alive", "Transfer-Encoding", "TE", "Trailer", "Upgrade",
+        "Host", "Content-Length", "Expect", "Proxy-Authorization", "Proxy-Authenticate", CallRouter::requestIdHeader };
+    for (std::string_view hop : hops) {
         if (boost::beast::iequals(name, hop))
             return true;
     }
@@ -63,6 +66,16 @@
     return static_cast<int64_t>(XXH3_64bits_withSeed(request.body.data(), request.body.size(), seed));
 }
 
+/// The caller's own id for its request if it is fit to be logged, else nothing.
+std::string callerRequestId(const HttpQuery& query)
+{
+    constexpr size_t maxLength = 128;
+    const std::string_view id = query.header(CallRouter::requestIdHeader);
+    const bool isPrintable
+        = std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c < 127 && c != '"' && c != '\\'; });
+    return std::string(isPrintable && id.size() <= maxLength ? id : std::string_view());
+}
+
 HttpResponse toResponse(wire::CallAnswer answer)
 {
     HttpResponse response;
@@ -91,6 +104,9 @@
 {
     const HttpQuery& query = exchange.query();
     HttpResponse response;
+    std::string callerRequest = callerRequestId(query);
+    if (callerRequest.empty())
+        callerRequest = nextRequestId();
     try {
         const PoolDeclaration pool = agents_.settings().pool(poolName);
         if (query.body.size() > pool.call.maxBodyBytes)
@@ -101,6 +117,7 @@
                 query, timeoutHeader, std::chrono::ceil<std::chrono::milliseconds>(pool.call.timeout).count())));
         Call call;
         call.request.requestId = nextRequestId();
+        call.callerRequest = callerRequest;
         call.request.pool = poolName;
         call.request.method = query.method;
         call.request.target = std::move(target);
@@ -122,6 +139,9 @@
         const bool hasRetry = httpStatus(error.code()) == 503;
         response = errorResponse(error, hasRetry ? retryAfter : Duration::zero());
     }
+    std::erase_if(
+        response.headers, [](const auto& header) { return boost::beast::iequals(header.first, requestIdHeader); });
+    response.headers.emplace_back(requestIdHeader, std::move(callerRequest));
     co_await exchange.answer(std::move(response));
 }
 
@@ -188,6 +208,8 @@
     const PeerConnectionPtr peer = agents_.connection(agent);
     if (!peer)
         throw PeerUnavailableError(fmt::format("agent {} is not connected", agent));
+    log(Event::CallDispatched,
+        { { "request", call.request.requestId }, { "callerRequest", call.callerRequest }, { "agent", agent } });
     const std::string payload = co_await peer->call(MessageType::Call, wire::encode(call.request), deadline);
     auto answer = wire::decode<wire::CallAnswer>(payload);
     if (answer.outcome != wire::Outcome::Done) {
--- a/src/io/entry/CallRouter.h
+++ b/src/io/entry/CallRouter.h
@@ -14,6 +14,9 @@
     /// Header with the wall time in ms at which the caller made its key.
     static constexpr std::string_view keyCreatedHeader = "Idempotency-Key-Created-Ms";
 
+    /// Header that names the call, towards the caller and from it; the agent names its attempt to the backend server.
+    static constexpr std::string_view requestIdHeader = "X-Request-Id";
+
     /// Agents tried for one request as long as each answers "not run".
     static constexpr int maxAttempts = 4;
     static constexpr Duration retryAfter = std::chrono::milliseconds(500);
--- a/src/io/entry/EntryNode.cpp
+++ b/src/io/entry/EntryNode.cpp
@@ -284,10 +284,39 @@
         runner->stop();
 }
 
+std::vector<SurveyTarget> EntryNode::surveyTargets(SurveyScope scope) const
+{
+    std::vector<SurveyTarget> targets;
+    const auto self = settings()->entries.find(name());
+    if (self == settings()->entries.end())
+        return targets;
+    const std::string& region = self->second.region;
+    // One connected entry of each other region answers for the agents there.
+    std::set<std::string> coveredRegions { region };
+    for (const auto& [entryName, entry] : settings()->entries) {
+        if (entryName == name() || (entry.region != region && scope != SurveyScope::All))
+            continue;
+        SurveyTarget target { entryName, "entry", agents_.connection(entryName), SurveyScope::Self };
+        if (target.connection && coveredRegions.insert(entry.region).second)
+            target.scope = SurveyScope::Region;
+        targets.push_back(std::move(target));
+    }
+    for (const auto& [poolName, pool] : settings()->pools) {
+        if (coveredRegions.contains(pool.region) && pool.region != region)
+            continue;
+        for (const auto& [replicaName, replica] : pool.replicas)
+            targets.push_back({ replicaName, "agent", agents_.connection(replicaName), SurveyScope::Self });
+    }
+    return targets;
+}
+
 std::string EntryNode::statusJson() const
 {
-    Json status { { "name", name() }, { "role", "entry" }, { "incarnation", incarnation() },
-        { "revision", keeper().revision() }, { "isDraining", isDraining() }, { "pools", Json::object() } };
+    Json status { { "name", name() }, { "role", "entry" }, { "state", "live" }, { "incarnation", incarnation() },
+        { "revision", keeper().revision() }, { "isDraining", isDraining() }, { "pools", Json::object() },
+        { "jobs", Json::array() } };
+    for (const auto& [jobName, runner] : runners_)
+        status["jobs"].push_back(Json::parse(runner->state().body));
     for (const auto& [pool, table] : agents_.tables()) {
         Json replicas = Json::array();
         for (const ReplicaReport& report : table.reports()) {
--- /dev/null
+++ b/tests/core/TimelineTest.cpp
@@ -0,0 +1,84 @@
+#include <catch2/catch.hpp>
+#include <endiveroad/Timeline.h>
+#include <rapidcheck.h>
+
+using namespace endiveroad;
+
+namespace {
+
+constexpr uint64_t seed = 20261203;
+constexpr int histories = 2000;
+
+template <typename Property>
+bool holds(Property property)
+{
+    rc::detail::TestParams parameters;
+    parameters.seed = seed;
+    parameters.maxSuccess = histories;
+    const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters);
+    rc::detail::printResultMessage(result, std::cerr);
+    return result.template is<rc::detail::SuccessResult>();
+}
+
+TimelineEntry entry(
+    int64_t wallMs, const std::string& node, std::vector<std::pair<std::string, std::string>> fields = {})
+{
+    return { { wallMs, 0 }, node, Event::CallStarted, std::move(fields) };
+}
+
+} // namespace
+
+TEST_CASE("what a message causes is stamped after what caused it, whatever the wall clocks say", "[timeline]")
+{
+    CHECK(holds([] {
+        constexpr size_t processes = 4;
+        std::vector<HybridClock> clocks(processes);
+        // Clocks differ and step back, but stay within the bound that observe() allows.
+        const auto wallMs = [] { return *rc::gen::inRange<int64_t>(1'000'000, 1'000'000 + HybridClock::maxAheadMs); };
+        const auto steps = *rc::gen::inRange(1, 40);
+        for (int step = 0; step < steps; ++step) {
+            const auto from = *rc::gen::inRange<size_t>(0, processes);
+            const auto to = *rc::gen::inRange<size_t>(0, processes);
+            const HybridStamp cause = clocks[from].tick(wallMs());
+            RC_ASSERT(clocks[to].observe(clocks[from].last(), wallMs()));
+            RC_ASSERT(clocks[to].tick(wallMs()) > cause);
+        }
+    }));
+}
+
+TEST_CASE("a process whose clock is far ahead does not set the others wrong", "[timeline]")
+{
+    HybridClock clock;
+    const HybridStamp before = clock.tick(1000);
+    CHECK_FALSE(clock.observe({ 1000 + HybridClock::maxAheadMs + 1, 0 }, 1000));
+    CHECK(clock.last() == before);
+    CHECK(clock.observe({ 1000 + HybridClock::maxAheadMs, 7 }, 1000));
+    CHECK(clock.tick(1000) == HybridStamp { 1000 + HybridClock::maxAheadMs, 8 });
+}
+
+TEST_CASE("merged events are in one order and keep each process's own", "[timeline]")
+{
+    const auto a1 = entry(1, "a", { { "n", "1" } });
+    const auto a2 = entry(1, "a", { { "n", "2" } });
+    const auto a3 = entry(9, "a");
+    const auto b = entry(5, "b");
+    CHECK(mergeTimelines({ { b }, { a1, a2, a3 } }) == std::vector<TimelineEntry> { a1, a2, b, a3 });
+}
+
+TEST_CASE("a ring answers with the latest events that a query wants", "[timeline]")
+{
+    EventRing ring(5);
+    const auto first = entry(1, "a", { { "request", "job/1/0/0-1" } });
+    const auto other = entry(2, "a", { { "request", "job/1/01/0-1" } });
+    const auto second = entry(3, "a", { { "request", "job/1/0/1-2" } });
+    const auto call = entry(4, "a", { { "request", "entry-7" }, { "callerRequest", "x" } });
+    for (const auto& each : { entry(0, "a"), first, other, second, call, entry(5, "a", { { "job", "job" } }) })
+        ring.add(each);
+    CHECK(ring.find({}).size() == 5);
+    CHECK(ring.find({ 3, "", "", 100 }).size() == 3);
+    CHECK(ring.find({ 0, "", "job/1/0", 100 }) == std::vector<TimelineEntry> { first, second });
+    CHECK(ring.find({ 0, "", "x", 100 }) == std::vector<TimelineEntry> { call });
+    CHECK(ring.find({ 0, "job", "", 100 }).size() == 4);
+    CHECK(ring.find({ 0, "job", "", 2 }).front() == second);
+    CHECK(ring.find({ 0, "jo", "", 100 }).empty());
+}
--- a/tests/process/command_line.py
+++ b/tests/process/command_line.py
@@ -64,7 +64,10 @@
     refused(binary, 2, ["--log-format", "xml"], "agent", "--name", "a", *STORE, "--log-format", "xml")
     refused(binary, 2, ["--at"], "status")
     refused(binary, 2, ["--at"], "drain", "--at", "x")
-    refused(binary, 2, ["yesterday"], "timeline", "--at", "127.0.0.1:1", "--since", "yesterday")
+    refused(binary, 2, ["since", "yesterday"], "timeline", "--at", "127.0.0.1:1", "--since", "yesterday")
+    refused(binary, 2, ["--limit", "-5"], "timeline", "--at", "127.0.0.1:1", "--limit=-5")
+    refused(binary, 2, ["--wait-revision", "soon"], "status", "--at", "127.0.0.1:1", "--wait-revision", "soon")
+    refused(binary, 2, ["--timeout"], "status", "--at", "127.0.0.1:1", "--wait-revision", "3", "--timeout", "1.5")
     refused(binary, 2, ["dance"], "settings", "dance", "/")
 
 
