--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -87,14 +87,20 @@
 class Deployment:
     """One organisation at its present size, or smaller by limit (replicas per pool)."""
 
-    def __init__(self, binary, standin, name, limit=None, engine_options=(), work_dir=None, log_level="info"):
+    def __init__(self, binary, standin, name, limit=None, engine_options=(), work_dir=None, log_level="info",
+                 is_relayed=False):
         self.binary = binary
         self.standin = standin
         self.limit = limit
         self.engine_options = list(engine_options)
         self.log_level = log_level
+        # With relays between the processes, open connections can be silenced; see routes.
+        self.is_relayed = is_relayed
+        self.routes = {}
+        self.real = {}
         self.dir = tempfile.mkdtemp(prefix="endiveroad-", dir=work_dir)
         self.processes = {}
+        self.loads = []
         self.journals = []
         self.entries = {}
         self.servers = {}
@@ -102,6 +108,7 @@
         self.pools = {}
         self.ports = Ports()
         self.store = self.ports.take()
+        self.relay = self.ports.take()
         self.weights = self.ports.take()
         self._write_settings(os.path.join(ROOT, "examples", name))
 
@@ -121,7 +128,7 @@
     def _move_to_loopback(self, node, name):
         for entry, declaration in node.get("entries", {}).items():
             declaration["http"] = self.ports.take()
-            declaration["peer"] = self.ports.take()
+            declaration["peer"] = self._address(entry + ".peer")
             self.entries[entry] = declaration["http"]
             self.peers[entry] = declaration["peer"]
         if "replicas" in node:
@@ -129,11 +136,23 @@
                 node["replicas"] = dict(list(node["replicas"].items())[:self.limit])
             self.pools[name] = node
             for replica, declaration in node["replicas"].items():
-                declaration["server"] = self.ports.take()
-                declaration["peer"] = self.ports.take()
+                declaration["server"] = self._address(replica + ".server")
+                declaration["peer"] = self._address(replica + ".peer")
                 self.servers[replica] = declaration["server"]
                 self.peers[replica] = declaration["peer"]
 
+    def _address(self, what):
+        """Address to declare for what ("NAME.peer" or "NAME.server"); the process binds real[what]."""
+        self.real[what] = self.ports.take()
+        if not self.is_relayed:
+            return self.real[what]
+        self.routes[what] = self.ports.take()
+        return self.routes[what]
+
+    def silence(self, what):
+        """Silences the open connections to what for good; new ones work."""
+        call("POST", self.relay, "/fault", {"silence": self.routes[what]})
+
     def pool_of_kind(self, kind):
         return next(name for name, pool in self.pools.items() if pool.get("kind") == kind)
 
@@ -145,6 +164,11 @@
 
     def start(self):
         self.ports.release()
+        if self.is_relayed:
+            command = [self.standin, "relay", "--listen", self.relay]
+            for what, address in self.routes.items():
+                command += ["--route", "%s=%s" % (address, self.real[what])]
+            self.add("relay", command)
         self.add("kv", [self.standin, "kv", "--listen", self.store])
         self.add("weights", [self.standin, "weights", "--listen", self.weights])
         for pool in self.pools.values():
@@ -160,7 +184,7 @@
         self.wait_for(self.is_ready, "the entries to see every agent")
 
     def _server_command(self, pool, replica, index):
-        command = [self.standin, "", "--listen", self.servers[replica], "--seed", str(index + 1)]
+        command = [self.standin, "", "--listen", self.real[replica + ".server"], "--seed", str(index + 1)]
         kind = pool.get("kind", "service")
         command[1] = kind
         if kind == "engine":
@@ -175,6 +199,8 @@
 
     def node_command(self, role, name):
         command = [self.binary, role, "--name", name, "--store", self.store, "--log-level", self.log_level]
+        if self.is_relayed:
+            command += ["--peer-listen", self.real[name + ".peer"]]
         for peer in list(self.entries)[:2]:
             if peer != name:
                 command += ["--peer", self.peers[peer]]
@@ -182,7 +208,32 @@
 
     def apply(self):
         subprocess.run([self.binary, "settings", "apply", self.settings_dir, "--store", self.store],
-                       check=True, stdout=subprocess.DEVNULL)
+                       check=True, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, timeout=30)
+
+    def try_apply(self, changes):
+        """Sets single values, {file: [section, key, value]}, and applies the tree; False if the command failed."""
+        for file, (section, key, value) in changes.items():
+            path = os.path.join(self.settings_dir, file)
+            with open(path, encoding="utf-8") as stream:
+                node = json.load(stream)
+            node.setdefault(section, {})[key] = value
+            with open(path, "w", encoding="utf-8") as stream:
+                json.dump(node, stream, indent=2)
+        try:
+            self.apply()
+            return True
+        except subprocess.SubprocessError:
+            return False
+
+    def count_dead(self):
+        """Processes that are away although nothing killed them or they were started again since."""
+        return sum(not process.is_running() for process in self.processes.values())
+
+    def load(self, command):
+        """Starts a trainer or a caller; its verdict comes on its standard output."""
+        with open(os.path.join(self.dir, "load-%d.log" % len(self.loads)), "ab") as log:
+            self.loads.append(subprocess.Popen(command, stdout=subprocess.PIPE, stderr=log, stdin=subprocess.DEVNULL))
+        return self.loads[-1]
 
     def status(self, name):
         """Status of one process by the product's own command."""
@@ -229,6 +280,9 @@
         return command
 
     def close(self, keep=False):
+        for load in self.loads:
+            load.kill()
+            load.wait()
         for process in self.processes.values():
             process.kill()
         if not keep:
--- a/src/cli/NodeCommands.cpp
+++ b/src/cli/NodeCommands.cpp
@@ -15,7 +15,8 @@
     addCommonOptions(options);
     options.add_options()("name", "Name of this process in the settings", cxxopts::value<std::string>())(
         "store", "host:port of the key-value service", cxxopts::value<std::string>())(
-        "peer", "host:port of a process to get settings from (repeatable)", cxxopts::value<std::vector<std::string>>());
+        "peer", "host:port of a process to get settings from (repeatable)", cxxopts::value<std::vector<std::string>>())(
+        "peer-listen", "host:port to bind for peers, if it is not the declared address", cxxopts::value<std::string>());
     const auto result = parse(options, arguments);
     if (!result)
         return exitOk;
@@ -26,6 +27,8 @@
     node.role = role;
     if (result->count("store") != 0)
         node.store = addressOption(*result, "store");
+    if (result->count("peer-listen") != 0)
+        node.peerListen = addressOption(*result, "peer-listen");
     if (result->count("peer") != 0) {
         for (const std::string& peer : (*result)["peer"].as<std::vector<std::string>>())
             node.peers.push_back(Address::parse(peer));
--- a/src/io/Node.cpp
+++ b/src/io/Node.cpp
@@ -71,7 +71,7 @@
     try {
         const auto address = peerAddress(*inForce);
         if (address && !acceptor_)
-            listenForPeers(*address);
+            listenForPeers(options_.peerListen.value_or(*address));
         onSettings(before, inForce);
         if (address)
             mesh_.setTargets(peerTargets(*inForce));
--- a/src/io/Node.h
+++ b/src/io/Node.h
@@ -21,6 +21,8 @@
     std::string role;
     std::optional<Address> store;
     std::vector<Address> peers;
+    /// Address to bind for peers if they reach this process through another one; else the declared address.
+    std::optional<Address> peerListen;
 };
 
 class Node : public PeerHandler {
--- a/standins/Caller.cpp
+++ b/standins/Caller.cpp
@@ -21,6 +21,7 @@
         , rate_(options["rate"].as<double>())
         , keyedShare_(options["keyed-share"].as<double>())
         , seconds_(options["seconds"].as<double>())
+        , settle_(options["settle-ms"].as<int>())
         , seed_(options["seed"].as<uint64_t>())
         , random_(seed_)
     {
@@ -46,6 +47,8 @@
         }
         while (open_ > 0 && secondsSince(start) < seconds_ + 30)
             co_await pause(Milliseconds(20));
+        // A late second run must be in the journals before they are read.
+        co_await pause(settle_);
         print();
     }
 
@@ -78,23 +81,31 @@
                 break;
             co_await pause(Milliseconds(100));
         }
-        finish(key, isKeyed, isMaybeRun, answer, body, secondsSince(start));
+        finish({ key, body, fmt::format("/notices/{}", number), isKeyed, isMaybeRun }, answer, secondsSince(start));
         --open_;
     }
 
-    void finish(const std::string& key, bool isKeyed, bool isMaybeRun, const Answer& answer, const std::string& body,
-        double seconds)
+    struct Question {
+        std::string key;
+        std::string body;
+        std::string target;
+        bool isKeyed = false;
+        bool isMaybeRun = false;
+    };
+
+    void finish(const Question& question, const Answer& answer, double seconds)
     {
         ++calls_;
         if (answer.status == 200) {
             latencies_.push_back(seconds * 1000);
             const Json json = Json::parse(answer.body, nullptr, false);
-            if (json.is_discarded() || (isKeyed && json.value("echo", "") != body))
-                ++wrongAnswers_;
-            if (isKeyed)
-                succeeded_.insert(key);
-        } else if (isKeyed && !isMaybeRun) {
-            notRun_.insert(key);
+            const bool isOwn = !json.is_discarded() && json.value("target", "") == question.target
+                && (!question.isKeyed || json.value("echo", "") == question.body);
+            wrongAnswers_ += isOwn ? 0 : 1;
+            if (question.isKeyed)
+                succeeded_.insert(question.key);
+        } else if (question.isKeyed && !question.isMaybeRun) {
+            notRun_.insert(question.key);
         } else {
             ++unknown_;
         }
@@ -136,6 +147,7 @@
     double rate_;
     double keyedShare_;
     double seconds_;
+    Milliseconds settle_;
     uint64_t seed_;
     std::mt19937_64 random_;
     std::vector<HostPort> entries_;
--- a/standins/Engine.cpp
+++ b/standins/Engine.cpp
@@ -53,6 +53,7 @@
     asio::awaitable<void> setFault(Json fault, Connection& connection)
     {
         nextLoad_ = fault.value("nextLoad", nextLoad_);
+        cutStreams_ = fault.value("cutStreams", cutStreams_);
         if (fault.value("crash", false))
             ::_exit(1);
         co_await connection.answer(200, "{}");
@@ -72,6 +73,7 @@
         ++running_;
         co_await connection.beginStream("text/event-stream");
         bool isConnected = true;
+        bool isCut = false;
         auto due = std::chrono::steady_clock::now();
         asio::steady_timer timer(connection.stream.get_executor());
         for (int i = 0; i < length && isConnected; ++i) {
@@ -80,8 +82,18 @@
             co_await timer.async_wait(asio::use_awaitable);
             const std::string token = fmt::format(" {}.{:04x}~", version_, random_() & 0xffff);
             ++tokensMade_;
+            if (cutStreams_ > 0 && i == length / 2) {
+                --cutStreams_;
+                isCut = true;
+                break;
+            }
             isConnected = co_await connection.sendPiece(chunk(token, i + 1 == length));
         }
+        if (isCut) {
+            connection.mustClose = true;
+            --running_;
+            co_return;
+        }
         if (isConnected && length <= 0)
             isConnected = co_await connection.sendPiece(chunk("", true));
         if (isConnected)
@@ -160,6 +172,7 @@
     std::mt19937_64 random_;
     std::string boot_;
     std::string nextLoad_;
+    int cutStreams_ = 0;
     int64_t version_ = 0;
     uint64_t loads_ = 0;
     uint64_t fence_ = 0;
--- a/standins/Roles.h
+++ b/standins/Roles.h
@@ -12,6 +12,7 @@
 int runKeyValue(const cxxopts::ParseResult&);
 int runWeights(const cxxopts::ParseResult&);
 int runVms(const cxxopts::ParseResult&);
+int runRelay(const cxxopts::ParseResult&);
 int runTrainer(const cxxopts::ParseResult&);
 int runCaller(const cxxopts::ParseResult&);
 
--- a/standins/Trainer.cpp
+++ b/standins/Trainer.cpp
@@ -10,9 +10,20 @@
 
 namespace {
 
+/// What a trainer saves and restores with its model.
+struct Checkpoint {
+    std::map<int, std::set<int>> received_;
+    std::set<int> open_;
+    std::string cursor_;
+    int64_t version_ = 0;
+    int submitted_ = 0;
+    int trained_ = 0;
+    uint64_t delivered_ = 0;
+};
+
 /// A trainer: submits steps ahead, fetches with a cursor through random entries, learns, announces new versions, and
 /// judges by the tokens themselves what it was given.
-class Trainer {
+class Trainer : private Checkpoint {
 public:
     explicit Trainer(const cxxopts::ParseResult& options)
         : job_(options["job"].as<std::string>())
@@ -23,6 +34,7 @@
         , bound_(options["staleness-bound"].as<int>())
         , trainTime_(options["train-ms"].as<int>())
         , openSteps_(options["open-steps"].as<int>())
+        , restoreAt_(options["restore-at"].as<int>())
         , loseAnswers_(options["lose-answers"].as<double>())
         , limitSeconds_(options["seconds"].as<double>())
         , random_(options["seed"].as<uint64_t>())
@@ -37,10 +49,10 @@
     {
         start_ = std::chrono::steady_clock::now();
         double idle = 0;
-        int submitted = 0;
+        Checkpoint checkpoint;
         for (int step = 1; step <= steps_ && !isOver(); ++step) {
-            for (; submitted < std::min(step + openSteps_ - 1, steps_); ++submitted)
-                co_await submit(submitted + 1);
+            for (; submitted_ < std::min(step + openSteps_ - 1, steps_); ++submitted_)
+                co_await submit(submitted_ + 1);
             const auto waitStart = std::chrono::steady_clock::now();
             while (received_[step].size() < static_cast<size_t>(samples_) && !isOver())
                 co_await fetch(step);
@@ -51,6 +63,14 @@
             ++version_;
             co_await request("PUT", "/policy", fmt::format("{{\"version\":{},\"weights\":\"\"}}", version_));
             ++trained_;
+            if (step == restoreAt_) {
+                restoreAt_ = 0;
+                ++restores_;
+                static_cast<Checkpoint&>(*this) = checkpoint;
+                step = trained_;
+            } else if (step % 2 == 0) {
+                checkpoint = *this;
+            }
         }
         print(idle);
     }
@@ -64,9 +84,9 @@
             missing += samples_ - received_[step].size();
         const Json verdict { { "samples_wanted", steps_ * samples_ }, { "samples_delivered", delivered_ },
             { "duplicates", duplicates_ }, { "missing", missing }, { "misattributed", misattributed_ },
-            { "stale", stale_ }, { "unscored", unscored_ }, { "steps_trained", trained_ },
+            { "stale", stale_ }, { "unscored", unscored_ }, { "steps_trained", trained_ }, { "restores", restores_ },
             { "trainer_idle_share", elapsed > 0 ? idle / elapsed : 0 },
-            { "mean_staleness", delivered_ > 0 ? stalenessSum_ / static_cast<double>(delivered_) : 0 },
+            { "mean_staleness", judged_ > 0 ? stalenessSum_ / static_cast<double>(judged_) : 0 },
             { "seconds", elapsed } };
         std::cout << verdict.dump() << std::endl;
     }
@@ -134,6 +154,7 @@
     void receive(const Json& sample)
     {
         ++delivered_;
+        ++judged_;
         if (!received_[sample.at("step").get<int>()].insert(sample.at("index").get<int>()).second)
             ++duplicates_;
         if (!sample.contains("score"))
@@ -168,23 +189,20 @@
     int64_t bound_;
     Milliseconds trainTime_;
     int openSteps_;
+    int restoreAt_;
     double loseAnswers_;
     double limitSeconds_;
     std::mt19937_64 random_;
     std::vector<std::pair<HostPort, std::unique_ptr<beast::tcp_stream>>> entries_;
     std::map<int, std::string> bodies_;
-    std::map<int, std::set<int>> received_;
-    std::set<int> open_;
-    std::string cursor_;
-    int64_t version_ = 0;
     std::chrono::steady_clock::time_point start_;
-    uint64_t delivered_ = 0;
     uint64_t duplicates_ = 0;
     uint64_t misattributed_ = 0;
     uint64_t stale_ = 0;
     uint64_t unscored_ = 0;
     double stalenessSum_ = 0;
-    int trained_ = 0;
+    uint64_t judged_ = 0;
+    int restores_ = 0;
 };
 
 } // namespace
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -12,10 +12,11 @@
         { "kv", standin::runKeyValue },
         { "weights", standin::runWeights },
         { "vms", standin::runVms },
+        { "relay", standin::runRelay },
         { "trainer", standin::runTrainer },
         { "caller", standin::runCaller },
     };
-    cxxopts::Options options("endiveroad_standin", "engine|service|scorer|kv|weights|vms|trainer|caller");
+    cxxopts::Options options("endiveroad_standin", "engine|service|scorer|kv|weights|vms|relay|trainer|caller");
     // clang-format off
     options.add_options()
         ("role", "", cxxopts::value<std::string>())
@@ -35,6 +36,7 @@
         ("reads-per-second", "kv: limit", cxxopts::value<int>()->default_value("2000"))
         ("loads-at-once", "weights: limit", cxxopts::value<int>()->default_value("4"))
         ("load-ms", "weights: time of one load", cxxopts::value<int>()->default_value("50"))
+        ("route", "relay: listen=target, both host:port (repeatable)", cxxopts::value<std::vector<std::string>>())
         ("entries", "trainer, caller: host:port,...", cxxopts::value<std::vector<std::string>>())
         ("job", "trainer: name of the job", cxxopts::value<std::string>()->default_value(""))
         ("steps", "trainer: steps to train", cxxopts::value<int>()->default_value("3"))
@@ -44,11 +46,13 @@
         ("staleness-bound", "trainer: what the settings promise", cxxopts::value<int>()->default_value("2"))
         ("train-ms", "trainer: time to learn a step", cxxopts::value<int>()->default_value("200"))
         ("open-steps", "trainer: steps submitted ahead", cxxopts::value<int>()->default_value("2"))
+        ("restore-at", "trainer: step after whose training it goes back to its last checkpoint", cxxopts::value<int>()->default_value("0"))
         ("lose-answers", "trainer: share of answers thrown away", cxxopts::value<double>()->default_value("0"))
         ("seconds", "trainer, caller: limit of time", cxxopts::value<double>()->default_value("60"))
         ("service", "caller: pool to call", cxxopts::value<std::string>()->default_value(""))
         ("rate", "caller: calls a second", cxxopts::value<double>()->default_value("50"))
         ("keyed-share", "caller: share of calls that may not be repeated", cxxopts::value<double>()->default_value("0.5"))
+        ("settle-ms", "caller: wait before the journals are read", cxxopts::value<int>()->default_value("0"))
         ("journals", "caller: journals of the services", cxxopts::value<std::vector<std::string>>());
     // clang-format on
     options.parse_positional({ "role" });
