Deployments under test listen on a loopback host of their own

Cause: process tests that run side by side failed now and then (entry-c and closure-api-2 logged address_in_use). A port freed by Ports.release() was taken by an outgoing connection or another deployment before the process listened on it. Ruled out: slow start (the logs show the refusal at once), the product's reconnects. Change: each deployment draws its own 127.a.b.c; connections start from 127.0.0.1, so their ports cannot collide with it. Conclusion: the flake was the harness's, not the product's.

--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -25,14 +25,17 @@
     """Free loopback ports chosen by the kernel. The sockets stay bound until release(), so that no two are equal."""
 
     def __init__(self):
+        # A loopback host of its own: connections start from 127.0.0.1, so that neither their ports nor those of
+        # another deployment can take a port between release() and the process that listens on it.
+        self.host = "127.%d.%d.%d" % tuple(1 + byte % 254 for byte in os.urandom(3))
         self.held = []
 
     def take(self):
         holder = socket.socket()
         holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind(("127.0.0.1", 0))
+        holder.bind((self.host, 0))
         self.held.append(holder)
-        return "127.0.0.1:%d" % holder.getsockname()[1]
+        return "%s:%d" % (self.host, holder.getsockname()[1])
 
     def release(self):
         for holder in self.held:
--- a/tests/process/command_line.py
+++ b/tests/process/command_line.py
@@ -93,7 +93,7 @@
     entry, address = next(iter(deployment.entries.items()))
     with socket.socket() as holder:
         holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind(("127.0.0.1", int(address.split(":")[1])))
+        holder.bind((address.split(":")[0], int(address.split(":")[1])))
         holder.listen()
         code, _, error = run(deployment.binary, "entry", "--name", entry, "--store", deployment.store)
         last = error.splitlines()[-1]
