--- a/include/endiveroad/Admission.h
+++ b/include/endiveroad/Admission.h
@@ -8,14 +8,24 @@
 namespace endiveroad {
 
 /// Why an agent does not begin a request.
-enum class Refusal { None, Full, Draining, ServerDown, RefusedBefore, DeadlinePassed, VersionUnsuitable };
+enum class Refusal {
+    None,
+    Full,
+    Draining,
+    ServerDown,
+    RefusedBefore,
+    /// A copy of a request that was admitted: it says nothing about whether the first runs.
+    AdmittedBefore,
+    DeadlinePassed,
+    VersionUnsuitable,
+};
 
-/// Admission of work to the backend server. A refused request id is remembered, so that a delayed copy of the same
-/// request cannot run after the refusal was told.
+/// Admission of work to the backend server. Request ids are remembered, so that a copy of a request neither runs after
+/// its refusal was told nor runs a second time.
 class Admission {
 public:
     /// Longest time that a copy of a request may be under way.
-    static constexpr Duration refusalRetention = std::chrono::minutes(2);
+    static constexpr Duration idRetention = std::chrono::minutes(2);
 
     Admission(int32_t slots, int32_t reservedSlots);
 
@@ -44,7 +54,12 @@
     int32_t running_ = 0;
     bool isDraining_ = false;
     bool isServerUp_ = false;
-    std::unordered_map<std::string, Instant> refusedUntil_;
+    struct Seen {
+        Instant expiry;
+        bool isAdmitted = false;
+    };
+
+    std::unordered_map<std::string, Seen> seen_;
     Instant nextSweep_ = Instant::min();
 };
 
--- a/src/core/agent/Admission.cpp
+++ b/src/core/calls/Admission.cpp
@@ -25,9 +25,10 @@
     forgetOld(now);
     Refusal refusal = Refusal::None;
     const int32_t usable = isInteractive ? slots_ : slots_ - reservedSlots_;
-    if (refusedUntil_.contains(requestId))
-        refusal = Refusal::RefusedBefore;
-    else if (isDraining_)
+    const auto seen = seen_.find(requestId);
+    if (seen != seen_.end())
+        return seen->second.isAdmitted ? Refusal::AdmittedBefore : Refusal::RefusedBefore;
+    if (isDraining_)
         refusal = Refusal::Draining;
     else if (!isServerUp_)
         refusal = Refusal::ServerDown;
@@ -39,21 +40,22 @@
         refuse(requestId, now);
         return refusal;
     }
+    seen_[requestId] = { now + idRetention, true };
     ++running_;
     return Refusal::None;
 }
 
 void Admission::refuse(const std::string& requestId, Instant now)
 {
-    refusedUntil_[requestId] = now + refusalRetention;
+    seen_.try_emplace(requestId, Seen { now + idRetention, false });
 }
 
 void Admission::forgetOld(Instant now)
 {
     if (now < nextSweep_)
         return;
-    nextSweep_ = now + refusalRetention / 4;
-    std::erase_if(refusedUntil_, [now](const auto& entry) { return entry.second <= now; });
+    nextSweep_ = now + idRetention / 4;
+    std::erase_if(seen_, [now](const auto& entry) { return entry.second.expiry <= now; });
 }
 
 } // namespace endiveroad
--- /dev/null
+++ b/src/core/calls/CallAttempts.cpp
@@ -0,0 +1,34 @@
+#include <endiveroad/CallAttempts.h>
+
+namespace endiveroad {
+
+CallAttempts::CallAttempts(Kind kind, Instant deadline)
+    : kind_(kind)
+    , deadline_(deadline)
+{
+}
+
+std::optional<ErrorCode> CallAttempts::onEnd(AttemptEnd end, Instant now)
+{
+    ++attempts_;
+    isMaybeRun_ = isMaybeRun_ || end == AttemptEnd::Unknown;
+    if (kind_ == Kind::Keyed) {
+        // Only the key's home can say that no earlier attempt with the key has run.
+        if (end == AttemptEnd::NotRun || end == AttemptEnd::DeadlinePassed)
+            return end == AttemptEnd::NotRun ? ErrorCode::NotRun : ErrorCode::DeadlineExceeded;
+        return ErrorCode::OutcomeUnknown;
+    }
+    const bool isOver = now >= deadline_ || end == AttemptEnd::DeadlinePassed || attempts_ >= maxAttempts;
+    if (!isOver)
+        return std::nullopt;
+    if (isMaybeRun_)
+        return ErrorCode::OutcomeUnknown;
+    return end == AttemptEnd::DeadlinePassed ? ErrorCode::DeadlineExceeded : ErrorCode::NotRun;
+}
+
+ErrorCode CallAttempts::onNoAgent() const
+{
+    return kind_ == Kind::Keyed || isMaybeRun_ ? ErrorCode::OutcomeUnknown : ErrorCode::NotRun;
+}
+
+} // namespace endiveroad
--- /dev/null
+++ b/src/core/calls/OutcomeTable.cpp
@@ -0,0 +1,147 @@
+#include <endiveroad/OutcomeTable.h>
+
+#include <algorithm>
+
+namespace endiveroad {
+
+namespace {
+
+/// Memory of an entry besides its key and answer: map node, expiry and their copies of short strings.
+constexpr size_t entryOverheadBytes = 256;
+
+/// Refused keys may take another 1/refusedShare of the memory, so that a full table can still promise "not run".
+constexpr size_t refusedShare = 8;
+
+int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+size_t CallOutcome::bytes() const
+{
+    size_t total = body.size();
+    for (const auto& [name, value] : headers)
+        total += name.size() + value.size() + 2 * sizeof(std::string);
+    return total;
+}
+
+OutcomeTable::OutcomeTable(int64_t startedWallMs, Instant startedAt, size_t maxBytes)
+    : startedWallMs_(startedWallMs)
+    , startedAt_(startedAt)
+    , maxBytes_(maxBytes)
+    , lowWaterMs_(startedWallMs + milliseconds(clockMargin))
+{
+}
+
+int64_t OutcomeTable::wallMs(Instant now) const
+{
+    return startedWallMs_ + milliseconds(now - startedAt_);
+}
+
+OutcomeTable::Verdict OutcomeTable::begin(const CallKey& key, int64_t doubtfulBeforeMs, Duration retention, Instant now)
+{
+    forgetOld(now);
+    const auto found = entries_.find(key.text);
+    if (found != entries_.end()) {
+        if (found->second.fingerprint != key.fingerprint)
+            return Verdict::Conflict;
+        switch (found->second.state) {
+        case State::Running:
+            return Verdict::Wait;
+        case State::Finished:
+            return Verdict::Replay;
+        case State::Unknown:
+            return Verdict::Unknown;
+        case State::Refused:
+            // "Not run" is told once more, now also for attempts that left after the first refusal.
+            refuse(key.text, now);
+            return Verdict::RefusedBefore;
+        }
+    }
+    const int64_t wall = wallMs(now);
+    const int64_t createdMs = key.createdMs != 0 ? key.createdMs : wall - milliseconds(retention);
+    if (createdMs > wall + milliseconds(futureTolerance))
+        return Verdict::TooNew;
+    if (createdMs <= std::max(lowWaterMs_, doubtfulBeforeMs))
+        return Verdict::Unknown;
+    Entry entry;
+    entry.fingerprint = key.fingerprint;
+    entry.createdMs = createdMs;
+    entry.bytes = key.text.size() * 2 + entryOverheadBytes;
+    const bool isFull = bytes_ + entry.bytes > maxBytes_;
+    if (isFull && bytes_ + entry.bytes > maxBytes_ + maxBytes_ / refusedShare)
+        return Verdict::Unknown;
+    bytes_ += entry.bytes;
+    entries_.emplace(key.text, std::move(entry));
+    if (!isFull)
+        return Verdict::Run;
+    refuse(key.text, now);
+    return Verdict::Full;
+}
+
+void OutcomeTable::end(const std::string& key, State state, Instant keepUntil)
+{
+    Entry& entry = entries_.at(key);
+    entry.state = state;
+    entry.keepUntil = keepUntil;
+    expiries_.push({ keepUntil, key });
+}
+
+void OutcomeTable::finish(const std::string& key, CallOutcome outcome, Duration retention, Instant now)
+{
+    const size_t outcomeBytes = outcome.bytes();
+    if (outcomeBytes > maxOutcomeBytes || bytes_ + outcomeBytes > maxBytes_)
+        return finishUnknown(key, retention, now);
+    end(key, State::Finished, now + retention + futureTolerance);
+    Entry& entry = entries_.at(key);
+    entry.outcome = std::move(outcome);
+    entry.bytes += outcomeBytes;
+    bytes_ += outcomeBytes;
+}
+
+void OutcomeTable::finishUnknown(const std::string& key, Duration retention, Instant now)
+{
+    end(key, State::Unknown, now + retention + futureTolerance);
+}
+
+void OutcomeTable::refuse(const std::string& key, Instant now)
+{
+    end(key, State::Refused, now + refusalHold);
+}
+
+const CallOutcome* OutcomeTable::outcome(const std::string& key) const
+{
+    const auto found = entries_.find(key);
+    return found != entries_.end() && found->second.state == State::Finished ? &found->second.outcome : nullptr;
+}
+
+Instant OutcomeTable::retryAt(const std::string& key, Instant now) const
+{
+    const auto found = entries_.find(key);
+    const bool isRefused = found != entries_.end() && found->second.state == State::Refused;
+    return isRefused ? std::max(now, found->second.keepUntil) : now;
+}
+
+Instant OutcomeTable::takenAt(int64_t createdMs) const
+{
+    return startedAt_ + std::chrono::milliseconds(createdMs - startedWallMs_) - futureTolerance;
+}
+
+void OutcomeTable::forgetOld(Instant now)
+{
+    while (!expiries_.empty() && expiries_.top().instant <= now) {
+        const auto found = entries_.find(expiries_.top().key);
+        const bool isCurrent = found != entries_.end() && found->second.keepUntil == expiries_.top().instant;
+        expiries_.pop();
+        if (!isCurrent)
+            continue;
+        if (found->second.state != State::Refused)
+            lowWaterMs_ = std::max(lowWaterMs_, found->second.createdMs);
+        bytes_ -= found->second.bytes;
+        entries_.erase(found);
+    }
+}
+
+} // namespace endiveroad
--- a/src/io/Node.cpp
+++ b/src/io/Node.cpp
@@ -68,6 +68,7 @@
 
 void Node::settingsChanged(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce)
 {
+    settingsSince_ = now();
     try {
         const auto address = peerAddress(*inForce);
         if (address && !acceptor_)
@@ -124,6 +125,7 @@
     wire::SettingsAnswer message;
     message.revision = settings_.revision();
     message.document = settings_.encodedDocument();
+    message.inForceMs = std::chrono::duration_cast<std::chrono::milliseconds>(now() - settingsSince_).count();
     peer->notify(MessageType::SettingsOffer, wire::encode(message));
 }
 
@@ -135,7 +137,7 @@
         peer->peerName = hello.node;
     if (isFirst)
         sendHello(peer);
-    if (hello.settingsRevision < settings_.revision())
+    if (hello.settingsRevision <= settings_.revision())
         sendSettings(peer);
     onPeerHello(peer, hello.role);
 }
@@ -161,7 +163,7 @@
         if (message.type == MessageType::Hello)
             onHello(peer, message);
         else if (message.type == MessageType::SettingsOffer)
-            settings_.offer(wire::decode<wire::SettingsAnswer>(message.payload).document);
+            onSettingsOffer(message);
         else
             onNodeNotice(peer, message);
     } catch (const Error& error) {
@@ -169,6 +171,16 @@
     }
 }
 
+void Node::onSettingsOffer(const PeerMessage& message)
+{
+    const auto offer = wire::decode<wire::SettingsAnswer>(message.payload);
+    settings_.offer(offer.document);
+    if (offer.revision != settings_.revision() || offer.inForceMs < 0)
+        return;
+    settingsSince_ = std::min<Instant>(settingsSince_, now() - std::chrono::milliseconds(offer.inForceMs));
+    onInForceSince(offer.revision, settingsSince_);
+}
+
 void Node::onClosed(const PeerConnectionPtr& peer)
 {
     accepted_.erase(peer);
--- a/src/io/Node.h
+++ b/src/io/Node.h
@@ -38,6 +38,9 @@
     /// New settings are in force; before is null for the first.
     virtual void onSettings(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce) = 0;
 
+    /// A peer has had the revision in force since the given instant of this process's clock.
+    virtual void onInForceSince(int64_t, Instant) { }
+
     virtual asio::awaitable<std::string> onNodeRequest(PeerConnectionPtr, PeerMessage) = 0;
     virtual void onNodeNotice(const PeerConnectionPtr&, const PeerMessage&) { }
     virtual void onPeerHello(const PeerConnectionPtr&, const std::string& role) = 0;
@@ -75,6 +78,7 @@
     void sendHello(const PeerConnectionPtr&);
     void onHello(const PeerConnectionPtr&, const PeerMessage&);
     void sendSettings(const PeerConnectionPtr&);
+    void onSettingsOffer(const PeerMessage&);
     void settingsChanged(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce);
 
     NodeOptions options_;
@@ -87,6 +91,7 @@
     PeerMesh mesh_;
     std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
     std::set<PeerConnectionPtr> accepted_;
+    Instant settingsSince_ = never;
     bool isDraining_ = false;
     std::exception_ptr failure_;
 };
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -64,18 +64,24 @@
     if (!calls_)
         start(*pool, *replica);
     admission_.setSlots(pool->call.slots, pool->call.reservedSlots);
-    calls_->onPolicy(pool->call);
+    calls_->onPool(*pool, inForce->revision);
     drainTimeout_ = pool->call.drainTimeout;
     hold_.setMaxBytes(heldBytesLimit(*inForce));
 }
 
+void AgentNode::onInForceSince(int64_t revision, Instant since)
+{
+    if (calls_)
+        calls_->onInForceSince(revision, since);
+}
+
 void AgentNode::start(const PoolDeclaration& pool, const ReplicaDeclaration& replica)
 {
     pool_ = pool.name;
     region_ = pool.region;
     failureDomain_ = replica.failureDomain;
     server_ = replica.server;
-    calls_ = std::make_unique<CallRunner>(http(), admission_, server_, incarnation());
+    calls_ = std::make_unique<CallRunner>(http(), admission_, name(), server_, incarnation());
     const auto executor = context().get_executor();
     if (pool.kind == PoolKind::Engine) {
         engine_ = std::make_unique<CompletionsEngineClient>(http(), server_);
--- a/src/io/agent/AgentNode.h
+++ b/src/io/agent/AgentNode.h
@@ -21,6 +21,7 @@
 
 protected:
     void onSettings(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce) override;
+    void onInForceSince(int64_t revision, Instant since) override;
     asio::awaitable<std::string> onNodeRequest(PeerConnectionPtr, PeerMessage) override;
     void onNodeNotice(const PeerConnectionPtr&, const PeerMessage&) override;
     void onPeerHello(const PeerConnectionPtr&, const std::string& role) override;
--- a/src/io/agent/CallRunner.cpp
+++ b/src/io/agent/CallRunner.cpp
@@ -11,42 +11,37 @@
 
 namespace {
 
-wire::CallAnswer refusal(wire::Outcome::type outcome, ErrorCode code, const std::string& detail)
+constexpr Duration unknownRetryDelay = std::chrono::milliseconds(500);
+
+wire::CallAnswer refusal(wire::Outcome::type outcome, ErrorCode code, const std::string& detail, Instant retryAt)
 {
     wire::CallAnswer answer;
     answer.outcome = outcome;
     answer.errorCode = std::string(codeText(code));
     answer.detail = detail;
-    answer.retryAfterMs = outcome == wire::Outcome::NotRun ? CallRunner::retryAfterMs : 0;
+    answer.retryAfterMs = retryAt == never ? 0 : static_cast<int32_t>(millisecondsLeft(retryAt));
     return answer;
 }
 
-wire::CallAnswer notRun(Refusal reason)
+const char* reason(Refusal refusal)
 {
-    switch (reason) {
+    switch (refusal) {
     case Refusal::Full:
-        return refusal(wire::Outcome::NotRun, ErrorCode::NotRun, "the backend server has no free slot");
+        return "the backend server has no free slot";
     case Refusal::Draining:
-        return refusal(wire::Outcome::NotRun, ErrorCode::NotRun, "the backend server is leaving");
+        return "the backend server is leaving";
     case Refusal::ServerDown:
-        return refusal(wire::Outcome::NotRun, ErrorCode::NotRun, "the backend server does not answer");
+        return "the backend server does not answer";
     case Refusal::DeadlinePassed:
-        return refusal(
-            wire::Outcome::NotRun, ErrorCode::DeadlineExceeded, "the deadline passed before the call was begun");
-    case Refusal::None:
+        return "the deadline passed before the call was begun";
     case Refusal::RefusedBefore:
+        return "the request was refused a moment ago";
+    case Refusal::None:
+    case Refusal::AdmittedBefore:
     case Refusal::VersionUnsuitable:
         break;
     }
-    return refusal(wire::Outcome::NotRun, ErrorCode::NotRun, "the request was refused before");
-}
-
-CallOutcome toOutcome(const wire::CallAnswer& answer)
-{
-    CallOutcome outcome { answer.status, {}, answer.body };
-    for (const wire::Header& header : answer.headers)
-        outcome.headers.emplace_back(header.name, header.value);
-    return outcome;
+    return "the request cannot be run here";
 }
 
 wire::CallAnswer toAnswer(const CallOutcome& outcome)
@@ -66,70 +61,86 @@
 
 } // namespace
 
-CallRunner::CallRunner(HttpClient& http, Admission& admission, Address server, int64_t startedWallMs)
+CallRunner::CallRunner(HttpClient& http, Admission& admission, std::string agent, Address server, int64_t startedWallMs)
     : http_(http)
-    , admission_(admission)
     , server_(std::move(server))
-    , outcomes_(startedWallMs, clockMargin)
+    , admission_(admission, std::move(agent), startedWallMs, now())
 {
 }
 
-asio::awaitable<wire::CallAnswer> CallRunner::run(wire::CallRequest request, Instant deadline)
+void CallRunner::onPool(const PoolDeclaration& pool, int64_t revision)
 {
-    if (!request.isIdempotent && !request.idempotencyKey.empty())
-        co_return co_await runKeyed(std::move(request), deadline);
-    const Refusal reason = admission_.admit(request.requestId, true, deadline, now());
-    if (reason != Refusal::None)
-        co_return notRun(reason);
-    wire::CallAnswer answer = co_await runAdmitted(request, deadline);
-    admission_.finish();
-    co_return answer;
+    std::vector<std::string> names;
+    for (const auto& [name, replica] : pool.replicas)
+        names.push_back(name);
+    admission_.onReplicas(std::move(names), revision, now());
+    admission_.setOutcomeRetention(pool.call.outcomeRetention);
 }
 
-asio::awaitable<wire::CallAnswer> CallRunner::runKeyed(wire::CallRequest request, Instant deadline)
+asio::awaitable<wire::CallAnswer> CallRunner::run(wire::CallRequest request, Instant deadline)
 {
-    const auto verdict = outcomes_.begin(request.idempotencyKey, static_cast<uint64_t>(request.fingerprint),
-        request.keyCreatedMs, wallMs(), policy_.outcomeRetention, now());
-    switch (verdict) {
-    case OutcomeTable::Verdict::Conflict:
-        co_return refusal(wire::Outcome::NotRun, ErrorCode::KeyConflict, "the key was used with another request");
-    case OutcomeTable::Verdict::Unknown:
-        co_return refusal(
-            wire::Outcome::Unknown, ErrorCode::OutcomeUnknown, "an earlier attempt with this key may have run");
-    case OutcomeTable::Verdict::Wait:
-    case OutcomeTable::Verdict::Replay:
-        co_return co_await waitForOutcome(request, deadline);
-    case OutcomeTable::Verdict::Run:
-        break;
+    CallDemand demand;
+    demand.id = RequestId::parse(request.requestId);
+    demand.deadline = deadline;
+    if (!request.isIdempotent && !request.idempotencyKey.empty())
+        demand.key
+            = CallKey { request.idempotencyKey, static_cast<uint64_t>(request.fingerprint), request.keyCreatedMs };
+    CallDecision decision = admission_.begin(demand, now());
+    if (decision.verdict == CallDecision::Verdict::TooNew
+        && decision.retryAt < std::min<Instant>(deadline, now() + maxClockLead)) {
+        co_await sleepFor(decision.retryAt - now());
+        decision = admission_.resume(demand, now());
     }
-    const Refusal reason = admission_.admit(request.requestId, true, deadline, now());
-    if (reason != Refusal::None) {
-        outcomes_.withdraw(request.idempotencyKey);
-        co_return notRun(reason);
+    while (decision.verdict == CallDecision::Verdict::Wait && now() < deadline) {
+        co_await waitForEnd(demand);
+        decision = admission_.resume(demand, now());
     }
-    wire::CallAnswer answer = co_await runAdmitted(request, deadline);
-    admission_.finish();
-    const Instant keepUntil = now() + policy_.outcomeRetention;
-    if (answer.outcome == wire::Outcome::Done)
-        outcomes_.finish(request.idempotencyKey, toOutcome(answer), keepUntil);
-    else if (answer.outcome == wire::Outcome::NotRun)
-        outcomes_.withdraw(request.idempotencyKey);
-    else
-        outcomes_.finishUnknown(request.idempotencyKey, keepUntil);
+    if (decision.verdict != CallDecision::Verdict::Run)
+        co_return answerOf(demand, decision);
+    wire::CallAnswer answer = co_await runAdmitted(request, demand);
+    if (demand.key)
+        wakeWaiters(demand.key->text);
     co_return answer;
 }
 
-asio::awaitable<wire::CallAnswer> CallRunner::waitForOutcome(const wire::CallRequest& request, Instant deadline)
+asio::awaitable<void> CallRunner::waitForEnd(const CallDemand& demand)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    const auto position = waiters_.emplace(demand.key->text, &timer);
+    co_await waitUntil(timer, demand.deadline);
+    waiters_.erase(position);
+}
+
+void CallRunner::wakeWaiters(const std::string& key)
 {
-    while (outcomes_.isRunning(request.idempotencyKey) && now() < deadline)
-        co_await sleepFor(repeatPoll);
-    if (const CallOutcome* outcome = outcomes_.outcome(request.idempotencyKey))
-        co_return toAnswer(*outcome);
-    co_return refusal(
-        wire::Outcome::Unknown, ErrorCode::OutcomeUnknown, "the first attempt with this key has no known outcome");
+    const auto [first, last] = waiters_.equal_range(key);
+    for (auto waiter = first; waiter != last; ++waiter)
+        waiter->second->cancel();
+}
+
+wire::CallAnswer CallRunner::answerOf(const CallDemand& demand, const CallDecision& decision) const
+{
+    switch (decision.verdict) {
+    case CallDecision::Verdict::Replay:
+        return toAnswer(*admission_.outcome(demand.key->text));
+    case CallDecision::Verdict::Conflict:
+        return refusal(wire::Outcome::Unknown, ErrorCode::KeyConflict, "the key was used with another request", never);
+    case CallDecision::Verdict::TooNew:
+        return refusal(wire::Outcome::Unknown, ErrorCode::BadRequest, "the key claims to be made in the future", never);
+    case CallDecision::Verdict::NotRun:
+        return refusal(wire::Outcome::NotRun,
+            decision.refusal == Refusal::DeadlinePassed ? ErrorCode::DeadlineExceeded : ErrorCode::NotRun,
+            reason(decision.refusal), decision.retryAt);
+    case CallDecision::Verdict::Run:
+    case CallDecision::Verdict::Wait:
+    case CallDecision::Verdict::Unknown:
+        break;
+    }
+    return refusal(wire::Outcome::Unknown, ErrorCode::OutcomeUnknown, "an earlier attempt may have run",
+        now() + unknownRetryDelay);
 }
 
-asio::awaitable<wire::CallAnswer> CallRunner::runAdmitted(const wire::CallRequest& request, Instant deadline)
+asio::awaitable<wire::CallAnswer> CallRunner::runAdmitted(const wire::CallRequest& request, const CallDemand& demand)
 {
     HttpRequest message { request.method, request.target, {}, request.body };
     for (const wire::Header& header : request.headers)
@@ -137,12 +148,18 @@
     message.headers.emplace_back("X-Request-Id", request.requestId);
     log(Event::CallStarted, { { "request", request.requestId } });
     try {
-        const HttpResponse response = co_await http_.request(server_, std::move(message), deadline);
-        co_return toAnswer({ response.status, response.headers, response.body });
+        const HttpResponse response = co_await http_.request(server_, std::move(message), demand.deadline);
+        CallOutcome outcome { response.status, response.headers, response.body };
+        wire::CallAnswer answer = toAnswer(outcome);
+        admission_.finish(demand, std::move(outcome), now());
+        co_return answer;
     } catch (const ServerUnavailableError& error) {
-        co_return refusal(wire::Outcome::NotRun, ErrorCode::NotRun, error.what());
+        admission_.finishNotRun(demand, now());
+        co_return refusal(wire::Outcome::NotRun, ErrorCode::NotRun, error.what(),
+            now() + (demand.key ? OutcomeTable::refusalHold : CallAdmission::retryDelay));
     } catch (const Error& error) {
-        co_return refusal(wire::Outcome::Unknown, ErrorCode::OutcomeUnknown, error.what());
+        admission_.finishUnknown(demand, now());
+        co_return refusal(wire::Outcome::Unknown, ErrorCode::OutcomeUnknown, error.what(), now() + unknownRetryDelay);
     }
 }
 
--- a/src/io/agent/CallRunner.h
+++ b/src/io/agent/CallRunner.h
@@ -3,37 +3,41 @@
 #include "io/HttpClient.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <endiveroad/Admission.h>
-#include <endiveroad/OutcomeTable.h>
+#include <endiveroad/CallAdmission.h>
 #include <endiveroad/Settings.h>
 #include <endiveroad_types.h>
+#include <map>
 
 /// Runs calls on the backend server beside the agent; non-idempotent ones at most once per key.
 namespace endiveroad::io {
 
 class CallRunner {
 public:
-    static constexpr Duration clockMargin = std::chrono::milliseconds(200);
-    static constexpr Duration repeatPoll = std::chrono::milliseconds(10);
-    static constexpr int32_t retryAfterMs = 500;
+    /// Longest time that a call waits here because its key claims to be made in the future.
+    static constexpr Duration maxClockLead = std::chrono::seconds(2);
 
-    CallRunner(HttpClient&, Admission&, Address server, int64_t startedWallMs);
+    CallRunner(HttpClient&, Admission&, std::string agent, Address server, int64_t startedWallMs);
 
-    void onPolicy(const CallPolicy& policy) { policy_ = policy; }
+    /// Takes the declaration of the agent's pool as of a revision.
+    void onPool(const PoolDeclaration&, int64_t revision);
+
+    /// A peer has had the revision in force since the given instant.
+    void onInForceSince(int64_t revision, Instant since) { admission_.onInForceSince(revision, since); }
 
     /// Runs or refuses the call; never throws an Error for what happens to the call itself.
     asio::awaitable<wire::CallAnswer> run(wire::CallRequest, Instant deadline);
 
 private:
-    asio::awaitable<wire::CallAnswer> runKeyed(wire::CallRequest, Instant deadline);
-    asio::awaitable<wire::CallAnswer> runAdmitted(const wire::CallRequest&, Instant deadline);
-    asio::awaitable<wire::CallAnswer> waitForOutcome(const wire::CallRequest&, Instant deadline);
+    asio::awaitable<wire::CallAnswer> runAdmitted(const wire::CallRequest&, const CallDemand&);
+    asio::awaitable<void> waitForEnd(const CallDemand&);
+    void wakeWaiters(const std::string& key);
+    wire::CallAnswer answerOf(const CallDemand&, const CallDecision&) const;
 
     HttpClient& http_;
-    Admission& admission_;
     Address server_;
-    CallPolicy policy_;
-    OutcomeTable outcomes_;
+    CallAdmission admission_;
+    /// Repeats that wait for the first attempt with their key; their timers are cancelled when it ends.
+    std::multimap<std::string, asio::steady_timer*> waiters_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/entry/CallRouter.cpp
+++ b/src/io/entry/CallRouter.cpp
@@ -5,8 +5,10 @@
 #include "wire/Codec.h"
 
 #include <charconv>
+#include <endiveroad/CallAttempts.h>
 #include <endiveroad/Error.h>
 #include <endiveroad/Rendezvous.h>
+#include <endiveroad/RequestId.h>
 #include <endiveroad_types.h>
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -17,8 +19,32 @@
     wire::CallRequest request;
 };
 
+/// How one attempt ended: with an answer, or with an error of which the last member says whether it may be repeated.
+struct CallRouter::AttemptResult {
+    std::optional<HttpResponse> response;
+    std::optional<AttemptEnd> end;
+    ErrorCode code = ErrorCode::OutcomeUnknown;
+    std::string detail;
+    Duration retryAfter = CallRouter::retryAfter;
+};
+
 namespace {
 
+/// A final error together with the time after which the caller may come back.
+class CallFailure : public Error {
+public:
+    CallFailure(ErrorCode code, const std::string& detail, Duration retryAfter)
+        : Error(code, detail)
+        , retryAfter_(retryAfter)
+    {
+    }
+
+    Duration retryAfter() const { return retryAfter_; }
+
+private:
+    Duration retryAfter_;
+};
+
 /// Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1).
 bool isHopHeader(std::string_view name)
 {
@@ -75,16 +101,17 @@
 
 } // namespace
 
-CallRouter::CallRouter(AgentDirectory& agents, std::string entryName, std::string failureDomain)
+CallRouter::CallRouter(AgentDirectory& agents, std::string entryName, int64_t incarnation, std::string failureDomain)
     : agents_(agents)
     , entryName_(std::move(entryName))
     , failureDomain_(std::move(failureDomain))
+    , incarnation_(incarnation)
 {
 }
 
 std::string CallRouter::nextRequestId()
 {
-    return fmt::format("{}-{}-{}", entryName_, wallMs(), nextRequest_++);
+    return RequestId { entryName_, incarnation_, nextRequest_++ }.text();
 }
 
 asio::awaitable<void> CallRouter::route(HttpExchange& exchange, std::string poolName, std::string target)
@@ -118,8 +145,10 @@
             response = co_await callHome(pool, std::move(call), deadline);
         else
             response = co_await callReplicas(pool, std::move(call), deadline);
+    } catch (const CallFailure& failure) {
+        response = errorResponse(failure, failure.retryAfter());
     } catch (const Error& error) {
-        response = errorResponse(error, retryAfter);
+        response = errorResponse(error, httpStatus(error.code()) >= 500 ? retryAfter : Duration::zero());
     }
     co_await exchange.answer(std::move(response));
 }
@@ -139,63 +168,84 @@
     co_return co_await callReplicas(pool, std::move(call), deadline);
 }
 
+void CallRouter::takeAnswer(wire::CallAnswer answer, AttemptResult& result)
+{
+    if (answer.outcome == wire::Outcome::Done) {
+        result.response = toResponse(std::move(answer));
+        return;
+    }
+    result.code = codeFromText(answer.errorCode);
+    result.detail = answer.detail;
+    if (answer.retryAfterMs > 0)
+        result.retryAfter = std::chrono::milliseconds(answer.retryAfterMs);
+    if (answer.outcome == wire::Outcome::NotRun)
+        result.end = result.code == ErrorCode::DeadlineExceeded ? AttemptEnd::DeadlinePassed : AttemptEnd::NotRun;
+    else if (result.code == ErrorCode::OutcomeUnknown)
+        result.end = AttemptEnd::Unknown;
+    else
+        result.end = std::nullopt;
+}
+
 asio::awaitable<HttpResponse> CallRouter::callHome(const PoolDeclaration& pool, Call call, Instant deadline)
 {
     std::vector<std::string> names;
     for (const auto& [name, replica] : pool.replicas)
         names.push_back(name);
     const auto homes = rendezvousOwners(call.request.idempotencyKey, names, 1);
+    CallAttempts attempts(CallAttempts::Kind::Keyed, deadline);
     if (homes.empty())
-        throw NotRunError(fmt::format("pool {} declares no replica", pool.name));
-    // Only the key's home agent knows whether the key ran before, so without it nothing can be promised.
-    if (!agents_.connection(homes.front()))
-        throw OutcomeUnknownError("the key's home agent cannot be reached; an earlier attempt may have run");
-    co_return co_await callAgent(homes.front(), std::move(call), deadline);
+        throw CallFailure(attempts.onNoAgent(), fmt::format("pool {} declares no replica", pool.name), retryAfter);
+    AttemptResult result = co_await callAgent(homes.front(), std::move(call), deadline);
+    if (result.response)
+        co_return std::move(*result.response);
+    const ErrorCode code = result.end ? attempts.onEnd(*result.end, now()).value_or(result.code) : result.code;
+    throw CallFailure(code, result.detail, result.retryAfter);
 }
 
 asio::awaitable<HttpResponse> CallRouter::callReplicas(const PoolDeclaration& pool, Call call, Instant deadline)
 {
-    std::string refusal = "no replica has free capacity";
     ReplicaDemand demand;
     demand.failureDomain = failureDomain_;
-    for (int attempt = 0; attempt < maxAttempts && now() < deadline; ++attempt) {
+    CallAttempts attempts(CallAttempts::Kind::Idempotent, deadline);
+    std::string detail = "no replica has free capacity";
+    while (true) {
         const auto agent = agents_.table(pool.name).acquire(now(), demand);
         if (!agent)
-            break;
-        std::exception_ptr failure;
-        try {
-            HttpResponse response = co_await callAgent(*agent, call, deadline);
-            agents_.table(pool.name).release(*agent);
-            co_return response;
-        } catch (const Error& error) {
-            agents_.table(pool.name).release(*agent);
-            const bool mayRepeat = error.code() == ErrorCode::NotRun || error.code() == ErrorCode::PeerUnavailable
-                || (error.code() == ErrorCode::OutcomeUnknown && call.request.isIdempotent);
-            if (!mayRepeat)
-                throw;
-            refusal = error.what();
-            if (error.code() == ErrorCode::OutcomeUnknown && now() >= deadline)
-                throw;
-            call.request.requestId = nextRequestId();
-        }
+            throw CallFailure(attempts.onNoAgent(), detail, retryAfter);
+        AttemptResult result = co_await callAgent(*agent, call, deadline);
+        agents_.table(pool.name).release(*agent);
+        if (result.response)
+            co_return std::move(*result.response);
+        if (!result.end)
+            throw CallFailure(result.code, result.detail, result.retryAfter);
+        if (const auto code = attempts.onEnd(*result.end, now()))
+            throw CallFailure(*code, result.detail, result.retryAfter);
+        detail = result.detail;
+        call.request.requestId = nextRequestId();
     }
-    throw NotRunError(refusal);
 }
 
-asio::awaitable<HttpResponse> CallRouter::callAgent(std::string agent, Call call, Instant deadline)
+asio::awaitable<CallRouter::AttemptResult> CallRouter::callAgent(std::string agent, Call call, Instant deadline)
 {
+    AttemptResult result;
+    result.end = AttemptEnd::NotSent;
     const PeerConnectionPtr peer = agents_.connection(agent);
-    if (!peer)
-        throw PeerUnavailableError(fmt::format("agent {} is not connected", agent));
-    const std::string payload = co_await peer->call(MessageType::Call, wire::encode(call.request), deadline);
-    auto answer = wire::decode<wire::CallAnswer>(payload);
-    if (answer.outcome != wire::Outcome::Done) {
-        log(answer.outcome == wire::Outcome::NotRun ? Event::CallRefused : Event::CallOutcomeUnknown,
-            { { "request", call.request.requestId }, { "agent", agent }, { "code", answer.errorCode } });
-        throw Error(codeFromText(answer.errorCode), answer.detail);
+    if (!peer) {
+        result.detail = fmt::format("agent {} is not connected", agent);
+        co_return result;
+    }
+    try {
+        const std::string payload = co_await peer->call(MessageType::Call, wire::encode(call.request), deadline);
+        takeAnswer(wire::decode<wire::CallAnswer>(payload), result);
+    } catch (const Error& error) {
+        result.detail = error.what();
+        result.end = error.code() == ErrorCode::PeerUnavailable ? AttemptEnd::NotSent : AttemptEnd::Unknown;
     }
-    log(Event::CallFinished, { { "request", call.request.requestId }, { "agent", agent } });
-    co_return toResponse(std::move(answer));
+    const Event event = result.response                                         ? Event::CallFinished
+        : result.end == AttemptEnd::NotRun || result.end == AttemptEnd::NotSent ? Event::CallRefused
+                                                                                : Event::CallOutcomeUnknown;
+    log(event, { { "request", call.request.requestId }, { "agent", agent }, { "detail", result.detail } });
+    co_return result;
 }
 
 } // namespace endiveroad::io
--- a/src/io/entry/CallRouter.h
+++ b/src/io/entry/CallRouter.h
@@ -3,6 +3,8 @@
 #include "io/HttpServer.h"
 #include "io/entry/AgentDirectory.h"
 
+#include <endiveroad_types.h>
+
 /// Calls to plain services and interactive model calls, from a caller's HTTP request to an agent and back.
 namespace endiveroad::io {
 
@@ -14,11 +16,9 @@
     /// Header with the wall time in ms at which the caller made its key.
     static constexpr std::string_view keyCreatedHeader = "Idempotency-Key-Created-Ms";
 
-    /// Agents tried for one request as long as each answers "not run".
-    static constexpr int maxAttempts = 4;
     static constexpr Duration retryAfter = std::chrono::milliseconds(500);
 
-    CallRouter(AgentDirectory&, std::string entryName, std::string failureDomain);
+    CallRouter(AgentDirectory&, std::string entryName, int64_t incarnation, std::string failureDomain);
 
     /// Routes one call to the pool; target is the path and query towards the backend server.
     asio::awaitable<void> route(HttpExchange&, std::string pool, std::string target);
@@ -28,15 +28,18 @@
 
 private:
     struct Call;
+    struct AttemptResult;
 
     asio::awaitable<HttpResponse> callHome(const PoolDeclaration&, Call, Instant deadline);
     asio::awaitable<HttpResponse> callReplicas(const PoolDeclaration&, Call, Instant deadline);
-    asio::awaitable<HttpResponse> callAgent(std::string agent, Call, Instant deadline);
+    asio::awaitable<AttemptResult> callAgent(std::string agent, Call, Instant deadline);
+    static void takeAnswer(wire::CallAnswer, AttemptResult&);
     std::string nextRequestId();
 
     AgentDirectory& agents_;
     std::string entryName_;
     std::string failureDomain_;
+    int64_t incarnation_;
     uint64_t nextRequest_ = 1;
 };
 
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -107,7 +107,8 @@
 
 struct SettingsOffer { 1: i64 revision }
 struct SettingsRequest { 1: i64 knownRevision }
-struct SettingsAnswer { 1: i64 revision  2: binary document }
+/** inForceMs: time for which the sender has had the revision in force. */
+struct SettingsAnswer { 1: i64 revision  2: binary document  3: i64 inForceMs }
 
 /** Newest weights that a trainer announced for a model. */
 struct PolicyNotice { 1: string model  2: i64 version  3: string weights  4: i64 order }
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -3068,6 +3068,10 @@
 void SettingsAnswer::__set_document(const std::string& val) {
   this->document = val;
 }
+
+void SettingsAnswer::__set_inForceMs(const int64_t val) {
+  this->inForceMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const SettingsAnswer& obj)
 {
   obj.printTo(out);
@@ -3112,6 +3116,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->inForceMs);
+          this->__isset.inForceMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3137,6 +3149,10 @@
   xfer += oprot->writeBinary(this->document);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("inForceMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->inForceMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3146,17 +3162,20 @@
   using ::std::swap;
   swap(a.revision, b.revision);
   swap(a.document, b.document);
+  swap(a.inForceMs, b.inForceMs);
   swap(a.__isset, b.__isset);
 }
 
 SettingsAnswer::SettingsAnswer(const SettingsAnswer& other67) {
   revision = other67.revision;
   document = other67.document;
+  inForceMs = other67.inForceMs;
   __isset = other67.__isset;
 }
 SettingsAnswer& SettingsAnswer::operator=(const SettingsAnswer& other68) {
   revision = other68.revision;
   document = other68.document;
+  inForceMs = other68.inForceMs;
   __isset = other68.__isset;
   return *this;
 }
@@ -3165,6 +3184,7 @@
   out << "SettingsAnswer(";
   out << "revision=" << to_string(revision);
   out << ", " << "document=" << to_string(document);
+  out << ", " << "inForceMs=" << to_string(inForceMs);
   out << ")";
 }
 
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -1300,11 +1300,15 @@
 std::ostream& operator<<(std::ostream& out, const SettingsRequest& obj);
 
 typedef struct _SettingsAnswer__isset {
-  _SettingsAnswer__isset() : revision(false), document(false) {}
+  _SettingsAnswer__isset() : revision(false), document(false), inForceMs(false) {}
   bool revision :1;
   bool document :1;
+  bool inForceMs :1;
 } _SettingsAnswer__isset;
 
+/**
+ * inForceMs: time for which the sender has had the revision in force.
+ */
 class SettingsAnswer : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1312,12 +1316,14 @@
   SettingsAnswer& operator=(const SettingsAnswer&);
   SettingsAnswer() noexcept
                  : revision(0),
-                   document() {
+                   document(),
+                   inForceMs(0) {
   }
 
   virtual ~SettingsAnswer() noexcept;
   int64_t revision;
   std::string document;
+  int64_t inForceMs;
 
   _SettingsAnswer__isset __isset;
 
@@ -1325,12 +1331,16 @@
 
   void __set_document(const std::string& val);
 
+  void __set_inForceMs(const int64_t val);
+
   bool operator == (const SettingsAnswer & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
     if (!(document == rhs.document))
       return false;
+    if (!(inForceMs == rhs.inForceMs))
+      return false;
     return true;
   }
   bool operator != (const SettingsAnswer &rhs) const {
--- /dev/null
+++ b/tests/core/AtMostOnceTest.cpp
@@ -0,0 +1,255 @@
+#include "core/CallHistory.h"
+
+#include <catch2/catch.hpp>
+#include <endiveroad/Error.h>
+#include <endiveroad/Rendezvous.h>
+#include <fmt/format.h>
+
+using namespace endiveroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 100s };
+constexpr int64_t startMs = 1'000'000;
+
+/// An agent that has been the home of every key for a while.
+struct Home {
+    Admission admission { 2, 0 };
+    CallAdmission calls { admission, "a0", startMs, start };
+
+    Home()
+    {
+        admission.setServerUp(true);
+        calls.onReplicas({ "a0" }, 1, start);
+    }
+};
+
+int64_t wallAt(Instant now)
+{
+    return startMs + std::chrono::duration_cast<std::chrono::milliseconds>(now - start).count();
+}
+
+CallDemand demand(uint64_t sequence, const std::string& key, int64_t createdMs, Instant now, uint64_t content = 1)
+{
+    return { { "e0", 1, sequence }, CallKey { key, content, createdMs }, now + 5s };
+}
+
+} // namespace
+
+TEST_CASE("20,000 histories of keyed calls run each key at most once and tell \"not run\" truly", "[at-most-once]")
+{
+    constexpr uint64_t histories = 20000;
+    int answered = 0;
+    int notRun = 0;
+    int unknown = 0;
+    for (uint64_t seed = 1; seed <= histories; ++seed) {
+        test::CallHistory history(seed);
+        const std::string failure = history.run();
+        if (!failure.empty())
+            FAIL("seed " << seed << ": " << failure);
+        answered += history.answered();
+        notRun += history.notRun();
+        unknown += history.unknown();
+    }
+    WARN("answered " << answered << ", told not run " << notRun << ", told unknown " << unknown);
+    // The histories must reach every kind of end, else they prove nothing.
+    CHECK(answered > 20000);
+    CHECK(notRun > 2000);
+    CHECK(unknown > 2000);
+}
+
+TEST_CASE("a key is not run again after its outcome was forgotten", "[at-most-once]")
+{
+    Home home;
+    home.calls.setOutcomeRetention(10min);
+    const Instant first = start + 60s;
+    const auto one = demand(1, "k", wallAt(first), first);
+    REQUIRE(home.calls.begin(one, first).verdict == CallDecision::Verdict::Run);
+    home.calls.finish(one, { 200, {}, "done" }, first);
+    const Instant late = first + 1h;
+    CHECK(home.calls.begin(demand(2, "k", wallAt(first), late), late).verdict == CallDecision::Verdict::Unknown);
+    // A longer retention set later does not bring a forgotten key back.
+    home.calls.setOutcomeRetention(24h);
+    CHECK(home.calls.begin(demand(3, "k", wallAt(first), late), late).verdict == CallDecision::Verdict::Unknown);
+    CHECK(home.calls.begin(demand(4, "new", wallAt(late), late), late).verdict == CallDecision::Verdict::Run);
+}
+
+TEST_CASE("a copy of a request never runs and never says that the first did not", "[at-most-once]")
+{
+    Home home;
+    const Instant now = start + 60s;
+    const CallDemand call { { "e0", 1, 7 }, std::nullopt, now + 5s };
+    REQUIRE(home.calls.begin(call, now).verdict == CallDecision::Verdict::Run);
+    CHECK(home.calls.begin(call, now + 1s).verdict == CallDecision::Verdict::Unknown);
+    CHECK(home.calls.begin(call, now + 1h).verdict == CallDecision::Verdict::Unknown);
+    const CallDemand before { { "e0", 0, 9 }, std::nullopt, now + 2h };
+    CHECK(home.calls.begin(before, now + 1h).verdict == CallDecision::Verdict::Unknown);
+}
+
+TEST_CASE("a copy of a refused request does not run however late it comes", "[at-most-once]")
+{
+    Home home;
+    home.admission.setServerUp(false);
+    const Instant now = start + 60s;
+    const CallDemand call { { "e0", 1, 7 }, std::nullopt, now + 2h };
+    REQUIRE(home.calls.begin(call, now).verdict == CallDecision::Verdict::NotRun);
+    home.admission.setServerUp(true);
+    for (const Duration later : { Duration(1ms), Duration(1min), Duration(1h) })
+        CHECK(home.calls.begin(call, now + later).verdict != CallDecision::Verdict::Run);
+}
+
+TEST_CASE("an earlier attempt that arrives after \"not run\" was told for its key does not run", "[at-most-once]")
+{
+    Home home;
+    home.admission.setDraining(true);
+    const Instant now = start + 60s;
+    const auto second = home.calls.begin(demand(2, "k", wallAt(now), now), now);
+    REQUIRE(second.verdict == CallDecision::Verdict::NotRun);
+    home.admission.setDraining(false);
+    const auto first = home.calls.begin(demand(1, "k", wallAt(now), now), now + 3s);
+    CHECK(first.verdict == CallDecision::Verdict::NotRun);
+    CHECK(first.retryAt > second.retryAt);
+    const Instant later = first.retryAt;
+    CHECK(home.calls.begin(demand(3, "k", wallAt(now), later), later).verdict == CallDecision::Verdict::Run);
+}
+
+TEST_CASE("a repeat waits for the first attempt and gets its answer; other content is a conflict", "[at-most-once]")
+{
+    Home home;
+    const Instant now = start + 60s;
+    const auto one = demand(1, "k", wallAt(now), now);
+    const auto two = demand(2, "k", wallAt(now), now);
+    REQUIRE(home.calls.begin(one, now).verdict == CallDecision::Verdict::Run);
+    CHECK(home.calls.begin(two, now).verdict == CallDecision::Verdict::Wait);
+    CHECK(home.calls.begin(demand(3, "k", wallAt(now), now, 2), now).verdict == CallDecision::Verdict::Conflict);
+    const CallOutcome outcome { 201, { { "A", "b" } }, "whole" };
+    home.calls.finish(one, outcome, now + 1s);
+    CHECK(home.calls.resume(two, now + 1s).verdict == CallDecision::Verdict::Replay);
+    CHECK(*home.calls.outcome("k") == outcome);
+}
+
+TEST_CASE("steps of clocks: keys from the future are not taken, keys of earlier incarnations not run", "[at-most-once]")
+{
+    Home home;
+    const Instant now = start + 60s;
+    CHECK(home.calls.begin(demand(1, "k", wallAt(now) + 5000, now), now).verdict == CallDecision::Verdict::TooNew);
+    CHECK(home.calls.begin(demand(2, "k", wallAt(start), now), now).verdict == CallDecision::Verdict::Unknown);
+    // Without a creation time the key runs once the retention time has passed since the start.
+    home.calls.setOutcomeRetention(30s);
+    CHECK(home.calls.begin(demand(3, "u", 0, start + 30s), start + 30s).verdict == CallDecision::Verdict::Unknown);
+    CHECK(home.calls.begin(demand(4, "u", 0, now), now).verdict == CallDecision::Verdict::Run);
+}
+
+TEST_CASE("a new incarnation runs only keys that are surely younger than its predecessors", "[at-most-once]")
+{
+    OutcomeTable table(startMs, start);
+    const Instant now = start + 60s;
+    for (const Duration age : { Duration(-10s), Duration(0s), Duration(200ms) })
+        CHECK(table.begin({ "k", 1, wallAt(start + age) }, 0, 10min, now) == OutcomeTable::Verdict::Unknown);
+    CHECK(table.begin({ "k", 1, wallAt(start + 201ms) }, 0, 10min, now) == OutcomeTable::Verdict::Run);
+}
+
+TEST_CASE(
+    "a key that may have run at a former home is in doubt until the change is in force everywhere", "[at-most-once]")
+{
+    const std::vector<std::string> two { "a0", "a1" };
+    constexpr int64_t second = 1000;
+    const int64_t spread = std::chrono::duration_cast<std::chrono::milliseconds>(KeyHomes::spreadMargin).count();
+    KeyHomes homes("a0");
+    homes.onReplicas(two, 2, startMs);
+    // The declaration before the first that this process has seen is not known.
+    CHECK(homes.doubtfulBefore("any") == startMs + spread);
+    homes.onReplicas(two, 3, startMs + second);
+    CHECK(homes.doubtfulBefore("any") == startMs + spread);
+    // A peer has had it for longer.
+    homes.onInForceSince(2, startMs - second);
+    homes.onInForceSince(3, startMs - 100 * second);
+    CHECK(homes.doubtfulBefore("any") == startMs + spread - second);
+    homes.onReplicas({ "a0" }, 4, startMs + 2 * second);
+    bool hasMoved = false;
+    bool hasStayed = false;
+    for (int i = 0; i < 100; ++i) {
+        const std::string key = std::to_string(i);
+        const bool wasHome = rendezvousOwners(key, two, 1).front() == "a0";
+        hasStayed = hasStayed || wasHome;
+        hasMoved = hasMoved || !wasHome;
+        CHECK(homes.isHome(key));
+        CHECK(homes.doubtfulBefore(key) == startMs + spread + (wasHome ? -second : 2 * second));
+    }
+    CHECK((hasMoved && hasStayed));
+    // Revision 5 was not seen; it may have declared other replicas for a moment.
+    homes.onReplicas({ "a0" }, 6, startMs + 5 * second);
+    CHECK(homes.doubtfulBefore("any") == startMs + spread + 5 * second);
+    homes.onReplicas(two, 3, startMs + 9 * second);
+    CHECK(homes.isHome("any"));
+    CHECK(homes.doubtfulBefore("any") == startMs + spread + 5 * second);
+}
+
+TEST_CASE("revision 1 has no declaration before it, so that a first start has no doubt", "[at-most-once]")
+{
+    KeyHomes homes("a0");
+    homes.onReplicas({ "a0" }, 1, startMs);
+    CHECK(homes.doubtfulBefore("any") == 0);
+}
+
+TEST_CASE("a full outcome table refuses new keys and forgets no outcome", "[at-most-once]")
+{
+    Admission admission(100000, 0);
+    admission.setServerUp(true);
+    CallAdmission calls(admission, "a0", startMs, start, 1U << 20);
+    calls.onReplicas({ "a0" }, 1, start);
+    const Instant now = start + 60s;
+    uint64_t run = 0;
+    uint64_t sequence = 0;
+    CallDecision last;
+    do {
+        ++sequence;
+        const auto one = demand(sequence, fmt::format("k{}", sequence), wallAt(now), now);
+        last = calls.begin(one, now);
+        if (last.verdict == CallDecision::Verdict::Run) {
+            calls.finish(one, { 200, {}, std::string(1000, 'x') }, now);
+            ++run;
+        }
+    } while (last.verdict == CallDecision::Verdict::Run && sequence < 100000);
+    REQUIRE(last.verdict == CallDecision::Verdict::NotRun);
+    CHECK(last.refusal == Refusal::Full);
+    CHECK(run > 500);
+    for (uint64_t i = 1; i <= run; ++i) {
+        const auto repeat = demand(sequence + i, fmt::format("k{}", i), wallAt(now), now);
+        REQUIRE(calls.begin(repeat, now + 9min).verdict != CallDecision::Verdict::Run);
+    }
+    CHECK(calls.outcomes().bytes() <= (1U << 20) + (1U << 17));
+    const Instant later = now + 11min;
+    CHECK(
+        calls.begin(demand(2 * sequence + 1, "n", wallAt(later), later), later).verdict == CallDecision::Verdict::Run);
+}
+
+TEST_CASE("an entry tells \"not run\" only if no attempt may have run", "[at-most-once]")
+{
+    const Instant deadline = start + 5s;
+    CallAttempts idempotent(CallAttempts::Kind::Idempotent, deadline);
+    CHECK_FALSE(idempotent.onEnd(AttemptEnd::Unknown, start));
+    CHECK_FALSE(idempotent.onEnd(AttemptEnd::NotRun, start));
+    CHECK(idempotent.onNoAgent() == ErrorCode::OutcomeUnknown);
+    CHECK(idempotent.onEnd(AttemptEnd::NotRun, deadline) == ErrorCode::OutcomeUnknown);
+
+    CallAttempts refused(CallAttempts::Kind::Idempotent, deadline);
+    CHECK_FALSE(refused.onEnd(AttemptEnd::NotSent, start));
+    CHECK(refused.onNoAgent() == ErrorCode::NotRun);
+    CHECK(refused.onEnd(AttemptEnd::DeadlinePassed, start) == ErrorCode::DeadlineExceeded);
+
+    // Earlier attempts of the key came through other entries perhaps; only its home knows.
+    CallAttempts keyed(CallAttempts::Kind::Keyed, deadline);
+    CHECK(keyed.onNoAgent() == ErrorCode::OutcomeUnknown);
+    CHECK(keyed.onEnd(AttemptEnd::NotSent, start) == ErrorCode::OutcomeUnknown);
+    CHECK(CallAttempts(CallAttempts::Kind::Keyed, deadline).onEnd(AttemptEnd::NotRun, start) == ErrorCode::NotRun);
+}
+
+TEST_CASE("a request id survives its text form and others are refused", "[at-most-once]")
+{
+    const RequestId id { "tx/entry-1", 1234567890123, 42 };
+    CHECK(RequestId::parse(id.text()) == id);
+    for (const char* text : { "", "/", "//", "a/1", "a/x/1", "a/1/x", "a/1/-1", "1/2 /3" })
+        CHECK_THROWS_AS(RequestId::parse(text), BadRequestError);
+}
--- /dev/null
+++ b/tests/core/CallHistory.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <cstdint>
+#include <endiveroad/CallAdmission.h>
+#include <endiveroad/CallAttempts.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace endiveroad::test {
+
+/// One history of keyed calls in virtual time: callers repeat keys through two entries, three agents decide, and a fake
+/// service counts executions. Messages are lost, late, doubled and reordered; agents crash, pause and restart with
+/// other clocks; entries crash; the declared replicas change and every process learns of it at a time of its own.
+class CallHistory {
+public:
+    explicit CallHistory(uint64_t seed);
+
+    /// Runs the history to its end; returns what was broken, or an empty text.
+    std::string run();
+
+    int answered() const { return answered_; }
+    int notRun() const { return notRun_; }
+    int unknown() const { return unknown_; }
+
+private:
+    struct Attempt {
+        RequestId id;
+        int key = 0;
+        int number = 0;
+        int content = 0;
+        Instant deadline;
+    };
+
+    struct Agent {
+        std::string name;
+        int revision = 1;
+        int64_t incarnation = 0;
+        Instant pausedUntil = Instant::min();
+        std::unique_ptr<Admission> admission;
+        std::unique_ptr<CallAdmission> calls;
+        std::vector<Attempt> waiting;
+    };
+
+    struct Entry {
+        std::string name;
+        int revision = 1;
+        int64_t incarnation = 1;
+        uint64_t sequence = 0;
+    };
+
+    struct Key {
+        std::string text;
+        int64_t createdMs = 0;
+        int attempts = 0;
+        bool isEnded = false;
+        int executions = 0;
+        std::string result;
+        /// Attempts up to this number must not run, because the caller was told "not run" after them.
+        int forbidden = 0;
+    };
+
+    struct Event {
+        Instant instant;
+        uint64_t order;
+        std::function<void()> action;
+
+        bool operator>(const Event& other) const
+        {
+            return instant != other.instant ? instant > other.instant : order > other.order;
+        }
+    };
+
+    bool chance(double);
+    Duration between(int64_t lowMs, int64_t highMs);
+    Duration delay();
+    void at(Instant, std::function<void()>);
+    void fail(const std::string& what);
+
+    void schedule();
+    void changeReplicas();
+    void start(Agent&);
+    void learn(Agent&, int revision);
+    std::vector<std::string> names(int revision) const;
+    int homeOf(int key, int revision) const;
+
+    void attempt(int key);
+    void receive(int agent, const Attempt&, Instant sent, int entry);
+    void decide(int agent, const Attempt&, int entry, const CallDecision&);
+    void execute(int agent, const Attempt&, int entry);
+    void wakeWaiting(int agent, int entry);
+    void answer(const Attempt&, int entry, std::optional<ErrorCode>, const std::string& result);
+    void tell(const Attempt&, std::optional<ErrorCode>, const std::string& result);
+
+    std::mt19937_64 random_;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    uint64_t nextOrder_ = 0;
+    Instant now_;
+    std::vector<Agent> agents_;
+    std::vector<Entry> entries_;
+    std::vector<Key> keys_;
+    /// By revision: when it was applied, and its replicas.
+    std::vector<Instant> changedAt_;
+    std::vector<std::vector<std::string>> declared_;
+    /// Attempts whose caller still waits, by key and number.
+    std::map<std::pair<int, int>, bool> open_;
+    std::string failure_;
+    int answered_ = 0;
+    int notRun_ = 0;
+    int unknown_ = 0;
+};
+
+} // namespace endiveroad::test
