--- a/src/io/agent/CallRunner.cpp
+++ b/src/io/agent/CallRunner.cpp
@@ -149,6 +149,7 @@
     log(Event::CallStarted, { { "request", request.requestId } });
     try {
         const HttpResponse response = co_await http_.request(server_, std::move(message), demand.deadline);
+        log(Event::CallFinished, { { "request", request.requestId }, { "status", std::to_string(response.status) } });
         CallOutcome outcome { response.status, response.headers, response.body };
         wire::CallAnswer answer = toAnswer(outcome);
         admission_.finish(demand, std::move(outcome), now());
