Metrics of every process in the Prometheus text format, out of Boost.Accumulators

Cause: /metrics had two numbers, counted requests only, and agents had none.

Ruled out: quantiles over the life of a process (an operator needs the last minutes, and after an hour nothing moves them); histograms with fixed bounds (the bounds of a closure check and of a fetch that waits 20 s have nothing in common).

Change: MetricCodes.def lists counters and latencies; docs/METRICS.md is written from it and compared by a test. Every event and every error answer is counted under its code, so swaps, refusals, losses and alarms need no counters of their own. Latencies are extended_p_square accumulators in windows of a minute, exact for the first 100 samples of a window. Gauges: revision, peers, replicas, free slots, samples by state, held samples and bytes, weight version. A line or two each in files of others: HttpServer, StoreClient, CallRunner, JobRunner.

--- a/src/cli/StatusCommand.cpp
+++ b/src/cli/StatusCommand.cpp
@@ -26,6 +26,15 @@
     return Json::parse(askSurvey(options, question));
 }
 
+std::string askMetrics(const cxxopts::ParseResult& options)
+{
+    io::SurveyQuestion question;
+    question.type = io::MessageType::Status;
+    question.scope = io::SurveyScope::Self;
+    question.wantsMetrics = true;
+    return Json::parse(askSurvey(options, question)).at("metrics").get<std::string>();
+}
+
 /// Names of live processes that have not reached the revision, or of a process that was not seen.
 std::vector<std::string> behind(const Json& status, int64_t revision)
 {
@@ -64,6 +73,7 @@
     addCommonOptions(options);
     addPeerOptions(options);
     options.add_options()("json", "Print JSON in place of text")(
+        "metrics", "Print the metrics of the process that is asked, in the Prometheus text format")(
         "wait-revision", "Wait until all live processes have this settings revision", cxxopts::value<std::string>())(
         "timeout", "Longest time to wait for the revision, in s", cxxopts::value<std::string>()->default_value("30"));
     const auto result = parse(options, arguments);
@@ -73,6 +83,10 @@
     const bool isWaiting = result->count("wait-revision") != 0;
     if (isWaiting && scopeOption(*result) == io::SurveyScope::Self)
         throw UsageInvalidError("--wait-revision asks all processes; leave --self out");
+    if (result->count("metrics") != 0) {
+        fmt::print("{}", askMetrics(*result));
+        return exitOk;
+    }
     const Json status = isWaiting ? waitForRevision(*result) : askStatus(*result);
     if (result->count("json") != 0)
         fmt::print("{}\n", status.dump());
--- /dev/null
+++ b/src/core/metrics/LatencyWindow.cpp
@@ -0,0 +1,84 @@
+#include <endiveroad/Metrics.h>
+
+#include <algorithm>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+namespace endiveroad {
+
+namespace accumulators = boost::accumulators;
+
+/// Quantiles of one window: exact for the first samples, since the p-square markers mean nothing before they are
+/// spread.
+class LatencyWindow::Estimate {
+public:
+    Estimate()
+        : markers_(accumulators::tag::extended_p_square::probabilities = probabilities)
+    {
+    }
+
+    void add(double seconds)
+    {
+        markers_(seconds);
+        if (first_.size() < exactSamples)
+            first_.push_back(seconds);
+    }
+
+    std::array<double, 3> quantiles() const
+    {
+        std::array<double, 3> result {};
+        if (accumulators::count(markers_) > exactSamples) {
+            const auto estimates = accumulators::extended_p_square(markers_);
+            std::copy_n(estimates.begin(), result.size(), result.begin());
+            return result;
+        }
+        std::vector<double> sorted = first_;
+        std::sort(sorted.begin(), sorted.end());
+        for (size_t i = 0; i < result.size() && !sorted.empty(); ++i)
+            result[i] = sorted[std::min(sorted.size() - 1, static_cast<size_t>(probabilities[i] * sorted.size()))];
+        return result;
+    }
+
+private:
+    static constexpr size_t exactSamples = 100;
+
+    using Markers = accumulators::accumulator_set<double,
+        accumulators::stats<accumulators::tag::count, accumulators::tag::extended_p_square>>;
+
+    Markers markers_;
+    std::vector<double> first_;
+};
+
+LatencyWindow::LatencyWindow()
+    : present_(std::make_unique<Estimate>())
+{
+}
+
+LatencyWindow::~LatencyWindow() = default;
+LatencyWindow::LatencyWindow(LatencyWindow&&) noexcept = default;
+LatencyWindow& LatencyWindow::operator=(LatencyWindow&&) noexcept = default;
+
+void LatencyWindow::add(Duration latency, Instant now)
+{
+    if (now >= windowEnd_) {
+        const bool isAdjacent = now < windowEnd_ + window;
+        previous_ = isAdjacent ? std::move(present_) : nullptr;
+        present_ = std::make_unique<Estimate>();
+        windowEnd_ = now + window;
+    }
+    const double seconds = std::chrono::duration<double>(latency).count();
+    present_->add(seconds);
+    sumSeconds_ += seconds;
+    ++count_;
+}
+
+std::array<double, 3> LatencyWindow::quantiles(Instant now) const
+{
+    if (count_ == 0 || now >= windowEnd_ + window)
+        return {};
+    return previous_ ? previous_->quantiles() : present_->quantiles();
+}
+
+} // namespace endiveroad
--- /dev/null
+++ b/src/core/metrics/Metrics.cpp
@@ -0,0 +1,133 @@
+#include <endiveroad/Metrics.h>
+
+#include <fmt/format.h>
+#include <string_view>
+
+namespace endiveroad {
+
+namespace {
+
+struct Row {
+    std::string_view name;
+    std::string_view labels;
+    std::string_view help;
+};
+
+constexpr Row counterRows[] {
+#define COUNTER(type, name, labels, help) { name, labels, help },
+#define LATENCY(type, name, labels, help)
+#include <endiveroad/MetricCodes.def>
+#undef COUNTER
+#undef LATENCY
+};
+
+constexpr Row latencyRows[] {
+#define COUNTER(type, name, labels, help)
+#define LATENCY(type, name, labels, help) { name, labels, help },
+#include <endiveroad/MetricCodes.def>
+#undef COUNTER
+#undef LATENCY
+};
+
+/// Lines of the text format. A name's head is written once, before its first line.
+class Writer {
+public:
+    void line(const Row& row, std::string_view type, double value) { line(row, type, "", value); }
+
+    void line(const Row& row, std::string_view type, std::string_view suffix, double value)
+    {
+        head(row, type);
+        const std::string labels = row.labels.empty() ? "" : fmt::format("{{{}}}", row.labels);
+        text_ += fmt::format("{}{}{} {}\n", row.name, suffix, labels, value);
+    }
+
+    void head(const Row& row, std::string_view type)
+    {
+        if (row.name == last_)
+            return;
+        last_ = row.name;
+        text_ += fmt::format("# HELP {} {}\n# TYPE {} {}\n", row.name, row.help, row.name, type);
+    }
+
+    std::string take() { return std::move(text_); }
+
+private:
+    std::string text_;
+    std::string last_;
+};
+
+void writeLatency(Writer& writer, const Row& row, const LatencyWindow& latency, Instant now)
+{
+    const auto quantiles = latency.quantiles(now);
+    for (size_t i = 0; i < quantiles.size(); ++i) {
+        const std::string labels = fmt::format(
+            "{}{}quantile=\"{}\"", row.labels, row.labels.empty() ? "" : ",", LatencyWindow::probabilities[i]);
+        writer.line({ row.name, labels, row.help }, "summary", quantiles[i]);
+    }
+    writer.line(row, "summary", "_sum", latency.sumSeconds());
+    writer.line(row, "summary", "_count", static_cast<double>(latency.count()));
+}
+
+template <typename Key>
+uint64_t countOf(const std::map<Key, uint64_t>& counts, Key key)
+{
+    const auto found = counts.find(key);
+    return found == counts.end() ? 0 : found->second;
+}
+
+} // namespace
+
+void Metrics::record(Latency latency, Duration duration, Instant now)
+{
+    latencies_[static_cast<size_t>(latency)].add(duration, now);
+}
+
+uint64_t Metrics::value(Event event) const
+{
+    return countOf(events_, event);
+}
+
+uint64_t Metrics::value(ErrorCode code) const
+{
+    return countOf(errors_, code);
+}
+
+std::string Metrics::prometheusText(const std::vector<Gauge>& gauges, Instant now) const
+{
+    Writer writer;
+    for (size_t i = 0; i < counters_.size(); ++i)
+        writer.line(counterRows[i], "counter", static_cast<double>(counters_[i]));
+    for (const auto& [code, count] : errors_) {
+        const std::string labels = fmt::format("code=\"{}\"", codeText(code));
+        writer.line({ "endiveroad_errors_total", labels, "Error answers to callers by code." }, "counter",
+            static_cast<double>(count));
+    }
+    for (const auto& [event, count] : events_) {
+        const std::string labels
+            = fmt::format("event=\"{}\",level=\"{}\"", eventName(event), levelName(eventLevel(event)));
+        writer.line({ "endiveroad_events_total", labels, "Events of docs/EVENTS.md, logged or not." }, "counter",
+            static_cast<double>(count));
+    }
+    for (size_t i = 0; i < latencies_.size(); ++i)
+        writeLatency(writer, latencyRows[i], latencies_[i], now);
+    for (const Gauge& gauge : gauges)
+        writer.line({ gauge.name, gauge.labels, gauge.help }, "gauge", gauge.value);
+    return writer.take();
+}
+
+std::string labelValue(std::string_view text)
+{
+    std::string result;
+    for (char c : text) {
+        if (c == '\n') {
+            result += "\\n";
+            continue;
+        }
+        if (c == '\\' || c == '"')
+            result += '\\';
+        result += c;
+    }
+    return result;
+}
+
+} // namespace endiveroad
--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "io/Clock.h"
 #include "io/Log.h"
 #include "io/PeerConnection.h"
+#include "io/ProcessMetrics.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -61,6 +62,7 @@
 
 HttpResponse errorResponse(const Error& error, Duration retryAfter)
 {
+    processMetrics().count(error.code());
     nlohmann::json body { { "error", { { "code", codeText(error.code()) }, { "detail", error.what() } } } };
     HttpResponse response = jsonResponse(httpStatus(error.code()), {});
     if (retryAfter > Duration::zero()) {
--- a/src/io/Log.cpp
+++ b/src/io/Log.cpp
@@ -1,6 +1,7 @@
 #include "io/Log.h"
 
 #include "io/Clock.h"
+#include "io/ProcessMetrics.h"
 
 #include <cstdio>
 #include <ctime>
@@ -38,6 +39,7 @@
 
 void Log::write(Event event, LogFields fields)
 {
+    processMetrics().count(event);
     TimelineEntry entry { clock_.tick(wallMs()), node_, event, std::move(fields) };
     if (eventLevel(event) >= lowest_) {
         const std::string line = format_ == LogFormat::Json ? toJsonLine(entry) : toTextLine(entry);
--- a/src/io/Node.cpp
+++ b/src/io/Node.cpp
@@ -160,8 +160,26 @@
     }
 }
 
+std::string Node::metricsText() const
+{
+    std::vector<Gauge> gauges {
+        { "endiveroad_settings_revision", "", "Settings revision in force; 0 before the first.",
+            static_cast<double>(settings_.revision()) },
+        { "endiveroad_peers", "", "Open connections to peer processes.",
+            static_cast<double>(mesh_.connections().size() + accepted_.size()) },
+        { "endiveroad_draining", "", "1 while the process takes no new work.", isDraining_ ? 1.0 : 0.0 },
+    };
+    for (Gauge& gauge : nodeGauges())
+        gauges.push_back(std::move(gauge));
+    return processMetrics().prometheusText(gauges, now());
+}
+
 std::string Node::answerForSelf(const SurveyQuestion& question) const
 {
+    if (question.wantsMetrics)
+        return nlohmann::json {
+            { "name", options_.name }, { "role", options_.role }, { "metrics", metricsText() }
+        }.dump();
     if (question.type == MessageType::Timeline)
         return timelineJson(options_.name, options_.role, question.timeline);
     return statusJson();
--- a/src/io/Node.h
+++ b/src/io/Node.h
@@ -2,6 +2,7 @@
 
 #include "io/HttpClient.h"
 #include "io/PeerMesh.h"
+#include "io/ProcessMetrics.h"
 #include "io/SettingsKeeper.h"
 #include "io/StoreClient.h"
 #include "io/Survey.h"
@@ -56,6 +57,12 @@
     /// State of this process for operators as JSON text, with name, role, state and revision.
     virtual std::string statusJson() const = 0;
 
+    /// Values for the metrics beyond those that all processes have.
+    virtual std::vector<Gauge> nodeGauges() const = 0;
+
+    /// Metrics of this process in the Prometheus text format.
+    std::string metricsText() const;
+
     /// Other processes to ask for a question of the given scope.
     virtual std::vector<SurveyTarget> surveyTargets(SurveyScope) const = 0;
 
--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
+#include "io/ProcessMetrics.h"
 #include "wire/Codec.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -131,6 +132,8 @@
     header.stamp = Log::instance().clock().last();
     outgoing_.push_back(encodeFrame(header, payload));
     outgoingBytes_ += outgoing_.back().size();
+    processMetrics().count(Counter::FramesSent);
+    processMetrics().count(Counter::BytesSent, outgoing_.back().size());
     if (outgoingBytes_ > maxQueuedBytes)
         return close();
     writeWakeup_.cancel_one();
@@ -185,6 +188,8 @@
             std::string payload(header.length, '\0');
             co_await asio::async_read(socket_, asio::buffer(payload), asio::use_awaitable);
             checkPayload(headerBytes, payload);
+            processMetrics().count(Counter::FramesReceived);
+            processMetrics().count(Counter::BytesReceived, headerBytes.size() + payload.size());
             silentAt_ = now() + silenceLimit;
             Log::instance().clock().observe(header.stamp, wallMs());
             dispatch(header, std::move(payload));
--- a/src/io/StoreClient.cpp
+++ b/src/io/StoreClient.cpp
@@ -1,5 +1,7 @@
 #include "io/StoreClient.h"
 
+#include "io/ProcessMetrics.h"
+
 #include "core/base/ByteCodec.h"
 
 #include <endiveroad/Error.h>
@@ -75,14 +77,14 @@
 asio::awaitable<std::string> EtcdStoreClient::post(std::string target, std::string body, Instant deadline)
 {
     HttpRequest request = jsonRequest("POST", std::move(target), std::move(body));
+    processMetrics().count(Counter::StoreCalls);
     try {
         HttpResponse response = co_await http_.request(address_, std::move(request), deadline);
         if (response.status != 200)
             throw StoreUnavailableError(fmt::format("{} answered {}", address_.text(), response.status));
         co_return std::move(response.body);
-    } catch (const StoreUnavailableError&) {
-        throw;
     } catch (const Error& error) {
+        processMetrics().count(Counter::StoreFailures);
         throw StoreUnavailableError(error.what());
     }
 }
@@ -115,6 +117,7 @@
     std::string key, int64_t afterRevision, Instant deadline, std::function<void(StoredValue)> onChange)
 {
     HttpRequest request = jsonRequest("POST", "/v3/watch", watchBody(key, afterRevision));
+    processMetrics().count(Counter::StoreCalls);
     std::string pending;
     auto onBody = [&](std::string_view piece) {
         pending.append(piece);
--- a/src/io/Survey.cpp
+++ b/src/io/Survey.cpp
@@ -75,7 +75,7 @@
 {
     return Json {
         { "scope", scopeName(scope) }, { "sinceWallMs", timeline.sinceWallMs }, { "job", timeline.job },
-        { "request", timeline.request }, { "limit", timeline.limit }
+        { "request", timeline.request }, { "limit", timeline.limit }, { "metrics", wantsMetrics ? 1 : 0 }
     }.dump();
 }
 
@@ -90,6 +90,9 @@
     question.timeline.job = reader.text("job");
     question.timeline.request = reader.text("request");
     question.timeline.limit = reader.integer("limit", 0, maxInteger);
+    question.wantsMetrics = reader.integer("metrics", 0, 1) == 1;
+    if (question.wantsMetrics && question.scope != SurveyScope::Self)
+        throw BadRequestError("question.metrics is taken with scope self only");
     reader.finish();
     return question;
 }
--- a/src/io/Survey.h
+++ b/src/io/Survey.h
@@ -16,6 +16,8 @@
     MessageType type = MessageType::Status;
     SurveyScope scope = SurveyScope::All;
     TimelineQuery timeline;
+    /// Asks for the metrics text in place of the state; only with scope Self.
+    bool wantsMetrics = false;
 
     auto operator<=>(const SurveyQuestion&) const = default;
 
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -7,6 +7,7 @@
 
 #include <endiveroad/Error.h>
 #include <endiveroad_types.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace endiveroad::io {
@@ -265,4 +266,22 @@
     }.dump();
 }
 
+std::vector<Gauge> AgentNode::nodeGauges() const
+{
+    std::vector<Gauge> gauges;
+    const std::string labels = fmt::format("pool=\"{}\"", labelValue(pool_));
+    const auto add = [&](const char* name, const char* help, double value) {
+        gauges.push_back({ name, labels, help, value });
+    };
+    add("endiveroad_server_up", "1 while the backend server answers.", admission_.isServerUp() ? 1 : 0);
+    add("endiveroad_running", "Calls and samples that run on the backend server.", admission_.running());
+    add("endiveroad_free_slots", "Slots of the backend server that are free.", admission_.freeSlots());
+    add("endiveroad_weight_version", "Weight version of the engine; -1 while it is unknown.",
+        static_cast<double>(tracker_.version()));
+    add("endiveroad_held_samples", "Finished samples held for their trainer.", static_cast<double>(hold_.count()));
+    add("endiveroad_held_bytes", "Bytes of finished samples held for their trainer.",
+        static_cast<double>(hold_.bytes()));
+    return gauges;
+}
+
 } // namespace endiveroad::io
--- a/src/io/agent/AgentNode.h
+++ b/src/io/agent/AgentNode.h
@@ -28,6 +28,7 @@
     std::map<std::string, Address> peerTargets(const Settings&) const override;
     asio::awaitable<void> drain() override;
     std::string statusJson() const override;
+    std::vector<Gauge> nodeGauges() const override;
     std::vector<SurveyTarget> surveyTargets(SurveyScope) const override;
     PeerConnectionPtr surveyRelay() const override;
 
--- a/src/io/agent/CallRunner.cpp
+++ b/src/io/agent/CallRunner.cpp
@@ -3,6 +3,7 @@
 #include "io/Clock.h"
 #include "io/Log.h"
 #include "io/PeerConnection.h"
+#include "io/ProcessMetrics.h"
 
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
@@ -136,8 +137,11 @@
         message.headers.emplace_back(header.name, header.value);
     message.headers.emplace_back("X-Request-Id", request.requestId);
     log(Event::CallStarted, { { "request", request.requestId } });
+    processMetrics().count(Counter::BackendCalls);
+    const Instant start = now();
     try {
         const HttpResponse response = co_await http_.request(server_, std::move(message), deadline);
+        processMetrics().record(Latency::BackendCall, now() - start, now());
         log(Event::CallFinished, { { "request", request.requestId }, { "status", std::to_string(response.status) } });
         co_return toAnswer({ response.status, response.headers, response.body });
     } catch (const ServerUnavailableError& error) {
--- a/src/io/entry/EntryNode.cpp
+++ b/src/io/entry/EntryNode.cpp
@@ -34,6 +34,35 @@
     return response;
 }
 
+HttpResponse metricsResponse(std::string text)
+{
+    HttpResponse response;
+    response.status = 200;
+    response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+    response.body = std::move(text);
+    return response;
+}
+
+/// What a request of a kind is counted under.
+struct RequestMetrics {
+    Counter counter;
+    std::optional<Latency> latency;
+};
+
+RequestMetrics metricsOf(RouteKind kind)
+{
+    switch (kind) {
+    case RouteKind::ServiceCall:
+        return { Counter::ServiceCalls, Latency::ServiceCall };
+    case RouteKind::SubmitStep:
+        return { Counter::StepSubmissions, Latency::StepSubmission };
+    case RouteKind::Fetch:
+        return { Counter::Fetches, Latency::Fetch };
+    default:
+        return { Counter::OtherRequests, std::nullopt };
+    }
+}
+
 std::vector<wire::Header> headersToWire(const HeaderList& headers)
 {
     std::vector<wire::Header> result;
@@ -100,19 +129,32 @@
 
 asio::awaitable<void> EntryNode::onHttp(HttpExchange& exchange)
 {
-    ++requests_;
-    const HttpQuery& query = exchange.query();
+    const Instant start = now();
+    RequestMetrics metrics = metricsOf(RouteKind::Health);
     HttpResponse response;
+    bool isHandled = false;
     try {
-        const Route route = Route::parse(query.method, query.target);
-        if (route.kind == RouteKind::ServiceCall) {
-            co_await calls_->route(exchange, route.name, route.serviceTarget);
-            co_return;
-        }
-        response = co_await respond(query, route);
+        const Route route = Route::parse(exchange.query().method, exchange.query().target);
+        metrics = metricsOf(route.kind);
+        co_await handle(exchange, route);
+        isHandled = true;
     } catch (const Error& error) {
-        response = toResponse(error, query);
+        response = toResponse(error, exchange.query());
+    }
+    if (!isHandled)
+        co_await exchange.answer(std::move(response));
+    processMetrics().count(metrics.counter);
+    if (metrics.latency)
+        processMetrics().record(*metrics.latency, now() - start, now());
+}
+
+asio::awaitable<void> EntryNode::handle(HttpExchange& exchange, const Route& route)
+{
+    if (route.kind == RouteKind::ServiceCall) {
+        co_await calls_->route(exchange, route.name, route.serviceTarget);
+        co_return;
     }
+    HttpResponse response = co_await respond(exchange.query(), route);
     co_await exchange.answer(std::move(response));
 }
 
@@ -126,7 +168,7 @@
             throw NotReadyError("the entry is leaving");
         co_return jsonResponse(200, fmt::format(R"({{"status":"ready","revision":{}}})", settings()->revision));
     case RouteKind::Metrics:
-        co_return metrics();
+        co_return metricsResponse(metricsText());
     default:
         co_return co_await jobRequest(std::move(query), std::move(route), false);
     }
@@ -329,13 +371,40 @@
     return status.dump();
 }
 
-HttpResponse EntryNode::metrics() const
+std::vector<Gauge> EntryNode::nodeGauges() const
 {
-    std::string text
-        = fmt::format("# TYPE endiveroad_requests_total counter\nendiveroad_requests_total {}\n", requests_);
-    text += fmt::format(
-        "# TYPE endiveroad_settings_revision gauge\nendiveroad_settings_revision {}\n", keeper().revision());
-    return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text };
+    std::vector<Gauge> gauges;
+    const auto add = [&](const char* name, std::string labels, const char* help, double value) {
+        gauges.push_back({ name, std::move(labels), help, value });
+    };
+    for (const auto& [pool, table] : agents_.tables()) {
+        const auto reports = table.reports();
+        const auto up = std::count_if(
+            reports.begin(), reports.end(), [](const ReplicaReport& report) { return report.isServerUp; });
+        add("endiveroad_replicas_up", fmt::format("pool=\"{}\"", labelValue(pool)),
+            "Replicas whose backend server answers.", static_cast<double>(up));
+    }
+    for (const auto& [pool, table] : agents_.tables()) {
+        double freeSlots = 0;
+        for (const ReplicaReport& report : table.reports())
+            freeSlots += report.freeSlots;
+        add("endiveroad_pool_free_slots", fmt::format("pool=\"{}\"", labelValue(pool)),
+            "Free slots that the agents of a pool reported.", freeSlots);
+    }
+    for (const auto& [job, runner] : runners_) {
+        StepProgress sum;
+        for (const StepProgress& step : runner->progress()) {
+            sum.wanted += step.wanted;
+            sum.finished += step.finished;
+            sum.received += step.received;
+        }
+        const std::string label = labelValue(job);
+        constexpr const char* help = "Samples of the open steps coordinated here.";
+        add("endiveroad_samples", fmt::format("job=\"{}\",state=\"wanted\"", label), help, sum.wanted);
+        add("endiveroad_samples", fmt::format("job=\"{}\",state=\"finished\"", label), help, sum.finished);
+        add("endiveroad_samples", fmt::format("job=\"{}\",state=\"received\"", label), help, sum.received);
+    }
+    return gauges;
 }
 
 } // namespace endiveroad::io
--- a/src/io/entry/EntryNode.h
+++ b/src/io/entry/EntryNode.h
@@ -28,9 +28,11 @@
     std::map<std::string, Address> peerTargets(const Settings&) const override;
     asio::awaitable<void> drain() override;
     std::string statusJson() const override;
+    std::vector<Gauge> nodeGauges() const override;
     std::vector<SurveyTarget> surveyTargets(SurveyScope) const override;
 
 private:
+    asio::awaitable<void> handle(HttpExchange&, const Route&);
     asio::awaitable<HttpResponse> respond(HttpQuery, Route);
     asio::awaitable<HttpResponse> jobRequest(HttpQuery, Route, bool isForwarded);
     asio::awaitable<HttpResponse> jobRequestHere(const HttpQuery&, const Route&);
@@ -41,14 +43,12 @@
     /// The live entry that coordinates a job; this one's name if it is itself.
     std::string homeOf(const std::string& job) const;
     JobRunner& runner(const JobDeclaration&);
-    HttpResponse metrics() const;
 
     std::unique_ptr<HttpServer> server_;
     AgentDirectory agents_;
     std::unique_ptr<CallRouter> calls_;
     std::unique_ptr<WeightRollout> rollout_;
     std::map<std::string, std::unique_ptr<JobRunner>> runners_;
-    uint64_t requests_ = 0;
 };
 
 } // namespace endiveroad::io
--- a/src/io/entry/JobRunner.h
+++ b/src/io/entry/JobRunner.h
@@ -33,6 +33,7 @@
     asio::awaitable<HttpResponse> fetch(std::string body);
 
     HttpResponse state() const;
+    std::vector<StepProgress> progress() const { return coordinator_.progress(); }
 
     /// Newest version that the trainer has named in a fetch or an announcement.
     WeightVersion policyVersion() const { return coordinator_.policyVersion(); }
--- a/tests/core/CatalogueTest.cpp
+++ b/tests/core/CatalogueTest.cpp
@@ -53,6 +53,19 @@
     CHECK(numbers.size() == expected.size());
 }
 
+TEST_CASE("docs/METRICS.md lists just the counters and latencies of the code", "[catalogue]")
+{
+    Rows expected;
+#define COUNTER(type, name, labels, help)                                                                              \
+    expected.push_back(fmt::format("| `{}` | `{}` | counter | {} |", name, labels, help));
+#define LATENCY(type, name, labels, help)                                                                              \
+    expected.push_back(fmt::format("| `{}` | `{}` | latency | {} |", name, labels, help));
+#include <endiveroad/MetricCodes.def>
+#undef COUNTER
+#undef LATENCY
+    CHECK(documentedRows("METRICS.md") == expected);
+}
+
 TEST_CASE("each error code is found again by its text", "[catalogue]")
 {
 #define ERROR_CODE(type, code, status, meaning) CHECK(codeFromText(code) == ErrorCode::type);
--- /dev/null
+++ b/tests/core/MetricsTest.cpp
@@ -0,0 +1,92 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <endiveroad/Metrics.h>
+#include <random>
+#include <regex>
+#include <set>
+#include <sstream>
+
+using namespace endiveroad;
+
+namespace {
+
+constexpr Duration aMillisecond = std::chrono::milliseconds(1);
+
+/// Share of the samples at or below a value.
+double rankOf(const std::vector<double>& samples, double value)
+{
+    const auto below = std::count_if(samples.begin(), samples.end(), [&](double sample) { return sample <= value; });
+    return static_cast<double>(below) / static_cast<double>(samples.size());
+}
+
+} // namespace
+
+TEST_CASE("quantile estimates are near the true ranks", "[metrics]")
+{
+    for (const uint32_t seed : { 1U, 2U, 3U }) {
+        for (const size_t samples : { 1U, 10U, 100U, 101U, 5000U }) {
+            std::mt19937 random(seed);
+            std::lognormal_distribution<double> seconds(-7, 1);
+            std::vector<double> all;
+            LatencyWindow window;
+            for (size_t i = 0; i < samples; ++i) {
+                const auto latency
+                    = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds(random)));
+                all.push_back(std::chrono::duration<double>(latency).count());
+                window.add(latency, Instant());
+            }
+            const auto quantiles = window.quantiles(Instant());
+            INFO("seed " << seed << ", samples " << samples);
+            CHECK(window.count() == samples);
+            for (size_t i = 0; i < quantiles.size(); ++i) {
+                const double tolerance = samples < 100 ? 1.0 / static_cast<double>(samples) : 0.04;
+                CHECK(rankOf(all, quantiles[i]) >= LatencyWindow::probabilities[i] - tolerance);
+                CHECK(rankOf(all, quantiles[i]) <= LatencyWindow::probabilities[i] + tolerance);
+            }
+        }
+    }
+}
+
+TEST_CASE("quantiles forget what is older than two windows", "[metrics]")
+{
+    LatencyWindow window;
+    const Instant start {};
+    window.add(std::chrono::seconds(9), start);
+    CHECK(window.quantiles(start)[0] == Approx(9));
+    const Instant second = start + LatencyWindow::window;
+    window.add(aMillisecond, second);
+    CHECK(window.quantiles(second)[0] == Approx(9));
+    const Instant third = second + LatencyWindow::window;
+    window.add(aMillisecond, third);
+    CHECK(window.quantiles(third)[0] == Approx(0.001));
+    CHECK(window.quantiles(third + 2 * LatencyWindow::window)[0] == 0);
+    CHECK(window.sumSeconds() == Approx(9.002));
+}
+
+TEST_CASE("metrics follow the Prometheus text format", "[metrics]")
+{
+    Metrics metrics;
+    metrics.count(Counter::FramesSent, 3);
+    metrics.count(Event::SwapConfirmed);
+    metrics.count(ErrorCode::NotRun);
+    metrics.record(Latency::ServiceCall, aMillisecond, Instant());
+    const std::string text = metrics.prometheusText(
+        { { "endiveroad_x", "job=\"" + labelValue("a\"\\\n") + "\"", "Help.", 2.5 } }, Instant());
+    for (const char* line : { "endiveroad_frames_total{direction=\"sent\"} 3",
+             "endiveroad_events_total{event=\"SwapConfirmed\",level=\"info\"} 1",
+             "endiveroad_errors_total{code=\"not_run\"} 1", "endiveroad_x{job=\"a\\\"\\\\\\n\"} 2.5",
+             "endiveroad_request_seconds{kind=\"service\",quantile=\"0.99\"} 0.001",
+             "endiveroad_request_seconds_count{kind=\"service\"} 1", "endiveroad_store_calls_total 0" })
+        CHECK(text.find(std::string("\n") + line + "\n") != std::string::npos);
+    const std::regex sample(R"re([a-z_]+(\{[a-z]+="([^"\\]|\\.)*"(,[a-z]+="([^"\\]|\\.)*")*\})? [-+.e0-9]+)re");
+    const std::regex head(R"(# (HELP [a-z_]+ .+|TYPE [a-z_]+ (counter|gauge|summary)))");
+    std::set<std::string> heads;
+    std::istringstream stream(text);
+    for (std::string line; std::getline(stream, line);) {
+        INFO(line);
+        const bool isHead = line.starts_with('#');
+        CHECK(std::regex_match(line, isHead ? head : sample));
+        if (isHead)
+            CHECK(heads.insert(line.substr(0, line.find(' ', 7))).second);
+    }
+}
--- a/tests/process/operator_view.py
+++ b/tests/process/operator_view.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+import urllib.request
 
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..")
 sys.path.insert(0, os.path.join(ROOT, "scripts", "lib"))
@@ -81,6 +82,32 @@
     assert len({line["fields"]["request"] for line in lines}) == 1, lines
 
 
+def check_metrics(view, deployment):
+    """What was done before shows in the metrics of the entries and, by status, of the agents."""
+    texts = {name: view.run(name, "status", "--self", "--metrics")[1] for name in deployment.peers}
+    total = {}
+    for name, text in texts.items():
+        for line in text.splitlines():
+            if not line.startswith("#"):
+                metric, value = line.rsplit(" ", 1)
+                total[metric] = total.get(metric, 0) + float(value)
+        assert "endiveroad_settings_revision 1\n" in text, (name, text)
+    with urllib.request.urlopen("http://%s/metrics" % next(iter(deployment.entries.values())), timeout=5) as answer:
+        assert answer.headers["Content-Type"].startswith("text/plain; version=0.0.4")
+        names = {line.split(" ")[2] for line in answer.read().decode().splitlines() if line.startswith("# TYPE")}
+    assert {"endiveroad_requests_total", "endiveroad_request_seconds", "endiveroad_replicas_up"} <= names, names
+    for metric, least in (('endiveroad_requests_total{kind="submit"}', 1), ('endiveroad_requests_total{kind="fetch"}', 1),
+                          ('endiveroad_requests_total{kind="service"}', 1), ("endiveroad_backend_calls_total", 2),
+                          ('endiveroad_request_seconds_count{kind="service"}', 1), ("endiveroad_backend_seconds_count", 2),
+                          ('endiveroad_samples{job="hazard-drafts",state="wanted"}', 1),
+                          ('endiveroad_held_samples{pool="ledge-lm"}', 1), ("endiveroad_peers", len(texts)),
+                          ("endiveroad_store_calls_total", 2 * len(texts)),
+                          ('endiveroad_events_total{event="SampleFinished",level="debug"}', 2)):
+        assert total.get(metric, 0) >= least, (metric, total.get(metric))
+    sent, received = (total['endiveroad_frames_total{direction="%s"}' % way] for way in ("sent", "received"))
+    assert 0 < received and 0.5 < sent / received < 2, (sent, received)
+
+
 def check_page(view, entry, names):
     path = os.path.join(view.deployment.dir, "timeline.html")
     code, _, error = view.run(entry, "timeline", "--html", path)
@@ -129,6 +156,7 @@
         check_status(view, names)
         check_sample(view, entry, address)
         check_call(view, entry, address)
+        check_metrics(view, deployment)
         check_page(view, entry, names)
         check_revision(view, entry, names)
         check_outage(view, entry, names)
