--- a/src/io/Node.cpp
+++ b/src/io/Node.cpp
@@ -73,7 +73,7 @@
     try {
         const auto address = peerAddress(*inForce);
         if (address && !acceptor_)
-            listenForPeers(*address);
+            listenForPeers(options_.peerListen.value_or(*address));
         if (!address)
             log(Event::NotDeclared, { { "revision", std::to_string(inForce->revision) } });
         onSettings(before, inForce);
