--- a/src/io/Node.h
+++ b/src/io/Node.h
@@ -2,6 +2,7 @@
 
 #include "io/HttpClient.h"
 #include "io/PeerMesh.h"
+#include "io/ProcessMetrics.h"
 #include "io/SettingsKeeper.h"
 #include "io/StoreClient.h"
 #include "io/Survey.h"
@@ -24,18 +25,22 @@
     std::vector<Address> peers;
     /// Address to bind for peers if they reach this process through another one; else the declared address.
     std::optional<Address> peerListen;
+    /// File of the shared keys; without it everyone is accepted.
+    std::optional<std::string> keyFile;
 };
 
 class Node : public PeerHandler {
 public:
     explicit Node(NodeOptions);
 
-    /// Runs until the process was told to stop and has finished its work. Throws AddressInUseError.
+    /// Runs until the process was told to stop and has finished its work. Throws AddressInUseError, and for the key
+    /// file FileUnreadableError or KeyFileInvalidError.
     void run();
 
     asio::awaitable<std::string> onRequest(PeerConnectionPtr, PeerMessage) final;
     void onNotice(const PeerConnectionPtr&, const PeerMessage&) final;
     void onClosed(const PeerConnectionPtr&) final;
+    std::shared_ptr<const AccessKeys> accessKeys() const final { return keys_; }
 
 protected:
     /// New settings are in force; before is null for the first.
@@ -61,6 +66,12 @@
     /// State of this process for operators as JSON text, with name, role, state and revision.
     virtual std::string statusJson() const = 0;
 
+    /// Values for the metrics beyond those that all processes have.
+    virtual std::vector<Gauge> nodeGauges() const = 0;
+
+    /// Metrics of this process in the Prometheus text format.
+    std::string metricsText() const;
+
     /// Other processes to ask for a question of the given scope.
     virtual std::vector<SurveyTarget> surveyTargets(SurveyScope) const = 0;
 
@@ -83,6 +94,10 @@
 private:
     asio::awaitable<std::string> answerSurvey(PeerMessage);
     std::string answerForSelf(const SurveyQuestion&) const;
+    void loadKeys();
+    /// Reads the key file again whenever it changes.
+    asio::awaitable<void> followKeys();
+    void closeUnproven();
     void listenForPeers(const Address&);
     asio::awaitable<void> acceptPeers();
     asio::awaitable<void> stopGracefully();
@@ -103,6 +118,7 @@
     std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
     std::set<PeerConnectionPtr> accepted_;
     Instant settingsSince_ = never;
+    std::shared_ptr<const AccessKeys> keys_;
     bool isDraining_ = false;
     std::exception_ptr failure_;
 };
