--- a/src/io/Node.h
+++ b/src/io/Node.h
@@ -117,8 +117,8 @@
     PeerMesh mesh_;
     std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
     std::set<PeerConnectionPtr> accepted_;
-    Instant settingsSince_ = never;
     std::shared_ptr<const AccessKeys> keys_;
+    Instant settingsSince_ = never;
     bool isDraining_ = false;
     std::exception_ptr failure_;
 };
