Requests that were not sent, came late or came twice are known as such

Cause: PeerConnection::call said "unknown" also for a request of which no byte was written; a request that lay in the buffers of a paused process was run with a fresh time budget on waking, and so could overtake a refusal of its key; a doubled frame was served twice; Cancel frames were ignored; a request whose caller had closed was begun.

Ruled out: wall time in frames (depends on two clocks) and noticing one's own pauses by a timer (misses full buffers).

Change: heartbeats carry the sender's clock and every frame echoes the receiver's last one, so that the receiver bounds a request's age on its own clock; over 2.5 s it is not passed on and its sender is told so (protocol version 3). Queued requests are withdrawn at their deadline. Request numbers only grow. A caller's disconnect or a Cancel ends idempotent work at the backend server. HttpServer does not begin a request whose caller has closed.

Every prefix of a sized and a chunked answer, closed and reset, ends as outcome_unknown.

Not done: streaming bodies between agent and entry (FrameKind::Part), 10,000 idle connections, slow headers on sockets.

--- a/src/io/Frame.cpp
+++ b/src/io/Frame.cpp
@@ -33,7 +33,7 @@
     writer.u64(header.correlation);
     writer.u64(static_cast<uint64_t>(header.stamp.wallMs));
     writer.u32(header.stamp.counter);
-    writer.u32(0);
+    writer.u32(header.echoMs);
     writer.u64(checksum(writer.bytes(), payload));
     writer.raw(payload);
     return writer.bytes();
@@ -62,7 +62,7 @@
     header.correlation = reader.u64();
     header.stamp.wallMs = static_cast<int64_t>(reader.u64());
     header.stamp.counter = reader.u32();
-    reader.u32();
+    header.echoMs = reader.u32();
     header.checksum = reader.u64();
     return header;
 }
--- a/src/io/Frame.h
+++ b/src/io/Frame.h
@@ -31,11 +31,11 @@
 };
 
 /// Header of a frame. On the wire: magic u16, version u8, kind u8, type u16, zero u16, length u32, budgetMs u32,
-/// correlation u64, stamp wall time u64, stamp counter u32, zero u32, checksum u64, all little-endian.
+/// correlation u64, stamp wall time u64, stamp counter u32, echoMs u32, checksum u64, all little-endian.
 struct FrameHeader {
     static constexpr size_t size = 48;
     static constexpr uint16_t magic = 0x5245;
-    static constexpr uint8_t protocolVersion = 2;
+    static constexpr uint8_t protocolVersion = 3;
     static constexpr uint32_t maxLength = 64U << 20;
 
     FrameKind kind = FrameKind::Notice;
@@ -43,9 +43,13 @@
     uint32_t length = 0;
     /// Time left until the deadline of a request, in ms; 0 means none.
     uint32_t budgetMs = 0;
+    /// Matches answers, parts and cancellations with their request; a heartbeat carries the sender's clock in ms.
     uint64_t correlation = 0;
     /// The sender's hybrid clock, so that what a message causes is ordered after what caused it.
     HybridStamp stamp;
+    /// Clock of the last heartbeat that the sender had from the receiver, so that the receiver can tell, on its own
+    /// clock alone, that the frame was sent later than that. 0 if there was none.
+    uint32_t echoMs = 0;
     /// XXH3 over the header's other bytes and the payload.
     uint64_t checksum = 0;
 
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -145,6 +145,8 @@
 {
     HttpCancellation unused;
     HttpCancellation& cancel = cancellation ? *cancellation : unused;
+    if (cancel.isCancelled())
+        throw ServerUnavailableError("the request was cancelled before it was sent");
     auto stream = co_await open(address, deadline);
     const CancellationScope scope(cancel.stream_, stream.get());
     stream->expires_at(steady(deadline));
--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -192,6 +192,17 @@
         }
     }
 
+    /// True if the end of the caller's connection can be read. Then the caller has given the request up, maybe long ago
+    /// while this process was paused, and it must not be begun.
+    bool hasCallerLeft()
+    {
+        char byte = 0;
+        error_code error;
+        stream_.socket().non_blocking(true, error);
+        stream_.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        return error && error != asio::error::would_block;
+    }
+
     bool hasExtraInput() const { return buffer_.size() > 0; }
 
     asio::awaitable<bool> readRequest()
@@ -224,6 +235,11 @@
             co_await answer(errorResponse(BadRequestError("pipelined requests are not taken")));
             co_return false;
         }
+        if (hasCallerLeft()) {
+            isClosing_ = true;
+            co_await answer(errorResponse(BadRequestError("the connection ended before the request was begun")));
+            co_return false;
+        }
         isClosing_ = !parser.get().keep_alive();
         isAnswered_ = false;
         query_ = toQuery(parser.release());
@@ -269,10 +285,7 @@
         stream_.socket().async_wait(asio::socket_base::wait_read, [self, exchange](error_code error) {
             if (error || exchange != self->exchange_)
                 return;
-            char byte = 0;
-            self->stream_.socket().non_blocking(true, error);
-            self->stream_.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-            if (!error || error == asio::error::would_block)
+            if (!self->hasCallerLeft())
                 return;
             self->isDisconnected_ = true;
             self->isClosing_ = true;
--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -4,6 +4,7 @@
 #include "io/Log.h"
 #include "wire/Codec.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,6 +24,13 @@
 
 constexpr size_t maxFramesPerWrite = 64;
 
+/// This process's clock as heartbeats carry it: ms, wraps, never 0.
+uint32_t clockMs()
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now().time_since_epoch()).count();
+    return static_cast<uint32_t>(milliseconds) | 1U;
+}
+
 std::string encodeError(const Error& error)
 {
     wire::CallAnswer answer;
@@ -72,6 +80,7 @@
     , handler_(handler)
     , writeWakeup_(socket_.get_executor())
     , heartbeatTimer_(socket_.get_executor())
+    , firstHeartbeat_(socket_.get_executor(), asio::steady_timer::time_point::max())
 {
     error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -119,6 +128,9 @@
     socket_.close(ignored);
     writeWakeup_.cancel();
     heartbeatTimer_.cancel();
+    firstHeartbeat_.cancel();
+    for (auto& [correlation, cancellation] : std::exchange(served_, {}))
+        cancellation->cancel();
     for (auto& [correlation, call] : pending_)
         call->timer.cancel();
     handler_.onClosed(shared_from_this());
@@ -129,13 +141,27 @@
     if (!isOpen_)
         return;
     header.stamp = Log::instance().clock().last();
-    outgoing_.push_back(encodeFrame(header, payload));
-    outgoingBytes_ += outgoing_.back().size();
+    header.echoMs = peerClockMs_;
+    const uint64_t request = header.kind == FrameKind::Request ? header.correlation : 0;
+    outgoing_.push_back({ encodeFrame(header, payload), request });
+    outgoingBytes_ += outgoing_.back().bytes.size();
     if (outgoingBytes_ > maxQueuedBytes)
         return close();
     writeWakeup_.cancel_one();
 }
 
+/// Takes a request back that is still queued. False if it is not: some of it may have been written.
+bool PeerConnection::withdraw(uint64_t correlation)
+{
+    const auto found = std::find_if(outgoing_.begin(), outgoing_.end(),
+        [correlation](const Outgoing& frame) { return frame.correlation == correlation; });
+    if (found == outgoing_.end())
+        return false;
+    outgoingBytes_ -= std::min(outgoingBytes_, found->bytes.size());
+    outgoing_.erase(found);
+    return true;
+}
+
 void PeerConnection::notify(MessageType type, const std::string& payload)
 {
     FrameHeader header;
@@ -144,36 +170,62 @@
     send(header, payload);
 }
 
-asio::awaitable<std::string> PeerConnection::call(MessageType type, std::string payload, Instant deadline)
+asio::awaitable<std::string> PeerConnection::call(
+    MessageType type, std::string payload, Instant deadline, PeerCancellationPtr cancellation)
 {
-    if (!isOpen_)
-        throw PeerUnavailableError("the connection is closed");
     auto self = shared_from_this();
+    if (isOpen_ && peerClockMs_ == 0)
+        co_await awaitFirstHeartbeat(deadline);
+    if (!isOpen_ || peerClockMs_ == 0)
+        throw PeerUnavailableError("the connection is closed or not yet in use");
     FrameHeader header;
     header.kind = FrameKind::Request;
     header.type = type;
     header.correlation = nextCorrelation_++;
     header.budgetMs = static_cast<uint32_t>(std::clamp<int64_t>(millisecondsLeft(deadline), 1, UINT32_MAX));
-    auto pending
-        = std::make_shared<PendingCall>(PendingCall { asio::steady_timer(socket_.get_executor()), {}, false, false });
+    auto pending = std::make_shared<PendingCall>(socket_.get_executor());
     pending_.emplace(header.correlation, pending);
+    if (cancellation)
+        cancellation->onCancel([pending] { pending->timer.cancel(); });
     send(header, payload);
     payload.clear();
-    while (isOpen_ && !pending->isAnswered && now() < deadline)
+    while (isOpen_ && !pending->isAnswered && now() < deadline && !(cancellation && cancellation->isCancelled()))
         co_await waitUntil(pending->timer, deadline);
     pending_.erase(header.correlation);
-    if (!pending->isAnswered) {
-        FrameHeader cancel;
-        cancel.kind = FrameKind::Cancel;
-        cancel.correlation = header.correlation;
-        send(cancel, {});
-        throw OutcomeUnknownError(isOpen_ ? "the peer did not answer in time" : "the connection to the peer was lost");
-    }
+    if (cancellation)
+        cancellation->onCancel(nullptr);
+    if (!pending->isAnswered)
+        giveUp(header.correlation, *pending);
     if (pending->isError)
         throwAnsweredError(pending->payload);
     co_return std::move(pending->payload);
 }
 
+/// Ends a call without an answer: as not sent if it can be withdrawn, else as unknown.
+void PeerConnection::giveUp(uint64_t correlation, const PendingCall& pending)
+{
+    if (withdraw(correlation) || !pending.isWritten)
+        throw PeerUnavailableError("the request was not sent");
+    FrameHeader cancel;
+    cancel.kind = FrameKind::Cancel;
+    cancel.correlation = correlation;
+    send(cancel, {});
+    throw OutcomeUnknownError(isOpen_ ? "the peer did not answer in time" : "the connection to the peer was lost");
+}
+
+asio::awaitable<void> PeerConnection::awaitFirstHeartbeat(Instant deadline)
+{
+    auto self = shared_from_this();
+    asio::steady_timer giveUp(socket_.get_executor(), steady(deadline));
+    giveUp.async_wait([self](error_code error) {
+        if (!error)
+            self->firstHeartbeat_.cancel();
+    });
+    error_code ignored;
+    while (isOpen_ && peerClockMs_ == 0 && now() < deadline)
+        co_await firstHeartbeat_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 asio::awaitable<void> PeerConnection::readLoop()
 {
     auto self = shared_from_this();
@@ -185,6 +237,8 @@
             std::string payload(header.length, '\0');
             co_await asio::async_read(socket_, asio::buffer(payload), asio::use_awaitable);
             checkPayload(headerBytes, payload);
+            if (now() > silentAt_)
+                break;
             silentAt_ = now() + silenceLimit;
             Log::instance().clock().observe(header.stamp, wallMs());
             dispatch(header, std::move(payload));
@@ -203,13 +257,10 @@
     if (header.budgetMs != 0)
         message.deadline = now() + std::chrono::milliseconds(header.budgetMs);
     switch (header.kind) {
-    case FrameKind::Request: {
+    case FrameKind::Request:
         message.payload = std::move(payload);
-        auto self = shared_from_this();
-        spawn(socket_.get_executor(),
-            [self, header, message = std::move(message)] { return self->serve(header, message); });
+        onRequest(header, std::move(message));
         break;
-    }
     case FrameKind::Answer:
         onAnswer(header, std::move(payload));
         break;
@@ -218,12 +269,46 @@
         handler_.onNotice(shared_from_this(), message);
         break;
     case FrameKind::Heartbeat:
+        onHeartbeat(header);
+        break;
     case FrameKind::Cancel:
+        if (const auto found = served_.find(header.correlation); found != served_.end())
+            found->second->cancel();
+        break;
     case FrameKind::Part:
         break;
     }
 }
 
+void PeerConnection::onHeartbeat(const FrameHeader& header)
+{
+    const bool isFirst = peerClockMs_ == 0;
+    peerClockMs_ = static_cast<uint32_t>(header.correlation);
+    if (isFirst)
+        firstHeartbeat_.cancel();
+}
+
+void PeerConnection::onRequest(const FrameHeader& header, PeerMessage message)
+{
+    if (header.correlation <= lastRequest_)
+        throw FrameInvalidError("a request number came twice");
+    lastRequest_ = header.correlation;
+    const auto age = std::chrono::milliseconds(static_cast<int32_t>(clockMs() - header.echoMs));
+    if (header.echoMs == 0 || age > maxRequestAge) {
+        FrameHeader answer;
+        answer.kind = FrameKind::Answer;
+        answer.type = MessageType::Error;
+        answer.correlation = header.correlation;
+        send(answer, encodeError(PeerUnavailableError("the request came too late and was not passed on")));
+        return;
+    }
+    message.cancellation = std::make_shared<PeerCancellation>();
+    served_.emplace(header.correlation, message.cancellation);
+    auto self = shared_from_this();
+    spawn(
+        socket_.get_executor(), [self, header, message = std::move(message)] { return self->serve(header, message); });
+}
+
 void PeerConnection::onAnswer(const FrameHeader& header, std::string payload)
 {
     const auto found = pending_.find(header.correlation);
@@ -252,9 +337,24 @@
         header.type = MessageType::Error;
         payload = encodeError(OutcomeUnknownError(error.what()));
     }
+    served_.erase(request.correlation);
     send(header, payload);
 }
 
+std::string PeerConnection::takeBatch()
+{
+    std::string batch;
+    for (size_t i = 0; i < maxFramesPerWrite && !outgoing_.empty(); ++i) {
+        Outgoing frame = std::move(outgoing_.front());
+        outgoing_.pop_front();
+        const auto found = pending_.find(frame.correlation);
+        if (found != pending_.end())
+            found->second->isWritten = true;
+        batch += frame.bytes;
+    }
+    return batch;
+}
+
 asio::awaitable<void> PeerConnection::writeLoop()
 {
     auto self = shared_from_this();
@@ -263,11 +363,7 @@
             co_await waitUntil(writeWakeup_, never);
             continue;
         }
-        std::string batch;
-        for (size_t i = 0; i < maxFramesPerWrite && !outgoing_.empty(); ++i) {
-            batch += outgoing_.front();
-            outgoing_.pop_front();
-        }
+        const std::string batch = takeBatch();
         error_code error;
         co_await asio::async_write(socket_, asio::buffer(batch), asio::redirect_error(asio::use_awaitable, error));
         outgoingBytes_ -= std::min(outgoingBytes_, batch.size());
@@ -282,6 +378,7 @@
     while (isOpen_) {
         FrameHeader header;
         header.kind = FrameKind::Heartbeat;
+        header.correlation = clockMs();
         send(header, {});
         co_await waitUntil(heartbeatTimer_, now() + heartbeatInterval);
         if (isOpen_ && now() > silentAt_) {
--- a/src/io/PeerConnection.h
+++ b/src/io/PeerConnection.h
@@ -17,7 +17,8 @@
 
 /// Framed connections between endiveroad processes. Both ends may send requests; answers come back in any order and
 /// are matched by correlation number. A connection on which nothing is heard for silenceLimit is closed, and its open
-/// requests end as unknown.
+/// requests end as unknown, or as not sent if no byte of them was written. A request that was under way for longer than
+/// maxRequestAge, be it in a queue, in the network or in the buffers of a paused process, is not passed on.
 namespace endiveroad::io {
 
 namespace asio = boost::asio;
@@ -25,12 +26,40 @@
 class PeerConnection;
 using PeerConnectionPtr = std::shared_ptr<PeerConnection>;
 
+/// Tells the one who serves a request that its sender no longer waits, and the one who sends it to wait no longer.
+class PeerCancellation {
+public:
+    void cancel()
+    {
+        isCancelled_ = true;
+        if (onCancel_)
+            onCancel_();
+    }
+    bool isCancelled() const { return isCancelled_; }
+
+    /// Sets what to call at cancel(); called at once if that has happened.
+    void onCancel(std::function<void()> callback)
+    {
+        onCancel_ = std::move(callback);
+        if (isCancelled_ && onCancel_)
+            onCancel_();
+    }
+
+private:
+    bool isCancelled_ = false;
+    std::function<void()> onCancel_;
+};
+
+using PeerCancellationPtr = std::shared_ptr<PeerCancellation>;
+
 /// A request or notice as received.
 struct PeerMessage {
     MessageType type = MessageType::None;
     std::string payload;
     /// The sender's deadline, mapped onto this process's clock; never if it gave none.
     Instant deadline = never;
+    /// Set for requests.
+    PeerCancellationPtr cancellation = nullptr;
 };
 
 /// What a process does with messages of its peers.
@@ -50,6 +79,8 @@
     static constexpr Duration heartbeatInterval = std::chrono::milliseconds(500);
     static constexpr Duration silenceLimit = std::chrono::milliseconds(2000);
     static constexpr Duration connectTimeout = std::chrono::milliseconds(1000);
+    /// Longest time between a request's call() and its arrival, counted from the receiver's last echoed heartbeat.
+    static constexpr Duration maxRequestAge = std::chrono::milliseconds(2500);
     static constexpr size_t maxQueuedBytes = 256U << 20;
 
     PeerConnection(asio::ip::tcp::socket, PeerHandler&);
@@ -60,9 +91,11 @@
     /// Starts reading, writing and heartbeats; the handler must outlive the connection.
     void start();
 
-    /// Sends a request and waits for its answer. Throws PeerUnavailableError if no byte of it was sent,
-    /// OutcomeUnknownError if the connection or the deadline ended first, else the Error that the peer answered with.
-    asio::awaitable<std::string> call(MessageType, std::string payload, Instant deadline);
+    /// Sends a request and waits for its answer. Throws PeerUnavailableError if no byte of it was sent or the peer did
+    /// not pass it on, OutcomeUnknownError if the connection, the deadline or a cancellation ended first, else the
+    /// Error that the peer answered with. Waits for the peer's first heartbeat before it sends.
+    asio::awaitable<std::string> call(
+        MessageType, std::string payload, Instant deadline, PeerCancellationPtr cancellation = nullptr);
 
     void notify(MessageType, const std::string& payload);
 
@@ -74,13 +107,31 @@
 
 private:
     struct PendingCall {
+        explicit PendingCall(const asio::any_io_executor& executor)
+            : timer(executor)
+        {
+        }
+
         asio::steady_timer timer;
         std::string payload;
         bool isAnswered = false;
         bool isError = false;
+        bool isWritten = false;
+    };
+
+    /// A frame that waits to be written; correlation is 0 unless it is a request.
+    struct Outgoing {
+        std::string bytes;
+        uint64_t correlation = 0;
     };
 
     void send(FrameHeader, std::string_view payload);
+    bool withdraw(uint64_t correlation);
+    std::string takeBatch();
+    [[noreturn]] void giveUp(uint64_t correlation, const PendingCall&);
+    asio::awaitable<void> awaitFirstHeartbeat(Instant deadline);
+    void onHeartbeat(const FrameHeader&);
+    void onRequest(const FrameHeader&, PeerMessage);
     asio::awaitable<void> readLoop();
     asio::awaitable<void> writeLoop();
     asio::awaitable<void> heartbeatLoop();
@@ -92,10 +143,14 @@
     PeerHandler& handler_;
     asio::steady_timer writeWakeup_;
     asio::steady_timer heartbeatTimer_;
-    std::deque<std::string> outgoing_;
+    asio::steady_timer firstHeartbeat_;
+    std::deque<Outgoing> outgoing_;
     size_t outgoingBytes_ = 0;
     std::unordered_map<uint64_t, std::shared_ptr<PendingCall>> pending_;
+    std::unordered_map<uint64_t, PeerCancellationPtr> served_;
     uint64_t nextCorrelation_ = 1;
+    uint64_t lastRequest_ = 0;
+    uint32_t peerClockMs_ = 0;
     Instant silentAt_ = never;
     bool isOpen_ = true;
 };
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -164,7 +164,7 @@
     switch (message.type) {
     case MessageType::Call: {
         auto request = wire::decode<wire::CallRequest>(message.payload);
-        co_return wire::encode(co_await calls_->run(std::move(request), message.deadline));
+        co_return wire::encode(co_await calls_->run(std::move(request), message.deadline, message.cancellation));
     }
     case MessageType::Generate: {
         auto request = wire::decode<wire::GenerateRequest>(message.payload);
--- a/src/io/agent/CallRunner.cpp
+++ b/src/io/agent/CallRunner.cpp
@@ -2,7 +2,6 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
-#include "io/PeerConnection.h"
 
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
@@ -23,6 +22,27 @@
     return answer;
 }
 
+/// Passes a peer's cancellation on to an HTTP request for the span of that request.
+class CancellationLink {
+public:
+    CancellationLink(PeerCancellationPtr cancellation, HttpCancellation& request)
+        : cancellation_(std::move(cancellation))
+    {
+        if (cancellation_)
+            cancellation_->onCancel([&request] { request.cancel(); });
+    }
+    CancellationLink(const CancellationLink&) = delete;
+    CancellationLink& operator=(const CancellationLink&) = delete;
+    ~CancellationLink()
+    {
+        if (cancellation_)
+            cancellation_->onCancel(nullptr);
+    }
+
+private:
+    PeerCancellationPtr cancellation_;
+};
+
 const char* reason(Refusal refusal)
 {
     switch (refusal) {
@@ -77,7 +97,8 @@
     admission_.setOutcomeRetention(pool.call.outcomeRetention);
 }
 
-asio::awaitable<wire::CallAnswer> CallRunner::run(wire::CallRequest request, Instant deadline)
+asio::awaitable<wire::CallAnswer> CallRunner::run(
+    wire::CallRequest request, Instant deadline, PeerCancellationPtr cancellation)
 {
     CallDemand demand;
     demand.id = RequestId::parse(request.requestId);
@@ -97,7 +118,7 @@
     }
     if (decision.verdict != CallDecision::Verdict::Run)
         co_return answerOf(demand, decision);
-    wire::CallAnswer answer = co_await runAdmitted(request, demand);
+    wire::CallAnswer answer = co_await runAdmitted(request, demand, std::move(cancellation));
     if (demand.key)
         wakeWaiters(demand.key->text);
     co_return answer;
@@ -140,15 +161,19 @@
         now() + unknownRetryDelay);
 }
 
-asio::awaitable<wire::CallAnswer> CallRunner::runAdmitted(const wire::CallRequest& request, const CallDemand& demand)
+asio::awaitable<wire::CallAnswer> CallRunner::runAdmitted(
+    const wire::CallRequest& request, const CallDemand& demand, PeerCancellationPtr cancellation)
 {
     HttpRequest message { request.method, request.target, {}, request.body };
     for (const wire::Header& header : request.headers)
         message.headers.emplace_back(header.name, header.value);
     message.headers.emplace_back("X-Request-Id", request.requestId);
     log(Event::CallStarted, { { "request", request.requestId } });
+    HttpCancellation httpCancellation;
+    const CancellationLink link(demand.key ? nullptr : cancellation, httpCancellation);
     try {
-        const HttpResponse response = co_await http_.request(server_, std::move(message), demand.deadline);
+        const HttpResponse response
+            = co_await http_.request(server_, std::move(message), demand.deadline, &httpCancellation);
         log(Event::CallFinished, { { "request", request.requestId }, { "status", std::to_string(response.status) } });
         CallOutcome outcome { response.status, response.headers, response.body };
         wire::CallAnswer answer = toAnswer(outcome);
--- a/src/io/agent/CallRunner.h
+++ b/src/io/agent/CallRunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "io/HttpClient.h"
+#include "io/PeerConnection.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <endiveroad/CallAdmission.h>
@@ -24,11 +25,12 @@
     /// A peer has had the revision in force since the given instant.
     void onInForceSince(int64_t revision, Instant since) { admission_.onInForceSince(revision, since); }
 
-    /// Runs or refuses the call; never throws an Error for what happens to the call itself.
-    asio::awaitable<wire::CallAnswer> run(wire::CallRequest, Instant deadline);
+    /// Runs or refuses the call; never throws an Error for what happens to the call itself. A cancellation ends an
+    /// idempotent call; one with a key goes on, since its outcome is kept for repeats.
+    asio::awaitable<wire::CallAnswer> run(wire::CallRequest, Instant deadline, PeerCancellationPtr cancellation);
 
 private:
-    asio::awaitable<wire::CallAnswer> runAdmitted(const wire::CallRequest&, const CallDemand&);
+    asio::awaitable<wire::CallAnswer> runAdmitted(const wire::CallRequest&, const CallDemand&, PeerCancellationPtr);
     asio::awaitable<void> waitForEnd(const CallDemand&);
     void wakeWaiters(const std::string& key);
     wire::CallAnswer answerOf(const CallDemand&, const CallDecision&) const;
--- a/src/io/entry/CallRouter.cpp
+++ b/src/io/entry/CallRouter.cpp
@@ -19,6 +19,8 @@
     wire::CallRequest request;
     /// Names the call towards its caller; each attempt has a request id of its own.
     std::string callerRequest;
+    /// Ends the call when its caller goes away; null for a call that has to be finished.
+    PeerCancellationPtr cancellation;
 };
 
 /// How one attempt ended: with an answer, or with an error of which the last member says whether it may be repeated.
@@ -161,7 +163,7 @@
         if (isKeyed && !call.request.isIdempotent)
             response = co_await callHome(pool, std::move(call), deadline);
         else
-            response = co_await callReplicas(pool, std::move(call), deadline);
+            response = co_await callCancellable(exchange, pool, std::move(call), deadline);
     } catch (const CallFailure& failure) {
         response = errorResponse(failure, failure.retryAfter());
     } catch (const Error& error) {
@@ -223,6 +225,15 @@
     throw CallFailure(code, result.detail, result.retryAfter);
 }
 
+asio::awaitable<HttpResponse> CallRouter::callCancellable(
+    HttpExchange& exchange, const PoolDeclaration& pool, Call call, Instant deadline)
+{
+    auto cancellation = std::make_shared<PeerCancellation>();
+    call.cancellation = cancellation;
+    exchange.onDisconnect([cancellation] { cancellation->cancel(); });
+    co_return co_await callReplicas(pool, std::move(call), deadline);
+}
+
 asio::awaitable<HttpResponse> CallRouter::callReplicas(const PoolDeclaration& pool, Call call, Instant deadline)
 {
     ReplicaDemand demand;
@@ -239,6 +250,8 @@
             co_return std::move(*result.response);
         if (!result.end)
             throw CallFailure(result.code, result.detail, result.retryAfter);
+        if (call.cancellation && call.cancellation->isCancelled())
+            throw CallFailure(ErrorCode::OutcomeUnknown, "the caller went away", retryAfter);
         if (const auto code = attempts.onEnd(*result.end, now()))
             throw CallFailure(*code, result.detail, result.retryAfter);
         detail = result.detail;
@@ -258,7 +271,8 @@
     log(Event::CallDispatched,
         { { "request", call.request.requestId }, { "callerRequest", call.callerRequest }, { "agent", agent } });
     try {
-        const std::string payload = co_await peer->call(MessageType::Call, wire::encode(call.request), deadline);
+        const std::string payload
+            = co_await peer->call(MessageType::Call, wire::encode(call.request), deadline, call.cancellation);
         takeAnswer(wire::decode<wire::CallAnswer>(payload), result);
     } catch (const Error& error) {
         result.detail = error.what();
--- a/src/io/entry/CallRouter.h
+++ b/src/io/entry/CallRouter.h
@@ -34,6 +34,7 @@
     struct AttemptResult;
 
     asio::awaitable<HttpResponse> callHome(const PoolDeclaration&, Call, Instant deadline);
+    asio::awaitable<HttpResponse> callCancellable(HttpExchange&, const PoolDeclaration&, Call, Instant deadline);
     asio::awaitable<HttpResponse> callReplicas(const PoolDeclaration&, Call, Instant deadline);
     asio::awaitable<AttemptResult> callAgent(std::string agent, Call, Instant deadline);
     static void takeAnswer(wire::CallAnswer, AttemptResult&);
--- /dev/null
+++ b/tests/io/HttpClientTest.cpp
@@ -0,0 +1,164 @@
+#include "io/HttpClient.h"
+#include "io/Loop.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <endiveroad/Error.h>
+
+using namespace endiveroad;
+using namespace endiveroad::io;
+using namespace endiveroad::test;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+namespace {
+
+/// A backend server that answers each connection's first request with given bytes and then closes or falls silent.
+class RawServer {
+public:
+    explicit RawServer(asio::io_context& context)
+        : acceptor_(listenOnLoopback(context))
+    {
+        spawn(context.get_executor(), [this] { return run(); });
+    }
+
+    Address address() const { return addressOf(acceptor_); }
+
+    std::string answer;
+    bool isSilentAfter = false;
+    bool isReset = false;
+    int connections = 0;
+
+private:
+    asio::awaitable<void> run()
+    {
+        while (true) {
+            tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
+            ++connections;
+            std::string request;
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+            if (isReset)
+                socket.set_option(asio::socket_base::linger(true, 0));
+            if (isSilentAfter)
+                open_.push_back(std::move(socket));
+        }
+    }
+
+    tcp::acceptor acceptor_;
+    std::vector<tcp::socket> open_;
+};
+
+struct Result {
+    std::optional<ErrorCode> code;
+    HttpResponse response;
+};
+
+asio::awaitable<Result> get(HttpClient& client, Address address, Instant deadline)
+{
+    Result result;
+    HttpRequest request;
+    try {
+        result.response = co_await client.request(address, request, deadline);
+    } catch (const Error& error) {
+        result.code = error.code();
+    }
+    co_return result;
+}
+
+const std::string sizedAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123456789";
+const std::string chunkedAnswer
+    = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("an answer cut at any byte is never passed on as whole")
+{
+    const std::string whole = GENERATE(sizedAnswer, chunkedAnswer);
+    const bool isReset = GENERATE(false, true);
+    asio::io_context context;
+    HttpClient client;
+    RawServer server(context);
+    server.isReset = isReset;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        for (size_t length = 0; length <= whole.size(); ++length) {
+            server.answer = whole.substr(0, length);
+            const Result result = co_await get(client, server.address(), now() + patience);
+            if (result.code) {
+                CHECK(result.code == ErrorCode::OutcomeUnknown);
+            } else {
+                CHECK(length == whole.size());
+                CHECK(result.response.body == "0123456789");
+            }
+            // A reset may overtake the last bytes, so only an orderly end has to be read as whole.
+            if (length == whole.size() && !isReset)
+                CHECK_FALSE(result.code);
+        }
+    });
+}
+
+TEST_CASE("an answer that does not declare its end is not whole")
+{
+    asio::io_context context;
+    HttpClient client;
+    RawServer server(context);
+    server.answer = "HTTP/1.1 200 OK\r\n\r\n0123456789";
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        const Result result = co_await get(client, server.address(), now() + patience);
+        CHECK(result.code == ErrorCode::OutcomeUnknown);
+    });
+}
+
+TEST_CASE("a connection that timed out is not used again")
+{
+    asio::io_context context;
+    HttpClient client;
+    RawServer server(context);
+    server.isSilentAfter = true;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        server.answer = sizedAnswer.substr(0, sizedAnswer.size() - 1);
+        const Result cut = co_await get(client, server.address(), now() + 100ms);
+        CHECK(cut.code == ErrorCode::OutcomeUnknown);
+        server.answer = sizedAnswer;
+        const Result whole = co_await get(client, server.address(), now() + patience);
+        CHECK_FALSE(whole.code);
+        CHECK(server.connections == 2);
+    });
+}
+
+TEST_CASE("a request whose connection could not be opened was not run")
+{
+    asio::io_context context;
+    HttpClient client;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        Address address;
+        {
+            const tcp::acceptor closed = listenOnLoopback(context);
+            address = addressOf(closed);
+        }
+        const Result result = co_await get(client, address, now() + patience);
+        CHECK(result.code == ErrorCode::ServerUnavailable);
+    });
+}
+
+TEST_CASE("a request cancelled before it began is not sent")
+{
+    asio::io_context context;
+    HttpClient client;
+    RawServer server(context);
+    server.answer = sizedAnswer;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        HttpCancellation cancellation;
+        cancellation.cancel();
+        std::optional<ErrorCode> code;
+        HttpRequest request;
+        try {
+            co_await client.request(server.address(), request, now() + patience, &cancellation);
+        } catch (const Error& error) {
+            code = error.code();
+        }
+        CHECK(code == ErrorCode::ServerUnavailable);
+        CHECK(server.connections == 0);
+    });
+}
--- /dev/null
+++ b/tests/io/HttpServerTest.cpp
@@ -0,0 +1,154 @@
+#include "io/HttpServer.h"
+#include "io/Loop.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace endiveroad;
+using namespace endiveroad::io;
+using namespace endiveroad::test;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+namespace {
+
+/// Answers with the method, or as a stream that it ends or leaves.
+class Handler : public HttpHandler {
+public:
+    asio::awaitable<void> onHttp(HttpExchange& exchange) override
+    {
+        ++requests;
+        const std::string target = exchange.query().target;
+        if (target == "/wait") {
+            exchange.onDisconnect([this] { ++disconnects; });
+            co_await becomes([&] { return exchange.isDisconnected(); });
+        }
+        if (target != "/stream" && target != "/broken") {
+            HttpResponse response;
+            response.status = 200;
+            response.body = exchange.query().method;
+            co_await exchange.answer(std::move(response));
+            co_return;
+        }
+        HeaderList headers;
+        co_await exchange.beginStream(200, headers);
+        co_await exchange.sendPiece("piece");
+        if (target == "/stream")
+            co_await exchange.endStream();
+    }
+
+    int requests = 0;
+    int disconnects = 0;
+};
+
+/// A server under test, and what a caller reads until the server closes.
+struct Fixture {
+    asio::io_context context;
+    Handler handler;
+    HttpServer server { handler };
+    Address address;
+
+    Fixture()
+    {
+        tcp::acceptor holder = listenOnLoopback(context);
+        address = addressOf(holder);
+        holder.close();
+        server.start(context, address);
+    }
+
+    asio::awaitable<tcp::socket> connect()
+    {
+        tcp::socket socket(context);
+        const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), address.port);
+        co_await socket.async_connect(endpoint, asio::use_awaitable);
+        co_return socket;
+    }
+
+    asio::awaitable<std::string> send(std::string bytes)
+    {
+        tcp::socket socket = co_await connect();
+        boost::system::error_code ignored;
+        co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ignored));
+        std::string answer;
+        co_await asio::async_read(
+            socket, asio::dynamic_buffer(answer), asio::redirect_error(asio::use_awaitable, ignored));
+        co_return answer;
+    }
+};
+
+std::string statusLine(const std::string& answer)
+{
+    return answer.substr(0, answer.find('\r'));
+}
+
+} // namespace
+
+TEST_CASE("malformed, oversize and pipelined requests get one clean refusal and do not reach the handler")
+{
+    Fixture fixture;
+    const std::string longHeader = "GET / HTTP/1.1\r\nA: " + std::string(20000, 'a') + "\r\n\r\n";
+    const std::string longBody = "POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n";
+    const std::string one = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::pair<std::string, std::string> cases[] {
+        { "nonsense\r\n\r\n", "HTTP/1.1 400 Bad Request" },
+        { "GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "HTTP/1.1 400 Bad Request" },
+        { "GET / HTTP/9.9\r\n\r\n", "HTTP/1.1 400 Bad Request" },
+        { longHeader, "HTTP/1.1 431 Request Header Fields Too Large" },
+        { longBody, "HTTP/1.1 413 Payload Too Large" },
+        { one + one, "HTTP/1.1 400 Bad Request" },
+    };
+    runToEnd(fixture.context, [&]() -> asio::awaitable<void> {
+        for (const auto& [request, expected] : cases) {
+            const std::string answer = co_await fixture.send(request);
+            CHECK(statusLine(answer) == expected);
+        }
+    });
+    CHECK(fixture.handler.requests == 0);
+}
+
+TEST_CASE("a stream that breaks is visibly cut, and one that ends has its last chunk")
+{
+    Fixture fixture;
+    runToEnd(fixture.context, [&]() -> asio::awaitable<void> {
+        const std::string whole = co_await fixture.send("GET /stream HTTP/1.1\r\nConnection: close\r\n\r\n");
+        CHECK(whole.ends_with("5\r\npiece\r\n0\r\n\r\n"));
+        const std::string broken = co_await fixture.send("GET /broken HTTP/1.1\r\n\r\n");
+        CHECK(broken.ends_with("5\r\npiece\r\n"));
+    });
+}
+
+TEST_CASE("a caller that goes away is noticed while its request is served")
+{
+    Fixture fixture;
+    runToEnd(fixture.context, [&]() -> asio::awaitable<void> {
+        {
+            tcp::socket socket = co_await fixture.connect();
+            const std::string request = "GET /wait HTTP/1.1\r\n\r\n";
+            co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+            const bool isServed = co_await becomes([&] { return fixture.handler.requests == 1; });
+            CHECK(isServed);
+        }
+        const bool isNoticed = co_await becomes([&] { return fixture.handler.disconnects == 1; });
+        CHECK(isNoticed);
+    });
+}
+
+TEST_CASE("a request whose caller has closed its connection before it is read is not begun")
+{
+    Fixture fixture;
+    runToEnd(fixture.context, [&]() -> asio::awaitable<void> {
+        const std::string request = "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+        {
+            // Both the request and the end of the connection lie in the buffers before the server's first turn, as
+            // after a pause of its process.
+            tcp::socket socket = co_await fixture.connect();
+            boost::system::error_code error;
+            socket.write_some(asio::buffer(request), error);
+        }
+        const std::string after = co_await fixture.send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+        CHECK(after.ends_with("GET"));
+        CHECK(fixture.handler.requests == 1);
+    });
+}
--- /dev/null
+++ b/tests/io/Loop.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "io/Clock.h"
+#include "io/PeerConnection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <exception>
+
+/// Runs coroutines of a test on loopback sockets.
+namespace endiveroad::test {
+
+namespace asio = boost::asio;
+
+/// Longest time that a test waits for what must happen at some time; no verdict depends on how soon it does.
+inline constexpr Duration patience = std::chrono::seconds(30);
+
+/// Runs the coroutine to its end on a context of its own and rethrows its exception.
+inline void runToEnd(asio::io_context& context, std::function<asio::awaitable<void>()> body)
+{
+    std::exception_ptr failure;
+    asio::co_spawn(context, std::move(body), [&](std::exception_ptr error) {
+        failure = error;
+        context.stop();
+    });
+    context.run();
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
+/// An acceptor on a port that the kernel chooses.
+inline asio::ip::tcp::acceptor listenOnLoopback(asio::io_context& context)
+{
+    return { context, { asio::ip::address_v4::loopback(), 0 } };
+}
+
+inline Address addressOf(const asio::ip::tcp::acceptor& acceptor)
+{
+    return { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
+/// Waits until the condition holds. False if it does not within the test's patience.
+inline asio::awaitable<bool> becomes(std::function<bool()> condition)
+{
+    const Instant deadline = io::now() + patience;
+    while (!condition() && io::now() < deadline)
+        co_await io::sleepFor(std::chrono::milliseconds(2));
+    co_return condition();
+}
+
+} // namespace endiveroad::test
