--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -5,6 +5,7 @@
 #include "io/ProcessMetrics.h"
 #include "wire/Codec.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,6 +25,13 @@
 
 constexpr size_t maxFramesPerWrite = 64;
 
+/// This process's clock as heartbeats carry it: ms, wraps, never 0.
+uint32_t clockMs()
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now().time_since_epoch()).count();
+    return static_cast<uint32_t>(milliseconds) | 1U;
+}
+
 std::string encodeError(const Error& error)
 {
     wire::CallAnswer answer;
@@ -75,6 +83,7 @@
     , heartbeatTimer_(socket_.get_executor())
     , proofWakeup_(socket_.get_executor())
     , side_(side)
+    , firstHeartbeat_(socket_.get_executor(), asio::steady_timer::time_point::max())
 {
     error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -145,6 +154,8 @@
         held_.clear();
         writeWakeup_.cancel_one();
         proofWakeup_.cancel();
+        // Requests wait for the first heartbeat, and none was sent before the proof.
+        heartbeatTimer_.cancel();
         break;
     default:
         throw AccessRefusedError("a message came in place of a proof");
@@ -178,6 +189,9 @@
     writeWakeup_.cancel();
     heartbeatTimer_.cancel();
     proofWakeup_.cancel();
+    firstHeartbeat_.cancel();
+    for (auto& [correlation, cancellation] : std::exchange(served_, {}))
+        cancellation->cancel();
     for (auto& [correlation, call] : pending_)
         call->timer.cancel();
     handler_.onClosed(shared_from_this());
@@ -192,16 +206,30 @@
     if (header.kind == FrameKind::Heartbeat && isProofWanted())
         return;
     header.stamp = Log::instance().clock().last();
-    std::deque<std::string>& queue = isProofWanted() && !isHandshake ? held_ : outgoing_;
-    queue.push_back(encodeFrame(header, payload));
-    outgoingBytes_ += queue.back().size();
+    header.echoMs = peerClockMs_;
+    const uint64_t request = header.kind == FrameKind::Request ? header.correlation : 0;
+    std::deque<Outgoing>& queue = isProofWanted() && !isHandshake ? held_ : outgoing_;
+    queue.push_back({ encodeFrame(header, payload), request });
+    outgoingBytes_ += queue.back().bytes.size();
     processMetrics().count(Counter::FramesSent);
-    processMetrics().count(Counter::BytesSent, queue.back().size());
+    processMetrics().count(Counter::BytesSent, queue.back().bytes.size());
     if (outgoingBytes_ > maxQueuedBytes)
         return close();
     writeWakeup_.cancel_one();
 }
 
+/// Takes a request back that is still queued. False if it is not: some of it may have been written.
+bool PeerConnection::withdraw(uint64_t correlation)
+{
+    const auto found = std::find_if(outgoing_.begin(), outgoing_.end(),
+        [correlation](const Outgoing& frame) { return frame.correlation == correlation; });
+    if (found == outgoing_.end())
+        return false;
+    outgoingBytes_ -= std::min(outgoingBytes_, found->bytes.size());
+    outgoing_.erase(found);
+    return true;
+}
+
 void PeerConnection::notify(MessageType type, const std::string& payload)
 {
     FrameHeader header;
@@ -210,38 +238,64 @@
     send(header, payload);
 }
 
-asio::awaitable<std::string> PeerConnection::call(MessageType type, std::string payload, Instant deadline)
+asio::awaitable<std::string> PeerConnection::call(
+    MessageType type, std::string payload, Instant deadline, PeerCancellationPtr cancellation)
 {
-    if (!isOpen_)
-        throw PeerUnavailableError("the connection is closed");
     auto self = shared_from_this();
+    if (isOpen_ && peerClockMs_ == 0)
+        co_await awaitFirstHeartbeat(deadline);
+    if (!refusal_.empty())
+        throw AccessRefusedError(refusal_);
+    if (!isOpen_ || peerClockMs_ == 0)
+        throw PeerUnavailableError("the connection is closed or not yet in use");
     FrameHeader header;
     header.kind = FrameKind::Request;
     header.type = type;
     header.correlation = nextCorrelation_++;
     header.budgetMs = static_cast<uint32_t>(std::clamp<int64_t>(millisecondsLeft(deadline), 1, UINT32_MAX));
-    auto pending
-        = std::make_shared<PendingCall>(PendingCall { asio::steady_timer(socket_.get_executor()), {}, false, false });
+    auto pending = std::make_shared<PendingCall>(socket_.get_executor());
     pending_.emplace(header.correlation, pending);
+    if (cancellation)
+        cancellation->onCancel([pending] { pending->timer.cancel(); });
     send(header, payload);
     payload.clear();
-    while (isOpen_ && !pending->isAnswered && now() < deadline)
+    while (isOpen_ && !pending->isAnswered && now() < deadline && !(cancellation && cancellation->isCancelled()))
         co_await waitUntil(pending->timer, deadline);
     pending_.erase(header.correlation);
-    if (!pending->isAnswered) {
-        FrameHeader cancel;
-        cancel.kind = FrameKind::Cancel;
-        cancel.correlation = header.correlation;
-        send(cancel, {});
-        if (!refusal_.empty())
-            throw AccessRefusedError(refusal_);
-        throw OutcomeUnknownError(isOpen_ ? "the peer did not answer in time" : "the connection to the peer was lost");
-    }
+    if (cancellation)
+        cancellation->onCancel(nullptr);
+    if (!pending->isAnswered)
+        giveUp(header.correlation, *pending);
     if (pending->isError)
         throwAnsweredError(pending->payload);
     co_return std::move(pending->payload);
 }
 
+/// Ends a call without an answer: as not sent if it can be withdrawn, else as unknown.
+void PeerConnection::giveUp(uint64_t correlation, const PendingCall& pending)
+{
+    if (withdraw(correlation) || !pending.isWritten)
+        throw PeerUnavailableError("the request was not sent");
+    FrameHeader cancel;
+    cancel.kind = FrameKind::Cancel;
+    cancel.correlation = correlation;
+    send(cancel, {});
+    throw OutcomeUnknownError(isOpen_ ? "the peer did not answer in time" : "the connection to the peer was lost");
+}
+
+asio::awaitable<void> PeerConnection::awaitFirstHeartbeat(Instant deadline)
+{
+    auto self = shared_from_this();
+    asio::steady_timer giveUp(socket_.get_executor(), steady(deadline));
+    giveUp.async_wait([self](error_code error) {
+        if (!error)
+            self->firstHeartbeat_.cancel();
+    });
+    error_code ignored;
+    while (isOpen_ && peerClockMs_ == 0 && now() < deadline)
+        co_await firstHeartbeat_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 asio::awaitable<void> PeerConnection::readLoop()
 {
     auto self = shared_from_this();
@@ -251,6 +305,8 @@
             const std::span<char> room = reader.room();
             const size_t bytes
                 = co_await socket_.async_read_some(asio::buffer(room.data(), room.size()), asio::use_awaitable);
+            if (now() > silentAt_)
+                break;
             reader.commit(bytes);
             takeFrames(reader);
         }
@@ -294,13 +350,10 @@
     if (header.budgetMs != 0)
         message.deadline = now() + std::chrono::milliseconds(header.budgetMs);
     switch (header.kind) {
-    case FrameKind::Request: {
+    case FrameKind::Request:
         message.payload = std::move(payload);
-        auto self = shared_from_this();
-        spawn(socket_.get_executor(),
-            [self, header, message = std::move(message)] { return self->serve(header, message); });
+        onRequest(header, std::move(message));
         break;
-    }
     case FrameKind::Answer:
         onAnswer(header, std::move(payload));
         break;
@@ -309,12 +362,46 @@
         handler_.onNotice(shared_from_this(), message);
         break;
     case FrameKind::Heartbeat:
+        onHeartbeat(header);
+        break;
     case FrameKind::Cancel:
+        if (const auto found = served_.find(header.correlation); found != served_.end())
+            found->second->cancel();
+        break;
     case FrameKind::Part:
         break;
     }
 }
 
+void PeerConnection::onHeartbeat(const FrameHeader& header)
+{
+    const bool isFirst = peerClockMs_ == 0;
+    peerClockMs_ = static_cast<uint32_t>(header.correlation);
+    if (isFirst)
+        firstHeartbeat_.cancel();
+}
+
+void PeerConnection::onRequest(const FrameHeader& header, PeerMessage message)
+{
+    if (header.correlation <= lastRequest_)
+        throw FrameInvalidError("a request number came twice");
+    lastRequest_ = header.correlation;
+    const auto age = std::chrono::milliseconds(static_cast<int32_t>(clockMs() - header.echoMs));
+    if (header.echoMs == 0 || age > maxRequestAge) {
+        FrameHeader answer;
+        answer.kind = FrameKind::Answer;
+        answer.type = MessageType::Error;
+        answer.correlation = header.correlation;
+        send(answer, encodeError(PeerUnavailableError("the request came too late and was not passed on")));
+        return;
+    }
+    message.cancellation = std::make_shared<PeerCancellation>();
+    served_.emplace(header.correlation, message.cancellation);
+    auto self = shared_from_this();
+    spawn(
+        socket_.get_executor(), [self, header, message = std::move(message)] { return self->serve(header, message); });
+}
+
 void PeerConnection::onAnswer(const FrameHeader& header, std::string payload)
 {
     const auto found = pending_.find(header.correlation);
@@ -343,9 +430,24 @@
         header.type = MessageType::Error;
         payload = encodeError(OutcomeUnknownError(error.what()));
     }
+    served_.erase(request.correlation);
     send(header, payload);
 }
 
+std::string PeerConnection::takeBatch()
+{
+    std::string batch;
+    for (size_t i = 0; i < maxFramesPerWrite && !outgoing_.empty(); ++i) {
+        Outgoing frame = std::move(outgoing_.front());
+        outgoing_.pop_front();
+        const auto found = pending_.find(frame.correlation);
+        if (found != pending_.end())
+            found->second->isWritten = true;
+        batch += frame.bytes;
+    }
+    return batch;
+}
+
 asio::awaitable<void> PeerConnection::writeLoop()
 {
     auto self = shared_from_this();
@@ -356,11 +458,7 @@
             co_await waitUntil(writeWakeup_, never);
             continue;
         }
-        std::string batch;
-        for (size_t i = 0; i < maxFramesPerWrite && !outgoing_.empty(); ++i) {
-            batch += outgoing_.front();
-            outgoing_.pop_front();
-        }
+        const std::string batch = takeBatch();
         error_code error;
         co_await asio::async_write(socket_, asio::buffer(batch), asio::redirect_error(asio::use_awaitable, error));
         outgoingBytes_ -= std::min(outgoingBytes_, batch.size());
@@ -375,6 +473,7 @@
     while (isOpen_) {
         FrameHeader header;
         header.kind = FrameKind::Heartbeat;
+        header.correlation = clockMs();
         send(header, {});
         co_await waitUntil(heartbeatTimer_, now() + heartbeatInterval);
         if (isOpen_ && now() > silentAt_) {
