Timers off the hot path, and idle connections end

Cause: each HTTP request set and cancelled three timers, and each batch of frames was started by cancelling a timer on which the writer slept. And the wait for a caller's next request ran on the bare socket, which the stream's timeout does not cover: a connection without a request stayed open for ever.

Change: a session stores the deadline of what its caller owes, and the server closes overdue ones once a second. Frames are written by a flush that is posted once for all handlers that are ready, so that their frames still go out together. HttpTimeouts can be given, for the tests.

--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -123,6 +123,13 @@
         stream_.close();
     }
 
+    /// Closes the connection if the caller has not read or written in time.
+    void closeIfOverdue(Instant now)
+    {
+        if (now >= deadline_)
+            stream_.close();
+    }
+
     void closeIfIdle()
     {
         if (isIdle_)
@@ -139,7 +146,7 @@
         if (hasExtraInput() || server_.isStopping_)
             isClosing_ = true;
         auto message = toBeast(std::move(response), !isClosing_);
-        stream_.expires_after(writeTimeout);
+        deadline_ = now() + server_.timeouts_.write;
         error_code error;
         co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, error));
         if (error)
@@ -185,9 +192,10 @@
     template <typename Write>
     asio::awaitable<void> writeChecked(Write write)
     {
-        stream_.expires_after(writeTimeout);
+        deadline_ = now() + server_.timeouts_.write;
         error_code error;
         co_await write(error);
+        deadline_ = never;
         if (error) {
             isClosing_ = true;
             throw AnswerBrokenError(fmt::format("the caller's connection broke: {}", error.message()));
@@ -203,12 +211,12 @@
         parser.body_limit(maxBodyBytes);
         error_code error;
         isIdle_ = buffer_.size() == 0;
-        stream_.expires_after(isIdle_ ? idleTimeout : headerTimeout);
+        deadline_ = now() + (isIdle_ ? server_.timeouts_.idle : server_.timeouts_.request);
         if (isIdle_) {
             co_await stream_.socket().async_wait(
                 asio::socket_base::wait_read, asio::redirect_error(asio::use_awaitable, error));
             isIdle_ = false;
-            stream_.expires_after(headerTimeout);
+            deadline_ = now() + server_.timeouts_.request;
         }
         if (!error)
             co_await http::async_read_header(
@@ -266,7 +274,7 @@
     /// Waits for input while a request is handled: an end of stream means that the caller has gone.
     void watchForDisconnect(std::shared_ptr<Session> self)
     {
-        stream_.expires_never();
+        deadline_ = never;
         const uint64_t exchange = exchange_;
         stream_.socket().async_wait(asio::socket_base::wait_read, [self, exchange](error_code error) {
             if (error || exchange != self->exchange_)
@@ -290,6 +298,8 @@
     HttpQuery query_;
     std::function<void()> onDisconnect_;
     uint64_t exchange_ = 0;
+    /// When the caller must have sent or read what it is due; never while its request is handled.
+    Instant deadline_ = never;
     bool isIdle_ = false;
     bool isClosing_ = false;
     bool isAnswered_ = false;
@@ -297,8 +307,9 @@
     bool isDisconnected_ = false;
 };
 
-HttpServer::HttpServer(HttpHandler& handler)
+HttpServer::HttpServer(HttpHandler& handler, HttpTimeouts timeouts)
     : handler_(handler)
+    , timeouts_(timeouts)
     , sessions_(std::make_shared<std::set<Session*>>())
 {
 }
@@ -309,6 +320,17 @@
 {
     acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(listenOn(context, address));
     spawn(context.get_executor(), [this] { return acceptLoop(); });
+    spawn(context.get_executor(), [this] { return closeOverdue(); });
+}
+
+asio::awaitable<void> HttpServer::closeOverdue()
+{
+    while (true) {
+        co_await sleepFor(timeouts_.check);
+        const auto sessions = *sessions_;
+        for (Session* session : sessions)
+            session->closeIfOverdue(now());
+    }
 }
 
 void HttpServer::stopAccepting()
--- a/src/io/HttpServer.h
+++ b/src/io/HttpServer.h
@@ -58,15 +58,26 @@
 
 HttpResponse jsonResponse(int status, std::string body);
 
+/// How long a caller may take.
+struct HttpTimeouts {
+    /// From the first byte of a request to its last.
+    Duration request = std::chrono::seconds(10);
+    /// From an answer to the next request.
+    Duration idle = std::chrono::seconds(60);
+    /// For taking an answer, or a piece of a streamed one.
+    Duration write = std::chrono::seconds(30);
+    /// How often this is checked; a connection may live as much longer.
+    Duration check = std::chrono::seconds(1);
+
+    auto operator<=>(const HttpTimeouts&) const = default;
+};
+
 class HttpServer {
 public:
     static constexpr uint32_t maxHeaderBytes = 16 << 10;
     static constexpr uint64_t maxBodyBytes = 64U << 20;
-    static constexpr Duration headerTimeout = std::chrono::seconds(10);
-    static constexpr Duration idleTimeout = std::chrono::seconds(60);
-    static constexpr Duration writeTimeout = std::chrono::seconds(30);
 
-    explicit HttpServer(HttpHandler&);
+    explicit HttpServer(HttpHandler&, HttpTimeouts = {});
     ~HttpServer();
 
     /// Listens and accepts. Throws AddressInUseError.
@@ -82,8 +93,11 @@
     class Session;
 
     asio::awaitable<void> acceptLoop();
+    /// Closes sessions whose deadline has passed, so that no request pays for timers of its own.
+    asio::awaitable<void> closeOverdue();
 
     HttpHandler& handler_;
+    HttpTimeouts timeouts_;
     std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
     /// Shared with the sessions, which may end after the server.
     std::shared_ptr<std::set<Session*>> sessions_;
--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -71,7 +72,6 @@
 PeerConnection::PeerConnection(asio::ip::tcp::socket socket, PeerHandler& handler, HandshakeSide side)
     : socket_(std::move(socket))
     , handler_(handler)
-    , writeWakeup_(socket_.get_executor())
     , heartbeatTimer_(socket_.get_executor())
     , proofWakeup_(socket_.get_executor())
     , side_(side)
@@ -114,7 +114,6 @@
     auto self = shared_from_this();
     const auto executor = socket_.get_executor();
     spawn(executor, [self] { return self->readLoop(); });
-    spawn(executor, [self] { return self->writeLoop(); });
     spawn(executor, [self] { return self->heartbeatLoop(); });
 }
 
@@ -143,7 +142,7 @@
         handshake_->check(payload);
         std::move(held_.begin(), held_.end(), std::back_inserter(outgoing_));
         held_.clear();
-        writeWakeup_.cancel_one();
+        scheduleFlush();
         proofWakeup_.cancel();
         break;
     default:
@@ -158,7 +157,7 @@
     held_.clear();
     notify(MessageType::AccessRefusal, error.what());
     isClosing_ = true;
-    writeWakeup_.cancel_one();
+    scheduleFlush();
 }
 
 std::string PeerConnection::peerAddress() const
@@ -175,7 +174,6 @@
     isOpen_ = false;
     error_code ignored;
     socket_.close(ignored);
-    writeWakeup_.cancel();
     heartbeatTimer_.cancel();
     proofWakeup_.cancel();
     for (auto& [correlation, call] : pending_)
@@ -199,7 +197,7 @@
     processMetrics().count(Counter::BytesSent, queue.back().size());
     if (outgoingBytes_ > maxQueuedBytes)
         return close();
-    writeWakeup_.cancel_one();
+    scheduleFlush();
 }
 
 void PeerConnection::notify(MessageType type, const std::string& payload)
@@ -346,27 +344,37 @@
     send(header, payload);
 }
 
-asio::awaitable<void> PeerConnection::writeLoop()
+void PeerConnection::scheduleFlush()
 {
-    auto self = shared_from_this();
-    while (isOpen_) {
-        if (outgoing_.empty() && isClosing_)
-            co_return close();
-        if (outgoing_.empty()) {
-            co_await waitUntil(writeWakeup_, never);
-            continue;
-        }
-        std::string batch;
-        for (size_t i = 0; i < maxFramesPerWrite && !outgoing_.empty(); ++i) {
-            batch += outgoing_.front();
-            outgoing_.pop_front();
-        }
-        error_code error;
-        co_await asio::async_write(socket_, asio::buffer(batch), asio::redirect_error(asio::use_awaitable, error));
-        outgoingBytes_ -= std::min(outgoingBytes_, batch.size());
-        if (error)
+    if (isFlushing_ || !isOpen_)
+        return;
+    isFlushing_ = true;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->flush(); });
+}
+
+void PeerConnection::flush()
+{
+    if (!isOpen_)
+        return;
+    isFlushing_ = false;
+    if (outgoing_.empty()) {
+        if (isClosing_)
             close();
+        return;
     }
+    auto batch = std::make_shared<std::string>(std::move(outgoing_.front()));
+    outgoing_.pop_front();
+    for (size_t i = 1; i < maxFramesPerWrite && !outgoing_.empty(); ++i) {
+        *batch += outgoing_.front();
+        outgoing_.pop_front();
+    }
+    isFlushing_ = true;
+    asio::async_write(socket_, asio::buffer(*batch), [self = shared_from_this(), batch](error_code error, size_t) {
+        self->outgoingBytes_ -= std::min(self->outgoingBytes_, batch->size());
+        if (error)
+            return self->close();
+        self->flush();
+    });
 }
 
 asio::awaitable<void> PeerConnection::heartbeatLoop()
--- a/src/io/PeerConnection.h
+++ b/src/io/PeerConnection.h
@@ -97,7 +97,9 @@
     void send(FrameHeader, std::string_view payload);
     asio::awaitable<void> readLoop();
     void takeFrames(FrameReader&);
-    asio::awaitable<void> writeLoop();
+    /// Writes what is queued once the handlers that are ready now have run, so that their frames go out together.
+    void scheduleFlush();
+    void flush();
     asio::awaitable<void> heartbeatLoop();
     asio::awaitable<void> serve(FrameHeader, PeerMessage);
     asio::awaitable<void> waitForProof();
@@ -110,7 +112,6 @@
 
     asio::ip::tcp::socket socket_;
     PeerHandler& handler_;
-    asio::steady_timer writeWakeup_;
     asio::steady_timer heartbeatTimer_;
     asio::steady_timer proofWakeup_;
     HandshakeSide side_;
@@ -120,6 +121,7 @@
     /// Why either side refused the other; empty if none did.
     std::string refusal_;
     bool isClosing_ = false;
+    bool isFlushing_ = false;
     std::deque<std::string> outgoing_;
     size_t outgoingBytes_ = 0;
     std::unordered_map<uint64_t, std::shared_ptr<PendingCall>> pending_;
