--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -79,7 +80,6 @@
 PeerConnection::PeerConnection(asio::ip::tcp::socket socket, PeerHandler& handler, HandshakeSide side)
     : socket_(std::move(socket))
     , handler_(handler)
-    , writeWakeup_(socket_.get_executor())
     , heartbeatTimer_(socket_.get_executor())
     , proofWakeup_(socket_.get_executor())
     , side_(side)
@@ -123,7 +123,6 @@
     auto self = shared_from_this();
     const auto executor = socket_.get_executor();
     spawn(executor, [self] { return self->readLoop(); });
-    spawn(executor, [self] { return self->writeLoop(); });
     spawn(executor, [self] { return self->heartbeatLoop(); });
 }
 
@@ -152,7 +151,7 @@
         handshake_->check(payload);
         std::move(held_.begin(), held_.end(), std::back_inserter(outgoing_));
         held_.clear();
-        writeWakeup_.cancel_one();
+        scheduleFlush();
         proofWakeup_.cancel();
         // Requests wait for the first heartbeat, and none was sent before the proof.
         heartbeatTimer_.cancel();
@@ -169,7 +168,7 @@
     held_.clear();
     notify(MessageType::AccessRefusal, error.what());
     isClosing_ = true;
-    writeWakeup_.cancel_one();
+    scheduleFlush();
 }
 
 std::string PeerConnection::peerAddress() const
@@ -186,7 +185,6 @@
     isOpen_ = false;
     error_code ignored;
     socket_.close(ignored);
-    writeWakeup_.cancel();
     heartbeatTimer_.cancel();
     proofWakeup_.cancel();
     firstHeartbeat_.cancel();
@@ -215,7 +213,7 @@
     processMetrics().count(Counter::BytesSent, queue.back().bytes.size());
     if (outgoingBytes_ > maxQueuedBytes)
         return close();
-    writeWakeup_.cancel_one();
+    scheduleFlush();
 }
 
 /// Takes a request back that is still queued. False if it is not: some of it may have been written.
@@ -448,23 +446,32 @@
     return batch;
 }
 
-asio::awaitable<void> PeerConnection::writeLoop()
+void PeerConnection::scheduleFlush()
 {
-    auto self = shared_from_this();
-    while (isOpen_) {
-        if (outgoing_.empty() && isClosing_)
-            co_return close();
-        if (outgoing_.empty()) {
-            co_await waitUntil(writeWakeup_, never);
-            continue;
-        }
-        const std::string batch = takeBatch();
-        error_code error;
-        co_await asio::async_write(socket_, asio::buffer(batch), asio::redirect_error(asio::use_awaitable, error));
-        outgoingBytes_ -= std::min(outgoingBytes_, batch.size());
-        if (error)
+    if (isFlushing_ || !isOpen_)
+        return;
+    isFlushing_ = true;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->flush(); });
+}
+
+void PeerConnection::flush()
+{
+    if (!isOpen_)
+        return;
+    isFlushing_ = false;
+    if (outgoing_.empty()) {
+        if (isClosing_)
             close();
+        return;
     }
+    auto batch = std::make_shared<std::string>(takeBatch());
+    isFlushing_ = true;
+    asio::async_write(socket_, asio::buffer(*batch), [self = shared_from_this(), batch](error_code error, size_t) {
+        self->outgoingBytes_ -= std::min(self->outgoingBytes_, batch->size());
+        if (error)
+            return self->close();
+        self->flush();
+    });
 }
 
 asio::awaitable<void> PeerConnection::heartbeatLoop()
--- a/src/io/PeerConnection.h
+++ b/src/io/PeerConnection.h
@@ -148,7 +148,9 @@
     void onRequest(const FrameHeader&, PeerMessage);
     asio::awaitable<void> readLoop();
     void takeFrames(FrameReader&);
-    asio::awaitable<void> writeLoop();
+    /// Writes what is queued once the handlers that are ready now have run, so that their frames go out together.
+    void scheduleFlush();
+    void flush();
     asio::awaitable<void> heartbeatLoop();
     asio::awaitable<void> serve(FrameHeader, PeerMessage);
     asio::awaitable<void> waitForProof();
@@ -161,7 +163,6 @@
 
     asio::ip::tcp::socket socket_;
     PeerHandler& handler_;
-    asio::steady_timer writeWakeup_;
     asio::steady_timer heartbeatTimer_;
     asio::steady_timer proofWakeup_;
     HandshakeSide side_;
@@ -171,6 +172,7 @@
     /// Why either side refused the other; empty if none did.
     std::string refusal_;
     bool isClosing_ = false;
+    bool isFlushing_ = false;
     asio::steady_timer firstHeartbeat_;
     std::deque<Outgoing> outgoing_;
     size_t outgoingBytes_ = 0;
