--- a/benchmark/Cursor.cpp
+++ b/benchmark/Cursor.cpp
@@ -1,34 +1,49 @@
-#include <benchmark/benchmark.h>
+#include "support/Counting.h"
+
 #include <endiveroad/Cursor.h>
 
 using namespace endiveroad;
+using namespace endiveroad::benchmarks;
 
 namespace {
 
-Cursor halfReceived(uint32_t samples)
+/// A step of which every second sample was received: the largest form of a cursor.
+Cursor halfReceived(int64_t samples)
 {
+    const auto size = static_cast<uint32_t>(samples);
     Cursor cursor("job");
-    for (uint32_t index = 0; index < samples; index += 2)
-        cursor.receive(1, 7, samples, index);
+    for (uint32_t index = 0; index < size; index += 2)
+        cursor.receive(1, 7, size, index);
     return cursor;
 }
 
 void encodeCursor(benchmark::State& state)
 {
-    const Cursor cursor = halfReceived(static_cast<uint32_t>(state.range(0)));
-    for (auto _ : state)
-        benchmark::DoNotOptimize(cursor.encode());
-    state.SetComplexityN(state.range(0));
+    const Cursor cursor = halfReceived(state.range(0));
+    countStateBytes(state, [&] { return halfReceived(state.range(0)); });
+    timeAndCount(state, [&] { benchmark::DoNotOptimize(cursor.encode()); });
+    state.counters["wire_bytes"] = static_cast<double>(cursor.encode().size());
 }
-BENCHMARK(encodeCursor)->RangeMultiplier(8)->Range(16, 8192)->Complexity(benchmark::oN);
+BENCHMARK(encodeCursor)->Arg(16)->Arg(128)->Arg(1024)->Arg(8192);
 
 void decodeCursor(benchmark::State& state)
 {
-    const std::string text = halfReceived(static_cast<uint32_t>(state.range(0))).encode();
-    for (auto _ : state)
-        benchmark::DoNotOptimize(Cursor::decode(text, "job"));
-    state.SetComplexityN(state.range(0));
+    const std::string text = halfReceived(state.range(0)).encode();
+    timeAndCount(state, [&] { benchmark::DoNotOptimize(Cursor::decode(text, "job")); });
+}
+BENCHMARK(decodeCursor)->Arg(16)->Arg(128)->Arg(1024)->Arg(8192);
+
+/// All samples of a step are marked as received, one by one.
+void receiveStep(benchmark::State& state)
+{
+    const auto size = static_cast<uint32_t>(state.range(0));
+    timeAndCount(state, [&] {
+        Cursor cursor("job");
+        for (uint32_t index = 0; index < size; ++index)
+            cursor.receive(1, 7, size, index);
+        benchmark::DoNotOptimize(&cursor);
+    });
 }
-BENCHMARK(decodeCursor)->RangeMultiplier(8)->Range(16, 8192)->Complexity(benchmark::oN);
+BENCHMARK(receiveStep)->Arg(16)->Arg(128)->Arg(1024)->Arg(8192);
 
 } // namespace
