--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -2,8 +2,10 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
+#include "io/ProcessMetrics.h"
 #include "wire/Codec.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,6 +25,13 @@
 
 constexpr size_t maxFramesPerWrite = 64;
 
+/// This process's clock as heartbeats carry it: ms, wraps, never 0.
+uint32_t clockMs()
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now().time_since_epoch()).count();
+    return static_cast<uint32_t>(milliseconds) | 1U;
+}
+
 std::string encodeError(const Error& error)
 {
     wire::CallAnswer answer;
@@ -67,11 +76,14 @@
     co_await waitUntil(timer, now() + duration);
 }
 
-PeerConnection::PeerConnection(asio::ip::tcp::socket socket, PeerHandler& handler)
+PeerConnection::PeerConnection(asio::ip::tcp::socket socket, PeerHandler& handler, HandshakeSide side)
     : socket_(std::move(socket))
     , handler_(handler)
     , writeWakeup_(socket_.get_executor())
     , heartbeatTimer_(socket_.get_executor())
+    , proofWakeup_(socket_.get_executor())
+    , side_(side)
+    , firstHeartbeat_(socket_.get_executor(), asio::steady_timer::time_point::max())
 {
     error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -95,14 +107,19 @@
     timer.cancel();
     if (error || !socket.is_open())
         throw PeerUnavailableError(fmt::format("{}: {}", address.text(), error ? error.message() : "timed out"));
-    auto connection = std::make_shared<PeerConnection>(std::move(socket), handler);
+    auto connection = std::make_shared<PeerConnection>(std::move(socket), handler, HandshakeSide::Initiator);
     connection->start();
+    co_await connection->waitForProof();
     co_return connection;
 }
 
 void PeerConnection::start()
 {
     silentAt_ = now() + silenceLimit;
+    if (auto keys = handler_.accessKeys()) {
+        handshake_ = std::make_unique<Handshake>(side_, std::move(keys));
+        notify(MessageType::AccessChallenge, handshake_->challenge());
+    }
     auto self = shared_from_this();
     const auto executor = socket_.get_executor();
     spawn(executor, [self] { return self->readLoop(); });
@@ -110,6 +127,58 @@
     spawn(executor, [self] { return self->heartbeatLoop(); });
 }
 
+asio::awaitable<void> PeerConnection::waitForProof()
+{
+    auto self = shared_from_this();
+    const Instant deadline = now() + connectTimeout;
+    while (isOpen_ && isProofWanted() && now() < deadline)
+        co_await waitUntil(proofWakeup_, deadline);
+    if (!isProofWanted() && isOpen_)
+        co_return;
+    const std::string reason = refusal_;
+    close();
+    if (!reason.empty())
+        throw AccessRefusedError(reason);
+    throw PeerUnavailableError("the peer closed the connection or did not prove a key in time");
+}
+
+void PeerConnection::onHandshake(const FrameHeader& header, const std::string& payload)
+{
+    switch (header.type) {
+    case MessageType::AccessChallenge:
+        notify(MessageType::AccessProof, handshake_->prove(payload));
+        break;
+    case MessageType::AccessProof:
+        handshake_->check(payload);
+        std::move(held_.begin(), held_.end(), std::back_inserter(outgoing_));
+        held_.clear();
+        writeWakeup_.cancel_one();
+        proofWakeup_.cancel();
+        // Requests wait for the first heartbeat, and none was sent before the proof.
+        heartbeatTimer_.cancel();
+        break;
+    default:
+        throw AccessRefusedError("a message came in place of a proof");
+    }
+}
+
+void PeerConnection::refuse(const Error& error)
+{
+    log(Event::PeerRefused, { { "peer", peerName }, { "address", peerAddress() }, { "reason", error.what() } });
+    refusal_ = error.what();
+    held_.clear();
+    notify(MessageType::AccessRefusal, error.what());
+    isClosing_ = true;
+    writeWakeup_.cancel_one();
+}
+
+std::string PeerConnection::peerAddress() const
+{
+    error_code error;
+    const auto endpoint = socket_.remote_endpoint(error);
+    return error ? std::string() : fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+}
+
 void PeerConnection::close()
 {
     if (!isOpen_)
@@ -119,6 +188,10 @@
     socket_.close(ignored);
     writeWakeup_.cancel();
     heartbeatTimer_.cancel();
+    proofWakeup_.cancel();
+    firstHeartbeat_.cancel();
+    for (auto& [correlation, cancellation] : std::exchange(served_, {}))
+        cancellation->cancel();
     for (auto& [correlation, call] : pending_)
         call->timer.cancel();
     handler_.onClosed(shared_from_this());
@@ -128,14 +201,35 @@
 {
     if (!isOpen_)
         return;
+    const bool isHandshake = header.type == MessageType::AccessChallenge || header.type == MessageType::AccessProof
+        || header.type == MessageType::AccessRefusal;
+    if (header.kind == FrameKind::Heartbeat && isProofWanted())
+        return;
     header.stamp = Log::instance().clock().last();
-    outgoing_.push_back(encodeFrame(header, payload));
-    outgoingBytes_ += outgoing_.back().size();
+    header.echoMs = peerClockMs_;
+    const uint64_t request = header.kind == FrameKind::Request ? header.correlation : 0;
+    std::deque<Outgoing>& queue = isProofWanted() && !isHandshake ? held_ : outgoing_;
+    queue.push_back({ encodeFrame(header, payload), request });
+    outgoingBytes_ += queue.back().bytes.size();
+    processMetrics().count(Counter::FramesSent);
+    processMetrics().count(Counter::BytesSent, queue.back().bytes.size());
     if (outgoingBytes_ > maxQueuedBytes)
         return close();
     writeWakeup_.cancel_one();
 }
 
+/// Takes a request back that is still queued. False if it is not: some of it may have been written.
+bool PeerConnection::withdraw(uint64_t correlation)
+{
+    const auto found = std::find_if(outgoing_.begin(), outgoing_.end(),
+        [correlation](const Outgoing& frame) { return frame.correlation == correlation; });
+    if (found == outgoing_.end())
+        return false;
+    outgoingBytes_ -= std::min(outgoingBytes_, found->bytes.size());
+    outgoing_.erase(found);
+    return true;
+}
+
 void PeerConnection::notify(MessageType type, const std::string& payload)
 {
     FrameHeader header;
@@ -144,52 +238,83 @@
     send(header, payload);
 }
 
-asio::awaitable<std::string> PeerConnection::call(MessageType type, std::string payload, Instant deadline)
+asio::awaitable<std::string> PeerConnection::call(
+    MessageType type, std::string payload, Instant deadline, PeerCancellationPtr cancellation)
 {
-    if (!isOpen_)
-        throw PeerUnavailableError("the connection is closed");
     auto self = shared_from_this();
+    if (isOpen_ && peerClockMs_ == 0)
+        co_await awaitFirstHeartbeat(deadline);
+    if (!refusal_.empty())
+        throw AccessRefusedError(refusal_);
+    if (!isOpen_ || peerClockMs_ == 0)
+        throw PeerUnavailableError("the connection is closed or not yet in use");
     FrameHeader header;
     header.kind = FrameKind::Request;
     header.type = type;
     header.correlation = nextCorrelation_++;
     header.budgetMs = static_cast<uint32_t>(std::clamp<int64_t>(millisecondsLeft(deadline), 1, UINT32_MAX));
-    auto pending
-        = std::make_shared<PendingCall>(PendingCall { asio::steady_timer(socket_.get_executor()), {}, false, false });
+    auto pending = std::make_shared<PendingCall>(socket_.get_executor());
     pending_.emplace(header.correlation, pending);
+    if (cancellation)
+        cancellation->onCancel([pending] { pending->timer.cancel(); });
     send(header, payload);
     payload.clear();
-    while (isOpen_ && !pending->isAnswered && now() < deadline)
+    while (isOpen_ && !pending->isAnswered && now() < deadline && !(cancellation && cancellation->isCancelled()))
         co_await waitUntil(pending->timer, deadline);
     pending_.erase(header.correlation);
-    if (!pending->isAnswered) {
-        FrameHeader cancel;
-        cancel.kind = FrameKind::Cancel;
-        cancel.correlation = header.correlation;
-        send(cancel, {});
-        throw OutcomeUnknownError(isOpen_ ? "the peer did not answer in time" : "the connection to the peer was lost");
-    }
+    if (cancellation)
+        cancellation->onCancel(nullptr);
+    if (!pending->isAnswered)
+        giveUp(header.correlation, *pending);
     if (pending->isError)
         throwAnsweredError(pending->payload);
     co_return std::move(pending->payload);
 }
 
+/// Ends a call without an answer: as not sent if it can be withdrawn, else as unknown.
+void PeerConnection::giveUp(uint64_t correlation, const PendingCall& pending)
+{
+    if (withdraw(correlation) || !pending.isWritten)
+        throw PeerUnavailableError("the request was not sent");
+    FrameHeader cancel;
+    cancel.kind = FrameKind::Cancel;
+    cancel.correlation = correlation;
+    send(cancel, {});
+    throw OutcomeUnknownError(isOpen_ ? "the peer did not answer in time" : "the connection to the peer was lost");
+}
+
+asio::awaitable<void> PeerConnection::awaitFirstHeartbeat(Instant deadline)
+{
+    auto self = shared_from_this();
+    asio::steady_timer giveUp(socket_.get_executor(), steady(deadline));
+    giveUp.async_wait([self](error_code error) {
+        if (!error)
+            self->firstHeartbeat_.cancel();
+    });
+    error_code ignored;
+    while (isOpen_ && peerClockMs_ == 0 && now() < deadline)
+        co_await firstHeartbeat_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 asio::awaitable<void> PeerConnection::readLoop()
 {
     auto self = shared_from_this();
-    std::string headerBytes(FrameHeader::size, '\0');
+    FrameReader reader;
     try {
         while (isOpen_) {
-            co_await asio::async_read(socket_, asio::buffer(headerBytes), asio::use_awaitable);
-            const FrameHeader header = decodeHeader(headerBytes);
-            std::string payload(header.length, '\0');
-            co_await asio::async_read(socket_, asio::buffer(payload), asio::use_awaitable);
-            checkPayload(headerBytes, payload);
-            silentAt_ = now() + silenceLimit;
-            Log::instance().clock().observe(header.stamp, wallMs());
-            dispatch(header, std::move(payload));
+            const std::span<char> room = reader.room();
+            const size_t bytes
+                = co_await socket_.async_read_some(asio::buffer(room.data(), room.size()), asio::use_awaitable);
+            if (now() > silentAt_)
+                break;
+            reader.commit(bytes);
+            takeFrames(reader);
         }
     } catch (const Error& error) {
+        if (isProofWanted()) {
+            refuse(error);
+            co_return;
+        }
         log(Event::FrameRefused, { { "peer", peerName }, { "reason", error.what() } });
     } catch (const boost::system::system_error&) {
         // The peer closed or the socket failed; close() below tells everyone who waits.
@@ -197,19 +322,38 @@
     close();
 }
 
+void PeerConnection::takeFrames(FrameReader& reader)
+{
+    while (isOpen_) {
+        auto frame = reader.next(isProofWanted() ? maxHandshakeBytes : FrameHeader::maxLength);
+        if (!frame)
+            return;
+        processMetrics().count(Counter::FramesReceived);
+        processMetrics().count(Counter::BytesReceived, FrameHeader::size + frame->payload.size());
+        silentAt_ = now() + silenceLimit;
+        Log::instance().clock().observe(frame->header.stamp, wallMs());
+        dispatch(frame->header, std::move(frame->payload));
+    }
+}
+
 void PeerConnection::dispatch(const FrameHeader& header, std::string payload)
 {
+    if (header.type == MessageType::AccessRefusal) {
+        refusal_ = payload;
+        return close();
+    }
+    if (isProofWanted())
+        return onHandshake(header, payload);
+    if (header.type == MessageType::AccessChallenge || header.type == MessageType::AccessProof)
+        return;
     PeerMessage message { header.type, {}, never };
     if (header.budgetMs != 0)
         message.deadline = now() + std::chrono::milliseconds(header.budgetMs);
     switch (header.kind) {
-    case FrameKind::Request: {
+    case FrameKind::Request:
         message.payload = std::move(payload);
-        auto self = shared_from_this();
-        spawn(socket_.get_executor(),
-            [self, header, message = std::move(message)] { return self->serve(header, message); });
+        onRequest(header, std::move(message));
         break;
-    }
     case FrameKind::Answer:
         onAnswer(header, std::move(payload));
         break;
@@ -218,12 +362,46 @@
         handler_.onNotice(shared_from_this(), message);
         break;
     case FrameKind::Heartbeat:
+        onHeartbeat(header);
+        break;
     case FrameKind::Cancel:
+        if (const auto found = served_.find(header.correlation); found != served_.end())
+            found->second->cancel();
+        break;
     case FrameKind::Part:
         break;
     }
 }
 
+void PeerConnection::onHeartbeat(const FrameHeader& header)
+{
+    const bool isFirst = peerClockMs_ == 0;
+    peerClockMs_ = static_cast<uint32_t>(header.correlation);
+    if (isFirst)
+        firstHeartbeat_.cancel();
+}
+
+void PeerConnection::onRequest(const FrameHeader& header, PeerMessage message)
+{
+    if (header.correlation <= lastRequest_)
+        throw FrameInvalidError("a request number came twice");
+    lastRequest_ = header.correlation;
+    const auto age = std::chrono::milliseconds(static_cast<int32_t>(clockMs() - header.echoMs));
+    if (header.echoMs == 0 || age > maxRequestAge) {
+        FrameHeader answer;
+        answer.kind = FrameKind::Answer;
+        answer.type = MessageType::Error;
+        answer.correlation = header.correlation;
+        send(answer, encodeError(PeerUnavailableError("the request came too late and was not passed on")));
+        return;
+    }
+    message.cancellation = std::make_shared<PeerCancellation>();
+    served_.emplace(header.correlation, message.cancellation);
+    auto self = shared_from_this();
+    spawn(
+        socket_.get_executor(), [self, header, message = std::move(message)] { return self->serve(header, message); });
+}
+
 void PeerConnection::onAnswer(const FrameHeader& header, std::string payload)
 {
     const auto found = pending_.find(header.correlation);
@@ -252,22 +430,35 @@
         header.type = MessageType::Error;
         payload = encodeError(OutcomeUnknownError(error.what()));
     }
+    served_.erase(request.correlation);
     send(header, payload);
 }
 
+std::string PeerConnection::takeBatch()
+{
+    std::string batch;
+    for (size_t i = 0; i < maxFramesPerWrite && !outgoing_.empty(); ++i) {
+        Outgoing frame = std::move(outgoing_.front());
+        outgoing_.pop_front();
+        const auto found = pending_.find(frame.correlation);
+        if (found != pending_.end())
+            found->second->isWritten = true;
+        batch += frame.bytes;
+    }
+    return batch;
+}
+
 asio::awaitable<void> PeerConnection::writeLoop()
 {
     auto self = shared_from_this();
     while (isOpen_) {
+        if (outgoing_.empty() && isClosing_)
+            co_return close();
         if (outgoing_.empty()) {
             co_await waitUntil(writeWakeup_, never);
             continue;
         }
-        std::string batch;
-        for (size_t i = 0; i < maxFramesPerWrite && !outgoing_.empty(); ++i) {
-            batch += outgoing_.front();
-            outgoing_.pop_front();
-        }
+        const std::string batch = takeBatch();
         error_code error;
         co_await asio::async_write(socket_, asio::buffer(batch), asio::redirect_error(asio::use_awaitable, error));
         outgoingBytes_ -= std::min(outgoingBytes_, batch.size());
@@ -282,6 +473,7 @@
     while (isOpen_) {
         FrameHeader header;
         header.kind = FrameKind::Heartbeat;
+        header.correlation = clockMs();
         send(header, {});
         co_await waitUntil(heartbeatTimer_, now() + heartbeatInterval);
         if (isOpen_ && now() > silentAt_) {
