--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -22,7 +22,12 @@
 
 
 class Ports:
-    """Free loopback ports chosen by the kernel. The sockets stay bound until release(), so that no two are equal."""
+    """Free loopback ports chosen by the kernel.
+
+    Each stays bound, without listening, by a socket of this process until release(). Linux lets a server with
+    SO_REUSEADDR listen there none the less, while no outgoing connection gets the port, also between a kill of its
+    server and the next start.
+    """
 
     def __init__(self):
         # A loopback host of its own: connections start from 127.0.0.1, so that neither their ports nor those of
@@ -166,7 +171,6 @@
         return process
 
     def start(self):
-        self.ports.release()
         if self.is_relayed:
             command = [self.standin, "relay", "--listen", self.relay]
             for what, address in self.routes.items():
@@ -288,5 +292,6 @@
             load.wait()
         for process in self.processes.values():
             process.kill()
+        self.ports.release()
         if not keep:
             shutil.rmtree(self.dir, ignore_errors=True)
