A rolling restart of entries and agents loses no call

Cause: a restarted entry was ready before any agent had reported, and refused calls ("no replica has free capacity"); an agent ended 100 ms after its last call finished, whether or not the answer was sent; an entry closed idle connections and its accept queue although requests lay in them; status showed a lost agent as up, so that whoever waits for it goes on to restart the next one too early.

Change: readiness waits for a report from every pool of the region (at most 3 s); an agent ends when no answer is queued; a draining entry says Connection: close, serves what the kernel had accepted, and closes only connections without input; a lost agent counts as down until its next report.

Not covered: calls that run for seconds while their process drains; keyed calls made before their home's restart stay unknown.

--- a/include/endiveroad/ReplicaTable.h
+++ b/include/endiveroad/ReplicaTable.h
@@ -52,7 +52,7 @@
     /// Takes a report; one that is older than the last (by incarnation, then sequence) is ignored.
     void onReport(const ReplicaReport&, Instant now);
 
-    /// Forgets an agent whose connection is lost.
+    /// Forgets an agent whose connection is lost; until its next report it counts as down.
     void onLost(const std::string& agent);
 
     /// Picks an agent with free capacity and takes one slot of it; the caller gives it back with release().
--- a/src/core/routing/ReplicaTable.cpp
+++ b/src/core/routing/ReplicaTable.cpp
@@ -28,6 +28,7 @@
     found->second.expiry = Instant::min();
     found->second.report.incarnation = 0;
     found->second.report.sequence = 0;
+    found->second.report.isServerUp = false;
 }
 
 int32_t ReplicaTable::freeSlots(const Replica& replica)
--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -108,7 +108,7 @@
     {
         error_code ignored;
         stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-        while (!isClosing_ && !server_.isStopping_) {
+        while (!isClosing_ && (!server_.isStopping_ || hasInput())) {
             if (!co_await readRequest())
                 break;
             watchForDisconnect(self);
@@ -123,7 +123,7 @@
 
     void closeIfIdle()
     {
-        if (isIdle_)
+        if (isIdle_ && !hasInput())
             stream_.close();
     }
 
@@ -134,7 +134,7 @@
     asio::awaitable<void> answer(HttpResponse response) override
     {
         isAnswered_ = true;
-        if (hasExtraInput() || server_.isStopping_)
+        if (hasExtraInput() || server_.isDraining_ || server_.isStopping_)
             isClosing_ = true;
         auto message = toBeast(std::move(response), !isClosing_);
         stream_.expires_after(writeTimeout);
@@ -203,6 +203,13 @@
         return error && error != asio::error::would_block;
     }
 
+    /// True if bytes of the caller have arrived that are not read yet.
+    bool hasInput()
+    {
+        error_code error;
+        return stream_.socket().is_open() && stream_.socket().available(error) > 0;
+    }
+
     bool hasExtraInput() const { return buffer_.size() > 0; }
 
     asio::awaitable<bool> readRequest()
@@ -325,9 +332,18 @@
 void HttpServer::stopAccepting()
 {
     isStopping_ = true;
-    error_code ignored;
-    if (acceptor_)
-        acceptor_->close(ignored);
+    error_code error;
+    if (acceptor_) {
+        // Connections that the kernel has accepted may hold requests already.
+        acceptor_->non_blocking(true, error);
+        while (!error) {
+            asio::ip::tcp::socket socket(acceptor_->get_executor());
+            acceptor_->accept(socket, error);
+            if (!error)
+                serve(std::move(socket));
+        }
+        acceptor_->close(error);
+    }
     const auto sessions = *sessions_;
     for (Session* session : sessions)
         session->closeIfIdle();
@@ -343,9 +359,14 @@
                 co_await sleepFor(std::chrono::milliseconds(20));
             continue;
         }
-        auto session = std::make_shared<Session>(*this, std::move(socket));
-        spawn(acceptor_->get_executor(), [session] { return session->run(session); });
+        serve(std::move(socket));
     }
 }
 
+void HttpServer::serve(asio::ip::tcp::socket socket)
+{
+    auto session = std::make_shared<Session>(*this, std::move(socket));
+    spawn(acceptor_->get_executor(), [session] { return session->run(session); });
+}
+
 } // namespace endiveroad::io
--- a/src/io/HttpServer.h
+++ b/src/io/HttpServer.h
@@ -72,22 +72,30 @@
     /// Listens and accepts. Throws AddressInUseError.
     void start(asio::io_context&, const Address&);
 
-    /// Stops accepting; requests in flight go on, idle connections close.
+    /// Tells callers with each answer that their connection closes, so that they go elsewhere.
+    void startDraining() { isDraining_ = true; }
+
+    /// Stops accepting; requests in flight go on, and so do those already received. Idle connections close.
     void stopAccepting();
 
     /// Requests begun and not yet answered.
     size_t inFlight() const { return inFlight_; }
 
+    /// Connections that are open, idle or not.
+    size_t connections() const { return sessions_->size(); }
+
 private:
     class Session;
 
     asio::awaitable<void> acceptLoop();
+    void serve(asio::ip::tcp::socket);
 
     HttpHandler& handler_;
     std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
     /// Shared with the sessions, which may end after the server.
     std::shared_ptr<std::set<Session*>> sessions_;
     size_t inFlight_ = 0;
+    bool isDraining_ = false;
     bool isStopping_ = false;
 };
 
--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -365,7 +365,9 @@
         }
         const std::string batch = takeBatch();
         error_code error;
+        isWriting_ = true;
         co_await asio::async_write(socket_, asio::buffer(batch), asio::redirect_error(asio::use_awaitable, error));
+        isWriting_ = false;
         outgoingBytes_ -= std::min(outgoingBytes_, batch.size());
         if (error)
             close();
--- a/src/io/PeerConnection.h
+++ b/src/io/PeerConnection.h
@@ -102,6 +102,9 @@
     void close();
     bool isOpen() const { return isOpen_; }
 
+    /// True while a request of the peer is served or an answer is not yet handed to the network.
+    bool isBusy() const { return isOpen_ && (!served_.empty() || !outgoing_.empty() || isWriting_); }
+
     /// Name of the peer process, once its Hello has come; empty before.
     std::string peerName;
 
@@ -153,6 +156,7 @@
     uint32_t peerClockMs_ = 0;
     Instant silentAt_ = never;
     bool isOpen_ = true;
+    bool isWriting_ = false;
 };
 
 /// Starts a coroutine whose exceptions are logged and end only itself.
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -5,6 +5,7 @@
 #include "io/WireValues.h"
 #include "wire/Codec.h"
 
+#include <algorithm>
 #include <endiveroad/Error.h>
 #include <endiveroad_types.h>
 #include <nlohmann/json.hpp>
@@ -233,13 +234,20 @@
     co_return wire::encode(answer);
 }
 
+bool AgentNode::isBusy() const
+{
+    const auto& peers = acceptedPeers();
+    return admission_.running() > 0
+        || std::any_of(peers.begin(), peers.end(), [](const PeerConnectionPtr& peer) { return peer->isBusy(); });
+}
+
 asio::awaitable<void> AgentNode::drain()
 {
     admission_.setDraining(true);
     if (calls_)
         sendReports();
     const Instant deadline = now() + drainTimeout_;
-    while (admission_.running() > 0 && now() < deadline)
+    while (isBusy() && now() < deadline)
         co_await sleepFor(drainPoll);
 }
 
--- a/src/io/agent/AgentNode.h
+++ b/src/io/agent/AgentNode.h
@@ -38,6 +38,9 @@
     asio::awaitable<void> reportLoop();
     asio::awaitable<void> probeServer();
     void sendReports();
+
+    /// True while work runs or an answer is not yet sent.
+    bool isBusy() const;
     void onServerState(bool isUp);
     uint64_t heldBytesLimit(const Settings&) const;
 
--- a/src/io/entry/EntryNode.cpp
+++ b/src/io/entry/EntryNode.cpp
@@ -5,6 +5,7 @@
 #include "io/WireValues.h"
 #include "wire/Codec.h"
 
+#include <algorithm>
 #include <endiveroad/Error.h>
 #include <endiveroad/JobBody.h>
 #include <endiveroad/Rendezvous.h>
@@ -22,6 +23,8 @@
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 /// Time for the balancer to see that the entry is not ready before it stops accepting.
 constexpr Duration readinessNotice = std::chrono::milliseconds(1000);
+/// Time after which an entry is ready even if the agents of a pool have not reported.
+constexpr Duration reportPatience = std::chrono::seconds(3);
 constexpr Duration maxDrain = std::chrono::seconds(60);
 
 /// An error as the caller sees it, with the headers that its status asks for.
@@ -90,6 +93,7 @@
         rollout_ = std::make_unique<WeightRollout>(context(), agents_);
         server_ = std::make_unique<HttpServer>(*this);
         server_->start(context(), self->second.http);
+        reportsDue_ = now() + reportPatience;
     }
     for (const auto& [jobName, runner] : runners_) {
         const auto job = inForce->jobs.find(jobName);
@@ -124,6 +128,8 @@
     case RouteKind::Readiness:
         if (isDraining())
             throw NotReadyError("the entry is leaving");
+        if (!seesAgents() && now() < reportsDue_)
+            throw NotReadyError("the agents of a pool have not reported yet");
         co_return jsonResponse(200, fmt::format(R"({{"status":"ready","revision":{}}})", settings()->revision));
     case RouteKind::Metrics:
         co_return metrics();
@@ -132,6 +138,18 @@
     }
 }
 
+bool EntryNode::seesAgents() const
+{
+    const std::string& region = settings()->entries.at(name()).region;
+    const auto& tables = agents_.tables();
+    return std::all_of(settings()->pools.begin(), settings()->pools.end(), [&](const auto& named) {
+        const PoolDeclaration& pool = named.second;
+        const auto table = tables.find(pool.name);
+        return pool.region != region || pool.replicas.empty()
+            || (table != tables.end() && !table->second.reports().empty());
+    });
+}
+
 std::string EntryNode::homeOf(const std::string& job) const
 {
     std::vector<std::string> live;
@@ -274,11 +292,13 @@
 
 asio::awaitable<void> EntryNode::drain()
 {
+    if (server_)
+        server_->startDraining();
     co_await sleepFor(readinessNotice);
     if (server_)
         server_->stopAccepting();
     const Instant deadline = now() + maxDrain;
-    while (server_ && server_->inFlight() > 0 && now() < deadline)
+    while (server_ && server_->connections() > 0 && now() < deadline)
         co_await sleepFor(drainPoll);
     for (const auto& [jobName, runner] : runners_)
         runner->stop();
--- a/src/io/entry/EntryNode.h
+++ b/src/io/entry/EntryNode.h
@@ -41,6 +41,9 @@
     /// The live entry that coordinates a job; this one's name if it is itself.
     std::string homeOf(const std::string& job) const;
     JobRunner& runner(const JobDeclaration&);
+
+    /// True once an agent of every pool of the region has reported.
+    bool seesAgents() const;
     HttpResponse metrics() const;
 
     std::unique_ptr<HttpServer> server_;
@@ -49,6 +52,7 @@
     std::unique_ptr<WeightRollout> rollout_;
     std::map<std::string, std::unique_ptr<JobRunner>> runners_;
     uint64_t requests_ = 0;
+    Instant reportsDue_ = never;
 };
 
 } // namespace endiveroad::io
