--- a/src/io/HttpServer.h
+++ b/src/io/HttpServer.h
@@ -83,18 +83,25 @@
     /// Listens and accepts. Throws AddressInUseError.
     void start(asio::io_context&, const Address&);
 
-    /// Stops accepting; requests in flight go on, idle connections close.
+    /// Tells callers with each answer that their connection closes, so that they go elsewhere.
+    void startDraining() { isDraining_ = true; }
+
+    /// Stops accepting; requests in flight go on, and so do those already received. Idle connections close.
     void stopAccepting();
 
     /// Requests begun and not yet answered.
     size_t inFlight() const { return inFlight_; }
 
+    /// Connections that are open, idle or not.
+    size_t connections() const { return sessions_->size(); }
+
 private:
     class Session;
 
     asio::awaitable<void> acceptLoop();
     /// Closes sessions whose deadline has passed, so that no request pays for timers of its own.
     asio::awaitable<void> closeOverdue();
+    void serve(asio::ip::tcp::socket);
 
     HttpHandler& handler_;
     HttpTimeouts timeouts_;
@@ -102,6 +109,7 @@
     /// Shared with the sessions, which may end after the server.
     std::shared_ptr<std::set<Session*>> sessions_;
     size_t inFlight_ = 0;
+    bool isDraining_ = false;
     bool isStopping_ = false;
 };
 
--- a/src/io/PeerConnection.h
+++ b/src/io/PeerConnection.h
@@ -116,6 +116,9 @@
     /// The key by which the peer proved itself; nothing if none was asked for.
     std::optional<SharedKey> provenBy() const { return handshake_ ? handshake_->provenBy() : std::nullopt; }
 
+    /// True while a request of the peer is served or an answer is not yet handed to the network.
+    bool isBusy() const { return isOpen_ && (!served_.empty() || !outgoing_.empty() || isFlushing_); }
+
     /// Name of the peer process, once its Hello has come; empty before.
     std::string peerName;
 
--- a/src/io/entry/EntryNode.h
+++ b/src/io/entry/EntryNode.h
@@ -44,11 +44,15 @@
     std::string homeOf(const std::string& job) const;
     JobRunner& runner(const JobDeclaration&);
 
+    /// True once an agent of every pool of the region has reported.
+    bool seesAgents() const;
+
     std::unique_ptr<HttpServer> server_;
     AgentDirectory agents_;
     std::unique_ptr<CallRouter> calls_;
     std::unique_ptr<WeightRollout> rollout_;
     std::map<std::string, std::unique_ptr<JobRunner>> runners_;
+    Instant reportsDue_ = never;
 };
 
 } // namespace endiveroad::io
