--- a/include/endiveroad/Cursor.h
+++ b/include/endiveroad/Cursor.h
@@ -23,6 +23,9 @@
     /// Precondition: index < size().
     void insert(uint32_t index);
 
+    /// Precondition: index < size().
+    void erase(uint32_t index);
+
     /// Little-endian bytes, bit i of byte i / 8.
     std::string bytes() const;
 
--- a/include/endiveroad/JobCoordinator.h
+++ b/include/endiveroad/JobCoordinator.h
@@ -3,9 +3,11 @@
 #include <cstdint>
 #include <endiveroad/Cursor.h>
 #include <endiveroad/Sample.h>
+#include <endiveroad/SampleProgress.h>
 #include <endiveroad/Settings.h>
 #include <endiveroad/Time.h>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,6 +31,8 @@
 struct ScoringItem {
     StepNumber step = 0;
     uint32_t index = 0;
+    /// 1 for the first call for this sample.
+    uint32_t attempt = 0;
     std::string prompt;
     std::string text;
 
@@ -52,12 +56,26 @@
     std::vector<StepProgress> steps;
 };
 
+/// Which weights a trainer works with. The order grows with every announcement, also when the trainer goes back to an
+/// older version; a trainer that never goes back uses the version as order.
+struct PolicyState {
+    WeightVersion version = 0;
+    int64_t order = 0;
+
+    auto operator<=>(const PolicyState&) const = default;
+};
+
+class StepState;
+
 class JobCoordinator {
 public:
     /// Complete steps kept for a trainer that restores an older checkpoint.
     static constexpr size_t retainedCompleteSteps = 2;
 
     explicit JobCoordinator(JobDeclaration);
+    JobCoordinator(JobCoordinator&&) noexcept;
+    JobCoordinator& operator=(JobCoordinator&&) noexcept;
+    ~JobCoordinator();
 
     /// Takes a changed declaration; open steps go on under it.
     void onDeclaration(JobDeclaration declaration) { declaration_ = std::move(declaration); }
@@ -69,65 +87,65 @@
 
     bool knows(StepNumber step) const { return steps_.contains(step); }
 
-    /// Newest version that the trainer has named.
-    WeightVersion policyVersion() const { return policyVersion_; }
-    void onPolicyVersion(WeightVersion version);
+    /// Policy of the highest order that the trainer has named.
+    const PolicyState& policy() const { return policy_; }
+    void onPolicy(const PolicyState&);
+
+    RolloutObjective objective() const;
 
     /// Oldest version that a segment may have under the newest policy.
     WeightVersion oldestUsableVersion() const;
 
+    /// Oldest version of engines that new work is given to, by the job's objective.
+    WeightVersion oldestVersionToStart() const { return objective().oldestToStart(policy_.version); }
+
     /// Next sample to generate: oldest step first, within it the longest, each at most once at a time.
     std::optional<Dispatch> next(Instant now);
 
+    /// A second attempt for a sample that takes far longer than its length explains. To be asked for only when next()
+    /// has nothing and capacity is idle; the first whole result wins.
+    std::optional<Dispatch> nextDuplicate(Instant now);
+
+    /// Takes a wanted sample that an agent says it is generating already; the dispatch goes to that agent, which joins
+    /// it to the attempt under way.
+    std::optional<Dispatch> adopt(StepNumber, uint32_t index, Instant now);
+
     /// Takes a finished sample from any agent, asked for or found. Returns false if it is of no use: unknown step,
     /// other content, not attributed, stale, or already there.
-    bool onSample(Sample);
+    bool onSample(Sample, Instant now);
 
-    /// A dispatch came to nothing; the sample is tried again at retryAt.
-    void onFailed(const Dispatch&, Instant retryAt);
+    /// A dispatch came to nothing; the sample is tried again at retryAt unless another attempt runs.
+    void onFailed(const Dispatch&, Instant retryAt, Instant now);
 
     /// Up to max finished samples to score, marked as being scored.
     std::vector<ScoringItem> nextScoring(size_t max, Instant now);
     void onScore(StepNumber, uint32_t index, double score);
-    void onScoringFailed(StepNumber, uint32_t index, Instant retryAt);
+    void onScoringFailed(StepNumber, uint32_t index, Instant retryAt, Instant now);
 
-    /// Hands over up to max samples that the cursor has not received and that are fresh for the given version.
-    /// Stale ones are put back to be generated again.
-    FetchResult fetch(const Cursor&, WeightVersion trainerVersion, size_t max);
+    /// Hands over up to max samples that the cursor has not received and that are fresh for the policy, which the fetch
+    /// names; whole groups only if the job says so, and then at least one group. Stale samples are generated again.
+    FetchResult fetch(const Cursor&, const PolicyState&, size_t max, Instant now);
 
     /// Earliest instant at which next() or nextScoring() may have more to give.
     Instant nextDeadline() const;
 
     std::vector<StepProgress> progress() const;
 
-    /// Steps with their digests and the indices that are finished here.
+    /// Digest of each known step.
     std::vector<std::pair<StepNumber, uint64_t>> steps() const;
 
 private:
-    enum class State { Wanted, Running, Unscored, Scoring, Ready };
-
-    struct Slot {
-        State state = State::Wanted;
-        uint32_t attempt = 0;
-        Instant notBefore = Instant::min();
-        std::optional<Sample> sample;
-    };
-
-    struct Step {
-        StepRequest request;
-        uint64_t digest = 0;
-        std::vector<uint32_t> longestFirst;
-        std::vector<Slot> slots;
-        bool isComplete = false;
-    };
-
     void dropOldCompleteSteps();
     bool isStale(const Sample&, WeightVersion trainerVersion) const;
-    Slot* slot(StepNumber, uint32_t index);
+    void handOver(StepState&, const Cursor&, WeightVersion trainerVersion, size_t max, Instant now, FetchResult&);
+    bool isGroupReady(StepState&, const Cursor&, uint32_t first, uint32_t end, WeightVersion, Instant now) const;
+    StepState* find(StepNumber, uint32_t index) const;
 
     JobDeclaration declaration_;
-    WeightVersion policyVersion_ = 0;
-    std::map<StepNumber, Step> steps_;
+    PolicyState policy_;
+    /// Moving average over finished samples; 0 before the first.
+    double tokensPerSecond_ = 0;
+    std::map<StepNumber, std::unique_ptr<StepState>> steps_;
 };
 
 } // namespace endiveroad
--- a/include/endiveroad/Sample.h
+++ b/include/endiveroad/Sample.h
@@ -47,7 +47,8 @@
     uint64_t digest() const;
 };
 
-/// A finished sample. Invariant: the segments cover [0, tokens) without gap or overlap.
+/// A finished sample. Invariant: the segments cover [0, tokens) without gap or overlap; a sample without tokens has one
+/// empty segment, which names the version that ended it at once.
 struct Sample {
     std::string job;
     StepNumber step = 0;
--- a/include/endiveroad/SampleHold.h
+++ b/include/endiveroad/SampleHold.h
@@ -17,6 +17,7 @@
     explicit SampleHold(uint64_t maxBytes);
 
     void setMaxBytes(uint64_t maxBytes);
+    /// Keeps a sample; one with the same job, step, content and index is replaced.
     void add(Sample);
 
     /// Samples held of a step (by digest) whose index is not in the set.
@@ -47,13 +48,19 @@
         bool isReceived = false;
     };
 
+    using Samples = std::map<Key, Held>;
+
     static uint64_t sizeOf(const Sample&);
     void evict();
+    void drop(Samples::iterator);
 
     uint64_t maxBytes_;
     uint64_t bytes_ = 0;
     uint64_t nextOrder_ = 0;
-    std::map<Key, Held> samples_;
+    Samples samples_;
+    /// Samples by age, those that the trainer has received apart from the others.
+    std::map<uint64_t, Samples::iterator> received_;
+    std::map<uint64_t, Samples::iterator> wanted_;
 };
 
 } // namespace endiveroad
--- a/include/endiveroad/endiveroad.h
+++ b/include/endiveroad/endiveroad.h
@@ -11,7 +11,9 @@
 #include <endiveroad/ReplicaTable.h>
 #include <endiveroad/Sample.h>
 #include <endiveroad/SampleHold.h>
+#include <endiveroad/SampleProgress.h>
 #include <endiveroad/Settings.h>
 #include <endiveroad/Time.h>
 #include <endiveroad/Timeline.h>
 #include <endiveroad/VersionTracker.h>
+#include <endiveroad/WeightPlan.h>
--- a/src/core/agent/SampleHold.cpp
+++ b/src/core/agent/SampleHold.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <endiveroad/SampleHold.h>
 
 namespace endiveroad {
@@ -33,11 +32,13 @@
 
 void SampleHold::add(Sample sample)
 {
-    const Key key { sample.job, sample.step, sample.stepDigest, sample.index };
-    const uint64_t size = sizeOf(sample);
-    const auto [position, isNew] = samples_.try_emplace(key, Held { std::move(sample), nextOrder_++, false });
-    if (isNew)
-        bytes_ += size;
+    Key key { sample.job, sample.step, sample.stepDigest, sample.index };
+    if (const auto found = samples_.find(key); found != samples_.end())
+        drop(found);
+    bytes_ += sizeOf(sample);
+    const uint64_t order = nextOrder_++;
+    const auto position = samples_.emplace(std::move(key), Held { std::move(sample), order, false }).first;
+    wanted_.emplace(order, position);
     evict();
 }
 
@@ -64,19 +65,28 @@
 {
     const auto begin = samples_.lower_bound({ job, step, digest, 0 });
     const auto end = samples_.upper_bound({ job, step, digest, maxIndex });
-    for (auto held = begin; held != end; ++held)
-        held->second.isReceived = held->second.isReceived || hasBit(receivedBits, held->first.index);
+    for (auto held = begin; held != end; ++held) {
+        if (held->second.isReceived || !hasBit(receivedBits, held->first.index))
+            continue;
+        held->second.isReceived = true;
+        wanted_.erase(held->second.order);
+        received_.emplace(held->second.order, held);
+    }
+}
+
+void SampleHold::drop(Samples::iterator held)
+{
+    bytes_ -= sizeOf(held->second.sample);
+    (held->second.isReceived ? received_ : wanted_).erase(held->second.order);
+    samples_.erase(held);
 }
 
 void SampleHold::evict()
 {
-    while (bytes_ > maxBytes_ && !samples_.empty()) {
-        const auto victim = std::min_element(samples_.begin(), samples_.end(), [](const auto& a, const auto& b) {
-            return std::pair(!a.second.isReceived, a.second.order) < std::pair(!b.second.isReceived, b.second.order);
-        });
-        bytes_ -= sizeOf(victim->second.sample);
-        samples_.erase(victim);
-    }
+    while (bytes_ > maxBytes_ && !received_.empty())
+        drop(received_.begin()->second);
+    while (bytes_ > maxBytes_ && !wanted_.empty())
+        drop(wanted_.begin()->second);
 }
 
 } // namespace endiveroad
--- a/src/core/agent/VersionTracker.cpp
+++ b/src/core/agent/VersionTracker.cpp
@@ -3,16 +3,24 @@
 
 namespace endiveroad {
 
-uint64_t VersionTracker::beginSwap()
+bool VersionTracker::isInForce(WeightVersion version, int64_t order) const
 {
+    return order == newestOrder_ && this->version() == version;
+}
+
+bool VersionTracker::beginSwap(WeightVersion version, int64_t order)
+{
+    if (order < newestOrder_ || !isSettled() || isInForce(version, order))
+        return false;
+    newestOrder_ = order;
     isSwapping_ = true;
-    doubt();
-    return ++fence_;
+    return true;
 }
 
-void VersionTracker::finishSwap()
+uint64_t VersionTracker::orderSwap()
 {
-    isSwapping_ = false;
+    doubt();
+    return ++fence_;
 }
 
 void VersionTracker::doubt()
@@ -25,23 +33,17 @@
 bool VersionTracker::onStatement(const EngineStatement& statement)
 {
     fence_ = std::max(fence_, statement.fence);
-    if (isSwapping_)
-        return false;
-    const uint64_t before = epoch_;
     const bool isSame = last_ && last_->boot == statement.boot && last_->loads == statement.loads
         && last_->version == statement.version && !statement.isLoading;
-    if (!isSame)
-        doubt();
-    if (!statement.isLoading) {
-        version_ = statement.version;
-        last_ = statement;
-    }
-    return epoch_ != before;
-}
-
-void VersionTracker::onEngineLost()
-{
+    if (isSame)
+        return true;
     doubt();
+    // While an order is under way its effect may come at any moment, so no statement opens a new epoch.
+    if (isSwapping_ || statement.isLoading)
+        return false;
+    version_ = statement.version;
+    last_ = statement;
+    return false;
 }
 
 } // namespace endiveroad
--- a/src/core/cursor/Cursor.cpp
+++ b/src/core/cursor/Cursor.cpp
@@ -41,6 +41,11 @@
     words_[index / bitsPerWord] |= uint64_t { 1 } << (index % bitsPerWord);
 }
 
+void IndexSet::erase(uint32_t index)
+{
+    words_[index / bitsPerWord] &= ~(uint64_t { 1 } << (index % bitsPerWord));
+}
+
 std::string IndexSet::bytes() const
 {
     std::string result((size_ + 7) / 8, '\0');
--- a/src/core/rollout/JobCoordinator.cpp
+++ b/src/core/rollout/JobCoordinator.cpp
@@ -1,47 +1,54 @@
-#include <endiveroad/JobCoordinator.h>
+#include "core/rollout/StepState.h"
 
 #include <algorithm>
 #include <endiveroad/Error.h>
+#include <endiveroad/JobCoordinator.h>
 #include <fmt/format.h>
-#include <numeric>
 
 namespace endiveroad {
 
+namespace {
+
+/// Weight of the newest sample in the moving average of the generation rate.
+constexpr double rateSmoothing = 0.1;
+
+} // namespace
+
 JobCoordinator::JobCoordinator(JobDeclaration declaration)
     : declaration_(std::move(declaration))
 {
 }
 
+JobCoordinator::JobCoordinator(JobCoordinator&&) noexcept = default;
+JobCoordinator& JobCoordinator::operator=(JobCoordinator&&) noexcept = default;
+JobCoordinator::~JobCoordinator() = default;
+
 bool JobCoordinator::submit(StepRequest request, Instant)
 {
-    const uint64_t digest = request.digest();
-    const auto found = steps_.find(request.step);
-    if (found != steps_.end()) {
-        if (found->second.digest != digest)
-            throw StepConflictError(fmt::format("step {} was submitted with other content", request.step));
-        return false;
-    }
-    Step step;
-    step.digest = digest;
-    step.slots.resize(request.samples.size());
-    step.longestFirst.resize(request.samples.size());
-    std::iota(step.longestFirst.begin(), step.longestFirst.end(), 0U);
-    std::stable_sort(step.longestFirst.begin(), step.longestFirst.end(),
-        [&](uint32_t a, uint32_t b) { return request.samples[a].maxTokens > request.samples[b].maxTokens; });
     const StepNumber number = request.step;
-    step.request = std::move(request);
-    steps_.emplace(number, std::move(step));
-    return true;
+    auto step = std::make_unique<StepState>(std::move(request));
+    const auto [found, isNew] = steps_.try_emplace(number);
+    if (isNew)
+        found->second = std::move(step);
+    else if (found->second->digest() != step->digest())
+        throw StepConflictError(fmt::format("step {} was submitted with other content", number));
+    return isNew;
+}
+
+void JobCoordinator::onPolicy(const PolicyState& policy)
+{
+    if (policy.order > policy_.order)
+        policy_ = policy;
 }
 
-void JobCoordinator::onPolicyVersion(WeightVersion version)
+RolloutObjective JobCoordinator::objective() const
 {
-    policyVersion_ = std::max(policyVersion_, version);
+    return { declaration_.rollout.stalenessBound, declaration_.rollout.idleWeight };
 }
 
 WeightVersion JobCoordinator::oldestUsableVersion() const
 {
-    return std::max<WeightVersion>(policyVersion_ - declaration_.rollout.stalenessBound, 0);
+    return std::max<WeightVersion>(policy_.version - declaration_.rollout.stalenessBound, 0);
 }
 
 bool JobCoordinator::isStale(const Sample& sample, WeightVersion trainerVersion) const
@@ -49,107 +56,96 @@
     return sample.oldestVersion() < trainerVersion - declaration_.rollout.stalenessBound;
 }
 
-JobCoordinator::Slot* JobCoordinator::slot(StepNumber step, uint32_t index)
+StepState* JobCoordinator::find(StepNumber step, uint32_t index) const
 {
     const auto found = steps_.find(step);
-    if (found == steps_.end() || index >= found->second.slots.size())
+    if (found == steps_.end() || index >= found->second->size())
         return nullptr;
-    return &found->second.slots[index];
+    return found->second.get();
 }
 
 std::optional<Dispatch> JobCoordinator::next(Instant now)
 {
     for (auto& [number, step] : steps_) {
-        if (step.isComplete)
+        if (step->isComplete())
             continue;
-        for (uint32_t index : step.longestFirst) {
-            Slot& slot = step.slots[index];
-            if (slot.state != State::Wanted || slot.notBefore > now)
-                continue;
-            slot.state = State::Running;
-            ++slot.attempt;
-            return Dispatch { number, index, step.digest, slot.attempt, step.request.samples[index] };
-        }
+        if (auto dispatch = step->next(now))
+            return dispatch;
+    }
+    return std::nullopt;
+}
+
+std::optional<Dispatch> JobCoordinator::nextDuplicate(Instant now)
+{
+    if (tokensPerSecond_ <= 0)
+        return std::nullopt;
+    for (auto& [number, step] : steps_) {
+        if (auto dispatch = step->nextDuplicate(now, tokensPerSecond_))
+            return dispatch;
     }
     return std::nullopt;
 }
 
-bool JobCoordinator::onSample(Sample sample)
+std::optional<Dispatch> JobCoordinator::adopt(StepNumber number, uint32_t index, Instant now)
+{
+    StepState* step = find(number, index);
+    return step ? step->adopt(index, now) : std::nullopt;
+}
+
+bool JobCoordinator::onSample(Sample sample, Instant now)
 {
-    Slot* target = slot(sample.step, sample.index);
-    if (!target || target->sample || steps_.at(sample.step).digest != sample.stepDigest)
+    StepState* step = find(sample.step, sample.index);
+    if (!step || step->digest() != sample.stepDigest)
         return false;
-    if (!sample.isAttributed() || isStale(sample, policyVersion_)) {
-        target->state = State::Wanted;
+    if (!sample.isAttributed() || isStale(sample, policy_.version))
         return false;
-    }
-    target->state = declaration_.scoringPool ? State::Unscored : State::Ready;
-    target->notBefore = Instant::min();
-    target->sample = std::move(sample);
+    const uint32_t tokens = sample.tokens;
+    const auto startedAt = step->keep(std::move(sample), declaration_.scoringPool.has_value(), now);
+    if (!startedAt)
+        return false;
+    if (*startedAt == Instant::min() || now <= *startedAt)
+        return true;
+    const double rate = tokens / std::chrono::duration<double>(now - *startedAt).count();
+    tokensPerSecond_ = tokensPerSecond_ > 0 ? tokensPerSecond_ + rateSmoothing * (rate - tokensPerSecond_) : rate;
     return true;
 }
 
-void JobCoordinator::onFailed(const Dispatch& dispatch, Instant retryAt)
+void JobCoordinator::onFailed(const Dispatch& dispatch, Instant retryAt, Instant now)
 {
-    Slot* target = slot(dispatch.step, dispatch.index);
-    if (!target || target->state != State::Running || target->attempt != dispatch.attempt)
-        return;
-    target->state = State::Wanted;
-    target->notBefore = retryAt;
+    StepState* step = find(dispatch.step, dispatch.index);
+    if (step && step->digest() == dispatch.stepDigest)
+        step->endAttempt(dispatch, retryAt, now);
 }
 
 std::vector<ScoringItem> JobCoordinator::nextScoring(size_t max, Instant now)
 {
     std::vector<ScoringItem> items;
-    for (auto& [number, step] : steps_) {
-        for (uint32_t index = 0; index < step.slots.size() && items.size() < max; ++index) {
-            Slot& slot = step.slots[index];
-            if (slot.state != State::Unscored || slot.notBefore > now)
-                continue;
-            slot.state = State::Scoring;
-            items.push_back({ number, index, step.request.samples[index].prompt, slot.sample->text });
-        }
-    }
+    for (auto& [number, step] : steps_)
+        step->nextScoring(
+            max, now, [this](const Sample& sample) { return isStale(sample, policy_.version); }, items);
     return items;
 }
 
-void JobCoordinator::onScore(StepNumber step, uint32_t index, double score)
+void JobCoordinator::onScore(StepNumber number, uint32_t index, double score)
 {
-    Slot* target = slot(step, index);
-    if (!target || target->state != State::Scoring)
-        return;
-    target->sample->score = score;
-    target->state = State::Ready;
+    if (StepState* step = find(number, index))
+        step->onScore(index, score);
 }
 
-void JobCoordinator::onScoringFailed(StepNumber step, uint32_t index, Instant retryAt)
+void JobCoordinator::onScoringFailed(StepNumber number, uint32_t index, Instant retryAt, Instant now)
 {
-    Slot* target = slot(step, index);
-    if (!target || target->state != State::Scoring)
-        return;
-    target->state = State::Unscored;
-    target->notBefore = retryAt;
+    if (StepState* step = find(number, index))
+        step->onScoringFailed(index, retryAt, now);
 }
 
-FetchResult JobCoordinator::fetch(const Cursor& cursor, WeightVersion trainerVersion, size_t max)
+FetchResult JobCoordinator::fetch(const Cursor& cursor, const PolicyState& policy, size_t max, Instant now)
 {
-    onPolicyVersion(trainerVersion);
+    onPolicy(policy);
     FetchResult result { {}, cursor, {} };
     for (auto& [number, step] : steps_) {
-        const auto size = static_cast<uint32_t>(step.slots.size());
-        step.isComplete = cursor.isComplete(number);
-        for (uint32_t index = 0; index < size && result.samples.size() < max; ++index) {
-            Slot& slot = step.slots[index];
-            if (slot.state != State::Ready || cursor.contains(number, index))
-                continue;
-            if (isStale(*slot.sample, trainerVersion)) {
-                slot.state = State::Wanted;
-                slot.sample.reset();
-                continue;
-            }
-            result.next.receive(number, step.digest, size, index);
-            result.samples.push_back(*slot.sample);
-        }
+        step->setComplete(cursor.isComplete(number));
+        if (!step->isComplete() && step->readyCount() > 0)
+            handOver(*step, cursor, policy.version, max, now, result);
     }
     result.steps = progress();
     for (StepProgress& step : result.steps)
@@ -159,9 +155,41 @@
     return result;
 }
 
+void JobCoordinator::handOver(
+    StepState& step, const Cursor& cursor, WeightVersion trainerVersion, size_t max, Instant now, FetchResult& result)
+{
+    const StepNumber number = step.request().step;
+    const uint32_t unit = declaration_.rollout.wholeGroups ? step.request().samplesPerGroup : 1;
+    for (uint32_t first = 0; first < step.size() && result.samples.size() < max; first += unit) {
+        const uint32_t end = std::min(first + unit, step.size());
+        if (!isGroupReady(step, cursor, first, end, trainerVersion, now))
+            continue;
+        for (uint32_t index = first; index < end; ++index) {
+            if (cursor.contains(number, index))
+                continue;
+            result.next.receive(number, step.digest(), step.size(), index);
+            result.samples.push_back(step.sample(index));
+        }
+    }
+}
+
+bool JobCoordinator::isGroupReady(StepState& step, const Cursor& cursor, uint32_t first, uint32_t end,
+    WeightVersion trainerVersion, Instant now) const
+{
+    bool isReady = true;
+    for (uint32_t index = first; index < end; ++index) {
+        if (cursor.contains(step.request().step, index))
+            continue;
+        if (step.isReady(index) && isStale(step.sample(index), trainerVersion))
+            step.discard(index, now);
+        isReady = isReady && step.isReady(index);
+    }
+    return isReady;
+}
+
 void JobCoordinator::dropOldCompleteSteps()
 {
-    const auto isComplete = [](const auto& entry) { return entry.second.isComplete; };
+    const auto isComplete = [](const auto& entry) { return entry.second->isComplete(); };
     while (static_cast<size_t>(std::count_if(steps_.begin(), steps_.end(), isComplete)) > retainedCompleteSteps)
         steps_.erase(std::find_if(steps_.begin(), steps_.end(), isComplete));
 }
@@ -169,23 +197,16 @@
 Instant JobCoordinator::nextDeadline() const
 {
     Instant earliest = never;
-    for (const auto& [number, step] : steps_) {
-        for (const Slot& slot : step.slots) {
-            if (slot.state == State::Wanted || slot.state == State::Unscored)
-                earliest = std::min(earliest, slot.notBefore);
-        }
-    }
+    for (const auto& [number, step] : steps_)
+        earliest = std::min(earliest, step->nextDeadline());
     return earliest;
 }
 
 std::vector<StepProgress> JobCoordinator::progress() const
 {
     std::vector<StepProgress> result;
-    for (const auto& [number, step] : steps_) {
-        const auto finished = std::count_if(
-            step.slots.begin(), step.slots.end(), [](const Slot& slot) { return slot.state == State::Ready; });
-        result.push_back({ number, static_cast<uint32_t>(step.slots.size()), static_cast<uint32_t>(finished), 0 });
-    }
+    for (const auto& [number, step] : steps_)
+        result.push_back({ number, step->size(), step->readyCount(), 0 });
     return result;
 }
 
@@ -193,7 +214,7 @@
 {
     std::vector<std::pair<StepNumber, uint64_t>> result;
     for (const auto& [number, step] : steps_)
-        result.emplace_back(number, step.digest);
+        result.emplace_back(number, step->digest());
     return result;
 }
 
--- a/src/core/sample/Sample.cpp
+++ b/src/core/sample/Sample.cpp
@@ -40,13 +40,15 @@
 
 bool Sample::isAttributed() const
 {
+    if (tokens == 0)
+        return segments.size() == 1 && segments[0].endToken == 0 && segments[0].version >= 0;
     uint32_t covered = 0;
     for (const Segment& segment : segments) {
         if (segment.firstToken != covered || segment.endToken <= segment.firstToken || segment.version < 0)
             return false;
         covered = segment.endToken;
     }
-    return covered == tokens && tokens > 0;
+    return covered == tokens;
 }
 
 } // namespace endiveroad
--- /dev/null
+++ b/src/core/sample/SampleProgress.cpp
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <cmath>
+#include <endiveroad/SampleProgress.h>
+
+namespace endiveroad {
+
+namespace {
+
+constexpr const char* lengthReason = "length";
+
+} // namespace
+
+WeightVersion RolloutObjective::oldestToStart(WeightVersion newest) const
+{
+    const auto allowance = static_cast<int64_t>(std::floor(idleWeight * static_cast<double>(stalenessBound)));
+    return std::max<WeightVersion>(newest - std::clamp<int64_t>(allowance, 0, stalenessBound), 0);
+}
+
+bool RolloutObjective::prefersRestart(
+    WeightVersion oldest, WeightVersion current, uint32_t tokens, uint32_t maxTokens) const
+{
+    if (oldest >= current || maxTokens == 0)
+        return false;
+    const double usedBound
+        = static_cast<double>(current - oldest) / static_cast<double>(std::max<int64_t>(stalenessBound, 1));
+    const double lostShare = static_cast<double>(tokens) / static_cast<double>(maxTokens);
+    return (1 - idleWeight) * usedBound > idleWeight * lostShare;
+}
+
+SampleProgress::SampleProgress(Sample sample, uint32_t maxTokens)
+    : sample_(std::move(sample))
+    , maxTokens_(maxTokens)
+{
+}
+
+uint32_t SampleProgress::discardUnwanted(
+    const VersionTracker& tracker, WeightVersion oldestUsable, const RolloutObjective& objective)
+{
+    if (sample_.segments.empty())
+        return 0;
+    const WeightVersion oldest = sample_.oldestVersion();
+    if (oldest >= oldestUsable && !objective.prefersRestart(oldest, tracker.version(), sample_.tokens, maxTokens_))
+        return 0;
+    const uint32_t dropped = sample_.tokens;
+    sample_.segments.clear();
+    sample_.text.clear();
+    sample_.tokens = 0;
+    return dropped;
+}
+
+void SampleProgress::openStream(const VersionTracker& tracker)
+{
+    epoch_ = tracker.epoch();
+    version_ = tracker.version();
+    text_.clear();
+    tokens_ = 0;
+    finishReason_.clear();
+}
+
+bool SampleProgress::onTokens(
+    std::string_view text, uint32_t tokens, WeightVersion statedVersion, const VersionTracker& tracker)
+{
+    if (!isInEpoch(tracker) || tracker.isSwapping())
+        return false;
+    if (statedVersion != unknownVersion && statedVersion != version_)
+        return false;
+    if (tokens > tokensLeft() - tokens_)
+        return false;
+    text_ += text;
+    tokens_ += tokens;
+    return true;
+}
+
+void SampleProgress::onEnd(std::string reason)
+{
+    finishReason_ = std::move(reason);
+}
+
+uint32_t SampleProgress::closeStream(bool isProven)
+{
+    if (!isProven)
+        return 0;
+    if (tokens_ > 0) {
+        const uint32_t end = sample_.tokens + tokens_;
+        if (!sample_.segments.empty() && sample_.segments.back().version == version_)
+            sample_.segments.back().endToken = end;
+        else
+            sample_.segments.push_back({ sample_.tokens, end, version_ });
+        sample_.text += text_;
+        sample_.tokens = end;
+    }
+    if (finishReason_.empty() && sample_.tokens == maxTokens_)
+        finishReason_ = lengthReason;
+    if (finishReason_.empty())
+        return tokens_;
+    if (sample_.segments.empty())
+        sample_.segments.push_back({ 0, 0, version_ });
+    sample_.finishReason = finishReason_;
+    isFinished_ = true;
+    return tokens_;
+}
+
+} // namespace endiveroad
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -2,7 +2,6 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
-#include "io/WireValues.h"
 #include "wire/Codec.h"
 
 #include <endiveroad/Error.h>
@@ -14,7 +13,6 @@
 namespace {
 
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
-constexpr int32_t refusedRetryAfterMs = 200;
 
 /// The pool and replica that a settings tree declares under an agent's name.
 std::pair<const PoolDeclaration*, const ReplicaDeclaration*> findReplica(
@@ -66,7 +64,8 @@
     admission_.setSlots(pool->call.slots, pool->call.reservedSlots);
     calls_->onPolicy(pool->call);
     drainTimeout_ = pool->call.drainTimeout;
-    hold_.setMaxBytes(heldBytesLimit(*inForce));
+    if (rollout_)
+        rollout_->setMaxHeldBytes(heldBytesLimit(*inForce));
 }
 
 void AgentNode::start(const PoolDeclaration& pool, const ReplicaDeclaration& replica)
@@ -78,9 +77,8 @@
     calls_ = std::make_unique<CallRunner>(http(), admission_, server_, incarnation());
     const auto executor = context().get_executor();
     if (pool.kind == PoolKind::Engine) {
-        engine_ = std::make_unique<CompletionsEngineClient>(http(), server_);
-        generator_ = std::make_unique<Generator>(context(), *engine_, tracker_, name(), pool.model);
-        spawn(executor, [this] { return generator_->watchEngine([this](bool isUp) { onServerState(isUp); }); });
+        rollout_ = std::make_unique<RolloutWorker>(context(), http(), admission_, server_, name(), pool.model);
+        spawn(executor, [this] { return rollout_->watchEngine([this](bool isUp) { onServerState(isUp); }); });
     } else {
         spawn(executor, [this] { return probeServer(); });
     }
@@ -120,6 +118,11 @@
     }
 }
 
+WeightVersion AgentNode::version() const
+{
+    return rollout_ ? rollout_->tracker().version() : unknownVersion;
+}
+
 void AgentNode::sendReports()
 {
     wire::AgentReport report;
@@ -131,12 +134,12 @@
     report.sequence = ++reportSequence_;
     report.freeSlots = admission_.freeSlots();
     report.running = admission_.running();
-    report.version = tracker_.version();
-    report.isSwapping = tracker_.isSwapping();
+    report.version = version();
+    report.isSwapping = rollout_ && rollout_->tracker().isSwapping();
     report.isDraining = admission_.isDraining();
     report.isServerUp = admission_.isServerUp();
     report.settingsRevision = keeper().revision();
-    report.heldBytes = static_cast<int64_t>(hold_.bytes());
+    report.heldBytes = rollout_ ? static_cast<int64_t>(rollout_->hold().bytes()) : 0;
     const std::string payload = wire::encode(report);
     const auto peers = acceptedPeers();
     for (const PeerConnectionPtr& peer : peers) {
@@ -162,24 +165,12 @@
     }
     case MessageType::Generate: {
         auto request = wire::decode<wire::GenerateRequest>(message.payload);
-        co_return co_await generate(std::move(request), message.deadline);
-    }
-    case MessageType::Held: {
-        const auto request = wire::decode<wire::HeldRequest>(message.payload);
-        wire::HeldAnswer answer;
-        for (const Sample& sample : hold_.missingFrom(request.job, static_cast<StepNumber>(request.step),
-                 static_cast<uint64_t>(request.stepDigest), request.receivedBits))
-            answer.samples.push_back(toWire(sample));
-        co_return wire::encode(answer);
+        co_return wire::encode(co_await rollout().generate(std::move(request), message.deadline));
     }
+    case MessageType::Held:
+        co_return wire::encode(rollout().held(wire::decode<wire::HeldRequest>(message.payload)));
     case MessageType::Load: {
-        const auto request = wire::decode<wire::LoadRequest>(message.payload);
-        if (!generator_)
-            throw BadRequestError("this backend server is not a model engine");
-        wire::LoadAnswer answer;
-        const bool isLoaded = co_await generator_->load(request.version, request.weights);
-        answer.outcome = isLoaded ? wire::Outcome::Done : wire::Outcome::Unknown;
-        answer.version = tracker_.version();
+        const wire::LoadAnswer answer = co_await rollout().load(wire::decode<wire::LoadRequest>(message.payload));
         sendReports();
         co_return wire::encode(answer);
     }
@@ -190,41 +181,19 @@
 
 void AgentNode::onNodeNotice(const PeerConnectionPtr&, const PeerMessage& message)
 {
-    if (message.type != MessageType::Release)
+    if (!rollout_)
         return;
-    const auto notice = wire::decode<wire::ReleaseNotice>(message.payload);
-    hold_.onReceived(notice.job, static_cast<StepNumber>(notice.step), static_cast<uint64_t>(notice.stepDigest),
-        notice.receivedBits);
+    if (message.type == MessageType::Release)
+        rollout_->onRelease(wire::decode<wire::ReleaseNotice>(message.payload));
+    else if (message.type == MessageType::CancelGenerate)
+        rollout_->onCancel(wire::decode<wire::CancelNotice>(message.payload));
 }
 
-asio::awaitable<std::string> AgentNode::generate(wire::GenerateRequest request, Instant deadline)
+RolloutWorker& AgentNode::rollout()
 {
-    if (!generator_)
+    if (!rollout_)
         throw BadRequestError("this backend server is not a model engine");
-    wire::GenerateAnswer answer;
-    answer.outcome = wire::Outcome::NotRun;
-    answer.errorCode = std::string(codeText(ErrorCode::NotRun));
-    answer.retryAfterMs = refusedRetryAfterMs;
-    const Sample* held = hold_.find(request.job, static_cast<StepNumber>(request.step),
-        static_cast<uint64_t>(request.stepDigest), static_cast<uint32_t>(request.index));
-    if (held && held->oldestVersion() >= request.oldestVersion) {
-        answer.outcome = wire::Outcome::Done;
-        answer.__set_sample(toWire(*held));
-        co_return wire::encode(answer);
-    }
-    if (admission_.admit(request.requestId, false, deadline, now()) != Refusal::None)
-        co_return wire::encode(answer);
-    try {
-        Sample sample = co_await generator_->generate(std::move(request), deadline);
-        answer.outcome = wire::Outcome::Done;
-        answer.errorCode.clear();
-        answer.__set_sample(toWire(sample));
-        hold_.add(std::move(sample));
-    } catch (const Error& error) {
-        answer.errorCode = std::string(codeText(error.code()));
-    }
-    admission_.finish();
-    co_return wire::encode(answer);
+    return *rollout_;
 }
 
 asio::awaitable<void> AgentNode::drain()
@@ -241,9 +210,10 @@
 {
     return nlohmann::json {
         { "name", name() }, { "role", "agent" }, { "incarnation", incarnation() }, { "revision", keeper().revision() },
-        { "isDraining", admission_.isDraining() }, { "pool", pool_ }, { "version", tracker_.version() },
+        { "isDraining", admission_.isDraining() }, { "pool", pool_ }, { "version", version() },
         { "isServerUp", admission_.isServerUp() }, { "running", admission_.running() },
-        { "freeSlots", admission_.freeSlots() }, { "heldSamples", hold_.count() }, { "heldBytes", hold_.bytes() }
+        { "freeSlots", admission_.freeSlots() }, { "heldSamples", rollout_ ? rollout_->hold().count() : 0 },
+        { "heldBytes", rollout_ ? rollout_->hold().bytes() : 0 }
     }.dump();
 }
 
--- a/src/io/agent/AgentNode.h
+++ b/src/io/agent/AgentNode.h
@@ -2,11 +2,9 @@
 
 #include "io/Node.h"
 #include "io/agent/CallRunner.h"
-#include "io/agent/Generator.h"
+#include "io/agent/RolloutWorker.h"
 
 #include <endiveroad/Admission.h>
-#include <endiveroad/SampleHold.h>
-#include <endiveroad/VersionTracker.h>
 
 /// The agent process: the authority for the one backend server beside it.
 namespace endiveroad::io {
@@ -31,7 +29,9 @@
 
 private:
     void start(const PoolDeclaration&, const ReplicaDeclaration&);
-    asio::awaitable<std::string> generate(wire::GenerateRequest, Instant deadline);
+    /// Throws BadRequestError if the backend server is not a model engine.
+    RolloutWorker& rollout();
+    WeightVersion version() const;
     asio::awaitable<void> reportLoop();
     asio::awaitable<void> probeServer();
     void sendReports();
@@ -44,11 +44,9 @@
     Address server_;
     Duration drainTimeout_ = CallPolicy().drainTimeout;
     Admission admission_ { 0, 0 };
-    VersionTracker tracker_;
-    SampleHold hold_ { RolloutPolicy().heldBytesPerAgent };
     std::unique_ptr<CallRunner> calls_;
-    std::unique_ptr<EngineClient> engine_;
-    std::unique_ptr<Generator> generator_;
+    /// Null unless the backend server is a model engine.
+    std::unique_ptr<RolloutWorker> rollout_;
     int64_t reportSequence_ = 0;
 };
 
--- a/src/io/agent/Generator.cpp
+++ b/src/io/agent/Generator.cpp
@@ -9,145 +9,152 @@
 
 namespace endiveroad::io {
 
+void GenerationHandle::cancel()
+{
+    isCancelled = true;
+    if (stream)
+        stream->cancel();
+}
+
 Generator::Generator(
     asio::io_context& context, EngineClient& engine, VersionTracker& tracker, std::string agentName, std::string model)
-    : context_(context)
-    , engine_(engine)
+    : engine_(engine)
     , tracker_(tracker)
     , agentName_(std::move(agentName))
     , model_(std::move(model))
+    , changed_(context)
 {
 }
 
-asio::awaitable<Sample> Generator::generate(wire::GenerateRequest request, Instant deadline)
+asio::awaitable<Sample> Generator::generate(
+    wire::GenerateRequest request, Instant deadline, std::shared_ptr<GenerationHandle> handle)
 {
-    Progress progress;
-    Sample& sample = progress.sample;
-    sample.job = request.job;
-    sample.step = static_cast<StepNumber>(request.step);
-    sample.index = static_cast<uint32_t>(request.index);
-    sample.stepDigest = static_cast<uint64_t>(request.stepDigest);
-    sample.agent = agentName_;
-    while (!progress.isFinished) {
+    Sample blank;
+    blank.job = request.job;
+    blank.step = static_cast<StepNumber>(request.step);
+    blank.index = static_cast<uint32_t>(request.index);
+    blank.stepDigest = static_cast<uint64_t>(request.stepDigest);
+    blank.agent = agentName_;
+    SampleProgress progress(std::move(blank), static_cast<uint32_t>(request.maxTokens));
+    const RolloutObjective objective { request.stalenessBound, request.idleWeight };
+    while (!progress.isFinished()) {
+        if (handle->isCancelled)
+            throw NotRunError("the sample is not wanted any more");
         if (now() >= deadline)
             throw NotRunError("the sample was not finished by its deadline");
         if (!co_await waitForVersion(request.oldestVersion, deadline))
             throw NotRunError("the engine's weight version is unknown or too old");
-        discardStaleTokens(progress, request.oldestVersion);
-        co_await runStream(request, progress, deadline);
+        const uint32_t dropped = progress.discardUnwanted(tracker_, request.oldestVersion, objective);
+        if (dropped > 0)
+            log(Event::TokensDiscarded, { { "request", request.requestId }, { "tokens", std::to_string(dropped) } });
+        co_await runStream(request, progress, deadline, *handle);
     }
-    co_return std::move(sample);
+    co_return progress.sample();
 }
 
 asio::awaitable<bool> Generator::waitForVersion(WeightVersion atLeast, Instant deadline)
 {
     while (tracker_.version() == unknownVersion && now() < deadline)
-        co_await sleepFor(versionWait);
-    co_return tracker_.version() != unknownVersion&& tracker_.version() >= atLeast;
+        co_await changed_.wait(std::min(deadline, now() + statusInterval));
+    const WeightVersion version = tracker_.version();
+    co_return version != unknownVersion&& version >= atLeast;
 }
 
-void Generator::discardStaleTokens(Progress& progress, WeightVersion oldest) const
+asio::awaitable<void> Generator::runStream(
+    const wire::GenerateRequest& request, SampleProgress& progress, Instant deadline, GenerationHandle& handle)
 {
-    if (progress.sample.segments.empty() || progress.sample.oldestVersion() >= oldest)
-        return;
-    log(Event::TokensDiscarded,
-        { { "job", progress.sample.job }, { "tokens", std::to_string(progress.sample.tokens) },
-            { "reason", "stale" } });
-    progress.sample.segments.clear();
-    progress.sample.text.clear();
-    progress.sample.tokens = 0;
+    OpenStream stream;
+    stream.epoch = tracker_.epoch();
+    streams_.insert(&stream);
+    handle.stream = &stream.cancellation;
+    progress.openStream(tracker_);
+    co_await readStream(request, progress, deadline, stream, handle);
+    handle.stream = nullptr;
+    const bool wasSwapped = stream.cancellation.isCancelled() && !handle.isCancelled;
+    const bool isProven = co_await prove(progress, stream);
+    streams_.erase(&stream);
+    const uint32_t gained = progress.closeStream(isProven);
+    if (!isProven)
+        log(Event::TokensDiscarded, { { "request", request.requestId }, { "reason", "unattributable" } });
+    if (!progress.isFinished() && !wasSwapped && gained == 0)
+        co_await sleepFor(versionWait);
 }
 
-asio::awaitable<void> Generator::runStream(const wire::GenerateRequest& request, Progress& progress, Instant deadline)
+asio::awaitable<void> Generator::readStream(const wire::GenerateRequest& request, SampleProgress& progress,
+    Instant deadline, OpenStream& stream, GenerationHandle& handle)
 {
-    Sample& sample = progress.sample;
-    const uint64_t epoch = tracker_.epoch();
-    const WeightVersion version = tracker_.version();
-    EngineCompletion completion { model_, request.requestId, request.prompt + sample.text,
-        static_cast<uint32_t>(request.maxTokens) - sample.tokens, request.priority };
-    std::string text;
-    uint32_t tokens = 0;
+    if (progress.tokensLeft() == 0)
+        co_return;
+    EngineCompletion completion { model_, request.requestId, request.prompt + progress.sample().text,
+        progress.tokensLeft(), request.priority };
     std::string finishReason;
-    bool isForeign = false;
-    HttpCancellation cancellation;
-    streams_.insert(&cancellation);
     auto onChunk = [&](const EngineChunk& chunk) {
-        // Chunks read after an order was given may come from either version, so they are left out.
-        if (tracker_.epoch() != epoch)
+        if (stream.cancellation.isCancelled() || handle.isCancelled)
             return false;
-        isForeign = chunk.version != unknownVersion && chunk.version != version;
-        if (isForeign)
+        if (!progress.onTokens(chunk.text, chunk.tokens, chunk.version, tracker_))
             return false;
-        text += chunk.text;
-        tokens += chunk.tokens;
         finishReason = chunk.finishReason;
         return true;
     };
-    bool isEnded = false;
     try {
-        isEnded = co_await engine_.complete(std::move(completion), deadline, onChunk, cancellation);
+        const bool isEnded = co_await engine_.complete(std::move(completion), deadline, onChunk, stream.cancellation);
+        if (isEnded && !finishReason.empty())
+            progress.onEnd(finishReason);
     } catch (const Error& error) {
         log(Event::SampleRefused, { { "request", request.requestId }, { "reason", error.what() } });
     }
-    streams_.erase(&cancellation);
-    // The engine must state, after the last token, that it loaded nothing since the stream was opened. Tokens read
-    // before an order of this agent were checked when the order was given.
-    const bool wasSwapOrdered = cancellation.isCancelled();
-    if (!wasSwapOrdered && (!co_await refresh() || tracker_.epoch() != epoch)) {
-        if (tokens > 0)
-            log(Event::TokensDiscarded, { { "request", request.requestId }, { "tokens", std::to_string(tokens) } });
-        co_await sleepFor(versionWait);
-        co_return;
-    }
-    if (tokens > 0) {
-        if (!sample.segments.empty() && sample.segments.back().version == version)
-            sample.segments.back().endToken += tokens;
-        else
-            sample.segments.push_back({ sample.tokens, sample.tokens + tokens, version });
-        sample.text += text;
-        sample.tokens += tokens;
-    }
-    if (isEnded && !finishReason.empty()) {
-        sample.finishReason = finishReason;
-        progress.isFinished = true;
-    } else if (!wasSwapOrdered) {
-        co_await sleepFor(versionWait);
-    }
+}
+
+asio::awaitable<bool> Generator::prove(SampleProgress& progress, OpenStream& stream)
+{
+    // A swap that is announced asks one statement for all streams that it cancelled.
+    while (tracker_.isSwapping() && !stream.isProven && progress.isInEpoch(tracker_))
+        co_await changed_.wait(now() + statusTimeout);
+    if (stream.isProven)
+        co_return *stream.isProven;
+    if (!progress.isInEpoch(tracker_))
+        co_return false;
+    const bool isAnswered = co_await refresh();
+    if (stream.isProven)
+        co_return *stream.isProven;
+    co_return isAnswered&& progress.isInEpoch(tracker_);
 }
 
 asio::awaitable<bool> Generator::refresh()
 {
+    bool isAnswered = true;
     try {
         const auto statement = co_await engine_.status(now() + statusTimeout);
         tracker_.onStatement(statement);
-        co_return true;
     } catch (const Error&) {
         tracker_.onEngineLost();
-        co_return false;
+        isAnswered = false;
     }
+    changed_.notifyAll();
+    co_return isAnswered;
 }
 
-void Generator::cancelStreams()
+asio::awaitable<void> Generator::settleStreams()
 {
-    for (HttpCancellation* stream : streams_)
-        stream->cancel();
+    const std::set<OpenStream*> cancelled = streams_;
+    for (OpenStream* stream : cancelled)
+        stream->cancellation.cancel();
+    const bool isAnswered = co_await refresh();
+    for (OpenStream* stream : streams_) {
+        if (cancelled.contains(stream))
+            stream->isProven = isAnswered && stream->epoch == tracker_.epoch();
+    }
 }
 
-asio::awaitable<bool> Generator::load(WeightVersion version, std::string weights)
+asio::awaitable<bool> Generator::load(WeightVersion version, std::string weights, int64_t order)
 {
-    if (version <= newestOrder_ && tracker_.version() >= version)
+    if (tracker_.isInForce(version, order))
         co_return true;
-    if (version < newestOrder_ || tracker_.isSwapping())
-        co_return false;
-    newestOrder_ = version;
-    // Tokens read so far are attributable only if the engine states that nothing was loaded before the order.
-    const uint64_t epoch = tracker_.epoch();
-    const bool isSure = co_await refresh() && tracker_.epoch() == epoch;
-    if (tracker_.isSwapping())
+    if (!tracker_.beginSwap(version, order))
         co_return false;
-    if (isSure)
-        cancelStreams();
-    const uint64_t fence = tracker_.beginSwap();
+    co_await settleStreams();
+    const uint64_t fence = tracker_.orderSwap();
+    changed_.notifyAll();
     bool isConfirmed = false;
     try {
         isConfirmed = co_await engine_.load(version, weights, fence, now() + loadTimeout);
@@ -156,7 +163,7 @@
     }
     tracker_.finishSwap();
     co_await refresh();
-    const bool isLoaded = tracker_.version() == version;
+    const bool isLoaded = tracker_.isInForce(version, order);
     if (isLoaded)
         log(Event::SwapConfirmed, { { "version", std::to_string(version) } });
     else if (isConfirmed)
--- a/src/io/entry/EntryNode.cpp
+++ b/src/io/entry/EntryNode.cpp
@@ -3,6 +3,7 @@
 #include "io/Clock.h"
 #include "io/Log.h"
 #include "io/WireValues.h"
+#include "io/entry/JobMessages.h"
 #include "wire/Codec.h"
 
 #include <charconv>
@@ -166,7 +167,11 @@
     if (!isForwarded && home != name()) {
         // Every call on a job is idempotent, so after a failed forward this entry does it itself.
         try {
-            co_return co_await forward(agents_.connection(home), query);
+            HttpResponse response = co_await forward(agents_.connection(home), query);
+            const auto runner = runners_.find(path[2]);
+            if (runner != runners_.end())
+                runner->second->onHomeElsewhere();
+            co_return response;
         } catch (const Error& error) {
             log(Event::PeerLost, { { "peer", home }, { "reason", error.what() } });
         }
@@ -196,7 +201,7 @@
         co_return co_await runner.submit(parseStepNumber(path[4]), query.body);
     if (path.size() == 4 && path[3] == "fetch" && query.method == "POST") {
         HttpResponse response = co_await runner.fetch(query.body);
-        rollout_->announce(job.pool, { runner.policyVersion(), {} }, job.rollout.swapShare);
+        rollout_->announce(job.pool, { runner.policy(), {} });
         co_return response;
     }
     if (path.size() == 4 && path[3] == "policy" && query.method == "PUT")
@@ -206,23 +211,16 @@
 
 HttpResponse EntryNode::announce(const JobDeclaration& job, const std::string& body)
 {
-    AnnouncedPolicy policy;
-    try {
-        const Json json = Json::parse(body);
-        policy = { json.at("version").get<WeightVersion>(), json.value("weights", "") };
-    } catch (const Json::exception& error) {
-        throw BadRequestError(fmt::format("policy: {}", error.what()));
-    }
-    if (policy.version < 0)
-        throw BadRequestError("policy: a version is not negative");
-    runner(job).onPolicyVersion(policy.version);
-    if (rollout_->announce(job.pool, policy, job.rollout.swapShare)) {
+    const PolicyRequest request = parsePolicy(body);
+    const AnnouncedPolicy policy { request.policy, request.weights };
+    runner(job).onPolicy(policy.policy);
+    if (rollout_->announce(job.pool, policy)) {
         for (const auto& [entryName, entry] : settings()->entries) {
             if (const auto peer = agents_.connection(entryName))
                 tellPolicies(peer);
         }
     }
-    return jsonResponse(200, Json { { "version", policy.version } }.dump());
+    return jsonResponse(200, Json { { "version", policy.policy.version } }.dump());
 }
 
 void EntryNode::tellPolicies(const PeerConnectionPtr& peer)
@@ -230,9 +228,9 @@
     for (const auto& [pool, policy] : rollout_->policies()) {
         wire::PolicyNotice notice;
         notice.model = pool;
-        notice.version = policy.version;
+        notice.version = policy.policy.version;
         notice.weights = policy.weights;
-        notice.order = policy.version;
+        notice.order = policy.policy.order;
         peer->notify(MessageType::Policy, wire::encode(notice));
     }
 }
@@ -261,11 +259,20 @@
     if (message.type == MessageType::AgentReport) {
         const auto report = wire::decode<wire::AgentReport>(message.payload);
         if (report.agent == peer->peerName)
-            agents_.onReport(report.pool, fromWire(report));
+            onReport(report.pool, fromWire(report));
     } else if (message.type == MessageType::Policy && rollout_) {
         const auto notice = wire::decode<wire::PolicyNotice>(message.payload);
         if (settings()->pools.contains(notice.model))
-            rollout_->announce(notice.model, { notice.version, notice.weights }, RolloutPolicy().swapShare);
+            rollout_->announce(notice.model, { { notice.version, notice.order }, notice.weights });
+    }
+}
+
+void EntryNode::onReport(const std::string& pool, const ReplicaReport& report)
+{
+    agents_.onReport(pool, report);
+    for (const auto& [job, runner] : runners_) {
+        if (runner->declaration().pool == pool)
+            runner->onCapacity();
     }
 }
 
--- a/src/io/entry/EntryNode.h
+++ b/src/io/entry/EntryNode.h
@@ -34,6 +34,7 @@
     asio::awaitable<HttpResponse> forward(PeerConnectionPtr, const HttpQuery&);
     HttpResponse announce(const JobDeclaration&, const std::string& body);
     void tellPolicies(const PeerConnectionPtr&);
+    void onReport(const std::string& pool, const ReplicaReport&);
 
     /// The live entry that coordinates a job; this one's name if it is itself.
     std::string homeOf(const std::string& job) const;
--- a/src/io/entry/JobRunner.cpp
+++ b/src/io/entry/JobRunner.cpp
@@ -3,102 +3,20 @@
 #include "io/Clock.h"
 #include "io/Log.h"
 #include "io/WireValues.h"
+#include "io/entry/JobMessages.h"
 #include "wire/Codec.h"
 
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace endiveroad::io {
 
-using Json = nlohmann::json;
-
-namespace {
-
-constexpr uint32_t maxSamplesPerStep = 1U << 16;
-
-StepRequest parseStep(StepNumber number, const std::string& body)
-{
-    try {
-        const Json json = Json::parse(body);
-        StepRequest step;
-        step.step = number;
-        step.samplesPerGroup = json.value("samplesPerGroup", 1U);
-        for (const Json& sample : json.at("samples"))
-            step.samples.push_back({ sample.at("prompt").get<std::string>(), sample.at("maxTokens").get<uint32_t>() });
-        if (step.samples.empty() || step.samples.size() > maxSamplesPerStep)
-            throw BadRequestError(fmt::format("a step has 1 to {} samples", maxSamplesPerStep));
-        if (step.samplesPerGroup == 0 || step.samples.size() % step.samplesPerGroup != 0)
-            throw BadRequestError("samplesPerGroup does not divide the number of samples");
-        return step;
-    } catch (const Json::exception& error) {
-        throw BadRequestError(fmt::format("step: {}", error.what()));
-    }
-}
-
-struct FetchRequest {
-    std::string cursor;
-    WeightVersion policyVersion = 0;
-    size_t max = JobRunner::defaultFetchSamples;
-    Duration wait = Duration::zero();
-    std::vector<StepNumber> steps;
-};
-
-FetchRequest parseFetch(const std::string& body)
-{
-    try {
-        const Json json = Json::parse(body);
-        FetchRequest fetch;
-        fetch.cursor = json.value("cursor", "");
-        fetch.policyVersion = json.at("policyVersion").get<WeightVersion>();
-        fetch.max = json.value("max", fetch.max);
-        fetch.wait = std::min<Duration>(std::chrono::milliseconds(json.value("waitMs", 0)), JobRunner::maxFetchWait);
-        fetch.steps = json.value("steps", fetch.steps);
-        return fetch;
-    } catch (const Json::exception& error) {
-        throw BadRequestError(fmt::format("fetch: {}", error.what()));
-    }
-}
-
-Json toJson(const Sample& sample)
-{
-    Json segments = Json::array();
-    for (const Segment& segment : sample.segments) {
-        segments.push_back(
-            { { "firstToken", segment.firstToken }, { "endToken", segment.endToken }, { "version", segment.version } });
-    }
-    Json json { { "step", sample.step }, { "index", sample.index }, { "text", sample.text },
-        { "tokens", sample.tokens }, { "segments", segments }, { "finishReason", sample.finishReason },
-        { "agent", sample.agent } };
-    if (sample.score)
-        json["score"] = *sample.score;
-    return json;
-}
-
-Json toJson(const StepProgress& progress)
-{
-    return { { "step", progress.step }, { "wanted", progress.wanted }, { "finished", progress.finished },
-        { "received", progress.received } };
-}
-
-std::string dumped(const Json& json)
-{
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
-std::string submitAnswer(StepNumber number, size_t samples, bool isNew)
-{
-    return Json { { "step", number }, { "samples", samples }, { "isNew", isNew } }.dump();
-}
-
-} // namespace
-
 JobRunner::JobRunner(asio::io_context& context, AgentDirectory& agents, CallRouter& calls, JobDeclaration declaration)
     : context_(context)
     , agents_(agents)
     , calls_(calls)
     , coordinator_(std::move(declaration))
-    , wakeup_(context)
+    , changed_(context)
 {
     spawn(context_.get_executor(), [this] { return run(); });
 }
@@ -108,9 +26,9 @@
     coordinator_.onDeclaration(std::move(declaration));
 }
 
-void JobRunner::onPolicyVersion(WeightVersion version)
+void JobRunner::onPolicy(const PolicyState& policy)
 {
-    coordinator_.onPolicyVersion(version);
+    coordinator_.onPolicy(policy);
 }
 
 void JobRunner::stop()
@@ -121,45 +39,78 @@
 
 void JobRunner::wake()
 {
-    wakeup_.cancel();
+    isWoken_ = true;
+    changed_.notifyAll();
 }
 
 asio::awaitable<void> JobRunner::run()
 {
     while (!isStopped_) {
-        if (now() < activeUntil_)
+        isWoken_ = false;
+        if (now() < activeUntil_) {
             dispatchWork();
-        co_await waitUntil(wakeup_, now() + idleRound);
+            dispatchDuplicates();
+            startScoring();
+        }
+        const Instant due = coordinator_.nextDeadline();
+        const Instant round = now() + idleRound;
+        if (!isWoken_)
+            co_await changed_.wait(due > now() ? std::min(due, round) : round);
     }
 }
 
 void JobRunner::dispatchWork()
 {
-    ReplicaTable& table = agents_.table(coordinator_.declaration().pool);
+    ReplicaTable& table = agents_.table(declaration().pool);
     ReplicaDemand demand;
-    demand.atLeast = coordinator_.oldestUsableVersion();
-    demand.keepFree = agents_.settings().pool(coordinator_.declaration().pool).call.reservedSlots;
+    demand.atLeast = coordinator_.oldestVersionToStart();
+    demand.keepFree = agents_.settings().pool(declaration().pool).call.reservedSlots;
     while (auto agent = table.acquire(now(), demand)) {
         const auto dispatch = coordinator_.next(now());
         if (!dispatch) {
             table.release(*agent);
             break;
         }
-        spawn(context_.get_executor(),
-            [this, dispatch = *dispatch, agent = *agent] { return generate(dispatch, agent); });
+        start(*dispatch, *agent, true);
+    }
+}
+
+void JobRunner::dispatchDuplicates()
+{
+    ReplicaTable& table = agents_.table(declaration().pool);
+    ReplicaDemand demand;
+    demand.atLeast = coordinator_.oldestVersionToStart();
+    // One more slot stays free than for first attempts, so that a duplicate never takes the last one.
+    demand.keepFree = agents_.settings().pool(declaration().pool).call.reservedSlots + 1;
+    while (auto agent = table.acquire(now(), demand)) {
+        const auto dispatch = coordinator_.nextDuplicate(now());
+        if (!dispatch) {
+            table.release(*agent);
+            break;
+        }
+        start(*dispatch, *agent, true);
     }
+}
+
+void JobRunner::startScoring()
+{
     while (true) {
         auto items = coordinator_.nextScoring(scoringBatch, now());
         if (items.empty())
-            break;
+            return;
         spawn(context_.get_executor(), [this, items = std::move(items)] { return score(items); });
     }
 }
 
-asio::awaitable<void> JobRunner::generate(Dispatch dispatch, std::string agent)
+void JobRunner::start(const Dispatch& dispatch, const std::string& agent, bool hasSlot)
 {
-    const JobDeclaration& job = coordinator_.declaration();
-    const std::string pool = job.pool;
+    spawn(context_.get_executor(), [this, dispatch, agent, hasSlot] { return generate(dispatch, agent, hasSlot); });
+}
+
+wire::GenerateRequest JobRunner::generateRequest(const Dispatch& dispatch)
+{
+    const JobDeclaration& job = declaration();
+    const RolloutObjective objective = coordinator_.objective();
     wire::GenerateRequest request;
     request.requestId
         = fmt::format("{}/{}/{}/{}-{}", job.name, dispatch.step, dispatch.index, dispatch.attempt, nextRequest_++);
@@ -171,98 +122,151 @@
     request.maxTokens = static_cast<int32_t>(dispatch.request.maxTokens);
     request.priority = job.rollout.priority;
     request.oldestVersion = coordinator_.oldestUsableVersion();
-    const Instant deadline = now() + job.rollout.stepTimeout;
-    std::string reason;
+    request.stalenessBound = objective.stalenessBound;
+    request.idleWeight = objective.idleWeight;
+    return request;
+}
+
+asio::awaitable<void> JobRunner::generate(Dispatch dispatch, std::string agent, bool hasSlot)
+{
+    const std::string pool = declaration().pool;
+    wire::GenerateRequest request = generateRequest(dispatch);
+    const std::string requestId = request.requestId;
+    const std::pair slot(dispatch.step, dispatch.index);
+    const auto attempt = attempts_.emplace(slot, Attempt { requestId, agent });
+    const Instant deadline = now() + declaration().rollout.stepTimeout;
+    const std::string reason = co_await ask(std::move(request), agent, deadline);
+    attempts_.erase(attempt);
+    if (hasSlot)
+        agents_.table(pool).release(agent);
+    if (reason.empty()) {
+        log(Event::SampleFinished, { { "request", requestId }, { "agent", agent } });
+        cancelOthers(dispatch.step, dispatch.index, requestId);
+    } else {
+        log(Event::SampleRefused, { { "request", requestId }, { "agent", agent }, { "reason", reason } });
+        coordinator_.onFailed(dispatch, now() + failedDispatchDelay, now());
+    }
+    wake();
+}
+
+asio::awaitable<std::string> JobRunner::ask(wire::GenerateRequest request, std::string agent, Instant deadline)
+{
+    const PeerConnectionPtr peer = agents_.connection(agent);
+    if (!peer)
+        co_return "the agent is not connected";
+    log(Event::SampleDispatched, { { "request", request.requestId }, { "agent", agent } });
+    std::string failure;
     try {
-        const PeerConnectionPtr peer = agents_.connection(agent);
-        if (!peer)
-            throw PeerUnavailableError("the agent is not connected");
-        log(Event::SampleDispatched, { { "request", request.requestId }, { "agent", agent } });
         const std::string payload = co_await peer->call(MessageType::Generate, wire::encode(request), deadline);
         const auto answer = wire::decode<wire::GenerateAnswer>(payload);
-        if (answer.outcome == wire::Outcome::Done && answer.__isset.sample) {
-            log(Event::SampleFinished, { { "request", request.requestId }, { "agent", agent } });
-            if (!coordinator_.onSample(fromWire(answer.sample)))
-                reason = "of no use any more";
-        } else {
-            reason = answer.errorCode;
-        }
+        if (answer.outcome != wire::Outcome::Done || !answer.__isset.sample)
+            failure = answer.errorCode.empty() ? "refused" : answer.errorCode;
+        else if (!coordinator_.onSample(fromWire(answer.sample), now()))
+            failure = "of no use any more";
     } catch (const Error& error) {
-        reason = error.what();
+        failure = error.what();
     }
-    agents_.table(pool).release(agent);
-    if (!reason.empty()) {
-        log(Event::SampleRefused, { { "request", request.requestId }, { "agent", agent }, { "reason", reason } });
-        coordinator_.onFailed(dispatch, now() + failedDispatchDelay);
+    co_return failure;
+}
+
+void JobRunner::cancelOthers(StepNumber step, uint32_t index, const std::string& winner)
+{
+    const auto [begin, end] = attempts_.equal_range({ step, index });
+    for (auto it = begin; it != end; ++it) {
+        const PeerConnectionPtr peer = agents_.connection(it->second.agent);
+        if (!peer || it->second.requestId == winner)
+            continue;
+        wire::CancelNotice notice;
+        notice.requestId = it->second.requestId;
+        peer->notify(MessageType::CancelGenerate, wire::encode(notice));
     }
-    wake();
 }
 
 asio::awaitable<void> JobRunner::score(std::vector<ScoringItem> items)
 {
-    const std::string pool = *coordinator_.declaration().scoringPool;
-    Json batch = Json::array();
-    for (const ScoringItem& item : items) {
-        batch.push_back({ { "id", fmt::format("{}/{}", item.step, item.index) }, { "prompt", item.prompt },
-            { "text", item.text } });
-    }
-    std::map<std::string, double> scores;
+    const std::string pool = declaration().scoringPool.value_or("");
+    std::map<size_t, double> scores;
     try {
-        HttpRequest request = jsonRequest("POST", "/score", Json { { "items", batch } }.dump());
+        HttpRequest request = jsonRequest("POST", "/score", scoringBody(items));
         const HttpResponse response = co_await calls_.callAny(pool, std::move(request), now() + scoringTimeout);
         if (response.status != 200)
             throw ServerUnavailableError(fmt::format("the scorer answered {}", response.status));
-        const Json answer = Json::parse(response.body);
-        for (const Json& score : answer.at("scores"))
-            scores.emplace(score.at("id").get<std::string>(), score.at("score").get<double>());
+        scores = parseScores(response.body, items);
     } catch (const std::exception& error) {
-        log(Event::ScoringFailed, { { "job", coordinator_.declaration().name }, { "reason", error.what() } });
+        log(Event::ScoringFailed, { { "job", declaration().name }, { "reason", error.what() } });
     }
-    for (const ScoringItem& item : items) {
-        const auto found = scores.find(fmt::format("{}/{}", item.step, item.index));
-        if (found != scores.end())
+    for (size_t i = 0; i < items.size(); ++i) {
+        const ScoringItem& item = items[i];
+        const auto found = scores.find(i);
+        if (found != scores.end()) {
             coordinator_.onScore(item.step, item.index, found->second);
-        else
-            coordinator_.onScoringFailed(item.step, item.index, now() + failedScoringDelay);
+            continue;
+        }
+        const Duration delay = firstScoringDelay * (1U << std::min(item.attempt, 5U));
+        coordinator_.onScoringFailed(item.step, item.index, now() + std::min(delay, maxScoringDelay), now());
     }
     wake();
 }
 
-asio::awaitable<std::vector<Sample>> JobRunner::heldSamples(StepNumber step, uint64_t digest)
+asio::awaitable<std::shared_ptr<JobRunner::Found>> JobRunner::askAgents(StepNumber step, uint64_t digest)
 {
     wire::HeldRequest request;
-    request.job = coordinator_.declaration().name;
+    request.job = declaration().name;
     request.step = static_cast<int64_t>(step);
     request.stepDigest = static_cast<int64_t>(digest);
-    std::vector<Sample> found;
-    for (const PeerConnectionPtr& peer : agents_.connections(coordinator_.declaration().pool)) {
-        try {
-            const std::string payload
-                = co_await peer->call(MessageType::Held, wire::encode(request), now() + recoveryTimeout);
-            for (const wire::Sample& sample : wire::decode<wire::HeldAnswer>(payload).samples)
-                found.push_back(fromWire(sample));
-        } catch (const Error&) {
-            // What this agent holds is generated again.
-        }
-    }
+    const std::string payload = wire::encode(request);
+    const auto found = std::make_shared<Found>();
+    const auto peers = agents_.connections(declaration().pool);
+    found->openQuestions = peers.size();
+    for (const PeerConnectionPtr& peer : peers)
+        spawn(context_.get_executor(), [this, peer, payload, found] { return askAgent(peer, payload, found); });
+    const Instant deadline = now() + recoveryTimeout;
+    while (found->openQuestions > 0 && now() < deadline)
+        co_await changed_.wait(deadline);
     co_return found;
 }
 
+asio::awaitable<void> JobRunner::askAgent(PeerConnectionPtr peer, std::string request, std::shared_ptr<Found> found)
+{
+    try {
+        const std::string payload = co_await peer->call(MessageType::Held, request, now() + recoveryTimeout);
+        const auto answer = wire::decode<wire::HeldAnswer>(payload);
+        for (const wire::Sample& sample : answer.samples)
+            found->samples.push_back(fromWire(sample));
+        for (int32_t index : answer.running)
+            found->running.emplace(static_cast<uint32_t>(index), peer->peerName);
+    } catch (const Error&) {
+        // What this agent holds is generated again.
+    }
+    if (--found->openQuestions == 0)
+        changed_.notifyAll();
+}
+
+size_t JobRunner::recover(StepNumber step, Found& found)
+{
+    size_t recovered = 0;
+    for (Sample& sample : found.samples)
+        recovered += coordinator_.onSample(std::move(sample), now()) ? 1 : 0;
+    for (const auto& [index, agent] : found.running) {
+        if (const auto dispatch = coordinator_.adopt(step, index, now()))
+            start(*dispatch, agent, false);
+    }
+    return recovered;
+}
+
 asio::awaitable<HttpResponse> JobRunner::submit(StepNumber number, std::string body)
 {
     activeUntil_ = now() + trainerLease;
     StepRequest step = parseStep(number, body);
     const uint64_t digest = step.digest();
     const size_t samples = step.samples.size();
-    std::vector<Sample> held;
+    auto found = std::make_shared<Found>();
     if (!coordinator_.knows(number))
-        held = co_await heldSamples(number, digest);
+        found = co_await askAgents(number, digest);
     const bool isNew = coordinator_.submit(std::move(step), now());
-    size_t recovered = 0;
-    for (Sample& sample : held)
-        recovered += coordinator_.onSample(std::move(sample)) ? 1 : 0;
+    const size_t recovered = recover(number, *found);
     LogFields fields;
-    fields.emplace_back("job", coordinator_.declaration().name);
+    fields.emplace_back("job", declaration().name);
     fields.emplace_back("step", std::to_string(number));
     fields.emplace_back("samples", std::to_string(samples));
     fields.emplace_back("recovered", std::to_string(recovered));
@@ -276,59 +280,43 @@
 {
     activeUntil_ = now() + trainerLease;
     const FetchRequest request = parseFetch(body);
-    const Cursor cursor = Cursor::decode(request.cursor, coordinator_.declaration().name);
+    const Cursor cursor = Cursor::decode(request.cursor, declaration().name);
     const Instant waitEnd = now() + request.wait;
     sendReleases(cursor);
-    FetchResult result = coordinator_.fetch(cursor, request.policyVersion, request.max);
-    asio::steady_timer poll(context_);
+    FetchResult result = coordinator_.fetch(cursor, request.policy, request.max, now());
     while (result.samples.empty() && now() < waitEnd && !isStopped_) {
-        co_await waitUntil(poll, std::min(waitEnd, now() + std::chrono::milliseconds(20)));
-        result = coordinator_.fetch(cursor, request.policyVersion, request.max);
+        co_await changed_.wait(waitEnd);
+        result = coordinator_.fetch(cursor, request.policy, request.max, now());
     }
-    Json answer;
-    answer["answers"] = request.cursor;
-    answer["cursor"] = result.next.encode();
-    answer["samples"] = Json::array();
-    answer["steps"] = Json::array();
-    answer["unknownSteps"] = Json::array();
-    for (const Sample& sample : result.samples)
-        answer["samples"].push_back(toJson(sample));
-    for (const StepProgress& step : result.steps)
-        answer["steps"].push_back(toJson(step));
+    std::vector<StepNumber> unknownSteps;
     for (StepNumber step : request.steps) {
         if (!coordinator_.knows(step) && !cursor.isComplete(step))
-            answer["unknownSteps"].push_back(step);
+            unknownSteps.push_back(step);
     }
     if (!result.samples.empty())
         log(Event::SamplesDelivered,
-            { { "job", coordinator_.declaration().name }, { "samples", std::to_string(result.samples.size()) } });
-    co_return jsonResponse(200, dumped(answer));
+            { { "job", declaration().name }, { "samples", std::to_string(result.samples.size()) } });
+    co_return jsonResponse(200, fetchAnswer(request, result, unknownSteps));
 }
 
 void JobRunner::sendReleases(const Cursor& cursor)
 {
-    const JobDeclaration& job = coordinator_.declaration();
     for (const auto& [step, digest] : coordinator_.steps()) {
         if (cursor.stepDigest(step) != digest)
             continue;
         wire::ReleaseNotice notice;
-        notice.job = job.name;
+        notice.job = declaration().name;
         notice.step = static_cast<int64_t>(step);
         notice.stepDigest = static_cast<int64_t>(digest);
         notice.receivedBits = cursor.received(step, 0).bytes();
-        for (const PeerConnectionPtr& peer : agents_.connections(job.pool))
+        for (const PeerConnectionPtr& peer : agents_.connections(declaration().pool))
             peer->notify(MessageType::Release, wire::encode(notice));
     }
 }
 
 HttpResponse JobRunner::state() const
 {
-    const JobDeclaration& job = coordinator_.declaration();
-    Json answer { { "job", job.name }, { "pool", job.pool }, { "policyVersion", coordinator_.policyVersion() },
-        { "steps", Json::array() } };
-    for (const StepProgress& step : coordinator_.progress())
-        answer["steps"].push_back(toJson(step));
-    return jsonResponse(200, dumped(answer));
+    return jsonResponse(200, stateAnswer(declaration(), policy(), coordinator_.progress()));
 }
 
 } // namespace endiveroad::io
--- a/src/io/entry/JobRunner.h
+++ b/src/io/entry/JobRunner.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "io/HttpServer.h"
+#include "io/Signal.h"
 #include "io/entry/AgentDirectory.h"
 #include "io/entry/CallRouter.h"
 
 #include <endiveroad/JobCoordinator.h>
+#include <endiveroad_types.h>
+#include <map>
 
 /// Drives one job's coordinator: dispatches samples to agents, has them scored, answers the trainer.
 namespace endiveroad::io {
@@ -12,20 +15,27 @@
 class JobRunner {
 public:
     static constexpr Duration failedDispatchDelay = std::chrono::milliseconds(100);
-    static constexpr Duration failedScoringDelay = std::chrono::milliseconds(200);
-    static constexpr Duration idleRound = std::chrono::milliseconds(100);
+    static constexpr Duration firstScoringDelay = std::chrono::milliseconds(200);
+    static constexpr Duration maxScoringDelay = std::chrono::seconds(5);
+    /// Longest time between two looks for work when nothing wakes the runner.
+    static constexpr Duration idleRound = std::chrono::milliseconds(250);
     static constexpr Duration recoveryTimeout = std::chrono::seconds(2);
     static constexpr Duration scoringTimeout = std::chrono::seconds(5);
     /// Work goes on this long after the trainer was last heard of by this entry.
     static constexpr Duration trainerLease = std::chrono::seconds(60);
-    static constexpr Duration maxFetchWait = std::chrono::seconds(20);
     static constexpr size_t scoringBatch = 16;
-    static constexpr size_t defaultFetchSamples = 256;
 
     JobRunner(asio::io_context&, AgentDirectory&, CallRouter&, JobDeclaration);
 
     void onDeclaration(JobDeclaration);
-    void onPolicyVersion(WeightVersion);
+    void onPolicy(const PolicyState&);
+
+    /// Capacity of the job's pool may have become free.
+    void onCapacity() { wake(); }
+
+    /// Another entry answers for the job now: no new work until the trainer comes here again.
+    void onHomeElsewhere() { activeUntil_ = Instant::min(); }
+
     void stop();
 
     /// PUT of a step. Throws StepConflictError, BadRequestError.
@@ -36,16 +46,41 @@
 
     HttpResponse state() const;
 
-    /// Newest version that the trainer has named in a fetch or an announcement.
-    WeightVersion policyVersion() const { return coordinator_.policyVersion(); }
+    const JobDeclaration& declaration() const { return coordinator_.declaration(); }
+
+    /// Policy of the highest order that the trainer has named in a fetch or an announcement.
+    const PolicyState& policy() const { return coordinator_.policy(); }
 
 private:
+    /// A request to an agent that has not been answered yet.
+    struct Attempt {
+        std::string requestId;
+        std::string agent;
+    };
+
+    /// What the agents of a pool know of a step.
+    struct Found {
+        std::vector<Sample> samples;
+        /// Agent by the index of a sample that it is generating.
+        std::map<uint32_t, std::string> running;
+        size_t openQuestions = 0;
+    };
+
     asio::awaitable<void> run();
     void dispatchWork();
-    asio::awaitable<void> generate(Dispatch, std::string agent);
+    void dispatchDuplicates();
+    void startScoring();
+    void start(const Dispatch&, const std::string& agent, bool hasSlot);
+    wire::GenerateRequest generateRequest(const Dispatch&);
+    asio::awaitable<void> generate(Dispatch, std::string agent, bool hasSlot);
+    /// Asks the agent, and returns the reason if no usable sample came of it, else the empty text.
+    asio::awaitable<std::string> ask(wire::GenerateRequest, std::string agent, Instant deadline);
+    void cancelOthers(StepNumber, uint32_t index, const std::string& winner);
     asio::awaitable<void> score(std::vector<ScoringItem>);
-    /// Finished samples of a step that agents hold, asked of every agent of the pool.
-    asio::awaitable<std::vector<Sample>> heldSamples(StepNumber, uint64_t digest);
+    asio::awaitable<std::shared_ptr<Found>> askAgents(StepNumber, uint64_t digest);
+    asio::awaitable<void> askAgent(PeerConnectionPtr, std::string request, std::shared_ptr<Found>);
+    /// Takes over what agents hold and generate of a step. Returns the number of finished samples.
+    size_t recover(StepNumber, Found&);
     void sendReleases(const Cursor&);
     void wake();
 
@@ -53,10 +88,12 @@
     AgentDirectory& agents_;
     CallRouter& calls_;
     JobCoordinator coordinator_;
-    asio::steady_timer wakeup_;
+    Signal changed_;
+    bool isWoken_ = false;
     Instant activeUntil_ = Instant::min();
     bool isStopped_ = false;
     uint64_t nextRequest_ = 1;
+    std::multimap<std::pair<StepNumber, uint32_t>, Attempt> attempts_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/entry/WeightRollout.cpp
+++ b/src/io/entry/WeightRollout.cpp
@@ -5,7 +5,6 @@
 #include "wire/Codec.h"
 
 #include <algorithm>
-#include <cmath>
 #include <endiveroad/Error.h>
 #include <endiveroad_types.h>
 
@@ -14,71 +13,81 @@
 WeightRollout::WeightRollout(asio::io_context& context, AgentDirectory& agents)
     : context_(context)
     , agents_(agents)
+    , changed_(context)
 {
     spawn(context_.get_executor(), [this] { return run(); });
 }
 
-bool WeightRollout::announce(const std::string& pool, AnnouncedPolicy policy, double swapShare)
+bool WeightRollout::announce(const std::string& pool, AnnouncedPolicy policy)
 {
-    swapShares_[pool] = swapShare;
-    AnnouncedPolicy& known = policies_[pool];
-    if (policy.version <= known.version)
+    const std::string version = std::to_string(policy.policy.version);
+    if (!plans_[pool].announce(std::move(policy)))
         return false;
-    known = std::move(policy);
-    log(Event::PolicyAnnounced, { { "pool", pool }, { "version", std::to_string(known.version) } });
+    log(Event::PolicyAnnounced, { { "pool", pool }, { "version", version } });
+    changed_.notifyAll();
     return true;
 }
 
+std::map<std::string, AnnouncedPolicy> WeightRollout::policies() const
+{
+    std::map<std::string, AnnouncedPolicy> result;
+    for (const auto& [pool, plan] : plans_)
+        result.emplace(pool, plan.newest());
+    return result;
+}
+
+double WeightRollout::swapShare(const std::string& pool) const
+{
+    double share = 1;
+    for (const auto& [name, job] : agents_.settings().jobs) {
+        if (job.pool == pool)
+            share = std::min(share, job.rollout.swapShare);
+    }
+    return share;
+}
+
 asio::awaitable<void> WeightRollout::run()
 {
     while (true) {
-        for (const auto& [pool, policy] : policies_)
-            orderSwaps(pool, policy);
-        co_await sleepFor(round);
+        for (auto& [pool, plan] : plans_)
+            giveOrders(pool, plan);
+        co_await changed_.wait(now() + round);
     }
 }
 
-void WeightRollout::orderSwaps(const std::string& pool, const AnnouncedPolicy& policy)
+void WeightRollout::giveOrders(const std::string& pool, WeightPlan& plan)
 {
-    std::erase_if(busyUntil_, [](const auto& entry) { return entry.second <= now(); });
-    const std::vector<ReplicaReport> reports = agents_.table(pool).reports();
-    const auto isBusy
-        = [&](const ReplicaReport& report) { return report.isSwapping || busyUntil_.contains(report.agent); };
-    const auto share = static_cast<int64_t>(std::floor(swapShares_[pool] * static_cast<double>(reports.size())));
-    int64_t allowed = std::max<int64_t>(share, 1) - std::count_if(reports.begin(), reports.end(), isBusy);
-    for (const ReplicaReport& report : reports) {
-        if (allowed <= 0)
-            return;
-        const bool isWanted = report.isServerUp && !report.isDraining && report.version < policy.version;
-        if (!isWanted || isBusy(report) || !agents_.connection(report.agent))
-            continue;
-        --allowed;
-        busyUntil_[report.agent] = now() + orderTimeout;
-        spawn(
-            context_.get_executor(), [this, agent = report.agent, pool, policy] { return order(agent, pool, policy); });
+    std::vector<ReplicaReport> reports = agents_.table(pool).reports();
+    std::erase_if(reports, [this](const ReplicaReport& report) { return !agents_.connection(report.agent); });
+    for (const std::string& agent : plan.due(reports, swapShare(pool), now())) {
+        spawn(context_.get_executor(),
+            [this, agent, pool, policy = plan.newest()] { return order(agent, pool, policy); });
     }
 }
 
 asio::awaitable<void> WeightRollout::order(std::string agent, std::string pool, AnnouncedPolicy policy)
 {
+    const std::string version = std::to_string(policy.policy.version);
     wire::LoadRequest request;
     request.model = pool;
-    request.version = policy.version;
+    request.version = policy.policy.version;
     request.weights = policy.weights;
-    request.order = policy.version;
+    request.order = policy.policy.order;
     bool isDone = false;
     try {
         const PeerConnectionPtr peer = agents_.connection(agent);
         if (peer) {
-            log(Event::SwapOrdered, { { "agent", agent }, { "version", std::to_string(policy.version) } });
-            const std::string payload
-                = co_await peer->call(MessageType::Load, wire::encode(request), now() + orderTimeout);
+            log(Event::SwapOrdered, { { "agent", agent }, { "version", version } });
+            const Instant deadline = now() + WeightPlan::orderTimeout;
+            const std::string payload = co_await peer->call(MessageType::Load, wire::encode(request), deadline);
             isDone = wire::decode<wire::LoadAnswer>(payload).outcome == wire::Outcome::Done;
         }
     } catch (const Error& error) {
         log(Event::SwapUnknown, { { "agent", agent }, { "reason", error.what() } });
     }
-    busyUntil_[agent] = now() + (isDone ? 2 * round : failedOrderDelay);
+    if (plans_[pool].onEnded(agent, isDone, now()))
+        log(Event::SwapSetAside, { { "agent", agent }, { "version", version } });
+    changed_.notifyAll();
 }
 
 } // namespace endiveroad::io
--- a/src/io/entry/WeightRollout.h
+++ b/src/io/entry/WeightRollout.h
@@ -1,45 +1,39 @@
 #pragma once
 
+#include "io/Signal.h"
 #include "io/entry/AgentDirectory.h"
 
+#include <endiveroad/WeightPlan.h>
 #include <map>
 #include <string>
 
-/// Rolling order of announced weight versions over the engines of a pool, bounded by the share that may swap at once.
+/// Gives the orders of each pool's weight plan to agents.
 namespace endiveroad::io {
 
-/// Weights that a trainer announced for a pool's model.
-struct AnnouncedPolicy {
-    WeightVersion version = unknownVersion;
-    std::string weights;
-
-    auto operator<=>(const AnnouncedPolicy&) const = default;
-};
-
 class WeightRollout {
 public:
+    /// Longest time between two looks at the reports.
     static constexpr Duration round = std::chrono::milliseconds(50);
-    static constexpr Duration orderTimeout = std::chrono::seconds(30);
-    static constexpr Duration failedOrderDelay = std::chrono::milliseconds(500);
 
     WeightRollout(asio::io_context&, AgentDirectory&);
 
-    /// Takes an announcement; an older version than the known one changes nothing. Returns whether it was new.
-    bool announce(const std::string& pool, AnnouncedPolicy, double swapShare);
+    /// Takes an announcement; one of an older order than the known one changes nothing. Returns whether it was new.
+    bool announce(const std::string& pool, AnnouncedPolicy);
 
-    const std::map<std::string, AnnouncedPolicy>& policies() const { return policies_; }
+    /// Newest announced weights by pool.
+    std::map<std::string, AnnouncedPolicy> policies() const;
 
 private:
     asio::awaitable<void> run();
-    void orderSwaps(const std::string& pool, const AnnouncedPolicy&);
+    void giveOrders(const std::string& pool, WeightPlan&);
     asio::awaitable<void> order(std::string agent, std::string pool, AnnouncedPolicy);
+    /// Smallest share that any job of the pool allows to swap at once.
+    double swapShare(const std::string& pool) const;
 
     asio::io_context& context_;
     AgentDirectory& agents_;
-    std::map<std::string, AnnouncedPolicy> policies_;
-    std::map<std::string, double> swapShares_;
-    /// Agents with an order under way or held back after a failure, until the instant.
-    std::map<std::string, Instant> busyUntil_;
+    std::map<std::string, WeightPlan> plans_;
+    Signal changed_;
 };
 
 } // namespace endiveroad::io
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -84,6 +84,8 @@
   7: i32 maxTokens
   8: i32 priority
   9: i64 oldestVersion
+  10: i64 stalenessBound
+  11: double idleWeight
 }
 
 struct GenerateAnswer {
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -1670,6 +1670,14 @@
 void GenerateRequest::__set_oldestVersion(const int64_t val) {
   this->oldestVersion = val;
 }
+
+void GenerateRequest::__set_stalenessBound(const int64_t val) {
+  this->stalenessBound = val;
+}
+
+void GenerateRequest::__set_idleWeight(const double val) {
+  this->idleWeight = val;
+}
 std::ostream& operator<<(std::ostream& out, const GenerateRequest& obj)
 {
   obj.printTo(out);
@@ -1770,6 +1778,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stalenessBound);
+          this->__isset.stalenessBound = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->idleWeight);
+          this->__isset.idleWeight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1823,6 +1847,14 @@
   xfer += oprot->writeI64(this->oldestVersion);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("stalenessBound", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->stalenessBound);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idleWeight", ::apache::thrift::protocol::T_DOUBLE, 11);
+  xfer += oprot->writeDouble(this->idleWeight);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1839,6 +1871,8 @@
   swap(a.maxTokens, b.maxTokens);
   swap(a.priority, b.priority);
   swap(a.oldestVersion, b.oldestVersion);
+  swap(a.stalenessBound, b.stalenessBound);
+  swap(a.idleWeight, b.idleWeight);
   swap(a.__isset, b.__isset);
 }
 
@@ -1852,6 +1886,8 @@
   maxTokens = other33.maxTokens;
   priority = other33.priority;
   oldestVersion = other33.oldestVersion;
+  stalenessBound = other33.stalenessBound;
+  idleWeight = other33.idleWeight;
   __isset = other33.__isset;
 }
 GenerateRequest& GenerateRequest::operator=(const GenerateRequest& other34) {
@@ -1864,6 +1900,8 @@
   maxTokens = other34.maxTokens;
   priority = other34.priority;
   oldestVersion = other34.oldestVersion;
+  stalenessBound = other34.stalenessBound;
+  idleWeight = other34.idleWeight;
   __isset = other34.__isset;
   return *this;
 }
@@ -1879,6 +1917,8 @@
   out << ", " << "maxTokens=" << to_string(maxTokens);
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "oldestVersion=" << to_string(oldestVersion);
+  out << ", " << "stalenessBound=" << to_string(stalenessBound);
+  out << ", " << "idleWeight=" << to_string(idleWeight);
   out << ")";
 }
 
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -696,7 +696,7 @@
 std::ostream& operator<<(std::ostream& out, const Sample& obj);
 
 typedef struct _GenerateRequest__isset {
-  _GenerateRequest__isset() : requestId(false), job(false), step(false), index(false), stepDigest(false), prompt(false), maxTokens(false), priority(false), oldestVersion(false) {}
+  _GenerateRequest__isset() : requestId(false), job(false), step(false), index(false), stepDigest(false), prompt(false), maxTokens(false), priority(false), oldestVersion(false), stalenessBound(false), idleWeight(false) {}
   bool requestId :1;
   bool job :1;
   bool step :1;
@@ -706,6 +706,8 @@
   bool maxTokens :1;
   bool priority :1;
   bool oldestVersion :1;
+  bool stalenessBound :1;
+  bool idleWeight :1;
 } _GenerateRequest__isset;
 
 class GenerateRequest : public virtual ::apache::thrift::TBase {
@@ -722,7 +724,9 @@
                     prompt(),
                     maxTokens(0),
                     priority(0),
-                    oldestVersion(0) {
+                    oldestVersion(0),
+                    stalenessBound(0),
+                    idleWeight(0) {
   }
 
   virtual ~GenerateRequest() noexcept;
@@ -735,6 +739,8 @@
   int32_t maxTokens;
   int32_t priority;
   int64_t oldestVersion;
+  int64_t stalenessBound;
+  double idleWeight;
 
   _GenerateRequest__isset __isset;
 
@@ -756,6 +762,10 @@
 
   void __set_oldestVersion(const int64_t val);
 
+  void __set_stalenessBound(const int64_t val);
+
+  void __set_idleWeight(const double val);
+
   bool operator == (const GenerateRequest & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -776,6 +786,10 @@
       return false;
     if (!(oldestVersion == rhs.oldestVersion))
       return false;
+    if (!(stalenessBound == rhs.stalenessBound))
+      return false;
+    if (!(idleWeight == rhs.idleWeight))
+      return false;
     return true;
   }
   bool operator != (const GenerateRequest &rhs) const {
--- /dev/null
+++ b/tests/core/DeliveryTest.cpp
@@ -0,0 +1,98 @@
+#include "core/world/World.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <rapidcheck.h>
+#include <sstream>
+
+using namespace world;
+
+namespace {
+
+/// Generated histories per set of options; ENDIVEROAD_HISTORIES and ENDIVEROAD_SEED replace count and seed in a soak.
+constexpr int defaultHistories = 2500;
+constexpr uint64_t defaultSeed = 20261203;
+constexpr size_t actionsPerHistory = 250;
+constexpr uint32_t choices = 1U << 16;
+
+uint64_t numberFromEnvironment(const char* name, uint64_t fallback)
+{
+    const char* text = std::getenv(name);
+    return text ? std::stoull(text) : fallback;
+}
+
+using Delivered = std::map<std::pair<StepNumber, uint32_t>, uint32_t>;
+
+/// The naive reference: one list, one sample after the other, nothing ever fails.
+Delivered serialReference(const std::vector<StepRequest>& steps)
+{
+    Delivered delivered;
+    for (const StepRequest& step : steps) {
+        for (uint32_t index = 0; index < step.samples.size(); ++index)
+            delivered[{ step.step, index }] = step.samples[index].maxTokens;
+    }
+    return delivered;
+}
+
+World::Counts runHistories(const WorldOptions& options)
+{
+    World::Counts total;
+    const auto history = [&](const std::vector<uint32_t>& actions) {
+        World world(options);
+        for (uint32_t action : actions)
+            world.act(action);
+        world.finish();
+        if (world.learned() != serialReference(world.steps()))
+            throw Violation("the trainer has other samples than the serial reference");
+        total.accepted += world.counts().accepted;
+        total.ignoredAnswers += world.counts().ignoredAnswers;
+        total.mixedVersions += world.counts().mixedVersions;
+        total.coordinatorCrashes += world.counts().coordinatorCrashes;
+        total.restores += world.counts().restores;
+        total.recovered += world.counts().recovered;
+    };
+    const auto action = rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0U, choices));
+    const auto actions = rc::gen::container<std::vector<uint32_t>>(actionsPerHistory, action);
+    rc::detail::TestParams params;
+    params.seed = numberFromEnvironment("ENDIVEROAD_SEED", defaultSeed);
+    params.maxSuccess = static_cast<int>(numberFromEnvironment("ENDIVEROAD_HISTORIES", defaultHistories));
+    const auto result = rc::detail::checkTestable([&] { history(*actions); }, rc::detail::TestMetadata(), params);
+    std::ostringstream text;
+    rc::detail::printResultMessage(result, text);
+    INFO(text.str());
+    CHECK(result.template is<rc::detail::SuccessResult>());
+    return total;
+}
+
+void checkFaultsWereMet(const World::Counts& counts)
+{
+    CHECK(counts.ignoredAnswers > 0);
+    CHECK(counts.coordinatorCrashes > 0);
+    CHECK(counts.restores > 0);
+    CHECK(counts.recovered > 0);
+}
+
+} // namespace
+
+TEST_CASE("delivery: histories of groups, engines that honour fencing", "[delivery]")
+{
+    checkFaultsWereMet(runHistories({ .stalenessBound = 1, .idleWeight = 0.2 }));
+}
+
+TEST_CASE("delivery: histories of single samples, engines that ignore fencing", "[delivery]")
+{
+    const auto counts = runHistories(
+        { .stalenessBound = 2, .idleWeight = 0.9, .wholeGroups = false, .isScored = false, .honoursFencing = false });
+    checkFaultsWereMet(counts);
+    CHECK(counts.mixedVersions > 0);
+}
+
+TEST_CASE("delivery: histories under a bound of 0", "[delivery]")
+{
+    checkFaultsWereMet(runHistories({ .stalenessBound = 0, .honoursFencing = false }));
+}
+
+TEST_CASE("delivery: histories of engines that state their version in each chunk", "[delivery]")
+{
+    checkFaultsWereMet(runHistories({ .stalenessBound = 3, .idleWeight = 1, .statesVersion = true }));
+}
--- /dev/null
+++ b/tests/core/SampleProgressTest.cpp
@@ -0,0 +1,139 @@
+#include <catch2/catch.hpp>
+#include <endiveroad/SampleProgress.h>
+
+using namespace endiveroad;
+
+namespace {
+
+VersionTracker::EngineStatement statement(uint64_t loads, WeightVersion version, const std::string& boot = "a")
+{
+    return { boot, loads, false, version, 0 };
+}
+
+VersionTracker settledTracker(WeightVersion version)
+{
+    VersionTracker tracker;
+    tracker.onStatement(statement(1, version));
+    return tracker;
+}
+
+} // namespace
+
+TEST_CASE("a late load between two streams leaves the second one's tokens unproven", "[attribution]")
+{
+    VersionTracker tracker = settledTracker(3);
+    SampleProgress progress({}, 10);
+    progress.openStream(tracker);
+    REQUIRE(progress.onTokens("ab", 2, unknownVersion, tracker));
+    // A load that was given up earlier takes effect here, then the swap is announced and the engine asked.
+    REQUIRE(tracker.beginSwap(5, 5));
+    tracker.onStatement(statement(2, 4));
+    CHECK_FALSE(progress.isInEpoch(tracker));
+    CHECK(progress.closeStream(progress.isInEpoch(tracker)) == 0);
+    CHECK(progress.sample().tokens == 0);
+}
+
+TEST_CASE("tokens read before a swap was announced are kept once the engine proves them", "[attribution]")
+{
+    VersionTracker tracker = settledTracker(3);
+    SampleProgress progress({}, 10);
+    progress.openStream(tracker);
+    REQUIRE(progress.onTokens("ab", 2, unknownVersion, tracker));
+    REQUIRE(tracker.beginSwap(5, 5));
+    CHECK_FALSE(progress.onTokens("c", 1, unknownVersion, tracker));
+    REQUIRE(tracker.onStatement(statement(1, 3)));
+    CHECK(progress.closeStream(progress.isInEpoch(tracker)) == 2);
+    CHECK(progress.sample().segments == std::vector<Segment> { { 0, 2, 3 } });
+}
+
+TEST_CASE("a chunk that names another version is not taken", "[attribution]")
+{
+    const VersionTracker tracker = settledTracker(3);
+    SampleProgress progress({}, 10);
+    progress.openStream(tracker);
+    CHECK(progress.onTokens("a", 1, 3, tracker));
+    CHECK_FALSE(progress.onTokens("b", 1, 4, tracker));
+}
+
+TEST_CASE("a sample without tokens names the version that ended it", "[attribution]")
+{
+    const VersionTracker tracker = settledTracker(3);
+    SampleProgress progress({}, 10);
+    progress.openStream(tracker);
+    progress.onEnd("stop");
+    progress.closeStream(true);
+    CHECK(progress.isFinished());
+    CHECK(progress.sample().isAttributed());
+    CHECK(progress.sample().oldestVersion() == 3);
+}
+
+TEST_CASE("orders: older ones and those to an engine that still loads are not given", "[attribution]")
+{
+    VersionTracker tracker;
+    CHECK_FALSE(tracker.beginSwap(1, 1));
+    tracker.onStatement({ "a", 1, true, 1, 0 });
+    CHECK_FALSE(tracker.beginSwap(1, 1));
+    tracker.onStatement(statement(1, 0));
+    REQUIRE(tracker.beginSwap(7, 9));
+    tracker.orderSwap();
+    tracker.finishSwap();
+    tracker.onStatement(statement(2, 7));
+    CHECK(tracker.isInForce(7, 9));
+    CHECK_FALSE(tracker.beginSwap(8, 8));
+    CHECK_FALSE(tracker.beginSwap(7, 9));
+    // The trainer goes back: a lower version under a higher order.
+    CHECK(tracker.beginSwap(5, 10));
+}
+
+TEST_CASE("an order's fencing number is above every number that the engine has stated", "[attribution]")
+{
+    VersionTracker tracker;
+    tracker.onStatement({ "a", 1, false, 0, 41 });
+    REQUIRE(tracker.beginSwap(1, 1));
+    CHECK(tracker.orderSwap() == 42);
+}
+
+TEST_CASE("the objective decides between restart and resumption", "[attribution]")
+{
+    const RolloutObjective idle { 3, 0.9 };
+    const RolloutObjective fresh { 3, 0.1 };
+    CHECK_FALSE(idle.prefersRestart(4, 5, 500, 1000));
+    CHECK(fresh.prefersRestart(4, 5, 500, 1000));
+    CHECK(idle.oldestToStart(9) == 7);
+    CHECK(fresh.oldestToStart(9) == 9);
+}
+
+TEST_CASE("a statement proves nothing after a reload of the same version, or while the engine loads", "[attribution]")
+{
+    VersionTracker tracker = settledTracker(3);
+    const uint64_t epoch = tracker.epoch();
+    REQUIRE(tracker.onStatement(statement(1, 3)));
+    CHECK(tracker.epoch() == epoch);
+    CHECK_FALSE(tracker.onStatement(statement(2, 3)));
+    CHECK_FALSE(tracker.onStatement({ "a", 2, true, 3, 0 }));
+    CHECK(tracker.version() == unknownVersion);
+}
+
+TEST_CASE("after an order the version is unknown until the engine states it", "[attribution]")
+{
+    VersionTracker tracker = settledTracker(3);
+    REQUIRE(tracker.beginSwap(4, 4));
+    tracker.orderSwap();
+    tracker.finishSwap();
+    CHECK(tracker.version() == unknownVersion);
+    CHECK_FALSE(tracker.onStatement(statement(2, 4)));
+    CHECK(tracker.version() == 4);
+}
+
+TEST_CASE("tokens that became too old are dropped before generation goes on", "[attribution]")
+{
+    VersionTracker tracker = settledTracker(3);
+    SampleProgress progress({}, 10);
+    progress.openStream(tracker);
+    progress.onTokens("ab", 2, unknownVersion, tracker);
+    progress.closeStream(true);
+    const RolloutObjective idle { 5, 1 };
+    CHECK(progress.discardUnwanted(tracker, 3, idle) == 0);
+    CHECK(progress.discardUnwanted(tracker, 4, idle) == 2);
+    CHECK(progress.tokensLeft() == 10);
+}
--- /dev/null
+++ b/tests/core/WeightPlanTest.cpp
@@ -0,0 +1,65 @@
+#include <catch2/catch.hpp>
+#include <endiveroad/WeightPlan.h>
+
+using namespace endiveroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<ReplicaReport> reports(size_t count, WeightVersion version)
+{
+    std::vector<ReplicaReport> result;
+    for (size_t i = 0; i < count; ++i) {
+        ReplicaReport report;
+        report.agent = "agent" + std::to_string(i);
+        report.version = version;
+        report.isServerUp = true;
+        result.push_back(report);
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("no more than the share swaps at once", "[weights]")
+{
+    WeightPlan plan;
+    CHECK(plan.due(reports(6, 0), 0.34, {}).empty());
+    plan.announce({ { 1, 1 }, "w" });
+    CHECK(plan.due(reports(6, 0), 0.34, {}).size() == 2);
+    CHECK(plan.due(reports(6, 0), 0.34, {}).empty());
+    plan.onEnded("agent0", true, {});
+    CHECK(plan.due(reports(6, 0), 0.34, {}) == std::vector<std::string> { "agent2" });
+}
+
+TEST_CASE(
+    "a newer announcement overtakes, an older one changes nothing, a rollback is one of a higher order", "[weights]")
+{
+    WeightPlan plan;
+    CHECK(plan.announce({ { 5, 5 }, "" }));
+    CHECK_FALSE(plan.announce({ { 4, 4 }, "" }));
+    CHECK(plan.announce({ { 3, 6 }, "" }));
+    CHECK(plan.newest().policy.version == 3);
+    CHECK(plan.due(reports(1, 5), 1, {}).size() == 1);
+}
+
+TEST_CASE("a replica that keeps failing is set aside once, and tried again later", "[weights]")
+{
+    WeightPlan plan;
+    plan.announce({ { 1, 1 }, "" });
+    Instant now {};
+    uint32_t failures = 0;
+    bool isSetAside = false;
+    while (!isSetAside && failures < 100) {
+        REQUIRE(plan.due(reports(1, 0), 1, now).size() == 1);
+        isSetAside = plan.onEnded("agent0", false, now);
+        ++failures;
+        CHECK(plan.due(reports(1, 0), 1, now).empty());
+        now += WeightPlan::maxRetryDelay;
+    }
+    CHECK(failures == WeightPlan::failuresUntilSetAside);
+    CHECK(plan.isSetAside("agent0"));
+    CHECK(plan.due(reports(1, 0), 1, now).size() == 1);
+    plan.onEnded("agent0", true, now);
+    CHECK_FALSE(plan.isSetAside("agent0"));
+}
--- /dev/null
+++ b/tests/core/world/Engine.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstdint>
+#include <endiveroad/VersionTracker.h>
+#include <map>
+#include <string>
+#include <vector>
+
+/// A model engine of the model world. Each token is one character, the version that truly made it.
+namespace world {
+
+inline char tokenOf(endiveroad::WeightVersion version)
+{
+    return static_cast<char>('0' + version);
+}
+
+struct LoadOrder {
+    endiveroad::WeightVersion version = 0;
+    uint64_t fence = 0;
+};
+
+class Engine {
+public:
+    struct Stream {
+        uint32_t left = 0;
+        std::string unread;
+    };
+
+    explicit Engine(bool honoursFencing)
+        : honoursFencing_(honoursFencing)
+    {
+    }
+
+    endiveroad::VersionTracker::EngineStatement statement() const
+    {
+        return { std::to_string(boot_), loads_, !loading_.empty(), version_, fence_ };
+    }
+
+    /// Loses all streams and loads, and comes back with the given weights.
+    void restart(endiveroad::WeightVersion version)
+    {
+        ++boot_;
+        loads_ = 0;
+        fence_ = 0;
+        version_ = version;
+        loading_.clear();
+        streams.clear();
+    }
+
+    /// Returns false if the order is refused for its fencing number.
+    bool beginLoad(const LoadOrder& order)
+    {
+        if (honoursFencing_ && order.fence <= fence_)
+            return false;
+        fence_ = std::max(fence_, order.fence);
+        ++loads_;
+        loading_.push_back(order);
+        return true;
+    }
+
+    /// The new weights come into force while the load still runs.
+    void switchWeights()
+    {
+        if (!loading_.empty())
+            version_ = loading_.front().version;
+    }
+
+    void endLoad(bool isHalfDone)
+    {
+        if (loading_.empty())
+            return;
+        if (!isHalfDone)
+            version_ = loading_.front().version;
+        loading_.erase(loading_.begin());
+    }
+
+    void makeToken(Stream& stream) const
+    {
+        if (stream.left == 0)
+            return;
+        --stream.left;
+        stream.unread += tokenOf(version_);
+    }
+
+    std::map<uint64_t, Stream> streams;
+
+private:
+    bool honoursFencing_;
+    uint64_t boot_ = 1;
+    uint64_t loads_ = 0;
+    uint64_t fence_ = 0;
+    endiveroad::WeightVersion version_ = 0;
+    std::vector<LoadOrder> loading_;
+};
+
+} // namespace world
--- /dev/null
+++ b/tests/core/world/Network.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <utility>
+#include <vector>
+
+/// Messages under way. Each may arrive in any order, twice, late after its sender gave up, or never.
+namespace world {
+
+class Network {
+public:
+    using Action = std::function<void()>;
+
+    /// onLost runs at the sender when it gives up; nothing runs then at the receiver unless the message comes late.
+    void send(Action deliver, Action onLost = {}) { messages_.push_back({ std::move(deliver), std::move(onLost) }); }
+
+    size_t size() const { return messages_.size(); }
+
+    void deliver(size_t pick) { take(pick).deliver(); }
+    void deliverTwice(size_t pick)
+    {
+        const Message message = take(pick);
+        message.deliver();
+        message.deliver();
+    }
+
+    void lose(size_t pick)
+    {
+        const Message message = take(pick);
+        if (message.onLost)
+            message.onLost();
+    }
+
+    /// The sender gives up, and the message arrives later nevertheless.
+    void delay(size_t pick)
+    {
+        const Message message = take(pick);
+        if (message.onLost)
+            message.onLost();
+        messages_.push_back({ message.deliver, {} });
+    }
+
+private:
+    struct Message {
+        Action deliver;
+        Action onLost;
+    };
+
+    Message take(size_t pick)
+    {
+        const size_t index = pick % messages_.size();
+        Message message = std::move(messages_[index]);
+        messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(index));
+        return message;
+    }
+
+    std::vector<Message> messages_;
+};
+
+} // namespace world
