--- a/src/io/agent/Generator.cpp
+++ b/src/io/agent/Generator.cpp
@@ -29,6 +29,7 @@
 asio::awaitable<Sample> Generator::generate(
     wire::GenerateRequest request, Instant deadline, std::shared_ptr<GenerationHandle> handle)
 {
+    log(Event::SampleStarted, { { "request", request.requestId }, { "version", std::to_string(tracker_.version()) } });
     Sample blank;
     blank.job = request.job;
     blank.step = static_cast<StepNumber>(request.step);
@@ -49,6 +50,8 @@
             log(Event::TokensDiscarded, { { "request", request.requestId }, { "tokens", std::to_string(dropped) } });
         co_await runStream(request, progress, deadline, *handle);
     }
+    const std::string tokens = std::to_string(progress.sample().tokens);
+    log(Event::SampleFinished, { { "request", request.requestId }, { "tokens", tokens } });
     co_return progress.sample();
 }
 
--- a/src/io/entry/JobMessages.cpp
+++ b/src/io/entry/JobMessages.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-constexpr uint32_t maxSamplesPerStep = 1U << 16;
-constexpr size_t defaultFetchSamples = 256;
-constexpr int64_t maxFetchWaitMs = 20'000;
-
 Json toJson(const Sample& sample)
 {
     Json segments = Json::array();
@@ -42,16 +38,6 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-PolicyState readPolicy(const Json& json, const char* versionKey, const char* orderKey)
-{
-    PolicyState policy;
-    policy.version = json.at(versionKey).get<WeightVersion>();
-    policy.order = json.value(orderKey, policy.version);
-    if (policy.version < 0 || policy.order < 0)
-        throw BadRequestError("a version or order is not negative");
-    return policy;
-}
-
 std::string itemId(const ScoringItem& item)
 {
     return fmt::format("{}/{}", item.step, item.index);
@@ -59,63 +45,18 @@
 
 } // namespace
 
-StepRequest parseStep(StepNumber number, const std::string& body)
-{
-    try {
-        const Json json = Json::parse(body);
-        StepRequest step;
-        step.step = number;
-        step.samplesPerGroup = json.value("samplesPerGroup", 1U);
-        for (const Json& sample : json.at("samples"))
-            step.samples.push_back({ sample.at("prompt").get<std::string>(), sample.at("maxTokens").get<uint32_t>() });
-        if (step.samples.empty() || step.samples.size() > maxSamplesPerStep)
-            throw BadRequestError(fmt::format("a step has 1 to {} samples", maxSamplesPerStep));
-        if (step.samplesPerGroup == 0 || step.samples.size() % step.samplesPerGroup != 0)
-            throw BadRequestError("samplesPerGroup does not divide the number of samples");
-        return step;
-    } catch (const Json::exception& error) {
-        throw BadRequestError(fmt::format("step: {}", error.what()));
-    }
-}
-
-FetchRequest parseFetch(const std::string& body)
-{
-    try {
-        const Json json = Json::parse(body);
-        FetchRequest fetch;
-        fetch.cursor = json.value("cursor", "");
-        fetch.policy = readPolicy(json, "policyVersion", "policyOrder");
-        fetch.max = json.value("max", defaultFetchSamples);
-        fetch.wait = std::chrono::milliseconds(std::clamp<int64_t>(json.value("waitMs", 0), 0, maxFetchWaitMs));
-        fetch.steps = json.value("steps", fetch.steps);
-        return fetch;
-    } catch (const Json::exception& error) {
-        throw BadRequestError(fmt::format("fetch: {}", error.what()));
-    }
-}
-
-PolicyRequest parsePolicy(const std::string& body)
-{
-    try {
-        const Json json = Json::parse(body);
-        return { readPolicy(json, "version", "order"), json.value("weights", "") };
-    } catch (const Json::exception& error) {
-        throw BadRequestError(fmt::format("policy: {}", error.what()));
-    }
-}
-
 std::string submitAnswer(StepNumber number, size_t samples, bool isNew)
 {
     return Json { { "step", number }, { "samples", samples }, { "isNew", isNew } }.dump();
 }
 
 std::string fetchAnswer(
-    const FetchRequest& request, const FetchResult& result, const std::vector<StepNumber>& unknownSteps)
+    const FetchBody& request, const FetchResult& result, const std::vector<StepNumber>& unknownSteps)
 {
     Json answer;
     answer["answers"] = request.cursor;
-    answer["policyVersion"] = request.policy.version;
-    answer["policyOrder"] = request.policy.order;
+    answer["policyVersion"] = request.policyVersion;
+    answer["policyOrder"] = request.policyOrder.value_or(request.policyVersion);
     answer["cursor"] = result.next.encode();
     answer["samples"] = Json::array();
     answer["steps"] = Json::array();
--- a/src/io/entry/JobRunner.cpp
+++ b/src/io/entry/JobRunner.cpp
@@ -7,6 +7,7 @@
 #include "wire/Codec.h"
 
 #include <endiveroad/Error.h>
+#include <endiveroad/JobBody.h>
 #include <fmt/format.h>
 
 namespace endiveroad::io {
@@ -257,7 +258,7 @@
 asio::awaitable<HttpResponse> JobRunner::submit(StepNumber number, std::string body)
 {
     activeUntil_ = now() + trainerLease;
-    StepRequest step = parseStep(number, body);
+    StepRequest step = parseStepBody(number, body);
     const uint64_t digest = step.digest();
     const size_t samples = step.samples.size();
     auto found = std::make_shared<Found>();
@@ -279,14 +280,15 @@
 asio::awaitable<HttpResponse> JobRunner::fetch(std::string body)
 {
     activeUntil_ = now() + trainerLease;
-    const FetchRequest request = parseFetch(body);
+    const FetchBody request = FetchBody::parse(body);
     const Cursor cursor = Cursor::decode(request.cursor, declaration().name);
-    const Instant waitEnd = now() + request.wait;
+    const Instant waitEnd = now() + std::chrono::milliseconds(request.waitMs);
+    const PolicyState policy { request.policyVersion, request.policyOrder.value_or(request.policyVersion) };
     sendReleases(cursor);
-    FetchResult result = coordinator_.fetch(cursor, request.policy, request.max, now());
+    FetchResult result = coordinator_.fetch(cursor, policy, request.max, now());
     while (result.samples.empty() && now() < waitEnd && !isStopped_) {
         co_await changed_.wait(waitEnd);
-        result = coordinator_.fetch(cursor, request.policy, request.max, now());
+        result = coordinator_.fetch(cursor, policy, request.max, now());
     }
     std::vector<StepNumber> unknownSteps;
     for (StepNumber step : request.steps) {
