--- a/include/endiveroad/JobBody.h
+++ b/include/endiveroad/JobBody.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <endiveroad/Sample.h>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,8 @@
     uint64_t waitMs = 0;
     /// Steps that the trainer has submitted; the answer names those that the entry does not know.
     std::vector<StepNumber> steps;
+    /// Grows also when the trainer goes back to an older version; the version stands for it if it is not stated.
+    std::optional<int64_t> policyOrder;
 
     auto operator<=>(const FetchBody&) const = default;
 
@@ -40,6 +43,8 @@
     WeightVersion version = 0;
     /// Where the weight store keeps them; empty if the version is enough.
     std::string weights;
+    /// Grows also when the trainer goes back to an older version; the version stands for it if it is not stated.
+    std::optional<int64_t> order;
 
     auto operator<=>(const PolicyBody&) const = default;
 
--- a/include/endiveroad/endiveroad.h
+++ b/include/endiveroad/endiveroad.h
@@ -16,7 +16,9 @@
 #include <endiveroad/RequestWindow.h>
 #include <endiveroad/Sample.h>
 #include <endiveroad/SampleHold.h>
+#include <endiveroad/SampleProgress.h>
 #include <endiveroad/Settings.h>
 #include <endiveroad/Time.h>
 #include <endiveroad/Timeline.h>
 #include <endiveroad/VersionTracker.h>
+#include <endiveroad/WeightPlan.h>
--- a/src/core/http/JobBody.cpp
+++ b/src/core/http/JobBody.cpp
@@ -53,6 +53,8 @@
     JsonReader reader(json, "fetch");
     FetchBody fetch;
     fetch.policyVersion = static_cast<WeightVersion>(reader.integer("policyVersion", 0, maxVersion));
+    if (reader.has("policyOrder"))
+        fetch.policyOrder = static_cast<int64_t>(reader.integer("policyOrder", 0, maxVersion));
     if (reader.has("cursor"))
         fetch.cursor = reader.text("cursor");
     if (reader.has("max"))
@@ -75,6 +77,8 @@
     JsonReader reader(json, "policy");
     PolicyBody policy;
     policy.version = static_cast<WeightVersion>(reader.integer("version", 0, maxVersion));
+    if (reader.has("order"))
+        policy.order = static_cast<int64_t>(reader.integer("order", 0, maxVersion));
     if (reader.has("weights"))
         policy.weights = reader.text("weights");
     reader.finish();
--- a/src/io/Frame.h
+++ b/src/io/Frame.h
@@ -31,6 +31,7 @@
     AccessChallenge = 16,
     AccessProof = 17,
     AccessRefusal = 18,
+    CancelGenerate = 19,
 };
 
 /// Header of a frame. On the wire: magic u16, version u8, kind u8, type u16, zero u16, length u32, budgetMs u32,
--- a/src/io/entry/EntryNode.cpp
+++ b/src/io/entry/EntryNode.cpp
@@ -218,7 +218,11 @@
     if (!isForwarded && home != name()) {
         // Every call on a job is idempotent, so after a failed forward this entry does it itself.
         try {
-            co_return co_await forward(agents_.connection(home), query);
+            HttpResponse response = co_await forward(agents_.connection(home), query);
+            const auto runner = runners_.find(route.name);
+            if (runner != runners_.end())
+                runner->second->onHomeElsewhere();
+            co_return response;
         } catch (const Error& error) {
             log(Event::PeerLost, { { "peer", home }, { "reason", error.what() } });
         }
@@ -252,7 +256,7 @@
         co_return co_await runner.submit(route.step, query.body);
     case RouteKind::Fetch: {
         HttpResponse response = co_await runner.fetch(query.body);
-        rollout_->announce(job.pool, { runner.policyVersion(), {} }, job.rollout.swapShare);
+        rollout_->announce(job.pool, { runner.policy(), {} });
         co_return response;
     }
     case RouteKind::AnnouncePolicy:
@@ -265,15 +269,15 @@
 HttpResponse EntryNode::announce(const JobDeclaration& job, const std::string& body)
 {
     const PolicyBody wanted = PolicyBody::parse(body);
-    const AnnouncedPolicy policy { wanted.version, wanted.weights };
-    runner(job).onPolicyVersion(policy.version);
-    if (rollout_->announce(job.pool, policy, job.rollout.swapShare)) {
+    const AnnouncedPolicy policy { { wanted.version, wanted.order.value_or(wanted.version) }, wanted.weights };
+    runner(job).onPolicy(policy.policy);
+    if (rollout_->announce(job.pool, policy)) {
         for (const auto& [entryName, entry] : settings()->entries) {
             if (const auto peer = agents_.connection(entryName))
                 tellPolicies(peer);
         }
     }
-    return jsonResponse(200, Json { { "version", policy.version } }.dump());
+    return jsonResponse(200, Json { { "version", policy.policy.version } }.dump());
 }
 
 void EntryNode::tellPolicies(const PeerConnectionPtr& peer)
@@ -281,9 +285,9 @@
     for (const auto& [pool, policy] : rollout_->policies()) {
         wire::PolicyNotice notice;
         notice.model = pool;
-        notice.version = policy.version;
+        notice.version = policy.policy.version;
         notice.weights = policy.weights;
-        notice.order = policy.version;
+        notice.order = policy.policy.order;
         peer->notify(MessageType::Policy, wire::encode(notice));
     }
 }
@@ -313,11 +317,20 @@
     if (message.type == MessageType::AgentReport) {
         const auto report = wire::decode<wire::AgentReport>(message.payload);
         if (report.agent == peer->peerName)
-            agents_.onReport(report.pool, fromWire(report));
+            onReport(report.pool, fromWire(report));
     } else if (message.type == MessageType::Policy && rollout_) {
         const auto notice = wire::decode<wire::PolicyNotice>(message.payload);
         if (settings()->pools.contains(notice.model))
-            rollout_->announce(notice.model, { notice.version, notice.weights }, RolloutPolicy().swapShare);
+            rollout_->announce(notice.model, { { notice.version, notice.order }, notice.weights });
+    }
+}
+
+void EntryNode::onReport(const std::string& pool, const ReplicaReport& report)
+{
+    agents_.onReport(pool, report);
+    for (const auto& [job, runner] : runners_) {
+        if (runner->declaration().pool == pool)
+            runner->onCapacity();
     }
 }
 
