--- a/src/cli/SettingsCommand.cpp
+++ b/src/cli/SettingsCommand.cpp
@@ -1,14 +1,18 @@
 #include "cli/Options.h"
 #include "cli/SettingsFiles.h"
 #include "io/Clock.h"
-#include "io/SettingsKeeper.h"
-#include "io/StoreClient.h"
+#include "io/SettingsStore.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <charconv>
+#include <cstdlib>
+#include <ctime>
 #include <endiveroad/Error.h>
 #include <endiveroad/SettingsExplain.h>
+#include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <random>
 
 namespace endiveroad::cli {
@@ -34,11 +38,13 @@
     return fmt::format("{:08x}{:08x}{:08x}", source(), source(), source());
 }
 
-std::string requiredOption(const cxxopts::ParseResult& result, const std::string& name)
+/// Wall time as in 2026-03-04T05:06:07Z.
+std::string timeText(int64_t wallMs)
 {
-    if (result.count(name) == 0)
-        throw UsageInvalidError(fmt::format("--{} is missing", name));
-    return result[name].as<std::string>();
+    const std::time_t seconds = static_cast<std::time_t>(wallMs / 1000);
+    std::tm fields {};
+    gmtime_r(&seconds, &fields);
+    return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fields);
 }
 
 int validate(const std::string& directory)
@@ -62,59 +68,123 @@
         fmt::print("    overrides {}\n", describe(overridden));
 }
 
-int explain(const std::string& directory, const std::string& path)
-{
-    for (const ExplainedSetting& explained : explainSettings(readSettingsDirectory(directory), path))
-        printExplained(explained);
-    return exitOk;
-}
+/// The key-value service as operators' commands use it.
+class StoreSession {
+public:
+    explicit StoreSession(const Address& address)
+        : client_(http_, address)
+        , patience_(io::now() + storeTimeout)
+        , store_(client_, patience_)
+    {
+    }
+
+    io::SettingsStore& store() { return store_; }
 
-boost::asio::awaitable<int64_t> applyTree(Address storeAddress, std::string tree, std::optional<int64_t> expected)
+private:
+    io::HttpClient http_;
+    io::EtcdStoreClient client_;
+    io::BackoffPatience patience_;
+    io::SettingsStore store_;
+};
+
+io::SettingsWrite newWrite(const cxxopts::ParseResult& options)
 {
-    io::HttpClient http;
-    io::EtcdStoreClient store(http, storeAddress);
-    const std::string key(io::SettingsKeeper::storeKey);
-    const auto stored = co_await store.read(key, io::now() + storeTimeout);
-    io::SettingsDocument document;
-    if (stored)
-        document = io::SettingsDocument::decode(stored->value);
-    if (expected && *expected != document.revision)
-        throw SettingsConflictError(fmt::format("revision {} is in force, not {}", document.revision, *expected));
-    document.revision += 1;
-    document.writeId = randomId();
-    document.tree = std::move(tree);
-    const int64_t before = stored ? stored->modRevision : 0;
-    const bool isWritten = co_await store.compareAndSwap(key, before, document.encode(), io::now() + storeTimeout);
-    if (!isWritten)
-        throw SettingsConflictError("another operator applied a change at the same time");
-    co_return document.revision;
+    io::SettingsWrite write;
+    write.writeId = randomId();
+    const char* user = std::getenv("USER");
+    write.author = options.count("author") != 0 ? options["author"].as<std::string>() : user ? user : "unknown";
+    write.appliedMs = io::wallMs();
+    if (options.count("expect-revision") != 0)
+        write.expectedRevision = options["expect-revision"].as<int64_t>();
+    return write;
 }
 
 int apply(const cxxopts::ParseResult& options, const std::string& directory)
 {
-    const SettingsValue read = readSettingsDirectory(directory);
-    Settings::fromTree(read, 0);
-    const std::string tree = read.json();
-    const Address store = addressOption(options, "store");
-    std::optional<int64_t> expected;
-    if (options.count("expect-revision") != 0)
-        expected = options["expect-revision"].as<int64_t>();
+    const SettingsValue tree = readSettingsDirectory(directory);
+    Settings::fromTree(tree, 0);
+    const io::SettingsWrite write = newWrite(options);
+    StoreSession session(addressOption(options, "store"));
     int64_t revision = 0;
-    runToEnd([&]() -> boost::asio::awaitable<void> { revision = co_await applyTree(store, tree, expected); });
+    runToEnd([&]() -> boost::asio::awaitable<void> { revision = co_await session.store().apply(write, tree); });
     fmt::print("revision {} is in force\n", revision);
     return exitOk;
 }
 
+int rollBack(const cxxopts::ParseResult& options, const std::string& argument)
+{
+    int64_t target = 0;
+    const auto parsed = std::from_chars(argument.data(), argument.data() + argument.size(), target);
+    if (parsed.ec != std::errc() || parsed.ptr != argument.data() + argument.size())
+        throw UsageInvalidError(fmt::format("\"{}\" is not a revision", argument));
+    const io::SettingsWrite write = newWrite(options);
+    StoreSession session(addressOption(options, "store"));
+    int64_t revision = 0;
+    runToEnd([&]() -> boost::asio::awaitable<void> { revision = co_await session.store().rollBack(write, target); });
+    fmt::print("revision {} is in force; it has the settings of revision {}\n", revision, target);
+    return exitOk;
+}
+
+int history(const cxxopts::ParseResult& options)
+{
+    StoreSession session(addressOption(options, "store"));
+    SettingsHead head;
+    runToEnd([&]() -> boost::asio::awaitable<void> { head = co_await session.store().head(); });
+    for (const SettingsRevision& past : head.history)
+        fmt::print("{}  {}  {}  write {}  {} parts changed\n", past.revision, timeText(past.appliedMs), past.author,
+            past.writeId, past.undo.size());
+    return exitOk;
+}
+
+/// The tree in force, as the key-value service has it.
+SettingsDocument readDocument(const cxxopts::ParseResult& options)
+{
+    StoreSession session(addressOption(options, "store"));
+    std::optional<SettingsDocument> document;
+    const SettingsDocument none;
+    runToEnd([&]() -> boost::asio::awaitable<void> { document = co_await session.store().load(none); });
+    return document.value_or(none);
+}
+
+/// Explains the tree of a directory, else that of a process, else that of the key-value service.
+int explain(const cxxopts::ParseResult& options, const std::string& path)
+{
+    SettingsValue tree;
+    if (options.count("dir") != 0)
+        tree = readSettingsDirectory(options["dir"].as<std::string>());
+    else
+        tree = readDocument(options).tree();
+    for (const ExplainedSetting& explained : explainSettings(tree, path))
+        printExplained(explained);
+    return exitOk;
+}
+
+int plan(const cxxopts::ParseResult& options, const std::string& directory)
+{
+    const SettingsValue wanted = readSettingsDirectory(directory);
+    const Settings after = Settings::fromTree(wanted, 0);
+    const SettingsDocument document = readDocument(options);
+    const SettingsValue present = document.tree();
+    const auto changes = compareSettings(present, wanted);
+    fmt::print("{} changes against revision {}\n", changes.size(), document.revision);
+    for (const SettingsChange& change : changes)
+        fmt::print("{}\n", change.text());
+    if (document.revision != 0 && !changes.empty())
+        fmt::print("affects: {}\n", fmt::join(affectedDeclarations(Settings::fromTree(present, 0), after), ", "));
+    return exitOk;
+}
+
 } // namespace
 
 int runSettings(const Arguments& arguments)
 {
-    cxxopts::Options options(
-        "endiveroad settings", "validate DIR | explain PATH --dir DIR | schema | apply DIR --store host:port");
+    cxxopts::Options options("endiveroad settings",
+        "validate DIR | plan DIR | apply DIR | explain PATH [--dir DIR] | history | rollback REVISION | schema");
     addCommonOptions(options);
     options.add_options()("store", "host:port of the key-value service", cxxopts::value<std::string>())(
         "expect-revision", "Refuse unless this revision is in force", cxxopts::value<int64_t>())(
-        "dir", "Directory of the tree that explain reads", cxxopts::value<std::string>())(
+        "author", "Who applies, for the history", cxxopts::value<std::string>())(
+        "dir", "Explain the tree of this directory, not the one in force", cxxopts::value<std::string>())(
         "action", "", cxxopts::value<std::string>())("argument", "", cxxopts::value<std::string>());
     options.parse_positional({ "action", "argument" });
     options.positional_help("ACTION [ARGUMENT]");
@@ -129,13 +199,19 @@
         fmt::print("{}", settingsReference());
         return exitOk;
     }
+    if (action == "history")
+        return history(*result);
     if (result->count("argument") == 0)
         throw UsageInvalidError(fmt::format("settings {} needs an argument", action));
     const std::string argument = (*result)["argument"].as<std::string>();
     if (action == "validate")
         return validate(argument);
     if (action == "explain")
-        return explain(requiredOption(*result, "dir"), argument);
+        return explain(*result, argument);
+    if (action == "plan")
+        return plan(*result, argument);
+    if (action == "rollback")
+        return rollBack(*result, argument);
     if (action == "apply")
         return apply(*result, argument);
     throw UsageInvalidError(fmt::format("settings has no action \"{}\"", action));
--- a/src/io/Frame.h
+++ b/src/io/Frame.h
@@ -28,6 +28,7 @@
     Status = 13,
     Timeline = 14,
     Error = 15,
+    SettingsAnswer = 40,
 };
 
 /// Header of a frame. On the wire: magic u16, version u8, kind u8, type u16, zero u16, length u32, budgetMs u32,
--- a/src/io/Node.cpp
+++ b/src/io/Node.cpp
@@ -40,7 +40,10 @@
     : options_(std::move(options))
     , incarnation_(wallMs())
     , signals_(context_, SIGTERM, SIGINT)
-    , settings_([this](auto before, auto inForce) { settingsChanged(before, inForce); })
+    , settings_([this](auto before, auto inForce) { settingsChanged(before, inForce); },
+          [this](const std::string& peer, MessageType type, const std::string& payload) {
+              sendToPeer(peer, type, payload);
+          })
     , mesh_(context_, *this, [this](const std::string&, const PeerConnectionPtr& peer) { sendHello(peer); })
 {
     if (options_.store)
@@ -53,8 +56,12 @@
         if (!error)
             stop();
     });
+    settings_.expectPeers(options_.peers.size());
+    if (!store_)
+        settings_.onNoStore();
+    spawn(context_.get_executor(), [this] { return settings_.runExchange(); });
     if (store_)
-        spawn(context_.get_executor(), [this] { return settings_.follow(*store_); });
+        spawn(context_.get_executor(), [this] { return settings_.follow(*store_, [this] { return wantsStore(); }); });
     std::map<std::string, Address> targets;
     for (const Address& peer : options_.peers)
         targets.emplace("peer-" + peer.text(), peer);
@@ -75,11 +82,6 @@
         onSettings(before, inForce);
         if (address)
             mesh_.setTargets(peerTargets(*inForce));
-        for (const PeerConnectionPtr& peer : mesh_.connections())
-            sendSettings(peer);
-        const auto accepted = accepted_;
-        for (const PeerConnectionPtr& peer : accepted)
-            sendSettings(peer);
     } catch (const AddressInUseError&) {
         failure_ = std::current_exception();
         context_.stop();
@@ -117,14 +119,17 @@
     peer->notify(MessageType::Hello, wire::encode(hello));
 }
 
-void Node::sendSettings(const PeerConnectionPtr& peer)
+void Node::sendToPeer(const std::string& peer, MessageType type, const std::string& payload)
 {
-    if (!settings_.current())
-        return;
-    wire::SettingsAnswer message;
-    message.revision = settings_.revision();
-    message.document = settings_.encodedDocument();
-    peer->notify(MessageType::SettingsOffer, wire::encode(message));
+    const auto known = peers_.find(peer);
+    if (known != peers_.end())
+        known->second->notify(type, payload);
+}
+
+void Node::onPeerRole(const PeerConnectionPtr& peer, const std::string& role)
+{
+    peers_[peer->peerName] = peer;
+    settings_.onPeer(peer->peerName, role == "agent" ? SettingsPeerRole::Agent : SettingsPeerRole::Entry);
 }
 
 void Node::onHello(const PeerConnectionPtr& peer, const PeerMessage& message)
@@ -135,8 +140,7 @@
         peer->peerName = hello.node;
     if (isFirst)
         sendHello(peer);
-    if (hello.settingsRevision < settings_.revision())
-        sendSettings(peer);
+    onPeerRole(peer, hello.role);
     onPeerHello(peer, hello.role);
 }
 
@@ -160,9 +164,7 @@
     try {
         if (message.type == MessageType::Hello)
             onHello(peer, message);
-        else if (message.type == MessageType::SettingsOffer)
-            settings_.offer(wire::decode<wire::SettingsAnswer>(message.payload).document);
-        else
+        else if (!settings_.onMessage(peer->peerName, message.type, message.payload))
             onNodeNotice(peer, message);
     } catch (const Error& error) {
         log(Event::FrameRefused, { { "peer", peer->peerName }, { "reason", error.what() } });
@@ -172,6 +174,11 @@
 void Node::onClosed(const PeerConnectionPtr& peer)
 {
     accepted_.erase(peer);
+    const auto known = peers_.find(peer->peerName);
+    if (known != peers_.end() && known->second == peer) {
+        peers_.erase(known);
+        settings_.onPeerLost(peer->peerName);
+    }
     if (!peer->peerName.empty())
         log(Event::PeerLost, { { "peer", peer->peerName } });
     onPeerClosed(peer);
--- a/src/io/Node.h
+++ b/src/io/Node.h
@@ -49,6 +49,9 @@
     /// Peers to connect to under the settings.
     virtual std::map<std::string, Address> peerTargets(const Settings&) const = 0;
 
+    /// Whether this process should follow the key-value service itself.
+    virtual bool wantsStore() const = 0;
+
     /// Takes no new work, then returns when none is left or the drain timeout has passed.
     virtual asio::awaitable<void> drain() = 0;
 
@@ -65,6 +68,9 @@
     int64_t incarnation() const { return incarnation_; }
     bool isDraining() const { return isDraining_; }
 
+    /// Number of peers that said hello.
+    size_t peerCount() const { return peers_.size(); }
+
     /// Starts drain and end of the process; further calls do nothing.
     void stop();
 
@@ -74,7 +80,8 @@
     asio::awaitable<void> stopGracefully();
     void sendHello(const PeerConnectionPtr&);
     void onHello(const PeerConnectionPtr&, const PeerMessage&);
-    void sendSettings(const PeerConnectionPtr&);
+    void sendToPeer(const std::string& peer, MessageType, const std::string& payload);
+    void onPeerRole(const PeerConnectionPtr&, const std::string& role);
     void settingsChanged(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce);
 
     NodeOptions options_;
@@ -87,6 +94,8 @@
     PeerMesh mesh_;
     std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
     std::set<PeerConnectionPtr> accepted_;
+    /// The newest connection to each peer that said hello.
+    std::map<std::string, PeerConnectionPtr> peers_;
     bool isDraining_ = false;
     std::exception_ptr failure_;
 };
--- a/src/io/SettingsKeeper.cpp
+++ b/src/io/SettingsKeeper.cpp
@@ -3,70 +3,208 @@
 #include "io/Clock.h"
 #include "io/Log.h"
 #include "io/PeerConnection.h"
+#include "io/SettingsStore.h"
+#include "wire/Codec.h"
 
 #include <endiveroad/Error.h>
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
+#include <endiveroad_types.h>
+#include <random>
 
 namespace endiveroad::io {
 
-using Json = nlohmann::json;
+namespace {
 
-std::string SettingsDocument::encode() const
+/// One try per call; the keeper itself waits between tries.
+class SingleAttempt : public StorePatience {
+public:
+    Instant callDeadline() const override { return now() + SettingsKeeper::readTimeout; }
+    asio::awaitable<bool> waitForAttempt(int) override { co_return false; }
+};
+
+wire::SettingsAnswer toWire(const SettingsDelta& delta)
 {
-    return Json { { "revision", revision }, { "writeId", writeId }, { "tree", Json::parse(tree) } }.dump();
+    wire::SettingsAnswer answer;
+    answer.revision = delta.revision;
+    answer.baseRevision = delta.baseRevision;
+    answer.writeId = delta.writeId;
+    answer.digest = static_cast<int64_t>(delta.digest);
+    answer.removed = delta.removed;
+    for (const auto& [name, part] : delta.parts) {
+        wire::SettingsPart& wirePart = answer.parts.emplace_back();
+        wirePart.name = name;
+        wirePart.key = part.key;
+        wirePart.text = part.text;
+    }
+    return answer;
 }
 
-SettingsDocument SettingsDocument::decode(std::string_view text)
+SettingsDelta fromWire(wire::SettingsAnswer answer)
 {
-    try {
-        const Json json = Json::parse(text);
-        return { json.at("revision").get<int64_t>(), json.at("writeId").get<std::string>(), json.at("tree").dump() };
-    } catch (const Json::exception& error) {
-        throw SettingsInvalidError(fmt::format("the stored document cannot be read: {}", error.what()));
-    }
+    SettingsDelta delta;
+    delta.revision = answer.revision;
+    delta.baseRevision = answer.baseRevision;
+    delta.writeId = answer.writeId;
+    delta.digest = static_cast<uint64_t>(answer.digest);
+    delta.removed = std::move(answer.removed);
+    for (wire::SettingsPart& part : answer.parts)
+        delta.parts[part.name] = { std::move(part.key), std::move(part.text) };
+    return delta;
 }
 
-SettingsKeeper::SettingsKeeper(OnChange onChange)
+} // namespace
+
+SettingsKeeper::SettingsKeeper(OnChange onChange, Send send)
     : onChange_(std::move(onChange))
+    , send_(std::move(send))
+    , sync_(std::random_device {}(), now(), [this](const SettingsDocument& document) { return putInForce(document); })
+    , random_(std::random_device {}())
+    , nextMissingNotice_(now() + missingNotice)
 {
 }
 
-void SettingsKeeper::offer(std::string_view encoded)
+bool SettingsKeeper::putInForce(const SettingsDocument& document)
 {
     try {
-        const SettingsDocument document = SettingsDocument::decode(encoded);
-        if (document.revision <= revision())
-            return;
-        auto settings = std::make_shared<const Settings>(Settings::fromDocument(document.tree, document.revision));
+        auto settings = std::make_shared<const Settings>(Settings::fromTree(document.tree(), document.revision));
         auto before = std::exchange(current_, settings);
-        encoded_ = encoded;
-        log(Event::SettingsInForce, { { "revision", std::to_string(document.revision) } });
+        log(Event::SettingsInForce,
+            { { "revision", std::to_string(document.revision) }, { "write", document.writeId } });
         onChange_(before, settings);
+        return true;
     } catch (const Error& error) {
-        log(Event::SettingsRefused, { { "reason", error.what() } });
+        log(Event::SettingsRefused, { { "revision", std::to_string(document.revision) }, { "reason", error.what() } });
+        return false;
     }
 }
 
-asio::awaitable<void> SettingsKeeper::follow(StoreClient& store)
+void SettingsKeeper::onPeer(const std::string& peer, SettingsPeerRole role)
+{
+    sync_.onPeer(peer, role, now());
+    sendActions();
+}
+
+void SettingsKeeper::onPeerLost(const std::string& peer)
+{
+    sync_.onPeerLost(peer);
+}
+
+bool SettingsKeeper::onMessage(const std::string& peer, MessageType type, const std::string& payload)
 {
-    bool isAvailable = true;
+    if (type == MessageType::SettingsOffer) {
+        const auto offer = wire::decode<wire::SettingsOffer>(payload);
+        sync_.onOffer(peer, { offer.revision, offer.isStoreAway }, now());
+    } else if (type == MessageType::SettingsRequest) {
+        sync_.onRequest(peer, wire::decode<wire::SettingsRequest>(payload).knownRevision);
+    } else if (type == MessageType::SettingsAnswer) {
+        sync_.onAnswer(peer, fromWire(wire::decode<wire::SettingsAnswer>(payload)), now());
+    } else {
+        return false;
+    }
+    sendActions();
+    return true;
+}
+
+void SettingsKeeper::sendActions()
+{
+    for (const SettingsAction& action : sync_.takeActions()) {
+        if (action.kind == SettingsAction::Kind::Offer) {
+            wire::SettingsOffer offer;
+            offer.revision = action.offer.revision;
+            offer.isStoreAway = action.offer.isStoreAway;
+            send_(action.peer, MessageType::SettingsOffer, wire::encode(offer));
+        } else if (action.kind == SettingsAction::Kind::Request) {
+            wire::SettingsRequest request;
+            request.knownRevision = action.knownRevision;
+            send_(action.peer, MessageType::SettingsRequest, wire::encode(request));
+        } else {
+            send_(action.peer, MessageType::SettingsAnswer, wire::encode(toWire(action.delta)));
+        }
+    }
+}
+
+asio::awaitable<void> SettingsKeeper::runExchange()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
     while (true) {
+        // Messages may bring deadlines forward; a short step takes them up without a wake-up for each.
+        co_await waitUntil(timer, std::min(sync_.deadline(), now() + watchCheckInterval));
+        sync_.onTimer(now());
+        sendActions();
+        if (!current_ && now() >= nextMissingNotice_) {
+            nextMissingNotice_ = now() + missingNotice;
+            log(Event::SettingsMissing, { { "isStoreReachable", isStoreReachable_ ? "unknown" : "no" } });
+        }
+    }
+}
+
+void SettingsKeeper::onStoreAnswer(bool isReachable, const std::string& reason)
+{
+    const bool wasReachable = std::exchange(isStoreReachable_, isReachable);
+    if (wasReachable && !isReachable)
+        log(Event::StoreUnavailable, { { "reason", reason } });
+    if (!wasReachable && isReachable)
+        log(Event::StoreAvailable);
+    sync_.onStoreReachable(isReachable);
+    sendActions();
+}
+
+asio::awaitable<bool> SettingsKeeper::readAndWatch()
+{
+    SingleAttempt patience;
+    SettingsStore store(*budget_, patience);
+    const auto document = co_await store.load(sync_.document());
+    onStoreAnswer(true, "");
+    if (document)
+        sync_.onStored(*document, now());
+    sendActions();
+    const int64_t headRevision = store.headModRevision();
+    bool isChanged = false;
+    try {
+        co_await budget_->watch(
+            std::string(SettingsStore::headKey), headRevision, now() + watchLifetime, [&isChanged](const StoredValue&) {
+                isChanged = true;
+                return false;
+            });
+    } catch (const StoreUnavailableError&) {
+        // A watch also ends at its lifetime; the next read tells whether the service is away.
+    }
+    co_return isChanged;
+}
+
+Duration SettingsKeeper::retryDelay(int failures)
+{
+    const Duration bound = std::min(maxRetryDelay, firstRetryDelay * (1 << std::min(failures, 8)));
+    return Duration(std::uniform_int_distribution<int64_t>(bound.count() / 4, bound.count())(random_));
+}
+
+asio::awaitable<void> SettingsKeeper::follow(StoreClient& store, std::function<bool()> wanted)
+{
+    budget_ = std::make_unique<BudgetedStoreClient>(store);
+    int failures = 0;
+    while (true) {
+        if (!wanted()) {
+            co_await sleepFor(watchCheckInterval);
+            continue;
+        }
+        std::string failure;
+        bool isChanged = false;
         try {
-            const auto stored = co_await store.read(std::string(storeKey), now() + readTimeout);
-            if (!std::exchange(isAvailable, true))
-                log(Event::StoreAvailable);
-            if (stored)
-                offer(stored->value);
-            co_await store.watch(std::string(storeKey), stored ? stored->modRevision : 0, now() + watchLifetime,
-                [this](const StoredValue& value) { offer(value.value); });
+            isChanged = co_await readAndWatch();
+            failures = 0;
         } catch (const Error& error) {
-            // A watch ends at its lifetime without the service being away; the next read tells.
-            if (error.code() == ErrorCode::StoreUnavailable && std::exchange(isAvailable, false))
-                log(Event::StoreUnavailable, { { "reason", error.what() } });
+            failure = error.what();
+            ++failures;
         }
-        co_await sleepFor(retryDelay);
+        if (failures > 0)
+            onStoreAnswer(false, failure);
+        if (!isChanged)
+            co_await sleepFor(retryDelay(failures));
     }
 }
 
+bool SettingsKeeper::isWatcher(const std::string& self, const std::vector<std::string>& liveEntries) const
+{
+    return sync_.isWatcher(self, liveEntries, now());
+}
+
 } // namespace endiveroad::io
--- a/src/io/StoreClient.cpp
+++ b/src/io/StoreClient.cpp
@@ -111,8 +111,13 @@
     }
 }
 
+asio::awaitable<void> EtcdStoreClient::remove(std::string key, Instant deadline)
+{
+    co_await post("/v3/kv/deleterange", rangeBody(key), deadline);
+}
+
 asio::awaitable<void> EtcdStoreClient::watch(
-    std::string key, int64_t afterRevision, Instant deadline, std::function<void(StoredValue)> onChange)
+    std::string key, int64_t afterRevision, Instant deadline, OnChange onChange)
 {
     HttpRequest request = jsonRequest("POST", "/v3/watch", watchBody(key, afterRevision));
     std::string pending;
@@ -123,8 +128,10 @@
             pending.erase(0, end + 1);
             const Json result = message.value("result", Json::object());
             const Json events = result.value("events", Json::array());
-            for (const Json& event : events)
-                onChange(toStoredValue(event.at("kv")));
+            for (const Json& event : events) {
+                if (!onChange(toStoredValue(event.at("kv"))))
+                    return false;
+            }
         }
         return true;
     };
--- a/src/io/StoreClient.h
+++ b/src/io/StoreClient.h
@@ -28,9 +28,15 @@
         std::string key, int64_t expectedRevision, std::string value, Instant deadline)
         = 0;
 
-    /// Calls back for every change of the key after the given revision, until the watch breaks or the deadline.
-    virtual asio::awaitable<void> watch(
-        std::string key, int64_t afterRevision, Instant deadline, std::function<void(StoredValue)> onChange)
+    /// Removes a key, if it is there.
+    virtual asio::awaitable<void> remove(std::string key, Instant deadline) = 0;
+
+    /// Called for each change of a watched key. Returns false to end the watch.
+    using OnChange = std::function<bool(StoredValue)>;
+
+    /// Calls back for every change of the key after the given revision, until the callback ends it, the watch breaks or
+    /// the deadline passes; the latter two throw.
+    virtual asio::awaitable<void> watch(std::string key, int64_t afterRevision, Instant deadline, OnChange onChange)
         = 0;
 };
 
@@ -42,8 +48,8 @@
     asio::awaitable<std::optional<StoredValue>> read(std::string key, Instant deadline) override;
     asio::awaitable<bool> compareAndSwap(
         std::string key, int64_t expectedRevision, std::string value, Instant deadline) override;
-    asio::awaitable<void> watch(
-        std::string key, int64_t afterRevision, Instant deadline, std::function<void(StoredValue)> onChange) override;
+    asio::awaitable<void> remove(std::string key, Instant deadline) override;
+    asio::awaitable<void> watch(std::string key, int64_t afterRevision, Instant deadline, OnChange onChange) override;
 
 private:
     asio::awaitable<std::string> post(std::string target, std::string body, Instant deadline);
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -32,6 +32,7 @@
 
 AgentNode::AgentNode(NodeOptions options)
     : Node(std::move(options))
+    , lastPeerSeen_(now())
 {
 }
 
@@ -227,6 +228,13 @@
     co_return wire::encode(answer);
 }
 
+bool AgentNode::wantsStore() const
+{
+    if (peerCount() > 0)
+        lastPeerSeen_ = now();
+    return now() - lastPeerSeen_ > entryPatience;
+}
+
 asio::awaitable<void> AgentNode::drain()
 {
     admission_.setDraining(true);
@@ -241,9 +249,10 @@
 {
     return nlohmann::json {
         { "name", name() }, { "role", "agent" }, { "incarnation", incarnation() }, { "revision", keeper().revision() },
-        { "isDraining", admission_.isDraining() }, { "pool", pool_ }, { "version", tracker_.version() },
-        { "isServerUp", admission_.isServerUp() }, { "running", admission_.running() },
-        { "freeSlots", admission_.freeSlots() }, { "heldSamples", hold_.count() }, { "heldBytes", hold_.bytes() }
+        { "storeCalls", keeper().storeCalls() }, { "isDraining", admission_.isDraining() }, { "pool", pool_ },
+        { "version", tracker_.version() }, { "isServerUp", admission_.isServerUp() },
+        { "running", admission_.running() }, { "freeSlots", admission_.freeSlots() }, { "heldSamples", hold_.count() },
+        { "heldBytes", hold_.bytes() }
     }.dump();
 }
 
--- a/src/io/agent/AgentNode.h
+++ b/src/io/agent/AgentNode.h
@@ -16,6 +16,8 @@
     static constexpr Duration reportInterval = std::chrono::milliseconds(100);
     static constexpr Duration probeInterval = std::chrono::milliseconds(250);
     static constexpr Duration probeTimeout = std::chrono::milliseconds(1000);
+    /// An agent asks the key-value service only if no entry has been connected for this long.
+    static constexpr Duration entryPatience = std::chrono::milliseconds(1500);
 
     explicit AgentNode(NodeOptions);
 
@@ -26,6 +28,7 @@
     void onPeerHello(const PeerConnectionPtr&, const std::string& role) override;
     std::optional<Address> peerAddress(const Settings&) const override;
     std::map<std::string, Address> peerTargets(const Settings&) const override;
+    bool wantsStore() const override;
     asio::awaitable<void> drain() override;
     std::string statusJson() const override;
 
@@ -50,6 +53,7 @@
     std::unique_ptr<EngineClient> engine_;
     std::unique_ptr<Generator> generator_;
     int64_t reportSequence_ = 0;
+    mutable Instant lastPeerSeen_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/entry/EntryNode.cpp
+++ b/src/io/entry/EntryNode.cpp
@@ -280,6 +280,22 @@
     agents_.onLost(peer->peerName);
 }
 
+bool EntryNode::wantsStore() const
+{
+    const auto inForce = settings();
+    if (!inForce)
+        return true;
+    const auto self = inForce->entries.find(name());
+    if (self == inForce->entries.end())
+        return true;
+    std::vector<std::string> live { name() };
+    for (const auto& [entryName, entry] : inForce->entries) {
+        if (entry.region == self->second.region && agents_.connection(entryName))
+            live.push_back(entryName);
+    }
+    return keeper().isWatcher(name(), live);
+}
+
 asio::awaitable<void> EntryNode::drain()
 {
     co_await sleepFor(readinessNotice);
@@ -295,7 +311,8 @@
 std::string EntryNode::statusJson() const
 {
     Json status { { "name", name() }, { "role", "entry" }, { "incarnation", incarnation() },
-        { "revision", keeper().revision() }, { "isDraining", isDraining() }, { "pools", Json::object() } };
+        { "revision", keeper().revision() }, { "storeCalls", keeper().storeCalls() }, { "isDraining", isDraining() },
+        { "pools", Json::object() } };
     for (const auto& [pool, table] : agents_.tables()) {
         Json replicas = Json::array();
         for (const ReplicaReport& report : table.reports()) {
@@ -314,6 +331,8 @@
         = fmt::format("# TYPE endiveroad_requests_total counter\nendiveroad_requests_total {}\n", requests_);
     text += fmt::format(
         "# TYPE endiveroad_settings_revision gauge\nendiveroad_settings_revision {}\n", keeper().revision());
+    text += fmt::format(
+        "# TYPE endiveroad_store_calls_total counter\nendiveroad_store_calls_total {}\n", keeper().storeCalls());
     return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text };
 }
 
--- a/src/io/entry/EntryNode.h
+++ b/src/io/entry/EntryNode.h
@@ -24,6 +24,7 @@
     void onPeerClosed(const PeerConnectionPtr&) override;
     std::optional<Address> peerAddress(const Settings&) const override;
     std::map<std::string, Address> peerTargets(const Settings&) const override;
+    bool wantsStore() const override;
     asio::awaitable<void> drain() override;
     std::string statusJson() const override;
 
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -105,9 +105,26 @@
 struct LoadRequest { 1: string model  2: i64 version  3: string weights  4: i64 order }
 struct LoadAnswer { 1: Outcome outcome  2: i64 version  3: string errorCode }
 
-struct SettingsOffer { 1: i64 revision }
+/** What a process tells of its settings; 0 for no revision in force. */
+struct SettingsOffer {
+  1: i64 revision
+  /** The sender gets no answer from the key-value service. */
+  2: bool isStoreAway
+}
+
+/** Asks for what changed since a revision; 0 asks for all parts. */
 struct SettingsRequest { 1: i64 knownRevision }
-struct SettingsAnswer { 1: i64 revision  2: binary document }
+
+struct SettingsPart { 1: string name  2: string key  3: binary text }
+
+struct SettingsAnswer {
+  1: i64 revision
+  3: i64 baseRevision
+  4: string writeId
+  5: i64 digest
+  6: list<SettingsPart> parts
+  7: list<string> removed
+}
 
 /** Newest weights that a trainer announced for a model. */
 struct PolicyNotice { 1: string model  2: i64 version  3: string weights  4: i64 order }
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -2880,6 +2880,10 @@
 void SettingsOffer::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void SettingsOffer::__set_isStoreAway(const bool val) {
+  this->isStoreAway = val;
+}
 std::ostream& operator<<(std::ostream& out, const SettingsOffer& obj)
 {
   obj.printTo(out);
@@ -2916,6 +2920,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isStoreAway);
+          this->__isset.isStoreAway = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2937,6 +2949,10 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isStoreAway", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isStoreAway);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2945,15 +2961,18 @@
 void swap(SettingsOffer &a, SettingsOffer &b) {
   using ::std::swap;
   swap(a.revision, b.revision);
+  swap(a.isStoreAway, b.isStoreAway);
   swap(a.__isset, b.__isset);
 }
 
 SettingsOffer::SettingsOffer(const SettingsOffer& other63) noexcept {
   revision = other63.revision;
+  isStoreAway = other63.isStoreAway;
   __isset = other63.__isset;
 }
 SettingsOffer& SettingsOffer::operator=(const SettingsOffer& other64) noexcept {
   revision = other64.revision;
+  isStoreAway = other64.isStoreAway;
   __isset = other64.__isset;
   return *this;
 }
@@ -2961,6 +2980,7 @@
   using ::apache::thrift::to_string;
   out << "SettingsOffer(";
   out << "revision=" << to_string(revision);
+  out << ", " << "isStoreAway=" << to_string(isStoreAway);
   out << ")";
 }
 
@@ -3057,6 +3077,138 @@
 }
 
 
+SettingsPart::~SettingsPart() noexcept {
+}
+
+
+void SettingsPart::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void SettingsPart::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void SettingsPart::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const SettingsPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SettingsPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SettingsPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SettingsPart");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SettingsPart &a, SettingsPart &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.key, b.key);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+SettingsPart::SettingsPart(const SettingsPart& other67) {
+  name = other67.name;
+  key = other67.key;
+  text = other67.text;
+  __isset = other67.__isset;
+}
+SettingsPart& SettingsPart::operator=(const SettingsPart& other68) {
+  name = other68.name;
+  key = other68.key;
+  text = other68.text;
+  __isset = other68.__isset;
+  return *this;
+}
+void SettingsPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SettingsPart(";
+  out << "name=" << to_string(name);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
 SettingsAnswer::~SettingsAnswer() noexcept {
 }
 
@@ -3065,8 +3217,24 @@
   this->revision = val;
 }
 
-void SettingsAnswer::__set_document(const std::string& val) {
-  this->document = val;
+void SettingsAnswer::__set_baseRevision(const int64_t val) {
+  this->baseRevision = val;
+}
+
+void SettingsAnswer::__set_writeId(const std::string& val) {
+  this->writeId = val;
+}
+
+void SettingsAnswer::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void SettingsAnswer::__set_parts(const std::vector<SettingsPart> & val) {
+  this->parts = val;
+}
+
+void SettingsAnswer::__set_removed(const std::vector<std::string> & val) {
+  this->removed = val;
 }
 std::ostream& operator<<(std::ostream& out, const SettingsAnswer& obj)
 {
@@ -3104,10 +3272,66 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseRevision);
+          this->__isset.baseRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->document);
-          this->__isset.document = true;
+          xfer += iprot->readString(this->writeId);
+          this->__isset.writeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->parts.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
+            {
+              xfer += this->parts[_i73].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->removed.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
+            {
+              xfer += iprot->readString(this->removed[_i78]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3133,8 +3357,40 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeBinary(this->document);
+  xfer += oprot->writeFieldBegin("baseRevision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->baseRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("writeId", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->writeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::vector<SettingsPart> ::const_iterator _iter79;
+    for (_iter79 = this->parts.begin(); _iter79 != this->parts.end(); ++_iter79)
+    {
+      xfer += (*_iter79).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
+    std::vector<std::string> ::const_iterator _iter80;
+    for (_iter80 = this->removed.begin(); _iter80 != this->removed.end(); ++_iter80)
+    {
+      xfer += oprot->writeString((*_iter80));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3145,26 +3401,42 @@
 void swap(SettingsAnswer &a, SettingsAnswer &b) {
   using ::std::swap;
   swap(a.revision, b.revision);
-  swap(a.document, b.document);
+  swap(a.baseRevision, b.baseRevision);
+  swap(a.writeId, b.writeId);
+  swap(a.digest, b.digest);
+  swap(a.parts, b.parts);
+  swap(a.removed, b.removed);
   swap(a.__isset, b.__isset);
 }
 
-SettingsAnswer::SettingsAnswer(const SettingsAnswer& other67) {
-  revision = other67.revision;
-  document = other67.document;
-  __isset = other67.__isset;
-}
-SettingsAnswer& SettingsAnswer::operator=(const SettingsAnswer& other68) {
-  revision = other68.revision;
-  document = other68.document;
-  __isset = other68.__isset;
+SettingsAnswer::SettingsAnswer(const SettingsAnswer& other81) {
+  revision = other81.revision;
+  baseRevision = other81.baseRevision;
+  writeId = other81.writeId;
+  digest = other81.digest;
+  parts = other81.parts;
+  removed = other81.removed;
+  __isset = other81.__isset;
+}
+SettingsAnswer& SettingsAnswer::operator=(const SettingsAnswer& other82) {
+  revision = other82.revision;
+  baseRevision = other82.baseRevision;
+  writeId = other82.writeId;
+  digest = other82.digest;
+  parts = other82.parts;
+  removed = other82.removed;
+  __isset = other82.__isset;
   return *this;
 }
 void SettingsAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "SettingsAnswer(";
   out << "revision=" << to_string(revision);
-  out << ", " << "document=" << to_string(document);
+  out << ", " << "baseRevision=" << to_string(baseRevision);
+  out << ", " << "writeId=" << to_string(writeId);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "removed=" << to_string(removed);
   out << ")";
 }
 
@@ -3295,19 +3567,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PolicyNotice::PolicyNotice(const PolicyNotice& other69) {
-  model = other69.model;
-  version = other69.version;
-  weights = other69.weights;
-  order = other69.order;
-  __isset = other69.__isset;
+PolicyNotice::PolicyNotice(const PolicyNotice& other83) {
+  model = other83.model;
+  version = other83.version;
+  weights = other83.weights;
+  order = other83.order;
+  __isset = other83.__isset;
 }
-PolicyNotice& PolicyNotice::operator=(const PolicyNotice& other70) {
-  model = other70.model;
-  version = other70.version;
-  weights = other70.weights;
-  order = other70.order;
-  __isset = other70.__isset;
+PolicyNotice& PolicyNotice::operator=(const PolicyNotice& other84) {
+  model = other84.model;
+  version = other84.version;
+  weights = other84.weights;
+  order = other84.order;
+  __isset = other84.__isset;
   return *this;
 }
 void PolicyNotice::printTo(std::ostream& out) const {
@@ -3413,15 +3685,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainRequest::DrainRequest(const DrainRequest& other71) {
-  node = other71.node;
-  withinMs = other71.withinMs;
-  __isset = other71.__isset;
+DrainRequest::DrainRequest(const DrainRequest& other85) {
+  node = other85.node;
+  withinMs = other85.withinMs;
+  __isset = other85.__isset;
 }
-DrainRequest& DrainRequest::operator=(const DrainRequest& other72) {
-  node = other72.node;
-  withinMs = other72.withinMs;
-  __isset = other72.__isset;
+DrainRequest& DrainRequest::operator=(const DrainRequest& other86) {
+  node = other86.node;
+  withinMs = other86.withinMs;
+  __isset = other86.__isset;
   return *this;
 }
 void DrainRequest::printTo(std::ostream& out) const {
@@ -3508,13 +3780,13 @@
   swap(a.__isset, b.__isset);
 }
 
-TextRequest::TextRequest(const TextRequest& other73) {
-  argument = other73.argument;
-  __isset = other73.__isset;
+TextRequest::TextRequest(const TextRequest& other87) {
+  argument = other87.argument;
+  __isset = other87.__isset;
 }
-TextRequest& TextRequest::operator=(const TextRequest& other74) {
-  argument = other74.argument;
-  __isset = other74.__isset;
+TextRequest& TextRequest::operator=(const TextRequest& other88) {
+  argument = other88.argument;
+  __isset = other88.__isset;
   return *this;
 }
 void TextRequest::printTo(std::ostream& out) const {
@@ -3600,13 +3872,13 @@
   swap(a.__isset, b.__isset);
 }
 
-TextAnswer::TextAnswer(const TextAnswer& other75) {
-  json = other75.json;
-  __isset = other75.__isset;
+TextAnswer::TextAnswer(const TextAnswer& other89) {
+  json = other89.json;
+  __isset = other89.__isset;
 }
-TextAnswer& TextAnswer::operator=(const TextAnswer& other76) {
-  json = other76.json;
-  __isset = other76.__isset;
+TextAnswer& TextAnswer::operator=(const TextAnswer& other90) {
+  json = other90.json;
+  __isset = other90.__isset;
   return *this;
 }
 void TextAnswer::printTo(std::ostream& out) const {
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -69,6 +69,8 @@
 
 class SettingsRequest;
 
+class SettingsPart;
+
 class SettingsAnswer;
 
 class PolicyNotice;
@@ -1214,30 +1216,43 @@
 std::ostream& operator<<(std::ostream& out, const LoadAnswer& obj);
 
 typedef struct _SettingsOffer__isset {
-  _SettingsOffer__isset() : revision(false) {}
+  _SettingsOffer__isset() : revision(false), isStoreAway(false) {}
   bool revision :1;
+  bool isStoreAway :1;
 } _SettingsOffer__isset;
 
+/**
+ * What a process tells of its settings; 0 for no revision in force.
+ */
 class SettingsOffer : public virtual ::apache::thrift::TBase {
  public:
 
   SettingsOffer(const SettingsOffer&) noexcept;
   SettingsOffer& operator=(const SettingsOffer&) noexcept;
   SettingsOffer() noexcept
-                : revision(0) {
+                : revision(0),
+                  isStoreAway(0) {
   }
 
   virtual ~SettingsOffer() noexcept;
   int64_t revision;
+  /**
+   * The sender gets no answer from the key-value service.
+   */
+  bool isStoreAway;
 
   _SettingsOffer__isset __isset;
 
   void __set_revision(const int64_t val);
 
+  void __set_isStoreAway(const bool val);
+
   bool operator == (const SettingsOffer & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
+    if (!(isStoreAway == rhs.isStoreAway))
+      return false;
     return true;
   }
   bool operator != (const SettingsOffer &rhs) const {
@@ -1261,6 +1276,9 @@
   bool knownRevision :1;
 } _SettingsRequest__isset;
 
+/**
+ * Asks for what changed since a revision; 0 asks for all parts.
+ */
 class SettingsRequest : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1299,10 +1317,71 @@
 
 std::ostream& operator<<(std::ostream& out, const SettingsRequest& obj);
 
+typedef struct _SettingsPart__isset {
+  _SettingsPart__isset() : name(false), key(false), text(false) {}
+  bool name :1;
+  bool key :1;
+  bool text :1;
+} _SettingsPart__isset;
+
+class SettingsPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  SettingsPart(const SettingsPart&);
+  SettingsPart& operator=(const SettingsPart&);
+  SettingsPart() noexcept
+               : name(),
+                 key(),
+                 text() {
+  }
+
+  virtual ~SettingsPart() noexcept;
+  std::string name;
+  std::string key;
+  std::string text;
+
+  _SettingsPart__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const SettingsPart & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const SettingsPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SettingsPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SettingsPart &a, SettingsPart &b);
+
+std::ostream& operator<<(std::ostream& out, const SettingsPart& obj);
+
 typedef struct _SettingsAnswer__isset {
-  _SettingsAnswer__isset() : revision(false), document(false) {}
+  _SettingsAnswer__isset() : revision(false), baseRevision(false), writeId(false), digest(false), parts(false), removed(false) {}
   bool revision :1;
-  bool document :1;
+  bool baseRevision :1;
+  bool writeId :1;
+  bool digest :1;
+  bool parts :1;
+  bool removed :1;
 } _SettingsAnswer__isset;
 
 class SettingsAnswer : public virtual ::apache::thrift::TBase {
@@ -1312,24 +1391,46 @@
   SettingsAnswer& operator=(const SettingsAnswer&);
   SettingsAnswer() noexcept
                  : revision(0),
-                   document() {
+                   baseRevision(0),
+                   writeId(),
+                   digest(0) {
   }
 
   virtual ~SettingsAnswer() noexcept;
   int64_t revision;
-  std::string document;
+  int64_t baseRevision;
+  std::string writeId;
+  int64_t digest;
+  std::vector<SettingsPart>  parts;
+  std::vector<std::string>  removed;
 
   _SettingsAnswer__isset __isset;
 
   void __set_revision(const int64_t val);
 
-  void __set_document(const std::string& val);
+  void __set_baseRevision(const int64_t val);
+
+  void __set_writeId(const std::string& val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_parts(const std::vector<SettingsPart> & val);
+
+  void __set_removed(const std::vector<std::string> & val);
 
   bool operator == (const SettingsAnswer & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
-    if (!(document == rhs.document))
+    if (!(baseRevision == rhs.baseRevision))
+      return false;
+    if (!(writeId == rhs.writeId))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(removed == rhs.removed))
       return false;
     return true;
   }
--- /dev/null
+++ b/tests/io/SettingsStoreTest.cpp
@@ -0,0 +1,200 @@
+#include "io/FakeStore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <set>
+
+using namespace endiveroad;
+using namespace endiveroad::io;
+
+namespace {
+
+/// A tree of pools; a change gives one pool another number of slots.
+SettingsValue treeOf(const std::map<std::string, int>& slots)
+{
+    std::string text = R"({"organisation":"t","regions":{"r":{"pools":{)";
+    for (const auto& [pool, count] : slots)
+        text += fmt::format(R"({}"{}":{{"call":{{"slots":{}}}}})", text.back() == '{' ? "" : ",", pool, count);
+    std::vector<SettingsFault> faults;
+    return parseSettingsText(text + "}}}}", "", faults);
+}
+
+enum class Ending { Open, Done, Conflict, Unknown };
+
+/// One operator's try to change the tree.
+struct Attempt {
+    std::string writeId;
+    SettingsValue tree;
+    Ending ending = Ending::Open;
+    int64_t revision = 0;
+    std::string detail;
+};
+
+asio::awaitable<void> run(SettingsStore& store, Attempt& attempt, std::optional<int64_t> expected)
+{
+    SettingsWrite write;
+    write.writeId = attempt.writeId;
+    write.author = attempt.writeId;
+    write.expectedRevision = expected;
+    try {
+        attempt.revision = co_await store.apply(write, attempt.tree);
+        attempt.ending = Ending::Done;
+    } catch (const SettingsConflictError& error) {
+        attempt.ending = Ending::Conflict;
+        attempt.detail = error.what();
+    } catch (const StoreUnavailableError&) {
+        attempt.ending = Ending::Unknown;
+    }
+}
+
+/// Revision that each write got, out of every head that ever was.
+std::map<std::string, int64_t> revisionsByWrite(const FakeStore& fake)
+{
+    std::map<std::string, int64_t> revisions;
+    int64_t last = 0;
+    for (const std::string& text : fake.heads) {
+        const SettingsHead head = SettingsHead::decode(text);
+        REQUIRE(head.revision() == last + 1);
+        last = head.revision();
+        REQUIRE(revisions.emplace(head.writeId(), last).second);
+    }
+    return revisions;
+}
+
+SettingsValue loadTree(FakeStore& fake)
+{
+    asio::io_context context;
+    CountedPatience patience(3);
+    SettingsStore store(fake, patience);
+    std::optional<SettingsDocument> document;
+    const SettingsDocument none;
+    auto body = [&]() -> asio::awaitable<void> { document = co_await store.load(none); };
+    asio::co_spawn(context, body, asio::detached);
+    context.run();
+    REQUIRE(document);
+    return document->tree();
+}
+
+void checkHistory(uint32_t seed, std::map<Ending, int>& endings)
+{
+    FakeStore fake(seed);
+    fake.faultPercent = fake.draw(3) * 10;
+    if (fake.draw(3) == 0) {
+        fake.callsUntilOutage = fake.draw(60);
+        fake.outageCalls = 1 + fake.draw(60);
+    }
+    CountedPatience patience(6);
+    SettingsStore store(fake, patience);
+    asio::io_context context;
+    std::vector<Attempt> attempts(2 + static_cast<size_t>(fake.draw(4)));
+    for (size_t i = 0; i < attempts.size(); ++i) {
+        attempts[i].writeId = fmt::format("w{}", i);
+        std::map<std::string, int> slots { { "a", 1 }, { "b", 2 }, { "c", 3 } };
+        slots[std::string(1, static_cast<char>('a' + fake.draw(4)))] = 10 + static_cast<int>(i);
+        attempts[i].tree = treeOf(slots);
+        std::optional<int64_t> expected;
+        if (fake.draw(2) == 0)
+            expected = fake.draw(2);
+        asio::co_spawn(
+            context, [&, i, expected] { return run(store, attempts[i], expected); }, asio::detached);
+        // Some operators race, others come after the one before.
+        if (fake.draw(2) == 0) {
+            context.run();
+            context.restart();
+        }
+    }
+    context.run();
+    INFO("seed " << seed);
+    const auto revisions = revisionsByWrite(fake);
+    REQUIRE(fake.missingParts == 0);
+    for (const Attempt& attempt : attempts) {
+        INFO(attempt.writeId << " " << attempt.detail);
+        const bool isWritten = revisions.contains(attempt.writeId);
+        if (attempt.ending == Ending::Done)
+            REQUIRE((isWritten ? revisions.at(attempt.writeId) : attempt.revision) == attempt.revision);
+        if (attempt.ending == Ending::Conflict)
+            REQUIRE_FALSE(isWritten);
+        REQUIRE(attempt.ending != Ending::Open);
+        ++endings[attempt.ending];
+    }
+    if (fake.heads.empty())
+        return;
+    fake.faultPercent = 0;
+    fake.outageCalls = 0;
+    const std::string last = SettingsHead::decode(fake.heads.back()).writeId();
+    for (const Attempt& attempt : attempts) {
+        if (attempt.writeId == last)
+            REQUIRE(loadTree(fake).json() == attempt.tree.json());
+    }
+}
+
+} // namespace
+
+TEST_CASE("racing operators, lost and late answers and outages never write twice or hide a loss", "[settings]")
+{
+    constexpr uint32_t histories = 12000;
+    std::map<Ending, int> endings;
+    for (uint32_t seed = 1; seed <= histories; ++seed)
+        checkHistory(seed, endings);
+    // The histories are worth something only if every ending is common among them.
+    CHECK(endings[Ending::Done] > 5000);
+    CHECK(endings[Ending::Conflict] > 5000);
+    CHECK(endings[Ending::Unknown] > 1000);
+}
+
+TEST_CASE("a conflict shows both changes", "[settings]")
+{
+    FakeStore fake(1);
+    CountedPatience patience(3);
+    SettingsStore store(fake, patience);
+    asio::io_context context;
+    std::vector<Attempt> attempts(3);
+    attempts[0] = { "base", treeOf({ { "a", 1 }, { "b", 2 } }) };
+    attempts[1] = { "first", treeOf({ { "a", 7 }, { "b", 2 } }) };
+    attempts[2] = { "second", treeOf({ { "a", 1 }, { "b", 9 } }) };
+    for (size_t i = 0; i < attempts.size(); ++i) {
+        asio::co_spawn(
+            context, [&, i] { return run(store, attempts[i], std::min<int64_t>(static_cast<int64_t>(i), 1)); },
+            asio::detached);
+        context.run();
+        context.restart();
+    }
+    CHECK(attempts[1].revision == 2);
+    REQUIRE(attempts[2].ending == Ending::Conflict);
+    CHECK(attempts[2].detail
+        == "revision 2 is in force, not 1\n  first changed since revision 1:\n    ~ /regions/r/pools/a/call/slots: 1 "
+           "-> "
+           "7\n  your change would be:\n    ~ /regions/r/pools/b/call/slots: 2 -> 9");
+}
+
+TEST_CASE("parts that no revision names any more are removed, and the history is bounded", "[settings]")
+{
+    FakeStore fake(1);
+    CountedPatience patience(3);
+    SettingsStore store(fake, patience);
+    asio::io_context context;
+    std::vector<Attempt> attempts(120);
+    for (size_t i = 0; i < attempts.size(); ++i) {
+        attempts[i] = { fmt::format("w{}", i), treeOf({ { "a", static_cast<int>(i) }, { "b", 2 } }) };
+        asio::co_spawn(
+            context, [&, i] { return run(store, attempts[i], std::nullopt); }, asio::detached);
+        context.run();
+        context.restart();
+        REQUIRE(attempts[i].revision == static_cast<int64_t>(i) + 1);
+    }
+    const SettingsHead head = SettingsHead::decode(fake.heads.back());
+    CHECK(head.history.size() == SettingsHead::maxHistory);
+    CHECK(head.revision() == 120);
+    CHECK(fake.missingParts == 0);
+    // The head, three parts that never changed, 50 versions of pool a and one that is being retired.
+    CHECK(fake.values.size() == 1 + 3 + 50 + 1);
+    int64_t revision = 0;
+    SettingsWrite write;
+    write.writeId = "back";
+    auto body = [&]() -> asio::awaitable<void> { revision = co_await store.rollBack(write, 80); };
+    asio::co_spawn(context, body, asio::detached);
+    context.run();
+    CHECK(revision == 121);
+    CHECK(loadTree(fake).json() == attempts[79].tree.json());
+}
