--- a/src/io/Node.h
+++ b/src/io/Node.h
@@ -4,6 +4,7 @@
 #include "io/PeerMesh.h"
 #include "io/SettingsKeeper.h"
 #include "io/StoreClient.h"
+#include "io/Survey.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -21,6 +22,8 @@
     std::string role;
     std::optional<Address> store;
     std::vector<Address> peers;
+    /// Address to bind for peers if they reach this process through another one; else the declared address.
+    std::optional<Address> peerListen;
 };
 
 class Node : public PeerHandler {
@@ -38,6 +41,9 @@
     /// New settings are in force; before is null for the first.
     virtual void onSettings(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce) = 0;
 
+    /// A peer has had the revision in force since the given instant of this process's clock.
+    virtual void onInForceSince(int64_t, Instant) { }
+
     virtual asio::awaitable<std::string> onNodeRequest(PeerConnectionPtr, PeerMessage) = 0;
     virtual void onNodeNotice(const PeerConnectionPtr&, const PeerMessage&) { }
     virtual void onPeerHello(const PeerConnectionPtr&, const std::string& role) = 0;
@@ -55,9 +61,15 @@
     /// Takes no new work, then returns when none is left or the drain timeout has passed.
     virtual asio::awaitable<void> drain() = 0;
 
-    /// State for operators as JSON text.
+    /// State of this process for operators as JSON text, with name, role, state and revision.
     virtual std::string statusJson() const = 0;
 
+    /// Other processes to ask for a question of the given scope.
+    virtual std::vector<SurveyTarget> surveyTargets(SurveyScope) const = 0;
+
+    /// A process that knows better whom to ask, or null.
+    virtual PeerConnectionPtr surveyRelay() const { return nullptr; }
+
     asio::io_context& context() { return context_; }
     HttpClient& http() { return http_; }
     PeerMesh& mesh() { return mesh_; }
@@ -75,6 +87,8 @@
     void stop();
 
 private:
+    asio::awaitable<std::string> answerSurvey(PeerMessage);
+    std::string answerForSelf(const SurveyQuestion&) const;
     void listenForPeers(const Address&);
     asio::awaitable<void> acceptPeers();
     asio::awaitable<void> stopGracefully();
--- a/src/io/SettingsKeeper.cpp
+++ b/src/io/SettingsKeeper.cpp
@@ -53,9 +53,10 @@
 
 } // namespace
 
-SettingsKeeper::SettingsKeeper(OnChange onChange, Send send)
+SettingsKeeper::SettingsKeeper(OnChange onChange, Send send, OnInForceSince onInForceSince)
     : onChange_(std::move(onChange))
     , send_(std::move(send))
+    , onInForceSince_(std::move(onInForceSince))
     , sync_(std::random_device {}(), now(), [this](const SettingsDocument& document) { return putInForce(document); })
     , random_(std::random_device {}())
     , nextMissingNotice_(now() + missingNotice)
@@ -69,7 +70,10 @@
         auto before = std::exchange(current_, settings);
         log(Event::SettingsInForce,
             { { "revision", std::to_string(document.revision) }, { "write", document.writeId } });
+        inForceSince_.try_emplace(document.revision, now());
+        inForceSince_.erase(inForceSince_.begin(), inForceSince_.find(document.revision));
         onChange_(before, settings);
+        reportInForceSince();
         return true;
     } catch (const Error& error) {
         log(Event::SettingsRefused, { { "revision", std::to_string(document.revision) }, { "reason", error.what() } });
@@ -92,11 +96,14 @@
 {
     if (type == MessageType::SettingsOffer) {
         const auto offer = wire::decode<wire::SettingsOffer>(payload);
+        onHeardInForce(offer.revision, offer.inForceMs);
         sync_.onOffer(peer, { offer.revision, offer.isStoreAway }, now());
     } else if (type == MessageType::SettingsRequest) {
         sync_.onRequest(peer, wire::decode<wire::SettingsRequest>(payload).knownRevision);
     } else if (type == MessageType::SettingsAnswer) {
-        sync_.onAnswer(peer, fromWire(wire::decode<wire::SettingsAnswer>(payload)), now());
+        auto answer = wire::decode<wire::SettingsAnswer>(payload);
+        onHeardInForce(answer.revision, answer.inForceMs);
+        sync_.onAnswer(peer, fromWire(std::move(answer)), now());
     } else {
         return false;
     }
@@ -111,17 +118,46 @@
             wire::SettingsOffer offer;
             offer.revision = action.offer.revision;
             offer.isStoreAway = action.offer.isStoreAway;
+            offer.inForceMs = inForceMs();
             send_(action.peer, MessageType::SettingsOffer, wire::encode(offer));
         } else if (action.kind == SettingsAction::Kind::Request) {
             wire::SettingsRequest request;
             request.knownRevision = action.knownRevision;
             send_(action.peer, MessageType::SettingsRequest, wire::encode(request));
         } else {
-            send_(action.peer, MessageType::SettingsAnswer, wire::encode(toWire(action.delta)));
+            wire::SettingsAnswer answer = toWire(action.delta);
+            answer.inForceMs = inForceMs();
+            send_(action.peer, MessageType::SettingsAnswer, wire::encode(answer));
         }
     }
 }
 
+int64_t SettingsKeeper::inForceMs() const
+{
+    const auto since = inForceSince_.find(sync_.revision());
+    if (since == inForceSince_.end())
+        return 0;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now() - since->second).count();
+}
+
+void SettingsKeeper::onHeardInForce(int64_t revision, int64_t inForceMs)
+{
+    if (revision == 0 || revision < sync_.revision() || inForceMs < 0)
+        return;
+    const Instant since = now() - std::chrono::milliseconds(inForceMs);
+    const auto [known, isNew] = inForceSince_.try_emplace(revision, since);
+    known->second = std::min(known->second, since);
+    if (revision == sync_.revision())
+        reportInForceSince();
+}
+
+void SettingsKeeper::reportInForceSince()
+{
+    const auto since = inForceSince_.find(current_ ? current_->revision : 0);
+    if (since != inForceSince_.end())
+        onInForceSince_(since->first, since->second);
+}
+
 asio::awaitable<void> SettingsKeeper::runExchange()
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
--- a/src/io/SettingsKeeper.h
+++ b/src/io/SettingsKeeper.h
@@ -26,7 +26,10 @@
         = std::function<void(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce)>;
     using Send = std::function<void(const std::string& peer, MessageType, const std::string& payload)>;
 
-    SettingsKeeper(OnChange, Send);
+    /// Some process has had the revision in force since an instant of this process's clock, or longer.
+    using OnInForceSince = std::function<void(int64_t revision, Instant)>;
+
+    SettingsKeeper(OnChange, Send, OnInForceSince);
 
     /// Settings in force; null before the first.
     std::shared_ptr<const Settings> current() const { return current_; }
@@ -60,6 +63,9 @@
 private:
     bool putInForce(const SettingsDocument&);
     void sendActions();
+    int64_t inForceMs() const;
+    void onHeardInForce(int64_t revision, int64_t inForceMs);
+    void reportInForceSince();
     /// Returns whether the watch told a change.
     asio::awaitable<bool> readAndWatch();
     void onStoreAnswer(bool isReachable, const std::string& reason);
@@ -67,6 +73,9 @@
 
     OnChange onChange_;
     Send send_;
+    OnInForceSince onInForceSince_;
+    /// When this process or a peer put a revision in force, for the present one and later ones.
+    std::map<int64_t, Instant> inForceSince_;
     std::shared_ptr<const Settings> current_;
     SettingsSync sync_;
     std::unique_ptr<BudgetedStoreClient> budget_;
--- a/src/io/SettingsStore.cpp
+++ b/src/io/SettingsStore.cpp
@@ -244,8 +244,6 @@
     }
     std::map<std::string, std::string> created;
     auto keys = chooseKeys(tree, before.head, write.writeId, created);
-    if (before.head.revision() != 0 && keys == before.head.parts)
-        co_return before.head.revision();
     SettingsHead after = before.head.next(std::move(keys), revisionOf(write));
     bool isCleaned = true;
     try {
--- a/src/io/SettingsStore.h
+++ b/src/io/SettingsStore.h
@@ -53,7 +53,7 @@
 
     SettingsStore(StoreClient&, StorePatience&);
 
-    /// Puts a tree in force. Returns the revision, which is the present one if the tree is in force already. Throws
+    /// Puts a tree in force and returns its revision, a new one also if nothing differs. Throws
     /// SettingsConflictError telling both changes if another revision came between, StoreUnavailableError if the
     /// service did not answer in time; the change may then be in force.
     asio::awaitable<int64_t> apply(SettingsWrite, SettingsValue tree);
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -65,18 +65,24 @@
     if (!calls_)
         start(*pool, *replica);
     admission_.setSlots(pool->call.slots, pool->call.reservedSlots);
-    calls_->onPolicy(pool->call);
+    calls_->onPool(*pool, inForce->revision);
     drainTimeout_ = pool->call.drainTimeout;
     hold_.setMaxBytes(heldBytesLimit(*inForce));
 }
 
+void AgentNode::onInForceSince(int64_t revision, Instant since)
+{
+    if (calls_)
+        calls_->onInForceSince(revision, since);
+}
+
 void AgentNode::start(const PoolDeclaration& pool, const ReplicaDeclaration& replica)
 {
     pool_ = pool.name;
     region_ = pool.region;
     failureDomain_ = replica.failureDomain;
     server_ = replica.server;
-    calls_ = std::make_unique<CallRunner>(http(), admission_, server_, incarnation());
+    calls_ = std::make_unique<CallRunner>(http(), admission_, name(), server_, incarnation());
     const auto executor = context().get_executor();
     if (pool.kind == PoolKind::Engine) {
         engine_ = std::make_unique<CompletionsEngineClient>(http(), server_);
@@ -245,14 +251,31 @@
         co_await sleepFor(drainPoll);
 }
 
+PeerConnectionPtr AgentNode::surveyRelay() const
+{
+    for (const PeerConnectionPtr& peer : acceptedPeers()) {
+        if (peer->isOpen() && settings() && settings()->entries.contains(peer->peerName))
+            return peer;
+    }
+    return nullptr;
+}
+
+std::vector<SurveyTarget> AgentNode::surveyTargets(SurveyScope) const
+{
+    std::vector<SurveyTarget> targets;
+    for (const auto& [entryName, entry] : settings()->entries)
+        targets.push_back({ entryName, "entry", nullptr, SurveyScope::Self });
+    return targets;
+}
+
 std::string AgentNode::statusJson() const
 {
     return nlohmann::json {
-        { "name", name() }, { "role", "agent" }, { "incarnation", incarnation() }, { "revision", keeper().revision() },
-        { "storeCalls", keeper().storeCalls() }, { "isDraining", admission_.isDraining() }, { "pool", pool_ },
-        { "version", tracker_.version() }, { "isServerUp", admission_.isServerUp() },
-        { "running", admission_.running() }, { "freeSlots", admission_.freeSlots() }, { "heldSamples", hold_.count() },
-        { "heldBytes", hold_.bytes() }
+        { "name", name() }, { "role", "agent" }, { "state", "live" }, { "incarnation", incarnation() },
+        { "revision", keeper().revision() }, { "storeCalls", keeper().storeCalls() },
+        { "isDraining", admission_.isDraining() }, { "pool", pool_ }, { "version", tracker_.version() },
+        { "isServerUp", admission_.isServerUp() }, { "running", admission_.running() },
+        { "freeSlots", admission_.freeSlots() }, { "heldSamples", hold_.count() }, { "heldBytes", hold_.bytes() }
     }.dump();
 }
 
--- a/src/io/agent/AgentNode.h
+++ b/src/io/agent/AgentNode.h
@@ -23,6 +23,7 @@
 
 protected:
     void onSettings(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce) override;
+    void onInForceSince(int64_t revision, Instant since) override;
     asio::awaitable<std::string> onNodeRequest(PeerConnectionPtr, PeerMessage) override;
     void onNodeNotice(const PeerConnectionPtr&, const PeerMessage&) override;
     void onPeerHello(const PeerConnectionPtr&, const std::string& role) override;
@@ -31,6 +32,8 @@
     bool wantsStore() const override;
     asio::awaitable<void> drain() override;
     std::string statusJson() const override;
+    std::vector<SurveyTarget> surveyTargets(SurveyScope) const override;
+    PeerConnectionPtr surveyRelay() const override;
 
 private:
     void start(const PoolDeclaration&, const ReplicaDeclaration&);
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -110,6 +110,8 @@
   1: i64 revision
   /** The sender gets no answer from the key-value service. */
   2: bool isStoreAway
+  /** Time for which the sender has had the revision in force. */
+  3: i64 inForceMs
 }
 
 /** Asks for what changed since a revision; 0 asks for all parts. */
@@ -117,13 +119,16 @@
 
 struct SettingsPart { 1: string name  2: string key  3: binary text }
 
+/** Field 2 was a whole document. */
 struct SettingsAnswer {
   1: i64 revision
-  3: i64 baseRevision
-  4: string writeId
-  5: i64 digest
-  6: list<SettingsPart> parts
-  7: list<string> removed
+  /** Time for which the sender has had the revision in force. */
+  3: i64 inForceMs
+  4: i64 baseRevision
+  5: string writeId
+  6: i64 digest
+  7: list<SettingsPart> parts
+  8: list<string> removed
 }
 
 /** Newest weights that a trainer announced for a model. */
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -2884,6 +2884,10 @@
 void SettingsOffer::__set_isStoreAway(const bool val) {
   this->isStoreAway = val;
 }
+
+void SettingsOffer::__set_inForceMs(const int64_t val) {
+  this->inForceMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const SettingsOffer& obj)
 {
   obj.printTo(out);
@@ -2928,6 +2932,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->inForceMs);
+          this->__isset.inForceMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2953,6 +2965,10 @@
   xfer += oprot->writeBool(this->isStoreAway);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("inForceMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->inForceMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2962,17 +2978,20 @@
   using ::std::swap;
   swap(a.revision, b.revision);
   swap(a.isStoreAway, b.isStoreAway);
+  swap(a.inForceMs, b.inForceMs);
   swap(a.__isset, b.__isset);
 }
 
 SettingsOffer::SettingsOffer(const SettingsOffer& other63) noexcept {
   revision = other63.revision;
   isStoreAway = other63.isStoreAway;
+  inForceMs = other63.inForceMs;
   __isset = other63.__isset;
 }
 SettingsOffer& SettingsOffer::operator=(const SettingsOffer& other64) noexcept {
   revision = other64.revision;
   isStoreAway = other64.isStoreAway;
+  inForceMs = other64.inForceMs;
   __isset = other64.__isset;
   return *this;
 }
@@ -2981,6 +3000,7 @@
   out << "SettingsOffer(";
   out << "revision=" << to_string(revision);
   out << ", " << "isStoreAway=" << to_string(isStoreAway);
+  out << ", " << "inForceMs=" << to_string(inForceMs);
   out << ")";
 }
 
@@ -3217,6 +3237,10 @@
   this->revision = val;
 }
 
+void SettingsAnswer::__set_inForceMs(const int64_t val) {
+  this->inForceMs = val;
+}
+
 void SettingsAnswer::__set_baseRevision(const int64_t val) {
   this->baseRevision = val;
 }
@@ -3273,6 +3297,14 @@
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->inForceMs);
+          this->__isset.inForceMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->baseRevision);
           this->__isset.baseRevision = true;
@@ -3280,7 +3312,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->writeId);
           this->__isset.writeId = true;
@@ -3288,7 +3320,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->digest);
           this->__isset.digest = true;
@@ -3296,7 +3328,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
@@ -3316,7 +3348,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
+      case 8:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
@@ -3357,19 +3389,23 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("baseRevision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("inForceMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->inForceMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("baseRevision", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->baseRevision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("writeId", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeFieldBegin("writeId", ::apache::thrift::protocol::T_STRING, 5);
   xfer += oprot->writeString(this->writeId);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 6);
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 6);
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
     std::vector<SettingsPart> ::const_iterator _iter79;
@@ -3381,7 +3417,7 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 7);
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
     std::vector<std::string> ::const_iterator _iter80;
@@ -3401,6 +3437,7 @@
 void swap(SettingsAnswer &a, SettingsAnswer &b) {
   using ::std::swap;
   swap(a.revision, b.revision);
+  swap(a.inForceMs, b.inForceMs);
   swap(a.baseRevision, b.baseRevision);
   swap(a.writeId, b.writeId);
   swap(a.digest, b.digest);
@@ -3411,6 +3448,7 @@
 
 SettingsAnswer::SettingsAnswer(const SettingsAnswer& other81) {
   revision = other81.revision;
+  inForceMs = other81.inForceMs;
   baseRevision = other81.baseRevision;
   writeId = other81.writeId;
   digest = other81.digest;
@@ -3420,6 +3458,7 @@
 }
 SettingsAnswer& SettingsAnswer::operator=(const SettingsAnswer& other82) {
   revision = other82.revision;
+  inForceMs = other82.inForceMs;
   baseRevision = other82.baseRevision;
   writeId = other82.writeId;
   digest = other82.digest;
@@ -3432,6 +3471,7 @@
   using ::apache::thrift::to_string;
   out << "SettingsAnswer(";
   out << "revision=" << to_string(revision);
+  out << ", " << "inForceMs=" << to_string(inForceMs);
   out << ", " << "baseRevision=" << to_string(baseRevision);
   out << ", " << "writeId=" << to_string(writeId);
   out << ", " << "digest=" << to_string(digest);
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -1216,9 +1216,10 @@
 std::ostream& operator<<(std::ostream& out, const LoadAnswer& obj);
 
 typedef struct _SettingsOffer__isset {
-  _SettingsOffer__isset() : revision(false), isStoreAway(false) {}
+  _SettingsOffer__isset() : revision(false), isStoreAway(false), inForceMs(false) {}
   bool revision :1;
   bool isStoreAway :1;
+  bool inForceMs :1;
 } _SettingsOffer__isset;
 
 /**
@@ -1231,7 +1232,8 @@
   SettingsOffer& operator=(const SettingsOffer&) noexcept;
   SettingsOffer() noexcept
                 : revision(0),
-                  isStoreAway(0) {
+                  isStoreAway(0),
+                  inForceMs(0) {
   }
 
   virtual ~SettingsOffer() noexcept;
@@ -1240,6 +1242,10 @@
    * The sender gets no answer from the key-value service.
    */
   bool isStoreAway;
+  /**
+   * Time for which the sender has had the revision in force.
+   */
+  int64_t inForceMs;
 
   _SettingsOffer__isset __isset;
 
@@ -1247,12 +1253,16 @@
 
   void __set_isStoreAway(const bool val);
 
+  void __set_inForceMs(const int64_t val);
+
   bool operator == (const SettingsOffer & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
     if (!(isStoreAway == rhs.isStoreAway))
       return false;
+    if (!(inForceMs == rhs.inForceMs))
+      return false;
     return true;
   }
   bool operator != (const SettingsOffer &rhs) const {
@@ -1375,8 +1385,9 @@
 std::ostream& operator<<(std::ostream& out, const SettingsPart& obj);
 
 typedef struct _SettingsAnswer__isset {
-  _SettingsAnswer__isset() : revision(false), baseRevision(false), writeId(false), digest(false), parts(false), removed(false) {}
+  _SettingsAnswer__isset() : revision(false), inForceMs(false), baseRevision(false), writeId(false), digest(false), parts(false), removed(false) {}
   bool revision :1;
+  bool inForceMs :1;
   bool baseRevision :1;
   bool writeId :1;
   bool digest :1;
@@ -1384,6 +1395,9 @@
   bool removed :1;
 } _SettingsAnswer__isset;
 
+/**
+ * Field 2 was a whole document.
+ */
 class SettingsAnswer : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1391,6 +1405,7 @@
   SettingsAnswer& operator=(const SettingsAnswer&);
   SettingsAnswer() noexcept
                  : revision(0),
+                   inForceMs(0),
                    baseRevision(0),
                    writeId(),
                    digest(0) {
@@ -1398,6 +1413,10 @@
 
   virtual ~SettingsAnswer() noexcept;
   int64_t revision;
+  /**
+   * Time for which the sender has had the revision in force.
+   */
+  int64_t inForceMs;
   int64_t baseRevision;
   std::string writeId;
   int64_t digest;
@@ -1408,6 +1427,8 @@
 
   void __set_revision(const int64_t val);
 
+  void __set_inForceMs(const int64_t val);
+
   void __set_baseRevision(const int64_t val);
 
   void __set_writeId(const std::string& val);
@@ -1422,6 +1443,8 @@
   {
     if (!(revision == rhs.revision))
       return false;
+    if (!(inForceMs == rhs.inForceMs))
+      return false;
     if (!(baseRevision == rhs.baseRevision))
       return false;
     if (!(writeId == rhs.writeId))
--- a/tests/io/SettingsStoreTest.cpp
+++ b/tests/io/SettingsStoreTest.cpp
@@ -111,8 +111,10 @@
     for (const Attempt& attempt : attempts) {
         INFO(attempt.writeId << " " << attempt.detail);
         const bool isWritten = revisions.contains(attempt.writeId);
-        if (attempt.ending == Ending::Done)
-            REQUIRE((isWritten ? revisions.at(attempt.writeId) : attempt.revision) == attempt.revision);
+        if (attempt.ending == Ending::Done) {
+            REQUIRE(isWritten);
+            REQUIRE(revisions.at(attempt.writeId) == attempt.revision);
+        }
         if (attempt.ending == Ending::Conflict)
             REQUIRE_FALSE(isWritten);
         REQUIRE(attempt.ending != Ending::Open);
