--- a/src/io/Node.h
+++ b/src/io/Node.h
@@ -60,6 +60,9 @@
     /// Peers to connect to under the settings.
     virtual std::map<std::string, Address> peerTargets(const Settings&) const = 0;
 
+    /// Whether this process should follow the key-value service itself.
+    virtual bool wantsStore() const = 0;
+
     /// Takes no new work, then returns when none is left or the drain timeout has passed.
     virtual asio::awaitable<void> drain() = 0;
 
@@ -88,6 +91,9 @@
     int64_t incarnation() const { return incarnation_; }
     bool isDraining() const { return isDraining_; }
 
+    /// Number of peers that said hello.
+    size_t peerCount() const { return peers_.size(); }
+
     /// Starts drain and end of the process; further calls do nothing.
     void stop();
 
@@ -103,8 +109,8 @@
     asio::awaitable<void> stopGracefully();
     void sendHello(const PeerConnectionPtr&);
     void onHello(const PeerConnectionPtr&, const PeerMessage&);
-    void sendSettings(const PeerConnectionPtr&);
-    void onSettingsOffer(const PeerMessage&);
+    void sendToPeer(const std::string& peer, MessageType, const std::string& payload);
+    void onPeerRole(const PeerConnectionPtr&, const std::string& role);
     void settingsChanged(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce);
 
     NodeOptions options_;
@@ -118,7 +124,8 @@
     std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
     std::set<PeerConnectionPtr> accepted_;
     std::shared_ptr<const AccessKeys> keys_;
-    Instant settingsSince_ = never;
+    /// The newest connection to each peer that said hello.
+    std::map<std::string, PeerConnectionPtr> peers_;
     bool isDraining_ = false;
     std::exception_ptr failure_;
 };
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -32,6 +32,7 @@
 
 AgentNode::AgentNode(NodeOptions options)
     : Node(std::move(options))
+    , lastPeerSeen_(now())
 {
 }
 
@@ -211,6 +212,13 @@
         || std::any_of(peers.begin(), peers.end(), [](const PeerConnectionPtr& peer) { return peer->isBusy(); });
 }
 
+bool AgentNode::wantsStore() const
+{
+    if (peerCount() > 0)
+        lastPeerSeen_ = now();
+    return now() - lastPeerSeen_ > entryPatience;
+}
+
 asio::awaitable<void> AgentNode::drain()
 {
     admission_.setDraining(true);
@@ -242,7 +250,7 @@
 {
     return nlohmann::json {
         { "name", name() }, { "role", "agent" }, { "state", "live" }, { "incarnation", incarnation() },
-        { "revision", keeper().revision() }, { "isDraining", admission_.isDraining() }, { "pool", pool_ },
+        { "revision", keeper().revision() }, { "storeCalls", keeper().storeCalls() }, { "isDraining", admission_.isDraining() }, { "pool", pool_ },
         { "version", version() }, { "isServerUp", admission_.isServerUp() }, { "running", admission_.running() },
         { "freeSlots", admission_.freeSlots() }, { "heldSamples", rollout_ ? rollout_->hold().count() : 0 },
         { "heldBytes", rollout_ ? rollout_->hold().bytes() : 0 }
--- a/src/io/entry/EntryNode.cpp
+++ b/src/io/entry/EntryNode.cpp
@@ -345,6 +345,22 @@
     agents_.onLost(peer->peerName);
 }
 
+bool EntryNode::wantsStore() const
+{
+    const auto inForce = settings();
+    if (!inForce)
+        return true;
+    const auto self = inForce->entries.find(name());
+    if (self == inForce->entries.end())
+        return true;
+    std::vector<std::string> live { name() };
+    for (const auto& [entryName, entry] : inForce->entries) {
+        if (entry.region == self->second.region && agents_.connection(entryName))
+            live.push_back(entryName);
+    }
+    return keeper().isWatcher(name(), live);
+}
+
 asio::awaitable<void> EntryNode::drain()
 {
     if (server_)
@@ -388,8 +404,8 @@
 std::string EntryNode::statusJson() const
 {
     Json status { { "name", name() }, { "role", "entry" }, { "state", "live" }, { "incarnation", incarnation() },
-        { "revision", keeper().revision() }, { "isDraining", isDraining() }, { "pools", Json::object() },
-        { "jobs", Json::array() } };
+        { "revision", keeper().revision() }, { "storeCalls", keeper().storeCalls() }, { "isDraining", isDraining() },
+        { "pools", Json::object() }, { "jobs", Json::array() } };
     for (const auto& [jobName, runner] : runners_)
         status["jobs"].push_back(Json::parse(runner->state().body));
     for (const auto& [pool, table] : agents_.tables()) {
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -107,10 +107,31 @@
 struct LoadRequest { 1: string model  2: i64 version  3: string weights  4: i64 order }
 struct LoadAnswer { 1: Outcome outcome  2: i64 version  3: string errorCode }
 
-struct SettingsOffer { 1: i64 revision }
+/** What a process tells of its settings; 0 for no revision in force. */
+struct SettingsOffer {
+  1: i64 revision
+  /** The sender gets no answer from the key-value service. */
+  2: bool isStoreAway
+  /** Time for which the sender has had the revision in force. */
+  3: i64 inForceMs
+}
+
+/** Asks for what changed since a revision; 0 asks for all parts. */
 struct SettingsRequest { 1: i64 knownRevision }
-/** inForceMs: time for which the sender has had the revision in force. */
-struct SettingsAnswer { 1: i64 revision  2: binary document  3: i64 inForceMs }
+
+struct SettingsPart { 1: string name  2: string key  3: binary text }
+
+/** Field 2 was a whole document. */
+struct SettingsAnswer {
+  1: i64 revision
+  /** Time for which the sender has had the revision in force. */
+  3: i64 inForceMs
+  4: i64 baseRevision
+  5: string writeId
+  6: i64 digest
+  7: list<SettingsPart> parts
+  8: list<string> removed
+}
 
 /** Newest weights that a trainer announced for a model. */
 struct PolicyNotice { 1: string model  2: i64 version  3: string weights  4: i64 order }
