--- a/benchmark/load/HttpLoad.cpp
+++ b/benchmark/load/HttpLoad.cpp
@@ -36,9 +36,10 @@
         co_await http::async_write(stream, request, asio::use_awaitable);
         http::response<http::string_body> response;
         co_await http::async_read(stream, buffer, response, asio::use_awaitable);
-        if (response.result() != http::status::ok)
-            ++load.failures;
-        else if (start >= load.measureFrom)
+        if (response.result() != http::status::ok) {
+            if (load.failures++ == 0)
+                fmt::print(stderr, "first failure: {} {}\n", response.result_int(), response.body());
+        } else if (start >= load.measureFrom)
             load.microseconds.push_back(std::chrono::duration<double, std::micro>(Clock::now() - start).count());
     }
 }
