--- a/include/endiveroad/SampleProgress.h
+++ b/include/endiveroad/SampleProgress.h
@@ -35,7 +35,8 @@
     SampleProgress(Sample sample, uint32_t maxTokens);
 
     /// Drops the tokens so far if they are older than the oldest usable version, or if the objective prefers to restart
-    /// under the tracker's version. Returns the number of dropped tokens.
+    /// under the tracker's version. The objective is followed once per sample: one that takes longer than the time
+    /// between two swaps would otherwise never end. Returns the number of dropped tokens.
     uint32_t discardUnwanted(const VersionTracker&, WeightVersion oldestUsable, const RolloutObjective&);
 
     /// Begins a stream under the tracker's present epoch. Precondition: the tracker's version is known.
@@ -69,6 +70,7 @@
     uint32_t tokens_ = 0;
     std::string finishReason_;
     bool isFinished_ = false;
+    bool hasRestarted_ = false;
 };
 
 } // namespace endiveroad
--- a/src/core/sample/SampleProgress.cpp
+++ b/src/core/sample/SampleProgress.cpp
@@ -39,8 +39,11 @@
     if (sample_.segments.empty())
         return 0;
     const WeightVersion oldest = sample_.oldestVersion();
-    if (oldest >= oldestUsable && !objective.prefersRestart(oldest, tracker.version(), sample_.tokens, maxTokens_))
+    const bool isPreferred
+        = !hasRestarted_ && objective.prefersRestart(oldest, tracker.version(), sample_.tokens, maxTokens_);
+    if (oldest >= oldestUsable && !isPreferred)
         return 0;
+    hasRestarted_ = hasRestarted_ || isPreferred;
     const uint32_t dropped = sample_.tokens;
     sample_.segments.clear();
     sample_.text.clear();
--- a/tests/core/DeliveryTest.cpp
+++ b/tests/core/DeliveryTest.cpp
@@ -12,7 +12,7 @@
 /// Generated histories per set of options; ENDIVEROAD_HISTORIES and ENDIVEROAD_SEED replace count and seed in a soak.
 constexpr int defaultHistories = 2500;
 constexpr uint64_t defaultSeed = 20261203;
-constexpr size_t actionsPerHistory = 250;
+constexpr size_t actionsPerHistory = 1000;
 constexpr uint32_t choices = 1U << 16;
 
 uint64_t numberFromEnvironment(const char* name, uint64_t fallback)
--- a/tests/core/SampleProgressTest.cpp
+++ b/tests/core/SampleProgressTest.cpp
@@ -137,3 +137,19 @@
     CHECK(progress.discardUnwanted(tracker, 4, idle) == 2);
     CHECK(progress.tokensLeft() == 10);
 }
+
+TEST_CASE("a sample is restarted for the objective's sake only once", "[attribution]")
+{
+    const RolloutObjective fresh { 9, 0 };
+    SampleProgress progress({}, 100);
+    uint32_t restarts = 0;
+    for (WeightVersion version = 1; version <= 5; ++version) {
+        const VersionTracker tracker = settledTracker(version);
+        restarts += progress.discardUnwanted(tracker, 0, fresh) > 0 ? 1 : 0;
+        progress.openStream(tracker);
+        REQUIRE(progress.onTokens("a", 1, unknownVersion, tracker));
+        progress.closeStream(true);
+    }
+    CHECK(restarts == 1);
+    CHECK(progress.sample().tokens == 4);
+}
--- a/tests/core/world/World.cpp
+++ b/tests/core/world/World.cpp
@@ -10,6 +10,7 @@
 constexpr Duration retryDelay = std::chrono::milliseconds(50);
 constexpr int finishRounds = 4000;
 constexpr size_t maxMessages = 200;
+constexpr int64_t maxAnnouncements = 12;
 
 StepRequest makeStep(StepNumber number)
 {
@@ -155,14 +156,19 @@
     if (isDone() || !isStepLearned(trainer_.trained + 1))
         return;
     ++trainer_.trained;
-    trainer_.newestVersion = std::max(trainer_.newestVersion, trainer_.policy.version) + 1;
-    trainer_.policy = { trainer_.newestVersion, ++trainer_.newestOrder };
+    trainer_.policy = { ++trainer_.newestVersion, ++trainer_.newestOrder };
     checkpoints_.push_back({ trainer_.cursor, trainer_.policy, trainer_.learned, trainer_.trained });
 }
 
+void World::announceEarly()
+{
+    if (trainer_.newestOrder < maxAnnouncements)
+        trainer_.policy = { ++trainer_.newestVersion, ++trainer_.newestOrder };
+}
+
 void World::rollBack()
 {
-    if (trainer_.policy.version == 0 || trainer_.newestOrder > 12)
+    if (trainer_.policy.version == 0 || trainer_.newestOrder >= maxAnnouncements)
         return;
     trainer_.policy = { trainer_.policy.version - 1, ++trainer_.newestOrder };
 }
@@ -311,7 +317,10 @@
         score(coordinator, pick % 3 == 0);
         break;
     case 28:
-        train();
+        if (pick % 4 == 0)
+            announceEarly();
+        else
+            train();
         break;
     case 29:
         if (pick % 4 == 0)
--- a/tests/core/world/World.h
+++ b/tests/core/world/World.h
@@ -94,6 +94,8 @@
         const std::string& answers, const PolicyState&, const FetchResult&, const std::set<StepNumber>& unknown);
     void accept(const Sample&, const PolicyState&);
     void train();
+    /// New weights before the step is whole, as of a trainer that does not wait.
+    void announceEarly();
     void rollBack();
     void restore();
     void dispatch(size_t coordinator, size_t agent);
