--- a/benchmark/Coordinator.cpp
+++ b/benchmark/Coordinator.cpp
@@ -46,7 +46,7 @@
 {
     JobCoordinator coordinator = coordinatorOf(samples);
     while (const auto dispatch = coordinator.next(start))
-        coordinator.onSample(sampleOf(*dispatch));
+        coordinator.onSample(sampleOf(*dispatch), Instant {});
     return coordinator;
 }
 
@@ -69,7 +69,7 @@
         JobCoordinator coordinator = coordinatorOf(state.range(0));
         state.ResumeTiming();
         while (const auto dispatch = coordinator.next(start))
-            coordinator.onSample(sampleOf(*dispatch));
+            coordinator.onSample(sampleOf(*dispatch), Instant {});
     }
 }
 BENCHMARK(dispatchStep)->Arg(64)->Arg(512)->Arg(2048)->Arg(8192);
@@ -82,7 +82,7 @@
     timeAndCount(state, [&] {
         Cursor cursor("");
         while (!cursor.isComplete(1))
-            cursor = coordinator.fetch(cursor, 0, samplesPerFetch).next;
+            cursor = coordinator.fetch(cursor, {}, samplesPerFetch, Instant {}).next;
     });
 }
 BENCHMARK(fetchStep)->Arg(64)->Arg(512)->Arg(2048)->Arg(8192);
@@ -92,7 +92,7 @@
 {
     JobCoordinator coordinator = coordinatorOf(state.range(0));
     const Cursor cursor("");
-    timeAndCount(state, [&] { benchmark::DoNotOptimize(coordinator.fetch(cursor, 0, samplesPerFetch)); });
+    timeAndCount(state, [&] { benchmark::DoNotOptimize(coordinator.fetch(cursor, {}, samplesPerFetch, Instant {})); });
 }
 BENCHMARK(emptyFetch)->Arg(64)->Arg(512)->Arg(2048)->Arg(8192);
 
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -268,10 +268,12 @@
     add("endiveroad_running", "Calls and samples that run on the backend server.", admission_.running());
     add("endiveroad_free_slots", "Slots of the backend server that are free.", admission_.freeSlots());
     add("endiveroad_weight_version", "Weight version of the engine; -1 while it is unknown.",
-        static_cast<double>(tracker_.version()));
-    add("endiveroad_held_samples", "Finished samples held for their trainer.", static_cast<double>(hold_.count()));
-    add("endiveroad_held_bytes", "Bytes of finished samples held for their trainer.",
-        static_cast<double>(hold_.bytes()));
+        static_cast<double>(version()));
+    if (!rollout_)
+        return gauges;
+    const SampleHold& hold = rollout_->hold();
+    add("endiveroad_held_samples", "Finished samples held for their trainer.", static_cast<double>(hold.count()));
+    add("endiveroad_held_bytes", "Bytes of finished samples held for their trainer.", static_cast<double>(hold.bytes()));
     return gauges;
 }
 
