--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -250,8 +250,9 @@
 {
     return nlohmann::json {
         { "name", name() }, { "role", "agent" }, { "state", "live" }, { "incarnation", incarnation() },
-        { "revision", keeper().revision() }, { "storeCalls", keeper().storeCalls() }, { "isDraining", admission_.isDraining() }, { "pool", pool_ },
-        { "version", version() }, { "isServerUp", admission_.isServerUp() }, { "running", admission_.running() },
+        { "revision", keeper().revision() }, { "storeCalls", keeper().storeCalls() },
+        { "isDraining", admission_.isDraining() }, { "pool", pool_ }, { "version", version() },
+        { "isServerUp", admission_.isServerUp() }, { "running", admission_.running() },
         { "freeSlots", admission_.freeSlots() }, { "heldSamples", rollout_ ? rollout_->hold().count() : 0 },
         { "heldBytes", rollout_ ? rollout_->hold().bytes() : 0 }
     }.dump();
@@ -268,10 +269,11 @@
     add("endiveroad_running", "Calls and samples that run on the backend server.", admission_.running());
     add("endiveroad_free_slots", "Slots of the backend server that are free.", admission_.freeSlots());
     add("endiveroad_weight_version", "Weight version of the engine; -1 while it is unknown.",
-        static_cast<double>(tracker_.version()));
-    add("endiveroad_held_samples", "Finished samples held for their trainer.", static_cast<double>(hold_.count()));
+        static_cast<double>(version()));
+    add("endiveroad_held_samples", "Finished samples held for their trainer.",
+        rollout_ ? static_cast<double>(rollout_->hold().count()) : 0);
     add("endiveroad_held_bytes", "Bytes of finished samples held for their trainer.",
-        static_cast<double>(hold_.bytes()));
+        rollout_ ? static_cast<double>(rollout_->hold().bytes()) : 0);
     return gauges;
 }
 
