--- a/src/io/agent/AgentNode.h
+++ b/src/io/agent/AgentNode.h
@@ -29,6 +29,7 @@
     std::map<std::string, Address> peerTargets(const Settings&) const override;
     asio::awaitable<void> drain() override;
     std::string statusJson() const override;
+    std::vector<Gauge> nodeGauges() const override;
     std::vector<SurveyTarget> surveyTargets(SurveyScope) const override;
     PeerConnectionPtr surveyRelay() const override;
 
@@ -56,6 +57,8 @@
     std::unique_ptr<EngineClient> engine_;
     std::unique_ptr<Generator> generator_;
     int64_t reportSequence_ = 0;
+    /// Keys made before this instant are unknown here, so the agent does not offer itself earlier.
+    Instant reportsFrom_ = never;
 };
 
 } // namespace endiveroad::io
--- a/src/io/agent/CallRunner.cpp
+++ b/src/io/agent/CallRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
+#include "io/ProcessMetrics.h"
 
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
@@ -84,7 +85,8 @@
 CallRunner::CallRunner(HttpClient& http, Admission& admission, std::string agent, Address server, int64_t startedWallMs)
     : http_(http)
     , server_(std::move(server))
-    , admission_(admission, std::move(agent), startedWallMs, now())
+    , admission_(
+          admission, std::move(agent), startedWallMs, now() - std::chrono::milliseconds(wallMs() - startedWallMs))
 {
 }
 
@@ -171,9 +173,12 @@
     log(Event::CallStarted, { { "request", request.requestId } });
     HttpCancellation httpCancellation;
     const CancellationLink link(demand.key ? nullptr : cancellation, httpCancellation);
+    processMetrics().count(Counter::BackendCalls);
+    const Instant start = now();
     try {
         const HttpResponse response
             = co_await http_.request(server_, std::move(message), demand.deadline, &httpCancellation);
+        processMetrics().record(Latency::BackendCall, now() - start, now());
         log(Event::CallFinished, { { "request", request.requestId }, { "status", std::to_string(response.status) } });
         CallOutcome outcome { response.status, response.headers, response.body };
         wire::CallAnswer answer = toAnswer(outcome);
