--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -153,8 +153,7 @@
         held_.clear();
         scheduleFlush();
         proofWakeup_.cancel();
-        // Requests wait for the first heartbeat, and none was sent before the proof.
-        heartbeatTimer_.cancel();
+        sendHeartbeat();
         break;
     default:
         throw AccessRefusedError("a message came in place of a proof");
@@ -219,13 +218,16 @@
 /// Takes a request back that is still queued. False if it is not: some of it may have been written.
 bool PeerConnection::withdraw(uint64_t correlation)
 {
-    const auto found = std::find_if(outgoing_.begin(), outgoing_.end(),
-        [correlation](const Outgoing& frame) { return frame.correlation == correlation; });
-    if (found == outgoing_.end())
-        return false;
-    outgoingBytes_ -= std::min(outgoingBytes_, found->bytes.size());
-    outgoing_.erase(found);
-    return true;
+    for (std::deque<Outgoing>* queue : { &held_, &outgoing_ }) {
+        const auto found = std::find_if(queue->begin(), queue->end(),
+            [correlation](const Outgoing& frame) { return frame.correlation == correlation; });
+        if (found == queue->end())
+            continue;
+        outgoingBytes_ -= std::min(outgoingBytes_, found->bytes.size());
+        queue->erase(found);
+        return true;
+    }
+    return false;
 }
 
 void PeerConnection::notify(MessageType type, const std::string& payload)
@@ -272,7 +274,10 @@
 /// Ends a call without an answer: as not sent if it can be withdrawn, else as unknown.
 void PeerConnection::giveUp(uint64_t correlation, const PendingCall& pending)
 {
-    if (withdraw(correlation) || !pending.isWritten)
+    const bool isSent = !withdraw(correlation) && pending.isWritten;
+    if (!refusal_.empty())
+        throw AccessRefusedError(refusal_);
+    if (!isSent)
         throw PeerUnavailableError("the request was not sent");
     FrameHeader cancel;
     cancel.kind = FrameKind::Cancel;
@@ -328,6 +333,8 @@
             return;
         processMetrics().count(Counter::FramesReceived);
         processMetrics().count(Counter::BytesReceived, FrameHeader::size + frame->payload.size());
+        if (now() > silentAt_)
+            return close();
         silentAt_ = now() + silenceLimit;
         Log::instance().clock().observe(frame->header.stamp, wallMs());
         dispatch(frame->header, std::move(frame->payload));
@@ -474,14 +481,19 @@
     });
 }
 
+void PeerConnection::sendHeartbeat()
+{
+    FrameHeader header;
+    header.kind = FrameKind::Heartbeat;
+    header.correlation = clockMs();
+    send(header, {});
+}
+
 asio::awaitable<void> PeerConnection::heartbeatLoop()
 {
     auto self = shared_from_this();
     while (isOpen_) {
-        FrameHeader header;
-        header.kind = FrameKind::Heartbeat;
-        header.correlation = clockMs();
-        send(header, {});
+        sendHeartbeat();
         co_await waitUntil(heartbeatTimer_, now() + heartbeatInterval);
         if (isOpen_ && now() > silentAt_) {
             log(Event::PeerLost, { { "peer", peerName }, { "reason", "silent" } });
--- a/src/io/PeerConnection.h
+++ b/src/io/PeerConnection.h
@@ -147,6 +147,7 @@
     std::string takeBatch();
     [[noreturn]] void giveUp(uint64_t correlation, const PendingCall&);
     asio::awaitable<void> awaitFirstHeartbeat(Instant deadline);
+    void sendHeartbeat();
     void onHeartbeat(const FrameHeader&);
     void onRequest(const FrameHeader&, PeerMessage);
     asio::awaitable<void> readLoop();
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -84,6 +84,7 @@
     failureDomain_ = replica.failureDomain;
     server_ = replica.server;
     calls_ = std::make_unique<CallRunner>(http(), admission_, name(), server_, incarnation());
+    reportsFrom_ = now() + OutcomeTable::clockMargin;
     const auto executor = context().get_executor();
     if (pool.kind == PoolKind::Engine) {
         rollout_ = std::make_unique<RolloutWorker>(context(), http(), admission_, server_, name(), pool.model);
@@ -134,6 +135,8 @@
 
 void AgentNode::sendReports()
 {
+    if (now() < reportsFrom_)
+        return;
     wire::AgentReport report;
     report.agent = name();
     report.pool = pool_;
--- a/src/io/agent/AgentNode.h
+++ b/src/io/agent/AgentNode.h
@@ -59,6 +59,8 @@
     std::unique_ptr<RolloutWorker> rollout_;
     int64_t reportSequence_ = 0;
     mutable Instant lastPeerSeen_;
+    /// Keys made before this instant are unknown here, so the agent does not offer itself earlier.
+    Instant reportsFrom_ = never;
 };
 
 } // namespace endiveroad::io
--- a/src/io/agent/CallRunner.cpp
+++ b/src/io/agent/CallRunner.cpp
@@ -86,7 +86,8 @@
 CallRunner::CallRunner(HttpClient& http, Admission& admission, std::string agent, Address server, int64_t startedWallMs)
     : http_(http)
     , server_(std::move(server))
-    , admission_(admission, std::move(agent), startedWallMs, now())
+    , admission_(
+          admission, std::move(agent), startedWallMs, now() - std::chrono::milliseconds(wallMs() - startedWallMs))
 {
 }
 
