A hung weight load leaves its place in the roll-out to another replica

Ruled out: a shorter load time-out (it would break off honest slow loads and leave the version unknown). Change: a swap counts against the share for 3 s; never more than twice the share swaps, so that a store that is slow for everyone cannot take the whole pool out of service. The leaving-agent case sends its twelve calls side by side and also checks that each is answered: its 22 s were the calls' own 1.5 s one after the other, not a process that ended late (the agent logged ProcessStopped 1.6 s after its SIGTERM). Conclusion: one hung load costs the roll-out 3 s, two of them can still hold it.

--- a/include/endiveroad/WeightPlan.h
+++ b/include/endiveroad/WeightPlan.h
@@ -19,14 +19,17 @@
     auto operator<=>(const AnnouncedPolicy&) const = default;
 };
 
-/// Rolling order of the newest announced weights over the replicas of one pool. At most a share of them swaps at once;
-/// a replica that fails is tried again after growing delays, and after several failures in a row it is set aside:
-/// reported, and tried again only now and then.
+/// Rolling order of the newest announced weights over the replicas of one pool. At most a share of them swaps at once.
+/// A swap that lasts longer than placeTimeout leaves its place to another replica, so that a hung load does not hold
+/// the roll-out, but never more than twice the share swaps. A replica that fails is tried again after growing delays,
+/// and after several failures in a row it is set aside: reported, and tried again only now and then.
 class WeightPlan {
 public:
     static constexpr Duration orderTimeout = std::chrono::seconds(30);
     static constexpr Duration firstRetryDelay = std::chrono::milliseconds(250);
     static constexpr Duration maxRetryDelay = std::chrono::seconds(30);
+    /// Time after which a swap under way no longer counts against the share.
+    static constexpr Duration placeTimeout = std::chrono::seconds(3);
     /// Time that a report may take to show a finished swap.
     static constexpr Duration reportDelay = std::chrono::milliseconds(300);
     static constexpr uint32_t failuresUntilSetAside = 5;
@@ -49,10 +52,13 @@
     struct Replica {
         Instant busyUntil = Instant::min();
         Instant notBefore = Instant::min();
+        /// When a swap under way gives up its place; never while there is none.
+        Instant placeUntil = never;
         uint32_t failures = 0;
     };
 
     bool isBusy(const ReplicaReport&, Instant now) const;
+    int64_t freePlaces(const std::vector<ReplicaReport>&, double swapShare, Instant now);
     bool isWanted(const ReplicaReport&, Instant now) const;
 
     AnnouncedPolicy newest_;
--- a/src/core/rollout/WeightPlan.cpp
+++ b/src/core/rollout/WeightPlan.cpp
@@ -28,21 +28,41 @@
     return found == replicas_.end() || found->second.notBefore <= now;
 }
 
+int64_t WeightPlan::freePlaces(const std::vector<ReplicaReport>& reports, double swapShare, Instant now)
+{
+    const auto share = static_cast<int64_t>(std::floor(swapShare * static_cast<double>(reports.size())));
+    const int64_t places = std::max<int64_t>(share, 1);
+    int64_t swapping = 0;
+    int64_t overdue = 0;
+    for (const ReplicaReport& report : reports) {
+        Replica& replica = replicas_[report.agent];
+        if (!isBusy(report, now)) {
+            replica.placeUntil = never;
+            continue;
+        }
+        // Another entry may have given the order, so the swap counts from when it was first seen.
+        if (replica.placeUntil == never)
+            replica.placeUntil = now + placeTimeout;
+        ++(replica.placeUntil <= now ? overdue : swapping);
+    }
+    return std::min(places - swapping, 2 * places - swapping - overdue);
+}
+
 std::vector<std::string> WeightPlan::due(const std::vector<ReplicaReport>& reports, double swapShare, Instant now)
 {
     std::vector<std::string> agents;
     if (newest_.policy.version == unknownVersion)
         return agents;
-    const auto isBusyNow = [&](const ReplicaReport& report) { return isBusy(report, now); };
-    const auto share = static_cast<int64_t>(std::floor(swapShare * static_cast<double>(reports.size())));
-    int64_t allowed = std::max<int64_t>(share, 1) - std::count_if(reports.begin(), reports.end(), isBusyNow);
+    int64_t places = freePlaces(reports, swapShare, now);
     for (const ReplicaReport& report : reports) {
-        if (allowed <= 0)
+        if (places <= 0)
             break;
-        if (isBusyNow(report) || !isWanted(report, now))
+        if (isBusy(report, now) || !isWanted(report, now))
             continue;
-        --allowed;
-        replicas_[report.agent].busyUntil = now + orderTimeout;
+        --places;
+        Replica& replica = replicas_[report.agent];
+        replica.busyUntil = now + orderTimeout;
+        replica.placeUntil = now + placeTimeout;
         agents.push_back(report.agent);
     }
     return agents;
--- a/tests/core/WeightPlanTest.cpp
+++ b/tests/core/WeightPlanTest.cpp
@@ -32,6 +32,24 @@
     CHECK(plan.due(reports(6, 0), 0.34, {}) == std::vector<std::string> { "agent2" });
 }
 
+TEST_CASE("a swap that hangs leaves its place to another, up to twice the share", "[weights]")
+{
+    WeightPlan plan;
+    plan.announce({ { 1, 1 }, "" });
+    Instant now {};
+    auto seen = reports(6, 0);
+    REQUIRE(plan.due(seen, 0.2, now) == std::vector<std::string> { "agent0" });
+    now += WeightPlan::placeTimeout - 1us;
+    CHECK(plan.due(seen, 0.2, now).empty());
+    now += 1us;
+    CHECK(plan.due(seen, 0.2, now) == std::vector<std::string> { "agent1" });
+    now += WeightPlan::placeTimeout;
+    CHECK(plan.due(seen, 0.2, now).empty());
+    plan.onEnded("agent1", true, now);
+    seen[1].version = 1;
+    CHECK(plan.due(seen, 0.2, now) == std::vector<std::string> { "agent2" });
+}
+
 TEST_CASE(
     "a newer announcement overtakes, an older one changes nothing, a rollback is one of a higher order", "[weights]")
 {
--- a/tests/io/HttpServerIdleTest.cpp
+++ b/tests/io/HttpServerIdleTest.cpp
@@ -1,5 +1,5 @@
-#include "io/HttpServer.h"
 #include "io/Clock.h"
+#include "io/HttpServer.h"
 #include "io/PeerConnection.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/tests/process/fault_steps.py
+++ b/tests/process/fault_steps.py
@@ -170,8 +170,10 @@
     assert before > 0, "no call runs at the server that is to leave"
     agent.signal(signal.SIGTERM)
     time.sleep(0.5)
-    for number in range(1000, 1012):
-        call("GET", case.entries[number % len(case.entries)], "/v1/services/closure-api/notices/%d" % number)
+    with concurrent.futures.ThreadPoolExecutor(12) as pool:
+        answers = list(pool.map(lambda number: call("GET", case.entries[number % len(case.entries)],
+                                                    "/v1/services/closure-api/notices/%d" % number), range(1000, 1012)))
+    assert [status for status, _ in answers] == [200] * len(answers), answers
     assert len(journal_lines(case, "closure-api-0")) == before, "a leaving server got new work"
     assert [one.result() for one in calls] == [200] * len(calls), [one.result() for one in calls]
     assert agent.handle.wait(timeout=20) == 0
