--- a/src/io/Frame.h
+++ b/src/io/Frame.h
@@ -28,6 +28,9 @@
     Status = 13,
     Timeline = 14,
     Error = 15,
+    AccessChallenge = 16,
+    AccessProof = 17,
+    AccessRefusal = 18,
     SettingsAnswer = 40,
 };
 
--- a/src/io/Node.cpp
+++ b/src/io/Node.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr Duration keyFileInterval = std::chrono::seconds(1);
 constexpr Duration answerFlushTime = std::chrono::milliseconds(100);
 
 /// The events of this process that a query wants, as JSON text.
@@ -55,6 +56,10 @@
 
 void Node::run()
 {
+    if (options_.keyFile)
+        loadKeys();
+    else
+        log(Event::AccessOpen);
     signals_.async_wait([this](boost::system::error_code error, int) {
         if (!error)
             stop();
@@ -65,6 +70,8 @@
     spawn(context_.get_executor(), [this] { return settings_.runExchange(); });
     if (store_)
         spawn(context_.get_executor(), [this] { return settings_.follow(*store_, [this] { return wantsStore(); }); });
+    if (options_.keyFile)
+        spawn(context_.get_executor(), [this] { return followKeys(); });
     std::map<std::string, Address> targets;
     for (const Address& peer : options_.peers)
         targets.emplace("peer-" + peer.text(), peer);
@@ -76,6 +83,44 @@
     log(Event::ProcessStopped);
 }
 
+void Node::loadKeys()
+{
+    auto keys = std::make_shared<const AccessKeys>(AccessKeys::read(*options_.keyFile));
+    if (keys_ && *keys == *keys_)
+        return;
+    keys_ = std::move(keys);
+    log(Event::KeysLoaded, { { "keys", std::to_string(keys_->all().size()) } });
+    closeUnproven();
+}
+
+asio::awaitable<void> Node::followKeys()
+{
+    std::string lastReason;
+    while (true) {
+        co_await sleepFor(keyFileInterval);
+        std::string reason;
+        try {
+            loadKeys();
+        } catch (const Error& error) {
+            reason = error.what();
+        }
+        if (!reason.empty() && reason != lastReason)
+            log(Event::KeysUnreadable, { { "reason", reason } });
+        lastReason = std::move(reason);
+    }
+}
+
+void Node::closeUnproven()
+{
+    std::vector<PeerConnectionPtr> peers = mesh_.connections();
+    peers.insert(peers.end(), accepted_.begin(), accepted_.end());
+    for (const PeerConnectionPtr& peer : peers) {
+        const auto key = peer->provenBy();
+        if (key && !keys_->contains(*key))
+            peer->close();
+    }
+}
+
 void Node::settingsChanged(std::shared_ptr<const Settings> before, std::shared_ptr<const Settings> inForce)
 {
     try {
@@ -165,8 +210,26 @@
     }
 }
 
+std::string Node::metricsText() const
+{
+    std::vector<Gauge> gauges {
+        { "endiveroad_settings_revision", "", "Settings revision in force; 0 before the first.",
+            static_cast<double>(settings_.revision()) },
+        { "endiveroad_peers", "", "Open connections to peer processes.",
+            static_cast<double>(mesh_.connections().size() + accepted_.size()) },
+        { "endiveroad_draining", "", "1 while the process takes no new work.", isDraining_ ? 1.0 : 0.0 },
+    };
+    for (Gauge& gauge : nodeGauges())
+        gauges.push_back(std::move(gauge));
+    return processMetrics().prometheusText(gauges, now());
+}
+
 std::string Node::answerForSelf(const SurveyQuestion& question) const
 {
+    if (question.wantsMetrics)
+        return nlohmann::json {
+            { "name", options_.name }, { "role", options_.role }, { "metrics", metricsText() }
+        }.dump();
     if (question.type == MessageType::Timeline)
         return timelineJson(options_.name, options_.role, question.timeline);
     return statusJson();
--- a/src/io/agent/AgentNode.h
+++ b/src/io/agent/AgentNode.h
@@ -32,6 +32,7 @@
     bool wantsStore() const override;
     asio::awaitable<void> drain() override;
     std::string statusJson() const override;
+    std::vector<Gauge> nodeGauges() const override;
     std::vector<SurveyTarget> surveyTargets(SurveyScope) const override;
     PeerConnectionPtr surveyRelay() const override;
 
