The access case waits for the refusal that a process logs

Cause: process.access failed once in a run of all tests beside other load: an operator command refuses the process's own proof and ends, and the case counted the process's events before it had read the command's proof. Ruled out: a proof that was taken (the command ended with access_refused each time, and no request was served). Change: the case waits up to 5 s for all six events instead of counting at once; the count asked for is the same. Conclusion: a race of the check, not of the handshake.

--- a/tests/process/access.py
+++ b/tests/process/access.py
@@ -55,7 +55,9 @@
             for key_file in (None, other):
                 code, error = deployment.ask(command, name, key_file)
                 assert code == 6 and "access_refused" in error.splitlines()[-1], (name, command, code, error)
-        assert has_logged(deployment, name, ["PeerRefused", "reason="]) >= 6, name
+        # The command may refuse the process's proof and end before the process has read the command's own.
+        deployment.wait_for(lambda: has_logged(deployment, name, ["PeerRefused", "reason="]) >= 6,
+                            name + " to have refused all six", 5)
     assert deployment.is_ready()
 
 
