--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -2,8 +2,8 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
-#include "io/PeerConnection.h"
 #include "io/ProcessMetrics.h"
+#include "io/Tasks.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -50,33 +50,6 @@
 
 } // namespace
 
-void spawn(const asio::any_io_executor& executor, std::function<asio::awaitable<void>()> body)
-{
-    asio::co_spawn(
-        executor,
-        [body = std::move(body)]() -> asio::awaitable<void> {
-            try {
-                co_await body();
-            } catch (const std::exception& error) {
-                log(Event::ProcessFailed, { { "task", error.what() } });
-            }
-        },
-        asio::detached);
-}
-
-asio::awaitable<void> waitUntil(asio::steady_timer& timer, Instant instant)
-{
-    timer.expires_at(steady(instant));
-    error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
-asio::awaitable<void> sleepFor(Duration duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    co_await waitUntil(timer, now() + duration);
-}
-
 PeerConnection::PeerConnection(asio::ip::tcp::socket socket, PeerHandler& handler, HandshakeSide side)
     : socket_(std::move(socket))
     , handler_(handler)
--- a/src/io/PeerConnection.h
+++ b/src/io/PeerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "io/FrameReader.h"
+#include "io/Tasks.h"
 #include "io/access/Handshake.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -189,13 +190,4 @@
     bool isOpen_ = true;
 };
 
-/// Starts a coroutine whose exceptions are logged and end only itself.
-void spawn(const asio::any_io_executor&, std::function<asio::awaitable<void>()>);
-
-/// Waits until the instant; returns early if the timer is cancelled.
-asio::awaitable<void> waitUntil(asio::steady_timer&, Instant);
-
-/// Sleeps for the given time.
-asio::awaitable<void> sleepFor(Duration);
-
 } // namespace endiveroad::io
--- a/src/io/SettingsKeeper.cpp
+++ b/src/io/SettingsKeeper.cpp
@@ -2,8 +2,8 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
-#include "io/PeerConnection.h"
 #include "io/SettingsStore.h"
+#include "io/Tasks.h"
 #include "wire/Codec.h"
 
 #include <endiveroad/Error.h>
--- a/src/io/SettingsStore.cpp
+++ b/src/io/SettingsStore.cpp
@@ -1,7 +1,7 @@
 #include "io/SettingsStore.h"
 
 #include "io/Clock.h"
-#include "io/PeerConnection.h"
+#include "io/Tasks.h"
 
 #include <endiveroad/Error.h>
 #include <endiveroad/SettingsExplain.h>
--- a/src/io/Signal.cpp
+++ b/src/io/Signal.cpp
@@ -1,6 +1,6 @@
 #include "io/Signal.h"
 
-#include "io/PeerConnection.h"
+#include "io/Tasks.h"
 
 namespace endiveroad::io {
 
--- a/src/io/StoreBudget.cpp
+++ b/src/io/StoreBudget.cpp
@@ -1,7 +1,7 @@
 #include "io/StoreBudget.h"
 
 #include "io/Clock.h"
-#include "io/PeerConnection.h"
+#include "io/Tasks.h"
 
 #include <endiveroad/Error.h>
 
--- /dev/null
+++ b/src/io/Tasks.cpp
@@ -0,0 +1,41 @@
+#include "io/Tasks.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace endiveroad::io {
+
+void spawn(const asio::any_io_executor& executor, std::function<asio::awaitable<void>()> body)
+{
+    asio::co_spawn(
+        executor,
+        [body = std::move(body)]() -> asio::awaitable<void> {
+            try {
+                co_await body();
+            } catch (const std::exception& error) {
+                log(Event::ProcessFailed, { { "task", error.what() } });
+            }
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> waitUntil(asio::steady_timer& timer, Instant instant)
+{
+    timer.expires_at(steady(instant));
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> sleepFor(Duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    co_await waitUntil(timer, now() + duration);
+}
+
+} // namespace endiveroad::io
--- a/src/io/agent/CallRunner.cpp
+++ b/src/io/agent/CallRunner.cpp
@@ -2,8 +2,8 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
-#include "io/PeerConnection.h"
 #include "io/ProcessMetrics.h"
+#include "io/Tasks.h"
 
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
--- a/src/io/agent/Generator.cpp
+++ b/src/io/agent/Generator.cpp
@@ -2,7 +2,7 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
-#include "io/PeerConnection.h"
+#include "io/Tasks.h"
 
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
--- a/src/io/agent/RolloutWorker.h
+++ b/src/io/agent/RolloutWorker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "io/PeerConnection.h"
+#include "io/Tasks.h"
 #include "io/agent/Generator.h"
 
 #include <endiveroad/Admission.h>
