The settings command's connections end before their I/O context

Ruled out: the store client and the coroutine frames (the trace ends in HttpClient's idle connections). Change: StoreSession owns the context, declared before the client. Before: settings apply exits 1 under asan.

--- a/src/cli/SettingsCommand.cpp
+++ b/src/cli/SettingsCommand.cpp
@@ -21,17 +21,6 @@
 
 constexpr Duration storeTimeout = std::chrono::seconds(5);
 
-/// Runs one coroutine to its end and passes its exception on.
-void runToEnd(std::function<boost::asio::awaitable<void>()> body)
-{
-    boost::asio::io_context context;
-    std::exception_ptr failure;
-    boost::asio::co_spawn(context, body, [&failure](std::exception_ptr error) { failure = error; });
-    context.run();
-    if (failure)
-        std::rethrow_exception(failure);
-}
-
 std::string randomId()
 {
     std::random_device source;
@@ -68,7 +57,8 @@
         fmt::print("    overrides {}\n", describe(overridden));
 }
 
-/// The key-value service as operators' commands use it.
+/// The key-value service as operators' commands use it. Its connections are part of its own I/O context, which
+/// therefore outlives them.
 class StoreSession {
 public:
     explicit StoreSession(const Address& address)
@@ -80,7 +70,18 @@
 
     io::SettingsStore& store() { return store_; }
 
+    /// Runs one coroutine to its end and passes its exception on.
+    void run(const std::function<boost::asio::awaitable<void>()>& body)
+    {
+        std::exception_ptr failure;
+        boost::asio::co_spawn(context_, body, [&failure](std::exception_ptr error) { failure = error; });
+        context_.run();
+        if (failure)
+            std::rethrow_exception(failure);
+    }
+
 private:
+    boost::asio::io_context context_;
     io::HttpClient http_;
     io::EtcdStoreClient client_;
     io::BackoffPatience patience_;
@@ -106,7 +107,7 @@
     const io::SettingsWrite write = newWrite(options);
     StoreSession session(addressOption(options, "store"));
     int64_t revision = 0;
-    runToEnd([&]() -> boost::asio::awaitable<void> { revision = co_await session.store().apply(write, tree); });
+    session.run([&]() -> boost::asio::awaitable<void> { revision = co_await session.store().apply(write, tree); });
     fmt::print("revision {} is in force\n", revision);
     return exitOk;
 }
@@ -120,7 +121,7 @@
     const io::SettingsWrite write = newWrite(options);
     StoreSession session(addressOption(options, "store"));
     int64_t revision = 0;
-    runToEnd([&]() -> boost::asio::awaitable<void> { revision = co_await session.store().rollBack(write, target); });
+    session.run([&]() -> boost::asio::awaitable<void> { revision = co_await session.store().rollBack(write, target); });
     fmt::print("revision {} is in force; it has the settings of revision {}\n", revision, target);
     return exitOk;
 }
@@ -129,7 +130,7 @@
 {
     StoreSession session(addressOption(options, "store"));
     SettingsHead head;
-    runToEnd([&]() -> boost::asio::awaitable<void> { head = co_await session.store().head(); });
+    session.run([&]() -> boost::asio::awaitable<void> { head = co_await session.store().head(); });
     for (const SettingsRevision& past : head.history)
         fmt::print("{}  {}  {}  write {}  {} parts changed\n", past.revision, timeText(past.appliedMs), past.author,
             past.writeId, past.undo.size());
@@ -142,7 +143,7 @@
     StoreSession session(addressOption(options, "store"));
     std::optional<SettingsDocument> document;
     const SettingsDocument none;
-    runToEnd([&]() -> boost::asio::awaitable<void> { document = co_await session.store().load(none); });
+    session.run([&]() -> boost::asio::awaitable<void> { document = co_await session.store().load(none); });
     return document.value_or(none);
 }
 
