The stand-ins' roles are served and run by one piece of code

Ruled out: the relay, whose role needs the I/O context itself. Change: standins/RunRole.h with serveRole and runRole; nothing else changes. Before: five copies. After: two functions.

--- a/standins/Caller.cpp
+++ b/standins/Caller.cpp
@@ -1,5 +1,6 @@
 #include "Http.h"
 #include "Roles.h"
+#include "RunRole.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -167,15 +168,7 @@
 
 int runCaller(const cxxopts::ParseResult& options)
 {
-    asio::io_context context(1);
-    Caller caller(options);
-    asio::co_spawn(context, caller.run(), [&](std::exception_ptr failure) {
-        context.stop();
-        if (failure)
-            std::rethrow_exception(failure);
-    });
-    context.run();
-    return 0;
+    return runRole<Caller>(options);
 }
 
 } // namespace standin
--- a/standins/Engine.cpp
+++ b/standins/Engine.cpp
@@ -1,5 +1,6 @@
 #include "Http.h"
 #include "Roles.h"
+#include "RunRole.h"
 
 #include <fmt/format.h>
 #include <random>
@@ -185,12 +186,7 @@
 
 int runEngine(const cxxopts::ParseResult& options)
 {
-    asio::io_context context(1);
-    Engine engine(options);
-    serve(context, HostPort::parse(options["listen"].as<std::string>()),
-        [&](Request& request, Connection& connection) { return engine.handle(request, connection); });
-    context.run();
-    return 0;
+    return serveRole<Engine>(options);
 }
 
 } // namespace standin
--- a/standins/KeyValue.cpp
+++ b/standins/KeyValue.cpp
@@ -1,5 +1,6 @@
 #include "Http.h"
 #include "Roles.h"
+#include "RunRole.h"
 
 #include <fmt/format.h>
 
@@ -256,12 +257,7 @@
 
 int runKeyValue(const cxxopts::ParseResult& options)
 {
-    asio::io_context context(1);
-    KeyValue store(options);
-    serve(context, HostPort::parse(options["listen"].as<std::string>()),
-        [&](Request& request, Connection& connection) { return store.handle(request, connection); });
-    context.run();
-    return 0;
+    return serveRole<KeyValue>(options);
 }
 
 } // namespace standin
--- a/standins/Services.cpp
+++ b/standins/Services.cpp
@@ -1,5 +1,6 @@
 #include "Http.h"
 #include "Roles.h"
+#include "RunRole.h"
 
 #include <fmt/format.h>
 #include <fstream>
@@ -167,17 +168,6 @@
     Json shown_ = Json::array();
 };
 
-template <typename Role>
-int serveRole(const cxxopts::ParseResult& options)
-{
-    asio::io_context context(1);
-    Role role(options);
-    serve(context, HostPort::parse(options["listen"].as<std::string>()),
-        [&](Request& request, Connection& connection) { return role.handle(request, connection); });
-    context.run();
-    return 0;
-}
-
 } // namespace
 
 int runService(const cxxopts::ParseResult& options)
--- a/standins/Trainer.cpp
+++ b/standins/Trainer.cpp
@@ -1,5 +1,6 @@
 #include "Http.h"
 #include "Roles.h"
+#include "RunRole.h"
 
 #include <fmt/format.h>
 #include <iostream>
@@ -209,15 +210,7 @@
 
 int runTrainer(const cxxopts::ParseResult& options)
 {
-    asio::io_context context(1);
-    Trainer trainer(options);
-    asio::co_spawn(context, trainer.run(), [&](std::exception_ptr failure) {
-        context.stop();
-        if (failure)
-            std::rethrow_exception(failure);
-    });
-    context.run();
-    return 0;
+    return runRole<Trainer>(options);
 }
 
 } // namespace standin
