--- /dev/null
+++ b/include/endiveroad/BatchPlacement.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <endiveroad/Time.h>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Which replica runs which waiting item, which runs move away from a slow replica, and which replica loads which
+/// weights when. Pure functions of what the coordinator knows.
+namespace endiveroad {
+
+/// An engine replica as its agent reports it, with the runs that this coordinator has started since.
+struct ReplicaView {
+    std::string agent;
+    std::string failureDomain;
+    bool isUp = false;
+    int32_t running = 0;
+    int32_t slots = 1;
+    /// Weight version by model.
+    std::map<std::string, int64_t> versions;
+    /// Model whose weights it loads now; empty for none.
+    std::string loadingModel;
+    /// Mean time between events of its runs in ms; 0 while unknown.
+    double eventMs = 0;
+
+    auto operator<=>(const ReplicaView&) const = default;
+
+    int64_t version(const std::string& model) const;
+    bool hasRoom() const { return isUp && running < slots; }
+};
+
+struct WaitingItem {
+    std::string job;
+    size_t item = 0;
+    std::string group;
+    std::string model;
+    int64_t oldestVersion = 0;
+    Instant dueAt = never;
+    double expectedTokens = 0;
+    /// Agent on which the last run of the item failed or was too slow; empty for none.
+    std::string avoidedAgent;
+
+    auto operator<=>(const WaitingItem&) const = default;
+};
+
+struct Placement {
+    size_t waiting = 0;
+    std::string agent;
+
+    auto operator<=>(const Placement&) const = default;
+};
+
+/// Load pattern: a trainer submits a whole step at once, more items than there are slots, and the step is as late as its
+/// longest item. Jobs that are due first go first, and within a job the longest item first, each to the replica on which
+/// it is expected to run fastest. Adds the placed items to the views.
+std::vector<Placement> placeItems(const std::vector<WaitingItem>&, std::vector<ReplicaView>&);
+
+/// Median of the known event times; 0 if none is known.
+double medianEventMs(const std::vector<ReplicaView>&);
+
+/// A replica is slow if its events take this many times as long as the median replica's.
+inline constexpr double slowReplicaFactor = 1.7;
+
+bool isSlow(const ReplicaView&, double medianMs);
+
+/// Load pattern: one replica in five runs several times slower for some seconds while its runs go on. True if a run on
+/// `from` is better continued elsewhere: `from` is slow, and some other replica has room and usable weights.
+bool shouldMove(const ReplicaView& from, const std::string& model, int64_t oldestVersion, const std::vector<ReplicaView>&);
+
+/// Replicas that keep a model's weights current, as equal shares of all replicas: each model has replicas / models of
+/// them, and a replica that comes or goes moves few others.
+std::map<std::string, std::vector<std::string>> homeReplicas(
+    const std::vector<std::string>& models, const std::vector<std::string>& agents);
+
+/// What the coordinator knows of one model when it plans loads.
+struct LoadDemand {
+    std::string model;
+    int64_t namedVersion = 1;
+    Instant namedAt = Instant::min();
+    /// Items of the model that wait for a replica.
+    size_t waiting = 0;
+    /// Oldest version that a waiting item may use; 0 if none waits.
+    int64_t oldestNeeded = 0;
+    std::vector<std::string> homes;
+
+    auto operator<=>(const LoadDemand&) const = default;
+};
+
+struct LoadChoice {
+    std::string agent;
+    std::string model;
+    int64_t version = 1;
+
+    auto operator<=>(const LoadChoice&) const = default;
+};
+
+/// Loads that run at once over all models before each takes longer.
+inline constexpr size_t maxLoadsAtOnce = 2;
+
+/// Longest time for which waiting items hold back a load.
+inline constexpr Duration loadPatience = std::chrono::milliseconds(1500);
+
+/// Load pattern: a version is named at the moment at which the next step is submitted, which may still use the version
+/// before. Items that wait start first; then the homes load a few at a time while the step runs.
+std::vector<LoadChoice> planLoads(const std::vector<LoadDemand>&, const std::vector<ReplicaView>&, Instant now);
+
+} // namespace endiveroad
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -22,6 +22,7 @@
 
 int runEntry(const Arguments&);
 int runAgent(const Arguments&);
+int runCoordinator(const Arguments&);
 int runSettings(const Arguments&);
 int runStatus(const Arguments&);
 int runTimeline(const Arguments&);
--- a/src/cli/NodeCommands.cpp
+++ b/src/cli/NodeCommands.cpp
@@ -1,13 +1,42 @@
 #include "cli/Options.h"
 #include "io/agent/AgentNode.h"
 #include "io/entry/EntryNode.h"
+#include "io/hosted/HostedAgent.h"
+#include "io/hosted/HostedCoordinator.h"
+#include "io/hosted/HostedEntry.h"
+#include "platform/HostedPlatform.h"
 
+#include <algorithm>
 #include <endiveroad/Error.h>
 
 namespace endiveroad::cli {
 
 namespace {
 
+constexpr uint64_t maxPort = 65535;
+
+/// Runs a role with the settings that a shared platform lays beside the process.
+template <typename NodeType>
+int runHosted(const std::string& role, const std::string& description, const Arguments& arguments)
+{
+    cxxopts::Options options("endiveroad " + role + " --hosted", description);
+    options.add_options()("h,help", "Print this help")("hosted", "Run on a shared platform")(
+        "metrics-port", "Port on which metrics are served", cxxopts::value<std::string>());
+    const auto result = parse(options, arguments);
+    if (!result)
+        return exitOk;
+    io::HostedOptions hosted;
+    if (result->count("metrics-port") != 0)
+        hosted.metricsPort = static_cast<uint16_t>(integerOption(*result, "metrics-port", 1, maxPort));
+    NodeType(platform::makePlatform(), hosted).run();
+    return exitOk;
+}
+
+bool isHosted(const Arguments& arguments)
+{
+    return std::find(arguments.begin(), arguments.end(), "--hosted") != arguments.end();
+}
+
 template <typename NodeType>
 int runNode(const std::string& role, const std::string& description, const Arguments& arguments)
 {
@@ -47,12 +76,21 @@
 
 int runEntry(const Arguments& arguments)
 {
+    if (isHosted(arguments))
+        return runHosted<io::HostedEntry>("entry", "Takes callers' HTTP on a shared platform.", arguments);
     return runNode<io::EntryNode>("entry", "Takes callers' HTTP, routes it and coordinates rollout jobs.", arguments);
 }
 
 int runAgent(const Arguments& arguments)
 {
+    if (isHosted(arguments))
+        return runHosted<io::HostedAgent>("agent", "Runs items on the engine replica beside it.", arguments);
     return runNode<io::AgentNode>("agent", "The authority for the one backend server beside it.", arguments);
 }
 
+int runCoordinator(const Arguments& arguments)
+{
+    return runHosted<io::HostedCoordinator>("coordinator", "Owns batch jobs on a shared platform.", arguments);
+}
+
 } // namespace endiveroad::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -29,6 +29,7 @@
 constexpr Command commands[] {
     { "entry", "Runs an entry: takes callers' HTTP, routes it, coordinates rollout jobs.", runEntry },
     { "agent", "Runs the agent of one backend server.", runAgent },
+    { "coordinator", "Runs a coordinator of batch jobs on a shared platform.", runCoordinator },
     { "settings", "Checks a settings directory and puts it in force.", runSettings },
     { "status", "Shows the state of all processes.", runStatus },
     { "timeline", "Shows the events of all processes in one order.", runTimeline },
@@ -40,7 +41,7 @@
 {
     fmt::print(stream, "Usage:\n  endiveroad COMMAND [OPTIONS]\n\nCommands:\n");
     for (const Command& command : commands)
-        fmt::print(stream, "  {:<9} {}\n", command.name, command.summary);
+        fmt::print(stream, "  {:<12} {}\n", command.name, command.summary);
     fmt::print(stream, "\n`endiveroad COMMAND --help` lists the options of a command. {}", seeMore);
 }
 
--- /dev/null
+++ b/src/core/batch/BatchPlacement.cpp
@@ -0,0 +1,195 @@
+#include <algorithm>
+#include <endiveroad/BatchPlacement.h>
+#include <endiveroad/Rendezvous.h>
+#include <tuple>
+
+namespace endiveroad {
+
+namespace {
+
+/// Each running request lengthens the events of all others by about this share.
+constexpr double slowdownPerRun = 0.03;
+
+/// Event time of a replica of which none is known, in ms.
+constexpr double defaultEventMs = 30;
+
+bool isUsable(const ReplicaView& replica, const std::string& model, int64_t oldestVersion)
+{
+    return replica.hasRoom() && replica.loadingModel != model && replica.version(model) >= oldestVersion;
+}
+
+double expectedEventMs(const ReplicaView& replica)
+{
+    const double eventMs = replica.eventMs > 0 ? replica.eventMs : defaultEventMs;
+    return eventMs * (1 + slowdownPerRun * replica.running);
+}
+
+ReplicaView* bestReplica(const WaitingItem& item, std::vector<ReplicaView>& replicas)
+{
+    ReplicaView* best = nullptr;
+    std::tuple<bool, double, uint64_t> bestRank;
+    for (ReplicaView& replica : replicas) {
+        if (!isUsable(replica, item.model, item.oldestVersion))
+            continue;
+        const std::tuple rank(replica.agent == item.avoidedAgent, expectedEventMs(replica),
+            rendezvousWeight(item.job + "/" + item.group, replica.agent));
+        if (best && bestRank <= rank)
+            continue;
+        best = &replica;
+        bestRank = rank;
+    }
+    return best;
+}
+
+size_t loadsUnderWay(const std::vector<ReplicaView>& replicas)
+{
+    return static_cast<size_t>(std::count_if(replicas.begin(), replicas.end(),
+        [](const ReplicaView& replica) { return !replica.loadingModel.empty(); }));
+}
+
+const ReplicaView* findReplica(const std::vector<ReplicaView>& replicas, const std::string& agent)
+{
+    const auto found = std::find_if(
+        replicas.begin(), replicas.end(), [&](const ReplicaView& replica) { return replica.agent == agent; });
+    return found == replicas.end() ? nullptr : &*found;
+}
+
+
+/// Homes of a model that can serve it, filled up with the least loaded other replicas where homes are down.
+std::vector<const ReplicaView*> servingReplicas(const LoadDemand& demand, const std::vector<ReplicaView>& replicas)
+{
+    const double median = medianEventMs(replicas);
+    std::vector<const ReplicaView*> serving;
+    for (const std::string& home : demand.homes) {
+        const ReplicaView* replica = findReplica(replicas, home);
+        if (replica && replica->isUp)
+            serving.push_back(replica);
+    }
+    std::vector<const ReplicaView*> others;
+    for (const ReplicaView& replica : replicas) {
+        const bool isHome = std::find(demand.homes.begin(), demand.homes.end(), replica.agent) != demand.homes.end();
+        if (replica.isUp && !isHome && !isSlow(replica, median))
+            others.push_back(&replica);
+    }
+    std::sort(others.begin(), others.end(), [&](const ReplicaView* a, const ReplicaView* b) {
+        return std::tuple(-a->version(demand.model), a->running, a->agent)
+            < std::tuple(-b->version(demand.model), b->running, b->agent);
+    });
+    const auto fastHomes = static_cast<size_t>(std::count_if(
+        serving.begin(), serving.end(), [&](const ReplicaView* replica) { return !isSlow(*replica, median); }));
+    const size_t missing = demand.homes.size() - std::min(demand.homes.size(), fastHomes);
+    for (size_t i = 0; i < std::min(missing, others.size()); ++i)
+        serving.push_back(others[i]);
+    return serving;
+}
+
+} // namespace
+
+int64_t ReplicaView::version(const std::string& model) const
+{
+    const auto found = versions.find(model);
+    return found == versions.end() ? 0 : found->second;
+}
+
+std::vector<Placement> placeItems(const std::vector<WaitingItem>& waiting, std::vector<ReplicaView>& replicas)
+{
+    std::vector<size_t> order(waiting.size());
+    for (size_t i = 0; i < order.size(); ++i)
+        order[i] = i;
+    std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) {
+        return std::tuple(waiting[a].dueAt, -waiting[a].expectedTokens)
+            < std::tuple(waiting[b].dueAt, -waiting[b].expectedTokens);
+    });
+    std::vector<Placement> placements;
+    for (size_t index : order) {
+        ReplicaView* replica = bestReplica(waiting[index], replicas);
+        if (!replica)
+            continue;
+        ++replica->running;
+        placements.push_back({ index, replica->agent });
+    }
+    return placements;
+}
+
+double medianEventMs(const std::vector<ReplicaView>& replicas)
+{
+    std::vector<double> known;
+    for (const ReplicaView& replica : replicas) {
+        if (replica.isUp && replica.eventMs > 0)
+            known.push_back(replica.eventMs);
+    }
+    if (known.empty())
+        return 0;
+    std::sort(known.begin(), known.end());
+    return known[(known.size() - 1) / 2];
+}
+
+bool isSlow(const ReplicaView& replica, double medianMs)
+{
+    return medianMs > 0 && replica.eventMs > slowReplicaFactor * medianMs;
+}
+
+bool shouldMove(
+    const ReplicaView& from, const std::string& model, int64_t oldestVersion, const std::vector<ReplicaView>& replicas)
+{
+    const double median = medianEventMs(replicas);
+    if (!isSlow(from, median))
+        return false;
+    return std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaView& other) {
+        return other.agent != from.agent && isUsable(other, model, oldestVersion) && !isSlow(other, median);
+    });
+}
+
+std::map<std::string, std::vector<std::string>> homeReplicas(
+    const std::vector<std::string>& models, const std::vector<std::string>& agents)
+{
+    std::map<std::string, std::vector<std::string>> homes;
+    if (models.empty())
+        return homes;
+    const size_t share = (agents.size() + models.size() - 1) / models.size();
+    std::vector<std::tuple<uint64_t, std::string, std::string>> pairs;
+    for (const std::string& model : models) {
+        homes[model];
+        for (const std::string& agent : agents)
+            pairs.emplace_back(rendezvousWeight(model, agent), model, agent);
+    }
+    std::sort(pairs.rbegin(), pairs.rend());
+    std::map<std::string, bool> isTaken;
+    for (const auto& [weight, model, agent] : pairs) {
+        if (isTaken[agent] || homes[model].size() >= share)
+            continue;
+        isTaken[agent] = true;
+        homes[model].push_back(agent);
+    }
+    return homes;
+}
+
+std::vector<LoadChoice> planLoads(
+    const std::vector<LoadDemand>& demands, const std::vector<ReplicaView>& replicas, Instant now)
+{
+    std::vector<LoadChoice> choices;
+    size_t underWay = loadsUnderWay(replicas);
+    std::map<std::string, bool> isBusy;
+    for (const ReplicaView& replica : replicas)
+        isBusy[replica.agent] = !replica.loadingModel.empty();
+    for (const LoadDemand& demand : demands) {
+        const auto serving = servingReplicas(demand, replicas);
+        const bool isStarved = demand.waiting > 0
+            && std::none_of(serving.begin(), serving.end(),
+                [&](const ReplicaView* replica) { return replica->version(demand.model) >= demand.oldestNeeded; });
+        if (demand.waiting > 0 && !isStarved && now < demand.namedAt + loadPatience)
+            continue;
+        for (const ReplicaView* replica : serving) {
+            if (underWay >= maxLoadsAtOnce)
+                break;
+            if (isBusy[replica->agent] || replica->version(demand.model) >= demand.namedVersion)
+                continue;
+            choices.push_back({ replica->agent, demand.model, demand.namedVersion });
+            isBusy[replica->agent] = true;
+            ++underWay;
+        }
+    }
+    return choices;
+}
+
+} // namespace endiveroad
--- /dev/null
+++ b/src/core/directory/Directory.cpp
@@ -0,0 +1,62 @@
+#include <algorithm>
+#include <endiveroad/Directory.h>
+
+namespace endiveroad {
+
+const RouteDeclaration* RoutingTable::match(std::string_view host, std::string_view path) const
+{
+    const RouteDeclaration* best = nullptr;
+    for (const RouteDeclaration& route : routes) {
+        if (route.host != host || !path.starts_with(route.pathPrefix))
+            continue;
+        if (!best || route.pathPrefix.size() > best->pathPrefix.size())
+            best = &route;
+    }
+    return best;
+}
+
+const RouteDeclaration* RoutingTable::route(std::string_view name) const
+{
+    const auto found = std::find_if(
+        routes.begin(), routes.end(), [name](const RouteDeclaration& route) { return route.name == name; });
+    return found == routes.end() ? nullptr : &*found;
+}
+
+bool RoutingTable::hasBatchJobs(std::string_view host) const
+{
+    return std::any_of(routes.begin(), routes.end(),
+        [host](const RouteDeclaration& route) { return route.host == host && route.kind == TrafficKind::BatchJobs; });
+}
+
+std::vector<std::string> RoutingTable::models() const
+{
+    std::set<std::string> names;
+    for (const auto& [name, service] : services)
+        names.insert(service.models.begin(), service.models.end());
+    return { names.begin(), names.end() };
+}
+
+std::vector<const ServerRecord*> Directory::readyServers(std::string_view service) const
+{
+    std::vector<const ServerRecord*> ready;
+    for (const auto& [id, server] : servers) {
+        if (server.service == service && !server.isDraining)
+            ready.push_back(&server);
+    }
+    return ready;
+}
+
+const ServerRecord* Directory::serverAt(const Address& address) const
+{
+    const auto found
+        = std::find_if(servers.begin(), servers.end(), [&](const auto& row) { return row.second.address == address; });
+    return found == servers.end() ? nullptr : &found->second;
+}
+
+int64_t Directory::namedVersion(const std::string& model) const
+{
+    const auto found = namedVersions.find(model);
+    return found == namedVersions.end() ? 1 : found->second;
+}
+
+} // namespace endiveroad
--- /dev/null
+++ b/src/core/directory/ReaderElection.cpp
@@ -0,0 +1,33 @@
+#include <algorithm>
+#include <endiveroad/ReaderElection.h>
+
+namespace endiveroad {
+
+ReaderElection::ReaderElection(std::optional<std::string> coordinator, Instant start)
+    : coordinator_(std::move(coordinator))
+    , waitUntil_(coordinator_ ? start : start + startDelay)
+{
+}
+
+void ReaderElection::onFresh(const std::string& reader, Instant now)
+{
+    freshUntil_[reader] = now + coverage;
+}
+
+bool ReaderElection::shouldRead(Instant now) const
+{
+    if (now < waitUntil_)
+        return false;
+    return std::none_of(freshUntil_.begin(), freshUntil_.end(), [&](const auto& entry) {
+        const bool goesFirst = !coordinator_ || entry.first < *coordinator_;
+        return goesFirst && entry.second > now && (!coordinator_ || entry.first != *coordinator_);
+    });
+}
+
+bool ReaderElection::isCovered(Instant now) const
+{
+    return std::any_of(
+        freshUntil_.begin(), freshUntil_.end(), [now](const auto& entry) { return entry.second > now; });
+}
+
+} // namespace endiveroad
--- /dev/null
+++ b/src/core/http/EventStream.cpp
@@ -0,0 +1,70 @@
+#include <charconv>
+#include <endiveroad/EventStream.h>
+
+namespace endiveroad {
+
+namespace {
+
+/// Value of a line "name: value"; one space behind the colon belongs to the separator.
+std::optional<std::string_view> valueOf(std::string_view line, std::string_view name)
+{
+    if (!line.starts_with(name) || line.size() <= name.size() || line[name.size()] != ':')
+        return std::nullopt;
+    line.remove_prefix(name.size() + 1);
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    return line;
+}
+
+std::optional<int64_t> toInteger(std::string_view text)
+{
+    int64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace
+
+std::vector<StreamEvent> EventStreamReader::feed(std::string_view piece)
+{
+    std::vector<StreamEvent> events;
+    while (!piece.empty()) {
+        const size_t end = piece.find('\n');
+        line_.append(piece.substr(0, end));
+        if (end == std::string_view::npos)
+            break;
+        piece.remove_prefix(end + 1);
+        takeLine(events);
+        line_.clear();
+    }
+    return events;
+}
+
+void EventStreamReader::takeLine(std::vector<StreamEvent>& events)
+{
+    if (line_.ends_with('\r'))
+        line_.pop_back();
+    if (line_.empty()) {
+        if (isStarted_)
+            events.push_back(std::move(event_));
+        event_ = {};
+        isStarted_ = false;
+        hasData_ = false;
+        return;
+    }
+    isStarted_ = true;
+    if (const auto data = valueOf(line_, "data")) {
+        if (hasData_)
+            event_.data += '\n';
+        event_.data += *data;
+        hasData_ = true;
+    } else if (const auto id = valueOf(line_, "id")) {
+        event_.id = toInteger(*id);
+    } else {
+        event_.otherLines.push_back(line_);
+    }
+}
+
+} // namespace endiveroad
--- a/src/io/Frame.h
+++ b/src/io/Frame.h
@@ -33,6 +33,16 @@
     AccessRefusal = 18,
     CancelGenerate = 19,
     SettingsAnswer = 40,
+    DirectoryUpdate = 50,
+    StoreCall = 51,
+    BatchCall = 52,
+    ItemStart = 53,
+    ItemProgress = 54,
+    ItemCancel = 55,
+    JobOwner = 56,
+    ReplicaReport = 57,
+    LoadModel = 58,
+    Leaving = 59,
 };
 
 /// Header of a frame. On the wire: magic u16, version u8, kind u8, type u16, zero u16, length u32, budgetMs u32,
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
 
@@ -42,8 +43,9 @@
     message.method_string(request.method);
     message.target(request.target);
     for (const auto& [name, value] : request.headers)
-        message.set(name, value);
-    message.set(http::field::host, address.text());
+        message.insert(name, value);
+    if (message.find(http::field::host) == message.end())
+        message.set(http::field::host, address.text());
     message.body() = std::move(request.body);
     message.prepare_payload();
     return message;
@@ -58,6 +60,41 @@
     return response;
 }
 
+std::string headerValue(const HeaderList& headers, std::string_view name)
+{
+    for (const auto& [key, value] : headers) {
+        if (beast::iequals(key, name))
+            return value;
+    }
+    return {};
+}
+
+/// True if the answer repeats the header that tells to which request it belongs.
+bool isAnswerTo(const HeaderList& requestHeaders, const std::string& echoedHeader, const HttpResponse& response)
+{
+    if (echoedHeader.empty())
+        return true;
+    const std::string_view echoed = response.header(echoedHeader);
+    const bool isSuccess = response.status >= 200 && response.status < 300;
+    if (echoed.empty())
+        return !isSuccess;
+    return echoed == headerValue(requestHeaders, echoedHeader);
+}
+
+/// Time for which the server keeps an idle connection, as far as it tells.
+Duration toldIdleLifetime(const HttpResponse& response)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const std::string_view told = response.header("Keep-Alive");
+    const size_t start = told.find(parameter);
+    if (start == std::string_view::npos)
+        return HttpClient::idleLifetime;
+    int seconds = 0;
+    const std::string_view digits = told.substr(start + parameter.size());
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::chrono::seconds(seconds) - HttpClient::idleMargin;
+}
+
 [[noreturn]] void throwUnknown(const Address& address, const error_code& error)
 {
     throw OutcomeUnknownError(fmt::format("{}: {}", address.text(), error.message()));
@@ -65,6 +102,15 @@
 
 } // namespace
 
+std::string_view HttpResponse::header(std::string_view name) const
+{
+    for (const auto& [key, value] : headers) {
+        if (beast::iequals(key, name))
+            return value;
+    }
+    return {};
+}
+
 HttpRequest jsonRequest(std::string method, std::string target, std::string body)
 {
     HttpRequest request;
@@ -101,12 +147,13 @@
     return nullptr;
 }
 
-void HttpClient::keepIdle(const Address& address, std::unique_ptr<beast::tcp_stream> stream)
+void HttpClient::keepIdle(
+    const Address& address, std::unique_ptr<beast::tcp_stream> stream, const HttpResponse& response)
 {
     auto& idle = idle_[address];
     stream->expires_never();
     if (idle.size() < maxIdlePerAddress)
-        idle.push_back({ std::move(stream), now() + idleLifetime });
+        idle.push_back({ std::move(stream), now() + std::min(idleLifetime, toldIdleLifetime(response)) });
 }
 
 asio::awaitable<std::unique_ptr<beast::tcp_stream>> HttpClient::open(const Address& address, Instant deadline)
@@ -141,13 +188,19 @@
 }
 
 asio::awaitable<HttpResponse> HttpClient::stream(
-    Address address, HttpRequest request, Instant deadline, OnBody onBody, HttpCancellation* cancellation)
+    Address address, HttpRequest request, Instant deadline, OnBody onBody, HttpCancellation* cancellation,
+    OnHead onHead)
 {
     HttpCancellation unused;
     HttpCancellation& cancel = cancellation ? *cancellation : unused;
     if (cancel.isCancelled())
         throw ServerUnavailableError("the request was cancelled before it was sent");
-    auto stream = co_await open(address, deadline);
+    auto stream = co_await open(address, std::min(deadline, request.connectDeadline));
+    const HeaderList requestHeaders = request.echoedHeader.empty() ? HeaderList() : request.headers;
+    const std::string echoedHeader = request.echoedHeader;
+    const bool isUndeclaredEndTaken = request.isUndeclaredEndTaken;
+    if (cancel.isCancelled())
+        throw ServerUnavailableError("the request was cancelled before it was sent");
     const CancellationScope scope(cancel.stream_, stream.get());
     stream->expires_at(steady(deadline));
     auto message = toBeast(address, std::move(request));
@@ -163,6 +216,10 @@
     if (error)
         throwUnknown(address, error);
     HttpResponse response = toResponse(parser.get());
+    if (!isAnswerTo(requestHeaders, echoedHeader, response))
+        throw OutcomeUnknownError(fmt::format("{}: an answer came that belongs to another request", address.text()));
+    if (onHead)
+        onHead(response);
     std::string piece(streamPieceBytes, '\0');
     while (!parser.is_done()) {
         parser.get().body().data = piece.data();
@@ -178,10 +235,11 @@
             throwUnknown(address, error);
     }
     // An answer that ends only with its connection does not declare its end, so it cannot be known to be whole.
-    if (parser.get().need_eof())
+    if (parser.get().need_eof() && !isUndeclaredEndTaken)
         throw OutcomeUnknownError(fmt::format("{}: the answer does not declare its end", address.text()));
-    if (parser.get().keep_alive() && !cancel.isCancelled())
-        keepIdle(address, std::move(stream));
+    // Bytes behind the answer belong to no request, so nothing more is read from a connection that brought any.
+    if (parser.get().keep_alive() && !parser.get().need_eof() && !cancel.isCancelled() && buffer.size() == 0)
+        keepIdle(address, std::move(stream), response);
     co_return response;
 }
 
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -24,6 +24,13 @@
     std::string target = "/";
     HeaderList headers;
     std::string body;
+    /// Ends the attempt to open a connection; the deadline of the request does as well.
+    Instant connectDeadline = never;
+    /// Name of a header of this request that the answer has to repeat; empty for none. An answer that repeats another
+    /// value, or a success that repeats none, belongs to another request.
+    std::string echoedHeader {};
+    /// Takes an answer without a declared length as whole if its connection ends in good order.
+    bool isUndeclaredEndTaken = false;
 };
 
 /// A request with a JSON body.
@@ -33,6 +40,9 @@
     int status = 0;
     HeaderList headers;
     std::string body;
+
+    /// Value of a header by case-insensitive name; empty if missing.
+    std::string_view header(std::string_view name) const;
 };
 
 /// Lets another coroutine end a request early.
@@ -53,6 +63,8 @@
 public:
     static constexpr size_t maxIdlePerAddress = 64;
     static constexpr Duration idleLifetime = std::chrono::seconds(20);
+    /// Time before the end of a server's own idle timeout from which a connection is no longer used.
+    static constexpr Duration idleMargin = std::chrono::milliseconds(250);
     static constexpr uint64_t maxResponseBytes = 64U << 20;
 
     /// Called for each piece of a streamed body. Returns false to end the stream.
@@ -62,8 +74,15 @@
     /// request was surely not run), OutcomeUnknownError if the answer did not come whole by the deadline.
     asio::awaitable<HttpResponse> request(Address, HttpRequest, Instant deadline, HttpCancellation* = nullptr);
 
+    /// Called with the status and headers of a streamed answer before its first piece.
+    using OnHead = std::function<void(const HttpResponse&)>;
+
     /// As request(), but hands the body on piece by piece; the answer's body stays empty.
-    asio::awaitable<HttpResponse> stream(Address, HttpRequest, Instant deadline, OnBody, HttpCancellation* = nullptr);
+    asio::awaitable<HttpResponse> stream(
+        Address, HttpRequest, Instant deadline, OnBody, HttpCancellation* = nullptr, OnHead = nullptr);
+
+    /// Closes all idle connections.
+    void closeIdle() { idle_.clear(); }
 
 private:
     struct Idle {
@@ -73,7 +92,7 @@
 
     asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> open(const Address&, Instant deadline);
     std::unique_ptr<boost::beast::tcp_stream> takeIdle(const Address&);
-    void keepIdle(const Address&, std::unique_ptr<boost::beast::tcp_stream>);
+    void keepIdle(const Address&, std::unique_ptr<boost::beast::tcp_stream>, const HttpResponse&);
 
     std::map<Address, std::vector<Idle>> idle_;
 };
--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -225,8 +225,8 @@
     asio::awaitable<bool> readRequest()
     {
         http::request_parser<http::string_body> parser;
-        parser.header_limit(maxHeaderBytes);
-        parser.body_limit(maxBodyBytes);
+        parser.header_limit(server_.sizes_.maxHeaderBytes);
+        parser.body_limit(server_.sizes_.maxBodyBytes);
         error_code error;
         isIdle_ = buffer_.size() == 0;
         deadline_ = now() + (isIdle_ ? server_.timeouts_.idle : server_.timeouts_.request);
--- a/src/io/HttpServer.h
+++ b/src/io/HttpServer.h
@@ -72,17 +72,29 @@
     auto operator<=>(const HttpTimeouts&) const = default;
 };
 
+/// How much a caller may send in a request.
+struct HttpSizes {
+    uint32_t maxHeaderBytes = 16 << 10;
+    uint64_t maxBodyBytes = 64U << 20;
+
+    auto operator<=>(const HttpSizes&) const = default;
+};
+
 class HttpServer {
 public:
-    static constexpr uint32_t maxHeaderBytes = 16 << 10;
-    static constexpr uint64_t maxBodyBytes = 64U << 20;
-
     explicit HttpServer(HttpHandler&, HttpTimeouts = {});
     ~HttpServer();
 
     /// Listens and accepts. Throws AddressInUseError.
     void start(asio::io_context&, const Address&);
 
+    /// Puts other limits in force for requests that begin from now on.
+    void setLimits(const HttpSizes& sizes, const HttpTimeouts& timeouts)
+    {
+        sizes_ = sizes;
+        timeouts_ = timeouts;
+    }
+
     /// Tells callers with each answer that their connection closes, so that they go elsewhere.
     void startDraining() { isDraining_ = true; }
 
@@ -105,6 +117,7 @@
 
     HttpHandler& handler_;
     HttpTimeouts timeouts_;
+    HttpSizes sizes_;
     std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
     /// Shared with the sessions, which may end after the server.
     std::shared_ptr<std::set<Session*>> sessions_;
--- a/src/io/Log.cpp
+++ b/src/io/Log.cpp
@@ -3,11 +3,15 @@
 #include "io/Clock.h"
 #include "io/ProcessMetrics.h"
 
+#include <cerrno>
 #include <cstdio>
 #include <ctime>
 #include <endiveroad/Error.h>
+#include <fcntl.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
+#include <utility>
 
 namespace endiveroad::io {
 
@@ -41,13 +45,65 @@
 {
     processMetrics().count(event);
     TimelineEntry entry { clock_.tick(wallMs()), node_, event, std::move(fields) };
-    if (eventLevel(event) >= lowest_) {
-        const std::string line = format_ == LogFormat::Json ? toJsonLine(entry) : toTextLine(entry);
-        fmt::print(stderr, "{}\n", line);
-    }
+    if (eventLevel(event) >= lowest_ && isWithinBudget(event))
+        print(entry);
     ring_.add(std::move(entry));
 }
 
+void Log::neverBlock()
+{
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+bool Log::isWithinBudget(Event event)
+{
+    Budget& budget = budgets_[event];
+    const Instant present = now();
+    if (present >= budget.windowEnd) {
+        const uint32_t omitted = std::exchange(budget.omitted, 0);
+        budget.windowEnd = present + std::chrono::seconds(1);
+        budget.lines = 0;
+        if (omitted > 0)
+            print({ clock_.tick(wallMs()), node_, Event::LinesOmitted,
+                { { "of", std::string(eventName(event)) }, { "lines", std::to_string(omitted) } } });
+    }
+    if (budget.lines < maxLinesPerSecond)
+        return ++budget.lines > 0;
+    ++budget.omitted;
+    return false;
+}
+
+void Log::print(const TimelineEntry& entry)
+{
+    if (format_ == LogFormat::Json)
+        writeLine(toJsonLine(entry) + "\n");
+    else
+        fmt::print(stderr, "{}\n", toTextLine(entry));
+}
+
+void Log::writeLine(const std::string& line)
+{
+    size_t written = 0;
+    while (written < line.size()) {
+        const ssize_t bytes = ::write(STDOUT_FILENO, line.data() + written, line.size() - written);
+        if (bytes < 0 && errno == EINTR)
+            continue;
+        if (bytes < 0) {
+            // Nobody reads the log; the count is told with the next line that can be written.
+            ++unread_;
+            return;
+        }
+        written += static_cast<size_t>(bytes);
+    }
+    if (unread_ == 0)
+        return;
+    const uint64_t lines = std::exchange(unread_, 0);
+    print({ clock_.tick(wallMs()), node_, Event::LinesOmitted,
+        { { "reason", "standard output was not read" }, { "lines", std::to_string(lines) } } });
+}
+
 void log(Event event, LogFields fields)
 {
     Log::instance().write(event, std::move(fields));
--- a/src/io/Log.h
+++ b/src/io/Log.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include <endiveroad/Event.h>
+#include <endiveroad/Time.h>
 #include <endiveroad/Timeline.h>
+#include <map>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
-/// Structured logs to standard error, and the process's ring of events for the time line.
+/// Structured logs, and the process's ring of events for the time line. JSON lines go to standard output, lines for
+/// people to standard error.
 namespace endiveroad::io {
 
 enum class LogFormat { Text, Json };
@@ -21,8 +24,14 @@
 
     static Log& instance();
 
+    /// Lines of one event that are written in a second; further ones are counted and named by LinesOmitted.
+    static constexpr uint32_t maxLinesPerSecond = 150;
+
     void configure(LogFormat, LogLevel lowest, std::string node);
 
+    /// Makes standard output drop lines that its reader is too slow for, in place of holding the process up.
+    void neverBlock();
+
     /// Records an event in the ring and writes it out if its level is not below the lowest.
     void write(Event, LogFields);
 
@@ -31,10 +40,23 @@
     const std::string& node() const { return node_; }
 
 private:
+    struct Budget {
+        Instant windowEnd = Instant::min();
+        uint32_t lines = 0;
+        uint32_t omitted = 0;
+    };
+
+    void print(const TimelineEntry&);
+    void writeLine(const std::string&);
+    /// Counts a line of the event. False if it is one too many.
+    bool isWithinBudget(Event);
+
     LogFormat format_ = LogFormat::Text;
     LogLevel lowest_ = LogLevel::Info;
     std::string node_;
     HybridClock clock_;
+    std::map<Event, Budget> budgets_;
+    uint64_t unread_ = 0;
     EventRing ring_ { ringCapacity };
 };
 
--- /dev/null
+++ b/src/io/hosted/BatchOwner.cpp
@@ -0,0 +1,507 @@
+#include "io/hosted/BatchOwner.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/ProcessMetrics.h"
+#include "io/Tasks.h"
+
+#include <algorithm>
+#include <endiveroad/Error.h>
+#include <endiveroad/Rendezvous.h>
+#include <fmt/format.h>
+
+namespace endiveroad::io {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusAccepted = 202;
+
+/// Bytes of text that are listed in one transaction.
+constexpr size_t maxListedBytes = 500U << 10;
+
+/// Time after the end of a job's lifetime at which it is removed.
+constexpr std::chrono::milliseconds removalMargin { 60000 };
+
+wire::BatchAnswer answerOf(int status, std::string body = {})
+{
+    wire::BatchAnswer answer;
+    answer.status = status;
+    answer.body = std::move(body);
+    return answer;
+}
+
+wire::BatchAnswer answerOf(const Error& error, Duration retryAfter)
+{
+    wire::BatchAnswer answer = answerOf(httpStatus(error.code()), std::string(codeText(error.code())));
+    if (answer.status == 503)
+        answer.retryAfterMs
+            = static_cast<int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter).count());
+    return answer;
+}
+
+wire::BatchAnswer redirectTo(const std::string& owner)
+{
+    wire::BatchAnswer answer = answerOf(statusOk);
+    answer.owner = owner;
+    return answer;
+}
+
+/// Ids become parts of keys of the store.
+bool isUsableId(const std::string& id)
+{
+    constexpr size_t maxIdBytes = 100;
+    return !id.empty() && id.size() <= maxIdBytes && std::all_of(id.begin(), id.end(), [](unsigned char character) {
+        return std::isalnum(character) || character == '-' || character == '_' || character == '.';
+    });
+}
+
+} // namespace
+
+BatchOwner::BatchOwner(asio::io_context& context, std::string name, const BatchProtocol& protocol,
+    MetadataStore& store, CoordinatorView& others, DirectorySource directory, Duration resultLifetime)
+    : context_(context)
+    , name_(std::move(name))
+    , protocol_(protocol)
+    , store_(store)
+    , others_(others)
+    , directory_(std::move(directory))
+    , resultLifetime_(resultLifetime)
+    , wake_(context)
+    , located_(context)
+{
+}
+
+size_t BatchOwner::openJobs() const
+{
+    return static_cast<size_t>(
+        std::count_if(jobs_.begin(), jobs_.end(), [](const auto& entry) { return !entry.second->job.isEnded(); }));
+}
+
+asio::awaitable<wire::BatchAnswer> BatchOwner::perform(wire::BatchCall call, Instant deadline)
+{
+    wire::BatchAnswer answer;
+    try {
+        if (!isUsableId(call.job))
+            throw BatchJobUnknownError("no job has such an id");
+        switch (call.operation) {
+        case wire::BatchOperation::Submit:
+            answer = co_await submit(call, deadline);
+            break;
+        case wire::BatchOperation::Read:
+            answer = co_await read(call, deadline);
+            break;
+        case wire::BatchOperation::ReadItem:
+            answer = co_await readItem(call, deadline);
+            break;
+        case wire::BatchOperation::Cancel:
+            answer = co_await endJob(call, deadline);
+            break;
+        }
+    } catch (const Error& error) {
+        const Event event
+            = call.operation == wire::BatchOperation::Submit ? Event::BatchJobRefused : Event::BatchReadFailed;
+        log(event,
+            { { "job", call.job }, { "item", call.item }, { "code", std::string(codeText(error.code())) },
+                { "reason", error.what() } });
+        answer = answerOf(error, retryAfter);
+    }
+    co_return answer;
+}
+
+JobRecord BatchOwner::newRecord(const BatchJobSpec& spec, const RouteDeclaration& route) const
+{
+    const auto milliseconds = [](Duration duration) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    };
+    JobRecord record;
+    record.owner = name_;
+    record.host = spec.host;
+    record.route = spec.route;
+    record.submittedMs = wallMs();
+    record.items = spec.items.size();
+    record.maxAttempts = std::max(route.maxAttempts, 1);
+    record.maxScoringAttempts = record.maxAttempts;
+    record.isSingleVersion = route.isSingleVersion;
+    record.resultDueMs = milliseconds(route.resultDue);
+    record.maxQueueMs = milliseconds(route.maxQueueTime);
+    const auto directory = directory_();
+    for (const BatchItem& item : spec.items) {
+        const RouteDeclaration* scoring
+            = item.scoring ? directory->routing->match(item.scoring->host, item.scoring->path) : nullptr;
+        if (scoring)
+            record.maxScoringAttempts = std::max(record.maxScoringAttempts, scoring->maxAttempts);
+    }
+    return record;
+}
+
+BatchJobPolicy BatchOwner::policyOf(const JobRecord& record) const
+{
+    const Instant submittedAt = now() - std::chrono::milliseconds(wallMs() - record.submittedMs);
+    BatchJobPolicy policy;
+    policy.maxAttempts = record.maxAttempts;
+    policy.maxScoringAttempts = record.maxScoringAttempts;
+    policy.isSingleVersion = record.isSingleVersion;
+    policy.dueAt = submittedAt + std::chrono::milliseconds(record.resultDueMs);
+    policy.giveUpAt = submittedAt + std::chrono::milliseconds(record.maxQueueMs);
+    return policy;
+}
+
+OwnedJobPtr BatchOwner::insert(
+    BatchJobSpec spec, JobRecord record, int64_t revision, std::vector<BatchResult> listed)
+{
+    BatchJob job(std::move(spec), policyOf(record), revision);
+    job.onListed(listed);
+    auto owned = std::make_shared<OwnedJob>(context_, std::move(job), std::move(record));
+    jobs_[owned->id()] = owned;
+    return owned;
+}
+
+asio::awaitable<wire::BatchAnswer> BatchOwner::submit(const wire::BatchCall& call, Instant deadline)
+{
+    if (jobs_.contains(call.job))
+        co_return answerOf(statusAccepted);
+    const auto directory = directory_();
+    const RouteDeclaration* route = directory->routing ? directory->routing->route(call.route) : nullptr;
+    if (!route)
+        throw NotReadyError("the route is not known here yet");
+    BatchJobSpec spec = protocol_.decodeJob(call.job, call.host, call.route, call.body);
+    const JobRecord record = newRecord(spec, *route);
+    const Instant giveUpAt = std::min(deadline, now() + storePatience);
+    std::optional<int64_t> revision;
+    bool isKnown = false;
+    bool isInDoubt = false;
+    std::string reason;
+    while (!revision && !isKnown) {
+        try {
+            revision = co_await store_.accept(call.job, record, call.body);
+            isKnown = !revision;
+        } catch (const OutcomeUnknownError& error) {
+            isInDoubt = true;
+            reason = error.what();
+        } catch (const StoreUnavailableError& error) {
+            reason = error.what();
+        }
+        if (revision || isKnown)
+            break;
+        if (now() + storeRetryPause >= giveUpAt) {
+            if (isInDoubt)
+                throw OutcomeUnknownError(reason);
+            throw StoreUnavailableError(reason);
+        }
+        co_await sleepFor(storeRetryPause);
+    }
+    if (isKnown) {
+        // Somebody has it: an earlier attempt here or elsewhere. It must not be without an owner.
+        const Location location = co_await locate(call.job, call.unreachable);
+        if (!location.isKnown())
+            throw OutcomeUnknownError("the job exists, but nobody owns it");
+        co_return answerOf(statusAccepted);
+    }
+    const size_t items = spec.items.size();
+    const OwnedJobPtr owned = insert(std::move(spec), record, *revision, {});
+    log(Event::BatchJobAccepted,
+        { { "job", call.job }, { "route", call.route }, { "model", owned->job.spec().model },
+            { "items", std::to_string(items) }, { "oldestVersion", std::to_string(owned->job.spec().oldestVersion) },
+            { "revision", std::to_string(*revision) } });
+    others_.announceOwner(*owned);
+    dispatcher_->onJob(owned);
+    co_return answerOf(statusAccepted);
+}
+
+asio::awaitable<wire::BatchAnswer> BatchOwner::read(const wire::BatchCall& call, Instant deadline)
+{
+    const Location location = co_await locate(call.job, call.unreachable);
+    if (!location.isKnown())
+        throw BatchJobUnknownError("there is no such job");
+    if (!location.owner.empty())
+        co_return redirectTo(location.owner);
+    const auto first = static_cast<size_t>(std::max<int64_t>(call.firstPosition, 0));
+    if (location.archived)
+        co_return answerOf(
+            statusOk, protocol_.encodeResults(location.archived->results, first, location.archived->items));
+    const OwnedJobPtr owned = location.owned;
+    const Instant waitUntil = std::min(deadline, now() + std::chrono::milliseconds(call.waitMs));
+    while (owned->job.listed().size() <= first && !owned->job.isEnded() && !owned->isLost && now() < waitUntil)
+        co_await owned->changed.wait(waitUntil);
+    co_return answerOf(statusOk, protocol_.encodeResults(owned->job.listed(), first, owned->job.spec().items.size()));
+}
+
+asio::awaitable<wire::BatchAnswer> BatchOwner::readItem(const wire::BatchCall& call, Instant)
+{
+    const Location location = co_await locate(call.job, call.unreachable);
+    if (!location.owner.empty())
+        co_return redirectTo(location.owner);
+    if (!location.owned || location.owned->job.isEnded())
+        throw BatchJobUnknownError("there is no such open job");
+    const auto index = location.owned->job.indexOf(call.item);
+    if (!index)
+        throw BatchJobUnknownError("the job has no such item");
+    co_return answerOf(statusOk, location.owned->job.spec().items[*index].body);
+}
+
+asio::awaitable<wire::BatchAnswer> BatchOwner::endJob(const wire::BatchCall& call, Instant deadline)
+{
+    const Location location = co_await locate(call.job, call.unreachable);
+    if (!location.isKnown())
+        throw BatchJobUnknownError("there is no such job");
+    if (!location.owner.empty())
+        co_return redirectTo(location.owner);
+    if (location.archived || location.owned->isEndStored)
+        co_return answerOf(statusOk);
+    const OwnedJobPtr owned = location.owned;
+    if (!owned->job.isEnded()) {
+        dispatcher_->keepTexts(*owned);
+        owned->job.end();
+        dispatcher_->cancelRuns(*owned, true);
+        owned->changed.notifyAll();
+    }
+    if (co_await storeEnd(owned, std::min(deadline, now() + storePatience)))
+        co_return answerOf(statusOk);
+    if (owned->isLost)
+        co_return redirectTo({});
+    // The runs have been stopped; the record follows when the store takes it.
+    spawn(context_.get_executor(), [this, owned]() -> asio::awaitable<void> { co_await storeEnd(owned, never); });
+    throw OutcomeUnknownError("the store did not take the end of the job yet");
+}
+
+asio::awaitable<bool> BatchOwner::storeEnd(OwnedJobPtr owned, Instant deadline)
+{
+    JobRecord record = owned->record;
+    record.isEnded = true;
+    while (!owned->isLost && !owned->isEndStored) {
+        try {
+            const auto revision = co_await store_.replace(owned->id(), record, owned->job.revision());
+            if (owned->isEndStored)
+                co_return true;
+            if (!revision) {
+                lose(owned, "the record has changed");
+                co_return false;
+            }
+            owned->record = record;
+            owned->job.setRevision(*revision);
+            owned->isEndStored = true;
+            log(Event::BatchJobEnded,
+                { { "job", owned->id() }, { "listed", std::to_string(owned->job.listed().size()) },
+                    { "items", std::to_string(owned->job.items().size()) } });
+        } catch (const Error& error) {
+            if (now() + storeRetryPause >= deadline)
+                co_return false;
+            log(Event::ListingDelayed, { { "job", owned->id() }, { "what", "end" }, { "reason", error.what() } });
+        }
+        if (!owned->isEndStored)
+            co_await sleepFor(storeRetryPause);
+    }
+    co_return owned->isEndStored;
+}
+
+asio::awaitable<BatchOwner::Location> BatchOwner::locate(std::string job, std::vector<std::string> unreachable)
+{
+    while (locating_.contains(job))
+        co_await located_.wait(now() + storeRetryPause);
+    Location location;
+    if (const auto owned = jobs_.find(job); owned != jobs_.end()) {
+        location.owned = owned->second;
+        co_return location;
+    }
+    if (const auto archived = archived_.find(job); archived != archived_.end()) {
+        location.archived = &archived->second;
+        co_return location;
+    }
+    locating_.insert(job);
+    std::exception_ptr failure;
+    try {
+        location = co_await locateOnce(job, std::move(unreachable));
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    locating_.erase(job);
+    located_.notifyAll();
+    if (failure)
+        std::rethrow_exception(failure);
+    co_return location;
+}
+
+asio::awaitable<BatchOwner::Location> BatchOwner::locateOnce(std::string job, std::vector<std::string> unreachable)
+{
+    Location location;
+    const std::optional<StoredJob> stored = co_await store_.read(job);
+    if (!stored)
+        co_return location;
+    if (stored->record.isEnded) {
+        location.archived = co_await archive(*stored);
+        co_return location;
+    }
+    const std::string& owner = stored->record.owner;
+    const bool isOwnerReachable
+        = std::find(unreachable.begin(), unreachable.end(), owner) == unreachable.end() || others_.isAlive(owner);
+    if (owner != name_ && others_.isAlive(owner) && isOwnerReachable) {
+        location.owner = owner;
+        co_return location;
+    }
+    location.owned = co_await claimOnce(*stored);
+    if (location.owned)
+        co_return location;
+    // Somebody else was faster.
+    const std::optional<StoredJob> present = co_await store_.read(job);
+    if (present && present->record.owner != name_)
+        location.owner = present->record.owner;
+    if (!location.isKnown())
+        throw StoreUnavailableError("the owner of the job changes");
+    co_return location;
+}
+
+asio::awaitable<const BatchOwner::Archived*> BatchOwner::archive(StoredJob stored)
+{
+    Archived archived;
+    archived.items = stored.record.items;
+    archived.results = co_await store_.readResults(stored.id);
+    if (archived_.size() >= maxArchived)
+        archived_.erase(archived_.begin());
+    co_return &(archived_[stored.id] = std::move(archived));
+}
+
+asio::awaitable<OwnedJobPtr> BatchOwner::claim(StoredJob stored)
+{
+    if (jobs_.contains(stored.id) || locating_.contains(stored.id))
+        co_return nullptr;
+    locating_.insert(stored.id);
+    OwnedJobPtr owned;
+    std::exception_ptr failure;
+    try {
+        owned = co_await claimOnce(stored);
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    locating_.erase(stored.id);
+    located_.notifyAll();
+    if (failure)
+        std::rethrow_exception(failure);
+    co_return owned;
+}
+
+asio::awaitable<OwnedJobPtr> BatchOwner::claimOnce(StoredJob stored)
+{
+    JobRecord record = stored.record;
+    record.owner = name_;
+    const auto revision = co_await store_.replace(stored.id, record, stored.revision);
+    if (!revision)
+        co_return nullptr;
+    const std::string body = co_await store_.readBody(stored.id);
+    std::vector<BatchResult> results = co_await store_.readResults(stored.id);
+    BatchJobSpec spec = protocol_.decodeJob(stored.id, record.host, record.route, body);
+    const size_t listed = results.size();
+    const OwnedJobPtr owned = insert(std::move(spec), record, *revision, std::move(results));
+    owned->placeFrom = now() + ItemDispatcher::adoptionTime;
+    log(Event::BatchJobClaimed,
+        { { "job", stored.id }, { "from", stored.record.owner }, { "revision", std::to_string(*revision) },
+            { "listed", std::to_string(listed) }, { "items", std::to_string(record.items) } });
+    others_.announceOwner(*owned);
+    dispatcher_->onJob(owned);
+    co_return owned;
+}
+
+asio::awaitable<void> BatchOwner::adoptOrphans(bool isOwnOnly)
+{
+    const std::vector<StoredJob> all = co_await store_.readAll();
+    for (const StoredJob& stored : all) {
+        if (stored.record.isEnded || jobs_.contains(stored.id))
+            continue;
+        const bool isOwn = stored.record.owner == name_;
+        if (!isOwn && (isOwnOnly || others_.isAlive(stored.record.owner)))
+            continue;
+        const std::vector<std::string> heirs = rendezvousOwners(stored.record.route, others_.alive(), 1);
+        if (!isOwn && (heirs.empty() || heirs.front() != name_))
+            continue;
+        co_await claim(stored);
+    }
+}
+
+asio::awaitable<void> BatchOwner::removeExpired()
+{
+    const int64_t present = wallMs();
+    const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(resultLifetime_) + removalMargin;
+    const std::vector<StoredJob> all = co_await store_.readAll();
+    for (const StoredJob& stored : all) {
+        const bool isExpired = stored.record.isEnded && present > stored.record.submittedMs + lifetime.count();
+        if (!isExpired || stored.record.owner != name_)
+            continue;
+        co_await store_.remove(stored.id);
+        jobs_.erase(stored.id);
+        archived_.erase(stored.id);
+    }
+}
+
+void BatchOwner::onOwner(const wire::JobOwnerNotice& notice)
+{
+    const auto found = jobs_.find(notice.job);
+    if (found != jobs_.end() && notice.owner != name_ && notice.revision > found->second->job.revision())
+        lose(found->second, "taken over by " + notice.owner);
+}
+
+void BatchOwner::lose(const OwnedJobPtr& owned, const std::string& reason)
+{
+    if (owned->isLost)
+        return;
+    owned->isLost = true;
+    log(Event::BatchJobLost, { { "job", owned->id() }, { "reason", reason } });
+    jobs_.erase(owned->id());
+    owned->changed.notifyAll();
+}
+
+asio::awaitable<void> BatchOwner::runListing()
+{
+    while (true) {
+        co_await wake_.wait(now() + listingDelay * 2);
+        co_await sleepFor(listingDelay);
+        const JobTable jobs = jobs_;
+        for (const auto& [id, owned] : jobs) {
+            const bool isDue = !owned->isListing && !owned->job.isEnded() && !owned->job.listable(now()).empty();
+            if (isDue)
+                spawn(context_.get_executor(), [this, owned = owned] { return list(owned); });
+        }
+    }
+}
+
+asio::awaitable<void> BatchOwner::list(OwnedJobPtr owned)
+{
+    owned->isListing = true;
+    std::vector<BatchResult> results;
+    size_t bytes = 0;
+    for (size_t index : owned->job.listable(now())) {
+        const BatchResult& result = *owned->job.items()[index].result;
+        if (!results.empty() && bytes + result.text.size() > maxListedBytes)
+            break;
+        bytes += result.text.size();
+        results.push_back(result);
+    }
+    const size_t first = owned->job.listed().size();
+    // Until the outcome is known, the same results are tried at the same positions.
+    while (!owned->isLost && !owned->isEndStored) {
+        std::string reason;
+        try {
+            const AppendOutcome outcome
+                = co_await store_.append(owned->id(), owned->job.revision(), first, results);
+            if (outcome == AppendOutcome::OwnerChanged) {
+                // An end of this owner's own changes the record as well, and nothing is listed behind it.
+                if (!owned->job.isEnded())
+                    lose(owned, "the record has changed");
+                break;
+            }
+            owned->job.onListed(results);
+            log(Event::ResultsListed,
+                { { "job", owned->id() }, { "first", std::to_string(first) },
+                    { "results", std::to_string(results.size()) } });
+            owned->changed.notifyAll();
+            break;
+        } catch (const Error& error) {
+            reason = error.what();
+        }
+        log(Event::ListingDelayed, { { "job", owned->id() }, { "reason", reason } });
+        co_await sleepFor(storeRetryPause);
+    }
+    owned->isListing = false;
+    wake();
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/hosted/BatchOwner.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "io/hosted/ItemDispatcher.h"
+#include "io/hosted/JobStore.h"
+#include "io/hosted/OwnedJob.h"
+#include "io/hosted/Protocol.h"
+
+#include <endiveroad_types.h>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+/// Accepts, finds, takes over, lists and ends batch jobs. The owner record in the store decides who owns a job; nothing
+/// is told to callers before the store has it.
+namespace endiveroad::io {
+
+/// What a coordinator knows of the others.
+class CoordinatorView {
+public:
+    virtual ~CoordinatorView() = default;
+
+    /// True if the coordinator is connected and does not leave; true for this one.
+    virtual bool isAlive(const std::string& coordinator) const = 0;
+
+    /// Names of all that are alive, this one included unless it leaves.
+    virtual std::vector<std::string> alive() const = 0;
+
+    /// Tells entries, agents and coordinators that this one owns a job.
+    virtual void announceOwner(const OwnedJob&) = 0;
+};
+
+class BatchOwner {
+public:
+    /// Longest time for which a submission or an end waits for a store that does not take it.
+    static constexpr Duration storePatience = std::chrono::milliseconds(3000);
+
+    /// Hint to callers that were refused while the store was away.
+    static constexpr Duration retryAfter = std::chrono::milliseconds(1500);
+
+    /// Pause between two tries of a call to the store.
+    static constexpr Duration storeRetryPause = std::chrono::milliseconds(150);
+
+    /// Pause in which results of several items come together before they are listed.
+    static constexpr Duration listingDelay = std::chrono::milliseconds(120);
+
+    /// Ended jobs of others that are kept in memory for reading.
+    static constexpr size_t maxArchived = 64;
+
+    using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
+
+    BatchOwner(asio::io_context&, std::string name, const BatchProtocol&, MetadataStore&, CoordinatorView&,
+        DirectorySource, Duration resultLifetime);
+
+    void setDispatcher(ItemDispatcher& dispatcher) { dispatcher_ = &dispatcher; }
+
+    const JobTable& jobs() const { return jobs_; }
+
+    /// Owned jobs that have not ended.
+    size_t openJobs() const;
+
+    /// Carries an operation out. Does not throw: failures are answers.
+    asio::awaitable<wire::BatchAnswer> perform(wire::BatchCall, Instant deadline);
+
+    /// Lists what can be listed.
+    asio::awaitable<void> runListing();
+
+    /// Takes over open jobs whose owners are gone and that fall to this coordinator. With isOwnOnly only those that
+    /// an earlier process of this name owned.
+    asio::awaitable<void> adoptOrphans(bool isOwnOnly);
+
+    /// Removes jobs whose results need no longer be kept.
+    asio::awaitable<void> removeExpired();
+
+    /// Another coordinator says that it owns a job.
+    void onOwner(const wire::JobOwnerNotice&);
+
+    /// Something may have become listable.
+    void wake() { wake_.notifyAll(); }
+
+private:
+    struct Archived {
+        std::vector<BatchResult> results;
+        size_t items = 0;
+    };
+
+    /// Where a job was found.
+    struct Location {
+        OwnedJobPtr owned;
+        const Archived* archived = nullptr;
+        std::string owner;
+        bool isKnown() const { return owned || archived || !owner.empty(); }
+    };
+
+    asio::awaitable<wire::BatchAnswer> submit(const wire::BatchCall&, Instant deadline);
+    asio::awaitable<wire::BatchAnswer> read(const wire::BatchCall&, Instant deadline);
+    asio::awaitable<wire::BatchAnswer> readItem(const wire::BatchCall&, Instant deadline);
+    asio::awaitable<wire::BatchAnswer> endJob(const wire::BatchCall&, Instant deadline);
+
+    asio::awaitable<Location> locate(std::string job, std::vector<std::string> unreachable);
+    asio::awaitable<Location> locateOnce(std::string job, std::vector<std::string> unreachable);
+    asio::awaitable<OwnedJobPtr> claim(StoredJob);
+    asio::awaitable<OwnedJobPtr> claimOnce(StoredJob);
+    asio::awaitable<const Archived*> archive(StoredJob);
+    asio::awaitable<void> list(OwnedJobPtr);
+    asio::awaitable<bool> storeEnd(OwnedJobPtr, Instant deadline);
+    OwnedJobPtr insert(BatchJobSpec, JobRecord, int64_t revision, std::vector<BatchResult> listed);
+    void lose(const OwnedJobPtr&, const std::string& reason);
+    JobRecord newRecord(const BatchJobSpec&, const RouteDeclaration&) const;
+    BatchJobPolicy policyOf(const JobRecord&) const;
+
+    asio::io_context& context_;
+    std::string name_;
+    const BatchProtocol& protocol_;
+    JobStore store_;
+    CoordinatorView& others_;
+    DirectorySource directory_;
+    Duration resultLifetime_;
+    ItemDispatcher* dispatcher_ = nullptr;
+    Signal wake_;
+    JobTable jobs_;
+    std::map<std::string, Archived> archived_;
+    /// Jobs that are being taken over or looked up now.
+    std::set<std::string> locating_;
+    Signal located_;
+};
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/hosted/DirectoryKeeper.cpp
@@ -0,0 +1,258 @@
+#include "io/hosted/DirectoryKeeper.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/Tasks.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <endiveroad/Error.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace endiveroad::io {
+
+namespace {
+
+/// How often a process that does not read looks whether it has to.
+constexpr Duration electionInterval = std::chrono::milliseconds(100);
+
+/// Longest time between two successful calls of the operator's watch in which its view counts as fresh.
+constexpr Duration operatorFreshness = std::chrono::milliseconds(2500);
+
+wire::Document toWire(const Document& document)
+{
+    wire::Document encoded;
+    encoded.key = document.key;
+    encoded.revision = document.revision;
+    encoded.value = document.value;
+    encoded.isRemoved = document.isRemoved;
+    return encoded;
+}
+
+std::string summary(const Directory& directory)
+{
+    return fmt::format("configuration {}, servers {}, coordinators {}",
+        directory.routing ? directory.routing->version : 0, directory.servers.size(), directory.coordinators.size());
+}
+
+} // namespace
+
+DirectoryKeeper::DirectoryKeeper(const DirectoryProtocol& protocol, MetadataStore& store, DirectoryListener& listener,
+    std::optional<std::string> coordinator)
+    : protocol_(protocol)
+    , store_(store)
+    , listener_(listener)
+    , isCoordinator_(coordinator.has_value())
+    , election_(coordinator, now())
+    , ownName_(coordinator.value_or("self"))
+    , current_(std::make_shared<const Directory>())
+{
+}
+
+bool DirectoryKeeper::shouldRead()
+{
+    const bool should = election_.shouldRead(now());
+    if (should == isReading_)
+        return should;
+    isReading_ = should;
+    operatorAsOf_.reset();
+    log(Event::DirectoryReader, { { "reads", should ? "yes" : "no" } });
+    return should;
+}
+
+bool DirectoryKeeper::isFresh() const
+{
+    return election_.isCovered(now());
+}
+
+asio::awaitable<void> DirectoryKeeper::readServers()
+{
+    while (true) {
+        if (!shouldRead()) {
+            co_await sleepFor(electionInterval);
+            continue;
+        }
+        Duration pause = readInterval;
+        try {
+            co_await readServersOnce();
+            if (now() >= coordinatorsDueAt_)
+                co_await readCoordinatorsOnce();
+            onReadSucceeded();
+        } catch (const Error& error) {
+            onReadFailed("servers", error);
+            pause = pauseAfterFailure();
+        }
+        co_await sleepFor(pause);
+    }
+}
+
+asio::awaitable<void> DirectoryKeeper::followOperator()
+{
+    while (true) {
+        if (!shouldRead()) {
+            co_await sleepFor(electionInterval);
+            continue;
+        }
+        Duration pause = Duration::zero();
+        try {
+            co_await readOperatorOnce();
+            operatorFreshUntil_ = now() + operatorFreshness;
+        } catch (const HistoryLostError&) {
+            operatorAsOf_.reset();
+            pause = electionInterval;
+        } catch (const Error& error) {
+            onReadFailed("operator", error);
+            operatorAsOf_.reset();
+            pause = pauseAfterFailure();
+        }
+        if (pause > Duration::zero())
+            co_await sleepFor(pause);
+    }
+}
+
+asio::awaitable<void> DirectoryKeeper::readServersOnce()
+{
+    const std::string prefix = protocol_.serverPrefix();
+    const StoreListing listing = co_await store_.list(prefix, false, now() + callTimeout);
+    std::vector<Document> documents = listing.documents;
+    // Registrations that lapsed while the store was away come back within moments.
+    if (now() >= removalsFrom_) {
+        for (Document& missing : documents_.missingIn(prefix, listing.documents, listing.asOf))
+            documents.push_back(std::move(missing));
+    }
+    take(documents, true);
+}
+
+asio::awaitable<void> DirectoryKeeper::readCoordinatorsOnce()
+{
+    const StoreListing listing = co_await store_.list(coordinatorPrefix, true, now() + callTimeout);
+    std::vector<Document> documents = listing.documents;
+    for (Document& missing : documents_.missingIn(coordinatorPrefix, listing.documents, listing.asOf))
+        documents.push_back(std::move(missing));
+    take(documents, true);
+    coordinatorsDueAt_ = now() + coordinatorInterval;
+}
+
+asio::awaitable<void> DirectoryKeeper::readOperatorOnce()
+{
+    const std::string prefix = protocol_.operatorPrefix();
+    if (operatorAsOf_) {
+        const Instant deadline = now() + callTimeout + std::chrono::duration_cast<Duration>(watchTime);
+        const StoreChanges changes = co_await store_.watch(prefix, *operatorAsOf_, watchTime, deadline);
+        // An empty answer does not move the revision: a watch that has gone deaf is then found by its lost history.
+        for (const Document& document : changes.documents)
+            operatorAsOf_ = std::max(*operatorAsOf_, document.revision);
+        take(changes.documents, false);
+        co_return;
+    }
+    const StoreListing listing = co_await store_.list(prefix, false, now() + callTimeout);
+    std::vector<Document> documents = listing.documents;
+    for (Document& missing : documents_.missingIn(prefix, listing.documents, listing.asOf))
+        documents.push_back(std::move(missing));
+    operatorAsOf_ = listing.asOf;
+    take(documents, false);
+}
+
+void DirectoryKeeper::onReadSucceeded()
+{
+    if (!isStoreAway_)
+        return;
+    isStoreAway_ = false;
+    removalsFrom_ = now() + returnGrace;
+    log(Event::StoreAvailable);
+}
+
+void DirectoryKeeper::onReadFailed(const char* what, const Error& error)
+{
+    if (!isStoreAway_)
+        log(Event::StoreUnavailable, { { "reading", what }, { "reason", error.what() } });
+    isStoreAway_ = true;
+    removalsFrom_ = never;
+}
+
+void DirectoryKeeper::onUpdate(const std::string& peer, const std::string& payload)
+{
+    const auto update = wire::decode<wire::DirectoryUpdate>(payload);
+    if (update.isFresh)
+        election_.onFresh(peer, now());
+    std::vector<Document> documents;
+    for (const wire::Document& document : update.documents)
+        documents.push_back({ document.key, document.revision, document.value, document.isRemoved });
+    take(documents, false);
+}
+
+std::string DirectoryKeeper::everything() const
+{
+    wire::DirectoryUpdate update;
+    for (const auto& [key, document] : documents_.all())
+        update.documents.push_back(toWire(document));
+    return wire::encode(update);
+}
+
+void DirectoryKeeper::take(const std::vector<Document>& documents, bool isFresh)
+{
+    wire::DirectoryUpdate update;
+    for (const Document& document : documents) {
+        const auto known = documents_.all().find(document.key);
+        const bool isNews = known == documents_.all().end() || !protocol_.isSame(known->second, document);
+        if (documents_.merge(document) && isNews)
+            update.documents.push_back(toWire(document));
+    }
+    if (isFresh)
+        election_.onFresh(ownName_, now());
+    update.isFresh = isFresh && (operatorFreshUntil_ > now() || !operatorAsOf_);
+    const bool isChanged = !update.documents.empty();
+    if (isChanged || update.isFresh)
+        listener_.publish(wire::encode(update));
+    if (isChanged)
+        rebuild();
+}
+
+void DirectoryKeeper::rebuild()
+{
+    std::vector<std::string> unreadable;
+    Directory directory = protocol_.decode(documents_, unreadable);
+    decodeCoordinators(directory);
+    for (const std::string& entry : unreadable) {
+        if (std::find(unreadable_.begin(), unreadable_.end(), entry) == unreadable_.end())
+            log(Event::DirectoryUnreadable, { { "entry", entry } });
+    }
+    unreadable_ = std::move(unreadable);
+    // A configuration that cannot be read leaves the one before in force.
+    if (!directory.routing)
+        directory.routing = current_->routing;
+    const auto before = current_;
+    current_ = std::make_shared<const Directory>(std::move(directory));
+    if (*before == *current_)
+        return;
+    log(Event::DirectoryChanged, { { "state", summary(*current_) } });
+    listener_.onDirectory(before, current_);
+}
+
+void DirectoryKeeper::decodeCoordinators(Directory& directory) const
+{
+    for (const Document* document : documents_.find(coordinatorPrefix)) {
+        const auto object = nlohmann::json::parse(document->value, nullptr, false);
+        if (!object.is_object())
+            continue;
+        CoordinatorRecord record;
+        record.name = document->key.substr(std::string_view(coordinatorPrefix).size());
+        record.failureDomain = object.value("failureDomain", "");
+        try {
+            record.peer = Address::parse(object.value("peer", ""));
+        } catch (const Error&) {
+            // Only coordinators of this system write here; an address of another form is of a later version.
+            continue;
+        }
+        std::string name = record.name;
+        directory.coordinators.emplace(std::move(name), std::move(record));
+    }
+}
+
+std::string DirectoryKeeper::encodeCoordinator(const CoordinatorRecord& record)
+{
+    return nlohmann::json { { "peer", record.peer.text() }, { "failureDomain", record.failureDomain } }.dump();
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/hosted/EngineGuard.cpp
@@ -0,0 +1,206 @@
+#include "io/hosted/EngineGuard.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/Tasks.h"
+
+#include <endiveroad/Error.h>
+#include <fmt/format.h>
+
+namespace endiveroad::io {
+
+namespace {
+
+/// Where an agent writes at its start to get a fencing token that is higher than all before.
+std::string fenceKey(const std::string& agent)
+{
+    return "endiveroad/agents/" + agent;
+}
+
+constexpr Duration storeTimeout = std::chrono::milliseconds(1500);
+constexpr Duration retryPause = std::chrono::milliseconds(150);
+
+std::string outcomeName(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        return "accepted";
+    case OrderOutcome::AlreadyHolds:
+        return "already holds";
+    case OrderOutcome::Busy:
+        return "busy";
+    case OrderOutcome::Fenced:
+        return "fenced";
+    case OrderOutcome::Refused:
+        return "refused";
+    }
+    return {};
+}
+
+} // namespace
+
+EngineGuard::EngineGuard(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
+    MetadataStore& store, Address replica, std::string name, OnChange onChange)
+    : context_(context)
+    , http_(http)
+    , protocol_(protocol)
+    , store_(store)
+    , replica_(std::move(replica))
+    , name_(std::move(name))
+    , onChange_(std::move(onChange))
+    , wake_(context)
+{
+}
+
+asio::awaitable<void> EngineGuard::follow()
+{
+    while (true) {
+        const bool isAnswered = co_await query();
+        Duration pause = isAnswered ? restInterval : silentInterval;
+        if (!loadingModel_.empty())
+            pause = loadingInterval;
+        co_await wake_.wait(now() + pause);
+    }
+}
+
+void EngineGuard::setServer(std::string id)
+{
+    if (id == server_)
+        return;
+    server_ = std::move(id);
+    wake_.notifyAll();
+    onChange_();
+}
+
+void EngineGuard::suspect()
+{
+    wake_.notifyAll();
+}
+
+int64_t EngineGuard::version(const std::string& model) const
+{
+    const auto found = state_.versions.find(model);
+    return found == state_.versions.end() ? 0 : found->second;
+}
+
+void EngineGuard::onVersionSeen(const std::string& model, int64_t version)
+{
+    int64_t& known = state_.versions[model];
+    if (known == version)
+        return;
+    known = version;
+    onChange_();
+}
+
+asio::awaitable<bool> EngineGuard::query()
+{
+    bool isAnswered = false;
+    try {
+        HttpRequest request = protocol_.encodeStateQuery();
+        request.connectDeadline = now() + queryTimeout / 2;
+        const HttpResponse response = co_await http_.request(replica_, std::move(request), now() + queryTimeout);
+        if (response.status == 200) {
+            EngineState state = protocol_.decodeState(response.body);
+            isAnswered = true;
+            const bool isChanged = state.versions != state_.versions;
+            state_ = std::move(state);
+            if (isChanged)
+                onChange_();
+        }
+    } catch (const Error& error) {
+        if (isUp_)
+            log(Event::ServerDown, { { "server", server_ }, { "reason", error.what() } });
+    }
+    if (isAnswered != isUp_) {
+        isUp_ = isAnswered;
+        if (isUp_)
+            log(Event::ServerUp, { { "server", server_ } });
+        onChange_();
+    }
+    co_return isAnswered;
+}
+
+void EngineGuard::load(const std::string& model, int64_t version)
+{
+    if (!loadingModel_.empty() || this->version(model) >= version)
+        return;
+    loadingModel_ = model;
+    onChange_();
+    spawn(context_.get_executor(), [this, model, version] { return carryOut(model, version); });
+}
+
+asio::awaitable<void> EngineGuard::obtainFence()
+{
+    StoreTransaction transaction;
+    transaction.puts.push_back({ fenceKey(name_), "{}", 0 });
+    const CommitResult result = co_await store_.commit(std::move(transaction), now() + storeTimeout);
+    fence_ = result.revision;
+}
+
+asio::awaitable<OrderOutcome> EngineGuard::order(const std::string& model, int64_t version)
+{
+    WeightOrder order;
+    order.model = model;
+    order.version = version;
+    order.holder = name_;
+    order.fence = fence_;
+    order.expectedOrders = state_.orders;
+    order.server = server_;
+    HttpRequest request = protocol_.encodeOrder(order);
+    request.connectDeadline = now() + queryTimeout / 2;
+    const HttpResponse response = co_await http_.request(replica_, std::move(request), now() + orderTimeout);
+    co_return protocol_.decodeOrderOutcome(response);
+}
+
+asio::awaitable<void> EngineGuard::carryOut(std::string model, int64_t version)
+{
+    const Instant deadline = now() + loadTimeout;
+    const Instant startedAt = now();
+    Instant orderAgainAt = now();
+    std::string reason = "timed out";
+    while (now() < deadline && this->version(model) < version) {
+        bool isPauseDue = true;
+        try {
+            if (fence_ == 0)
+                co_await obtainFence();
+            co_await query();
+            const bool mayOrder = this->version(model) < version && !state_.isLoading && now() >= orderAgainAt;
+            if (mayOrder) {
+                orderAgainAt = now() + orderTimeout;
+                const OrderOutcome outcome = co_await order(model, version);
+                log(Event::WeightLoadOrdered,
+                    { { "model", model }, { "version", std::to_string(version) }, { "server", server_ },
+                        { "fence", std::to_string(fence_) }, { "expectedOrders", std::to_string(state_.orders) },
+                        { "outcome", outcomeName(outcome) } });
+                if (outcome == OrderOutcome::Refused || outcome == OrderOutcome::Fenced) {
+                    reason = outcomeName(outcome);
+                    break;
+                }
+                isPauseDue = outcome != OrderOutcome::AlreadyHolds;
+            }
+        } catch (const Error& error) {
+            // The order may be carried out late; the next one is given only if the count of orders has not moved.
+            log(Event::WeightLoadFailed,
+                { { "model", model }, { "version", std::to_string(version) }, { "server", server_ },
+                    { "reason", error.what() }, { "final", "no" } });
+        }
+        if (isPauseDue)
+            co_await sleepFor(loadingInterval);
+    }
+    const bool isLoaded = this->version(model) >= version;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt).count();
+    if (isLoaded)
+        log(Event::WeightLoadDone,
+            { { "model", model }, { "version", std::to_string(version) }, { "server", server_ },
+                { "ms", std::to_string(elapsed) } });
+    else
+        log(Event::WeightLoadFailed,
+            { { "model", model }, { "version", std::to_string(version) }, { "server", server_ }, { "reason", reason },
+                { "final", "yes" } });
+    if (!isLoaded)
+        co_await sleepFor(retryPause);
+    loadingModel_.clear();
+    onChange_();
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -0,0 +1,264 @@
+#include "io/hosted/HostedCoordinator.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/Tasks.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <endiveroad/Error.h>
+
+namespace endiveroad::io {
+
+namespace {
+
+/// How often coroutines that wait for a moment look whether it has come.
+constexpr Duration pollInterval = std::chrono::milliseconds(100);
+
+/// Pause after a failed call to the store.
+constexpr Duration retryPause = std::chrono::milliseconds(400);
+
+/// Time for which a retiring VM may report by itself that it is empty.
+constexpr Duration retirementGrace = std::chrono::milliseconds(2500);
+
+} // namespace
+
+HostedCoordinator::HostedCoordinator(std::unique_ptr<Platform> platform, HostedOptions options)
+    : HostedNode(std::move(platform), HostedRole::Coordinator, options)
+    , services_(
+          context(), http(), this->platform().replicas(), [this] { return directory(); },
+          static_cast<uint64_t>(wallMs()) ^ std::hash<std::string>()(settings().name))
+    , owner_(context(), settings().name, this->platform().batches(), store(), *this, [this] { return directory(); },
+          settings().resultLifetime)
+    , scorer_(context(), services_, [this] { return directory(); }, [this](const OwnedJobPtr&) { owner_.wake(); })
+    , dispatcher_(context(), owner_.jobs(), *this, scorer_, [this] { return directory(); })
+    , scanAt_(startedAt() + startGrace)
+{
+    owner_.setDispatcher(dispatcher_);
+}
+
+void HostedCoordinator::start()
+{
+    const auto executor = context().get_executor();
+    spawn(executor, [this] { return keepRegistered(); });
+    spawn(executor, [this] { return takeOver(); });
+    spawn(executor, [this] { return dispatcher_.run(); });
+    spawn(executor, [this] { return owner_.runListing(); });
+    spawn(executor, [this] { return reportRetirements(); });
+}
+
+bool HostedCoordinator::isAlive(const std::string& coordinator) const
+{
+    if (coordinator == settings().name)
+        return true;
+    return peer(coordinator) && !isLeaving(coordinator);
+}
+
+std::vector<std::string> HostedCoordinator::alive() const
+{
+    std::vector<std::string> names = peersOf(HostedRole::Coordinator);
+    if (!isDraining() && !isRetiring())
+        names.push_back(settings().name);
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+PeerConnectionPtr HostedCoordinator::agent(const std::string& name) const
+{
+    return isLeaving(name) ? nullptr : peer(name);
+}
+
+void HostedCoordinator::announceOwner(const OwnedJob& owned)
+{
+    for (HostedRole role : { HostedRole::Entry, HostedRole::Agent, HostedRole::Coordinator }) {
+        for (const PeerConnectionPtr& connection : connectionsOf(role))
+            announceOwnerTo(owned, connection);
+    }
+}
+
+void HostedCoordinator::announceOwnerTo(const OwnedJob& owned, const PeerConnectionPtr& connection)
+{
+    wire::JobOwnerNotice notice;
+    notice.job = owned.id();
+    notice.revision = owned.job.revision();
+    notice.owner = settings().name;
+    connection->notify(MessageType::JobOwner, wire::encode(notice));
+}
+
+asio::awaitable<void> HostedCoordinator::registerOnce()
+{
+    if (lease_ != 0 && !co_await store().renewLease(lease_, now() + storeTimeout))
+        lease_ = 0;
+    const auto present = directory();
+    const auto known = present->coordinators.find(settings().name);
+    const bool isRegistered
+        = lease_ != 0 && known != present->coordinators.end() && known->second.peer == settings().peers;
+    if (isRegistered)
+        co_return;
+    if (lease_ == 0)
+        lease_ = co_await store().grantLease(leaseLifetime, now() + storeTimeout);
+    CoordinatorRecord record { settings().name, settings().peers, settings().failureDomain };
+    StoreTransaction transaction;
+    transaction.puts.push_back({ DirectoryKeeper::coordinatorPrefix + settings().name,
+        DirectoryKeeper::encodeCoordinator(record), lease_ });
+    co_await store().commit(std::move(transaction), now() + storeTimeout);
+}
+
+asio::awaitable<void> HostedCoordinator::keepRegistered()
+{
+    while (!isDraining()) {
+        Duration pause = renewInterval;
+        try {
+            co_await registerOnce();
+        } catch (const Error& error) {
+            log(Event::StoreUnavailable, { { "calling", "registration" }, { "reason", error.what() } });
+            pause = retryPause;
+        }
+        co_await sleepFor(pause);
+    }
+}
+
+asio::awaitable<void> HostedCoordinator::takeOver()
+{
+    bool isOwnRestored = false;
+    Instant removeAt = now() + calmScanInterval;
+    while (!isDraining()) {
+        const bool isOthersDue = now() >= scanAt_;
+        if (isOwnRestored && !isOthersDue) {
+            co_await sleepFor(pollInterval);
+            continue;
+        }
+        Duration pause = Duration::zero();
+        try {
+            scanAt_ = isOthersDue ? now() + calmScanInterval : scanAt_;
+            co_await owner_.adoptOrphans(!isOthersDue);
+            isOwnRestored = true;
+            if (now() >= removeAt && isOthersDue) {
+                removeAt = now() + calmScanInterval;
+                co_await owner_.removeExpired();
+            }
+        } catch (const Error& error) {
+            log(Event::StoreUnavailable, { { "calling", "take-over" }, { "reason", error.what() } });
+            scanAt_ = isOthersDue ? now() : scanAt_;
+            pause = retryPause;
+        }
+        co_await sleepFor(std::max(pause, pollInterval));
+    }
+}
+
+asio::awaitable<void> HostedCoordinator::reportRetirements()
+{
+    std::map<std::string, Instant> seenAt;
+    while (true) {
+        co_await sleepFor(pollInterval);
+        const auto present = directory();
+        for (const std::string& vm : present->retiring) {
+            if (retirementsReported_.contains(vm))
+                continue;
+            const Instant first = seenAt.try_emplace(vm, now()).first->second;
+            const bool isOwn = vm == settings().name;
+            const bool isEmpty = isOwn && owner_.openJobs() == 0;
+            const bool isLate = now() > first + retirementGrace;
+            const std::vector<std::string> reporters = alive();
+            const bool isSubstitute = !isOwn && isLate && !reporters.empty() && reporters.front() == settings().name;
+            if (isEmpty || (isOwn && isLate) || isSubstitute)
+                co_await reportRetirement(vm);
+        }
+    }
+}
+
+asio::awaitable<void> HostedCoordinator::reportRetirement(std::string vm)
+{
+    try {
+        StoreTransaction transaction;
+        transaction.puts.push_back(platform().directory().retirementDone(vm));
+        co_await store().commit(std::move(transaction), now() + storeTimeout);
+        retirementsReported_.insert(vm);
+        log(Event::RetirementDone, { { "vm", vm } });
+    } catch (const Error& error) {
+        log(Event::StoreUnavailable, { { "calling", "retirement" }, { "reason", error.what() } });
+    }
+}
+
+void HostedCoordinator::onDirectoryChanged(const Directory& before, const Directory& present)
+{
+    services_.onDirectory(present);
+    for (const auto& [model, version] : present.namedVersions) {
+        if (before.namedVersion(model) != version)
+            dispatcher_.onVersionNamed(model);
+    }
+    if (before.retiring != present.retiring && isRetiring())
+        announceLeaving();
+    dispatcher_.wake();
+}
+
+asio::awaitable<std::string> HostedCoordinator::onNodeRequest(PeerConnectionPtr connection, PeerMessage message)
+{
+    if (message.type != MessageType::BatchCall)
+        co_return co_await HostedNode::onNodeRequest(connection, std::move(message));
+    auto call = wire::decode<wire::BatchCall>(message.payload);
+    const wire::BatchAnswer answer = co_await owner_.perform(std::move(call), message.deadline);
+    co_return wire::encode(answer);
+}
+
+void HostedCoordinator::onNodeNotice(const PeerConnectionPtr& connection, const PeerMessage& message)
+{
+    switch (message.type) {
+    case MessageType::ReplicaReport:
+        dispatcher_.onReport(connection->peerName, wire::decode<wire::ReplicaReport>(message.payload));
+        break;
+    case MessageType::ItemProgress:
+        dispatcher_.onProgress(connection, wire::decode<wire::ItemProgressNotice>(message.payload));
+        owner_.wake();
+        break;
+    case MessageType::JobOwner:
+        owner_.onOwner(wire::decode<wire::JobOwnerNotice>(message.payload));
+        break;
+    default:
+        break;
+    }
+}
+
+void HostedCoordinator::onPeerUp(const PeerConnectionPtr& connection)
+{
+    const std::vector<std::string> agentNames = peersOf(HostedRole::Agent);
+    const bool isAgent = std::find(agentNames.begin(), agentNames.end(), connection->peerName) != agentNames.end();
+    if (isAgent)
+        dispatcher_.onAgentUp(connection);
+    else
+        for (const auto& [id, owned] : owner_.jobs())
+            announceOwnerTo(*owned, connection);
+}
+
+void HostedCoordinator::onPeerDown(const std::string& name)
+{
+    dispatcher_.onAgentDown(name);
+    if (now() > startedAt() + startGrace)
+        scanAt_ = std::min(scanAt_, now() + lossGrace);
+}
+
+std::vector<Gauge> HostedCoordinator::gauges() const
+{
+    return { { "endiveroad_owned_jobs", "", "Batch jobs that this coordinator owns.",
+                 static_cast<double>(owner_.jobs().size()) },
+        { "endiveroad_open_jobs", "", "Those of them that have not ended.", static_cast<double>(owner_.openJobs()) },
+        { "endiveroad_known_replicas", "", "Replicas whose agents have reported.",
+            static_cast<double>(dispatcher_.replicas()) } };
+}
+
+asio::awaitable<void> HostedCoordinator::drain()
+{
+    announceLeaving();
+    const Instant end = now() + handoverTime;
+    while (now() < end && owner_.openJobs() > 0)
+        co_await sleepFor(pollInterval / 4);
+    try {
+        if (lease_ != 0)
+            co_await store().endLease(lease_, now() + handoverTime);
+    } catch (const Error& error) {
+        // The registration ends with its lease all the same, some seconds later.
+        log(Event::StoreUnavailable, { { "calling", "registration" }, { "reason", error.what() } });
+    }
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/hosted/HostedEntry.cpp
@@ -0,0 +1,261 @@
+#include "io/hosted/HostedEntry.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/ProcessMetrics.h"
+#include "io/Tasks.h"
+#include "io/hosted/Forwarding.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <endiveroad/Error.h>
+#include <fmt/format.h>
+
+namespace endiveroad::io {
+
+namespace {
+
+/// Longest wait for results that a caller may ask for.
+constexpr std::chrono::milliseconds maxReadWait { 5000 };
+
+wire::BatchOperation::type toWire(CallerOperation operation)
+{
+    switch (operation) {
+    case CallerOperation::ReadJob:
+        return wire::BatchOperation::Read;
+    case CallerOperation::ReadItem:
+        return wire::BatchOperation::ReadItem;
+    case CallerOperation::EndJob:
+        return wire::BatchOperation::Cancel;
+    case CallerOperation::Call:
+        break;
+    }
+    return wire::BatchOperation::Submit;
+}
+
+wire::BatchCall toBatchCall(const CallerRequest& request)
+{
+    wire::BatchCall call;
+    call.operation = toWire(request.operation);
+    call.job = request.job;
+    call.host = request.host;
+    call.firstPosition = request.firstPosition;
+    call.item = request.item;
+    call.waitMs = static_cast<int32_t>(std::min(request.wait, maxReadWait).count());
+    return call;
+}
+
+wire::BatchCall toSubmission(const CallerRequest& request, const RouteDeclaration& route, const HttpQuery& query)
+{
+    wire::BatchCall call;
+    call.operation = wire::BatchOperation::Submit;
+    call.job = request.id;
+    call.host = request.host;
+    call.route = route.name;
+    call.body = query.body;
+    return call;
+}
+
+} // namespace
+
+class HostedEntry::Readiness : public io::HttpHandler {
+public:
+    explicit Readiness(HostedEntry& entry)
+        : entry_(entry)
+    {
+    }
+
+    asio::awaitable<void> onHttp(HttpExchange& exchange) override
+    {
+        const bool isReady = entry_.isReady();
+        if (isReady != entry_.wasReady_)
+            log(Event::ReadinessChanged, { { "ready", isReady ? "yes" : "no" } });
+        entry_.wasReady_ = isReady;
+        HttpResponse response;
+        response.status = isReady ? 200 : 503;
+        co_await exchange.answer(std::move(response));
+    }
+
+private:
+    HostedEntry& entry_;
+};
+
+class HostedEntry::Callers : public io::HttpHandler {
+public:
+    explicit Callers(HostedEntry& entry)
+        : entry_(entry)
+    {
+    }
+
+    asio::awaitable<void> onHttp(HttpExchange& exchange) override { return entry_.serve(exchange); }
+
+private:
+    HostedEntry& entry_;
+};
+
+HostedEntry::HostedEntry(std::unique_ptr<Platform> platform, HostedOptions options)
+    : HostedNode(std::move(platform), HostedRole::Entry, options)
+    , readiness_(std::make_unique<Readiness>(*this))
+    , callers_(std::make_unique<Callers>(*this))
+    , services_(
+          context(), http(), this->platform().replicas(), [this] { return directory(); },
+          static_cast<uint64_t>(wallMs()) ^ std::hash<std::string>()(settings().name))
+    , gateway_(*this)
+{
+}
+
+void HostedEntry::start()
+{
+    if (!settings().callers || !settings().readiness)
+        throw SettingsInvalidError("an entry needs an address for callers and one for the question of readiness");
+    readinessServer_ = std::make_unique<HttpServer>(*readiness_);
+    readinessServer_->start(context(), *settings().readiness);
+    callerServer_ = std::make_unique<HttpServer>(*callers_);
+    callerServer_->start(context(), *settings().callers);
+}
+
+bool HostedEntry::isReady() const
+{
+    return !isDraining() && directory()->routing && !coordinators().empty();
+}
+
+void HostedEntry::onDirectoryChanged(const Directory& before, const Directory& present)
+{
+    services_.onDirectory(present);
+    if (!present.routing || (before.routing && before.routing->limits == present.routing->limits))
+        return;
+    const CallerLimits& limits = present.routing->limits;
+    HttpTimeouts timeouts;
+    timeouts.request = limits.headerTimeout;
+    timeouts.idle = limits.idleTimeout;
+    callerServer_->setLimits({ limits.maxHeaderBytes, limits.maxBodyBytes }, timeouts);
+}
+
+void HostedEntry::onNodeNotice(const PeerConnectionPtr&, const PeerMessage& message)
+{
+    if (message.type != MessageType::JobOwner)
+        return;
+    const auto notice = wire::decode<wire::JobOwnerNotice>(message.payload);
+    gateway_.onOwner(notice.job, notice.owner);
+}
+
+asio::awaitable<void> HostedEntry::serve(HttpExchange& exchange)
+{
+    const Instant arrival = now();
+    const HttpQuery& query = exchange.query();
+    auto cancellation = std::make_shared<PeerCancellation>();
+    exchange.onDisconnect([cancellation] { cancellation->cancel(); });
+    CallerRequest request;
+    HttpResponse response;
+    try {
+        request = platform().callers().decode(query);
+        const auto present = directory();
+        if (!present->routing)
+            throw NotReadyError("the process has no configuration yet");
+        const RouteDeclaration* matched = present->routing->match(request.host, request.path);
+        const bool isJobOperation
+            = request.operation != CallerOperation::Call && !matched && present->routing->hasBatchJobs(request.host);
+        if (!matched && !isJobOperation)
+            throw RouteUnknownError(fmt::format("no route for {}{}", request.host, request.path));
+        const RouteDeclaration route = matched ? *matched : RouteDeclaration();
+        const Duration patience = std::min(request.patience.value_or(route.timeout), route.timeout);
+        const Instant deadline = arrival + patience - answerMargin;
+        if (isJobOperation) {
+            response = co_await serveBatch(toBatchCall(request), deadline, cancellation);
+        } else if (request.id.empty()) {
+            throw BadRequestError("the request has no id");
+        } else if (route.kind == TrafficKind::BatchJobs) {
+            response = co_await serveBatch(toSubmission(request, route, query), deadline, cancellation);
+        } else {
+            response = co_await serveCall(query, request, route, deadline, cancellation);
+        }
+    } catch (const Error& error) {
+        const bool mayReturn = error.code() == ErrorCode::NotReady || error.code() == ErrorCode::NotRun;
+        response = refuse(request, error, mayReturn ? retryAfter : Duration::zero());
+    }
+    processMetrics().count(Counter::ServiceCalls);
+    processMetrics().record(Latency::ServiceCall, now() - arrival, now());
+    co_await exchange.answer(std::move(response));
+}
+
+HttpResponse HostedEntry::refuse(const CallerRequest& request, const Error& error, Duration hint)
+{
+    processMetrics().count(error.code());
+    log(Event::CallGivenUp,
+        { { "request", request.id.empty() ? request.job : request.id }, { "target", request.host + request.path },
+            { "code", std::string(codeText(error.code())) }, { "reason", error.what() },
+            { "configuration", std::to_string(directory()->routing ? directory()->routing->version : 0) } });
+    return platform().callers().encodeError(error, hint);
+}
+
+asio::awaitable<HttpResponse> HostedEntry::serveCall(const HttpQuery& query, const CallerRequest& request,
+    const RouteDeclaration& route, Instant deadline, PeerCancellationPtr cancellation)
+{
+    const Instant startedAt = now();
+    ReplicaRequest forwarded;
+    forwarded.method = query.method;
+    forwarded.target = query.target;
+    forwarded.headers = forwardedHeaders(query.headers);
+    forwarded.body = query.body;
+    forwarded.id = request.id;
+    ServiceResult result = co_await services_.call(route, std::move(forwarded), deadline, cancellation);
+    if (result.response) {
+        log(Event::CallAnswered,
+            { { "request", request.id }, { "route", route.name }, { "status", std::to_string(result.response->status) },
+                { "attempts", std::to_string(result.attempts) },
+                { "ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt).count()) } });
+        HttpResponse response;
+        response.status = result.response->status;
+        response.headers = forwardedHeaders(result.response->headers);
+        response.body = std::move(result.response->body);
+        co_return response;
+    }
+    if (!result.mayHaveRun)
+        throw NotRunError(result.reason.empty() ? "no server of the route is ready" : result.reason);
+    if (now() >= deadline)
+        throw DeadlineUnknownError(result.reason.empty() ? "the time ran out" : result.reason);
+    throw OutcomeUnknownError(result.reason);
+}
+
+asio::awaitable<HttpResponse> HostedEntry::serveBatch(
+    wire::BatchCall call, Instant deadline, PeerCancellationPtr cancellation)
+{
+    const std::string job = call.job;
+    BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
+    if (!outcome.answer) {
+        if (outcome.isInDoubt)
+            throw OutcomeUnknownError(outcome.reason);
+        throw NotRunError(outcome.reason);
+    }
+    HttpResponse response;
+    response.status = outcome.answer->status;
+    response.body = std::move(outcome.answer->body);
+    const bool isError = response.status >= 400;
+    if (isError) {
+        const ErrorCode code = codeFromText(response.body);
+        const Error error(code, fmt::format("batch job {}", job));
+        co_return platform().callers().encodeError(error, std::chrono::milliseconds(outcome.answer->retryAfterMs));
+    }
+    response.headers.emplace_back("Content-Type", "application/json");
+    co_return response;
+}
+
+std::vector<Gauge> HostedEntry::gauges() const
+{
+    return { { "endiveroad_ready", "", "1 while the process wants callers.", isReady() ? 1.0 : 0.0 },
+        { "endiveroad_in_flight", "", "Callers' requests under way.", static_cast<double>(callerServer_->inFlight()) },
+        { "endiveroad_caller_connections", "", "Open connections of callers.",
+            static_cast<double>(callerServer_->connections()) } };
+}
+
+asio::awaitable<void> HostedEntry::drain()
+{
+    const Instant end = now() + settings().graceTime - graceMargin;
+    callerServer_->startDraining();
+    co_await sleepFor(lingerTime);
+    callerServer_->stopAccepting();
+    while (callerServer_->connections() > 0 && now() < end)
+        co_await sleepFor(std::chrono::milliseconds(20));
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/hosted/HostedNode.cpp
@@ -0,0 +1,313 @@
+#include "io/hosted/HostedNode.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/ProcessMetrics.h"
+#include "io/Tasks.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <endiveroad/Error.h>
+#include <endiveroad_types.h>
+#include <fmt/format.h>
+
+namespace endiveroad::io {
+
+namespace {
+
+/// Time for the last answers to reach the network before the process ends.
+constexpr Duration answerFlushTime = std::chrono::milliseconds(50);
+
+std::string roleName(HostedRole role)
+{
+    switch (role) {
+    case HostedRole::Entry:
+        return "entry";
+    case HostedRole::Agent:
+        return "agent";
+    case HostedRole::Coordinator:
+        return "coordinator";
+    }
+    return {};
+}
+
+HostedRole roleOf(const std::string& name)
+{
+    if (name == "coordinator")
+        return HostedRole::Coordinator;
+    return name == "agent" ? HostedRole::Agent : HostedRole::Entry;
+}
+
+std::optional<std::string> coordinatorName(HostedRole role, const HostedSettings& settings)
+{
+    if (role != HostedRole::Coordinator)
+        return std::nullopt;
+    return settings.name;
+}
+
+} // namespace
+
+HostedNode::HostedNode(std::unique_ptr<Platform> platform, HostedRole role, HostedOptions options)
+    : platform_(std::move(platform))
+    , role_(role)
+    , options_(options)
+    , settings_(platform_->readSettings())
+    , startedAt_(now())
+    , incarnation_(wallMs())
+    , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+    , directStore_(http_, settings_.store)
+    , relayedStore_(directStore_, [this] { return relays(); })
+    , store_(platform_->makeStore(relayedStore_))
+    , keeper_(std::make_unique<DirectoryKeeper>(
+          platform_->directory(), *store_, static_cast<DirectoryListener&>(*this), coordinatorName(role, settings_)))
+    , mesh_(context_, *this, [this](const std::string&, const PeerConnectionPtr& connection) { sendHello(connection); })
+{
+}
+
+HostedNode::~HostedNode() = default;
+
+void HostedNode::run()
+{
+    Log::instance().configure(LogFormat::Json, LogLevel::Info, settings_.name);
+    Log::instance().neverBlock();
+    log(Event::ProcessStarted,
+        { { "role", roleName(role_) }, { "incarnation", std::to_string(incarnation_) },
+            { "failureDomain", settings_.failureDomain } });
+    waitForSignal();
+    listenForPeers();
+    if (options_.metricsPort) {
+        metricsServer_ = std::make_unique<HttpServer>(static_cast<HttpHandler&>(*this));
+        metricsServer_->start(context_, { settings_.host, *options_.metricsPort });
+    }
+    connectToCoordinators();
+    spawn(context_.get_executor(), [this] { return keeper_->readServers(); });
+    spawn(context_.get_executor(), [this] { return keeper_->followOperator(); });
+    start();
+    context_.run();
+    log(Event::ProcessStopped);
+}
+
+void HostedNode::waitForSignal()
+{
+    signals_.async_wait([this](boost::system::error_code error, int number) {
+        if (error)
+            return;
+        waitForSignal();
+        if (number == SIGHUP)
+            return reloadSettings();
+        if (isDraining_)
+            return;
+        isDraining_ = true;
+        log(Event::ProcessStopping);
+        spawn(context_.get_executor(), [this] { return stopGracefully(); });
+    });
+}
+
+void HostedNode::reloadSettings()
+{
+    try {
+        HostedSettings settings = platform_->readSettings();
+        settings_.seeds = settings.seeds;
+        settings_.store = settings.store;
+        settings_.graceTime = settings.graceTime;
+        settings_.resultLifetime = settings.resultLifetime;
+        directStore_.setAddress(settings_.store);
+        log(Event::SettingsReloaded, { { "store", settings_.store.text() } });
+        connectToCoordinators();
+    } catch (const Error& error) {
+        log(Event::SettingsRefused, { { "reason", error.what() } });
+    }
+}
+
+asio::awaitable<void> HostedNode::stopGracefully()
+{
+    log(Event::DrainStarted);
+    co_await drain();
+    log(Event::DrainFinished);
+    co_await sleepFor(answerFlushTime);
+    context_.stop();
+}
+
+void HostedNode::listenForPeers()
+{
+    acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(listenOn(context_, settings_.peers));
+    spawn(context_.get_executor(), [this] { return acceptPeers(); });
+}
+
+asio::awaitable<void> HostedNode::acceptPeers()
+{
+    while (acceptor_->is_open()) {
+        boost::system::error_code error;
+        auto socket = co_await acceptor_->async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_await sleepFor(std::chrono::milliseconds(20));
+            continue;
+        }
+        auto connection = std::make_shared<PeerConnection>(std::move(socket), *this);
+        accepted_.insert(connection);
+        connection->start();
+        sendHello(connection);
+    }
+}
+
+void HostedNode::connectToCoordinators()
+{
+    std::map<std::string, Address> targets;
+    const auto present = keeper_->current();
+    for (const auto& [name, record] : present->coordinators)
+        targets.emplace(record.peer.text(), record.peer);
+    if (targets.empty()) {
+        for (const Address& seed : settings_.seeds)
+            targets.emplace(seed.text(), seed);
+    }
+    targets.erase(settings_.peers.text());
+    mesh_.setTargets(targets);
+}
+
+void HostedNode::sendHello(const PeerConnectionPtr& connection)
+{
+    wire::Hello hello;
+    hello.node = settings_.name;
+    hello.role = roleName(role_);
+    hello.incarnation = incarnation_;
+    connection->notify(MessageType::Hello, wire::encode(hello));
+    connection->notify(MessageType::DirectoryUpdate, keeper_->everything());
+    if (isDraining_)
+        connection->notify(MessageType::Leaving, {});
+}
+
+void HostedNode::onHello(const PeerConnectionPtr& connection, const std::string& payload)
+{
+    const auto hello = wire::decode<wire::Hello>(payload);
+    connection->peerName = hello.node;
+    Peer& known = peers_[hello.node];
+    known.role = roleOf(hello.role);
+    known.connections.push_back(connection);
+    leaving_.erase(hello.node);
+    log(Event::PeerConnected, { { "peer", hello.node }, { "role", hello.role } });
+    onPeerUp(connection);
+}
+
+PeerConnectionPtr HostedNode::peer(const std::string& name) const
+{
+    const auto found = peers_.find(name);
+    if (found == peers_.end() || found->second.connections.empty())
+        return nullptr;
+    return found->second.connections.back();
+}
+
+std::vector<std::string> HostedNode::peersOf(HostedRole role) const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, known] : peers_) {
+        if (known.role == role && !known.connections.empty() && !leaving_.contains(name))
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<PeerConnectionPtr> HostedNode::connectionsOf(HostedRole role) const
+{
+    std::vector<PeerConnectionPtr> connections;
+    for (const auto& [name, known] : peers_) {
+        if (known.role == role && !known.connections.empty())
+            connections.push_back(known.connections.back());
+    }
+    return connections;
+}
+
+std::vector<PeerConnectionPtr> HostedNode::relays() const
+{
+    return connectionsOf(HostedRole::Coordinator);
+}
+
+void HostedNode::announceLeaving()
+{
+    for (const auto& [name, known] : peers_) {
+        for (const PeerConnectionPtr& connection : known.connections)
+            connection->notify(MessageType::Leaving, {});
+    }
+}
+
+asio::awaitable<std::string> HostedNode::onRequest(PeerConnectionPtr connection, PeerMessage message)
+{
+    if (message.type == MessageType::StoreCall)
+        co_return co_await relayStoreCall(directStore_, std::move(message));
+    co_return co_await onNodeRequest(std::move(connection), std::move(message));
+}
+
+asio::awaitable<std::string> HostedNode::onNodeRequest(PeerConnectionPtr, PeerMessage)
+{
+    throw BadRequestError("this process does not serve requests of that type");
+    co_return std::string();
+}
+
+void HostedNode::onNotice(const PeerConnectionPtr& connection, const PeerMessage& message)
+{
+    try {
+        switch (message.type) {
+        case MessageType::Hello:
+            onHello(connection, message.payload);
+            break;
+        case MessageType::DirectoryUpdate:
+            keeper_->onUpdate(connection->peerName, message.payload);
+            break;
+        case MessageType::Leaving:
+            leaving_.insert(connection->peerName);
+            onPeerDown(connection->peerName);
+            break;
+        default:
+            onNodeNotice(connection, message);
+        }
+    } catch (const Error& error) {
+        log(Event::FrameRefused, { { "peer", connection->peerName }, { "reason", error.what() } });
+    }
+}
+
+void HostedNode::onClosed(const PeerConnectionPtr& connection)
+{
+    accepted_.erase(connection);
+    const auto known = peers_.find(connection->peerName);
+    if (known == peers_.end())
+        return;
+    std::erase(known->second.connections, connection);
+    if (!known->second.connections.empty())
+        return;
+    const std::string name = known->first;
+    peers_.erase(known);
+    leaving_.erase(name);
+    log(Event::PeerLost, { { "peer", name } });
+    onPeerDown(name);
+}
+
+void HostedNode::onDirectory(std::shared_ptr<const Directory> before, std::shared_ptr<const Directory> present)
+{
+    if (before->coordinators != present->coordinators)
+        connectToCoordinators();
+    onDirectoryChanged(*before, *present);
+}
+
+void HostedNode::publish(const std::string& update)
+{
+    for (const auto& [name, known] : peers_) {
+        if (!known.connections.empty())
+            known.connections.back()->notify(MessageType::DirectoryUpdate, update);
+    }
+}
+
+asio::awaitable<void> HostedNode::onHttp(HttpExchange& exchange)
+{
+    std::vector<Gauge> present = gauges();
+    present.push_back({ "endiveroad_peers", "", "Open connections to peer processes.",
+        static_cast<double>(mesh_.connections().size() + accepted_.size()) });
+    present.push_back({ "endiveroad_draining", "", "1 while the process takes no new work.", isDraining_ ? 1.0 : 0.0 });
+    HttpResponse response;
+    response.status = 200;
+    response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+    response.body = processMetrics().prometheusText(present, now());
+    co_await exchange.answer(std::move(response));
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -0,0 +1,458 @@
+#include "io/hosted/ItemDispatcher.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/Tasks.h"
+#include "io/hosted/WireEvents.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <endiveroad/Error.h>
+#include <fmt/format.h>
+
+namespace endiveroad::io {
+
+namespace {
+
+/// Pause between two rounds of decisions: what comes together is decided together.
+constexpr Duration roundPause = std::chrono::milliseconds(8);
+
+/// Longest time between two rounds while jobs are open, and else.
+constexpr Duration busyInterval = std::chrono::milliseconds(100);
+constexpr Duration idleInterval = std::chrono::milliseconds(400);
+
+/// Time for an agent to report that it has begun a load.
+constexpr Duration askPause = std::chrono::milliseconds(300);
+
+/// Time for which text of an unfinished item is kept, and items whose text is kept at most.
+constexpr Duration carriedLifetime = std::chrono::seconds(40);
+constexpr size_t maxCarried = 2000;
+
+/// Runs that are moved in one round.
+constexpr size_t maxMovesPerRound = 4;
+
+} // namespace
+
+ItemDispatcher::ItemDispatcher(asio::io_context& context, const JobTable& jobs, AgentLinks& links, ItemScorer& scorer,
+    DirectorySource directory)
+    : context_(context)
+    , jobs_(jobs)
+    , links_(links)
+    , scorer_(scorer)
+    , directory_(std::move(directory))
+    , wake_(context)
+{
+}
+
+asio::awaitable<void> ItemDispatcher::run()
+{
+    while (true) {
+        tick();
+        co_await sleepFor(roundPause);
+        const bool isBusy = std::any_of(
+            jobs_.begin(), jobs_.end(), [](const auto& entry) { return !entry.second->job.isEnded(); });
+        co_await wake_.wait(now() + (isBusy ? busyInterval : idleInterval));
+    }
+}
+
+void ItemDispatcher::tick()
+{
+    for (const auto& [id, owned] : jobs_) {
+        if (owned->job.isEnded())
+            continue;
+        giveUpSilent(*owned);
+        terminateOrphans(*owned);
+        for (size_t item : owned->job.giveUpOverdue(now())) {
+            log(Event::ItemTerminated,
+                { { "job", id }, { "item", owned->job.spec().items[item].id }, { "reason", "it waited too long" } });
+        }
+    }
+    auto byService = views();
+    for (auto& [service, replicas] : byService) {
+        place(service, replicas);
+        move(service, replicas);
+    }
+    load(byService);
+}
+
+std::string ItemDispatcher::serviceOf(const OwnedJob& owned) const
+{
+    const auto directory = directory_();
+    const auto& items = owned.job.spec().items;
+    if (!directory->routing || items.empty())
+        return {};
+    const RouteDeclaration* route = directory->routing->match(owned.record.host, items.front().path);
+    if (!route || route->services.empty())
+        return {};
+    const auto heaviest = std::max_element(route->services.begin(), route->services.end(),
+        [](const WeightedService& a, const WeightedService& b) { return a.weight < b.weight; });
+    return heaviest->service;
+}
+
+/// Items whose route is no longer configured can never run.
+void ItemDispatcher::terminateOrphans(OwnedJob& owned)
+{
+    if (directory_()->routing && serviceOf(owned).empty())
+        owned.job.giveUpAll();
+}
+
+std::map<std::string, std::vector<ReplicaView>> ItemDispatcher::views() const
+{
+    std::map<std::string, int32_t> ownRuns;
+    for (const auto& [id, owned] : jobs_) {
+        for (const ItemState& item : owned->job.items()) {
+            if (!owned->job.isEnded() && item.stage == ItemStage::Running)
+                ++ownRuns[item.agent];
+        }
+    }
+    std::map<std::string, std::vector<ReplicaView>> byService;
+    for (const auto& [name, report] : reports_) {
+        ReplicaView view;
+        view.agent = name;
+        view.failureDomain = report.last.failureDomain;
+        view.isUp = report.last.isUp && links_.agent(name);
+        const auto own = ownRuns.find(name);
+        view.running = std::max(report.last.running + report.starting, own == ownRuns.end() ? 0 : own->second);
+        view.slots = report.last.slots;
+        for (const wire::ModelVersion& row : report.last.models)
+            view.versions[row.model] = row.version;
+        view.loadingModel = report.last.loadingModel;
+        view.eventMs = report.last.eventMs;
+        byService[report.last.pool].push_back(std::move(view));
+    }
+    return byService;
+}
+
+void ItemDispatcher::place(const std::string& service, std::vector<ReplicaView>& replicas)
+{
+    std::vector<WaitingItem> waiting;
+    for (const auto& [id, owned] : jobs_) {
+        if (owned->isLost || now() < owned->placeFrom || serviceOf(*owned) != service)
+            continue;
+        const BatchJobSpec& spec = owned->job.spec();
+        for (size_t item : owned->job.waiting(now())) {
+            const auto avoided = owned->avoidedAgents.find(item);
+            waiting.push_back({ id, item, spec.items[item].group, spec.model, spec.oldestVersion,
+                owned->job.policy().dueAt, spec.items[item].expectedTokens,
+                avoided == owned->avoidedAgents.end() ? std::string() : avoided->second });
+        }
+    }
+    for (const Placement& placement : placeItems(waiting, replicas)) {
+        const WaitingItem& item = waiting[placement.waiting];
+        const auto view = std::find_if(replicas.begin(), replicas.end(),
+            [&](const ReplicaView& replica) { return replica.agent == placement.agent; });
+        startItem(jobs_.at(item.job), item.item, *view);
+    }
+}
+
+void ItemDispatcher::startItem(const OwnedJobPtr& owned, size_t index, const ReplicaView& replica)
+{
+    BatchJob& job = owned->job;
+    const BatchItem& spec = job.spec().items[index];
+    wire::ItemStart order;
+    order.run = job.start(index, replica.agent, replica.version(job.spec().model), now());
+    order.job = owned->id();
+    order.revision = job.revision();
+    order.item = spec.id;
+    order.host = owned->record.host;
+    order.path = spec.path;
+    for (const auto& [name, value] : spec.headers) {
+        wire::Header header;
+        header.name = name;
+        header.value = value;
+        order.headers.push_back(std::move(header));
+    }
+    order.body = spec.body;
+    order.events = toWire(job.items()[index].text.events);
+    order.oldestVersion = job.spec().oldestVersion;
+    order.model = job.spec().model;
+    log(Event::ItemPlaced,
+        { { "job", owned->id() }, { "item", spec.id }, { "run", std::to_string(order.run) },
+            { "agent", replica.agent }, { "running", std::to_string(replica.running) },
+            { "version", std::to_string(replica.version(order.model)) },
+            { "events", std::to_string(order.events.size()) },
+            { "expected", fmt::format("{:.0f}", spec.expectedTokens) } });
+    spawn(context_.get_executor(), [this, owned, index, agent = replica.agent, order = std::move(order)] {
+        return sendStart(owned, index, agent, order);
+    });
+}
+
+asio::awaitable<void> ItemDispatcher::sendStart(
+    OwnedJobPtr owned, size_t index, std::string agent, wire::ItemStart order)
+{
+    ++reports_[agent].starting;
+    std::string refusal;
+    try {
+        const PeerConnectionPtr connection = links_.agent(agent);
+        if (!connection)
+            throw PeerUnavailableError("the agent is not connected");
+        std::string payload = wire::encode(order);
+        const std::string answered
+            = co_await connection->call(MessageType::ItemStart, std::move(payload), now() + startTimeout);
+        const auto answer = wire::decode<wire::ItemStartAnswer>(answered);
+        if (!answer.isAccepted)
+            refusal = answer.reason;
+    } catch (const Error& error) {
+        refusal = error.what();
+        if (const PeerConnectionPtr connection = links_.agent(agent)) {
+            wire::ItemCancelNotice cancel;
+            cancel.job = order.job;
+            cancel.revision = order.revision;
+            cancel.item = order.item;
+            connection->notify(MessageType::ItemCancel, wire::encode(cancel));
+        }
+    }
+    --reports_[agent].starting;
+    const ItemState& item = owned->job.items()[index];
+    if (refusal.empty() || item.stage != ItemStage::Running || item.run != order.run)
+        co_return;
+    log(Event::ItemRefused,
+        { { "job", order.job }, { "item", order.item }, { "run", std::to_string(order.run) }, { "agent", agent },
+            { "reason", refusal } });
+    owned->withdrawnRuns.insert(order.run);
+    owned->avoidedAgents[index] = agent;
+    owned->job.withdraw(index, now());
+    wake();
+}
+
+void ItemDispatcher::withdraw(OwnedJob& owned, size_t index, const std::string& reason)
+{
+    const ItemState& item = owned.job.items()[index];
+    const std::string agent = item.agent;
+    log(Event::ItemMoved,
+        { { "job", owned.id() }, { "item", owned.job.spec().items[index].id }, { "run", std::to_string(item.run) },
+            { "agent", agent }, { "events", std::to_string(item.text.events.size()) }, { "reason", reason } });
+    owned.withdrawnRuns.insert(item.run);
+    owned.avoidedAgents[index] = agent;
+    owned.job.withdraw(index, now());
+    const PeerConnectionPtr connection = links_.agent(agent);
+    if (!connection)
+        return;
+    wire::ItemCancelNotice cancel;
+    cancel.job = owned.id();
+    cancel.revision = owned.job.revision();
+    cancel.item = owned.job.spec().items[index].id;
+    connection->notify(MessageType::ItemCancel, wire::encode(cancel));
+}
+
+void ItemDispatcher::giveUpSilent(OwnedJob& owned)
+{
+    for (size_t i = 0; i < owned.job.items().size(); ++i) {
+        const ItemState& item = owned.job.items()[i];
+        if (item.stage == ItemStage::Running && now() > item.lastEventAt + silenceLimit)
+            withdraw(owned, i, "no news of the run");
+    }
+}
+
+void ItemDispatcher::move(const std::string& service, const std::vector<ReplicaView>& replicas)
+{
+    const double median = medianEventMs(replicas);
+    size_t moved = 0;
+    for (const ReplicaView& from : replicas) {
+        if (!isSlow(from, median))
+            continue;
+        for (const auto& [id, owned] : jobs_) {
+            const BatchJobSpec& spec = owned->job.spec();
+            if (owned->job.isEnded() || serviceOf(*owned) != service
+                || !shouldMove(from, spec.model, spec.oldestVersion, replicas))
+                continue;
+            for (size_t i = 0; i < spec.items.size() && moved < maxMovesPerRound; ++i) {
+                const ItemState& item = owned->job.items()[i];
+                const bool isMovable = item.stage == ItemStage::Running && item.agent == from.agent
+                    && now() > item.startedAt + minRunBeforeMove;
+                if (!isMovable)
+                    continue;
+                withdraw(*owned, i, fmt::format("{:.0f} ms an event, median {:.0f}", from.eventMs, median));
+                ++moved;
+            }
+        }
+    }
+}
+
+LoadDemand ItemDispatcher::demandFor(
+    const std::string& model, const std::string& service, const std::vector<ReplicaView>& replicas) const
+{
+    LoadDemand demand;
+    demand.model = model;
+    const auto directory = directory_();
+    demand.namedVersion = directory->namedVersion(model);
+    const auto named = namedAt_.find(model);
+    if (named != namedAt_.end())
+        demand.namedAt = named->second;
+    for (const auto& [id, owned] : jobs_) {
+        if (owned->job.spec().model != model || owned->isLost)
+            continue;
+        const size_t waiting = owned->job.waiting(never).size();
+        demand.waiting += waiting;
+        if (waiting > 0)
+            demand.oldestNeeded = std::max(demand.oldestNeeded, owned->job.spec().oldestVersion);
+    }
+    std::vector<std::string> agents;
+    for (const ReplicaView& replica : replicas)
+        agents.push_back(replica.agent);
+    const auto declared = directory->routing->services.find(service);
+    if (declared == directory->routing->services.end())
+        return demand;
+    auto homes = homeReplicas(declared->second.models, agents);
+    demand.homes = homes[model];
+    return demand;
+}
+
+void ItemDispatcher::load(const std::map<std::string, std::vector<ReplicaView>>& byService)
+{
+    if (!directory_()->routing)
+        return;
+    for (const auto& [id, owned] : jobs_) {
+        if (!owned->job.isEnded() && !owned->isLost)
+            interests_[owned->job.spec().model] = { serviceOf(*owned), now() + modelInterest };
+    }
+    std::erase_if(interests_, [](const auto& entry) { return entry.second.expiry <= now(); });
+    for (const auto& [service, replicas] : byService) {
+        std::vector<LoadDemand> demands;
+        for (const auto& [model, interest] : interests_) {
+            if (interest.service == service)
+                demands.push_back(demandFor(model, service, replicas));
+        }
+        for (const LoadChoice& choice : planLoads(demands, replicas, now())) {
+            const PeerConnectionPtr connection = links_.agent(choice.agent);
+            if (!connection || askAgainAt_[choice.agent] > now())
+                continue;
+            askAgainAt_[choice.agent] = now() + askPause;
+            log(Event::WeightLoadAsked,
+                { { "agent", choice.agent }, { "model", choice.model },
+                    { "version", std::to_string(choice.version) } });
+            wire::LoadModelNotice notice;
+            notice.model = choice.model;
+            notice.version = choice.version;
+            connection->notify(MessageType::LoadModel, wire::encode(notice));
+        }
+    }
+}
+
+void ItemDispatcher::onReport(const std::string& agent, const wire::ReplicaReport& report)
+{
+    reports_[agent].last = report;
+    wake();
+}
+
+void ItemDispatcher::onProgress(const PeerConnectionPtr& agent, const wire::ItemProgressNotice& notice)
+{
+    for (const wire::ItemProgress& progress : notice.items) {
+        const auto found = jobs_.find(progress.job);
+        const auto index = found == jobs_.end() ? std::nullopt : found->second->job.indexOf(progress.item);
+        if (!index || found->second->job.isEnded())
+            continue;
+        const OwnedJobPtr owned = found->second;
+        const auto events = fromWire(progress.events);
+        const RunState state = fromWire(progress.state);
+        const ItemState& item = owned->job.items()[*index];
+        ItemAction action = ItemAction::None;
+        if (item.stage == ItemStage::Running && item.run == progress.run)
+            action = owned->job.onProgress(*index, progress.run, events, state, progress.status, now());
+        else if (!owned->withdrawnRuns.contains(progress.run))
+            action = owned->job.onAdopted(
+                *index, agent->peerName, progress.run, events, state, progress.status, now());
+        if (action == ItemAction::Restart)
+            owned->avoidedAgents[*index] = agent->peerName;
+        if (action == ItemAction::CancelRun) {
+            owned->withdrawnRuns.insert(progress.run);
+            wire::ItemCancelNotice cancel;
+            cancel.job = progress.job;
+            cancel.revision = owned->job.revision();
+            cancel.item = progress.item;
+            agent->notify(MessageType::ItemCancel, wire::encode(cancel));
+        }
+        act(owned, *index, action);
+    }
+}
+
+void ItemDispatcher::act(const OwnedJobPtr& owned, size_t index, ItemAction action)
+{
+    if (action == ItemAction::Score)
+        scorer_.score(owned, index);
+    if (action == ItemAction::Finished && owned->job.items()[index].result
+        && owned->job.items()[index].result->state == ResultState::Terminated)
+        log(Event::ItemTerminated,
+            { { "job", owned->id() }, { "item", owned->job.spec().items[index].id },
+                { "reason", "its runs always fail" } });
+    if (action != ItemAction::None)
+        wake();
+}
+
+void ItemDispatcher::sendOwner(const OwnedJob& owned, const PeerConnectionPtr& connection) const
+{
+    wire::JobOwnerNotice notice;
+    notice.job = owned.id();
+    notice.revision = owned.job.revision();
+    notice.owner = owned.record.owner;
+    connection->notify(MessageType::JobOwner, wire::encode(notice));
+}
+
+void ItemDispatcher::onAgentUp(const PeerConnectionPtr& connection)
+{
+    for (const auto& [id, owned] : jobs_) {
+        if (!owned->job.isEnded())
+            sendOwner(*owned, connection);
+    }
+}
+
+void ItemDispatcher::onAgentDown(const std::string& agent)
+{
+    for (const auto& [id, owned] : jobs_) {
+        if (owned->job.isEnded())
+            continue;
+        for (size_t index : owned->job.onAgentLost(agent, now())) {
+            owned->avoidedAgents[index] = agent;
+            log(Event::ItemMoved,
+                { { "job", id }, { "item", owned->job.spec().items[index].id }, { "agent", agent },
+                    { "reason", "the agent is gone" } });
+        }
+    }
+    const auto report = reports_.find(agent);
+    if (report != reports_.end())
+        report->second.last.isUp = false;
+    wake();
+}
+
+void ItemDispatcher::onVersionNamed(const std::string& model)
+{
+    namedAt_[model] = now();
+    wake();
+}
+
+void ItemDispatcher::onJob(const OwnedJobPtr& owned)
+{
+    std::erase_if(carried_, [](const auto& entry) { return entry.second.expiry <= now(); });
+    const BatchJobSpec& spec = owned->job.spec();
+    for (size_t i = 0; i < spec.items.size(); ++i) {
+        const auto carried = carried_.find(spec.items[i].id);
+        if (carried == carried_.end())
+            continue;
+        act(owned, i, owned->job.onCarried(i, carried->second.text));
+    }
+    wake();
+}
+
+void ItemDispatcher::keepTexts(const OwnedJob& owned)
+{
+    const BatchJobSpec& spec = owned.job.spec();
+    for (size_t i = 0; i < spec.items.size() && carried_.size() < maxCarried; ++i) {
+        const ItemState& item = owned.job.items()[i];
+        if (!item.text.events.empty() && !item.result.has_value())
+            carried_[spec.items[i].id] = { item.text, now() + carriedLifetime };
+        else if (item.result && item.result->state == ResultState::Completed)
+            carried_[spec.items[i].id] = { item.text, now() + carriedLifetime };
+    }
+}
+
+void ItemDispatcher::cancelRuns(const OwnedJob& owned, bool isJobEnded)
+{
+    wire::ItemCancelNotice cancel;
+    cancel.job = owned.id();
+    cancel.revision = owned.job.revision();
+    cancel.isJobEnded = isJobEnded;
+    for (const PeerConnectionPtr& agent : links_.agents())
+        agent->notify(MessageType::ItemCancel, wire::encode(cancel));
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/hosted/ItemDispatcher.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "io/PeerConnection.h"
+#include "io/hosted/ItemScorer.h"
+#include "io/hosted/OwnedJob.h"
+
+#include <endiveroad/BatchPlacement.h>
+#include <endiveroad/Directory.h>
+#include <endiveroad_types.h>
+#include <functional>
+#include <map>
+#include <string>
+
+/// Gives items of owned jobs to agents, follows their runs, and asks agents to load weights.
+namespace endiveroad::io {
+
+/// How a coordinator reaches agents.
+class AgentLinks {
+public:
+    virtual ~AgentLinks() = default;
+
+    /// Null if the agent is not connected or leaves.
+    virtual PeerConnectionPtr agent(const std::string& name) const = 0;
+    virtual std::vector<PeerConnectionPtr> agents() const = 0;
+};
+
+class ItemDispatcher {
+public:
+    static constexpr Duration startTimeout = std::chrono::milliseconds(800);
+
+    /// A run without any news for this long is given up, whatever its agent does.
+    static constexpr Duration silenceLimit = std::chrono::milliseconds(3000);
+
+    /// Age of a run from which it may be moved away from a slow replica.
+    static constexpr Duration minRunBeforeMove = std::chrono::milliseconds(400);
+
+    /// Time for which agents may hand over runs that an earlier owner of a job started.
+    static constexpr Duration adoptionTime = std::chrono::milliseconds(350);
+
+    /// Time after the last job of a model during which its replicas are kept current.
+    static constexpr Duration modelInterest = std::chrono::seconds(12);
+
+    using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
+
+    ItemDispatcher(asio::io_context&, const JobTable&, AgentLinks&, ItemScorer&, DirectorySource);
+
+    /// Places, moves and loads whenever something has changed.
+    asio::awaitable<void> run();
+
+    /// Something has changed that may let an item start.
+    void wake() { wake_.notifyAll(); }
+
+    void onReport(const std::string& agent, const wire::ReplicaReport&);
+    void onProgress(const PeerConnectionPtr& agent, const wire::ItemProgressNotice&);
+    void onAgentUp(const PeerConnectionPtr&);
+    void onAgentDown(const std::string& agent);
+    void onVersionNamed(const std::string& model);
+
+    /// A job was accepted or taken over.
+    void onJob(const OwnedJobPtr&);
+
+    /// Ends all runs of a job.
+    void cancelRuns(const OwnedJob&, bool isJobEnded);
+
+    /// Text of unfinished items stays for a later job that names them again.
+    void keepTexts(const OwnedJob&);
+
+    /// Does what an item's new state asks for.
+    void act(const OwnedJobPtr&, size_t item, ItemAction);
+
+    size_t replicas() const { return reports_.size(); }
+
+private:
+    struct Report {
+        wire::ReplicaReport last;
+        /// Starts whose answers have not come.
+        int32_t starting = 0;
+    };
+
+    struct Carried {
+        PartialText text;
+        Instant expiry;
+    };
+
+    void tick();
+    void terminateOrphans(OwnedJob&);
+    std::string serviceOf(const OwnedJob&) const;
+    std::map<std::string, std::vector<ReplicaView>> views() const;
+    void place(const std::string& service, std::vector<ReplicaView>&);
+    void move(const std::string& service, const std::vector<ReplicaView>&);
+    void giveUpSilent(OwnedJob&);
+    void load(const std::map<std::string, std::vector<ReplicaView>>&);
+    LoadDemand demandFor(const std::string& model, const std::string& service, const std::vector<ReplicaView>&) const;
+    void withdraw(OwnedJob&, size_t item, const std::string& reason);
+    void startItem(const OwnedJobPtr&, size_t item, const ReplicaView&);
+    asio::awaitable<void> sendStart(OwnedJobPtr, size_t item, std::string agent, wire::ItemStart);
+    void sendOwner(const OwnedJob&, const PeerConnectionPtr&) const;
+
+    asio::io_context& context_;
+    const JobTable& jobs_;
+    AgentLinks& links_;
+    ItemScorer& scorer_;
+    DirectorySource directory_;
+    Signal wake_;
+    /// By agent.
+    std::map<std::string, Report> reports_;
+    std::map<std::string, Instant> namedAt_;
+    /// Service and end of interest by model.
+    struct Interest {
+        std::string service;
+        Instant expiry;
+    };
+    std::map<std::string, Interest> interests_;
+    /// By item.
+    std::map<std::string, Carried> carried_;
+    /// When an asked load may be asked for again, by agent.
+    std::map<std::string, Instant> askAgainAt_;
+};
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/hosted/ItemRunner.cpp
@@ -0,0 +1,324 @@
+#include "io/hosted/ItemRunner.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/Tasks.h"
+#include "io/hosted/WireEvents.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <endiveroad/Error.h>
+#include <endiveroad/EventStream.h>
+#include <fmt/format.h>
+
+namespace endiveroad::io {
+
+namespace {
+
+constexpr int statusOk = 200;
+
+/// Share of the newest gap in the moving average of the time between events.
+constexpr double newestShare = 0.1;
+
+/// Time after the last event at which the moving average says nothing any more.
+constexpr Duration eventMsLifetime = std::chrono::seconds(3);
+
+constexpr Duration connectTimeout = std::chrono::milliseconds(300);
+
+} // namespace
+
+/// One run of an item.
+struct ItemRunner::Run {
+    wire::ItemStart order;
+    HttpCancellation cancellation;
+    EventStreamReader reader;
+    /// All events of the item, those of earlier runs included.
+    std::vector<GeneratedEvent> events;
+    /// Events that the owner has been sent.
+    size_t sent = 0;
+    bool isEndSent = false;
+    RunState state = RunState::Running;
+    int32_t status = 0;
+    /// The replica has answered with a stream.
+    bool isStreaming = false;
+    int64_t version = 0;
+    Instant lastActivity = Instant::min();
+    Instant lastEventAt = Instant::min();
+    Instant expiry = never;
+    /// Why the run was cancelled; empty if it was not.
+    std::string cancelReason;
+};
+
+ItemRunner::ItemRunner(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
+    EngineGuard& engine, Address replica, EngineGuard::OnChange onChange)
+    : context_(context)
+    , http_(http)
+    , protocol_(protocol)
+    , engine_(engine)
+    , replica_(std::move(replica))
+    , onChange_(std::move(onChange))
+    , wake_(context)
+{
+}
+
+int32_t ItemRunner::running() const
+{
+    return static_cast<int32_t>(std::count_if(
+        runs_.begin(), runs_.end(), [](const auto& entry) { return entry.second->state == RunState::Running; }));
+}
+
+double ItemRunner::eventMs() const
+{
+    return eventMsExpiry_ > now() ? eventMs_ : 0;
+}
+
+std::string ItemRunner::refusal(const wire::ItemStart& order, int32_t slots) const
+{
+    if (endedJobs_.contains(order.job))
+        return "the job has ended";
+    const auto owner = owners_.find(order.job);
+    if (owner != owners_.end() && order.revision < owner->second.revision)
+        return "the job has another owner";
+    if (engine_.server().empty())
+        return "the replica is not registered as ready";
+    if (!engine_.isUp())
+        return "the replica does not answer";
+    if (engine_.loadingModel() == order.model)
+        return "the replica loads weights of the model";
+    if (engine_.version(order.model) < order.oldestVersion)
+        return "the replica's weights are too old";
+    if (running() >= slots)
+        return "all slots are taken";
+    return {};
+}
+
+wire::ItemStartAnswer ItemRunner::start(const PeerConnectionPtr& owner, const wire::ItemStart& order, int32_t slots)
+{
+    wire::ItemStartAnswer answer;
+    answer.reason = refusal(order, slots);
+    answer.isAccepted = answer.reason.empty();
+    if (!answer.isAccepted) {
+        log(Event::ItemRefused,
+            { { "job", order.job }, { "item", order.item }, { "reason", answer.reason },
+                { "revision", std::to_string(order.revision) }, { "server", engine_.server() } });
+        return answer;
+    }
+    Owner& known = owners_[order.job];
+    known = { std::max(known.revision, order.revision), owner, now() + endedJobLifetime };
+    if (const auto previous = runs_.find(order.item); previous != runs_.end()) {
+        previous->second->cancelReason = "another run of the item was ordered";
+        previous->second->cancellation.cancel();
+    }
+    auto run = std::make_shared<Run>();
+    run->order = order;
+    run->events = fromWire(order.events);
+    run->sent = run->events.size();
+    run->order.events.clear();
+    run->lastActivity = now();
+    runs_[order.item] = run;
+    onChange_();
+    spawn(context_.get_executor(), [this, run] { return execute(run); });
+    return answer;
+}
+
+HttpRequest ItemRunner::requestFor(const Run& run) const
+{
+    ReplicaRequest call;
+    call.method = "POST";
+    call.target = run.order.path;
+    for (const wire::Header& header : run.order.headers)
+        call.headers.emplace_back(header.name, header.value);
+    call.body = run.order.body;
+    call.id = run.order.item;
+    call.host = run.order.host;
+    call.server = engine_.server();
+    if (!run.events.empty())
+        call.lastEventId = run.events.back().id;
+    HttpRequest request = protocol_.encode(std::move(call));
+    request.connectDeadline = now() + connectTimeout;
+    return request;
+}
+
+asio::awaitable<void> ItemRunner::execute(RunPtr run)
+{
+    std::string failure;
+    try {
+        HttpRequest request = requestFor(*run);
+        auto onHead = [this, run](const HttpResponse& head) { takeHead(*run, head); };
+        auto onBody = [this, run](std::string_view piece) {
+            takeBody(*run, piece);
+            return true;
+        };
+        const HttpResponse response = co_await http_.stream(
+            replica_, std::move(request), now() + runLimit, onBody, &run->cancellation, onHead);
+        const ReplicaAnswer answer = protocol_.decode(response);
+        if (answer.verdict != ReplicaVerdict::Ran)
+            end(*run, RunState::NotRun, response.status, "the replica refused");
+        else if (response.status != statusOk)
+            end(*run, RunState::Failed, response.status, "the replica failed");
+        else if (run->reader.isInsideEvent() || run->events.empty())
+            end(*run, RunState::Failed, 0, "the stream ended inside an event");
+        else
+            end(*run, RunState::Completed, statusOk, {});
+        co_return;
+    } catch (const ServerUnavailableError& error) {
+        failure = error.what();
+        engine_.suspect();
+        end(*run, RunState::NotRun, 0, run->cancelReason.empty() ? failure : run->cancelReason);
+    } catch (const Error& error) {
+        failure = error.what();
+        engine_.suspect();
+        end(*run, RunState::Failed, 0, run->cancelReason.empty() ? failure : run->cancelReason);
+    }
+}
+
+void ItemRunner::takeHead(Run& run, const HttpResponse& head)
+{
+    run.lastActivity = now();
+    run.isStreaming = head.status == statusOk;
+    const ReplicaAnswer answer = protocol_.decode(head);
+    run.version = answer.version.value_or(engine_.version(run.order.model));
+    if (run.isStreaming && answer.version && !run.order.model.empty())
+        engine_.onVersionSeen(run.order.model, *answer.version);
+}
+
+void ItemRunner::takeBody(Run& run, std::string_view piece)
+{
+    run.lastActivity = now();
+    if (!run.isStreaming)
+        return;
+    for (StreamEvent& event : run.reader.feed(piece)) {
+        for (const std::string& line : event.otherLines) {
+            if (const auto version = protocol_.versionOfLine(line))
+                run.version = *version;
+        }
+        if (!event.id)
+            continue;
+        measure(run);
+        run.events.push_back({ *event.id, std::move(event.data), run.version });
+    }
+}
+
+void ItemRunner::measure(Run& run)
+{
+    const Instant present = now();
+    if (run.lastEventAt != Instant::min()) {
+        const double gap = std::chrono::duration<double, std::milli>(present - run.lastEventAt).count();
+        const bool isKnown = eventMs_ > 0 && eventMsExpiry_ > present;
+        eventMs_ = isKnown ? eventMs_ + newestShare * (gap - eventMs_) : gap;
+        eventMsExpiry_ = present + eventMsLifetime;
+    }
+    run.lastEventAt = present;
+}
+
+void ItemRunner::end(Run& run, RunState state, int32_t status, const std::string& reason)
+{
+    run.state = state;
+    run.status = status;
+    run.expiry = now() + endedLifetime;
+    log(Event::ItemRunEnded,
+        { { "job", run.order.job }, { "item", run.order.item }, { "run", std::to_string(run.order.run) },
+            { "server", engine_.server() }, { "events", std::to_string(run.events.size()) },
+            { "outcome", state == RunState::Completed ? "completed" : state == RunState::NotRun ? "not run" : "failed" },
+            { "status", std::to_string(status) }, { "reason", reason } });
+    onChange_();
+    wake_.notifyAll();
+}
+
+void ItemRunner::cancel(const wire::ItemCancelNotice& notice)
+{
+    if (notice.isJobEnded)
+        endedJobs_[notice.job] = now() + endedJobLifetime;
+    for (const auto& [item, run] : runs_) {
+        const bool isMeant = run->order.job == notice.job && (notice.item.empty() || notice.item == item);
+        if (!isMeant || run->order.revision > notice.revision)
+            continue;
+        run->cancelReason = notice.isJobEnded ? "the job has ended" : "the owner withdrew the run";
+        // Nobody waits for the end of a run that its owner cancelled.
+        run->isEndSent = true;
+        run->cancellation.cancel();
+    }
+}
+
+void ItemRunner::adopt(const PeerConnectionPtr& owner, const wire::JobOwnerNotice& notice)
+{
+    Owner& known = owners_[notice.job];
+    if (notice.revision < known.revision)
+        return;
+    known = { notice.revision, owner, now() + endedJobLifetime };
+    for (const auto& [item, run] : runs_) {
+        const bool isWithdrawn = run->isEndSent && run->state == RunState::Running;
+        if (run->order.job != notice.job || isWithdrawn)
+            continue;
+        run->order.revision = notice.revision;
+        run->sent = 0;
+        run->isEndSent = false;
+    }
+    sendProgress(true);
+}
+
+void ItemRunner::stopAll()
+{
+    for (const auto& [item, run] : runs_) {
+        if (run->state != RunState::Running)
+            continue;
+        run->cancelReason = "the agent stops";
+        run->cancellation.cancel();
+    }
+}
+
+asio::awaitable<void> ItemRunner::report()
+{
+    while (true) {
+        co_await wake_.wait(now() + progressInterval);
+        sendProgress(false);
+        for (const auto& [item, run] : runs_) {
+            const bool isStalled = run->state == RunState::Running && now() > run->lastActivity + stallLimit;
+            if (!isStalled || run->cancellation.isCancelled())
+                continue;
+            log(Event::ServerStalled, { { "item", item }, { "server", engine_.server() } });
+            run->cancelReason = "the replica sent nothing for too long";
+            run->cancellation.cancel();
+        }
+        dropExpired();
+    }
+}
+
+void ItemRunner::sendProgress(bool isAll)
+{
+    std::map<PeerConnectionPtr, wire::ItemProgressNotice> notices;
+    for (const auto& [item, run] : runs_) {
+        const bool hasEnded = run->state != RunState::Running;
+        const bool isNews = run->sent < run->events.size() || (hasEnded && !run->isEndSent) || (isAll && !run->isEndSent);
+        const auto owner = owners_.find(run->order.job);
+        const PeerConnectionPtr connection = owner == owners_.end() ? nullptr : owner->second.connection.lock();
+        if (!isNews || !connection || !connection->isOpen())
+            continue;
+        wire::ItemProgress progress;
+        progress.job = run->order.job;
+        progress.item = item;
+        progress.run = run->order.run;
+        progress.state = toWire(run->state);
+        progress.status = run->status;
+        progress.events = toWire(run->events, run->sent);
+        run->sent = run->events.size();
+        run->isEndSent = run->isEndSent || hasEnded;
+        notices[connection].items.push_back(std::move(progress));
+    }
+    for (const auto& [connection, notice] : notices)
+        connection->notify(MessageType::ItemProgress, wire::encode(notice));
+}
+
+void ItemRunner::dropExpired()
+{
+    const Instant present = now();
+    std::erase_if(runs_, [present](const auto& entry) { return entry.second->expiry <= present; });
+    std::erase_if(endedJobs_, [present](const auto& entry) { return entry.second <= present; });
+    std::erase_if(owners_, [this, present](const auto& entry) {
+        const bool hasRuns = std::any_of(
+            runs_.begin(), runs_.end(), [&](const auto& run) { return run.second->order.job == entry.first; });
+        return !hasRuns && entry.second.expiry <= present;
+    });
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/hosted/JobStore.cpp
@@ -0,0 +1,219 @@
+#include "io/hosted/JobStore.h"
+
+#include "io/Clock.h"
+
+#include <endiveroad/Error.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace endiveroad::io {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr const char* recordPrefix = "endiveroad/jobs/";
+
+/// Entries of one transaction of the store.
+constexpr size_t maxTransactionEntries = 30;
+
+std::string recordKey(const std::string& job)
+{
+    return recordPrefix + job;
+}
+
+/// Numbers are padded so that keys sort by number.
+std::string bodyPrefix(const std::string& job)
+{
+    return "endiveroad/bodies/" + job + "/";
+}
+
+std::string resultPrefix(const std::string& job)
+{
+    return "endiveroad/results/" + job + "/";
+}
+
+std::string numberedKey(const std::string& prefix, size_t number)
+{
+    return fmt::format("{}{:08}", prefix, number);
+}
+
+std::string encode(const JobRecord& record)
+{
+    return Json { { "owner", record.owner }, { "host", record.host }, { "route", record.route },
+        { "submittedMs", record.submittedMs }, { "isEnded", record.isEnded }, { "items", record.items },
+        { "maxAttempts", record.maxAttempts }, { "maxScoringAttempts", record.maxScoringAttempts },
+        { "isSingleVersion", record.isSingleVersion }, { "resultDueMs", record.resultDueMs },
+        { "maxQueueMs", record.maxQueueMs } }
+        .dump();
+}
+
+StoredJob decodeRecord(const Document& document)
+{
+    try {
+        const Json object = Json::parse(document.value);
+        StoredJob job;
+        job.id = document.key.substr(std::string_view(recordPrefix).size());
+        job.revision = document.revision;
+        JobRecord& record = job.record;
+        record.owner = object.at("owner").get<std::string>();
+        record.host = object.at("host").get<std::string>();
+        record.route = object.at("route").get<std::string>();
+        record.submittedMs = object.at("submittedMs").get<int64_t>();
+        record.isEnded = object.at("isEnded").get<bool>();
+        record.items = object.at("items").get<size_t>();
+        record.maxAttempts = object.at("maxAttempts").get<int32_t>();
+        record.maxScoringAttempts = object.at("maxScoringAttempts").get<int32_t>();
+        record.isSingleVersion = object.at("isSingleVersion").get<bool>();
+        record.resultDueMs = object.at("resultDueMs").get<int64_t>();
+        record.maxQueueMs = object.at("maxQueueMs").get<int64_t>();
+        return job;
+    } catch (const Json::exception& error) {
+        throw FrameInvalidError(fmt::format("the record {} cannot be read: {}", document.key, error.what()));
+    }
+}
+
+std::string encode(const std::vector<BatchResult>& results)
+{
+    Json rows = Json::array();
+    for (const BatchResult& result : results) {
+        rows.push_back({ { "item", result.item }, { "isCompleted", result.state == ResultState::Completed },
+            { "text", result.text }, { "versions", result.versions }, { "score", result.score } });
+    }
+    return rows.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+void decodeResults(const Document& document, std::vector<BatchResult>& results)
+{
+    try {
+        const Json rows = Json::parse(document.value);
+        for (const Json& row : rows) {
+            BatchResult result;
+            result.item = row.at("item").get<std::string>();
+            result.state = row.at("isCompleted").get<bool>() ? ResultState::Completed : ResultState::Terminated;
+            result.text = row.at("text").get<std::string>();
+            result.versions = row.at("versions").get<std::vector<int64_t>>();
+            result.score = row.at("score").get<std::string>();
+            results.push_back(std::move(result));
+        }
+    } catch (const Json::exception& error) {
+        throw FrameInvalidError(fmt::format("the results {} cannot be read: {}", document.key, error.what()));
+    }
+}
+
+} // namespace
+
+JobStore::JobStore(MetadataStore& store)
+    : store_(store)
+{
+}
+
+asio::awaitable<std::optional<int64_t>> JobStore::accept(std::string job, JobRecord record, std::string body)
+{
+    StoreTransaction transaction;
+    transaction.conditions.push_back({ recordKey(job), 0 });
+    transaction.puts.push_back({ recordKey(job), encode(record), 0 });
+    for (size_t part = 0; part == 0 || part * maxValueBytes < body.size(); ++part) {
+        const std::string piece = body.substr(part * maxValueBytes, maxValueBytes);
+        transaction.puts.push_back({ numberedKey(bodyPrefix(job), part), piece, 0 });
+    }
+    if (transaction.puts.size() > maxTransactionEntries)
+        throw BodyTooLargeError("the batch job is larger than the store takes at once");
+    const CommitResult result = co_await store_.commit(std::move(transaction), now() + callTimeout);
+    if (!result.isCommitted)
+        co_return std::nullopt;
+    co_return result.revision;
+}
+
+asio::awaitable<std::optional<StoredJob>> JobStore::read(std::string job)
+{
+    const std::optional<Document> document = co_await store_.read(recordKey(job), now() + callTimeout);
+    if (!document)
+        co_return std::nullopt;
+    co_return decodeRecord(*document);
+}
+
+asio::awaitable<std::vector<StoredJob>> JobStore::readAll()
+{
+    const StoreListing listing = co_await store_.list(recordPrefix, false, now() + callTimeout);
+    std::vector<StoredJob> jobs;
+    for (const Document& document : listing.documents)
+        jobs.push_back(decodeRecord(document));
+    co_return jobs;
+}
+
+asio::awaitable<std::optional<int64_t>> JobStore::replace(std::string job, JobRecord record, int64_t revision)
+{
+    const std::string value = encode(record);
+    StoreTransaction transaction;
+    transaction.conditions.push_back({ recordKey(job), revision });
+    transaction.puts.push_back({ recordKey(job), value, 0 });
+    const CommitResult result = co_await store_.commit(std::move(transaction), now() + callTimeout);
+    if (result.isCommitted)
+        co_return result.revision;
+    for (const Document& present : result.present) {
+        // The same record with another revision is an earlier attempt of this very change.
+        if (present.key == recordKey(job) && present.value == value)
+            co_return present.revision;
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::string> JobStore::readBody(std::string job)
+{
+    const StoreListing listing = co_await store_.list(bodyPrefix(job), false, now() + callTimeout);
+    std::string body;
+    for (const Document& document : listing.documents)
+        body += document.value;
+    co_return body;
+}
+
+asio::awaitable<std::vector<BatchResult>> JobStore::readResults(std::string job)
+{
+    const StoreListing listing = co_await store_.list(resultPrefix(job), false, now() + callTimeout);
+    std::vector<BatchResult> results;
+    for (const Document& document : listing.documents)
+        decodeResults(document, results);
+    co_return results;
+}
+
+asio::awaitable<AppendOutcome> JobStore::append(
+    std::string job, int64_t revision, size_t first, std::vector<BatchResult> results)
+{
+    const std::string key = numberedKey(resultPrefix(job), first);
+    const std::string value = encode(results);
+    StoreTransaction transaction;
+    transaction.conditions.push_back({ recordKey(job), revision });
+    transaction.conditions.push_back({ key, 0 });
+    transaction.puts.push_back({ key, value, 0 });
+    const CommitResult result = co_await store_.commit(std::move(transaction), now() + callTimeout);
+    if (result.isCommitted)
+        co_return AppendOutcome::Appended;
+    for (const Document& present : result.present) {
+        // An earlier attempt whose answer was lost.
+        if (present.key == key && present.value == value)
+            co_return AppendOutcome::Appended;
+    }
+    co_return AppendOutcome::OwnerChanged;
+}
+
+asio::awaitable<void> JobStore::remove(std::string job)
+{
+    std::vector<std::string> keys;
+    for (const std::string& prefix : { bodyPrefix(job), resultPrefix(job) }) {
+        const StoreListing listing = co_await store_.list(prefix, false, now() + callTimeout);
+        for (const Document& document : listing.documents)
+            keys.push_back(document.key);
+    }
+    // The record goes last: as long as it is there, the removal is taken up again.
+    keys.push_back(recordKey(job));
+    for (size_t first = 0; first < keys.size(); first += maxTransactionEntries) {
+        StoreTransaction transaction;
+        const size_t end = std::min(keys.size(), first + maxTransactionEntries);
+        transaction.removals.assign(
+            keys.begin() + static_cast<ptrdiff_t>(first), keys.begin() + static_cast<ptrdiff_t>(end));
+        co_await store_.commit(std::move(transaction), now() + callTimeout);
+    }
+}
+
+} // namespace endiveroad::io
--- /dev/null
+++ b/src/io/hosted/StoreTransports.cpp
@@ -0,0 +1,148 @@
+#include "io/hosted/StoreTransports.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/ProcessMetrics.h"
+#include "wire/Codec.h"
+
+#include <endiveroad/Error.h>
+#include <endiveroad_types.h>
+#include <fmt/format.h>
+
+namespace endiveroad::io {
+
+namespace {
+
+constexpr int statusTooManyRequests = 429;
+constexpr int statusUnavailable = 503;
+
+constexpr Duration connectTimeout = std::chrono::milliseconds(400);
+
+/// The store says that it has done nothing.
+bool isTurnedAway(const HttpResponse& response)
+{
+    return response.status == statusTooManyRequests || response.status == statusUnavailable;
+}
+
+} // namespace
+
+DirectStoreTransport::DirectStoreTransport(HttpClient& http, Address address)
+    : http_(http)
+    , address_(std::move(address))
+{
+}
+
+asio::awaitable<HttpResponse> DirectStoreTransport::send(HttpRequest request, Instant deadline)
+{
+    processMetrics().count(Counter::StoreCalls);
+    request.connectDeadline = now() + connectTimeout;
+    try {
+        HttpResponse response = co_await http_.request(address_, std::move(request), deadline);
+        if (isTurnedAway(response))
+            processMetrics().count(Counter::StoreFailures);
+        co_return response;
+    } catch (const ServerUnavailableError& error) {
+        processMetrics().count(Counter::StoreFailures);
+        throw StoreUnavailableError(error.what());
+    } catch (const Error&) {
+        processMetrics().count(Counter::StoreFailures);
+        throw;
+    }
+}
+
+RelayedStoreTransport::RelayedStoreTransport(StoreTransport& direct, Relays relays)
+    : direct_(direct)
+    , relays_(std::move(relays))
+{
+}
+
+asio::awaitable<void> RelayedStoreTransport::tryDirect(const HttpRequest& request, Instant deadline, Attempt& attempt)
+{
+    try {
+        HttpRequest copy = request;
+        attempt.answer = co_await direct_.send(std::move(copy), deadline);
+        if (!isTurnedAway(*attempt.answer))
+            co_return;
+        attempt.reason = fmt::format("answered {}", attempt.answer->status);
+    } catch (const OutcomeUnknownError& error) {
+        attempt.isInDoubt = true;
+        attempt.reason = error.what();
+    } catch (const Error& error) {
+        attempt.reason = error.what();
+    }
+    directPausedUntil_ = now() + directPause;
+}
+
+asio::awaitable<void> RelayedStoreTransport::tryRelays(const HttpRequest& request, Instant deadline, Attempt& attempt)
+{
+    wire::StoreCall call;
+    call.method = request.method;
+    call.target = request.target;
+    call.body = request.body;
+    const std::string payload = wire::encode(call);
+    size_t asked = 0;
+    for (const PeerConnectionPtr& peer : relays_()) {
+        if (asked++ >= maxRelays || now() >= deadline)
+            co_return;
+        try {
+            std::string copy = payload;
+            const std::string answered = co_await peer->call(MessageType::StoreCall, std::move(copy), deadline);
+            const auto answer = wire::decode<wire::StoreAnswer>(answered);
+            HttpResponse response;
+            response.status = answer.status;
+            response.body = answer.body;
+            attempt.answer = std::move(response);
+            if (isTurnedAway(*attempt.answer))
+                continue;
+            log(Event::StoreRelayed,
+                { { "peer", peer->peerName }, { "call", request.method + " " + request.target },
+                    { "reason", attempt.reason } });
+            co_return;
+        } catch (const Error& error) {
+            attempt.isInDoubt = attempt.isInDoubt || error.code() == ErrorCode::OutcomeUnknown;
+            attempt.reason = error.what();
+        }
+    }
+}
+
+asio::awaitable<HttpResponse> RelayedStoreTransport::send(HttpRequest request, Instant deadline)
+{
+    Attempt attempt;
+    const bool isDirectFirst = now() >= directPausedUntil_ || relays_().empty();
+    if (isDirectFirst) {
+        const Instant directDeadline = relays_().empty() ? deadline : deadline - relayReserve;
+        co_await tryDirect(request, std::max(directDeadline, now() + relayReserve / 2), attempt);
+    } else {
+        co_await tryRelays(request, deadline, attempt);
+    }
+    if (attempt.answer && !isTurnedAway(*attempt.answer))
+        co_return std::move(*attempt.answer);
+    if (isDirectFirst)
+        co_await tryRelays(request, deadline, attempt);
+    else
+        co_await tryDirect(request, deadline, attempt);
+    const bool isAnswered = attempt.answer && !isTurnedAway(*attempt.answer);
+    if (isAnswered)
+        co_return std::move(*attempt.answer);
+    if (attempt.isInDoubt)
+        throw OutcomeUnknownError(attempt.reason);
+    throw StoreUnavailableError(attempt.reason);
+}
+
+asio::awaitable<std::string> relayStoreCall(StoreTransport& direct, PeerMessage message)
+{
+    auto call = wire::decode<wire::StoreCall>(message.payload);
+    HttpRequest request;
+    request.method = std::move(call.method);
+    request.target = std::move(call.target);
+    request.body = std::move(call.body);
+    if (!request.body.empty())
+        request.headers.emplace_back("Content-Type", "application/json");
+    const HttpResponse response = co_await direct.send(std::move(request), message.deadline);
+    wire::StoreAnswer answer;
+    answer.status = response.status;
+    answer.body = response.body;
+    co_return wire::encode(answer);
+}
+
+} // namespace endiveroad::io
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -139,3 +139,92 @@
 struct DrainRequest { 1: string node  2: i64 withinMs }
 struct TextRequest { 1: string argument }
 struct TextAnswer { 1: binary json }
+
+/** State of one key of the platform's store; a removed key keeps the revision of its removal. */
+struct Document { 1: string key  2: i64 revision  3: binary value  4: bool isRemoved }
+
+/** Documents that changed at the sender. A sender that reads the store itself says so with isFresh. */
+struct DirectoryUpdate { 1: list<Document> documents  2: bool isFresh }
+
+/** A call to the platform's store, made by the receiver for a sender that cannot reach the store. */
+struct StoreCall { 1: string method  2: string target  3: binary body }
+struct StoreAnswer { 1: i32 status  2: binary body }
+
+enum BatchOperation { Submit = 1, Read = 2, ReadItem = 3, Cancel = 4 }
+
+struct BatchCall {
+  1: BatchOperation operation
+  2: string job
+  3: string host
+  4: string route
+  5: binary body
+  6: i64 firstPosition
+  7: string item
+  8: i32 waitMs
+  /** Coordinators that the sender could not reach. */
+  9: list<string> unreachable
+}
+
+struct BatchAnswer {
+  1: i32 status
+  2: binary body
+  /** Set if another coordinator owns the job: the sender asks that one. */
+  3: string owner
+  4: i32 retryAfterMs
+}
+
+struct GeneratedEvent { 1: i64 id  2: binary data  3: i64 version }
+
+/** Starts an item on an agent's replica. Revision is that of the owner record under which the sender acts. */
+struct ItemStart {
+  1: string job
+  2: i64 revision
+  3: string item
+  4: i64 run
+  5: string host
+  6: string path
+  7: list<Header> headers
+  8: binary body
+  /** Events of earlier runs, behind the last of which this run goes on. */
+  9: list<GeneratedEvent> events
+  10: i64 oldestVersion
+  11: string model
+}
+struct ItemStartAnswer { 1: bool isAccepted  2: string reason }
+
+enum RunState { Running = 1, Completed = 2, Failed = 3, NotRun = 4 }
+
+struct ItemProgress {
+  1: string job
+  2: string item
+  3: i64 run
+  4: RunState state
+  /** HTTP status of the replica if it refused or failed the item; 0 if it gave none. */
+  5: i32 status
+  6: list<GeneratedEvent> events
+}
+struct ItemProgressNotice { 1: list<ItemProgress> items }
+
+/** Ends the runs of an item, or of the whole job if item is empty. */
+struct ItemCancelNotice { 1: string job  2: i64 revision  3: string item  4: bool isJobEnded }
+
+/** A coordinator owns the job from now on; agents send it all progress of the job's runs. */
+struct JobOwnerNotice { 1: string job  2: i64 revision  3: string owner }
+
+struct ModelVersion { 1: string model  2: i64 version }
+
+struct ReplicaReport {
+  1: string agent
+  2: string pool
+  3: string server
+  4: bool isUp
+  5: i32 running
+  6: i32 slots
+  7: list<ModelVersion> models
+  8: string loadingModel
+  9: string failureDomain
+  /** Mean time between events of the present runs, in ms; 0 while unknown. */
+  10: double eventMs
+}
+
+struct LoadModelNotice { 1: string model  2: i64 version }
