--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -44,6 +44,72 @@
   }
 }
 
+int _kBatchOperationValues[] = {
+  BatchOperation::Submit,
+  BatchOperation::Read,
+  BatchOperation::ReadItem,
+  BatchOperation::Cancel
+};
+const char* _kBatchOperationNames[] = {
+  "Submit",
+  "Read",
+  "ReadItem",
+  "Cancel"
+};
+const std::map<int, const char*> _BatchOperation_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kBatchOperationValues, _kBatchOperationNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const BatchOperation::type& val) {
+  std::map<int, const char*>::const_iterator it = _BatchOperation_VALUES_TO_NAMES.find(val);
+  if (it != _BatchOperation_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const BatchOperation::type& val) {
+  std::map<int, const char*>::const_iterator it = _BatchOperation_VALUES_TO_NAMES.find(val);
+  if (it != _BatchOperation_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kRunStateValues[] = {
+  RunState::Running,
+  RunState::Completed,
+  RunState::Failed,
+  RunState::NotRun
+};
+const char* _kRunStateNames[] = {
+  "Running",
+  "Completed",
+  "Failed",
+  "NotRun"
+};
+const std::map<int, const char*> _RunState_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kRunStateValues, _kRunStateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const RunState::type& val) {
+  std::map<int, const char*>::const_iterator it = _RunState_VALUES_TO_NAMES.find(val);
+  if (it != _RunState_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const RunState::type& val) {
+  std::map<int, const char*>::const_iterator it = _RunState_VALUES_TO_NAMES.find(val);
+  if (it != _RunState_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 Hello::~Hello() noexcept {
 }
@@ -3968,4 +4034,2660 @@
   out << ")";
 }
 
+
+Document::~Document() noexcept {
+}
+
+
+void Document::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void Document::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void Document::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void Document::__set_isRemoved(const bool val) {
+  this->isRemoved = val;
+}
+std::ostream& operator<<(std::ostream& out, const Document& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Document::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isRemoved);
+          this->__isset.isRemoved = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Document::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Document");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isRemoved", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isRemoved);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Document &a, Document &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.revision, b.revision);
+  swap(a.value, b.value);
+  swap(a.isRemoved, b.isRemoved);
+  swap(a.__isset, b.__isset);
+}
+
+Document::Document(const Document& other91) {
+  key = other91.key;
+  revision = other91.revision;
+  value = other91.value;
+  isRemoved = other91.isRemoved;
+  __isset = other91.__isset;
+}
+Document& Document::operator=(const Document& other92) {
+  key = other92.key;
+  revision = other92.revision;
+  value = other92.value;
+  isRemoved = other92.isRemoved;
+  __isset = other92.__isset;
+  return *this;
+}
+void Document::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Document(";
+  out << "key=" << to_string(key);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "isRemoved=" << to_string(isRemoved);
+  out << ")";
+}
+
+
+DirectoryUpdate::~DirectoryUpdate() noexcept {
+}
+
+
+void DirectoryUpdate::__set_documents(const std::vector<Document> & val) {
+  this->documents = val;
+}
+
+void DirectoryUpdate::__set_isFresh(const bool val) {
+  this->isFresh = val;
+}
+std::ostream& operator<<(std::ostream& out, const DirectoryUpdate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DirectoryUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->documents.clear();
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->documents.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
+            {
+              xfer += this->documents[_i97].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.documents = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isFresh);
+          this->__isset.isFresh = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DirectoryUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DirectoryUpdate");
+
+  xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->documents.size()));
+    std::vector<Document> ::const_iterator _iter98;
+    for (_iter98 = this->documents.begin(); _iter98 != this->documents.end(); ++_iter98)
+    {
+      xfer += (*_iter98).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isFresh", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isFresh);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DirectoryUpdate &a, DirectoryUpdate &b) {
+  using ::std::swap;
+  swap(a.documents, b.documents);
+  swap(a.isFresh, b.isFresh);
+  swap(a.__isset, b.__isset);
+}
+
+DirectoryUpdate::DirectoryUpdate(const DirectoryUpdate& other99) {
+  documents = other99.documents;
+  isFresh = other99.isFresh;
+  __isset = other99.__isset;
+}
+DirectoryUpdate& DirectoryUpdate::operator=(const DirectoryUpdate& other100) {
+  documents = other100.documents;
+  isFresh = other100.isFresh;
+  __isset = other100.__isset;
+  return *this;
+}
+void DirectoryUpdate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DirectoryUpdate(";
+  out << "documents=" << to_string(documents);
+  out << ", " << "isFresh=" << to_string(isFresh);
+  out << ")";
+}
+
+
+StoreCall::~StoreCall() noexcept {
+}
+
+
+void StoreCall::__set_method(const std::string& val) {
+  this->method = val;
+}
+
+void StoreCall::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void StoreCall::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->method);
+          this->__isset.method = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreCall");
+
+  xfer += oprot->writeFieldBegin("method", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->method);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreCall &a, StoreCall &b) {
+  using ::std::swap;
+  swap(a.method, b.method);
+  swap(a.target, b.target);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+StoreCall::StoreCall(const StoreCall& other101) {
+  method = other101.method;
+  target = other101.target;
+  body = other101.body;
+  __isset = other101.__isset;
+}
+StoreCall& StoreCall::operator=(const StoreCall& other102) {
+  method = other102.method;
+  target = other102.target;
+  body = other102.body;
+  __isset = other102.__isset;
+  return *this;
+}
+void StoreCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreCall(";
+  out << "method=" << to_string(method);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+StoreAnswer::~StoreAnswer() noexcept {
+}
+
+
+void StoreAnswer::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void StoreAnswer::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreAnswer");
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreAnswer &a, StoreAnswer &b) {
+  using ::std::swap;
+  swap(a.status, b.status);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+StoreAnswer::StoreAnswer(const StoreAnswer& other103) {
+  status = other103.status;
+  body = other103.body;
+  __isset = other103.__isset;
+}
+StoreAnswer& StoreAnswer::operator=(const StoreAnswer& other104) {
+  status = other104.status;
+  body = other104.body;
+  __isset = other104.__isset;
+  return *this;
+}
+void StoreAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreAnswer(";
+  out << "status=" << to_string(status);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+BatchCall::~BatchCall() noexcept {
+}
+
+
+void BatchCall::__set_operation(const BatchOperation::type val) {
+  this->operation = val;
+}
+
+void BatchCall::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void BatchCall::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void BatchCall::__set_route(const std::string& val) {
+  this->route = val;
+}
+
+void BatchCall::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void BatchCall::__set_firstPosition(const int64_t val) {
+  this->firstPosition = val;
+}
+
+void BatchCall::__set_item(const std::string& val) {
+  this->item = val;
+}
+
+void BatchCall::__set_waitMs(const int32_t val) {
+  this->waitMs = val;
+}
+
+void BatchCall::__set_unreachable(const std::vector<std::string> & val) {
+  this->unreachable = val;
+}
+std::ostream& operator<<(std::ostream& out, const BatchCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BatchCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast105;
+          xfer += iprot->readI32(ecast105);
+          this->operation = static_cast<BatchOperation::type>(ecast105);
+          this->__isset.operation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->firstPosition);
+          this->__isset.firstPosition = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->item);
+          this->__isset.item = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitMs);
+          this->__isset.waitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unreachable.clear();
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->unreachable.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
+            {
+              xfer += iprot->readString(this->unreachable[_i110]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unreachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BatchCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BatchCall");
+
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->operation));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("firstPosition", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->firstPosition);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("item", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->item);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->waitMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unreachable.size()));
+    std::vector<std::string> ::const_iterator _iter111;
+    for (_iter111 = this->unreachable.begin(); _iter111 != this->unreachable.end(); ++_iter111)
+    {
+      xfer += oprot->writeString((*_iter111));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BatchCall &a, BatchCall &b) {
+  using ::std::swap;
+  swap(a.operation, b.operation);
+  swap(a.job, b.job);
+  swap(a.host, b.host);
+  swap(a.route, b.route);
+  swap(a.body, b.body);
+  swap(a.firstPosition, b.firstPosition);
+  swap(a.item, b.item);
+  swap(a.waitMs, b.waitMs);
+  swap(a.unreachable, b.unreachable);
+  swap(a.__isset, b.__isset);
+}
+
+BatchCall::BatchCall(const BatchCall& other112) {
+  operation = other112.operation;
+  job = other112.job;
+  host = other112.host;
+  route = other112.route;
+  body = other112.body;
+  firstPosition = other112.firstPosition;
+  item = other112.item;
+  waitMs = other112.waitMs;
+  unreachable = other112.unreachable;
+  __isset = other112.__isset;
+}
+BatchCall& BatchCall::operator=(const BatchCall& other113) {
+  operation = other113.operation;
+  job = other113.job;
+  host = other113.host;
+  route = other113.route;
+  body = other113.body;
+  firstPosition = other113.firstPosition;
+  item = other113.item;
+  waitMs = other113.waitMs;
+  unreachable = other113.unreachable;
+  __isset = other113.__isset;
+  return *this;
+}
+void BatchCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BatchCall(";
+  out << "operation=" << to_string(operation);
+  out << ", " << "job=" << to_string(job);
+  out << ", " << "host=" << to_string(host);
+  out << ", " << "route=" << to_string(route);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "firstPosition=" << to_string(firstPosition);
+  out << ", " << "item=" << to_string(item);
+  out << ", " << "waitMs=" << to_string(waitMs);
+  out << ", " << "unreachable=" << to_string(unreachable);
+  out << ")";
+}
+
+
+BatchAnswer::~BatchAnswer() noexcept {
+}
+
+
+void BatchAnswer::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void BatchAnswer::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void BatchAnswer::__set_owner(const std::string& val) {
+  this->owner = val;
+}
+
+void BatchAnswer::__set_retryAfterMs(const int32_t val) {
+  this->retryAfterMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const BatchAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BatchAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryAfterMs);
+          this->__isset.retryAfterMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BatchAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BatchAnswer");
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->retryAfterMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BatchAnswer &a, BatchAnswer &b) {
+  using ::std::swap;
+  swap(a.status, b.status);
+  swap(a.body, b.body);
+  swap(a.owner, b.owner);
+  swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.__isset, b.__isset);
+}
+
+BatchAnswer::BatchAnswer(const BatchAnswer& other114) {
+  status = other114.status;
+  body = other114.body;
+  owner = other114.owner;
+  retryAfterMs = other114.retryAfterMs;
+  __isset = other114.__isset;
+}
+BatchAnswer& BatchAnswer::operator=(const BatchAnswer& other115) {
+  status = other115.status;
+  body = other115.body;
+  owner = other115.owner;
+  retryAfterMs = other115.retryAfterMs;
+  __isset = other115.__isset;
+  return *this;
+}
+void BatchAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BatchAnswer(";
+  out << "status=" << to_string(status);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ")";
+}
+
+
+GeneratedEvent::~GeneratedEvent() noexcept {
+}
+
+
+void GeneratedEvent::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void GeneratedEvent::__set_data(const std::string& val) {
+  this->data = val;
+}
+
+void GeneratedEvent::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const GeneratedEvent& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GeneratedEvent::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GeneratedEvent::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GeneratedEvent");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GeneratedEvent &a, GeneratedEvent &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.data, b.data);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+GeneratedEvent::GeneratedEvent(const GeneratedEvent& other116) {
+  id = other116.id;
+  data = other116.data;
+  version = other116.version;
+  __isset = other116.__isset;
+}
+GeneratedEvent& GeneratedEvent::operator=(const GeneratedEvent& other117) {
+  id = other117.id;
+  data = other117.data;
+  version = other117.version;
+  __isset = other117.__isset;
+  return *this;
+}
+void GeneratedEvent::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GeneratedEvent(";
+  out << "id=" << to_string(id);
+  out << ", " << "data=" << to_string(data);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+ItemStart::~ItemStart() noexcept {
+}
+
+
+void ItemStart::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void ItemStart::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ItemStart::__set_item(const std::string& val) {
+  this->item = val;
+}
+
+void ItemStart::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void ItemStart::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void ItemStart::__set_path(const std::string& val) {
+  this->path = val;
+}
+
+void ItemStart::__set_headers(const std::vector<Header> & val) {
+  this->headers = val;
+}
+
+void ItemStart::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void ItemStart::__set_events(const std::vector<GeneratedEvent> & val) {
+  this->events = val;
+}
+
+void ItemStart::__set_oldestVersion(const int64_t val) {
+  this->oldestVersion = val;
+}
+
+void ItemStart::__set_model(const std::string& val) {
+  this->model = val;
+}
+std::ostream& operator<<(std::ostream& out, const ItemStart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ItemStart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->item);
+          this->__isset.item = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->path);
+          this->__isset.path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->headers.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
+            {
+              xfer += this->headers[_i122].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->events.clear();
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->events.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
+            {
+              xfer += this->events[_i127].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.events = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->oldestVersion);
+          this->__isset.oldestVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ItemStart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ItemStart");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("item", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->item);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->path);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<Header> ::const_iterator _iter128;
+    for (_iter128 = this->headers.begin(); _iter128 != this->headers.end(); ++_iter128)
+    {
+      xfer += (*_iter128).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
+    std::vector<GeneratedEvent> ::const_iterator _iter129;
+    for (_iter129 = this->events.begin(); _iter129 != this->events.end(); ++_iter129)
+    {
+      xfer += (*_iter129).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("oldestVersion", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->oldestVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ItemStart &a, ItemStart &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.revision, b.revision);
+  swap(a.item, b.item);
+  swap(a.run, b.run);
+  swap(a.host, b.host);
+  swap(a.path, b.path);
+  swap(a.headers, b.headers);
+  swap(a.body, b.body);
+  swap(a.events, b.events);
+  swap(a.oldestVersion, b.oldestVersion);
+  swap(a.model, b.model);
+  swap(a.__isset, b.__isset);
+}
+
+ItemStart::ItemStart(const ItemStart& other130) {
+  job = other130.job;
+  revision = other130.revision;
+  item = other130.item;
+  run = other130.run;
+  host = other130.host;
+  path = other130.path;
+  headers = other130.headers;
+  body = other130.body;
+  events = other130.events;
+  oldestVersion = other130.oldestVersion;
+  model = other130.model;
+  __isset = other130.__isset;
+}
+ItemStart& ItemStart::operator=(const ItemStart& other131) {
+  job = other131.job;
+  revision = other131.revision;
+  item = other131.item;
+  run = other131.run;
+  host = other131.host;
+  path = other131.path;
+  headers = other131.headers;
+  body = other131.body;
+  events = other131.events;
+  oldestVersion = other131.oldestVersion;
+  model = other131.model;
+  __isset = other131.__isset;
+  return *this;
+}
+void ItemStart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ItemStart(";
+  out << "job=" << to_string(job);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "item=" << to_string(item);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "host=" << to_string(host);
+  out << ", " << "path=" << to_string(path);
+  out << ", " << "headers=" << to_string(headers);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "events=" << to_string(events);
+  out << ", " << "oldestVersion=" << to_string(oldestVersion);
+  out << ", " << "model=" << to_string(model);
+  out << ")";
+}
+
+
+ItemStartAnswer::~ItemStartAnswer() noexcept {
+}
+
+
+void ItemStartAnswer::__set_isAccepted(const bool val) {
+  this->isAccepted = val;
+}
+
+void ItemStartAnswer::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+std::ostream& operator<<(std::ostream& out, const ItemStartAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ItemStartAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isAccepted);
+          this->__isset.isAccepted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ItemStartAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ItemStartAnswer");
+
+  xfer += oprot->writeFieldBegin("isAccepted", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->isAccepted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ItemStartAnswer &a, ItemStartAnswer &b) {
+  using ::std::swap;
+  swap(a.isAccepted, b.isAccepted);
+  swap(a.reason, b.reason);
+  swap(a.__isset, b.__isset);
+}
+
+ItemStartAnswer::ItemStartAnswer(const ItemStartAnswer& other132) {
+  isAccepted = other132.isAccepted;
+  reason = other132.reason;
+  __isset = other132.__isset;
+}
+ItemStartAnswer& ItemStartAnswer::operator=(const ItemStartAnswer& other133) {
+  isAccepted = other133.isAccepted;
+  reason = other133.reason;
+  __isset = other133.__isset;
+  return *this;
+}
+void ItemStartAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ItemStartAnswer(";
+  out << "isAccepted=" << to_string(isAccepted);
+  out << ", " << "reason=" << to_string(reason);
+  out << ")";
+}
+
+
+ItemProgress::~ItemProgress() noexcept {
+}
+
+
+void ItemProgress::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void ItemProgress::__set_item(const std::string& val) {
+  this->item = val;
+}
+
+void ItemProgress::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void ItemProgress::__set_state(const RunState::type val) {
+  this->state = val;
+}
+
+void ItemProgress::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void ItemProgress::__set_events(const std::vector<GeneratedEvent> & val) {
+  this->events = val;
+}
+std::ostream& operator<<(std::ostream& out, const ItemProgress& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ItemProgress::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->item);
+          this->__isset.item = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast134;
+          xfer += iprot->readI32(ecast134);
+          this->state = static_cast<RunState::type>(ecast134);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->events.clear();
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->events.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
+            {
+              xfer += this->events[_i139].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.events = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ItemProgress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ItemProgress");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("item", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->item);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
+    std::vector<GeneratedEvent> ::const_iterator _iter140;
+    for (_iter140 = this->events.begin(); _iter140 != this->events.end(); ++_iter140)
+    {
+      xfer += (*_iter140).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ItemProgress &a, ItemProgress &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.item, b.item);
+  swap(a.run, b.run);
+  swap(a.state, b.state);
+  swap(a.status, b.status);
+  swap(a.events, b.events);
+  swap(a.__isset, b.__isset);
+}
+
+ItemProgress::ItemProgress(const ItemProgress& other141) {
+  job = other141.job;
+  item = other141.item;
+  run = other141.run;
+  state = other141.state;
+  status = other141.status;
+  events = other141.events;
+  __isset = other141.__isset;
+}
+ItemProgress& ItemProgress::operator=(const ItemProgress& other142) {
+  job = other142.job;
+  item = other142.item;
+  run = other142.run;
+  state = other142.state;
+  status = other142.status;
+  events = other142.events;
+  __isset = other142.__isset;
+  return *this;
+}
+void ItemProgress::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ItemProgress(";
+  out << "job=" << to_string(job);
+  out << ", " << "item=" << to_string(item);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "events=" << to_string(events);
+  out << ")";
+}
+
+
+ItemProgressNotice::~ItemProgressNotice() noexcept {
+}
+
+
+void ItemProgressNotice::__set_items(const std::vector<ItemProgress> & val) {
+  this->items = val;
+}
+std::ostream& operator<<(std::ostream& out, const ItemProgressNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ItemProgressNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->items.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
+            {
+              xfer += this->items[_i147].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ItemProgressNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ItemProgressNotice");
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<ItemProgress> ::const_iterator _iter148;
+    for (_iter148 = this->items.begin(); _iter148 != this->items.end(); ++_iter148)
+    {
+      xfer += (*_iter148).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ItemProgressNotice &a, ItemProgressNotice &b) {
+  using ::std::swap;
+  swap(a.items, b.items);
+  swap(a.__isset, b.__isset);
+}
+
+ItemProgressNotice::ItemProgressNotice(const ItemProgressNotice& other149) {
+  items = other149.items;
+  __isset = other149.__isset;
+}
+ItemProgressNotice& ItemProgressNotice::operator=(const ItemProgressNotice& other150) {
+  items = other150.items;
+  __isset = other150.__isset;
+  return *this;
+}
+void ItemProgressNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ItemProgressNotice(";
+  out << "items=" << to_string(items);
+  out << ")";
+}
+
+
+ItemCancelNotice::~ItemCancelNotice() noexcept {
+}
+
+
+void ItemCancelNotice::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void ItemCancelNotice::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ItemCancelNotice::__set_item(const std::string& val) {
+  this->item = val;
+}
+
+void ItemCancelNotice::__set_isJobEnded(const bool val) {
+  this->isJobEnded = val;
+}
+std::ostream& operator<<(std::ostream& out, const ItemCancelNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ItemCancelNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->item);
+          this->__isset.item = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isJobEnded);
+          this->__isset.isJobEnded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ItemCancelNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ItemCancelNotice");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("item", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->item);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isJobEnded", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isJobEnded);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ItemCancelNotice &a, ItemCancelNotice &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.revision, b.revision);
+  swap(a.item, b.item);
+  swap(a.isJobEnded, b.isJobEnded);
+  swap(a.__isset, b.__isset);
+}
+
+ItemCancelNotice::ItemCancelNotice(const ItemCancelNotice& other151) {
+  job = other151.job;
+  revision = other151.revision;
+  item = other151.item;
+  isJobEnded = other151.isJobEnded;
+  __isset = other151.__isset;
+}
+ItemCancelNotice& ItemCancelNotice::operator=(const ItemCancelNotice& other152) {
+  job = other152.job;
+  revision = other152.revision;
+  item = other152.item;
+  isJobEnded = other152.isJobEnded;
+  __isset = other152.__isset;
+  return *this;
+}
+void ItemCancelNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ItemCancelNotice(";
+  out << "job=" << to_string(job);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "item=" << to_string(item);
+  out << ", " << "isJobEnded=" << to_string(isJobEnded);
+  out << ")";
+}
+
+
+JobOwnerNotice::~JobOwnerNotice() noexcept {
+}
+
+
+void JobOwnerNotice::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void JobOwnerNotice::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void JobOwnerNotice::__set_owner(const std::string& val) {
+  this->owner = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobOwnerNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobOwnerNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobOwnerNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobOwnerNotice");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobOwnerNotice &a, JobOwnerNotice &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.revision, b.revision);
+  swap(a.owner, b.owner);
+  swap(a.__isset, b.__isset);
+}
+
+JobOwnerNotice::JobOwnerNotice(const JobOwnerNotice& other153) {
+  job = other153.job;
+  revision = other153.revision;
+  owner = other153.owner;
+  __isset = other153.__isset;
+}
+JobOwnerNotice& JobOwnerNotice::operator=(const JobOwnerNotice& other154) {
+  job = other154.job;
+  revision = other154.revision;
+  owner = other154.owner;
+  __isset = other154.__isset;
+  return *this;
+}
+void JobOwnerNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobOwnerNotice(";
+  out << "job=" << to_string(job);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "owner=" << to_string(owner);
+  out << ")";
+}
+
+
+ModelVersion::~ModelVersion() noexcept {
+}
+
+
+void ModelVersion::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void ModelVersion::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const ModelVersion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ModelVersion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ModelVersion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ModelVersion");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ModelVersion &a, ModelVersion &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+ModelVersion::ModelVersion(const ModelVersion& other155) {
+  model = other155.model;
+  version = other155.version;
+  __isset = other155.__isset;
+}
+ModelVersion& ModelVersion::operator=(const ModelVersion& other156) {
+  model = other156.model;
+  version = other156.version;
+  __isset = other156.__isset;
+  return *this;
+}
+void ModelVersion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ModelVersion(";
+  out << "model=" << to_string(model);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+ReplicaReport::~ReplicaReport() noexcept {
+}
+
+
+void ReplicaReport::__set_agent(const std::string& val) {
+  this->agent = val;
+}
+
+void ReplicaReport::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void ReplicaReport::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void ReplicaReport::__set_isUp(const bool val) {
+  this->isUp = val;
+}
+
+void ReplicaReport::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void ReplicaReport::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void ReplicaReport::__set_models(const std::vector<ModelVersion> & val) {
+  this->models = val;
+}
+
+void ReplicaReport::__set_loadingModel(const std::string& val) {
+  this->loadingModel = val;
+}
+
+void ReplicaReport::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void ReplicaReport::__set_eventMs(const double val) {
+  this->eventMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplicaReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReplicaReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->agent);
+          this->__isset.agent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isUp);
+          this->__isset.isUp = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->models.clear();
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->models.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
+            {
+              xfer += this->models[_i161].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.models = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->loadingModel);
+          this->__isset.loadingModel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->eventMs);
+          this->__isset.eventMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicaReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicaReport");
+
+  xfer += oprot->writeFieldBegin("agent", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->agent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isUp", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isUp);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
+    std::vector<ModelVersion> ::const_iterator _iter162;
+    for (_iter162 = this->models.begin(); _iter162 != this->models.end(); ++_iter162)
+    {
+      xfer += (*_iter162).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loadingModel", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->loadingModel);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("eventMs", ::apache::thrift::protocol::T_DOUBLE, 10);
+  xfer += oprot->writeDouble(this->eventMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReplicaReport &a, ReplicaReport &b) {
+  using ::std::swap;
+  swap(a.agent, b.agent);
+  swap(a.pool, b.pool);
+  swap(a.server, b.server);
+  swap(a.isUp, b.isUp);
+  swap(a.running, b.running);
+  swap(a.slots, b.slots);
+  swap(a.models, b.models);
+  swap(a.loadingModel, b.loadingModel);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.eventMs, b.eventMs);
+  swap(a.__isset, b.__isset);
+}
+
+ReplicaReport::ReplicaReport(const ReplicaReport& other163) {
+  agent = other163.agent;
+  pool = other163.pool;
+  server = other163.server;
+  isUp = other163.isUp;
+  running = other163.running;
+  slots = other163.slots;
+  models = other163.models;
+  loadingModel = other163.loadingModel;
+  failureDomain = other163.failureDomain;
+  eventMs = other163.eventMs;
+  __isset = other163.__isset;
+}
+ReplicaReport& ReplicaReport::operator=(const ReplicaReport& other164) {
+  agent = other164.agent;
+  pool = other164.pool;
+  server = other164.server;
+  isUp = other164.isUp;
+  running = other164.running;
+  slots = other164.slots;
+  models = other164.models;
+  loadingModel = other164.loadingModel;
+  failureDomain = other164.failureDomain;
+  eventMs = other164.eventMs;
+  __isset = other164.__isset;
+  return *this;
+}
+void ReplicaReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReplicaReport(";
+  out << "agent=" << to_string(agent);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "isUp=" << to_string(isUp);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "models=" << to_string(models);
+  out << ", " << "loadingModel=" << to_string(loadingModel);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "eventMs=" << to_string(eventMs);
+  out << ")";
+}
+
+
+LoadModelNotice::~LoadModelNotice() noexcept {
+}
+
+
+void LoadModelNotice::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void LoadModelNotice::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadModelNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadModelNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadModelNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadModelNotice");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadModelNotice &a, LoadModelNotice &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+LoadModelNotice::LoadModelNotice(const LoadModelNotice& other165) {
+  model = other165.model;
+  version = other165.version;
+  __isset = other165.__isset;
+}
+LoadModelNotice& LoadModelNotice::operator=(const LoadModelNotice& other166) {
+  model = other166.model;
+  version = other166.version;
+  __isset = other166.__isset;
+  return *this;
+}
+void LoadModelNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadModelNotice(";
+  out << "model=" << to_string(model);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -35,6 +35,36 @@
 
 std::string to_string(const Outcome::type& val);
 
+struct BatchOperation {
+  enum type {
+    Submit = 1,
+    Read = 2,
+    ReadItem = 3,
+    Cancel = 4
+  };
+};
+
+extern const std::map<int, const char*> _BatchOperation_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const BatchOperation::type& val);
+
+std::string to_string(const BatchOperation::type& val);
+
+struct RunState {
+  enum type {
+    Running = 1,
+    Completed = 2,
+    Failed = 3,
+    NotRun = 4
+  };
+};
+
+extern const std::map<int, const char*> _RunState_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const RunState::type& val);
+
+std::string to_string(const RunState::type& val);
+
 class Hello;
 
 class AgentReport;
@@ -81,6 +111,38 @@
 
 class TextAnswer;
 
+class Document;
+
+class DirectoryUpdate;
+
+class StoreCall;
+
+class StoreAnswer;
+
+class BatchCall;
+
+class BatchAnswer;
+
+class GeneratedEvent;
+
+class ItemStart;
+
+class ItemStartAnswer;
+
+class ItemProgress;
+
+class ItemProgressNotice;
+
+class ItemCancelNotice;
+
+class JobOwnerNotice;
+
+class ModelVersion;
+
+class ReplicaReport;
+
+class LoadModelNotice;
+
 typedef struct _Hello__isset {
   _Hello__isset() : node(false), role(false), incarnation(false), settingsRevision(false), organisation(false) {}
   bool node :1;
@@ -1690,6 +1752,1092 @@
 
 std::ostream& operator<<(std::ostream& out, const TextAnswer& obj);
 
+typedef struct _Document__isset {
+  _Document__isset() : key(false), revision(false), value(false), isRemoved(false) {}
+  bool key :1;
+  bool revision :1;
+  bool value :1;
+  bool isRemoved :1;
+} _Document__isset;
+
+/**
+ * State of one key of the platform's store; a removed key keeps the revision of its removal.
+ */
+class Document : public virtual ::apache::thrift::TBase {
+ public:
+
+  Document(const Document&);
+  Document& operator=(const Document&);
+  Document() noexcept
+           : key(),
+             revision(0),
+             value(),
+             isRemoved(0) {
+  }
+
+  virtual ~Document() noexcept;
+  std::string key;
+  int64_t revision;
+  std::string value;
+  bool isRemoved;
+
+  _Document__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_value(const std::string& val);
+
+  void __set_isRemoved(const bool val);
+
+  bool operator == (const Document & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(isRemoved == rhs.isRemoved))
+      return false;
+    return true;
+  }
+  bool operator != (const Document &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Document & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Document &a, Document &b);
+
+std::ostream& operator<<(std::ostream& out, const Document& obj);
+
+typedef struct _DirectoryUpdate__isset {
+  _DirectoryUpdate__isset() : documents(false), isFresh(false) {}
+  bool documents :1;
+  bool isFresh :1;
+} _DirectoryUpdate__isset;
+
+/**
+ * Documents that changed at the sender. A sender that reads the store itself says so with isFresh.
+ */
+class DirectoryUpdate : public virtual ::apache::thrift::TBase {
+ public:
+
+  DirectoryUpdate(const DirectoryUpdate&);
+  DirectoryUpdate& operator=(const DirectoryUpdate&);
+  DirectoryUpdate() noexcept
+                  : isFresh(0) {
+  }
+
+  virtual ~DirectoryUpdate() noexcept;
+  std::vector<Document>  documents;
+  bool isFresh;
+
+  _DirectoryUpdate__isset __isset;
+
+  void __set_documents(const std::vector<Document> & val);
+
+  void __set_isFresh(const bool val);
+
+  bool operator == (const DirectoryUpdate & rhs) const
+  {
+    if (!(documents == rhs.documents))
+      return false;
+    if (!(isFresh == rhs.isFresh))
+      return false;
+    return true;
+  }
+  bool operator != (const DirectoryUpdate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DirectoryUpdate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DirectoryUpdate &a, DirectoryUpdate &b);
+
+std::ostream& operator<<(std::ostream& out, const DirectoryUpdate& obj);
+
+typedef struct _StoreCall__isset {
+  _StoreCall__isset() : method(false), target(false), body(false) {}
+  bool method :1;
+  bool target :1;
+  bool body :1;
+} _StoreCall__isset;
+
+/**
+ * A call to the platform's store, made by the receiver for a sender that cannot reach the store.
+ */
+class StoreCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreCall(const StoreCall&);
+  StoreCall& operator=(const StoreCall&);
+  StoreCall() noexcept
+            : method(),
+              target(),
+              body() {
+  }
+
+  virtual ~StoreCall() noexcept;
+  std::string method;
+  std::string target;
+  std::string body;
+
+  _StoreCall__isset __isset;
+
+  void __set_method(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const StoreCall & rhs) const
+  {
+    if (!(method == rhs.method))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreCall &a, StoreCall &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreCall& obj);
+
+typedef struct _StoreAnswer__isset {
+  _StoreAnswer__isset() : status(false), body(false) {}
+  bool status :1;
+  bool body :1;
+} _StoreAnswer__isset;
+
+class StoreAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreAnswer(const StoreAnswer&);
+  StoreAnswer& operator=(const StoreAnswer&);
+  StoreAnswer() noexcept
+              : status(0),
+                body() {
+  }
+
+  virtual ~StoreAnswer() noexcept;
+  int32_t status;
+  std::string body;
+
+  _StoreAnswer__isset __isset;
+
+  void __set_status(const int32_t val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const StoreAnswer & rhs) const
+  {
+    if (!(status == rhs.status))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreAnswer &a, StoreAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreAnswer& obj);
+
+typedef struct _BatchCall__isset {
+  _BatchCall__isset() : operation(false), job(false), host(false), route(false), body(false), firstPosition(false), item(false), waitMs(false), unreachable(false) {}
+  bool operation :1;
+  bool job :1;
+  bool host :1;
+  bool route :1;
+  bool body :1;
+  bool firstPosition :1;
+  bool item :1;
+  bool waitMs :1;
+  bool unreachable :1;
+} _BatchCall__isset;
+
+class BatchCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  BatchCall(const BatchCall&);
+  BatchCall& operator=(const BatchCall&);
+  BatchCall() noexcept
+            : operation(static_cast<BatchOperation::type>(0)),
+              job(),
+              host(),
+              route(),
+              body(),
+              firstPosition(0),
+              item(),
+              waitMs(0) {
+  }
+
+  virtual ~BatchCall() noexcept;
+  /**
+   * 
+   * @see BatchOperation
+   */
+  BatchOperation::type operation;
+  std::string job;
+  std::string host;
+  std::string route;
+  std::string body;
+  int64_t firstPosition;
+  std::string item;
+  int32_t waitMs;
+  /**
+   * Coordinators that the sender could not reach.
+   */
+  std::vector<std::string>  unreachable;
+
+  _BatchCall__isset __isset;
+
+  void __set_operation(const BatchOperation::type val);
+
+  void __set_job(const std::string& val);
+
+  void __set_host(const std::string& val);
+
+  void __set_route(const std::string& val);
+
+  void __set_body(const std::string& val);
+
+  void __set_firstPosition(const int64_t val);
+
+  void __set_item(const std::string& val);
+
+  void __set_waitMs(const int32_t val);
+
+  void __set_unreachable(const std::vector<std::string> & val);
+
+  bool operator == (const BatchCall & rhs) const
+  {
+    if (!(operation == rhs.operation))
+      return false;
+    if (!(job == rhs.job))
+      return false;
+    if (!(host == rhs.host))
+      return false;
+    if (!(route == rhs.route))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    if (!(firstPosition == rhs.firstPosition))
+      return false;
+    if (!(item == rhs.item))
+      return false;
+    if (!(waitMs == rhs.waitMs))
+      return false;
+    if (!(unreachable == rhs.unreachable))
+      return false;
+    return true;
+  }
+  bool operator != (const BatchCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BatchCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BatchCall &a, BatchCall &b);
+
+std::ostream& operator<<(std::ostream& out, const BatchCall& obj);
+
+typedef struct _BatchAnswer__isset {
+  _BatchAnswer__isset() : status(false), body(false), owner(false), retryAfterMs(false) {}
+  bool status :1;
+  bool body :1;
+  bool owner :1;
+  bool retryAfterMs :1;
+} _BatchAnswer__isset;
+
+class BatchAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  BatchAnswer(const BatchAnswer&);
+  BatchAnswer& operator=(const BatchAnswer&);
+  BatchAnswer() noexcept
+              : status(0),
+                body(),
+                owner(),
+                retryAfterMs(0) {
+  }
+
+  virtual ~BatchAnswer() noexcept;
+  int32_t status;
+  std::string body;
+  /**
+   * Set if another coordinator owns the job: the sender asks that one.
+   */
+  std::string owner;
+  int32_t retryAfterMs;
+
+  _BatchAnswer__isset __isset;
+
+  void __set_status(const int32_t val);
+
+  void __set_body(const std::string& val);
+
+  void __set_owner(const std::string& val);
+
+  void __set_retryAfterMs(const int32_t val);
+
+  bool operator == (const BatchAnswer & rhs) const
+  {
+    if (!(status == rhs.status))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    if (!(owner == rhs.owner))
+      return false;
+    if (!(retryAfterMs == rhs.retryAfterMs))
+      return false;
+    return true;
+  }
+  bool operator != (const BatchAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BatchAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BatchAnswer &a, BatchAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const BatchAnswer& obj);
+
+typedef struct _GeneratedEvent__isset {
+  _GeneratedEvent__isset() : id(false), data(false), version(false) {}
+  bool id :1;
+  bool data :1;
+  bool version :1;
+} _GeneratedEvent__isset;
+
+class GeneratedEvent : public virtual ::apache::thrift::TBase {
+ public:
+
+  GeneratedEvent(const GeneratedEvent&);
+  GeneratedEvent& operator=(const GeneratedEvent&);
+  GeneratedEvent() noexcept
+                 : id(0),
+                   data(),
+                   version(0) {
+  }
+
+  virtual ~GeneratedEvent() noexcept;
+  int64_t id;
+  std::string data;
+  int64_t version;
+
+  _GeneratedEvent__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_data(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const GeneratedEvent & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(data == rhs.data))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const GeneratedEvent &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GeneratedEvent & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GeneratedEvent &a, GeneratedEvent &b);
+
+std::ostream& operator<<(std::ostream& out, const GeneratedEvent& obj);
+
+typedef struct _ItemStart__isset {
+  _ItemStart__isset() : job(false), revision(false), item(false), run(false), host(false), path(false), headers(false), body(false), events(false), oldestVersion(false), model(false) {}
+  bool job :1;
+  bool revision :1;
+  bool item :1;
+  bool run :1;
+  bool host :1;
+  bool path :1;
+  bool headers :1;
+  bool body :1;
+  bool events :1;
+  bool oldestVersion :1;
+  bool model :1;
+} _ItemStart__isset;
+
+/**
+ * Starts an item on an agent's replica. Revision is that of the owner record under which the sender acts.
+ */
+class ItemStart : public virtual ::apache::thrift::TBase {
+ public:
+
+  ItemStart(const ItemStart&);
+  ItemStart& operator=(const ItemStart&);
+  ItemStart() noexcept
+            : job(),
+              revision(0),
+              item(),
+              run(0),
+              host(),
+              path(),
+              body(),
+              oldestVersion(0),
+              model() {
+  }
+
+  virtual ~ItemStart() noexcept;
+  std::string job;
+  int64_t revision;
+  std::string item;
+  int64_t run;
+  std::string host;
+  std::string path;
+  std::vector<Header>  headers;
+  std::string body;
+  /**
+   * Events of earlier runs, behind the last of which this run goes on.
+   */
+  std::vector<GeneratedEvent>  events;
+  int64_t oldestVersion;
+  std::string model;
+
+  _ItemStart__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_item(const std::string& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_host(const std::string& val);
+
+  void __set_path(const std::string& val);
+
+  void __set_headers(const std::vector<Header> & val);
+
+  void __set_body(const std::string& val);
+
+  void __set_events(const std::vector<GeneratedEvent> & val);
+
+  void __set_oldestVersion(const int64_t val);
+
+  void __set_model(const std::string& val);
+
+  bool operator == (const ItemStart & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(item == rhs.item))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(host == rhs.host))
+      return false;
+    if (!(path == rhs.path))
+      return false;
+    if (!(headers == rhs.headers))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    if (!(events == rhs.events))
+      return false;
+    if (!(oldestVersion == rhs.oldestVersion))
+      return false;
+    if (!(model == rhs.model))
+      return false;
+    return true;
+  }
+  bool operator != (const ItemStart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ItemStart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ItemStart &a, ItemStart &b);
+
+std::ostream& operator<<(std::ostream& out, const ItemStart& obj);
+
+typedef struct _ItemStartAnswer__isset {
+  _ItemStartAnswer__isset() : isAccepted(false), reason(false) {}
+  bool isAccepted :1;
+  bool reason :1;
+} _ItemStartAnswer__isset;
+
+class ItemStartAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  ItemStartAnswer(const ItemStartAnswer&);
+  ItemStartAnswer& operator=(const ItemStartAnswer&);
+  ItemStartAnswer() noexcept
+                  : isAccepted(0),
+                    reason() {
+  }
+
+  virtual ~ItemStartAnswer() noexcept;
+  bool isAccepted;
+  std::string reason;
+
+  _ItemStartAnswer__isset __isset;
+
+  void __set_isAccepted(const bool val);
+
+  void __set_reason(const std::string& val);
+
+  bool operator == (const ItemStartAnswer & rhs) const
+  {
+    if (!(isAccepted == rhs.isAccepted))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    return true;
+  }
+  bool operator != (const ItemStartAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ItemStartAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ItemStartAnswer &a, ItemStartAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const ItemStartAnswer& obj);
+
+typedef struct _ItemProgress__isset {
+  _ItemProgress__isset() : job(false), item(false), run(false), state(false), status(false), events(false) {}
+  bool job :1;
+  bool item :1;
+  bool run :1;
+  bool state :1;
+  bool status :1;
+  bool events :1;
+} _ItemProgress__isset;
+
+class ItemProgress : public virtual ::apache::thrift::TBase {
+ public:
+
+  ItemProgress(const ItemProgress&);
+  ItemProgress& operator=(const ItemProgress&);
+  ItemProgress() noexcept
+               : job(),
+                 item(),
+                 run(0),
+                 state(static_cast<RunState::type>(0)),
+                 status(0) {
+  }
+
+  virtual ~ItemProgress() noexcept;
+  std::string job;
+  std::string item;
+  int64_t run;
+  /**
+   * 
+   * @see RunState
+   */
+  RunState::type state;
+  /**
+   * HTTP status of the replica if it refused or failed the item; 0 if it gave none.
+   */
+  int32_t status;
+  std::vector<GeneratedEvent>  events;
+
+  _ItemProgress__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_item(const std::string& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_state(const RunState::type val);
+
+  void __set_status(const int32_t val);
+
+  void __set_events(const std::vector<GeneratedEvent> & val);
+
+  bool operator == (const ItemProgress & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(item == rhs.item))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(events == rhs.events))
+      return false;
+    return true;
+  }
+  bool operator != (const ItemProgress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ItemProgress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ItemProgress &a, ItemProgress &b);
+
+std::ostream& operator<<(std::ostream& out, const ItemProgress& obj);
+
+typedef struct _ItemProgressNotice__isset {
+  _ItemProgressNotice__isset() : items(false) {}
+  bool items :1;
+} _ItemProgressNotice__isset;
+
+class ItemProgressNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  ItemProgressNotice(const ItemProgressNotice&);
+  ItemProgressNotice& operator=(const ItemProgressNotice&);
+  ItemProgressNotice() noexcept {
+  }
+
+  virtual ~ItemProgressNotice() noexcept;
+  std::vector<ItemProgress>  items;
+
+  _ItemProgressNotice__isset __isset;
+
+  void __set_items(const std::vector<ItemProgress> & val);
+
+  bool operator == (const ItemProgressNotice & rhs) const
+  {
+    if (!(items == rhs.items))
+      return false;
+    return true;
+  }
+  bool operator != (const ItemProgressNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ItemProgressNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ItemProgressNotice &a, ItemProgressNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const ItemProgressNotice& obj);
+
+typedef struct _ItemCancelNotice__isset {
+  _ItemCancelNotice__isset() : job(false), revision(false), item(false), isJobEnded(false) {}
+  bool job :1;
+  bool revision :1;
+  bool item :1;
+  bool isJobEnded :1;
+} _ItemCancelNotice__isset;
+
+/**
+ * Ends the runs of an item, or of the whole job if item is empty.
+ */
+class ItemCancelNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  ItemCancelNotice(const ItemCancelNotice&);
+  ItemCancelNotice& operator=(const ItemCancelNotice&);
+  ItemCancelNotice() noexcept
+                   : job(),
+                     revision(0),
+                     item(),
+                     isJobEnded(0) {
+  }
+
+  virtual ~ItemCancelNotice() noexcept;
+  std::string job;
+  int64_t revision;
+  std::string item;
+  bool isJobEnded;
+
+  _ItemCancelNotice__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_item(const std::string& val);
+
+  void __set_isJobEnded(const bool val);
+
+  bool operator == (const ItemCancelNotice & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(item == rhs.item))
+      return false;
+    if (!(isJobEnded == rhs.isJobEnded))
+      return false;
+    return true;
+  }
+  bool operator != (const ItemCancelNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ItemCancelNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ItemCancelNotice &a, ItemCancelNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const ItemCancelNotice& obj);
+
+typedef struct _JobOwnerNotice__isset {
+  _JobOwnerNotice__isset() : job(false), revision(false), owner(false) {}
+  bool job :1;
+  bool revision :1;
+  bool owner :1;
+} _JobOwnerNotice__isset;
+
+/**
+ * A coordinator owns the job from now on; agents send it all progress of the job's runs.
+ */
+class JobOwnerNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobOwnerNotice(const JobOwnerNotice&);
+  JobOwnerNotice& operator=(const JobOwnerNotice&);
+  JobOwnerNotice() noexcept
+                 : job(),
+                   revision(0),
+                   owner() {
+  }
+
+  virtual ~JobOwnerNotice() noexcept;
+  std::string job;
+  int64_t revision;
+  std::string owner;
+
+  _JobOwnerNotice__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_owner(const std::string& val);
+
+  bool operator == (const JobOwnerNotice & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(owner == rhs.owner))
+      return false;
+    return true;
+  }
+  bool operator != (const JobOwnerNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobOwnerNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobOwnerNotice &a, JobOwnerNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const JobOwnerNotice& obj);
+
+typedef struct _ModelVersion__isset {
+  _ModelVersion__isset() : model(false), version(false) {}
+  bool model :1;
+  bool version :1;
+} _ModelVersion__isset;
+
+class ModelVersion : public virtual ::apache::thrift::TBase {
+ public:
+
+  ModelVersion(const ModelVersion&);
+  ModelVersion& operator=(const ModelVersion&);
+  ModelVersion() noexcept
+               : model(),
+                 version(0) {
+  }
+
+  virtual ~ModelVersion() noexcept;
+  std::string model;
+  int64_t version;
+
+  _ModelVersion__isset __isset;
+
+  void __set_model(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const ModelVersion & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const ModelVersion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ModelVersion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ModelVersion &a, ModelVersion &b);
+
+std::ostream& operator<<(std::ostream& out, const ModelVersion& obj);
+
+typedef struct _ReplicaReport__isset {
+  _ReplicaReport__isset() : agent(false), pool(false), server(false), isUp(false), running(false), slots(false), models(false), loadingModel(false), failureDomain(false), eventMs(false) {}
+  bool agent :1;
+  bool pool :1;
+  bool server :1;
+  bool isUp :1;
+  bool running :1;
+  bool slots :1;
+  bool models :1;
+  bool loadingModel :1;
+  bool failureDomain :1;
+  bool eventMs :1;
+} _ReplicaReport__isset;
+
+class ReplicaReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReplicaReport(const ReplicaReport&);
+  ReplicaReport& operator=(const ReplicaReport&);
+  ReplicaReport() noexcept
+                : agent(),
+                  pool(),
+                  server(),
+                  isUp(0),
+                  running(0),
+                  slots(0),
+                  loadingModel(),
+                  failureDomain(),
+                  eventMs(0) {
+  }
+
+  virtual ~ReplicaReport() noexcept;
+  std::string agent;
+  std::string pool;
+  std::string server;
+  bool isUp;
+  int32_t running;
+  int32_t slots;
+  std::vector<ModelVersion>  models;
+  std::string loadingModel;
+  std::string failureDomain;
+  /**
+   * Mean time between events of the present runs, in ms; 0 while unknown.
+   */
+  double eventMs;
+
+  _ReplicaReport__isset __isset;
+
+  void __set_agent(const std::string& val);
+
+  void __set_pool(const std::string& val);
+
+  void __set_server(const std::string& val);
+
+  void __set_isUp(const bool val);
+
+  void __set_running(const int32_t val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_models(const std::vector<ModelVersion> & val);
+
+  void __set_loadingModel(const std::string& val);
+
+  void __set_failureDomain(const std::string& val);
+
+  void __set_eventMs(const double val);
+
+  bool operator == (const ReplicaReport & rhs) const
+  {
+    if (!(agent == rhs.agent))
+      return false;
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(isUp == rhs.isUp))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(models == rhs.models))
+      return false;
+    if (!(loadingModel == rhs.loadingModel))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(eventMs == rhs.eventMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicaReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicaReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReplicaReport &a, ReplicaReport &b);
+
+std::ostream& operator<<(std::ostream& out, const ReplicaReport& obj);
+
+typedef struct _LoadModelNotice__isset {
+  _LoadModelNotice__isset() : model(false), version(false) {}
+  bool model :1;
+  bool version :1;
+} _LoadModelNotice__isset;
+
+class LoadModelNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadModelNotice(const LoadModelNotice&);
+  LoadModelNotice& operator=(const LoadModelNotice&);
+  LoadModelNotice() noexcept
+                  : model(),
+                    version(0) {
+  }
+
+  virtual ~LoadModelNotice() noexcept;
+  std::string model;
+  int64_t version;
+
+  _LoadModelNotice__isset __isset;
+
+  void __set_model(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const LoadModelNotice & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadModelNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadModelNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadModelNotice &a, LoadModelNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadModelNotice& obj);
+
 }} // namespace
 
 #endif
--- a/tests/process/command_line.py
+++ b/tests/process/command_line.py
@@ -101,9 +101,9 @@
         assert code == 1 and address in last and "address_in_use" in last, error
         assert not any(trace in error for trace in TRACES), error
     command = [deployment.binary, "entry", "--name", "nobody", "--store", deployment.store, "--log-format", "json"]
-    undeclared = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+    undeclared = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
     try:
-        names = [json.loads(undeclared.stderr.readline())["name"] for _ in range(4)]
+        names = [json.loads(undeclared.stdout.readline())["name"] for _ in range(4)]
         assert names == ["AccessOpen", "ProcessStarted", "SettingsInForce", "NotDeclared"], names
         time.sleep(0.1)
         assert undeclared.poll() is None
