A text never grows behind a gap; only coordinators count as readers

Agents now tell the highest revision and the end of a job, owners then read their record; a coordinator that sees neither the store nor another coordinator starts nothing; agents that come back hear of ended jobs. - Entries and agents that read the store for themselves were taken for readers with a lower name, so coordinators stopped reading and the role flapped. - 765 of 1773 runs got 421: an old registration stood at the address of a replica that had started again. The last started one counts. - Connections were dropped at the start while coordinators registered one by one. Ruled out: late orders of the new owner (its log shows none behind the end).

--- a/include/endiveroad/BatchJob.h
+++ b/include/endiveroad/BatchJob.h
@@ -89,6 +89,19 @@
 /// How a run of an item ended, or that it goes on.
 enum class RunState { Running, Completed, Failed, NotRun };
 
+/// News of a run: events of the item from a position on, and how the run stands.
+struct RunProgress {
+    int64_t run = 0;
+    /// Events of the item that go before these.
+    size_t firstEvent = 0;
+    std::vector<GeneratedEvent> events;
+    RunState state = RunState::Running;
+    /// HTTP status of the replica; 0 if it gave none.
+    int32_t status = 0;
+
+    auto operator<=>(const RunProgress&) const = default;
+};
+
 /// What has been generated of an item, kept for a later job that asks for the same item.
 struct PartialText {
     std::vector<GeneratedEvent> events;
@@ -154,14 +167,13 @@
     /// Text of other versions is dropped first where the job allows a single one.
     int64_t start(size_t item, std::string agent, int64_t version, Instant now);
 
-    /// Takes events and the state of a run. Events that do not follow the last one known are left out; a run that is
-    /// not the present one is to be cancelled. Status is the replica's HTTP status, 0 if it gave none.
-    ItemAction onProgress(
-        size_t item, int64_t run, const std::vector<GeneratedEvent>&, RunState, int32_t status, Instant now);
+    /// Takes news of the present run; any other run is to be cancelled. Events that are known already are left out. News
+    /// behind a gap end the run, since the missing events would be missing in the text.
+    ItemAction onProgress(size_t item, const RunProgress&, Instant now);
 
-    /// Takes over a run that an agent started for an earlier owner, if it has more than what is known here.
-    ItemAction onAdopted(size_t item, std::string agent, int64_t run, const std::vector<GeneratedEvent>&, RunState,
-        int32_t status, Instant now);
+    /// Takes over a run that an agent started for an earlier owner, if the news hold all of its events and there are
+    /// more of them than are known here.
+    ItemAction onAdopted(size_t item, std::string agent, const RunProgress&, Instant now);
 
     /// Gives a run up, so that the item can go on elsewhere from its last event.
     void withdraw(size_t item, Instant now);
@@ -191,7 +203,7 @@
 
 private:
     ItemAction finish(size_t item, ResultState);
-    ItemAction afterRun(size_t item, RunState, int32_t status, Instant now);
+    ItemAction afterNews(size_t item, RunState, int32_t status, Instant now);
     bool areVersionsAllowed(const std::vector<GeneratedEvent>&) const;
     void append(ItemState&, const std::vector<GeneratedEvent>&, Instant now);
     bool isGroupWhole(const std::string& group) const;
--- a/include/endiveroad/Directory.h
+++ b/include/endiveroad/Directory.h
@@ -100,6 +100,8 @@
     std::string failureDomain;
     bool isDraining = false;
     int32_t slots = 1;
+    /// Wall time of its start in ms since the epoch; 0 if it does not say.
+    int64_t startedMs = 0;
 
     auto operator<=>(const ServerRecord&) const = default;
 };
@@ -130,9 +132,13 @@
     /// Servers of a service that take new work.
     std::vector<const ServerRecord*> readyServers(std::string_view service) const;
 
-    /// Server at an address; null if none is registered there.
+    /// Server at an address, the last started if several are still registered there; null if there is none.
     const ServerRecord* serverAt(const Address&) const;
 
+    /// Peers that a process connects to: the registered coordinators, and the seeds as long as it may not know all of
+    /// the former.
+    std::set<Address> coordinatorAddresses(const std::vector<Address>& seeds, bool areSeedsNeeded) const;
+
     /// Newest named version of a model; 1, with which replicas start, if none was named.
     int64_t namedVersion(const std::string& model) const;
 };
--- a/src/core/batch/BatchJob.cpp
+++ b/src/core/batch/BatchJob.cpp
@@ -108,38 +108,41 @@
     return isRecent && (!policy_.isSingleVersion || distinctVersions(events).size() <= 1);
 }
 
-ItemAction BatchJob::onProgress(size_t index, int64_t run, const std::vector<GeneratedEvent>& events, RunState state,
-    int32_t status, Instant now)
+ItemAction BatchJob::onProgress(size_t index, const RunProgress& news, Instant now)
 {
     ItemState& item = items_.at(index);
-    if (item.stage != ItemStage::Running || item.run != run)
-        return state == RunState::Running ? ItemAction::CancelRun : ItemAction::None;
-    append(item, events, now);
-    return afterRun(index, state, status, now);
+    if (item.stage != ItemStage::Running || item.run != news.run)
+        return news.state == RunState::Running ? ItemAction::CancelRun : ItemAction::None;
+    if (news.firstEvent > item.text.events.size()) {
+        withdraw(index, now);
+        return news.state == RunState::Running ? ItemAction::CancelRun : ItemAction::Restart;
+    }
+    append(item, news.events, now);
+    return afterNews(index, news.state, news.status, now);
 }
 
-ItemAction BatchJob::onAdopted(size_t index, std::string agent, int64_t run, const std::vector<GeneratedEvent>& events,
-    RunState state, int32_t status, Instant now)
+ItemAction BatchJob::onAdopted(size_t index, std::string agent, const RunProgress& news, Instant now)
 {
     ItemState& item = items_.at(index);
-    if (item.stage == ItemStage::Running && item.run == run)
-        return onProgress(index, run, events, state, status, now);
-    const bool isUseful = item.stage == ItemStage::Waiting && events.size() >= item.text.events.size()
-        && (state == RunState::Running || state == RunState::Completed);
+    if (item.stage == ItemStage::Running && item.run == news.run)
+        return onProgress(index, news, now);
+    const bool isUseful = item.stage == ItemStage::Waiting && news.firstEvent == 0
+        && news.events.size() >= item.text.events.size()
+        && (news.state == RunState::Running || news.state == RunState::Completed);
     if (!isUseful)
-        return state == RunState::Running ? ItemAction::CancelRun : ItemAction::None;
+        return news.state == RunState::Running ? ItemAction::CancelRun : ItemAction::None;
     item.text = {};
     item.stage = ItemStage::Running;
     item.agent = std::move(agent);
-    item.run = run;
+    item.run = news.run;
     item.startedAt = now;
     item.lastEventAt = now;
     item.eventsOfRun = 0;
-    append(item, events, now);
-    return afterRun(index, state, status, now);
+    append(item, news.events, now);
+    return afterNews(index, news.state, news.status, now);
 }
 
-ItemAction BatchJob::afterRun(size_t index, RunState state, int32_t status, Instant now)
+ItemAction BatchJob::afterNews(size_t index, RunState state, int32_t status, Instant now)
 {
     ItemState& item = items_.at(index);
     if (!areVersionsAllowed(item.text.events)) {
--- a/src/core/directory/Directory.cpp
+++ b/src/core/directory/Directory.cpp
@@ -48,9 +48,22 @@
 
 const ServerRecord* Directory::serverAt(const Address& address) const
 {
-    const auto found
-        = std::find_if(servers.begin(), servers.end(), [&](const auto& row) { return row.second.address == address; });
-    return found == servers.end() ? nullptr : &found->second;
+    const ServerRecord* newest = nullptr;
+    for (const auto& [id, server] : servers) {
+        if (server.address == address && (!newest || server.startedMs > newest->startedMs))
+            newest = &server;
+    }
+    return newest;
+}
+
+std::set<Address> Directory::coordinatorAddresses(const std::vector<Address>& seeds, bool areSeedsNeeded) const
+{
+    std::set<Address> addresses;
+    for (const auto& [name, record] : coordinators)
+        addresses.insert(record.peer);
+    if (areSeedsNeeded || addresses.empty())
+        addresses.insert(seeds.begin(), seeds.end());
+    return addresses;
 }
 
 int64_t Directory::namedVersion(const std::string& model) const
--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -253,7 +253,7 @@
     if (!owned->job.isEnded()) {
         dispatcher_->keepTexts(*owned);
         owned->job.end();
-        dispatcher_->cancelRuns(*owned, true);
+        dispatcher_->cancelRuns(*owned);
         owned->changed.notifyAll();
     }
     if (co_await storeEnd(owned, std::min(deadline, now() + storePatience)))
@@ -432,6 +432,27 @@
     }
 }
 
+void BatchOwner::doubt(const OwnedJobPtr& owned)
+{
+    if (!owned->isLost && !owned->isInDoubt) {
+        owned->isInDoubt = true;
+        spawn(context_.get_executor(), [this, owned] { return verify(owned); });
+    }
+}
+
+asio::awaitable<void> BatchOwner::verify(OwnedJobPtr owned)
+{
+    try {
+        const std::optional<StoredJob> stored = co_await store_.read(owned->id());
+        const bool isOwner = stored && stored->record.owner == name_ && !stored->record.isEnded;
+        if (!isOwner)
+            lose(owned, "the record names another owner or the end of the job");
+    } catch (const Error& error) {
+        log(Event::StoreUnavailable, { { "calling", "owner record" }, { "reason", error.what() } });
+    }
+    owned->isInDoubt = false;
+}
+
 void BatchOwner::onOwner(const wire::JobOwnerNotice& notice)
 {
     const auto found = jobs_.find(notice.job);
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -72,6 +72,9 @@
     /// Removes jobs whose results need no longer be kept.
     asio::awaitable<void> removeExpired();
 
+    /// An agent says that the job has another owner or has ended: looks into the store.
+    void doubt(const OwnedJobPtr&);
+
     /// Another coordinator says that it owns a job.
     void onOwner(const wire::JobOwnerNotice&);
 
@@ -103,6 +106,7 @@
     asio::awaitable<OwnedJobPtr> claimOnce(StoredJob);
     asio::awaitable<const Archived*> archive(StoredJob);
     asio::awaitable<void> list(OwnedJobPtr);
+    asio::awaitable<void> verify(OwnedJobPtr);
     asio::awaitable<bool> storeEnd(OwnedJobPtr, Instant deadline);
     OwnedJobPtr insert(BatchJobSpec, JobRecord, int64_t revision, std::vector<BatchResult> listed);
     void lose(const OwnedJobPtr&, const std::string& reason);
--- a/src/io/hosted/DirectoryKeeper.cpp
+++ b/src/io/hosted/DirectoryKeeper.cpp
@@ -201,7 +201,8 @@
     }
     if (isFresh)
         election_.onFresh(ownName_, now());
-    update.isFresh = isFresh && (operatorFreshUntil_ > now() || !operatorAsOf_);
+    // Only coordinators read for others.
+    update.isFresh = isCoordinator_ && isFresh && operatorFreshUntil_ > now();
     const bool isChanged = !update.documents.empty();
     if (isChanged || update.isFresh)
         listener_.publish(wire::encode(update));
--- a/src/io/hosted/EngineGuard.cpp
+++ b/src/io/hosted/EngineGuard.cpp
@@ -68,10 +68,19 @@
     if (id == server_)
         return;
     server_ = std::move(id);
+    isServerGone_ = false;
     wake_.notifyAll();
     onChange_();
 }
 
+void EngineGuard::onOtherServer()
+{
+    if (!isServerGone_)
+        log(Event::ServerDown, { { "server", server_ }, { "reason", "another server has its address" } });
+    isServerGone_ = true;
+    onChange_();
+}
+
 void EngineGuard::suspect()
 {
     wake_.notifyAll();
--- a/src/io/hosted/EngineGuard.h
+++ b/src/io/hosted/EngineGuard.h
@@ -41,7 +41,11 @@
 
     /// The replica is registered under this id, or under none.
     void setServer(std::string id);
-    const std::string& server() const { return server_; }
+    /// Empty if none is registered, or the one that is registered is no longer there.
+    const std::string& server() const { return isServerGone_ ? noServer_ : server_; }
+
+    /// The replica says that it is not the registered one.
+    void onOtherServer();
 
     /// Whether the replica answers.
     bool isUp() const { return isUp_; }
@@ -74,6 +78,8 @@
     OnChange onChange_;
     Signal wake_;
     std::string server_;
+    std::string noServer_;
+    bool isServerGone_ = false;
     EngineState state_;
     std::string loadingModel_;
     /// Grows with every start of an agent, since it is a revision of the store; 0 until there is one.
--- a/src/io/hosted/HostedAgent.cpp
+++ b/src/io/hosted/HostedAgent.cpp
@@ -97,7 +97,7 @@
     wire::ReplicaReport report;
     report.agent = settings().name;
     report.failureDomain = settings().failureDomain;
-    report.isUp = server && engine_.isUp() && !isDraining();
+    report.isUp = server && !engine_.server().empty() && engine_.isUp() && !isDraining();
     report.running = runner_.running();
     report.loadingModel = engine_.loadingModel();
     report.eventMs = runner_.eventMs();
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -31,7 +31,9 @@
     , owner_(context(), settings().name, this->platform().batches(), store(), *this, [this] { return directory(); },
           settings().resultLifetime)
     , scorer_(context(), services_, [this] { return directory(); }, [this](const OwnedJobPtr&) { owner_.wake(); })
-    , dispatcher_(context(), owner_.jobs(), *this, scorer_, [this] { return directory(); })
+    , dispatcher_(
+          context(), owner_.jobs(), *this, scorer_, [this] { return directory(); },
+          [this](const OwnedJobPtr& owned) { owner_.doubt(owned); })
     , scanAt_(startedAt() + startGrace)
 {
     owner_.setDispatcher(dispatcher_);
@@ -68,6 +70,12 @@
     return isLeaving(name) ? nullptr : peer(name);
 }
 
+bool HostedCoordinator::mayAct() const
+{
+    const bool isAlone = peersOf(HostedRole::Coordinator).empty() && directory()->coordinators.size() > 1;
+    return !isAlone || now() < lastStoreAnswerAt() + solitudeLimit;
+}
+
 void HostedCoordinator::announceOwner(const OwnedJob& owned)
 {
     for (HostedRole role : { HostedRole::Entry, HostedRole::Agent, HostedRole::Coordinator }) {
--- a/src/io/hosted/HostedCoordinator.h
+++ b/src/io/hosted/HostedCoordinator.h
@@ -13,7 +13,11 @@
 class HostedCoordinator : public HostedNode, private CoordinatorView, private AgentLinks {
 public:
     static constexpr std::chrono::milliseconds leaseLifetime { 9000 };
-    static constexpr Duration renewInterval = std::chrono::milliseconds(3000);
+    static constexpr Duration renewInterval = std::chrono::milliseconds(1500);
+
+    /// Time without an answer of the store after which a coordinator that sees no other one starts no items: another one
+    /// may have taken its jobs over, and may have ended them.
+    static constexpr Duration solitudeLimit = std::chrono::milliseconds(3200);
     static constexpr Duration storeTimeout = std::chrono::milliseconds(1600);
 
     /// Time after the start in which other coordinators may still connect before their jobs are taken over.
@@ -46,6 +50,7 @@
     void announceOwnerTo(const OwnedJob&, const PeerConnectionPtr&);
     PeerConnectionPtr agent(const std::string& name) const override;
     std::vector<PeerConnectionPtr> agents() const override { return connectionsOf(HostedRole::Agent); }
+    bool mayAct() const override;
 
     bool isRetiring() const { return directory()->retiring.contains(settings().name); }
     asio::awaitable<void> keepRegistered();
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+/// Time after the start in which coordinators may still register, so that seeds are kept as well.
+constexpr Duration seedTime = std::chrono::seconds(6);
+
 /// Time for the last answers to reach the network before the process ends.
 constexpr Duration answerFlushTime = std::chrono::milliseconds(50);
 
@@ -82,6 +85,10 @@
         metricsServer_->start(context_, { settings_.host, *options_.metricsPort });
     }
     connectToCoordinators();
+    spawn(context_.get_executor(), [this]() -> asio::awaitable<void> {
+        co_await sleepFor(seedTime);
+        connectToCoordinators();
+    });
     spawn(context_.get_executor(), [this] { return keeper_->readServers(); });
     spawn(context_.get_executor(), [this] { return keeper_->followOperator(); });
     start();
@@ -154,15 +161,12 @@
 
 void HostedNode::connectToCoordinators()
 {
+    const bool areSeedsNeeded = now() < startedAt_ + seedTime;
     std::map<std::string, Address> targets;
-    const auto present = keeper_->current();
-    for (const auto& [name, record] : present->coordinators)
-        targets.emplace(record.peer.text(), record.peer);
-    if (targets.empty()) {
-        for (const Address& seed : settings_.seeds)
-            targets.emplace(seed.text(), seed);
+    for (const Address& address : keeper_->current()->coordinatorAddresses(settings_.seeds, areSeedsNeeded)) {
+        if (address != settings_.peers)
+            targets.emplace(address.text(), address);
     }
-    targets.erase(settings_.peers.text());
     mesh_.setTargets(targets);
 }
 
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -74,6 +74,7 @@
     HttpClient& http() { return http_; }
     const Platform& platform() const { return *platform_; }
     MetadataStore& store() { return *store_; }
+    Instant lastStoreAnswerAt() const { return relayedStore_.lastAnswerAt(); }
     const HostedSettings& settings() const { return settings_; }
     const DirectoryKeeper& keeper() const { return *keeper_; }
     bool isDraining() const { return isDraining_; }
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -34,12 +34,13 @@
 } // namespace
 
 ItemDispatcher::ItemDispatcher(asio::io_context& context, const JobTable& jobs, AgentLinks& links, ItemScorer& scorer,
-    DirectorySource directory)
+    DirectorySource directory, OnDoubt doubt)
     : context_(context)
     , jobs_(jobs)
     , links_(links)
     , scorer_(scorer)
     , directory_(std::move(directory))
+    , doubt_(std::move(doubt))
     , wake_(context)
 {
 }
@@ -125,9 +126,11 @@
 
 void ItemDispatcher::place(const std::string& service, std::vector<ReplicaView>& replicas)
 {
+    if (!links_.mayAct())
+        return;
     std::vector<WaitingItem> waiting;
     for (const auto& [id, owned] : jobs_) {
-        if (owned->isLost || now() < owned->placeFrom || serviceOf(*owned) != service)
+        if (owned->isLost || owned->isInDoubt || now() < owned->placeFrom || serviceOf(*owned) != service)
             continue;
         const BatchJobSpec& spec = owned->job.spec();
         for (size_t item : owned->job.waiting(now())) {
@@ -192,15 +195,12 @@
         const auto answer = wire::decode<wire::ItemStartAnswer>(answered);
         if (!answer.isAccepted)
             refusal = answer.reason;
+        if (answer.isJobEnded || answer.revision > owned->job.revision())
+            doubt_(owned);
     } catch (const Error& error) {
         refusal = error.what();
-        if (const PeerConnectionPtr connection = links_.agent(agent)) {
-            wire::ItemCancelNotice cancel;
-            cancel.job = order.job;
-            cancel.revision = order.revision;
-            cancel.item = order.item;
-            connection->notify(MessageType::ItemCancel, wire::encode(cancel));
-        }
+        if (const PeerConnectionPtr connection = links_.agent(agent))
+            connection->notify(MessageType::ItemCancel, encodedCancel(*owned, order.item));
     }
     --reports_[agent].starting;
     const ItemState& item = owned->job.items()[index];
@@ -225,14 +225,8 @@
     owned.withdrawnRuns.insert(item.run);
     owned.avoidedAgents[index] = agent;
     owned.job.withdraw(index, now());
-    const PeerConnectionPtr connection = links_.agent(agent);
-    if (!connection)
-        return;
-    wire::ItemCancelNotice cancel;
-    cancel.job = owned.id();
-    cancel.revision = owned.job.revision();
-    cancel.item = owned.job.spec().items[index].id;
-    connection->notify(MessageType::ItemCancel, wire::encode(cancel));
+    if (const PeerConnectionPtr connection = links_.agent(agent))
+        connection->notify(MessageType::ItemCancel, encodedCancel(owned, owned.job.spec().items[index].id));
 }
 
 void ItemDispatcher::giveUpSilent(OwnedJob& owned)
@@ -343,24 +337,19 @@
         if (!index || found->second->job.isEnded())
             continue;
         const OwnedJobPtr owned = found->second;
-        const auto events = fromWire(progress.events);
-        const RunState state = fromWire(progress.state);
+        const RunProgress news { progress.run, static_cast<size_t>(std::max(progress.firstEvent, 0)),
+            fromWire(progress.events), fromWire(progress.state), progress.status };
         const ItemState& item = owned->job.items()[*index];
         ItemAction action = ItemAction::None;
         if (item.stage == ItemStage::Running && item.run == progress.run)
-            action = owned->job.onProgress(*index, progress.run, events, state, progress.status, now());
+            action = owned->job.onProgress(*index, news, now());
         else if (!owned->withdrawnRuns.contains(progress.run))
-            action = owned->job.onAdopted(
-                *index, agent->peerName, progress.run, events, state, progress.status, now());
+            action = owned->job.onAdopted(*index, agent->peerName, news, now());
         if (action == ItemAction::Restart)
             owned->avoidedAgents[*index] = agent->peerName;
         if (action == ItemAction::CancelRun) {
             owned->withdrawnRuns.insert(progress.run);
-            wire::ItemCancelNotice cancel;
-            cancel.job = progress.job;
-            cancel.revision = owned->job.revision();
-            cancel.item = progress.item;
-            agent->notify(MessageType::ItemCancel, wire::encode(cancel));
+            agent->notify(MessageType::ItemCancel, encodedCancel(*owned, progress.item));
         }
         act(owned, *index, action);
     }
@@ -393,6 +382,8 @@
     for (const auto& [id, owned] : jobs_) {
         if (!owned->job.isEnded())
             sendOwner(*owned, connection);
+        else
+            connection->notify(MessageType::ItemCancel, encodedCancel(*owned, {}));
     }
 }
 
@@ -445,14 +436,22 @@
     }
 }
 
-void ItemDispatcher::cancelRuns(const OwnedJob& owned, bool isJobEnded)
+/// An empty item stands for all of the job; only a job that has ended has all its runs cancelled.
+std::string ItemDispatcher::encodedCancel(const OwnedJob& owned, const std::string& item)
 {
     wire::ItemCancelNotice cancel;
     cancel.job = owned.id();
     cancel.revision = owned.job.revision();
-    cancel.isJobEnded = isJobEnded;
+    cancel.item = item;
+    cancel.isJobEnded = item.empty();
+    return wire::encode(cancel);
+}
+
+void ItemDispatcher::cancelRuns(const OwnedJob& owned)
+{
+    const std::string cancel = encodedCancel(owned, {});
     for (const PeerConnectionPtr& agent : links_.agents())
-        agent->notify(MessageType::ItemCancel, wire::encode(cancel));
+        agent->notify(MessageType::ItemCancel, cancel);
 }
 
 } // namespace endiveroad::io
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -22,6 +22,9 @@
     /// Null if the agent is not connected or leaves.
     virtual PeerConnectionPtr agent(const std::string& name) const = 0;
     virtual std::vector<PeerConnectionPtr> agents() const = 0;
+
+    /// False while this coordinator cannot know whether others have taken its jobs over.
+    virtual bool mayAct() const = 0;
 };
 
 class ItemDispatcher {
@@ -42,7 +45,10 @@
 
     using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
 
-    ItemDispatcher(asio::io_context&, const JobTable&, AgentLinks&, ItemScorer&, DirectorySource);
+    /// Called when an agent says that a job has another owner or has ended.
+    using OnDoubt = std::function<void(const OwnedJobPtr&)>;
+
+    ItemDispatcher(asio::io_context&, const JobTable&, AgentLinks&, ItemScorer&, DirectorySource, OnDoubt);
 
     /// Places, moves and loads whenever something has changed.
     asio::awaitable<void> run();
@@ -60,7 +66,7 @@
     void onJob(const OwnedJobPtr&);
 
     /// Ends all runs of a job.
-    void cancelRuns(const OwnedJob&, bool isJobEnded);
+    void cancelRuns(const OwnedJob&);
 
     /// Text of unfinished items stays for a later job that names them again.
     void keepTexts(const OwnedJob&);
@@ -95,12 +101,14 @@
     void startItem(const OwnedJobPtr&, size_t item, const ReplicaView&);
     asio::awaitable<void> sendStart(OwnedJobPtr, size_t item, std::string agent, wire::ItemStart);
     void sendOwner(const OwnedJob&, const PeerConnectionPtr&) const;
+    static std::string encodedCancel(const OwnedJob&, const std::string& item);
 
     asio::io_context& context_;
     const JobTable& jobs_;
     AgentLinks& links_;
     ItemScorer& scorer_;
     DirectorySource directory_;
+    OnDoubt doubt_;
     Signal wake_;
     /// By agent.
     std::map<std::string, Report> reports_;
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -97,6 +97,9 @@
     wire::ItemStartAnswer answer;
     answer.reason = refusal(order, slots);
     answer.isAccepted = answer.reason.empty();
+    answer.isJobEnded = endedJobs_.contains(order.job);
+    if (const auto known = owners_.find(order.job); known != owners_.end())
+        answer.revision = known->second.revision;
     if (!answer.isAccepted) {
         log(Event::ItemRefused,
             { { "job", order.job }, { "item", order.item }, { "reason", answer.reason },
@@ -152,6 +155,8 @@
         const HttpResponse response = co_await http_.stream(
             replica_, std::move(request), now() + runLimit, onBody, &run->cancellation, onHead);
         const ReplicaAnswer answer = protocol_.decode(response);
+        if (answer.verdict == ReplicaVerdict::OtherServer)
+            engine_.onOtherServer();
         if (answer.verdict != ReplicaVerdict::Ran)
             end(*run, RunState::NotRun, response.status, "the replica refused");
         else if (response.status != statusOk)
@@ -300,6 +305,7 @@
         progress.run = run->order.run;
         progress.state = toWire(run->state);
         progress.status = run->status;
+        progress.firstEvent = static_cast<int32_t>(run->sent);
         progress.events = toWire(run->events, run->sent);
         run->sent = run->events.size();
         run->isEndSent = run->isEndSent || hasEnded;
--- a/src/io/hosted/OwnedJob.h
+++ b/src/io/hosted/OwnedJob.h
@@ -29,6 +29,8 @@
     bool isListing = false;
     /// Another coordinator owns the job now.
     bool isLost = false;
+    /// The owner record is being read again; nothing is placed meanwhile.
+    bool isInDoubt = false;
     /// The end lies in the store.
     bool isEndStored = false;
     /// Items are not placed before this: agents may still run some of them.
--- a/src/io/hosted/StoreTransports.cpp
+++ b/src/io/hosted/StoreTransports.cpp
@@ -115,15 +115,18 @@
     } else {
         co_await tryRelays(request, deadline, attempt);
     }
-    if (attempt.answer && !isTurnedAway(*attempt.answer))
+    if (attempt.answer && !isTurnedAway(*attempt.answer)) {
+        lastAnswerAt_ = now();
         co_return std::move(*attempt.answer);
+    }
     if (isDirectFirst)
         co_await tryRelays(request, deadline, attempt);
     else
         co_await tryDirect(request, deadline, attempt);
-    const bool isAnswered = attempt.answer && !isTurnedAway(*attempt.answer);
-    if (isAnswered)
+    if (attempt.answer && !isTurnedAway(*attempt.answer)) {
+        lastAnswerAt_ = now();
         co_return std::move(*attempt.answer);
+    }
     if (attempt.isInDoubt)
         throw OutcomeUnknownError(attempt.reason);
     throw StoreUnavailableError(attempt.reason);
--- a/src/io/hosted/StoreTransports.h
+++ b/src/io/hosted/StoreTransports.h
@@ -44,6 +44,9 @@
 
     asio::awaitable<HttpResponse> send(HttpRequest, Instant deadline) override;
 
+    /// When the store last answered, directly or through a peer.
+    Instant lastAnswerAt() const { return lastAnswerAt_; }
+
 private:
     struct Attempt {
         std::optional<HttpResponse> answer;
@@ -58,6 +61,7 @@
     StoreTransport& direct_;
     Relays relays_;
     Instant directPausedUntil_ = Instant::min();
+    Instant lastAnswerAt_ = Instant::min();
 };
 
 /// Carries a peer's call to the store: the payload is a StoreCall, the result a StoreAnswer. Throws as the transport.
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -190,7 +190,8 @@
   10: i64 oldestVersion
   11: string model
 }
-struct ItemStartAnswer { 1: bool isAccepted  2: string reason }
+/** Revision is the highest known for the owner of the job; isJobEnded says that the job has ended. */
+struct ItemStartAnswer { 1: bool isAccepted  2: string reason  3: i64 revision  4: bool isJobEnded }
 
 enum RunState { Running = 1, Completed = 2, Failed = 3, NotRun = 4 }
 
@@ -202,6 +203,8 @@
   /** HTTP status of the replica if it refused or failed the item; 0 if it gave none. */
   5: i32 status
   6: list<GeneratedEvent> events
+  /** Events of the item that go before these. */
+  7: i32 firstEvent
 }
 struct ItemProgressNotice { 1: list<ItemProgress> items }
 
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -5464,6 +5464,14 @@
 void ItemStartAnswer::__set_reason(const std::string& val) {
   this->reason = val;
 }
+
+void ItemStartAnswer::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ItemStartAnswer::__set_isJobEnded(const bool val) {
+  this->isJobEnded = val;
+}
 std::ostream& operator<<(std::ostream& out, const ItemStartAnswer& obj)
 {
   obj.printTo(out);
@@ -5508,6 +5516,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isJobEnded);
+          this->__isset.isJobEnded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5533,6 +5557,14 @@
   xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isJobEnded", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isJobEnded);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5542,17 +5574,23 @@
   using ::std::swap;
   swap(a.isAccepted, b.isAccepted);
   swap(a.reason, b.reason);
+  swap(a.revision, b.revision);
+  swap(a.isJobEnded, b.isJobEnded);
   swap(a.__isset, b.__isset);
 }
 
 ItemStartAnswer::ItemStartAnswer(const ItemStartAnswer& other132) {
   isAccepted = other132.isAccepted;
   reason = other132.reason;
+  revision = other132.revision;
+  isJobEnded = other132.isJobEnded;
   __isset = other132.__isset;
 }
 ItemStartAnswer& ItemStartAnswer::operator=(const ItemStartAnswer& other133) {
   isAccepted = other133.isAccepted;
   reason = other133.reason;
+  revision = other133.revision;
+  isJobEnded = other133.isJobEnded;
   __isset = other133.__isset;
   return *this;
 }
@@ -5561,6 +5599,8 @@
   out << "ItemStartAnswer(";
   out << "isAccepted=" << to_string(isAccepted);
   out << ", " << "reason=" << to_string(reason);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "isJobEnded=" << to_string(isJobEnded);
   out << ")";
 }
 
@@ -5592,6 +5632,10 @@
 void ItemProgress::__set_events(const std::vector<GeneratedEvent> & val) {
   this->events = val;
 }
+
+void ItemProgress::__set_firstEvent(const int32_t val) {
+  this->firstEvent = val;
+}
 std::ostream& operator<<(std::ostream& out, const ItemProgress& obj)
 {
   obj.printTo(out);
@@ -5682,6 +5726,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->firstEvent);
+          this->__isset.firstEvent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5731,6 +5783,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("firstEvent", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->firstEvent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5744,6 +5800,7 @@
   swap(a.state, b.state);
   swap(a.status, b.status);
   swap(a.events, b.events);
+  swap(a.firstEvent, b.firstEvent);
   swap(a.__isset, b.__isset);
 }
 
@@ -5754,6 +5811,7 @@
   state = other141.state;
   status = other141.status;
   events = other141.events;
+  firstEvent = other141.firstEvent;
   __isset = other141.__isset;
 }
 ItemProgress& ItemProgress::operator=(const ItemProgress& other142) {
@@ -5763,6 +5821,7 @@
   state = other142.state;
   status = other142.status;
   events = other142.events;
+  firstEvent = other142.firstEvent;
   __isset = other142.__isset;
   return *this;
 }
@@ -5775,6 +5834,7 @@
   out << ", " << "state=" << to_string(state);
   out << ", " << "status=" << to_string(status);
   out << ", " << "events=" << to_string(events);
+  out << ", " << "firstEvent=" << to_string(firstEvent);
   out << ")";
 }
 
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -2328,11 +2328,16 @@
 std::ostream& operator<<(std::ostream& out, const ItemStart& obj);
 
 typedef struct _ItemStartAnswer__isset {
-  _ItemStartAnswer__isset() : isAccepted(false), reason(false) {}
+  _ItemStartAnswer__isset() : isAccepted(false), reason(false), revision(false), isJobEnded(false) {}
   bool isAccepted :1;
   bool reason :1;
+  bool revision :1;
+  bool isJobEnded :1;
 } _ItemStartAnswer__isset;
 
+/**
+ * Revision is the highest known for the owner of the job; isJobEnded says that the job has ended.
+ */
 class ItemStartAnswer : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2340,12 +2345,16 @@
   ItemStartAnswer& operator=(const ItemStartAnswer&);
   ItemStartAnswer() noexcept
                   : isAccepted(0),
-                    reason() {
+                    reason(),
+                    revision(0),
+                    isJobEnded(0) {
   }
 
   virtual ~ItemStartAnswer() noexcept;
   bool isAccepted;
   std::string reason;
+  int64_t revision;
+  bool isJobEnded;
 
   _ItemStartAnswer__isset __isset;
 
@@ -2353,12 +2362,20 @@
 
   void __set_reason(const std::string& val);
 
+  void __set_revision(const int64_t val);
+
+  void __set_isJobEnded(const bool val);
+
   bool operator == (const ItemStartAnswer & rhs) const
   {
     if (!(isAccepted == rhs.isAccepted))
       return false;
     if (!(reason == rhs.reason))
       return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(isJobEnded == rhs.isJobEnded))
+      return false;
     return true;
   }
   bool operator != (const ItemStartAnswer &rhs) const {
@@ -2378,13 +2395,14 @@
 std::ostream& operator<<(std::ostream& out, const ItemStartAnswer& obj);
 
 typedef struct _ItemProgress__isset {
-  _ItemProgress__isset() : job(false), item(false), run(false), state(false), status(false), events(false) {}
+  _ItemProgress__isset() : job(false), item(false), run(false), state(false), status(false), events(false), firstEvent(false) {}
   bool job :1;
   bool item :1;
   bool run :1;
   bool state :1;
   bool status :1;
   bool events :1;
+  bool firstEvent :1;
 } _ItemProgress__isset;
 
 class ItemProgress : public virtual ::apache::thrift::TBase {
@@ -2397,7 +2415,8 @@
                  item(),
                  run(0),
                  state(static_cast<RunState::type>(0)),
-                 status(0) {
+                 status(0),
+                 firstEvent(0) {
   }
 
   virtual ~ItemProgress() noexcept;
@@ -2414,6 +2433,10 @@
    */
   int32_t status;
   std::vector<GeneratedEvent>  events;
+  /**
+   * Events of the item that go before these.
+   */
+  int32_t firstEvent;
 
   _ItemProgress__isset __isset;
 
@@ -2429,6 +2452,8 @@
 
   void __set_events(const std::vector<GeneratedEvent> & val);
 
+  void __set_firstEvent(const int32_t val);
+
   bool operator == (const ItemProgress & rhs) const
   {
     if (!(job == rhs.job))
@@ -2443,6 +2468,8 @@
       return false;
     if (!(events == rhs.events))
       return false;
+    if (!(firstEvent == rhs.firstEvent))
+      return false;
     return true;
   }
   bool operator != (const ItemProgress &rhs) const {
