--- /dev/null
+++ b/tests/core/BatchJobTest.cpp
@@ -0,0 +1,236 @@
+#include "core/FixedSeed.h"
+
+#include <catch2/catch.hpp>
+#include <endiveroad/BatchJob.h>
+
+using namespace endiveroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 10s };
+
+BatchJobSpec specOf(size_t groups, size_t size)
+{
+    BatchJobSpec spec;
+    spec.id = "job";
+    spec.model = "model";
+    spec.oldestVersion = 3;
+    for (size_t i = 0; i < groups * size; ++i) {
+        BatchItem item;
+        item.id = "item-" + std::to_string(i);
+        item.group = "group-" + std::to_string(i / size);
+        item.scoring = ScoringCall { "score-" + item.id, "host", "/score", {} };
+        spec.items.push_back(item);
+    }
+    return spec;
+}
+
+BatchJobPolicy policy()
+{
+    BatchJobPolicy policy;
+    policy.maxAttempts = 3;
+    policy.maxScoringAttempts = 4;
+    policy.dueAt = start + 7s;
+    policy.giveUpAt = start + 40s;
+    return policy;
+}
+
+BatchJob jobOf(size_t groups, size_t size)
+{
+    return { specOf(groups, size), policy(), 5 };
+}
+
+std::vector<GeneratedEvent> events(int64_t first, int64_t end, int64_t version = 3)
+{
+    std::vector<GeneratedEvent> result;
+    for (int64_t id = first; id < end; ++id)
+        result.push_back({ id, "e" + std::to_string(id), version });
+    return result;
+}
+
+RunProgress news(int64_t run, int64_t first, int64_t end, RunState state = RunState::Running, int32_t status = 200)
+{
+    return { run, static_cast<size_t>(first), events(first, end), state, status };
+}
+
+} // namespace
+
+TEST_CASE("an item runs, is scored and is listed with its text and versions", "[batch]")
+{
+    BatchJob job = jobOf(1, 1);
+    REQUIRE(job.waiting(start) == std::vector<size_t> { 0 });
+    const int64_t run = job.start(0, "a0", 3, start);
+    CHECK(job.onProgress(0, news(run, 0, 2), start) == ItemAction::None);
+    CHECK(job.onProgress(0, { run, 2, events(2, 3, 4), RunState::Completed, 200 }, start) == ItemAction::Score);
+    CHECK(job.listable(start).empty());
+    CHECK(job.onScored(0, "stamp") == ItemAction::Finished);
+    REQUIRE(job.listable(start) == std::vector<size_t> { 0 });
+    const BatchResult result = *job.items()[0].result;
+    CHECK(result.text == "e0\ne1\ne2");
+    CHECK(result.versions == std::vector<int64_t> { 3, 4 });
+    CHECK(result.score == "stamp");
+    job.onListed({ result });
+    CHECK(job.isFinished());
+    CHECK(job.listed().size() == 1);
+}
+
+TEST_CASE("news behind a gap end the run, so that no text lacks an event", "[batch]")
+{
+    BatchJob job = jobOf(1, 1);
+    const int64_t run = job.start(0, "a0", 3, start);
+    job.onProgress(0, news(run, 0, 2), start);
+    CHECK(job.onProgress(0, news(run, 4, 6), start) == ItemAction::CancelRun);
+    CHECK(job.items()[0].stage == ItemStage::Waiting);
+    CHECK(job.items()[0].text.events.size() == 2);
+}
+
+TEST_CASE("the last news of a lost agent are not taken for the whole text", "[batch]")
+{
+    BatchJob job = jobOf(1, 1);
+    const int64_t run = job.start(0, "a0", 3, start);
+    job.onProgress(0, news(run, 0, 3), start);
+    REQUIRE(job.onAgentLost("a0", start).size() == 1);
+    CHECK(job.onAdopted(0, "a0", news(run, 3, 8), start) == ItemAction::CancelRun);
+    CHECK(job.onAdopted(0, "a0", news(run, 3, 8, RunState::Completed), start) == ItemAction::None);
+    CHECK(job.items()[0].text.events == events(0, 3));
+}
+
+TEST_CASE("a new owner adopts a run with all its events", "[batch]")
+{
+    BatchJob job = jobOf(1, 1);
+    CHECK(job.onAdopted(0, "a0", news(77, 0, 4), start) == ItemAction::None);
+    CHECK(job.items()[0].stage == ItemStage::Running);
+    CHECK(job.onProgress(0, news(77, 4, 5, RunState::Completed), start) == ItemAction::Score);
+    CHECK(job.items()[0].text.events == events(0, 5));
+}
+
+TEST_CASE("only answers of 500 and 422 count towards giving an item up", "[batch]")
+{
+    BatchJob job = jobOf(1, 2);
+    for (int i = 0; i < 10; ++i) {
+        const int64_t run = job.start(0, "a0", 3, start);
+        CHECK(job.onProgress(0, news(run, 0, 0, RunState::Failed, 0), start) == ItemAction::Restart);
+        const int64_t again = job.start(0, "a0", 3, start);
+        CHECK(job.onProgress(0, news(again, 0, 0, RunState::NotRun, 503), start) == ItemAction::Restart);
+    }
+    for (int i = 0; i < 3; ++i) {
+        const int64_t run = job.start(0, "a0", 3, start);
+        const ItemAction expected = i < 2 ? ItemAction::Restart : ItemAction::Finished;
+        CHECK(job.onProgress(0, news(run, 0, 0, RunState::Failed, 500), start) == expected);
+    }
+    CHECK(job.items()[0].result->state == ResultState::Terminated);
+    const int64_t run = job.start(1, "a0", 3, start);
+    CHECK(job.onProgress(1, news(run, 0, 0, RunState::Failed, 422), start) == ItemAction::Finished);
+}
+
+TEST_CASE("scoring calls that got no answer of 500 never end an item", "[batch]")
+{
+    BatchJob job = jobOf(1, 1);
+    const int64_t run = job.start(0, "a0", 3, start);
+    job.onProgress(0, news(run, 0, 1, RunState::Completed), start);
+    for (int i = 0; i < 20; ++i)
+        CHECK(job.onScoringFailed(0, 0) == ItemAction::Score);
+    CHECK(job.onScoringFailed(0, 3) == ItemAction::Score);
+    CHECK(job.onScoringFailed(0, 1) == ItemAction::Finished);
+    CHECK(job.items()[0].result->state == ResultState::Terminated);
+}
+
+TEST_CASE("events of a version below the oldest allowed are dropped and the item starts over", "[batch]")
+{
+    BatchJob job = jobOf(1, 1);
+    const int64_t run = job.start(0, "a0", 2, start);
+    CHECK(job.onProgress(0, { run, 0, events(0, 2, 2), RunState::Running, 200 }, start) == ItemAction::CancelRun);
+    CHECK(job.items()[0].text.events.empty());
+    CHECK(job.items()[0].stage == ItemStage::Waiting);
+}
+
+TEST_CASE("a job of a single version drops text that another version began", "[batch]")
+{
+    BatchJobPolicy single = policy();
+    single.isSingleVersion = true;
+    BatchJob job(specOf(1, 1), single, 5);
+    const int64_t run = job.start(0, "a0", 3, start);
+    job.onProgress(0, news(run, 0, 2), start);
+    job.withdraw(0, start);
+    job.start(0, "a1", 4, start);
+    CHECK(job.items()[0].text.events.empty());
+}
+
+TEST_CASE("whole groups are listed at once, the rest shortly before it is due", "[batch]")
+{
+    BatchJob job = jobOf(2, 2);
+    for (size_t item : { 0U, 2U, 3U }) {
+        const int64_t run = job.start(item, "a0", 3, start);
+        job.onProgress(item, news(run, 0, 1, RunState::Completed), start);
+        job.onScored(item, "stamp");
+    }
+    CHECK(job.listable(start) == std::vector<size_t> { 2, 3 });
+    CHECK(job.listable(policy().dueAt) == std::vector<size_t> { 0, 2, 3 });
+}
+
+TEST_CASE("text of an earlier job is used if its versions fit", "[batch]")
+{
+    BatchJob job = jobOf(1, 3);
+    CHECK(job.onCarried(0, { events(0, 4), false, {} }) == ItemAction::None);
+    CHECK(job.items()[0].text.events.size() == 4);
+    CHECK(job.onCarried(1, { events(0, 4), true, "stamp" }) == ItemAction::Finished);
+    CHECK(job.onCarried(2, { events(0, 4, 2), true, "stamp" }) == ItemAction::None);
+    CHECK(job.items()[2].text.events.empty());
+}
+
+TEST_CASE("items that wait too long are given up, and none starts behind the end", "[batch]")
+{
+    BatchJob job = jobOf(1, 2);
+    CHECK(job.giveUpOverdue(start).empty());
+    CHECK(job.giveUpOverdue(start + 40s).size() == 2);
+    BatchJob ended = jobOf(1, 2);
+    ended.end();
+    CHECK(ended.waiting(start).empty());
+}
+
+TEST_CASE("no order of news, losses and take-overs puts a gap or a repeat into a text", "[batch]")
+{
+    // A replica produces a fixed text; news are cut, lost, repeated and come from runs that are over.
+    static constexpr int64_t length = 12;
+    checkProperty("texts are whole", 20261204, 3000, [](const std::vector<uint32_t>& choices) {
+        BatchJob job = jobOf(1, 1);
+        struct SentRun {
+            int64_t run;
+            int64_t first;
+        };
+        std::vector<SentRun> runs;
+        Instant now = start;
+        for (uint32_t choice : choices) {
+            now += 100ms;
+            const ItemState& item = job.items()[0];
+            if (item.stage == ItemStage::Scoring)
+                break;
+            const auto known = static_cast<int64_t>(item.text.events.size());
+            switch (choice % 5) {
+            case 0:
+                if (item.stage == ItemStage::Waiting)
+                    runs.push_back({ job.start(0, "a0", 3, now), known });
+                break;
+            case 1:
+                job.onAgentLost("a0", now);
+                break;
+            default:
+                if (runs.empty())
+                    break;
+                const SentRun& sent = runs[choice / 5 % runs.size()];
+                const int64_t first = choice % 5 == 2 ? 0 : std::min(length, sent.first + choice / 7 % 4);
+                const int64_t end = std::min(length, first + 1 + choice / 11 % 6);
+                const RunState state = end == length ? RunState::Completed : RunState::Running;
+                if (choice % 5 == 4)
+                    job.onAdopted(0, "a0", news(sent.run, first, end, state), now);
+                else
+                    job.onProgress(0, news(sent.run, first, end, state), now);
+            }
+            for (size_t i = 0; i < job.items()[0].text.events.size(); ++i)
+                RC_ASSERT(job.items()[0].text.events[i].id == static_cast<int64_t>(i));
+            if (job.items()[0].stage == ItemStage::Scoring)
+                RC_ASSERT(job.items()[0].text.events.size() == static_cast<size_t>(length));
+        }
+    });
+}
--- /dev/null
+++ b/tests/core/BatchPlacementTest.cpp
@@ -0,0 +1,139 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <endiveroad/BatchPlacement.h>
+#include <set>
+
+using namespace endiveroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 10s };
+
+ReplicaView replica(const std::string& agent, int32_t running = 0, double eventMs = 30)
+{
+    ReplicaView view;
+    view.agent = agent;
+    view.isUp = true;
+    view.running = running;
+    view.slots = 8;
+    view.versions["m"] = 3;
+    view.eventMs = eventMs;
+    return view;
+}
+
+WaitingItem item(size_t index, double tokens, Instant dueAt = start + 7s)
+{
+    return { "job", index, "group", "m", 3, dueAt, tokens, {} };
+}
+
+} // namespace
+
+TEST_CASE("the longest item of the job that is due first gets the first free slot", "[placement]")
+{
+    std::vector<ReplicaView> replicas { replica("a0", 7) };
+    const std::vector<WaitingItem> waiting { item(0, 900, start + 9s), item(1, 10), item(2, 500) };
+    const auto placed = placeItems(waiting, replicas);
+    REQUIRE(placed.size() == 1);
+    CHECK(placed.front().waiting == 2);
+}
+
+TEST_CASE("a step that is larger than all slots fills each slot once", "[placement]")
+{
+    std::vector<ReplicaView> replicas { replica("a0"), replica("a1"), replica("a2") };
+    std::vector<WaitingItem> waiting;
+    for (size_t i = 0; i < 48; ++i)
+        waiting.push_back(item(i, static_cast<double>(i)));
+    const auto placed = placeItems(waiting, replicas);
+    REQUIRE(placed.size() == 24);
+    for (const Placement& placement : placed)
+        CHECK(placement.waiting >= 24);
+    for (const ReplicaView& view : replicas)
+        CHECK(view.running == 8);
+}
+
+TEST_CASE("replicas that are down, load the model or have old weights get nothing", "[placement]")
+{
+    ReplicaView down = replica("a0");
+    down.isUp = false;
+    ReplicaView loading = replica("a1");
+    loading.loadingModel = "m";
+    ReplicaView old = replica("a2");
+    old.versions["m"] = 2;
+    std::vector<ReplicaView> replicas { down, loading, old };
+    CHECK(placeItems({ item(0, 1) }, replicas).empty());
+}
+
+TEST_CASE("an item does not go back to the replica that failed it while another has room", "[placement]")
+{
+    std::vector<ReplicaView> replicas { replica("a0", 0, 10), replica("a1", 5, 40) };
+    WaitingItem failed = item(0, 1);
+    failed.avoidedAgent = "a0";
+    CHECK(placeItems({ failed }, replicas).front().agent == "a1");
+    std::vector<ReplicaView> onlyOne { replica("a0") };
+    CHECK(placeItems({ failed }, onlyOne).front().agent == "a0");
+}
+
+TEST_CASE("a run moves away from a replica that has turned slow, if another can take it", "[placement]")
+{
+    const std::vector<ReplicaView> replicas { replica("a0", 4, 110), replica("a1", 4, 31), replica("a2", 8, 33) };
+    CHECK(shouldMove(replicas[0], "m", 3, replicas));
+    CHECK_FALSE(shouldMove(replicas[1], "m", 3, replicas));
+    CHECK_FALSE(shouldMove(replicas[0], "m", 4, replicas));
+    std::vector<ReplicaView> full = replicas;
+    full[1].running = 8;
+    CHECK_FALSE(shouldMove(full[0], "m", 3, full));
+}
+
+TEST_CASE("each model has an equal share of the replicas, and a lost replica moves few", "[placement]")
+{
+    std::vector<std::string> agents;
+    for (int i = 0; i < 9; ++i)
+        agents.push_back("a" + std::to_string(i));
+    const auto before = homeReplicas({ "x", "y", "z" }, agents);
+    std::set<std::string> all;
+    for (const auto& [model, homes] : before) {
+        CHECK(homes.size() == 3);
+        all.insert(homes.begin(), homes.end());
+    }
+    CHECK(all.size() == 9);
+    agents.erase(agents.begin());
+    const auto after = homeReplicas({ "x", "y", "z" }, agents);
+    size_t moved = 0;
+    for (const auto& [model, homes] : after) {
+        for (const std::string& home : homes)
+            moved += std::count(before.at(model).begin(), before.at(model).end(), home) == 0 ? 1 : 0;
+    }
+    CHECK(moved <= 2);
+}
+
+TEST_CASE("loads wait for the items of a step, but not for long, and few run at once", "[placement]")
+{
+    const std::vector<ReplicaView> replicas { replica("a0"), replica("a1"), replica("a2") };
+    LoadDemand demand { "m", 4, start, 10, 3, { "a0", "a1", "a2" } };
+    CHECK(planLoads({ demand }, replicas, start + 100ms).empty());
+    CHECK(planLoads({ demand }, replicas, start + loadPatience).size() == maxLoadsAtOnce);
+    demand.waiting = 0;
+    CHECK(planLoads({ demand }, replicas, start + 100ms).size() == maxLoadsAtOnce);
+    std::vector<ReplicaView> busy = replicas;
+    busy[0].loadingModel = "m";
+    CHECK(planLoads({ demand }, busy, start).size() == 1);
+}
+
+TEST_CASE("items that no replica can serve make one load at once", "[placement]")
+{
+    const std::vector<ReplicaView> replicas { replica("a0"), replica("a1") };
+    const LoadDemand demand { "m", 4, start, 10, 4, { "a0", "a1" } };
+    CHECK_FALSE(planLoads({ demand }, replicas, start + 10ms).empty());
+}
+
+TEST_CASE("another replica loads in the place of a home that is down or slow", "[placement]")
+{
+    std::vector<ReplicaView> replicas { replica("a0"), replica("a1"), replica("a2") };
+    replicas[0].isUp = false;
+    replicas[2].running = 1;
+    const LoadDemand demand { "m", 4, start, 0, 0, { "a0" } };
+    const auto choices = planLoads({ demand }, replicas, start);
+    REQUIRE(choices.size() == 1);
+    CHECK(choices.front().agent == "a1");
+}
--- /dev/null
+++ b/tests/core/DirectoryTest.cpp
@@ -0,0 +1,108 @@
+#include "core/FixedSeed.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <endiveroad/Directory.h>
+#include <endiveroad/DocumentSet.h>
+#include <endiveroad/ReaderElection.h>
+
+using namespace endiveroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 10s };
+
+RouteDeclaration route(const std::string& name, const std::string& host, const std::string& prefix)
+{
+    RouteDeclaration route;
+    route.name = name;
+    route.host = host;
+    route.pathPrefix = prefix;
+    return route;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host decides the route", "[directory]")
+{
+    RoutingTable table;
+    table.routes = { route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/") };
+    CHECK(table.match("h", "/a/b/c/d")->name == "long");
+    CHECK(table.match("h", "/a/x")->name == "short");
+    CHECK_FALSE(table.match("h", "/ab/x"));
+    CHECK_FALSE(table.match("x", "/a/b/"));
+}
+
+TEST_CASE("of several servers at one address the last started counts", "[directory]")
+{
+    // A replica that starts again leaves its old registration behind for some seconds.
+    Directory directory;
+    const Address address { "10.0.0.1", 80 };
+    directory.servers["i-1"] = { "i-1", "s", address, "d", false, 8, 1000 };
+    directory.servers["i-0"] = { "i-0", "s", address, "d", false, 8, 9000 };
+    directory.servers["i-2"] = { "i-2", "s", address, "d", false, 8, 2000 };
+    CHECK(directory.serverAt(address)->id == "i-0");
+    CHECK_FALSE(directory.serverAt({ "10.0.0.2", 80 }));
+}
+
+TEST_CASE("seeds are kept beside the first coordinators that register", "[directory]")
+{
+    Directory directory;
+    const Address seed { "10.0.0.9", 7000 };
+    const Address known { "10.0.0.1", 7000 };
+    CHECK(directory.coordinatorAddresses({ seed }, false) == std::set<Address> { seed });
+    directory.coordinators["c"] = { "c", known, "d" };
+    CHECK(directory.coordinatorAddresses({ seed }, true) == std::set<Address> { seed, known });
+    CHECK(directory.coordinatorAddresses({ seed }, false) == std::set<Address> { known });
+}
+
+TEST_CASE("documents converge in any order and never go back", "[directory]")
+{
+    checkProperty("document sets converge", 20261205, 1000, [](const std::vector<uint32_t>& choices) {
+        std::vector<Document> documents;
+        for (size_t i = 0; i < choices.size(); ++i) {
+            const auto revision = static_cast<int64_t>(i + 1);
+            documents.push_back({ "key-" + std::to_string(choices[i] % 4), revision, std::to_string(choices[i]),
+                choices[i] % 3 == 0 });
+        }
+        DocumentSet inOrder;
+        for (const Document& document : documents)
+            inOrder.merge(document);
+        std::reverse(documents.begin(), documents.end());
+        DocumentSet reversed;
+        for (const Document& document : documents) {
+            reversed.merge(document);
+            reversed.merge(document);
+        }
+        RC_ASSERT(inOrder.all() == reversed.all());
+    });
+}
+
+TEST_CASE("what a listing lacks is removed unless it is newer than the listing", "[directory]")
+{
+    DocumentSet documents;
+    documents.merge({ "s/a", 5, "1", false });
+    documents.merge({ "s/b", 12, "2", false });
+    documents.merge({ "t/c", 1, "3", false });
+    const auto missing = documents.missingIn("s/", {}, 10);
+    REQUIRE(missing.size() == 1);
+    CHECK(missing.front() == Document { "s/a", 10, "", true });
+}
+
+TEST_CASE("one coordinator reads, the next takes its place, others read only in need", "[directory]")
+{
+    ReaderElection first("c1", start);
+    ReaderElection second("c2", start);
+    ReaderElection agent(std::nullopt, start);
+    CHECK(second.shouldRead(start));
+    CHECK_FALSE(agent.shouldRead(start));
+    second.onFresh("c1", start + 100ms);
+    agent.onFresh("c1", start + 100ms);
+    first.onFresh("c2", start + 100ms);
+    CHECK(first.shouldRead(start + 200ms));
+    CHECK_FALSE(second.shouldRead(start + 200ms));
+    const Instant later = start + 100ms + ReaderElection::coverage;
+    CHECK(second.shouldRead(later));
+    CHECK(agent.shouldRead(start + 10s));
+}
--- /dev/null
+++ b/tests/core/EventStreamTest.cpp
@@ -0,0 +1,40 @@
+#include "core/FixedSeed.h"
+
+#include <catch2/catch.hpp>
+#include <endiveroad/EventStream.h>
+
+using namespace endiveroad;
+
+TEST_CASE("events are read with id, data and other lines", "[stream]")
+{
+    EventStreamReader reader;
+    const auto events = reader.feed("version: 7\nid: 3\ndata: a\ndata: b\n\nid:4\r\ndata:c\r\n\r\nid: 5\ndata: cut");
+    REQUIRE(events.size() == 2);
+    CHECK(events[0].id == 3);
+    CHECK(events[0].data == "a\nb");
+    CHECK(events[0].otherLines == std::vector<std::string> { "version: 7" });
+    CHECK(events[1] == StreamEvent { 4, "c", {} });
+    CHECK(reader.isInsideEvent());
+    CHECK(reader.feed("\n\n").size() == 1);
+    CHECK_FALSE(reader.isInsideEvent());
+}
+
+TEST_CASE("where a stream is cut into pieces makes no difference", "[stream]")
+{
+    const std::string text = "id: 1\ndata: one\n\nx: y\nid: 2\ndata: two\ndata: three\n\n";
+    EventStreamReader whole;
+    const auto expected = whole.feed(text);
+    checkProperty("pieces", 20261206, 500, [&](const std::vector<uint8_t>& sizes) {
+        EventStreamReader reader;
+        std::vector<StreamEvent> events;
+        size_t position = 0;
+        for (uint8_t size : sizes) {
+            for (StreamEvent& event : reader.feed(std::string_view(text).substr(position, size % 9)))
+                events.push_back(event);
+            position = std::min(text.size(), position + size % 9);
+        }
+        for (StreamEvent& event : reader.feed(std::string_view(text).substr(position)))
+            events.push_back(event);
+        RC_ASSERT(events == expected);
+    });
+}
