Stand-ins of the shared platform, and the real programs run against them; no second claim of an accepted job

The stand-ins (store, engines, plain services) share no code with the product and run in the test's process, with faults: store busy, silent, reset or compacted, lost answers, broken streams, dark replicas, strangers among the registrations. Cause of the change in BatchOwner: a scan for jobs without a live owner could read a record whose acceptance was still being answered, and claim it a second time. A job that is being accepted is now marked as being settled, like one that is being looked up.

--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -68,7 +68,7 @@
     , directory_(std::move(directory))
     , resultLifetime_(resultLifetime)
     , wake_(context)
-    , located_(context)
+    , settled_(context)
 {
 }
 
@@ -157,52 +157,85 @@
     return owned;
 }
 
-asio::awaitable<wire::BatchAnswer> BatchOwner::submit(const wire::BatchCall& call, Instant deadline)
+class BatchOwner::Settling {
+public:
+    Settling(BatchOwner& owner, std::string job)
+        : owner_(owner)
+        , job_(std::move(job))
+    {
+        owner_.settling_.insert(job_);
+    }
+    Settling(const Settling&) = delete;
+    Settling& operator=(const Settling&) = delete;
+    ~Settling()
+    {
+        owner_.settling_.erase(job_);
+        owner_.settled_.notifyAll();
+    }
+
+private:
+    BatchOwner& owner_;
+    std::string job_;
+};
+
+asio::awaitable<void> BatchOwner::waitUntilSettled(const std::string& job)
+{
+    while (settling_.contains(job))
+        co_await settled_.wait(now() + storeRetryPause);
+}
+
+asio::awaitable<std::optional<int64_t>> BatchOwner::accept(
+    const wire::BatchCall& call, const JobRecord& record, Instant deadline)
 {
-    if (jobs_.contains(call.job))
-        co_return answerOf(statusAccepted);
-    const auto directory = directory_();
-    const RouteDeclaration* route = directory->routing ? directory->routing->route(call.route) : nullptr;
-    if (!route)
-        throw NotReadyError("the route is not known here yet");
-    BatchJobSpec spec = protocol_.decodeJob(call.job, call.host, call.route, call.body);
-    const JobRecord record = newRecord(spec, *route);
-    const Instant giveUpAt = std::min(deadline, now() + storePatience);
-    std::optional<int64_t> revision;
-    bool isKnown = false;
     bool isInDoubt = false;
-    std::string reason;
-    while (!revision && !isKnown) {
+    while (true) {
+        std::string reason;
         try {
-            revision = co_await store_.accept(call.job, record, call.body);
-            isKnown = !revision;
+            co_return co_await store_.accept(call.job, record, call.body);
         } catch (const OutcomeUnknownError& error) {
             isInDoubt = true;
             reason = error.what();
         } catch (const StoreUnavailableError& error) {
             reason = error.what();
         }
-        if (revision || isKnown)
-            break;
-        if (now() + storeRetryPause >= giveUpAt) {
+        if (now() + storeRetryPause >= deadline) {
             if (isInDoubt)
                 throw OutcomeUnknownError(reason);
             throw StoreUnavailableError(reason);
         }
         co_await sleepFor(storeRetryPause);
     }
-    if (isKnown) {
+}
+
+asio::awaitable<wire::BatchAnswer> BatchOwner::submit(const wire::BatchCall& call, Instant deadline)
+{
+    co_await waitUntilSettled(call.job);
+    if (jobs_.contains(call.job))
+        co_return answerOf(statusAccepted);
+    const auto directory = directory_();
+    const RouteDeclaration* route = directory->routing ? directory->routing->route(call.route) : nullptr;
+    if (!route)
+        throw NotReadyError("the route is not known here yet");
+    BatchJobSpec spec = protocol_.decodeJob(call.job, call.host, call.route, call.body);
+    const JobRecord record = newRecord(spec, *route);
+    std::optional<int64_t> revision;
+    {
+        const Settling settling(*this, call.job);
+        revision = co_await accept(call, record, std::min(deadline, now() + storePatience));
+        if (revision)
+            insert(spec, record, *revision, {});
+    }
+    if (!revision) {
         // Somebody has it: an earlier attempt here or elsewhere. It must not be without an owner.
         const Location location = co_await locate(call.job, call.unreachable);
         if (!location.isKnown())
             throw OutcomeUnknownError("the job exists, but nobody owns it");
         co_return answerOf(statusAccepted);
     }
-    const size_t items = spec.items.size();
-    const OwnedJobPtr owned = insert(std::move(spec), record, *revision, {});
+    const OwnedJobPtr owned = jobs_.at(call.job);
     log(Event::BatchJobAccepted,
         { { "job", call.job }, { "route", call.route }, { "model", owned->job.spec().model },
-            { "items", std::to_string(items) }, { "oldestVersion", std::to_string(owned->job.spec().oldestVersion) },
+            { "items", std::to_string(spec.items.size()) }, { "oldestVersion", std::to_string(owned->job.spec().oldestVersion) },
             { "revision", std::to_string(*revision) } });
     others_.announceOwner(*owned);
     dispatcher_->onJob(owned);
@@ -297,8 +330,7 @@
 
 asio::awaitable<BatchOwner::Location> BatchOwner::locate(std::string job, std::vector<std::string> unreachable)
 {
-    while (locating_.contains(job))
-        co_await located_.wait(now() + storeRetryPause);
+    co_await waitUntilSettled(job);
     Location location;
     if (const auto owned = jobs_.find(job); owned != jobs_.end()) {
         location.owned = owned->second;
@@ -308,17 +340,8 @@
         location.archived = &archived->second;
         co_return location;
     }
-    locating_.insert(job);
-    std::exception_ptr failure;
-    try {
-        location = co_await locateOnce(job, std::move(unreachable));
-    } catch (...) {
-        failure = std::current_exception();
-    }
-    locating_.erase(job);
-    located_.notifyAll();
-    if (failure)
-        std::rethrow_exception(failure);
+    const Settling settling(*this, job);
+    location = co_await locateOnce(job, std::move(unreachable));
     co_return location;
 }
 
@@ -363,21 +386,10 @@
 
 asio::awaitable<OwnedJobPtr> BatchOwner::claim(StoredJob stored)
 {
-    if (jobs_.contains(stored.id) || locating_.contains(stored.id))
+    if (jobs_.contains(stored.id) || settling_.contains(stored.id))
         co_return nullptr;
-    locating_.insert(stored.id);
-    OwnedJobPtr owned;
-    std::exception_ptr failure;
-    try {
-        owned = co_await claimOnce(stored);
-    } catch (...) {
-        failure = std::current_exception();
-    }
-    locating_.erase(stored.id);
-    located_.notifyAll();
-    if (failure)
-        std::rethrow_exception(failure);
-    co_return owned;
+    const Settling settling(*this, stored.id);
+    co_return co_await claimOnce(stored);
 }
 
 asio::awaitable<OwnedJobPtr> BatchOwner::claimOnce(StoredJob stored)
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -82,6 +82,9 @@
     void wake() { wake_.notifyAll(); }
 
 private:
+    /// Marks a job whose place is being settled, so that nothing else accepts, finds or takes it over meanwhile.
+    class Settling;
+
     struct Archived {
         std::vector<BatchResult> results;
         size_t items = 0;
@@ -96,6 +99,9 @@
     };
 
     asio::awaitable<wire::BatchAnswer> submit(const wire::BatchCall&, Instant deadline);
+    /// Writes the job into the store. Returns the revision of its record, nothing if the job exists already.
+    asio::awaitable<std::optional<int64_t>> accept(const wire::BatchCall&, const JobRecord&, Instant deadline);
+    asio::awaitable<void> waitUntilSettled(const std::string& job);
     asio::awaitable<wire::BatchAnswer> read(const wire::BatchCall&, Instant deadline);
     asio::awaitable<wire::BatchAnswer> readItem(const wire::BatchCall&, Instant deadline);
     asio::awaitable<wire::BatchAnswer> endJob(const wire::BatchCall&, Instant deadline);
@@ -124,9 +130,9 @@
     Signal wake_;
     JobTable jobs_;
     std::map<std::string, Archived> archived_;
-    /// Jobs that are being taken over or looked up now.
-    std::set<std::string> locating_;
-    Signal located_;
+    /// Jobs that are being accepted, looked up or taken over now.
+    std::set<std::string> settling_;
+    Signal settled_;
 };
 
 } // namespace endiveroad::io
--- /dev/null
+++ b/standins/hosted_http.py
@@ -0,0 +1,88 @@
+"""A small HTTP/1.1 server for the stand-ins of a shared platform; it shares no code with the product."""
+import asyncio
+import json
+import urllib.parse
+
+
+class Request:
+    """A request, read whole."""
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        path, _, query = target.partition("?")
+        self.path = path
+        self.query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+
+    def json(self):
+        return json.loads(self.body or b"{}")
+
+
+class Connection:
+    """The way to answer a request. A stream that is left without end_stream() is cut visibly."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.is_open = True
+
+    async def answer(self, status, body=b"", headers=None):
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        lines = ["HTTP/1.1 %d X" % status, "Content-Length: %d" % len(body)]
+        lines += ["%s: %s" % pair for pair in (headers or {}).items()]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        await self.writer.drain()
+
+    async def begin_stream(self, headers):
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        lines += ["%s: %s" % pair for pair in headers.items()]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        await self.writer.drain()
+
+    async def send_piece(self, piece):
+        self.writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+        await self.writer.drain()
+
+    async def end_stream(self):
+        self.writer.write(b"0\r\n\r\n")
+        await self.writer.drain()
+
+    def cut(self):
+        """Ends the connection without an answer, or in the middle of one."""
+        self.is_open = False
+        self.writer.transport.abort()
+
+    def has_client_left(self):
+        return self.reader.at_eof() or self.writer.is_closing()
+
+
+async def read_request(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *rest = head.decode("latin-1").split("\r\n")
+    method, target, _ = first.split(" ", 2)
+    headers = {}
+    for line in rest:
+        name, separator, value = line.partition(":")
+        if separator:
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Request(method, target, headers, body)
+
+
+async def serve(host, port, handle):
+    """Serves handle(request, connection) and returns the server."""
+
+    async def session(reader, writer):
+        connection = Connection(reader, writer)
+        try:
+            while connection.is_open:
+                await handle(await read_request(reader), connection)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(session, host, port)
--- /dev/null
+++ b/standins/hosted_servers.py
@@ -0,0 +1,168 @@
+"""Stand-ins for the backend servers of a shared platform: engine replicas and plain services."""
+import asyncio
+import json
+import time
+
+
+class Server:
+    """What engines and plain services share: an id, a registration and a record of what ran."""
+
+    def __init__(self, store, service, server_id, address, zone, slots):
+        self.store = store
+        self.service = service
+        self.id = server_id
+        self.address = address
+        self.zone = zone
+        self.slots = slots
+        self.born = int(time.time() * 1000)
+        self.beats = 0
+        self.is_draining = False
+        # (request id, target, body) of each request that ran, in order.
+        self.ran = []
+        self.running = 0
+        # Faults: requests of which the answer is lost, and seconds that a request takes longer.
+        self.lose_answers = 0
+        self.extra_s = 0.0
+        self.always_fails = set()
+
+    def registration(self):
+        return {"Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "v1",
+                "Slots": self.slots, "State": "draining" if self.is_draining else "ready", "ColdLeftMs": 0,
+                "Seq": self.beats, "born": self.born}
+
+    async def beat(self):
+        while True:
+            self.beats += 1
+            if self.store.mode == "up":
+                await self.store.write("servers/" + self.id, json.dumps(self.registration()))
+            await asyncio.sleep(1.2)
+
+    def refusal(self, request):
+        expected = request.headers.get("endiveroad-expect-instance")
+        if expected and expected != self.id:
+            return 421, {"Endiveroad-Instance-Id": self.id}
+        if "endiveroad-request-id" not in request.headers:
+            return 400, {"Endiveroad-Not-Executed": "1"}
+        if self.running >= self.slots + 24:
+            return 503, {"Endiveroad-Not-Executed": "1"}
+        return None
+
+
+class Service(Server):
+    """A plain service: answers with a signature over the request's id."""
+
+    async def handle(self, request, connection):
+        refusal = self.refusal(request)
+        request_id = request.headers.get("endiveroad-request-id", "")
+        headers = {"Endiveroad-Request-Id": request_id}
+        if refusal:
+            return await connection.answer(refusal[0], b"", {**headers, **refusal[1]})
+        self.running += 1
+        self.ran.append((request_id, request.target, request.body))
+        try:
+            await asyncio.sleep(0.01 + self.extra_s)
+        finally:
+            self.running -= 1
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return connection.cut()
+        headers["Endiveroad-Upstream-Stamp"] = stamp(request_id)
+        headers["Endiveroad-Backend-Load"] = "%d,0,%d" % (self.running, self.slots)
+        status = 500 if request_id in self.always_fails else 200
+        await connection.answer(status, b"answer to " + request_id.encode(), headers)
+
+
+class Engine(Server):
+    """An engine replica: streams the events of a text that depends on the item alone."""
+
+    EVENT_S = 0.02
+
+    def __init__(self, store, service, server_id, address, zone, slots, models):
+        super().__init__(store, service, server_id, address, zone, slots)
+        self.versions = {model: 1 for model in models}
+        self.orders = 0
+        self.fence = 0
+        self.holders = []
+        self.is_busy = False
+        # Faults: events after which streams are cut, and whether the replica answers at all.
+        self.cut_after = None
+        self.is_dark = False
+
+    async def handle(self, request, connection):
+        if self.is_dark:
+            await asyncio.sleep(3600)
+        if request.path == "/report":
+            models = [{"Name": name, "Version": version, "Adapters": []} for name, version in self.versions.items()]
+            return await connection.answer(200, {"Stage": "both", "Models": models, "Busy": self.is_busy,
+                                                 "Seq": self.orders, "NumWaiting": 0, "NumRunning": self.running})
+        if request.path == "/order":
+            return await self.order(request, connection)
+        await self.generate(request, connection)
+
+    async def order(self, request, connection):
+        order = request.json()
+        if self.versions.get(order["Model"]) == order["Version"]:
+            return await connection.answer(200)
+        if self.is_busy or order.get("Expected", self.orders) != self.orders:
+            return await connection.answer(409)
+        if order["Fence"] < self.fence:
+            return await connection.answer(412)
+        self.fence = order["Fence"]
+        self.holders.append((order["Holder"], order["Fence"]))
+        self.orders += 1
+        self.is_busy = True
+        asyncio.create_task(self.load(order["Model"], order["Version"]))
+        await connection.answer(202)
+
+    async def load(self, model, version):
+        await asyncio.sleep(0.2)
+        self.versions[model] = version
+        self.is_busy = False
+
+    async def generate(self, request, connection):
+        refusal = self.refusal(request)
+        item = request.headers.get("endiveroad-request-id", "")
+        model = request.headers.get("endiveroad-model", "")
+        headers = {"Endiveroad-Request-Id": item}
+        if refusal:
+            return await connection.answer(refusal[0], b"", {**headers, **refusal[1]})
+        self.ran.append((item, request.target, request.body))
+        if item in self.always_fails:
+            return await connection.answer(500, b"", headers)
+        first = int(request.headers.get("last-event-id", -1)) + 1
+        version = self.versions[model]
+        self.running += 1
+        try:
+            await connection.begin_stream({**headers, "Endiveroad-Weight-Versions": str(version),
+                                           "Endiveroad-Upstream-Stamp": stamp(item)})
+            for number in range(first, event_count(item)):
+                await asyncio.sleep(self.EVENT_S + self.extra_s)
+                if connection.has_client_left():
+                    return connection.cut()
+                if self.cut_after is not None and number - first >= self.cut_after:
+                    return connection.cut()
+                change = b""
+                if self.versions[model] != version:
+                    version = self.versions[model]
+                    change = b"endiveroad-weight-versions: %d\n" % version
+                await connection.send_piece(change + b"id: %d\ndata: %s\n\n" % (number, event_text(item, number).encode()))
+            await connection.end_stream()
+        finally:
+            self.running -= 1
+
+
+def stamp(request_id):
+    return "stamp-" + request_id
+
+
+def event_count(item):
+    """Events of an item, from 4 to 27; the same on every replica."""
+    return 4 + sum(item.encode()) % 24
+
+
+def event_text(item, number):
+    return "%s-%d" % (item, number)
+
+
+def whole_text(item):
+    return "\n".join(event_text(item, number) for number in range(event_count(item)))
--- /dev/null
+++ b/tests/process/hosted.py
@@ -0,0 +1,245 @@
+#!/usr/bin/env python3
+"""The real programs on a stand-in of the shared platform: batch jobs and calls, under failures of either side."""
+import argparse
+import json
+import os
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts", "lib"))
+from hosted import CALL_PREFIX, HostedDeployment, MODELS, route, wait_until  # noqa: E402
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "standins"))
+from hosted_servers import stamp, whole_text  # noqa: E402
+
+
+def names(prefix, count):
+    return ["%s-%d" % (prefix, number) for number in range(count)]
+
+
+def check_results(deployment, job, items, results):
+    """Each item stands once, whole, scored by its own call, and its request reached replicas unchanged."""
+    assert sorted(result["Id"] for result in results) == sorted(items), results
+    for result in results:
+        assert result["State"] == "completed", result
+        assert result["Text"] == whole_text(result["Id"]), result
+        assert result["Score"] == stamp("score-" + result["Id"]), result
+        assert result["Versions"] and result["Versions"] == sorted(set(result["Versions"])), result
+    for engine in deployment.platform.engines:
+        for item, target, body in engine.ran:
+            if item in items:
+                assert target == "/job/" + item and body == b"prompt of " + item.encode(), (item, target, body)
+
+
+def whole_path(deployment):
+    status, body, headers = deployment.call(deployment.entries[0], "call-1")
+    assert (status, body) == (200, b"answer to call-1"), (status, body)
+    assert headers["Endiveroad-Upstream-Stamp"] == stamp("call-1")
+    assert deployment.call(deployment.entries[1], "call-2", "/nowhere/x")[0] == 404
+    items = names("first", 10)
+    assert deployment.submit("job-1", items) == [202]
+    assert deployment.submit("job-1", items) == [202]
+    check_results(deployment, "job-1", items, deployment.read_all("job-1", 10))
+    assert deployment.request(deployment.entries[0], "GET", "/items/job-1?Id=first-3")[1] == b"prompt of first-3"
+    deployment.end("job-1")
+    deployment.end("job-1")
+    assert deployment.request(deployment.entries[0], "GET", "/items/job-1?Id=first-3")[0] == 404
+    assert deployment.read(deployment.entries[1], "job-1", 4)[1]["Next"] == 10
+    assert deployment.read(deployment.entries[1], "job-unknown")[0] == 404
+
+
+def versions_are_loaded_and_named(deployment):
+    items = names("old", 6)
+    deployment.submit("job-old", items)
+    deployment.platform.name_version(MODELS[0], 2)
+    wait_until(lambda: any(engine.versions[MODELS[0]] == 2 for engine in deployment.platform.engines), 10)
+    new = names("new", 6)
+    deployment.submit("job-new", new, oldest=2)
+    results = deployment.read_all("job-new", 6)
+    assert all(result["Versions"] == [2] for result in results), results
+    check_results(deployment, "job-old", items, deployment.read_all("job-old", 6))
+    for engine in deployment.platform.engines:
+        assert len(set(engine.holders)) <= 1, "orders of one replica came from several holders"
+
+
+def coordinators_die_one_after_the_other(deployment):
+    jobs = {}
+    for number in range(4):
+        jobs["job-%d" % number] = names("item-%d" % number, 8)
+        deployment.submit("job-%d" % number, jobs["job-%d" % number])
+    time.sleep(0.3)
+    for coordinator in deployment.coordinators[:2]:
+        coordinator.kill()
+        time.sleep(1.0)
+        coordinator.start()
+        time.sleep(1.5)
+    for job, items in jobs.items():
+        check_results(deployment, job, items, deployment.read_all(job, 8))
+
+
+def everything_is_killed_after_the_acknowledgement(deployment):
+    items = names("kept", 8)
+    deployment.submit("job-kept", items)
+    for machine in deployment.machines():
+        machine.signal(signal.SIGKILL)
+    for machine in deployment.machines():
+        machine.handle.wait()
+        machine.start()
+    check_results(deployment, "job-kept", items, deployment.read_all("job-kept", 8))
+
+
+def store_is_away_while_a_job_runs(deployment):
+    items = names("outage", 8)
+    deployment.submit("job-outage", items)
+    deployment.platform.store.mode = "busy"
+    time.sleep(0.5)
+    for number in range(10):
+        assert deployment.call(deployment.entries[0], "during-%d" % number)[0] == 200
+    status, _, headers = deployment.request(deployment.entries[0], "POST", "/job/refused", json.dumps({
+        "Model": MODELS[0], "MinVersion": 1, "Items": []}).encode(), {"Endiveroad-Request-Id": "job-refused"})
+    assert status == 503 and float(headers["Retry-After"]) > 0, (status, headers)
+    time.sleep(1.5)
+    deployment.platform.store.mode = "up"
+    check_results(deployment, "job-outage", items, deployment.read_all("job-outage", 8))
+
+
+def answers_of_the_store_are_lost(deployment):
+    store = deployment.platform.store
+    store.lose_answers = 3
+    items = names("lost", 8)
+    deployment.submit("job-lost", items)
+    store.lose_answers = 6
+    results = deployment.read_all("job-lost", 8)
+    check_results(deployment, "job-lost", items, results)
+    positions = [key for key in store.keys("endiveroad/results/job-lost/")]
+    assert len(positions) == len(set(positions))
+
+
+def replica_breaks_its_streams_and_goes_dark(deployment):
+    engine = deployment.platform.engines[0]
+    engine.cut_after = 3
+    items = names("cut", 10)
+    deployment.submit("job-cut", items)
+    time.sleep(0.4)
+    deployment.platform.engines[1].is_dark = True
+    check_results(deployment, "job-cut", items, deployment.read_all("job-cut", 10))
+
+
+def items_that_always_fail_are_given_up(deployment):
+    for engine in deployment.platform.engines:
+        engine.always_fails = {"bad-0"}
+    for service in deployment.platform.services:
+        service.always_fails = {"score-bad-1"}
+    deployment.submit("job-bad", names("bad", 4))
+    results = {result["Id"]: result for result in deployment.read_all("job-bad", 4)}
+    assert results["bad-0"]["State"] == "terminated" and results["bad-1"]["State"] == "terminated", results
+    assert results["bad-2"]["State"] == "completed" and results["bad-3"]["State"] == "completed", results
+    runs = sum(1 for engine in deployment.platform.engines for item, _, _ in engine.ran if item == "bad-0")
+    assert runs == 3, runs
+
+
+def history_is_lost_and_strangers_register(deployment):
+    platform = deployment.platform
+    for number, value in enumerate(["not json", "{}", '{"Service":1}', '{"Service":"plain","Address":"x","State":"up"}']):
+        platform.run(platform.store.write("servers/stranger-%d" % number, value))
+    platform.store.compact()
+    routes = [route("moved", CALL_PREFIX, "idempotent", "plain"), route("added", "/added/", "idempotent", "plain")]
+    platform.configure(7, routes)
+    platform.store.compact()
+    wait_until(lambda: all(deployment.call(entry, "added", "/added/x")[0] == 200 for entry in deployment.entries), 4)
+    assert deployment.call(deployment.entries[0], "after")[0] == 200
+
+
+def one_machine_is_turned_away_by_the_store(deployment):
+    # The first coordinator by name reads for all others; its calls go through a peer.
+    coordinator = deployment.coordinators[0]
+    coordinator.settings["Platform.Address"] = "%s.2:9" % deployment.prefix
+    coordinator.kill()
+    coordinator.start()
+    time.sleep(2.5)
+    items = names("relayed", 8)
+    deployment.submit("job-relayed", items)
+    check_results(deployment, "job-relayed", items, deployment.read_all("job-relayed", 8))
+
+
+def a_replica_that_starts_again_leaves_its_old_registration(deployment):
+    platform = deployment.platform
+    engine = platform.engines[0]
+    platform.run(platform.store.write("servers/a-ghost", json.dumps(
+        {**engine.registration(), "born": engine.born - 5000})))
+    time.sleep(1.0)
+    items = names("ghost", 10)
+    deployment.submit("job-ghost", items)
+    check_results(deployment, "job-ghost", items, deployment.read_all("job-ghost", 10))
+    assert any(item in items for item, _, _ in engine.ran), "the replica got no item"
+
+
+def requests_that_may_not_be_repeated(deployment):
+    for service in deployment.platform.services:
+        service.lose_answers = 2
+    statuses = [deployment.call(deployment.entries[0], "once-%d" % number, "/once/x")[0] for number in range(8)]
+    ran = [request for service in deployment.platform.services for request, _, _ in service.ran]
+    assert len(ran) == len(set(ran)), ran
+    assert set(statuses) == {200, 502} and statuses.count(502) >= 2, statuses
+    for service in deployment.platform.services:
+        service.lose_answers = 1
+    assert all(deployment.call(deployment.entries[0], "again-%d" % number)[0] == 200 for number in range(6))
+
+
+def entries_leave_without_cutting_a_request(deployment):
+    for service in deployment.platform.services:
+        service.extra_s = 0.3
+    outcomes = []
+
+    def caller(number):
+        for turn in range(12):
+            try:
+                outcomes.append(deployment.call(deployment.entries[0], "leave-%d-%d" % (number, turn))[0])
+            except ConnectionRefusedError:
+                outcomes.append("refused")
+            except OSError as error:
+                outcomes.append(repr(error))
+
+    callers = [threading.Thread(target=caller, args=(number,)) for number in range(4)]
+    for thread in callers:
+        thread.start()
+    time.sleep(0.4)
+    deployment.entries[0].signal(signal.SIGTERM)
+    wait_until(lambda: not deployment.is_ready(deployment.entries[0]), 1)
+    for thread in callers:
+        thread.join()
+    assert set(outcomes) <= {200, "refused"}, outcomes
+    assert deployment.entries[0].handle.wait(timeout=9) == 0
+
+
+CASES = {case.__name__: case for case in (
+    whole_path, versions_are_loaded_and_named, coordinators_die_one_after_the_other,
+    everything_is_killed_after_the_acknowledgement, store_is_away_while_a_job_runs, answers_of_the_store_are_lost,
+    replica_breaks_its_streams_and_goes_dark, items_that_always_fail_are_given_up,
+    history_is_lost_and_strangers_register, one_machine_is_turned_away_by_the_store,
+    a_replica_that_starts_again_leaves_its_old_registration, requests_that_may_not_be_repeated,
+    entries_leave_without_cutting_a_request)}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin", required=True)
+    parser.add_argument("--standin", help="not used; the stand-ins of the platform run in this process")
+    parser.add_argument("--case", choices=sorted(CASES), default="whole_path")
+    parser.add_argument("--keep", action="store_true", help="keep settings and logs of the processes")
+    arguments = parser.parse_args()
+    deployment = HostedDeployment(arguments.bin)
+    is_passed = False
+    try:
+        deployment.start()
+        CASES[arguments.case](deployment)
+        is_passed = True
+    finally:
+        deployment.close(keep=arguments.keep or not is_passed)
+        if not is_passed:
+            print("logs: " + deployment.dir, file=sys.stderr)
+
+
+if __name__ == "__main__":
+    main()
