Loads at once grow with the replicas of a service

Two loads at once are 2.2 a second, but four models that each name a version every 4 s want 38 in that time: most homes stayed behind, and steps could not use them. Ruled out: slots (55 of 228 busy on average), processor of the coordinators (0.05 of 0.3 cores), refusals by full replicas (258, retried within 0.1 s). Change: a fifth of the replicas load at once, two at least.

--- a/include/endiveroad/BatchPlacement.h
+++ b/include/endiveroad/BatchPlacement.h
@@ -97,8 +97,9 @@
     auto operator<=>(const LoadChoice&) const = default;
 };
 
-/// Loads that run at once over all models before each takes longer.
-inline constexpr size_t maxLoadsAtOnce = 2;
+/// Loads that run at once over all models: a fifth of the replicas, two at least. More would slow each other down at the
+/// weight store, and take too many replicas away from new items.
+size_t maxLoadsAtOnce(size_t replicas);
 
 /// Longest time for which waiting items hold back a load.
 inline constexpr Duration loadPatience = std::chrono::milliseconds(1500);
--- a/src/core/batch/BatchPlacement.cpp
+++ b/src/core/batch/BatchPlacement.cpp
@@ -164,11 +164,19 @@
     return homes;
 }
 
+size_t maxLoadsAtOnce(size_t replicas)
+{
+    constexpr size_t least = 2;
+    constexpr size_t shareDivisor = 5;
+    return std::max(least, (replicas + shareDivisor / 2) / shareDivisor);
+}
+
 std::vector<LoadChoice> planLoads(
     const std::vector<LoadDemand>& demands, const std::vector<ReplicaView>& replicas, Instant now)
 {
     std::vector<LoadChoice> choices;
     size_t underWay = loadsUnderWay(replicas);
+    const size_t most = maxLoadsAtOnce(replicas.size());
     std::map<std::string, bool> isBusy;
     for (const ReplicaView& replica : replicas)
         isBusy[replica.agent] = !replica.loadingModel.empty();
@@ -180,7 +188,7 @@
         if (demand.waiting > 0 && !isStarved && now < demand.namedAt + loadPatience)
             continue;
         for (const ReplicaView* replica : serving) {
-            if (underWay >= maxLoadsAtOnce)
+            if (underWay >= most)
                 break;
             if (isBusy[replica->agent] || replica->version(demand.model) >= demand.namedVersion)
                 continue;
--- a/tests/core/BatchPlacementTest.cpp
+++ b/tests/core/BatchPlacementTest.cpp
@@ -112,14 +112,28 @@
     const std::vector<ReplicaView> replicas { replica("a0"), replica("a1"), replica("a2") };
     LoadDemand demand { "m", 4, start, 10, 3, { "a0", "a1", "a2" } };
     CHECK(planLoads({ demand }, replicas, start + 100ms).empty());
-    CHECK(planLoads({ demand }, replicas, start + loadPatience).size() == maxLoadsAtOnce);
+    CHECK(planLoads({ demand }, replicas, start + loadPatience).size() == 2);
     demand.waiting = 0;
-    CHECK(planLoads({ demand }, replicas, start + 100ms).size() == maxLoadsAtOnce);
+    CHECK(planLoads({ demand }, replicas, start + 100ms).size() == 2);
     std::vector<ReplicaView> busy = replicas;
     busy[0].loadingModel = "m";
     CHECK(planLoads({ demand }, busy, start).size() == 1);
 }
 
+TEST_CASE("a large service loads more replicas at once, so that a step's version reaches all homes in time", "[placement]")
+{
+    // 38 replicas, four models that each name a version every 4 s, 0.9 s a load: 10 homes need 5 loads at once at least.
+    std::vector<ReplicaView> replicas;
+    LoadDemand demand { "m", 4, start, 0, 0, {} };
+    for (int i = 0; i < 38; ++i) {
+        replicas.push_back(replica("a" + std::to_string(i)));
+        if (i < 10)
+            demand.homes.push_back(replicas.back().agent);
+    }
+    CHECK(planLoads({ demand }, replicas, start).size() == 8);
+    CHECK(maxLoadsAtOnce(9) == 2);
+}
+
 TEST_CASE("items that no replica can serve make one load at once", "[placement]")
 {
     const std::vector<ReplicaView> replicas { replica("a0"), replica("a1") };
