The model with the fewest usable replicas loads first

Held-back loads made it worse: replicas that waiting items cannot use waited as well. Change: loads go one by one to the model with waiting items and the smallest share of usable replicas; only replicas that waiting items can use are left to them.

--- a/include/endiveroad/BatchPlacement.h
+++ b/include/endiveroad/BatchPlacement.h
@@ -101,11 +101,12 @@
 /// weight store, and take too many replicas away from new items.
 size_t maxLoadsAtOnce(size_t replicas);
 
-/// Longest time for which waiting items hold back a load.
+/// Longest time for which waiting items hold back a load of a replica that they can use.
 inline constexpr Duration loadPatience = std::chrono::milliseconds(1500);
 
-/// Load pattern: a version is named at the moment at which the next step is submitted, which may still use the version
-/// before. Items that wait start first; then the homes load a few at a time while the step runs.
+/// Load pattern: several models name a version every few seconds, each at the moment at which the next step is submitted,
+/// which may still use the version before. Replicas that waiting items can use are left to them for a moment; all others
+/// load, first those of the model that has the fewest usable ones, so that no model falls behind.
 std::vector<LoadChoice> planLoads(const std::vector<LoadDemand>&, const std::vector<ReplicaView>&, Instant now);
 
 } // namespace endiveroad
--- a/src/core/batch/BatchPlacement.cpp
+++ b/src/core/batch/BatchPlacement.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <endiveroad/BatchPlacement.h>
 #include <endiveroad/Rendezvous.h>
+#include <set>
 #include <tuple>
 
 namespace endiveroad {
@@ -41,12 +42,6 @@
     return best;
 }
 
-size_t loadsUnderWay(const std::vector<ReplicaView>& replicas)
-{
-    return static_cast<size_t>(std::count_if(replicas.begin(), replicas.end(),
-        [](const ReplicaView& replica) { return !replica.loadingModel.empty(); }));
-}
-
 const ReplicaView* findReplica(const std::vector<ReplicaView>& replicas, const std::string& agent)
 {
     const auto found = std::find_if(
@@ -83,6 +78,56 @@
     return serving;
 }
 
+/// Replicas of one model that are to load its named version, those with the oldest weights first.
+class LoadQueue {
+public:
+    LoadQueue(const LoadDemand& demand, const std::vector<ReplicaView>& replicas, Instant now)
+        : demand_(demand)
+        , serving_(servingReplicas(demand, replicas).size())
+    {
+        const bool isHeldBack = demand.waiting > 0 && now < demand.namedAt + loadPatience;
+        const int64_t wanted = demand.waiting > 0 ? demand.oldestNeeded : demand.namedVersion;
+        for (const ReplicaView* replica : servingReplicas(demand, replicas)) {
+            const int64_t version = replica->version(demand.model);
+            const bool isUsable = version >= wanted;
+            usable_ += isUsable || replica->loadingModel == demand.model ? 1 : 0;
+            if (version < demand.namedVersion && !(isUsable && isHeldBack))
+                candidates_.push_back(replica);
+        }
+        std::stable_sort(candidates_.begin(), candidates_.end(), [&](const ReplicaView* a, const ReplicaView* b) {
+            return a->version(demand.model) < b->version(demand.model);
+        });
+    }
+
+    const LoadDemand& demand() const { return demand_; }
+
+    /// Models with a candidate first, then those whose items wait, then those with the smallest share of usable replicas.
+    std::tuple<bool, bool, double> rank(const std::set<std::string>& busy) const
+    {
+        const double share = serving_ == 0 ? 1.0 : static_cast<double>(usable_) / static_cast<double>(serving_);
+        return { next(busy) == nullptr, demand_.waiting == 0, share };
+    }
+
+    const ReplicaView* next(const std::set<std::string>& busy) const
+    {
+        const auto found = std::find_if(candidates_.begin(), candidates_.end(),
+            [&](const ReplicaView* replica) { return !busy.contains(replica->agent); });
+        return found == candidates_.end() ? nullptr : *found;
+    }
+
+    void take(const ReplicaView& replica)
+    {
+        std::erase(candidates_, &replica);
+        ++usable_;
+    }
+
+private:
+    LoadDemand demand_;
+    size_t serving_;
+    size_t usable_ = 0;
+    std::vector<const ReplicaView*> candidates_;
+};
+
 } // namespace
 
 int64_t ReplicaView::version(const std::string& model) const
@@ -174,28 +219,25 @@
 std::vector<LoadChoice> planLoads(
     const std::vector<LoadDemand>& demands, const std::vector<ReplicaView>& replicas, Instant now)
 {
-    std::vector<LoadChoice> choices;
-    size_t underWay = loadsUnderWay(replicas);
+    std::vector<LoadQueue> queues;
+    for (const LoadDemand& demand : demands)
+        queues.emplace_back(demand, replicas, now);
+    std::set<std::string> busy;
+    for (const ReplicaView& replica : replicas) {
+        if (!replica.loadingModel.empty())
+            busy.insert(replica.agent);
+    }
     const size_t most = maxLoadsAtOnce(replicas.size());
-    std::map<std::string, bool> isBusy;
-    for (const ReplicaView& replica : replicas)
-        isBusy[replica.agent] = !replica.loadingModel.empty();
-    for (const LoadDemand& demand : demands) {
-        const auto serving = servingReplicas(demand, replicas);
-        const bool isStarved = demand.waiting > 0
-            && std::none_of(serving.begin(), serving.end(),
-                [&](const ReplicaView* replica) { return replica->version(demand.model) >= demand.oldestNeeded; });
-        if (demand.waiting > 0 && !isStarved && now < demand.namedAt + loadPatience)
-            continue;
-        for (const ReplicaView* replica : serving) {
-            if (underWay >= most)
-                break;
-            if (isBusy[replica->agent] || replica->version(demand.model) >= demand.namedVersion)
-                continue;
-            choices.push_back({ replica->agent, demand.model, demand.namedVersion });
-            isBusy[replica->agent] = true;
-            ++underWay;
-        }
+    std::vector<LoadChoice> choices;
+    while (busy.size() < most) {
+        const auto neediest = std::min_element(queues.begin(), queues.end(),
+            [&](const LoadQueue& a, const LoadQueue& b) { return a.rank(busy) < b.rank(busy); });
+        const ReplicaView* replica = neediest == queues.end() ? nullptr : neediest->next(busy);
+        if (!replica)
+            break;
+        choices.push_back({ replica->agent, neediest->demand().model, neediest->demand().namedVersion });
+        neediest->take(*replica);
+        busy.insert(replica->agent);
     }
     return choices;
 }
--- a/tests/core/BatchPlacementTest.cpp
+++ b/tests/core/BatchPlacementTest.cpp
@@ -134,6 +134,58 @@
     CHECK(maxLoadsAtOnce(9) == 2);
 }
 
+TEST_CASE("of several models the one with the fewest usable replicas loads first", "[placement]")
+{
+    // A model that comes last in the alphabet once had two replicas of ten for its steps while others were all current.
+    std::vector<ReplicaView> replicas;
+    std::vector<LoadDemand> demands;
+    for (const char* model : { "a", "b", "z" }) {
+        LoadDemand demand { model, 5, start, 0, 0, {} };
+        for (int i = 0; i < 10; ++i) {
+            ReplicaView view = replica(std::string(model) + std::to_string(i));
+            view.versions[model] = model == std::string("z") ? 2 : 4;
+            replicas.push_back(view);
+            demand.homes.push_back(view.agent);
+        }
+        demands.push_back(demand);
+    }
+    demands.back().waiting = 128;
+    demands.back().oldestNeeded = 4;
+    const auto choices = planLoads(demands, replicas, start);
+    REQUIRE(choices.size() == 6);
+    for (const LoadChoice& choice : choices)
+        CHECK(choice.model == "z");
+}
+
+TEST_CASE("loads are shared between models that are equally far behind", "[placement]")
+{
+    std::vector<ReplicaView> replicas;
+    std::vector<LoadDemand> demands;
+    for (const char* model : { "a", "b" }) {
+        LoadDemand demand { model, 5, start, 0, 0, {} };
+        for (int i = 0; i < 10; ++i) {
+            ReplicaView view = replica(std::string(model) + std::to_string(i));
+            view.versions[model] = 4;
+            replicas.push_back(view);
+            demand.homes.push_back(view.agent);
+        }
+        demands.push_back(demand);
+    }
+    const auto choices = planLoads(demands, replicas, start);
+    REQUIRE(choices.size() == 4);
+    CHECK(std::count_if(choices.begin(), choices.end(), [](const LoadChoice& choice) { return choice.model == "a"; }) == 2);
+}
+
+TEST_CASE("replicas that waiting items cannot use load without delay", "[placement]")
+{
+    std::vector<ReplicaView> replicas { replica("a0"), replica("a1") };
+    replicas[1].versions["m"] = 2;
+    const LoadDemand demand { "m", 4, start, 10, 3, { "a0", "a1" } };
+    const auto choices = planLoads({ demand }, replicas, start + 10ms);
+    REQUIRE(choices.size() == 1);
+    CHECK(choices.front().agent == "a1");
+}
+
 TEST_CASE("items that no replica can serve make one load at once", "[placement]")
 {
     const std::vector<ReplicaView> replicas { replica("a0"), replica("a1") };
