Even and odd versions of a model have different homes

Cause: homes that load a version while a step waits are missing for that step, and homes that have not loaded in time are missing for the next one. A step may use the named version and the one before. Change: versions alternate between two disjoint sets of replicas where there are several models; an idle replica is ranked by its typical pace, an unknown one as an ordinary one in place of the fastest.

--- a/include/endiveroad/BatchPlacement.h
+++ b/include/endiveroad/BatchPlacement.h
@@ -70,10 +70,12 @@
 /// `from` is better continued elsewhere: `from` is slow, and some other replica has room and usable weights.
 bool shouldMove(const ReplicaView& from, const std::string& model, int64_t oldestVersion, const std::vector<ReplicaView>&);
 
-/// Replicas that keep a model's weights current, as equal shares of all replicas: each model has replicas / models of
-/// them, and a replica that comes or goes moves few others.
-std::map<std::string, std::vector<std::string>> homeReplicas(
-    const std::vector<std::string>& models, const std::vector<std::string>& agents);
+/// Replicas that load a version of a model, as equal shares of all replicas: each model has replicas / models of them,
+/// and a replica that comes or goes moves few others. Even and odd versions have different homes: a step may use the
+/// named version and the one before, so the homes of the one before serve it undisturbed while the others load, and the
+/// latter serve it as well once they have loaded.
+std::vector<std::string> homeReplicas(const std::vector<std::string>& models, const std::vector<std::string>& agents,
+    const std::string& model, int64_t version);
 
 /// What the coordinator knows of one model when it plans loads.
 struct LoadDemand {
@@ -84,6 +86,7 @@
     size_t waiting = 0;
     /// Oldest version that a waiting item may use; 0 if none waits.
     int64_t oldestNeeded = 0;
+    /// Homes of the named version.
     std::vector<std::string> homes;
 
     auto operator<=>(const LoadDemand&) const = default;
--- a/src/core/batch/BatchPlacement.cpp
+++ b/src/core/batch/BatchPlacement.cpp
@@ -11,28 +11,26 @@
 /// Each running request lengthens the events of all others by about this share.
 constexpr double slowdownPerRun = 0.03;
 
-/// Event time of a replica of which none is known, in ms.
-constexpr double defaultEventMs = 30;
-
 bool isUsable(const ReplicaView& replica, const std::string& model, int64_t oldestVersion)
 {
     return replica.hasRoom() && replica.loadingModel != model && replica.version(model) >= oldestVersion;
 }
 
-double expectedEventMs(const ReplicaView& replica)
+/// A replica of which nothing is known yet is taken for an ordinary one.
+double expectedEventMs(const ReplicaView& replica, double medianMs)
 {
-    const double eventMs = replica.eventMs > 0 ? replica.eventMs : defaultEventMs;
-    return eventMs * (1 + slowdownPerRun * replica.running);
+    const double eventMs = replica.eventMs > 0 ? replica.eventMs : medianMs;
+    return (eventMs > 0 ? eventMs : 1) * (1 + slowdownPerRun * replica.running);
 }
 
-ReplicaView* bestReplica(const WaitingItem& item, std::vector<ReplicaView>& replicas)
+ReplicaView* bestReplica(const WaitingItem& item, std::vector<ReplicaView>& replicas, double medianMs)
 {
     ReplicaView* best = nullptr;
     std::tuple<bool, double, uint64_t> bestRank;
     for (ReplicaView& replica : replicas) {
         if (!isUsable(replica, item.model, item.oldestVersion))
             continue;
-        const std::tuple rank(replica.agent == item.avoidedAgent, expectedEventMs(replica),
+        const std::tuple rank(replica.agent == item.avoidedAgent, expectedEventMs(replica, medianMs),
             rendezvousWeight(item.job + "/" + item.group, replica.agent));
         if (best && bestRank <= rank)
             continue;
@@ -78,6 +76,28 @@
     return serving;
 }
 
+/// A partition of the agents, in which each agent falls to the model for which its weight is high.
+std::map<std::string, std::vector<std::string>> equalShares(
+    const std::vector<std::string>& models, const std::vector<std::string>& agents)
+{
+    const size_t share = (agents.size() + models.size() - 1) / models.size();
+    std::vector<std::tuple<uint64_t, std::string, std::string>> pairs;
+    for (const std::string& model : models) {
+        for (const std::string& agent : agents)
+            pairs.emplace_back(rendezvousWeight(model, agent), model, agent);
+    }
+    std::sort(pairs.rbegin(), pairs.rend());
+    std::map<std::string, std::vector<std::string>> shares;
+    std::set<std::string> taken;
+    for (const auto& [weight, model, agent] : pairs) {
+        if (taken.contains(agent) || shares[model].size() >= share)
+            continue;
+        taken.insert(agent);
+        shares[model].push_back(agent);
+    }
+    return shares;
+}
+
 /// Replicas of one model that are to load its named version, those with the oldest weights first.
 class LoadQueue {
 public:
@@ -146,8 +166,9 @@
             < std::tuple(waiting[b].dueAt, -waiting[b].expectedTokens);
     });
     std::vector<Placement> placements;
+    const double medianMs = medianEventMs(replicas);
     for (size_t index : order) {
-        ReplicaView* replica = bestReplica(waiting[index], replicas);
+        ReplicaView* replica = bestReplica(waiting[index], replicas, medianMs);
         if (!replica)
             continue;
         ++replica->running;
@@ -185,28 +206,16 @@
     });
 }
 
-std::map<std::string, std::vector<std::string>> homeReplicas(
-    const std::vector<std::string>& models, const std::vector<std::string>& agents)
+std::vector<std::string> homeReplicas(const std::vector<std::string>& models, const std::vector<std::string>& agents,
+    const std::string& model, int64_t version)
 {
-    std::map<std::string, std::vector<std::string>> homes;
-    if (models.empty())
-        return homes;
-    const size_t share = (agents.size() + models.size() - 1) / models.size();
-    std::vector<std::tuple<uint64_t, std::string, std::string>> pairs;
-    for (const std::string& model : models) {
-        homes[model];
-        for (const std::string& agent : agents)
-            pairs.emplace_back(rendezvousWeight(model, agent), model, agent);
-    }
-    std::sort(pairs.rbegin(), pairs.rend());
-    std::map<std::string, bool> isTaken;
-    for (const auto& [weight, model, agent] : pairs) {
-        if (isTaken[agent] || homes[model].size() >= share)
-            continue;
-        isTaken[agent] = true;
-        homes[model].push_back(agent);
-    }
-    return homes;
+    const auto found = std::find(models.begin(), models.end(), model);
+    if (found == models.end())
+        return {};
+    // Odd versions take the share that even versions of the next model have.
+    const auto position = static_cast<size_t>(found - models.begin());
+    const size_t share = (position + static_cast<size_t>(version % 2)) % models.size();
+    return equalShares(models, agents)[models[share]];
 }
 
 size_t maxLoadsAtOnce(size_t replicas)
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -287,8 +287,7 @@
     const auto declared = directory->routing->services.find(service);
     if (declared == directory->routing->services.end())
         return demand;
-    auto homes = homeReplicas(declared->second.models, agents);
-    demand.homes = homes[model];
+    demand.homes = homeReplicas(declared->second.models, agents, model, demand.namedVersion);
     return demand;
 }
 
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -7,6 +7,7 @@
 #include "wire/Codec.h"
 
 #include <algorithm>
+#include <endiveroad/BatchPlacement.h>
 #include <endiveroad/Error.h>
 #include <endiveroad/EventStream.h>
 #include <fmt/format.h>
@@ -19,6 +20,7 @@
 
 /// Share of the newest gap in the moving average of the time between events.
 constexpr double newestShare = 0.1;
+constexpr double typicalShare = 0.01;
 
 /// Time after the last event at which the moving average says nothing any more.
 constexpr Duration eventMsLifetime = std::chrono::seconds(3);
@@ -69,7 +71,7 @@
 
 double ItemRunner::eventMs() const
 {
-    return eventMsExpiry_ > now() ? eventMs_ : 0;
+    return eventMsExpiry_ > now() ? eventMs_ : typicalEventMs_;
 }
 
 std::string ItemRunner::refusal(const wire::ItemStart& order, int32_t slots) const
@@ -212,6 +214,10 @@
         const bool isKnown = eventMs_ > 0 && eventMsExpiry_ > present;
         eventMs_ = isKnown ? eventMs_ + newestShare * (gap - eventMs_) : gap;
         eventMsExpiry_ = present + eventMsLifetime;
+        if (typicalEventMs_ <= 0)
+            typicalEventMs_ = gap;
+        else if (gap < slowReplicaFactor * typicalEventMs_)
+            typicalEventMs_ += typicalShare * (gap - typicalEventMs_);
     }
     run.lastEventAt = present;
 }
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -48,7 +48,7 @@
 
     int32_t running() const;
 
-    /// Mean time between events in ms; 0 if no run had events lately.
+    /// Mean time between events in ms: of late, else what is typical of the replica; 0 if nothing is known.
     double eventMs() const;
 
 private:
@@ -84,6 +84,8 @@
     std::map<std::string, Owner> owners_;
     std::map<std::string, Instant> endedJobs_;
     double eventMs_ = 0;
+    /// Mean over a longer time, without spells in which the replica was slow.
+    double typicalEventMs_ = 0;
     Instant eventMsExpiry_ = Instant::min();
 };
 
--- a/tests/core/BatchPlacementTest.cpp
+++ b/tests/core/BatchPlacementTest.cpp
@@ -87,26 +87,44 @@
 
 TEST_CASE("each model has an equal share of the replicas, and a lost replica moves few", "[placement]")
 {
+    const std::vector<std::string> models { "x", "y", "z" };
     std::vector<std::string> agents;
     for (int i = 0; i < 9; ++i)
         agents.push_back("a" + std::to_string(i));
-    const auto before = homeReplicas({ "x", "y", "z" }, agents);
+    std::map<std::string, std::vector<std::string>> before;
     std::set<std::string> all;
-    for (const auto& [model, homes] : before) {
-        CHECK(homes.size() == 3);
-        all.insert(homes.begin(), homes.end());
+    for (const std::string& model : models) {
+        before[model] = homeReplicas(models, agents, model, 2);
+        CHECK(before[model].size() == 3);
+        all.insert(before[model].begin(), before[model].end());
     }
     CHECK(all.size() == 9);
     agents.erase(agents.begin());
-    const auto after = homeReplicas({ "x", "y", "z" }, agents);
     size_t moved = 0;
-    for (const auto& [model, homes] : after) {
-        for (const std::string& home : homes)
+    for (const std::string& model : models) {
+        for (const std::string& home : homeReplicas(models, agents, model, 2))
             moved += std::count(before.at(model).begin(), before.at(model).end(), home) == 0 ? 1 : 0;
     }
     CHECK(moved <= 2);
 }
 
+TEST_CASE("the homes of a version do not serve the version before, unless there is a single model", "[placement]")
+{
+    std::vector<std::string> agents;
+    for (int i = 0; i < 12; ++i)
+        agents.push_back("a" + std::to_string(i));
+    const std::vector<std::string> models { "x", "y", "z" };
+    for (const std::string& model : models) {
+        const auto even = homeReplicas(models, agents, model, 4);
+        for (const std::string& home : homeReplicas(models, agents, model, 5))
+            CHECK(std::count(even.begin(), even.end(), home) == 0);
+        CHECK(homeReplicas(models, agents, model, 6) == even);
+    }
+    CHECK(homeReplicas({ "x" }, agents, "x", 4).size() == 12);
+    CHECK(homeReplicas({ "x" }, agents, "x", 5).size() == 12);
+    CHECK(homeReplicas(models, agents, "unknown", 5).empty());
+}
+
 TEST_CASE("loads wait for the items of a step, but not for long, and few run at once", "[placement]")
 {
     const std::vector<ReplicaView> replicas { replica("a0"), replica("a1"), replica("a2") };
