The last runs of a step move to faster replicas

Change: from 4.7 s before a job is due, a run that would go on 1.2 times faster elsewhere moves, twice at most; a run moves only when nothing of its job waits.

--- a/include/endiveroad/BatchPlacement.h
+++ b/include/endiveroad/BatchPlacement.h
@@ -70,6 +70,13 @@
 /// `from` is better continued elsewhere: `from` is slow, and some other replica has room and usable weights.
 bool shouldMove(const ReplicaView& from, const std::string& model, int64_t oldestVersion, const std::vector<ReplicaView>&);
 
+/// Load pattern: a few long items decide when a step is whole, and a third of the replicas are a third slower than the
+/// rest, which stand half empty by then. True if a run on `from` would go on faster on another replica by this factor.
+inline constexpr double worthwhileSpeedup = 1.2;
+
+bool wouldSpeedUp(
+    const ReplicaView& from, const std::string& model, int64_t oldestVersion, const std::vector<ReplicaView>&);
+
 /// Replicas that load a version of a model, as equal shares of all replicas: each model has replicas / models of them,
 /// and a replica that comes or goes moves few others. Even and odd versions have different homes: a step may use the
 /// named version and the one before, so the homes of the one before serve it undisturbed while the others load, and the
--- a/src/core/batch/BatchPlacement.cpp
+++ b/src/core/batch/BatchPlacement.cpp
@@ -206,6 +206,20 @@
     });
 }
 
+bool wouldSpeedUp(
+    const ReplicaView& from, const std::string& model, int64_t oldestVersion, const std::vector<ReplicaView>& replicas)
+{
+    const double median = medianEventMs(replicas);
+    // The run counts itself on the replica that it leaves, and will do so on the one to which it goes.
+    ReplicaView without = from;
+    without.running = std::max(0, without.running - 1);
+    const double present = expectedEventMs(without, median);
+    return std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaView& other) {
+        return other.agent != from.agent && isUsable(other, model, oldestVersion)
+            && expectedEventMs(other, median) * worthwhileSpeedup <= present;
+    });
+}
+
 std::vector<std::string> homeReplicas(const std::vector<std::string>& models, const std::vector<std::string>& agents,
     const std::string& model, int64_t version)
 {
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -238,27 +238,39 @@
     }
 }
 
-void ItemDispatcher::move(const std::string& service, const std::vector<ReplicaView>& replicas)
+bool ItemDispatcher::isMoveDue(
+    const OwnedJob& owned, size_t index, const ReplicaView& from, const std::vector<ReplicaView>& replicas) const
 {
-    const double median = medianEventMs(replicas);
+    const ItemState& item = owned.job.items()[index];
+    const BatchJobSpec& spec = owned.job.spec();
+    if (now() < item.startedAt + minRunBeforeMove)
+        return false;
+    if (shouldMove(from, spec.model, spec.oldestVersion, replicas))
+        return true;
+    const auto speedups = owned.speedups.find(index);
+    const bool mayMoveAgain = speedups == owned.speedups.end() || speedups->second < maxSpeedups;
+    return mayMoveAgain && now() > owned.job.policy().dueAt - finalStretch
+        && wouldSpeedUp(from, spec.model, spec.oldestVersion, replicas);
+}
+
+void ItemDispatcher::move(const std::string& service, std::vector<ReplicaView>& replicas)
+{
+    std::map<std::string, ReplicaView*> byAgent;
+    for (ReplicaView& replica : replicas)
+        byAgent[replica.agent] = &replica;
     size_t moved = 0;
-    for (const ReplicaView& from : replicas) {
-        if (!isSlow(from, median))
-            continue;
-        for (const auto& [id, owned] : jobs_) {
-            const BatchJobSpec& spec = owned->job.spec();
-            if (owned->job.isEnded() || serviceOf(*owned) != service
-                || !shouldMove(from, spec.model, spec.oldestVersion, replicas))
+    for (const auto& [id, owned] : jobs_) {
+        const bool isMovable = !owned->job.isEnded() && serviceOf(*owned) == service && owned->job.waiting(never).empty();
+        for (size_t i = 0; isMovable && i < owned->job.items().size() && moved < maxMovesPerRound; ++i) {
+            const ItemState& item = owned->job.items()[i];
+            const auto from = byAgent.find(item.agent);
+            if (item.stage != ItemStage::Running || from == byAgent.end()
+                || !isMoveDue(*owned, i, *from->second, replicas))
                 continue;
-            for (size_t i = 0; i < spec.items.size() && moved < maxMovesPerRound; ++i) {
-                const ItemState& item = owned->job.items()[i];
-                const bool isMovable = item.stage == ItemStage::Running && item.agent == from.agent
-                    && now() > item.startedAt + minRunBeforeMove;
-                if (!isMovable)
-                    continue;
-                withdraw(*owned, i, fmt::format("{:.0f} ms an event, median {:.0f}", from.eventMs, median));
-                ++moved;
-            }
+            ++owned->speedups[i];
+            --from->second->running;
+            ++moved;
+            withdraw(*owned, i, fmt::format("{:.0f} ms an event, median {:.0f}", from->second->eventMs, medianEventMs(replicas)));
         }
     }
 }
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -37,6 +37,10 @@
     /// Age of a run from which it may be moved away from a slow replica.
     static constexpr Duration minRunBeforeMove = std::chrono::milliseconds(400);
 
+    /// Time before a job is due in which its last runs move to faster replicas, and how often one run does so.
+    static constexpr Duration finalStretch = std::chrono::milliseconds(4700);
+    static constexpr int32_t maxSpeedups = 2;
+
     /// Time for which agents may hand over runs that an earlier owner of a job started.
     static constexpr Duration adoptionTime = std::chrono::milliseconds(350);
 
@@ -93,7 +97,8 @@
     std::string serviceOf(const OwnedJob&) const;
     std::map<std::string, std::vector<ReplicaView>> views() const;
     void place(const std::string& service, std::vector<ReplicaView>&);
-    void move(const std::string& service, const std::vector<ReplicaView>&);
+    void move(const std::string& service, std::vector<ReplicaView>&);
+    bool isMoveDue(const OwnedJob&, size_t item, const ReplicaView& from, const std::vector<ReplicaView>&) const;
     void giveUpSilent(OwnedJob&);
     void load(const std::map<std::string, std::vector<ReplicaView>>&);
     LoadDemand demandFor(const std::string& model, const std::string& service, const std::vector<ReplicaView>&) const;
--- a/src/io/hosted/OwnedJob.h
+++ b/src/io/hosted/OwnedJob.h
@@ -37,6 +37,8 @@
     Instant placeFrom = Instant::min();
     /// Runs that were withdrawn; what agents still tell of them does not count.
     std::set<int64_t> withdrawnRuns;
+    /// Times that an item has been moved to a faster replica, by index of the item.
+    std::map<size_t, int32_t> speedups;
     /// Agents that an item should not go to next, by index of the item.
     std::map<size_t, std::string> avoidedAgents;
 };
--- a/tests/core/BatchPlacementTest.cpp
+++ b/tests/core/BatchPlacementTest.cpp
@@ -85,6 +85,15 @@
     CHECK_FALSE(shouldMove(full[0], "m", 3, full));
 }
 
+TEST_CASE("the last runs of a step speed up on faster replicas that stand half empty", "[placement]")
+{
+    const std::vector<ReplicaView> replicas { replica("a0", 2, 55), replica("a1", 1, 42), replica("a2", 5, 42) };
+    CHECK(wouldSpeedUp(replicas[0], "m", 3, replicas));
+    CHECK_FALSE(wouldSpeedUp(replicas[1], "m", 3, replicas));
+    CHECK_FALSE(wouldSpeedUp(replicas[2], "m", 3, replicas));
+    CHECK_FALSE(wouldSpeedUp(replicas[0], "m", 4, replicas));
+}
+
 TEST_CASE("each model has an equal share of the replicas, and a lost replica moves few", "[placement]")
 {
     const std::vector<std::string> models { "x", "y", "z" };
