--- a/include/endiveroad/BatchJob.h
+++ b/include/endiveroad/BatchJob.h
@@ -167,8 +167,8 @@
     /// Text of other versions is dropped first where the job allows a single one.
     int64_t start(size_t item, std::string agent, int64_t version, Instant now);
 
-    /// Takes news of the present run; any other run is to be cancelled. Events that are known already are left out. News
-    /// behind a gap end the run, since the missing events would be missing in the text.
+    /// Takes news of the present run; any other run is to be cancelled. Events that are known already are left out.
+    /// News behind a gap end the run, since the missing events would be missing in the text.
     ItemAction onProgress(size_t item, const RunProgress&, Instant now);
 
     /// Takes over a run that an agent started for an earlier owner, if the news hold all of its events and there are
--- a/include/endiveroad/BatchPlacement.h
+++ b/include/endiveroad/BatchPlacement.h
@@ -53,9 +53,9 @@
     auto operator<=>(const Placement&) const = default;
 };
 
-/// Load pattern: a trainer submits a whole step at once, more items than there are slots, and the step is as late as its
-/// longest item. Jobs that are due first go first, and within a job the longest item first, each to the replica on which
-/// it is expected to run fastest. Adds the placed items to the views.
+/// Load pattern: a trainer submits a whole step at once, more items than there are slots, and the step is as late as
+/// its longest item. Jobs that are due first go first, and within a job the longest item first, each to the replica on
+/// which it is expected to run fastest. Adds the placed items to the views.
 std::vector<Placement> placeItems(const std::vector<WaitingItem>&, std::vector<ReplicaView>&);
 
 /// Median of the known event times; 0 if none is known.
@@ -68,7 +68,8 @@
 
 /// Load pattern: one replica in five runs several times slower for some seconds while its runs go on. True if a run on
 /// `from` is better continued elsewhere: `from` is slow, and some other replica has room and usable weights.
-bool shouldMove(const ReplicaView& from, const std::string& model, int64_t oldestVersion, const std::vector<ReplicaView>&);
+bool shouldMove(
+    const ReplicaView& from, const std::string& model, int64_t oldestVersion, const std::vector<ReplicaView>&);
 
 /// Load pattern: a few long items decide when a step is whole, and a third of the replicas are a third slower than the
 /// rest, which stand half empty by then. True if a run on `from` would go on faster on another replica by this factor.
@@ -107,16 +108,16 @@
     auto operator<=>(const LoadChoice&) const = default;
 };
 
-/// Loads that run at once over all models: a fifth of the replicas, two at least. More would slow each other down at the
-/// weight store, and take too many replicas away from new items.
+/// Loads that run at once over all models: a fifth of the replicas, two at least. More would slow each other down at
+/// the weight store, and take too many replicas away from new items.
 size_t maxLoadsAtOnce(size_t replicas);
 
 /// Longest time for which waiting items hold back a load of a replica that they can use.
 inline constexpr Duration loadPatience = std::chrono::milliseconds(1500);
 
-/// Load pattern: several models name a version every few seconds, each at the moment at which the next step is submitted,
-/// which may still use the version before. Replicas that waiting items can use are left to them for a moment; all others
-/// load, first those of the model that has the fewest usable ones, so that no model falls behind.
+/// Load pattern: several models name a version every few seconds, each at the moment at which the next step is
+/// submitted, which may still use the version before. Replicas that waiting items can use are left to them for a
+/// moment; all others load, first those of the model that has the fewest usable ones, so that no model falls behind.
 std::vector<LoadChoice> planLoads(const std::vector<LoadDemand>&, const std::vector<ReplicaView>&, Instant now);
 
 } // namespace endiveroad
--- a/include/endiveroad/DocumentSet.h
+++ b/include/endiveroad/DocumentSet.h
@@ -29,8 +29,7 @@
 
     /// Keys of the prefix that are known, but missing in a listing that was begun at revision asOf, as removed
     /// documents; they are not merged.
-    std::vector<Document> missingIn(
-        std::string_view prefix, const std::vector<Document>& listing, int64_t asOf) const;
+    std::vector<Document> missingIn(std::string_view prefix, const std::vector<Document>& listing, int64_t asOf) const;
 
     /// All documents, removed ones included, by key.
     const std::map<std::string, Document>& all() const { return documents_; }
--- /dev/null
+++ b/include/endiveroad/RequestStory.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <compare>
+#include <endiveroad/Timeline.h>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// What became of one request, item or batch job, told from the log lines of all processes.
+namespace endiveroad {
+
+/// Who has to act on a failure.
+enum class Blame { Nobody, Caller, Replica, Store, System };
+
+std::string_view blameName(Blame);
+
+struct RequestStory {
+    /// Lines that concern the request, in the order of the processes' clocks.
+    std::vector<TimelineEntry> lines;
+    Blame blame = Blame::Nobody;
+    /// One sentence; empty if nothing went wrong.
+    std::string cause;
+    /// False if the lines do not tell how the request ended.
+    bool isExplained = false;
+
+    auto operator<=>(const RequestStory&) const = default;
+};
+
+/// Selects the lines of an id, and for an item those of its job that bear on all items, and names the cause of a
+/// failure.
+RequestStory tellStory(const std::vector<TimelineEntry>&, const std::string& id);
+
+} // namespace endiveroad
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -26,6 +26,7 @@
 int runSettings(const Arguments&);
 int runStatus(const Arguments&);
 int runTimeline(const Arguments&);
+int runExplain(const Arguments&);
 int runDrain(const Arguments&);
 
 } // namespace endiveroad::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -33,6 +33,7 @@
     { "settings", "Checks a settings directory and puts it in force.", runSettings },
     { "status", "Shows the state of all processes.", runStatus },
     { "timeline", "Shows the events of all processes in one order.", runTimeline },
+    { "explain", "Tells from logs what became of a request, an item or a batch job.", runExplain },
     { "drain", "Tells a process to finish its work and end.", runDrain },
     { "version", "Prints the version of this program.", runVersion },
 };
--- a/src/core/batch/BatchPlacement.cpp
+++ b/src/core/batch/BatchPlacement.cpp
@@ -47,7 +47,6 @@
     return found == replicas.end() ? nullptr : &*found;
 }
 
-
 /// Homes of a model that can serve it, filled up with the least loaded other replicas where homes are down.
 std::vector<const ReplicaView*> servingReplicas(const LoadDemand& demand, const std::vector<ReplicaView>& replicas)
 {
@@ -121,7 +120,8 @@
 
     const LoadDemand& demand() const { return demand_; }
 
-    /// Models with a candidate first, then those whose items wait, then those with the smallest share of usable replicas.
+    /// Models with a candidate first, then those whose items wait, then those with the smallest share of usable
+    /// replicas.
     std::tuple<bool, bool, double> rank(const std::set<std::string>& busy) const
     {
         const double share = serving_ == 0 ? 1.0 : static_cast<double>(usable_) / static_cast<double>(serving_);
@@ -243,6 +243,7 @@
     const std::vector<LoadDemand>& demands, const std::vector<ReplicaView>& replicas, Instant now)
 {
     std::vector<LoadQueue> queues;
+    queues.reserve(demands.size());
     for (const LoadDemand& demand : demands)
         queues.emplace_back(demand, replicas, now);
     std::set<std::string> busy;
--- a/src/core/directory/ReaderElection.cpp
+++ b/src/core/directory/ReaderElection.cpp
@@ -26,8 +26,7 @@
 
 bool ReaderElection::isCovered(Instant now) const
 {
-    return std::any_of(
-        freshUntil_.begin(), freshUntil_.end(), [now](const auto& entry) { return entry.second > now; });
+    return std::any_of(freshUntil_.begin(), freshUntil_.end(), [now](const auto& entry) { return entry.second > now; });
 }
 
 } // namespace endiveroad
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -187,9 +187,8 @@
     co_return response;
 }
 
-asio::awaitable<HttpResponse> HttpClient::stream(
-    Address address, HttpRequest request, Instant deadline, OnBody onBody, HttpCancellation* cancellation,
-    OnHead onHead)
+asio::awaitable<HttpResponse> HttpClient::stream(Address address, HttpRequest request, Instant deadline, OnBody onBody,
+    HttpCancellation* cancellation, OnHead onHead)
 {
     HttpCancellation unused;
     HttpCancellation& cancel = cancellation ? *cancellation : unused;
--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -47,6 +47,18 @@
     return answer;
 }
 
+Latency latencyOf(wire::BatchOperation::type operation)
+{
+    switch (operation) {
+    case wire::BatchOperation::Submit:
+        return Latency::BatchSubmission;
+    case wire::BatchOperation::Cancel:
+        return Latency::BatchEnd;
+    default:
+        return Latency::BatchRead;
+    }
+}
+
 /// Ids become parts of keys of the store.
 bool isUsableId(const std::string& id)
 {
@@ -58,8 +70,8 @@
 
 } // namespace
 
-BatchOwner::BatchOwner(asio::io_context& context, std::string name, const BatchProtocol& protocol,
-    MetadataStore& store, CoordinatorView& others, DirectorySource directory, Duration resultLifetime)
+BatchOwner::BatchOwner(asio::io_context& context, std::string name, const BatchProtocol& protocol, MetadataStore& store,
+    CoordinatorView& others, DirectorySource directory, Duration resultLifetime)
     : context_(context)
     , name_(std::move(name))
     , protocol_(protocol)
@@ -80,6 +92,7 @@
 
 asio::awaitable<wire::BatchAnswer> BatchOwner::perform(wire::BatchCall call, Instant deadline)
 {
+    const Instant startedAt = now();
     wire::BatchAnswer answer;
     try {
         if (!isUsableId(call.job))
@@ -106,14 +119,14 @@
                 { "reason", error.what() } });
         answer = answerOf(error, retryAfter);
     }
+    processMetrics().record(latencyOf(call.operation), now() - startedAt, now());
     co_return answer;
 }
 
 JobRecord BatchOwner::newRecord(const BatchJobSpec& spec, const RouteDeclaration& route) const
 {
-    const auto milliseconds = [](Duration duration) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    };
+    const auto milliseconds
+        = [](Duration duration) { return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(); };
     JobRecord record;
     record.owner = name_;
     record.host = spec.host;
@@ -147,8 +160,7 @@
     return policy;
 }
 
-OwnedJobPtr BatchOwner::insert(
-    BatchJobSpec spec, JobRecord record, int64_t revision, std::vector<BatchResult> listed)
+OwnedJobPtr BatchOwner::insert(BatchJobSpec spec, JobRecord record, int64_t revision, std::vector<BatchResult> listed)
 {
     BatchJob job(std::move(spec), policyOf(record), revision);
     job.onListed(listed);
@@ -235,7 +247,8 @@
     const OwnedJobPtr owned = jobs_.at(call.job);
     log(Event::BatchJobAccepted,
         { { "job", call.job }, { "route", call.route }, { "model", owned->job.spec().model },
-            { "items", std::to_string(spec.items.size()) }, { "oldestVersion", std::to_string(owned->job.spec().oldestVersion) },
+            { "items", std::to_string(spec.items.size()) },
+            { "oldestVersion", std::to_string(owned->job.spec().oldestVersion) },
             { "revision", std::to_string(*revision) } });
     others_.announceOwner(*owned);
     dispatcher_->onJob(owned);
@@ -513,8 +526,7 @@
     while (!owned->isLost && !owned->isEndStored) {
         std::string reason;
         try {
-            const AppendOutcome outcome
-                = co_await store_.append(owned->id(), owned->job.revision(), first, results);
+            const AppendOutcome outcome = co_await store_.append(owned->id(), owned->job.revision(), first, results);
             if (outcome == AppendOutcome::OwnerChanged) {
                 // An end of this owner's own changes the record as well, and nothing is listed behind it.
                 if (!owned->job.isEnded())
--- a/src/io/hosted/DirectoryKeeper.h
+++ b/src/io/hosted/DirectoryKeeper.h
@@ -50,7 +50,8 @@
     static constexpr const char* coordinatorPrefix = "endiveroad/coordinators/";
 
     /// The name is that of a coordinator; nothing for other processes.
-    DirectoryKeeper(const DirectoryProtocol&, MetadataStore&, DirectoryListener&, std::optional<std::string> coordinator);
+    DirectoryKeeper(
+        const DirectoryProtocol&, MetadataStore&, DirectoryListener&, std::optional<std::string> coordinator);
 
     /// The present view; never null.
     std::shared_ptr<const Directory> current() const { return current_; }
--- a/src/io/hosted/EngineGuard.cpp
+++ b/src/io/hosted/EngineGuard.cpp
@@ -2,6 +2,7 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
+#include "io/ProcessMetrics.h"
 #include "io/Tasks.h"
 
 #include <endiveroad/Error.h>
@@ -198,6 +199,8 @@
     }
     const bool isLoaded = this->version(model) >= version;
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt).count();
+    if (isLoaded)
+        processMetrics().record(Latency::WeightLoad, now() - startedAt, now());
     if (isLoaded)
         log(Event::WeightLoadDone,
             { { "model", model }, { "version", std::to_string(version) }, { "server", server_ },
--- a/src/io/hosted/HostedAgent.cpp
+++ b/src/io/hosted/HostedAgent.cpp
@@ -128,7 +128,8 @@
 
 std::vector<Gauge> HostedAgent::gauges() const
 {
-    std::vector<Gauge> gauges { { "endiveroad_server_up", "", "1 while the replica answers.", engine_.isUp() ? 1.0 : 0.0 },
+    std::vector<Gauge> gauges { { "endiveroad_server_up", "", "1 while the replica answers.",
+                                    engine_.isUp() ? 1.0 : 0.0 },
         { "endiveroad_running", "", "Items that run.", static_cast<double>(runner_.running()) },
         { "endiveroad_event_ms", "", "Mean time between events of the runs; 0 while unknown.", runner_.eventMs() } };
     for (const auto& [model, version] : engine_.versions())
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -28,9 +28,11 @@
     , services_(
           context(), http(), this->platform().replicas(), [this] { return directory(); },
           static_cast<uint64_t>(wallMs()) ^ std::hash<std::string>()(settings().name))
-    , owner_(context(), settings().name, this->platform().batches(), store(), *this, [this] { return directory(); },
+    , owner_(
+          context(), settings().name, this->platform().batches(), store(), *this, [this] { return directory(); },
           settings().resultLifetime)
-    , scorer_(context(), services_, [this] { return directory(); }, [this](const OwnedJobPtr&) { owner_.wake(); })
+    , scorer_(
+          context(), services_, [this] { return directory(); }, [this](const OwnedJobPtr&) { owner_.wake(); })
     , dispatcher_(
           context(), owner_.jobs(), *this, scorer_, [this] { return directory(); },
           [this](const OwnedJobPtr& owned) { owner_.doubt(owned); })
@@ -107,8 +109,8 @@
         lease_ = co_await store().grantLease(leaseLifetime, now() + storeTimeout);
     CoordinatorRecord record { settings().name, settings().peers, settings().failureDomain };
     StoreTransaction transaction;
-    transaction.puts.push_back({ DirectoryKeeper::coordinatorPrefix + settings().name,
-        DirectoryKeeper::encodeCoordinator(record), lease_ });
+    transaction.puts.push_back(
+        { DirectoryKeeper::coordinatorPrefix + settings().name, DirectoryKeeper::encodeCoordinator(record), lease_ });
     co_await store().commit(std::move(transaction), now() + storeTimeout);
 }
 
--- a/src/io/hosted/HostedCoordinator.h
+++ b/src/io/hosted/HostedCoordinator.h
@@ -15,8 +15,8 @@
     static constexpr std::chrono::milliseconds leaseLifetime { 9000 };
     static constexpr Duration renewInterval = std::chrono::milliseconds(1500);
 
-    /// Time without an answer of the store after which a coordinator that sees no other one starts no items: another one
-    /// may have taken its jobs over, and may have ended them.
+    /// Time without an answer of the store after which a coordinator that sees no other one starts no items: another
+    /// one may have taken its jobs over, and may have ended them.
     static constexpr Duration solitudeLimit = std::chrono::milliseconds(3200);
     static constexpr Duration storeTimeout = std::chrono::milliseconds(1600);
 
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -203,7 +203,9 @@
         log(Event::CallAnswered,
             { { "request", request.id }, { "route", route.name }, { "status", std::to_string(result.response->status) },
                 { "attempts", std::to_string(result.attempts) },
-                { "ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt).count()) } });
+                { "ms",
+                    std::to_string(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt).count()) } });
         HttpResponse response;
         response.status = result.response->status;
         response.headers = forwardedHeaders(result.response->headers);
--- a/src/io/hosted/HostedEntry.h
+++ b/src/io/hosted/HostedEntry.h
@@ -41,7 +41,8 @@
     PeerConnectionPtr coordinator(const std::string& name) const override { return peer(name); }
 
     asio::awaitable<void> serve(HttpExchange&);
-    asio::awaitable<HttpResponse> serveCall(const HttpQuery&, const CallerRequest&, const RouteDeclaration&, Instant deadline, PeerCancellationPtr);
+    asio::awaitable<HttpResponse> serveCall(
+        const HttpQuery&, const CallerRequest&, const RouteDeclaration&, Instant deadline, PeerCancellationPtr);
     asio::awaitable<HttpResponse> serveBatch(wire::BatchCall, Instant deadline, PeerCancellationPtr);
     HttpResponse refuse(const CallerRequest&, const Error&, Duration hint);
     bool isReady() const;
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -50,8 +50,8 @@
     while (true) {
         tick();
         co_await sleepFor(roundPause);
-        const bool isBusy = std::any_of(
-            jobs_.begin(), jobs_.end(), [](const auto& entry) { return !entry.second->job.isEnded(); });
+        const bool isBusy
+            = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& entry) { return !entry.second->job.isEnded(); });
         co_await wake_.wait(now() + (isBusy ? busyInterval : idleInterval));
     }
 }
@@ -170,9 +170,8 @@
     order.oldestVersion = job.spec().oldestVersion;
     order.model = job.spec().model;
     log(Event::ItemPlaced,
-        { { "job", owned->id() }, { "item", spec.id }, { "run", std::to_string(order.run) },
-            { "agent", replica.agent }, { "running", std::to_string(replica.running) },
-            { "version", std::to_string(replica.version(order.model)) },
+        { { "job", owned->id() }, { "item", spec.id }, { "run", std::to_string(order.run) }, { "agent", replica.agent },
+            { "running", std::to_string(replica.running) }, { "version", std::to_string(replica.version(order.model)) },
             { "events", std::to_string(order.events.size()) },
             { "expected", fmt::format("{:.0f}", spec.expectedTokens) } });
     spawn(context_.get_executor(), [this, owned, index, agent = replica.agent, order = std::move(order)] {
@@ -260,7 +259,8 @@
         byAgent[replica.agent] = &replica;
     size_t moved = 0;
     for (const auto& [id, owned] : jobs_) {
-        const bool isMovable = !owned->job.isEnded() && serviceOf(*owned) == service && owned->job.waiting(never).empty();
+        const bool isMovable
+            = !owned->job.isEnded() && serviceOf(*owned) == service && owned->job.waiting(never).empty();
         for (size_t i = 0; isMovable && i < owned->job.items().size() && moved < maxMovesPerRound; ++i) {
             const ItemState& item = owned->job.items()[i];
             const auto from = byAgent.find(item.agent);
@@ -270,7 +270,8 @@
             ++owned->speedups[i];
             --from->second->running;
             ++moved;
-            withdraw(*owned, i, fmt::format("{:.0f} ms an event, median {:.0f}", from->second->eventMs, medianEventMs(replicas)));
+            withdraw(*owned, i,
+                fmt::format("{:.0f} ms an event, median {:.0f}", from->second->eventMs, medianEventMs(replicas)));
         }
     }
 }
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
+#include "io/ProcessMetrics.h"
 #include "io/Tasks.h"
 #include "io/hosted/WireEvents.h"
 #include "wire/Codec.h"
@@ -44,6 +45,7 @@
     /// The replica has answered with a stream.
     bool isStreaming = false;
     int64_t version = 0;
+    Instant startedAt = Instant::min();
     Instant lastActivity = Instant::min();
     Instant lastEventAt = Instant::min();
     Instant expiry = never;
@@ -119,7 +121,8 @@
     run->events = fromWire(order.events);
     run->sent = run->events.size();
     run->order.events.clear();
-    run->lastActivity = now();
+    run->startedAt = now();
+    run->lastActivity = run->startedAt;
     runs_[order.item] = run;
     onChange_();
     spawn(context_.get_executor(), [this, run] { return execute(run); });
@@ -154,8 +157,8 @@
             takeBody(*run, piece);
             return true;
         };
-        const HttpResponse response = co_await http_.stream(
-            replica_, std::move(request), now() + runLimit, onBody, &run->cancellation, onHead);
+        const HttpResponse response
+            = co_await http_.stream(replica_, std::move(request), now() + runLimit, onBody, &run->cancellation, onHead);
         const ReplicaAnswer answer = protocol_.decode(response);
         if (answer.verdict == ReplicaVerdict::OtherServer)
             engine_.onOtherServer();
@@ -227,10 +230,14 @@
     run.state = state;
     run.status = status;
     run.expiry = now() + endedLifetime;
+    processMetrics().record(Latency::ItemRun, now() - run.startedAt, now());
     log(Event::ItemRunEnded,
         { { "job", run.order.job }, { "item", run.order.item }, { "run", std::to_string(run.order.run) },
             { "server", engine_.server() }, { "events", std::to_string(run.events.size()) },
-            { "outcome", state == RunState::Completed ? "completed" : state == RunState::NotRun ? "not run" : "failed" },
+            { "outcome",
+                state == RunState::Completed    ? "completed"
+                    : state == RunState::NotRun ? "not run"
+                                                : "failed" },
             { "status", std::to_string(status) }, { "reason", reason } });
     onChange_();
     wake_.notifyAll();
@@ -300,7 +307,8 @@
     std::map<PeerConnectionPtr, wire::ItemProgressNotice> notices;
     for (const auto& [item, run] : runs_) {
         const bool hasEnded = run->state != RunState::Running;
-        const bool isNews = run->sent < run->events.size() || (hasEnded && !run->isEndSent) || (isAll && !run->isEndSent);
+        const bool isNews
+            = run->sent < run->events.size() || (hasEnded && !run->isEndSent) || (isAll && !run->isEndSent);
         const auto owner = owners_.find(run->order.job);
         const PeerConnectionPtr connection = owner == owners_.end() ? nullptr : owner->second.connection.lock();
         if (!isNews || !connection || !connection->isOpen())
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -31,8 +31,8 @@
     /// Time for which the end of a job is remembered, so that a late start of an item is refused.
     static constexpr Duration endedJobLifetime = std::chrono::seconds(60);
 
-    ItemRunner(asio::io_context&, HttpClient&, const ReplicaProtocol&, EngineGuard&, Address replica,
-        EngineGuard::OnChange);
+    ItemRunner(
+        asio::io_context&, HttpClient&, const ReplicaProtocol&, EngineGuard&, Address replica, EngineGuard::OnChange);
 
     /// Reports progress and looks for stalled runs.
     asio::awaitable<void> report();
--- a/src/io/hosted/ItemScorer.cpp
+++ b/src/io/hosted/ItemScorer.cpp
@@ -2,6 +2,7 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
+#include "io/ProcessMetrics.h"
 #include "io/Tasks.h"
 
 #include <endiveroad/Error.h>
@@ -17,8 +18,8 @@
 
 } // namespace
 
-ItemScorer::ItemScorer(asio::io_context& context, ServiceCaller& services, ServiceCaller::DirectorySource directory,
-    OnFinished onFinished)
+ItemScorer::ItemScorer(
+    asio::io_context& context, ServiceCaller& services, ServiceCaller::DirectorySource directory, OnFinished onFinished)
     : context_(context)
     , services_(services)
     , directory_(std::move(directory))
@@ -62,10 +63,10 @@
     request.id = scoring.id;
     request.host = scoring.host;
     const Instant startedAt = now();
-    const ServiceResult result
-        = co_await services_.call(route, std::move(request), startedAt + route.timeout, nullptr);
+    const ServiceResult result = co_await services_.call(route, std::move(request), startedAt + route.timeout, nullptr);
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt).count();
     if (result.response && isSuccess(result.response->status)) {
+        processMetrics().record(Latency::Scoring, now() - startedAt, now());
         log(Event::ItemScored, { { "item", spec.id }, { "ms", std::to_string(elapsed) } });
         co_return owned->job.onScored(item, result.stamp);
     }
--- a/src/io/hosted/JobStore.cpp
+++ b/src/io/hosted/JobStore.cpp
@@ -40,12 +40,13 @@
 
 std::string encode(const JobRecord& record)
 {
-    return Json { { "owner", record.owner }, { "host", record.host }, { "route", record.route },
+    return Json {
+        { "owner", record.owner }, { "host", record.host }, { "route", record.route },
         { "submittedMs", record.submittedMs }, { "isEnded", record.isEnded }, { "items", record.items },
         { "maxAttempts", record.maxAttempts }, { "maxScoringAttempts", record.maxScoringAttempts },
         { "isSingleVersion", record.isSingleVersion }, { "resultDueMs", record.resultDueMs },
-        { "maxQueueMs", record.maxQueueMs } }
-        .dump();
+        { "maxQueueMs", record.maxQueueMs }
+    }.dump();
 }
 
 StoredJob decodeRecord(const Document& document)
--- a/src/io/hosted/MetadataStore.h
+++ b/src/io/hosted/MetadataStore.h
@@ -72,8 +72,8 @@
     /// With isStaleAllowed the answer may be seconds old and costs less.
     virtual asio::awaitable<StoreListing> list(std::string prefix, bool isStaleAllowed, Instant deadline) = 0;
 
-    /// Changes of a prefix after a revision, as soon as there is one, or none after the wait. Throws HistoryLostError if
-    /// the store no longer has them all.
+    /// Changes of a prefix after a revision, as soon as there is one, or none after the wait. Throws HistoryLostError
+    /// if the store no longer has them all.
     virtual asio::awaitable<StoreChanges> watch(
         std::string prefix, int64_t afterRevision, std::chrono::milliseconds wait, Instant deadline)
         = 0;
--- a/src/io/hosted/Protocol.h
+++ b/src/io/hosted/Protocol.h
@@ -125,13 +125,11 @@
 
     /// Throws BadRequestError.
     virtual BatchJobSpec decodeJob(
-        const std::string& id, const std::string& host, const std::string& route, const std::string& body) const
-        = 0;
+        const std::string& id, const std::string& host, const std::string& route, const std::string& body) const = 0;
 
     /// Results from a position on, at most as many as an answer may hold.
     virtual std::string encodeResults(
-        const std::vector<BatchResult>& listed, size_t firstPosition, size_t totalItems) const
-        = 0;
+        const std::vector<BatchResult>& listed, size_t firstPosition, size_t totalItems) const = 0;
 };
 
 /// Form of what the platform's store holds of interest to every process.
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -152,8 +152,7 @@
     ++race->result.attempts;
     loads_.onStart(server.id);
     HttpCancellation* cancellation = &race->attempts.back();
-    spawn(context_.get_executor(),
-        [this, race, server, cancellation] { return attempt(race, server, cancellation); });
+    spawn(context_.get_executor(), [this, race, server, cancellation] { return attempt(race, server, cancellation); });
 }
 
 asio::awaitable<void> ServiceCaller::attempt(
--- a/src/io/hosted/StoreTransports.cpp
+++ b/src/io/hosted/StoreTransports.cpp
@@ -35,11 +35,13 @@
 asio::awaitable<HttpResponse> DirectStoreTransport::send(HttpRequest request, Instant deadline)
 {
     processMetrics().count(Counter::StoreCalls);
-    request.connectDeadline = now() + connectTimeout;
+    const Instant startedAt = now();
+    request.connectDeadline = startedAt + connectTimeout;
     try {
         HttpResponse response = co_await http_.request(address_, std::move(request), deadline);
         if (isTurnedAway(response))
             processMetrics().count(Counter::StoreFailures);
+        processMetrics().record(Latency::StoreCall, now() - startedAt, now());
         co_return response;
     } catch (const ServerUnavailableError& error) {
         processMetrics().count(Counter::StoreFailures);
--- a/src/io/hosted/StoreTransports.h
+++ b/src/io/hosted/StoreTransports.h
@@ -24,8 +24,8 @@
     Address address_;
 };
 
-/// Directly, or through a peer where the store cannot be reached or turns this process away. Conditional writes may then
-/// be sent twice, of which one takes effect at most.
+/// Directly, or through a peer where the store cannot be reached or turns this process away. Conditional writes may
+/// then be sent twice, of which one takes effect at most.
 class RelayedStoreTransport : public StoreTransport {
 public:
     /// Part of a call's time that is kept for the way through a peer.
--- a/tests/core/BatchPlacementTest.cpp
+++ b/tests/core/BatchPlacementTest.cpp
@@ -147,9 +147,11 @@
     CHECK(planLoads({ demand }, busy, start).size() == 1);
 }
 
-TEST_CASE("a large service loads more replicas at once, so that a step's version reaches all homes in time", "[placement]")
+TEST_CASE(
+    "a large service loads more replicas at once, so that a step's version reaches all homes in time", "[placement]")
 {
-    // 38 replicas, four models that each name a version every 4 s, 0.9 s a load: 10 homes need 5 loads at once at least.
+    // 38 replicas, four models that each name a version every 4 s, 0.9 s a load: 10 homes need 5 loads at once at
+    // least.
     std::vector<ReplicaView> replicas;
     LoadDemand demand { "m", 4, start, 0, 0, {} };
     for (int i = 0; i < 38; ++i) {
@@ -200,7 +202,8 @@
     }
     const auto choices = planLoads(demands, replicas, start);
     REQUIRE(choices.size() == 4);
-    CHECK(std::count_if(choices.begin(), choices.end(), [](const LoadChoice& choice) { return choice.model == "a"; }) == 2);
+    CHECK(std::count_if(choices.begin(), choices.end(), [](const LoadChoice& choice) { return choice.model == "a"; })
+        == 2);
 }
 
 TEST_CASE("replicas that waiting items cannot use load without delay", "[placement]")
--- a/tests/core/DirectoryTest.cpp
+++ b/tests/core/DirectoryTest.cpp
@@ -63,8 +63,8 @@
         std::vector<Document> documents;
         for (size_t i = 0; i < choices.size(); ++i) {
             const auto revision = static_cast<int64_t>(i + 1);
-            documents.push_back({ "key-" + std::to_string(choices[i] % 4), revision, std::to_string(choices[i]),
-                choices[i] % 3 == 0 });
+            documents.push_back(
+                { "key-" + std::to_string(choices[i] % 4), revision, std::to_string(choices[i]), choices[i] % 3 == 0 });
         }
         DocumentSet inOrder;
         for (const Document& document : documents)
