--- /dev/null
+++ b/tests/platform/CodecTest.cpp
@@ -0,0 +1,251 @@
+#include "platform/BatchCodec.h"
+#include "platform/CallerCodec.h"
+#include "platform/DirectoryCodec.h"
+#include "platform/ReplicaCodec.h"
+#include "platform/SettingsFile.h"
+
+#include <catch2/catch.hpp>
+#include <endiveroad/Error.h>
+#include <nlohmann/json.hpp>
+
+using namespace endiveroad;
+using namespace endiveroad::io;
+using namespace endiveroad::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* settingsText = R"(NodeName=side-a-1
+MachineClass=side
+Ip=10.1.0.41
+Zone=zone-a
+InternalPorts=7380,7395
+Seeds=10.1.0.38:8144,10.2.0.40:8144
+Bounds.GraceS=8
+Bounds.StatusS=120
+Bounds.Fenced=true
+app=10.1.0.41:8145
+Platform.Address=10.200.1.7:8142
+Unknown.Key=ignored
+)";
+
+constexpr const char* configurationText = R"({"Version":7,"Routes":[
+{"Name":"a","Host":"h","PathPrefix":"/a/","Kind":"idempotent","TimeoutMs":2000,"SloMs":400,"Priority":2,"Service":"plain","MaxAttempts":4},
+{"Name":"b","Host":"h","PathPrefix":"/b/","Kind":"rollout","ResultDueMs":7500,"MaxQueueS":40,"SingleVersion":true,
+"WeightedSplit":[{"Service":"engines","Weight":90},{"Service":"plain","Weight":10}],"MaxAttempts":3},
+{"Name":"c","Host":"h","PathPrefix":"/c/","Kind":"never heard of","Service":"plain"}],
+"Services":[{"Name":"engines","HealthPath":"/healthz","Engine":{"Models":[{"Name":"m"}]}},{"Name":"plain"}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":33554432,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+
+constexpr const char* registrationText = R"({"Service":"engines","Address":"10.128.0.9:8080","Zone":"zone-a",
+"Version":"v1","Slots":8,"State":"ready","ColdLeftMs":0,"Seq":4,"born":1700000000000})";
+
+std::string with(const std::string& text, const std::string& field, const nlohmann::json& value)
+{
+    auto object = nlohmann::json::parse(text);
+    if (value.is_null())
+        object.erase(field);
+    else
+        object[field] = value;
+    return object.dump();
+}
+
+Directory decoded(const std::string& registration, size_t expectedUnreadable)
+{
+    DocumentSet documents;
+    documents.merge({ "op/config", 5, configurationText, false });
+    documents.merge({ "servers/i-1", 6, registration, false });
+    std::vector<std::string> unreadable;
+    Directory directory = DirectoryCodec().decode(documents, unreadable);
+    CHECK(unreadable.size() == expectedUnreadable);
+    return directory;
+}
+
+} // namespace
+
+TEST_CASE("a settings file is read, unknown keys are ignored, missing ones named", "[platform]")
+{
+    const HostedSettings settings = parseSettings(settingsText);
+    CHECK(settings.name == "side-a-1");
+    CHECK(settings.peers == Address { "10.1.0.41", 7380 });
+    CHECK(settings.seeds == std::vector<Address> { { "10.1.0.38", 7380 }, { "10.2.0.40", 7380 } });
+    CHECK(settings.replica == Address { "10.1.0.41", 8145 });
+    CHECK(settings.areOrdersFenced);
+    CHECK(settings.graceTime == Duration(8s));
+    CHECK_FALSE(settings.callers);
+    CHECK_THROWS_AS(parseSettings("NodeName=x\n"), SettingsInvalidError);
+    CHECK_THROWS_AS(parseSettings("Bounds.GraceS=x\n" + std::string(settingsText)), SettingsInvalidError);
+}
+
+TEST_CASE("the operator's configuration becomes routes, services and limits", "[platform]")
+{
+    const Directory directory = decoded(registrationText, 0);
+    REQUIRE(directory.routing);
+    const RouteDeclaration& first = *directory.routing->route("a");
+    CHECK(first.kind == TrafficKind::Idempotent);
+    CHECK(first.maxAttempts == 4);
+    CHECK(first.timeout == Duration(2s));
+    const RouteDeclaration& second = *directory.routing->route("b");
+    CHECK(second.kind == TrafficKind::BatchJobs);
+    CHECK(second.isSingleVersion);
+    CHECK(second.services.size() == 2);
+    CHECK(second.resultDue == Duration(7500ms));
+    CHECK(directory.routing->route("c")->kind == TrafficKind::NonIdempotent);
+    CHECK(directory.routing->models() == std::vector<std::string> { "m" });
+    CHECK(directory.routing->limits.maxBodyBytes == 33554432);
+}
+
+TEST_CASE("a registration that lacks anything names no server, and others hold", "[platform]")
+{
+    CHECK(decoded(registrationText, 0).servers.size() == 1);
+    const std::vector<std::pair<std::string, nlohmann::json>> faults { { "Service", nullptr }, { "Service", 5 },
+        { "Service", "unknown" }, { "Address", "10.0.0.1" }, { "Address", "host:80" }, { "State", "resting" },
+        { "State", nullptr }, { "Slots", "8" }, { "Slots", 0 }, { "Zone", nullptr }, { "Seq", "four" } };
+    for (const auto& [field, value] : faults)
+        CHECK(decoded(with(registrationText, field, value), 1).servers.empty());
+    CHECK(decoded("\xff\xfe not json", 1).servers.empty());
+}
+
+TEST_CASE("a heartbeat that only counts on means nothing new, a draining server does", "[platform]")
+{
+    const DirectoryCodec codec;
+    const Document first { "servers/i-1", 5, registrationText, false };
+    CHECK(codec.isSame(first, { "servers/i-1", 9, with(registrationText, "Seq", 5), false }));
+    CHECK_FALSE(codec.isSame(first, { "servers/i-1", 9, with(registrationText, "State", "draining"), false }));
+    CHECK_FALSE(codec.isSame(first, { "servers/i-1", 9, "", true }));
+}
+
+TEST_CASE("callers' requests are decoded", "[platform]")
+{
+    const CallerCodec codec;
+    HttpQuery query;
+    query.method = "POST";
+    query.target = "/a/b?x=1";
+    query.headers
+        = { { "Host", "h.example:80" }, { "Endiveroad-Request-Id", "r1" }, { "endiveroad-deadline-ms", "800" } };
+    const CallerRequest call = codec.decode(query);
+    CHECK(call.operation == CallerOperation::Call);
+    CHECK(call.host == "h.example");
+    CHECK(call.path == "/a/b");
+    CHECK(call.id == "r1");
+    CHECK(call.patience == Duration(800ms));
+    query.method = "GET";
+    query.target = "/lots/j1?After=12";
+    query.headers = { { "Host", "h" }, { "Endiveroad-Wait-Ms", "1000" } };
+    const CallerRequest read = codec.decode(query);
+    CHECK(read.operation == CallerOperation::ReadJob);
+    CHECK(read.job == "j1");
+    CHECK(read.firstPosition == 12);
+    CHECK(read.wait == 1000ms);
+    CHECK(read.patience == Duration(2500ms));
+    query.target = "/items/j1?Id=a%2Fb";
+    CHECK(codec.decode(query).item == "a/b");
+    query.method = "DELETE";
+    query.target = "/lots/j1";
+    CHECK(codec.decode(query).operation == CallerOperation::EndJob);
+    query.method = "GET";
+    query.target = "/lots/j1?After=-3";
+    CHECK_THROWS_AS(codec.decode(query), BadRequestError);
+}
+
+TEST_CASE("a refusal says when to come back in seconds with fractions", "[platform]")
+{
+    const HttpResponse response = CallerCodec().encodeError(NotRunError("full"), 250ms);
+    CHECK(response.status == 503);
+    CHECK(response.header("Retry-After") == "0.250");
+    CHECK(CallerCodec().encodeError(RouteUnknownError("none"), 0ms).header("Retry-After").empty());
+}
+
+TEST_CASE("requests for servers keep the caller's headers and carry what the system sets", "[platform]")
+{
+    const ReplicaCodec codec;
+    ReplicaRequest call;
+    call.method = "POST";
+    call.target = "/a/b?x=1";
+    call.headers = { { "Endiveroad-Model", "m" }, { "Endiveroad-Deadline-Ms", "9000" }, { "Host", "other" } };
+    call.body = "body";
+    call.id = "r1";
+    call.host = "h";
+    call.server = "i-1";
+    call.patience = 700ms;
+    call.lastEventId = 4;
+    const HttpRequest request = codec.encode(call);
+    HttpResponse headers;
+    headers.headers = request.headers;
+    CHECK(headers.header("Endiveroad-Model") == "m");
+    CHECK(headers.header("Endiveroad-Deadline-Ms") == "700");
+    CHECK(headers.header("Endiveroad-Expect-Instance") == "i-1");
+    CHECK(headers.header("Last-Event-Id") == "4");
+    CHECK(headers.header("Host") == "h");
+    CHECK(request.echoedHeader == "Endiveroad-Request-Id");
+    CHECK(request.target == "/a/b?x=1");
+}
+
+TEST_CASE("answers of servers say whether the request ran", "[platform]")
+{
+    const ReplicaCodec codec;
+    HttpResponse response;
+    response.status = 503;
+    CHECK(codec.decode(response).verdict == ReplicaVerdict::Ran);
+    response.headers = { { "Endiveroad-Not-Executed", "1" } };
+    CHECK(codec.decode(response).verdict == ReplicaVerdict::NotRun);
+    response.status = 421;
+    CHECK(codec.decode(response).verdict == ReplicaVerdict::OtherServer);
+    response.status = 200;
+    response.headers = { { "Endiveroad-Upstream-Stamp", "s" }, { "Endiveroad-Weight-Versions", "7" },
+        { "Endiveroad-Backend-Load", "3,1,8" } };
+    const ReplicaAnswer answer = codec.decode(response);
+    CHECK(answer.stamp == "s");
+    CHECK(answer.version == 7);
+    REQUIRE(answer.load);
+    CHECK(answer.load->running == 3);
+    CHECK(answer.load->waiting == 1);
+    CHECK(codec.versionOfLine("endiveroad-weight-versions: 12") == 12);
+    CHECK_FALSE(codec.versionOfLine("retry: 12"));
+}
+
+TEST_CASE("an engine's state and the outcome of an order are read", "[platform]")
+{
+    const ReplicaCodec codec;
+    const EngineState state = codec.decodeState(R"({"Models":[{"Name":"m","Version":3}],"Busy":true,"Seq":2})");
+    CHECK(state.versions.at("m") == 3);
+    CHECK(state.isLoading);
+    CHECK(state.orders == 2);
+    CHECK_THROWS_AS(codec.decodeState("{}"), FrameInvalidError);
+    HttpResponse response;
+    const std::vector<std::pair<int, OrderOutcome>> outcomes { { 200, OrderOutcome::AlreadyHolds },
+        { 202, OrderOutcome::Accepted }, { 409, OrderOutcome::Busy }, { 412, OrderOutcome::Fenced },
+        { 400, OrderOutcome::Refused } };
+    for (const auto& [status, outcome] : outcomes) {
+        response.status = status;
+        CHECK(codec.decodeOrderOutcome(response) == outcome);
+    }
+}
+
+TEST_CASE("a batch job is decoded and its results encoded", "[platform]")
+{
+    const BatchCodec codec;
+    const BatchJobSpec spec = codec.decodeJob("j", "h", "b", R"({"Step":1,"Model":"m","MinVersion":6,"Items":[
+        {"Id":"i1","Path":"/b/1","Headers":{"Endiveroad-Token-Usage":"540,400"},"Body":"q83vEjRWeJA=","Tokens":940,
+         "Group":"g","Scorer":{"Id":"s1","Host":"h","Path":"/a/s","Body":"3q2+7w=="}},
+        {"Id":"i2","Path":"/b/2","Headers":{"Endiveroad-Length-Hint":"90"},"Body":""}]})");
+    CHECK(spec.oldestVersion == 6);
+    REQUIRE(spec.items.size() == 2);
+    CHECK(spec.items[0].expectedTokens == 400);
+    CHECK(spec.items[0].body.size() == 8);
+    CHECK(spec.items[0].scoring->path == "/a/s");
+    CHECK(spec.items[1].expectedTokens == 90);
+    CHECK_FALSE(spec.items[1].scoring);
+    CHECK_THROWS_AS(codec.decodeJob("j", "h", "b", "[]"), BadRequestError);
+    CHECK_THROWS_AS(codec.decodeJob("j", "h", "b", R"({"Items":[{"Id":5}]})"), BadRequestError);
+    const std::vector<BatchResult> listed { { "i1", ResultState::Completed, "a\nb", { 6, 7 }, "stamp" },
+        { "i2", ResultState::Terminated, "", {}, "" } };
+    const auto page = nlohmann::json::parse(codec.encodeResults(listed, 1, 5));
+    CHECK(page["Total"] == 5);
+    CHECK(page["Next"] == 2);
+    CHECK(page["Results"][0]["State"] == "terminated");
+    const auto whole = nlohmann::json::parse(codec.encodeResults(listed, 0, 5));
+    CHECK(whole["Results"][0]["Versions"] == std::vector<int> { 6, 7 });
+    CHECK(whole["Results"][0]["Score"] == "stamp");
+    CHECK(nlohmann::json::parse(codec.encodeResults(listed, 9, 5))["Results"].empty());
+}
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -3,7 +3,9 @@
 import argparse
 import json
 import os
+import random
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -213,13 +215,50 @@
     assert deployment.entries[0].handle.wait(timeout=9) == 0
 
 
+def failures_are_explained_by_the_logs(deployment):
+    """Failed requests of several kinds, picked at random: each one's cause comes from the logs of all processes."""
+    expected = {}
+    for number in range(4):
+        deployment.call(deployment.entries[number % 2], "astray-%d" % number, "/nowhere/x")
+        expected["astray-%d" % number] = "caller"
+    for engine in deployment.platform.engines:
+        engine.always_fails = {"fails-0", "fails-1"}
+    items = names("fails", 4)
+    deployment.submit("job-fails", items)
+    deployment.read_all("job-fails", 4)
+    expected.update({"fails-0": "replica", "fails-1": "replica"})
+    deployment.platform.store.mode = "busy"
+    for number in range(2):
+        status = deployment.request(deployment.entries[number], "POST", "/job/x", b'{"Model":"m","Items":[]}',
+                                    {"Endiveroad-Request-Id": "refused-%d" % number})[0]
+        assert status == 503, status
+        expected["refused-%d" % number] = "store"
+    deployment.platform.store.mode = "up"
+    for service in deployment.platform.services:
+        service.extra_s = 3
+    for number in range(3):
+        assert deployment.call(deployment.entries[number % 2], "slow-%d" % number, timeout_ms=400)[0] == 504
+        expected["slow-%d" % number] = "replica"
+    time.sleep(0.3)
+    logs = [machine.log_path for machine in deployment.machines()]
+    explained = 0
+    for request, party in random.Random(20261204).sample(sorted(expected.items()), len(expected)):
+        done = subprocess.run([deployment.binary, "explain", "--cause-only", request, *logs], stdout=subprocess.PIPE,
+                              timeout=20, check=False)
+        verdict = done.stdout.decode().strip()
+        print(request, verdict)
+        explained += done.returncode == 0 and verdict.startswith("cause (%s)" % party)
+    print("explained: %d of %d" % (explained, len(expected)))
+    assert explained == len(expected)
+
+
 CASES = {case.__name__: case for case in (
     whole_path, versions_are_loaded_and_named, coordinators_die_one_after_the_other,
     everything_is_killed_after_the_acknowledgement, store_is_away_while_a_job_runs, answers_of_the_store_are_lost,
     replica_breaks_its_streams_and_goes_dark, items_that_always_fail_are_given_up,
     history_is_lost_and_strangers_register, one_machine_is_turned_away_by_the_store,
     a_replica_that_starts_again_leaves_its_old_registration, requests_that_may_not_be_repeated,
-    entries_leave_without_cutting_a_request)}
+    entries_leave_without_cutting_a_request, failures_are_explained_by_the_logs)}
 
 
 def main():
