--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -14,6 +14,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "standins"))
 from hosted_http import serve  # noqa: E402
+from hosted_relay import Relay  # noqa: E402
 from hosted_servers import Engine, Service  # noqa: E402
 from hosted_store import Store  # noqa: E402
 
@@ -63,8 +64,11 @@
 class Platform:
     """The stand-ins, run by one thread of their own."""
 
-    def __init__(self, prefix, entries, coordinators, engines, services):
+    def __init__(self, prefix, entries, coordinators, engines, services, is_relayed=False):
         self.prefix = prefix
+        # With relays, connections to the store and the servers can be harmed; by name of what they lead to.
+        self.is_relayed = is_relayed
+        self.relays = {}
         self.sizes = (entries, coordinators, engines, services)
         self.loop = asyncio.new_event_loop()
         self.store = None
@@ -80,7 +84,7 @@
     async def _start(self):
         self.store = Store()
         server = await serve(self.prefix + ".1", 0, self.store.handle)
-        self.store_port = server.sockets[0].getsockname()[1]
+        self.store_port = await self._relayed("store", self.prefix + ".1", server.sockets[0].getsockname()[1])
         asyncio.create_task(self.store.expire_leases())
         _, _, engines, services = self.sizes
         for number in range(engines):
@@ -96,9 +100,17 @@
 
     async def _serve(self, server, host):
         listening = await serve(host, 0, server.handle)
-        server.address = "%s:%d" % (host, listening.sockets[0].getsockname()[1])
+        port = await self._relayed(server.id, host, listening.sockets[0].getsockname()[1])
+        server.address = "%s:%d" % (host, port)
         asyncio.create_task(server.beat())
 
+    async def _relayed(self, name, host, port):
+        """Port at which callers reach a server that listens on the given one."""
+        if not self.is_relayed:
+            return port
+        self.relays[name] = Relay(host, port)
+        return await self.relays[name].start(host)
+
     def configure(self, version, routes=None):
         document = configuration(version) if routes is None else {**configuration(version), "Routes": routes}
         self.run(self.store.write("op/config", json.dumps(document)))
@@ -117,6 +129,7 @@
             "Routes": [route("call", CALL_PREFIX, "idempotent", "plain"),
                        route("once", "/once/", "non_idempotent", "plain"),
                        route("score", SCORE_PREFIX, "idempotent", "plain"),
+                       route("stream", "/stream/", "streaming", "engines", Resumable=True),
                        route("job", JOB_PREFIX, "rollout", "engines", ResultDueMs=20000, MaxQueueS=60)],
             "Services": [{"Name": "engines", "HealthPath": "/healthz", "MaxConns": 100, "Protocol": "h1", "Tls": False,
                           "Engine": {"Slots": SLOTS, "Models": [{"Name": name} for name in MODELS]}},
@@ -128,12 +141,12 @@
 class HostedDeployment:
     """All processes of a small deployment. Each deployment has its own part of the loopback range."""
 
-    def __init__(self, binary, entries=2, coordinators=3, engines=3, services=2):
+    def __init__(self, binary, entries=2, coordinators=3, engines=3, services=2, is_relayed=False, number=None):
         self.binary = binary
         self.dir = tempfile.mkdtemp(prefix="endiveroad-hosted-")
-        number = os.getpid()
+        number = number or os.getpid()
         prefix = "127.%d.%d" % (64 + number // 250 % 128, 1 + number % 250)
-        self.platform = Platform(prefix, entries, coordinators, engines, services)
+        self.platform = Platform(prefix, entries, coordinators, engines, services, is_relayed)
         self.prefix = prefix
         self.port = 20000 + number % 20000
         self.entries = [Machine(self, "entry-%d" % i, "entry", "edge", "%s.%d" % (prefix, 10 + i), {
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -56,6 +56,17 @@
     return call;
 }
 
+ReplicaRequest forwardedRequest(const HttpQuery& query, const CallerRequest& request)
+{
+    ReplicaRequest forwarded;
+    forwarded.method = query.method;
+    forwarded.target = query.target;
+    forwarded.headers = forwardedHeaders(query.headers);
+    forwarded.body = query.body;
+    forwarded.id = request.id;
+    return forwarded;
+}
+
 } // namespace
 
 class HostedEntry::Readiness : public io::HttpHandler {
@@ -100,6 +111,7 @@
     , services_(
           context(), http(), this->platform().replicas(), [this] { return directory(); },
           static_cast<uint64_t>(wallMs()) ^ std::hash<std::string>()(settings().name))
+    , streams_(context(), http(), this->platform().replicas(), services_)
     , gateway_(*this)
 {
 }
@@ -166,6 +178,9 @@
             throw BadRequestError("the request has no id");
         } else if (route.kind == TrafficKind::BatchJobs) {
             response = co_await serveBatch(toSubmission(request, route, query), deadline, cancellation);
+        } else if (route.kind == TrafficKind::Streaming) {
+            co_await streams_.serve(exchange, route, forwardedRequest(query, request), deadline, cancellation);
+            co_return;
         } else {
             response = co_await serveCall(query, request, route, deadline, cancellation);
         }
@@ -192,12 +207,7 @@
     const RouteDeclaration& route, Instant deadline, PeerCancellationPtr cancellation)
 {
     const Instant startedAt = now();
-    ReplicaRequest forwarded;
-    forwarded.method = query.method;
-    forwarded.target = query.target;
-    forwarded.headers = forwardedHeaders(query.headers);
-    forwarded.body = query.body;
-    forwarded.id = request.id;
+    ReplicaRequest forwarded = forwardedRequest(query, request);
     ServiceResult result = co_await services_.call(route, std::move(forwarded), deadline, cancellation);
     if (result.response) {
         log(Event::CallAnswered,
--- a/src/io/hosted/HostedEntry.h
+++ b/src/io/hosted/HostedEntry.h
@@ -4,6 +4,7 @@
 #include "io/hosted/BatchGateway.h"
 #include "io/hosted/HostedNode.h"
 #include "io/hosted/ServiceCaller.h"
+#include "io/hosted/StreamPass.h"
 
 /// Takes callers' requests on a shared platform: calls of plain services go straight to a server, operations on batch
 /// jobs to a coordinator. Keeps nothing that has to last.
@@ -52,6 +53,7 @@
     std::unique_ptr<HttpServer> readinessServer_;
     std::unique_ptr<HttpServer> callerServer_;
     ServiceCaller services_;
+    StreamPass streams_;
     BatchGateway gateway_;
     bool wasReady_ = false;
 };
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -20,6 +20,9 @@
 /// Time after the start in which coordinators may still register, so that seeds are kept as well.
 constexpr Duration seedTime = std::chrono::seconds(6);
 
+/// How often the settings file is looked at: it may change without a signal.
+constexpr Duration settingsInterval = std::chrono::seconds(2);
+
 /// Time for the last answers to reach the network before the process ends.
 constexpr Duration answerFlushTime = std::chrono::milliseconds(50);
 
@@ -56,7 +59,8 @@
     : platform_(std::move(platform))
     , role_(role)
     , options_(options)
-    , settings_(platform_->readSettings())
+    , readSettings_(platform_->readSettings())
+    , settings_(readSettings_)
     , startedAt_(now())
     , incarnation_(wallMs())
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
@@ -89,6 +93,7 @@
         co_await sleepFor(seedTime);
         connectToCoordinators();
     });
+    spawn(context_.get_executor(), [this] { return followSettings(); });
     spawn(context_.get_executor(), [this] { return keeper_->readServers(); });
     spawn(context_.get_executor(), [this] { return keeper_->followOperator(); });
     start();
@@ -112,10 +117,21 @@
     });
 }
 
+asio::awaitable<void> HostedNode::followSettings()
+{
+    while (!isDraining_) {
+        co_await sleepFor(settingsInterval);
+        reloadSettings();
+    }
+}
+
 void HostedNode::reloadSettings()
 {
     try {
-        HostedSettings settings = platform_->readSettings();
+        const HostedSettings settings = platform_->readSettings();
+        if (settings == readSettings_)
+            return;
+        readSettings_ = settings;
         settings_.seeds = settings.seeds;
         settings_.store = settings.store;
         settings_.graceTime = settings.graceTime;
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -96,6 +96,7 @@
     void sendHello(const PeerConnectionPtr&);
     void onHello(const PeerConnectionPtr&, const std::string& payload);
     void waitForSignal();
+    asio::awaitable<void> followSettings();
     void reloadSettings();
     asio::awaitable<void> stopGracefully();
     std::vector<PeerConnectionPtr> relays() const;
@@ -103,6 +104,8 @@
     std::unique_ptr<Platform> platform_;
     HostedRole role_;
     HostedOptions options_;
+    /// As the file said last; settings_ holds what of it is in force.
+    HostedSettings readSettings_;
     HostedSettings settings_;
     asio::io_context context_;
     Instant startedAt_;
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -54,13 +54,15 @@
     asio::awaitable<ServiceResult> call(
         RouteDeclaration, ReplicaRequest, Instant deadline, PeerCancellationPtr cancellation);
 
+    /// A ready server of the route's services that has not been tried; nothing if there is none.
+    std::optional<ServerRecord> chooseServer(const RouteDeclaration&, const std::set<std::string>& tried);
+
     /// Drops what is known of servers that are gone.
     void onDirectory(const Directory&);
 
 private:
     class Race;
 
-    std::optional<ServerRecord> chooseServer(const RouteDeclaration&, const std::set<std::string>& tried);
     const std::string& chooseService(const RouteDeclaration&);
     void startAttempt(const std::shared_ptr<Race>&, const ServerRecord&);
     asio::awaitable<void> attempt(std::shared_ptr<Race>, ServerRecord, HttpCancellation*);
--- /dev/null
+++ b/standins/hosted_relay.py
@@ -0,0 +1,61 @@
+"""A TCP relay on loopback whose connections can be delayed, reset, cut one way or silenced."""
+import asyncio
+
+
+class Relay:
+    """Stands before one server. Modes: "open", "delay", "reset", "one_way" (answers are lost) and "silent" (nothing more
+    passes on the connections that are open; new ones work)."""
+
+    DELAY_S = 0.15
+
+    def __init__(self, target_host, target_port):
+        self.target = (target_host, target_port)
+        self.mode = "open"
+        # Connections with a lower number have been silenced for good.
+        self.silenced_below = 0
+        self.count = 0
+        self.writers = set()
+
+    async def start(self, host):
+        server = await asyncio.start_server(self._session, host, 0)
+        return server.sockets[0].getsockname()[1]
+
+    def silence_open(self):
+        self.silenced_below = self.count + 1
+
+    def reset_open(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _session(self, reader, writer):
+        self.count += 1
+        number = self.count
+        if self.mode == "reset":
+            return writer.transport.abort()
+        try:
+            upstream_reader, upstream = await asyncio.open_connection(*self.target)
+        except OSError:
+            return writer.transport.abort()
+        self.writers |= {writer, upstream}
+        try:
+            await asyncio.gather(self._pump(reader, upstream, number, False),
+                                 self._pump(upstream_reader, writer, number, True))
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers -= {writer, upstream}
+            writer.close()
+            upstream.close()
+
+    async def _pump(self, reader, writer, number, is_answer):
+        while True:
+            data = await reader.read(65536)
+            if not data:
+                break
+            if self.mode == "delay":
+                await asyncio.sleep(self.DELAY_S)
+            if number < self.silenced_below or (self.mode == "one_way" and is_answer):
+                continue
+            writer.write(data)
+            await writer.drain()
+        writer.close()
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -19,6 +19,8 @@
         self.is_draining = False
         # (request id, target, body) of each request that ran, in order.
         self.ran = []
+        # The same with the time at which each began.
+        self.ran_at = []
         self.running = 0
         # Faults: requests of which the answer is lost, and seconds that a request takes longer.
         self.lose_answers = 0
@@ -127,6 +129,7 @@
         if refusal:
             return await connection.answer(refusal[0], b"", {**headers, **refusal[1]})
         self.ran.append((item, request.target, request.body))
+        self.ran_at.append((item, request.target, request.body, time.monotonic()))
         if item in self.always_fails:
             return await connection.answer(500, b"", headers)
         first = int(request.headers.get("last-event-id", -1)) + 1
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """The real programs on a stand-in of the shared platform: batch jobs and calls, under failures of either side."""
 import argparse
+import http.client
 import json
 import os
 import random
@@ -11,7 +12,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts", "lib"))
-from hosted import CALL_PREFIX, HostedDeployment, MODELS, route, wait_until  # noqa: E402
+from hosted import CALL_PREFIX, HOST, HostedDeployment, MODELS, route, wait_until  # noqa: E402
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "standins"))
 from hosted_servers import stamp, whole_text  # noqa: E402
 
@@ -215,6 +216,41 @@
     assert deployment.entries[0].handle.wait(timeout=9) == 0
 
 
+def streams_pass_as_they_come_and_resume(deployment):
+    deployment.platform.engines[0].cut_after = 5
+    deployment.platform.engines[1].cut_after = 7
+    for number in range(6):
+        item = "stream-%d" % number
+        connection = http.client.HTTPConnection(deployment.entries[number % 2].address, deployment.port + 1, timeout=10)
+        connection.request("POST", "/stream/x", b"prompt", {"Host": HOST, "Endiveroad-Request-Id": item,
+                                                            "Endiveroad-Model": MODELS[0],
+                                                            "Endiveroad-Deadline-Ms": "9000"})
+        response = connection.getresponse()
+        started = time.monotonic()
+        first = response.read1()
+        pause = time.monotonic() - started
+        body = first + response.read()
+        assert pause < 0.2, "the first event came late"
+        text = [line[6:] for line in body.decode().split("\n") if line.startswith("data: ")]
+        assert "\n".join(text) == whole_text(item), (item, text)
+        assert response.headers["Endiveroad-Upstream-Stamp"] == stamp(item)
+
+
+def settings_change_without_a_signal(deployment):
+    entry = deployment.entries[0]
+    entry.settings["Bounds.GraceS"] = 9
+    with open(entry.path, "w", encoding="utf-8") as file:
+        file.write("".join("%s=%s\n" % pair for pair in entry.settings.items()))
+
+    def is_reloaded():
+        with open(entry.log_path, encoding="utf-8") as log:
+            return "SettingsReloaded" in log.read()
+
+    wait_until(is_reloaded, 5)
+    entry.signal(signal.SIGHUP)
+    assert deployment.call(entry, "after-reload")[0] == 200
+
+
 def failures_are_explained_by_the_logs(deployment):
     """Failed requests of several kinds, picked at random: each one's cause comes from the logs of all processes."""
     expected = {}
@@ -258,7 +294,8 @@
     replica_breaks_its_streams_and_goes_dark, items_that_always_fail_are_given_up,
     history_is_lost_and_strangers_register, one_machine_is_turned_away_by_the_store,
     a_replica_that_starts_again_leaves_its_old_registration, requests_that_may_not_be_repeated,
-    entries_leave_without_cutting_a_request, failures_are_explained_by_the_logs)}
+    entries_leave_without_cutting_a_request, failures_are_explained_by_the_logs,
+    streams_pass_as_they_come_and_resume, settings_change_without_a_signal)}
 
 
 def main():
