--- a/include/endiveroad/endiveroad.h
+++ b/include/endiveroad/endiveroad.h
@@ -6,6 +6,7 @@
 #include <endiveroad/BatchPlacement.h>
 #include <endiveroad/CallAdmission.h>
 #include <endiveroad/CallAttempts.h>
+#include <endiveroad/CarriedTexts.h>
 #include <endiveroad/Cursor.h>
 #include <endiveroad/Directory.h>
 #include <endiveroad/DocumentSet.h>
--- a/src/io/Node.cpp
+++ b/src/io/Node.cpp
@@ -48,6 +48,7 @@
               sendToPeer(peer, type, payload);
           },
           [this](int64_t revision, Instant since) { onInForceSince(revision, since); })
+    , acceptor_(context_, *this)
     , mesh_(context_, *this, [this](const std::string&, const PeerConnectionPtr& peer) { sendHello(peer); })
 {
     if (options_.store)
@@ -113,7 +114,7 @@
 void Node::closeUnproven()
 {
     std::vector<PeerConnectionPtr> peers = mesh_.connections();
-    peers.insert(peers.end(), accepted_.begin(), accepted_.end());
+    peers.insert(peers.end(), acceptor_.connections().begin(), acceptor_.connections().end());
     for (const PeerConnectionPtr& peer : peers) {
         const auto key = peer->provenBy();
         if (key && !keys_->contains(*key))
@@ -125,8 +126,8 @@
 {
     try {
         const auto address = peerAddress(*inForce);
-        if (address && !acceptor_)
-            listenForPeers(options_.peerListen.value_or(*address));
+        if (address && !acceptor_.isListening())
+            acceptor_.listen(options_.peerListen.value_or(*address));
         if (!address)
             log(Event::NotDeclared, { { "revision", std::to_string(inForce->revision) } });
         onSettings(before, inForce);
@@ -138,27 +139,6 @@
     }
 }
 
-void Node::listenForPeers(const Address& address)
-{
-    acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(listenOn(context_, address));
-    spawn(context_.get_executor(), [this] { return acceptPeers(); });
-}
-
-asio::awaitable<void> Node::acceptPeers()
-{
-    while (acceptor_->is_open()) {
-        boost::system::error_code error;
-        auto socket = co_await acceptor_->async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            co_await sleepFor(std::chrono::milliseconds(20));
-            continue;
-        }
-        auto connection = std::make_shared<PeerConnection>(std::move(socket), *this);
-        accepted_.insert(connection);
-        connection->start();
-    }
-}
-
 void Node::sendHello(const PeerConnectionPtr& peer)
 {
     wire::Hello hello;
@@ -185,8 +165,8 @@
 void Node::onHello(const PeerConnectionPtr& peer, const PeerMessage& message)
 {
     const auto hello = wire::decode<wire::Hello>(message.payload);
-    const bool isFirst = accepted_.contains(peer) && peer->peerName.empty();
-    if (accepted_.contains(peer))
+    const bool isFirst = acceptor_.contains(peer) && peer->peerName.empty();
+    if (acceptor_.contains(peer))
         peer->peerName = hello.node;
     if (isFirst)
         sendHello(peer);
@@ -216,7 +196,7 @@
         { "endiveroad_settings_revision", "", "Settings revision in force; 0 before the first.",
             static_cast<double>(settings_.revision()) },
         { "endiveroad_peers", "", "Open connections to peer processes.",
-            static_cast<double>(mesh_.connections().size() + accepted_.size()) },
+            static_cast<double>(mesh_.connections().size() + acceptor_.connections().size()) },
         { "endiveroad_draining", "", "1 while the process takes no new work.", isDraining_ ? 1.0 : 0.0 },
     };
     for (Gauge& gauge : nodeGauges())
@@ -269,7 +249,7 @@
 
 void Node::onClosed(const PeerConnectionPtr& peer)
 {
-    accepted_.erase(peer);
+    acceptor_.forget(peer);
     const auto known = peers_.find(peer->peerName);
     if (known != peers_.end() && known->second == peer) {
         peers_.erase(known);
--- a/src/io/Node.h
+++ b/src/io/Node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "io/HttpClient.h"
+#include "io/PeerAcceptor.h"
 #include "io/PeerMesh.h"
 #include "io/ProcessMetrics.h"
 #include "io/SettingsKeeper.h"
@@ -84,7 +85,7 @@
     asio::io_context& context() { return context_; }
     HttpClient& http() { return http_; }
     PeerMesh& mesh() { return mesh_; }
-    const std::set<PeerConnectionPtr>& acceptedPeers() const { return accepted_; }
+    const std::set<PeerConnectionPtr>& acceptedPeers() const { return acceptor_.connections(); }
     std::shared_ptr<const Settings> settings() const { return settings_.current(); }
     const SettingsKeeper& keeper() const { return settings_; }
     const std::string& name() const { return options_.name; }
@@ -104,8 +105,6 @@
     /// Reads the key file again whenever it changes.
     asio::awaitable<void> followKeys();
     void closeUnproven();
-    void listenForPeers(const Address&);
-    asio::awaitable<void> acceptPeers();
     asio::awaitable<void> stopGracefully();
     void sendHello(const PeerConnectionPtr&);
     void onHello(const PeerConnectionPtr&, const PeerMessage&);
@@ -120,9 +119,8 @@
     HttpClient http_;
     std::unique_ptr<StoreClient> store_;
     SettingsKeeper settings_;
+    PeerAcceptor acceptor_;
     PeerMesh mesh_;
-    std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
-    std::set<PeerConnectionPtr> accepted_;
     std::shared_ptr<const AccessKeys> keys_;
     /// The newest connection to each peer that said hello.
     std::map<std::string, PeerConnectionPtr> peers_;
--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -17,9 +17,6 @@
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
 
-/// Bytes of text that are listed in one transaction.
-constexpr size_t maxListedBytes = 500U << 10;
-
 /// Time after the end of a job's lifetime at which it is removed.
 constexpr std::chrono::milliseconds removalMargin { 60000 };
 
@@ -79,7 +76,7 @@
     , others_(others)
     , directory_(std::move(directory))
     , resultLifetime_(resultLifetime)
-    , wake_(context)
+    , lister_(context, store_, jobs_, [this](const OwnedJobPtr& owned) { lose(owned, "the record has changed"); })
     , settled_(context)
 {
 }
@@ -495,58 +492,4 @@
     owned->changed.notifyAll();
 }
 
-asio::awaitable<void> BatchOwner::runListing()
-{
-    while (true) {
-        co_await wake_.wait(now() + listingDelay * 2);
-        co_await sleepFor(listingDelay);
-        const JobTable jobs = jobs_;
-        for (const auto& [id, owned] : jobs) {
-            const bool isDue = !owned->isListing && !owned->job.isEnded() && !owned->job.listable(now()).empty();
-            if (isDue)
-                spawn(context_.get_executor(), [this, owned = owned] { return list(owned); });
-        }
-    }
-}
-
-asio::awaitable<void> BatchOwner::list(OwnedJobPtr owned)
-{
-    owned->isListing = true;
-    std::vector<BatchResult> results;
-    size_t bytes = 0;
-    for (size_t index : owned->job.listable(now())) {
-        const BatchResult& result = *owned->job.items()[index].result;
-        if (!results.empty() && bytes + result.text.size() > maxListedBytes)
-            break;
-        bytes += result.text.size();
-        results.push_back(result);
-    }
-    const size_t first = owned->job.listed().size();
-    // Until the outcome is known, the same results are tried at the same positions.
-    while (!owned->isLost && !owned->isEndStored) {
-        std::string reason;
-        try {
-            const AppendOutcome outcome = co_await store_.append(owned->id(), owned->job.revision(), first, results);
-            if (outcome == AppendOutcome::OwnerChanged) {
-                // An end of this owner's own changes the record as well, and nothing is listed behind it.
-                if (!owned->job.isEnded())
-                    lose(owned, "the record has changed");
-                break;
-            }
-            owned->job.onListed(results);
-            log(Event::ResultsListed,
-                { { "job", owned->id() }, { "first", std::to_string(first) },
-                    { "results", std::to_string(results.size()) } });
-            owned->changed.notifyAll();
-            break;
-        } catch (const Error& error) {
-            reason = error.what();
-        }
-        log(Event::ListingDelayed, { { "job", owned->id() }, { "reason", reason } });
-        co_await sleepFor(storeRetryPause);
-    }
-    owned->isListing = false;
-    wake();
-}
-
 } // namespace endiveroad::io
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -4,6 +4,7 @@
 #include "io/hosted/JobStore.h"
 #include "io/hosted/OwnedJob.h"
 #include "io/hosted/Protocol.h"
+#include "io/hosted/ResultLister.h"
 
 #include <endiveroad_types.h>
 #include <map>
@@ -41,9 +42,6 @@
     /// Pause between two tries of a call to the store.
     static constexpr Duration storeRetryPause = std::chrono::milliseconds(150);
 
-    /// Pause in which results of several items come together before they are listed.
-    static constexpr Duration listingDelay = std::chrono::milliseconds(120);
-
     /// Ended jobs of others that are kept in memory for reading.
     static constexpr size_t maxArchived = 64;
 
@@ -63,7 +61,7 @@
     asio::awaitable<wire::BatchAnswer> perform(wire::BatchCall, Instant deadline);
 
     /// Lists what can be listed.
-    asio::awaitable<void> runListing();
+    asio::awaitable<void> runListing() { return lister_.run(); }
 
     /// Takes over open jobs whose owners are gone and that fall to this coordinator. With isOwnOnly only those that
     /// an earlier process of this name owned.
@@ -79,7 +77,7 @@
     void onOwner(const wire::JobOwnerNotice&);
 
     /// Something may have become listable.
-    void wake() { wake_.notifyAll(); }
+    void wake() { lister_.wake(); }
 
 private:
     /// Marks a job whose place is being settled, so that nothing else accepts, finds or takes it over meanwhile.
@@ -111,7 +109,6 @@
     asio::awaitable<OwnedJobPtr> claim(StoredJob);
     asio::awaitable<OwnedJobPtr> claimOnce(StoredJob);
     asio::awaitable<const Archived*> archive(StoredJob);
-    asio::awaitable<void> list(OwnedJobPtr);
     asio::awaitable<void> verify(OwnedJobPtr);
     asio::awaitable<bool> storeEnd(OwnedJobPtr, Instant deadline);
     OwnedJobPtr insert(BatchJobSpec, JobRecord, int64_t revision, std::vector<BatchResult> listed);
@@ -127,8 +124,8 @@
     DirectorySource directory_;
     Duration resultLifetime_;
     ItemDispatcher* dispatcher_ = nullptr;
-    Signal wake_;
     JobTable jobs_;
+    ResultLister lister_;
     std::map<std::string, Archived> archived_;
     /// Jobs that are being accepted, looked up or taken over now.
     std::set<std::string> settling_;
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -212,7 +212,7 @@
     if (result.response) {
         log(Event::CallAnswered,
             { { "request", request.id }, { "route", route.name }, { "status", std::to_string(result.response->status) },
-                { "attempts", std::to_string(result.attempts) },
+                { "attempts", std::to_string(result.attempts) }, { "servers", result.servers },
                 { "ms",
                     std::to_string(
                         std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt).count()) } });
@@ -222,11 +222,12 @@
         response.body = std::move(result.response->body);
         co_return response;
     }
+    const std::string tried = result.servers.empty() ? "" : " (tried " + result.servers + ")";
     if (!result.mayHaveRun)
-        throw NotRunError(result.reason.empty() ? "no server of the route is ready" : result.reason);
+        throw NotRunError((result.reason.empty() ? "no server of the route is ready" : result.reason) + tried);
     if (now() >= deadline)
-        throw DeadlineUnknownError(result.reason.empty() ? "the time ran out" : result.reason);
-    throw OutcomeUnknownError(result.reason);
+        throw DeadlineUnknownError((result.reason.empty() ? "the time ran out" : result.reason) + tried);
+    throw OutcomeUnknownError(result.reason + tried);
 }
 
 asio::awaitable<HttpResponse> HostedEntry::serveBatch(
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -69,6 +69,7 @@
     , store_(platform_->makeStore(relayedStore_))
     , keeper_(std::make_unique<DirectoryKeeper>(
           platform_->directory(), *store_, static_cast<DirectoryListener&>(*this), coordinatorName(role, settings_)))
+    , acceptor_(context_, *this, [this](const PeerConnectionPtr& connection) { sendHello(connection); })
     , mesh_(context_, *this, [this](const std::string&, const PeerConnectionPtr& connection) { sendHello(connection); })
 {
 }
@@ -83,7 +84,7 @@
         { { "role", roleName(role_) }, { "incarnation", std::to_string(incarnation_) },
             { "failureDomain", settings_.failureDomain } });
     waitForSignal();
-    listenForPeers();
+    acceptor_.listen(settings_.peers);
     if (options_.metricsPort) {
         metricsServer_ = std::make_unique<HttpServer>(static_cast<HttpHandler&>(*this));
         metricsServer_->start(context_, { settings_.host, *options_.metricsPort });
@@ -153,28 +154,6 @@
     context_.stop();
 }
 
-void HostedNode::listenForPeers()
-{
-    acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(listenOn(context_, settings_.peers));
-    spawn(context_.get_executor(), [this] { return acceptPeers(); });
-}
-
-asio::awaitable<void> HostedNode::acceptPeers()
-{
-    while (acceptor_->is_open()) {
-        boost::system::error_code error;
-        auto socket = co_await acceptor_->async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            co_await sleepFor(std::chrono::milliseconds(20));
-            continue;
-        }
-        auto connection = std::make_shared<PeerConnection>(std::move(socket), *this);
-        accepted_.insert(connection);
-        connection->start();
-        sendHello(connection);
-    }
-}
-
 void HostedNode::connectToCoordinators()
 {
     const bool areSeedsNeeded = now() < startedAt_ + seedTime;
@@ -288,7 +267,7 @@
 
 void HostedNode::onClosed(const PeerConnectionPtr& connection)
 {
-    accepted_.erase(connection);
+    acceptor_.forget(connection);
     const auto known = peers_.find(connection->peerName);
     if (known == peers_.end())
         return;
@@ -321,7 +300,7 @@
 {
     std::vector<Gauge> present = gauges();
     present.push_back({ "endiveroad_peers", "", "Open connections to peer processes.",
-        static_cast<double>(mesh_.connections().size() + accepted_.size()) });
+        static_cast<double>(mesh_.connections().size() + acceptor_.connections().size()) });
     present.push_back({ "endiveroad_draining", "", "1 while the process takes no new work.", isDraining_ ? 1.0 : 0.0 });
     HttpResponse response;
     response.status = 200;
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -2,6 +2,7 @@
 
 #include "io/HttpClient.h"
 #include "io/HttpServer.h"
+#include "io/PeerAcceptor.h"
 #include "io/PeerConnection.h"
 #include "io/PeerMesh.h"
 #include "io/hosted/DirectoryKeeper.h"
@@ -90,8 +91,6 @@
     void publish(const std::string& update) final;
     asio::awaitable<void> onHttp(HttpExchange&) final;
 
-    void listenForPeers();
-    asio::awaitable<void> acceptPeers();
     void connectToCoordinators();
     void sendHello(const PeerConnectionPtr&);
     void onHello(const PeerConnectionPtr&, const std::string& payload);
@@ -116,9 +115,8 @@
     RelayedStoreTransport relayedStore_;
     std::unique_ptr<MetadataStore> store_;
     std::unique_ptr<DirectoryKeeper> keeper_;
+    PeerAcceptor acceptor_;
     PeerMesh mesh_;
-    std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
-    std::set<PeerConnectionPtr> accepted_;
     /// By name.
     std::map<std::string, Peer> peers_;
     std::set<std::string> leaving_;
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -21,13 +21,6 @@
 constexpr Duration busyInterval = std::chrono::milliseconds(100);
 constexpr Duration idleInterval = std::chrono::milliseconds(400);
 
-/// Time for an agent to report that it has begun a load.
-constexpr Duration askPause = std::chrono::milliseconds(300);
-
-/// Time for which text of an unfinished item is kept, and items whose text is kept at most.
-constexpr Duration carriedLifetime = std::chrono::seconds(40);
-constexpr size_t maxCarried = 2000;
-
 /// Runs that are moved in one round.
 constexpr size_t maxMovesPerRound = 4;
 
@@ -276,54 +269,20 @@
     }
 }
 
-LoadDemand ItemDispatcher::demandFor(
-    const std::string& model, const std::string& service, const std::vector<ReplicaView>& replicas) const
-{
-    LoadDemand demand;
-    demand.model = model;
-    const auto directory = directory_();
-    demand.namedVersion = directory->namedVersion(model);
-    const auto named = namedAt_.find(model);
-    if (named != namedAt_.end())
-        demand.namedAt = named->second;
-    for (const auto& [id, owned] : jobs_) {
-        if (owned->job.spec().model != model || owned->isLost)
-            continue;
-        const size_t waiting = owned->job.waiting(never).size();
-        demand.waiting += waiting;
-        if (waiting > 0)
-            demand.oldestNeeded = std::max(demand.oldestNeeded, owned->job.spec().oldestVersion);
-    }
-    std::vector<std::string> agents;
-    for (const ReplicaView& replica : replicas)
-        agents.push_back(replica.agent);
-    const auto declared = directory->routing->services.find(service);
-    if (declared == directory->routing->services.end())
-        return demand;
-    demand.homes = homeReplicas(declared->second.models, agents, model, demand.namedVersion);
-    return demand;
-}
-
 void ItemDispatcher::load(const std::map<std::string, std::vector<ReplicaView>>& byService)
 {
-    if (!directory_()->routing)
+    const auto directory = directory_();
+    if (!directory->routing)
         return;
     for (const auto& [id, owned] : jobs_) {
         if (!owned->job.isEnded() && !owned->isLost)
-            interests_[owned->job.spec().model] = { serviceOf(*owned), now() + modelInterest };
+            loads_.onOpenJob(owned->job.spec().model, serviceOf(*owned), now());
     }
-    std::erase_if(interests_, [](const auto& entry) { return entry.second.expiry <= now(); });
     for (const auto& [service, replicas] : byService) {
-        std::vector<LoadDemand> demands;
-        for (const auto& [model, interest] : interests_) {
-            if (interest.service == service)
-                demands.push_back(demandFor(model, service, replicas));
-        }
-        for (const LoadChoice& choice : planLoads(demands, replicas, now())) {
+        for (const LoadChoice& choice : loads_.choose(service, replicas, jobs_, *directory, now())) {
             const PeerConnectionPtr connection = links_.agent(choice.agent);
-            if (!connection || askAgainAt_[choice.agent] > now())
+            if (!connection)
                 continue;
-            askAgainAt_[choice.agent] = now() + askPause;
             log(Event::WeightLoadAsked,
                 { { "agent", choice.agent }, { "model", choice.model },
                     { "version", std::to_string(choice.version) } });
@@ -419,35 +378,20 @@
 
 void ItemDispatcher::onVersionNamed(const std::string& model)
 {
-    namedAt_[model] = now();
+    loads_.onVersionNamed(model, now());
     wake();
 }
 
 void ItemDispatcher::onJob(const OwnedJobPtr& owned)
 {
-    std::erase_if(carried_, [](const auto& entry) { return entry.second.expiry <= now(); });
     const BatchJobSpec& spec = owned->job.spec();
     for (size_t i = 0; i < spec.items.size(); ++i) {
-        const auto carried = carried_.find(spec.items[i].id);
-        if (carried == carried_.end())
-            continue;
-        act(owned, i, owned->job.onCarried(i, carried->second.text));
+        if (const auto text = carried_.find(spec.items[i].id, now()))
+            act(owned, i, owned->job.onCarried(i, *text));
     }
     wake();
 }
 
-void ItemDispatcher::keepTexts(const OwnedJob& owned)
-{
-    const BatchJobSpec& spec = owned.job.spec();
-    for (size_t i = 0; i < spec.items.size() && carried_.size() < maxCarried; ++i) {
-        const ItemState& item = owned.job.items()[i];
-        if (!item.text.events.empty() && !item.result.has_value())
-            carried_[spec.items[i].id] = { item.text, now() + carriedLifetime };
-        else if (item.result && item.result->state == ResultState::Completed)
-            carried_[spec.items[i].id] = { item.text, now() + carriedLifetime };
-    }
-}
-
 /// An empty item stands for all of the job; only a job that has ended has all its runs cancelled.
 std::string ItemDispatcher::encodedCancel(const OwnedJob& owned, const std::string& item)
 {
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "io/Clock.h"
 #include "io/PeerConnection.h"
 #include "io/hosted/ItemScorer.h"
 #include "io/hosted/OwnedJob.h"
+#include "io/hosted/WeightLoads.h"
 
 #include <endiveroad/BatchPlacement.h>
+#include <endiveroad/CarriedTexts.h>
 #include <endiveroad/Directory.h>
 #include <endiveroad_types.h>
 #include <functional>
@@ -44,9 +47,6 @@
     /// Time for which agents may hand over runs that an earlier owner of a job started.
     static constexpr Duration adoptionTime = std::chrono::milliseconds(350);
 
-    /// Time after the last job of a model during which its replicas are kept current.
-    static constexpr Duration modelInterest = std::chrono::seconds(12);
-
     using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
 
     /// Called when an agent says that a job has another owner or has ended.
@@ -73,7 +73,7 @@
     void cancelRuns(const OwnedJob&);
 
     /// Text of unfinished items stays for a later job that names them again.
-    void keepTexts(const OwnedJob&);
+    void keepTexts(const OwnedJob& owned) { carried_.keep(owned.job, now()); }
 
     /// Does what an item's new state asks for.
     void act(const OwnedJobPtr&, size_t item, ItemAction);
@@ -87,11 +87,6 @@
         int32_t starting = 0;
     };
 
-    struct Carried {
-        PartialText text;
-        Instant expiry;
-    };
-
     void tick();
     void terminateOrphans(OwnedJob&);
     std::string serviceOf(const OwnedJob&) const;
@@ -101,7 +96,6 @@
     bool isMoveDue(const OwnedJob&, size_t item, const ReplicaView& from, const std::vector<ReplicaView>&) const;
     void giveUpSilent(OwnedJob&);
     void load(const std::map<std::string, std::vector<ReplicaView>>&);
-    LoadDemand demandFor(const std::string& model, const std::string& service, const std::vector<ReplicaView>&) const;
     void withdraw(OwnedJob&, size_t item, const std::string& reason);
     void startItem(const OwnedJobPtr&, size_t item, const ReplicaView&);
     asio::awaitable<void> sendStart(OwnedJobPtr, size_t item, std::string agent, wire::ItemStart);
@@ -117,17 +111,8 @@
     Signal wake_;
     /// By agent.
     std::map<std::string, Report> reports_;
-    std::map<std::string, Instant> namedAt_;
-    /// Service and end of interest by model.
-    struct Interest {
-        std::string service;
-        Instant expiry;
-    };
-    std::map<std::string, Interest> interests_;
-    /// By item.
-    std::map<std::string, Carried> carried_;
-    /// When an asked load may be asked for again, by agent.
-    std::map<std::string, Instant> askAgainAt_;
+    WeightLoads loads_;
+    CarriedTexts carried_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -146,6 +146,7 @@
 void ServiceCaller::startAttempt(const std::shared_ptr<Race>& race, const ServerRecord& server)
 {
     race->tried.insert(server.id);
+    race->result.servers += (race->result.servers.empty() ? "" : " ") + server.id;
     race->attempts.emplace_back();
     ++race->underWay;
     ++race->runs;
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -27,6 +27,8 @@
     /// The caller has gone.
     bool isCancelled = false;
     int32_t attempts = 0;
+    /// Ids of the servers that were tried, in order, separated by spaces.
+    std::string servers;
     /// Answers of 500 among the attempts.
     int32_t serverErrors = 0;
     /// Why there is no answer.
--- a/tests/core/BatchJobTest.cpp
+++ b/tests/core/BatchJobTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <endiveroad/BatchJob.h>
+#include <endiveroad/CarriedTexts.h>
 
 using namespace endiveroad;
 using namespace std::chrono_literals;
@@ -179,6 +180,21 @@
     CHECK(job.items()[2].text.events.empty());
 }
 
+TEST_CASE("an ended job leaves its unlisted texts for a while, but not those of items given up", "[batch]")
+{
+    BatchJob job = jobOf(1, 3);
+    const int64_t run = job.start(0, "a0", 3, start);
+    job.onProgress(0, news(run, 0, 4), start);
+    const int64_t failing = job.start(1, "a0", 3, start);
+    job.onProgress(1, news(failing, 0, 2, RunState::Failed, 422), start);
+    CarriedTexts texts;
+    texts.keep(job, start);
+    REQUIRE(texts.size() == 1);
+    CHECK(texts.find("item-0", start)->events == events(0, 4));
+    CHECK_FALSE(texts.find("item-1", start));
+    CHECK_FALSE(texts.find("item-0", start + CarriedTexts::lifetime));
+}
+
 TEST_CASE("items that wait too long are given up, and none starts behind the end", "[batch]")
 {
     BatchJob job = jobOf(1, 2);
