Tests of the directory's keeper; two tests tell a broken program from a sound one

The test of servers at one address passed with the first server in place of the last started one, and the one of entries that read for themselves was too short; both now fail on the broken code (tried) and pass on the sound one.

--- a/tests/core/DirectoryTest.cpp
+++ b/tests/core/DirectoryTest.cpp
@@ -39,10 +39,10 @@
     // A replica that starts again leaves its old registration behind for some seconds.
     Directory directory;
     const Address address { "10.0.0.1", 80 };
-    directory.servers["i-1"] = { "i-1", "s", address, "d", false, 8, 1000 };
-    directory.servers["i-0"] = { "i-0", "s", address, "d", false, 8, 9000 };
+    directory.servers["i-1"] = { "i-1", "s", address, "d", false, 8, 9000 };
+    directory.servers["i-0"] = { "i-0", "s", address, "d", false, 8, 1000 };
     directory.servers["i-2"] = { "i-2", "s", address, "d", false, 8, 2000 };
-    CHECK(directory.serverAt(address)->id == "i-0");
+    CHECK(directory.serverAt(address)->id == "i-1");
     CHECK_FALSE(directory.serverAt({ "10.0.0.2", 80 }));
 }
 
--- /dev/null
+++ b/tests/io/DirectoryKeeperTest.cpp
@@ -0,0 +1,128 @@
+#include "io/hosted/DirectoryKeeper.h"
+
+#include "io/Clock.h"
+#include "io/Tasks.h"
+#include "wire/Codec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <endiveroad/Error.h>
+
+using namespace endiveroad;
+using namespace endiveroad::io;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One server and one route, named by their keys alone.
+class PlainDirectory : public DirectoryProtocol {
+public:
+    std::string operatorPrefix() const override { return "routes/"; }
+    std::string serverPrefix() const override { return "servers/"; }
+    Directory decode(const DocumentSet& documents, std::vector<std::string>&) const override
+    {
+        Directory directory;
+        for (const Document* document : documents.find("servers/"))
+            directory.servers[document->key].id = document->key;
+        return directory;
+    }
+    bool isSame(const Document& a, const Document& b) const override { return a.isRemoved == b.isRemoved; }
+    StorePut retirementDone(const std::string&) const override { return {}; }
+};
+
+/// Answers listings from a list of documents, or fails.
+class ListedStore : public MetadataStore {
+public:
+    asio::awaitable<std::optional<Document>> read(std::string, Instant) override { co_return std::nullopt; }
+    asio::awaitable<StoreListing> list(std::string prefix, bool, Instant) override
+    {
+        if (isAway)
+            throw StoreUnavailableError("away");
+        StoreListing listing;
+        listing.asOf = ++revision;
+        for (const std::string& key : keys) {
+            if (key.starts_with(prefix))
+                listing.documents.push_back({ key, revision, {}, false });
+        }
+        co_return listing;
+    }
+    asio::awaitable<StoreChanges> watch(std::string, int64_t, std::chrono::milliseconds, Instant) override
+    {
+        co_await sleepFor(50ms);
+        if (isAway)
+            throw StoreUnavailableError("away");
+        co_return StoreChanges {};
+    }
+    asio::awaitable<CommitResult> commit(StoreTransaction, Instant) override { co_return CommitResult {}; }
+    asio::awaitable<int64_t> grantLease(std::chrono::milliseconds, Instant) override { co_return 1; }
+    asio::awaitable<bool> renewLease(int64_t, Instant) override { co_return true; }
+    asio::awaitable<void> endLease(int64_t, Instant) override { co_return; }
+
+    std::vector<std::string> keys { "servers/a", "servers/b" };
+    int64_t revision = 10;
+    bool isAway = false;
+};
+
+class Listener : public DirectoryListener {
+public:
+    void onDirectory(std::shared_ptr<const Directory>, std::shared_ptr<const Directory> present) override
+    {
+        servers = present->servers.size();
+    }
+    void publish(const std::string& update) override
+    {
+        freshUpdates += wire::decode<wire::DirectoryUpdate>(update).isFresh ? 1 : 0;
+    }
+
+    size_t servers = 0;
+    int freshUpdates = 0;
+};
+
+struct Fixture {
+    explicit Fixture(std::optional<std::string> coordinator)
+        : keeper(protocol, store, listener, std::move(coordinator))
+    {
+        spawn(context.get_executor(), [this] { return keeper.readServers(); });
+        spawn(context.get_executor(), [this] { return keeper.followOperator(); });
+    }
+
+    asio::io_context context;
+    PlainDirectory protocol;
+    ListedStore store;
+    Listener listener;
+    DirectoryKeeper keeper;
+};
+
+} // namespace
+
+TEST_CASE("a coordinator that reads the store says so to its peers", "[directory]")
+{
+    Fixture fixture("c1");
+    fixture.context.run_for(1200ms);
+    CHECK(fixture.listener.servers == 2);
+    CHECK(fixture.listener.freshUpdates > 0);
+    CHECK(fixture.keeper.isFresh());
+}
+
+TEST_CASE("an entry that reads for itself is not taken for a reader by others", "[directory]")
+{
+    Fixture fixture(std::nullopt);
+    fixture.context.run_for(5000ms);
+    CHECK(fixture.listener.servers == 2);
+    CHECK(fixture.listener.freshUpdates == 0);
+}
+
+TEST_CASE("registrations that are missing right after an outage are kept for a moment", "[directory]")
+{
+    Fixture fixture("c1");
+    fixture.context.run_for(300ms);
+    REQUIRE(fixture.listener.servers == 2);
+    fixture.store.isAway = true;
+    fixture.context.run_for(1000ms);
+    fixture.store.isAway = false;
+    fixture.store.keys = { "servers/a" };
+    fixture.context.run_for(1500ms);
+    CHECK(fixture.listener.servers == 2);
+    fixture.context.run_for(2500ms);
+    CHECK(fixture.listener.servers == 1);
+}
