One pause for calls that the store did not take; a declaration without a definition goes

Cause: read-through of the whole change. BatchOwner and ResultLister each had a pause of 150 ms for the same thing, and HostedAgent declared a function that nobody wrote. Ruled out: joining it with the pauses of scoring, loads and the directory, which answer other services and differ in length. Change: JobStore::retryPause for both; the declaration is removed. No value, bound, check or assertion changes.

--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -190,7 +190,7 @@
 asio::awaitable<void> BatchOwner::waitUntilSettled(const std::string& job)
 {
     while (settling_.contains(job))
-        co_await settled_.wait(now() + storeRetryPause);
+        co_await settled_.wait(now() + JobStore::retryPause);
 }
 
 asio::awaitable<std::optional<int64_t>> BatchOwner::accept(
@@ -207,12 +207,12 @@
         } catch (const StoreUnavailableError& error) {
             reason = error.what();
         }
-        if (now() + storeRetryPause >= deadline) {
+        if (now() + JobStore::retryPause >= deadline) {
             if (isInDoubt)
                 throw OutcomeUnknownError(reason);
             throw StoreUnavailableError(reason);
         }
-        co_await sleepFor(storeRetryPause);
+        co_await sleepFor(JobStore::retryPause);
     }
 }
 
@@ -328,12 +328,12 @@
                 { { "job", owned->id() }, { "listed", std::to_string(owned->job.listed().size()) },
                     { "items", std::to_string(owned->job.items().size()) } });
         } catch (const Error& error) {
-            if (now() + storeRetryPause >= deadline)
+            if (now() + JobStore::retryPause >= deadline)
                 co_return false;
             log(Event::ListingDelayed, { { "job", owned->id() }, { "what", "end" }, { "reason", error.what() } });
         }
         if (!owned->isEndStored)
-            co_await sleepFor(storeRetryPause);
+            co_await sleepFor(JobStore::retryPause);
     }
     co_return owned->isEndStored;
 }
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -39,9 +39,6 @@
     /// Hint to callers that were refused while the store was away.
     static constexpr Duration retryAfter = std::chrono::milliseconds(1500);
 
-    /// Pause between two tries of a call to the store.
-    static constexpr Duration storeRetryPause = std::chrono::milliseconds(150);
-
     /// Ended jobs of others that are kept in memory for reading.
     static constexpr size_t maxArchived = 64;
 
--- a/src/io/hosted/HostedAgent.h
+++ b/src/io/hosted/HostedAgent.h
@@ -26,7 +26,6 @@
     void onPeerUp(const PeerConnectionPtr&) override;
     std::vector<Gauge> gauges() const override;
 
-    const Address& replica() const;
     /// The replica's registration if it takes new work; null if not.
     const ServerRecord* readyServer() const;
     std::string encodedReport() const;
--- a/src/io/hosted/JobStore.h
+++ b/src/io/hosted/JobStore.h
@@ -46,6 +46,9 @@
 public:
     static constexpr Duration callTimeout = std::chrono::milliseconds(1600);
 
+    /// Pause before a call that the store did not take is made again.
+    static constexpr Duration retryPause = std::chrono::milliseconds(150);
+
     /// Bytes of a body, or of results, in one value of the store.
     static constexpr size_t maxValueBytes = 700U << 10;
 
--- a/src/io/hosted/ResultLister.cpp
+++ b/src/io/hosted/ResultLister.cpp
@@ -78,7 +78,7 @@
             reason = error.what();
         }
         log(Event::ListingDelayed, { { "job", owned->id() }, { "reason", reason } });
-        co_await sleepFor(retryPause);
+        co_await sleepFor(JobStore::retryPause);
     }
     owned->isListing = false;
     wake();
--- a/src/io/hosted/ResultLister.h
+++ b/src/io/hosted/ResultLister.h
@@ -14,9 +14,6 @@
     /// Pause in which results of several items come together before they are listed.
     static constexpr Duration listingDelay = std::chrono::milliseconds(120);
 
-    /// Pause before a listing that the store did not take is tried again.
-    static constexpr Duration retryPause = std::chrono::milliseconds(150);
-
     /// Called when the record shows that another coordinator owns the job.
     using OnLost = std::function<void(const OwnedJobPtr&)>;
 
