A process that hears of no reader of the directory reads on until it hears of one

Cause: an entry or agent that read the store for itself noted its own news under the name "self" among those of other readers, so it counted as covered for 1.3 s, stopped, and began again: one read in 1.3 s, two log lines each turn. Ruled out: a longer coverage (other processes would then wait as long for a reader that is gone). Change: ReaderElection keeps its own reads apart from those of others; they make the view fresh, but relieve it of nothing. Before: the new case of DirectoryTest fails at its second step.

--- a/include/endiveroad/ReaderElection.h
+++ b/include/endiveroad/ReaderElection.h
@@ -21,9 +21,12 @@
     /// The name is that of a coordinator; nothing for other processes.
     ReaderElection(std::optional<std::string> coordinator, Instant start);
 
-    /// A reader told of a state of the store that it has just read.
+    /// Another process told of a state of the store that it has just read.
     void onFresh(const std::string& reader, Instant now);
 
+    /// This process has read the store; that does not relieve it of reading on.
+    void onOwnRead(Instant now);
+
     bool shouldRead(Instant now) const;
 
     /// True if some reader, this process included, was heard of lately.
@@ -32,7 +35,9 @@
 private:
     std::optional<std::string> coordinator_;
     Instant waitUntil_;
-    /// When the news of each reader is no longer fresh.
+    /// When what this process read itself is no longer fresh.
+    Instant ownFreshUntil_ = Instant::min();
+    /// When the news of each other reader is no longer fresh.
     std::map<std::string, Instant> freshUntil_;
 };
 
--- a/src/io/hosted/DirectoryKeeper.cpp
+++ b/src/io/hosted/DirectoryKeeper.cpp
@@ -45,7 +45,6 @@
     , listener_(listener)
     , isCoordinator_(coordinator.has_value())
     , election_(coordinator, now())
-    , ownName_(coordinator.value_or("self"))
     , current_(std::make_shared<const Directory>())
 {
 }
@@ -200,7 +199,7 @@
             update.documents.push_back(toWire(document));
     }
     if (isFresh)
-        election_.onFresh(ownName_, now());
+        election_.onOwnRead(now());
     // Only coordinators read for others.
     update.isFresh = isCoordinator_ && isFresh && operatorFreshUntil_ > now();
     const bool isChanged = !update.documents.empty();
--- a/src/io/hosted/DirectoryKeeper.h
+++ b/src/io/hosted/DirectoryKeeper.h
@@ -89,7 +89,6 @@
     DirectoryListener& listener_;
     bool isCoordinator_;
     ReaderElection election_;
-    std::string ownName_;
     DocumentSet documents_;
     std::shared_ptr<const Directory> current_;
     std::vector<std::string> unreadable_;
--- a/tests/core/DirectoryTest.cpp
+++ b/tests/core/DirectoryTest.cpp
@@ -102,7 +102,22 @@
     first.onFresh("c2", start + 100ms);
     CHECK(first.shouldRead(start + 200ms));
     CHECK_FALSE(second.shouldRead(start + 200ms));
+    agent.onOwnRead(start + 200ms);
     const Instant later = start + 100ms + ReaderElection::coverage;
     CHECK(second.shouldRead(later));
     CHECK(agent.shouldRead(start + 10s));
 }
+
+TEST_CASE("a process that hears of no reader reads on until it hears of one", "[directory]")
+{
+    ReaderElection entry(std::nullopt, start);
+    const Instant begin = start + ReaderElection::startDelay;
+    for (Instant now = begin; now < begin + 5s; now += 100ms) {
+        REQUIRE(entry.shouldRead(now));
+        entry.onOwnRead(now);
+        REQUIRE(entry.isCovered(now));
+    }
+    entry.onFresh("c1", begin + 5s);
+    CHECK_FALSE(entry.shouldRead(begin + 5s));
+    CHECK(entry.isCovered(begin + 5s));
+}
