Histories of job ownership in virtual time; an end is answered only when it lasts

JobHistory runs three real BatchOwners, each in an I/O context of its own, on an unreliable store in virtual time. Ruled out: late execution of the end (the condition on the revision holds it off); a fault of the checks: two of them were wrong and were replaced. "Accepted and unknown" now counts from before the question was asked; "one coordinator holds it open" is now "exactly one owns it by the revision of its record", since a stale owner with nothing left to list may still answer reads, and the append-only check shows that it changes nothing.

--- a/src/io/Clock.cpp
+++ b/src/io/Clock.cpp
@@ -4,15 +4,48 @@
 
 namespace endiveroad::io {
 
+namespace {
+
+class MachineTime : public TimeSource {
+public:
+    Instant now() const override
+    {
+        return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    }
+
+    int64_t wallMs() const override
+    {
+        using namespace std::chrono;
+        return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+    }
+
+    void begin(boost::asio::steady_timer& timer, Instant instant) override { timer.expires_at(steady(instant)); }
+    void end(boost::asio::steady_timer&) override { }
+};
+
+MachineTime machineTime;
+TimeSource* present = &machineTime;
+
+} // namespace
+
+TimeSource& timeSource()
+{
+    return *present;
+}
+
+void useTimeSource(TimeSource* source)
+{
+    present = source ? source : &machineTime;
+}
+
 Instant now()
 {
-    return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    return present->now();
 }
 
 int64_t wallMs()
 {
-    using namespace std::chrono;
-    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+    return present->wallMs();
 }
 
 std::chrono::steady_clock::time_point steady(Instant instant)
--- a/src/io/Signal.h
+++ b/src/io/Signal.h
@@ -4,7 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <endiveroad/Time.h>
-#include <set>
+#include <map>
 
 namespace endiveroad::io {
 
@@ -24,8 +24,12 @@
     asio::awaitable<void> wait(Instant deadline);
 
 private:
+    class Waiter;
+
     asio::io_context& context_;
-    std::set<asio::steady_timer*> waiting_;
+    /// In the order in which they came.
+    std::map<uint64_t, asio::steady_timer*> waiting_;
+    uint64_t lastWaiter_ = 0;
 };
 
 } // namespace endiveroad::io
--- a/src/io/Tasks.cpp
+++ b/src/io/Tasks.cpp
@@ -25,9 +25,29 @@
         asio::detached);
 }
 
+namespace {
+
+/// Tells the source of time of a wait, whose coroutine may be destroyed in the middle.
+class Wait {
+public:
+    Wait(asio::steady_timer& timer, Instant instant)
+        : timer_(timer)
+    {
+        timeSource().begin(timer_, instant);
+    }
+    Wait(const Wait&) = delete;
+    Wait& operator=(const Wait&) = delete;
+    ~Wait() { timeSource().end(timer_); }
+
+private:
+    asio::steady_timer& timer_;
+};
+
+} // namespace
+
 asio::awaitable<void> waitUntil(asio::steady_timer& timer, Instant instant)
 {
-    timer.expires_at(steady(instant));
+    const Wait wait(timer, instant);
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -248,7 +248,7 @@
             { "oldestVersion", std::to_string(owned->job.spec().oldestVersion) },
             { "revision", std::to_string(*revision) } });
     others_.announceOwner(*owned);
-    dispatcher_->onJob(owned);
+    worker_->onJob(owned);
     co_return answerOf(statusAccepted);
 }
 
@@ -285,27 +285,38 @@
 
 asio::awaitable<wire::BatchAnswer> BatchOwner::endJob(const wire::BatchCall& call, Instant deadline)
 {
-    const Location location = co_await locate(call.job, call.unreachable);
-    if (!location.isKnown())
-        throw BatchJobUnknownError("there is no such job");
-    if (!location.owner.empty())
-        co_return redirectTo(location.owner);
-    if (location.archived || location.owned->isEndStored)
-        co_return answerOf(statusOk);
-    const OwnedJobPtr owned = location.owned;
-    if (!owned->job.isEnded()) {
-        dispatcher_->keepTexts(*owned);
-        owned->job.end();
-        dispatcher_->cancelRuns(*owned);
-        owned->changed.notifyAll();
+    const Instant patience = std::min(deadline, now() + storePatience);
+    while (true) {
+        const Location location = co_await locate(call.job, call.unreachable);
+        if (!location.isKnown())
+            throw BatchJobUnknownError("there is no such job");
+        if (!location.owner.empty())
+            co_return redirectTo(location.owner);
+        if (location.archived || location.owned->isEndStored)
+            co_return answerOf(statusOk);
+        const OwnedJobPtr owned = location.owned;
+        stopWork(*owned);
+        if (co_await storeEnd(owned, patience))
+            co_return answerOf(statusOk);
+        if (owned->isLost && now() < patience)
+            // The job has another owner, or somebody else has ended it: the record says which.
+            continue;
+        if (!owned->isLost)
+            // The runs have been stopped; the record follows when the store takes it.
+            spawn(
+                context_.get_executor(), [this, owned]() -> asio::awaitable<void> { co_await storeEnd(owned, never); });
+        throw OutcomeUnknownError("the store did not take the end of the job yet");
     }
-    if (co_await storeEnd(owned, std::min(deadline, now() + storePatience)))
-        co_return answerOf(statusOk);
-    if (owned->isLost)
-        co_return redirectTo({});
-    // The runs have been stopped; the record follows when the store takes it.
-    spawn(context_.get_executor(), [this, owned]() -> asio::awaitable<void> { co_await storeEnd(owned, never); });
-    throw OutcomeUnknownError("the store did not take the end of the job yet");
+}
+
+void BatchOwner::stopWork(OwnedJob& owned)
+{
+    if (owned.job.isEnded())
+        return;
+    worker_->keepTexts(owned);
+    owned.job.end();
+    worker_->cancelRuns(owned);
+    owned.changed.notifyAll();
 }
 
 asio::awaitable<bool> BatchOwner::storeEnd(OwnedJobPtr owned, Instant deadline)
@@ -414,12 +425,12 @@
     BatchJobSpec spec = protocol_.decodeJob(stored.id, record.host, record.route, body);
     const size_t listed = results.size();
     const OwnedJobPtr owned = insert(std::move(spec), record, *revision, std::move(results));
-    owned->placeFrom = now() + ItemDispatcher::adoptionTime;
+    owned->placeFrom = now() + adoptionTime;
     log(Event::BatchJobClaimed,
         { { "job", stored.id }, { "from", stored.record.owner }, { "revision", std::to_string(*revision) },
             { "listed", std::to_string(listed) }, { "items", std::to_string(record.items) } });
     others_.announceOwner(*owned);
-    dispatcher_->onJob(owned);
+    worker_->onJob(owned);
     co_return owned;
 }
 
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "io/hosted/ItemDispatcher.h"
 #include "io/hosted/JobStore.h"
 #include "io/hosted/OwnedJob.h"
 #include "io/hosted/Protocol.h"
@@ -42,12 +41,15 @@
     /// Ended jobs of others that are kept in memory for reading.
     static constexpr size_t maxArchived = 64;
 
+    /// Time for which agents may hand over runs that an earlier owner of a job started.
+    static constexpr Duration adoptionTime = std::chrono::milliseconds(350);
+
     using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
 
     BatchOwner(asio::io_context&, std::string name, const BatchProtocol&, MetadataStore&, CoordinatorView&,
         DirectorySource, Duration resultLifetime);
 
-    void setDispatcher(ItemDispatcher& dispatcher) { dispatcher_ = &dispatcher; }
+    void setWorker(JobWorker& worker) { worker_ = &worker; }
 
     const JobTable& jobs() const { return jobs_; }
 
@@ -107,6 +109,9 @@
     asio::awaitable<OwnedJobPtr> claimOnce(StoredJob);
     asio::awaitable<const Archived*> archive(StoredJob);
     asio::awaitable<void> verify(OwnedJobPtr);
+    /// Marks a job as ended and stops its runs.
+    void stopWork(OwnedJob&);
+    /// Writes the end into the store. Returns false if the job was lost or the deadline has passed.
     asio::awaitable<bool> storeEnd(OwnedJobPtr, Instant deadline);
     OwnedJobPtr insert(BatchJobSpec, JobRecord, int64_t revision, std::vector<BatchResult> listed);
     void lose(const OwnedJobPtr&, const std::string& reason);
@@ -120,7 +125,7 @@
     CoordinatorView& others_;
     DirectorySource directory_;
     Duration resultLifetime_;
-    ItemDispatcher* dispatcher_ = nullptr;
+    JobWorker* worker_ = nullptr;
     JobTable jobs_;
     ResultLister lister_;
     std::map<std::string, Archived> archived_;
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -38,7 +38,7 @@
           [this](const OwnedJobPtr& owned) { owner_.doubt(owned); })
     , scanAt_(startedAt() + startGrace)
 {
-    owner_.setDispatcher(dispatcher_);
+    owner_.setWorker(dispatcher_);
 }
 
 void HostedCoordinator::start()
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -30,7 +30,7 @@
     virtual bool mayAct() const = 0;
 };
 
-class ItemDispatcher {
+class ItemDispatcher : public JobWorker {
 public:
     static constexpr Duration startTimeout = std::chrono::milliseconds(800);
 
@@ -44,9 +44,6 @@
     static constexpr Duration finalStretch = std::chrono::milliseconds(4700);
     static constexpr int32_t maxSpeedups = 2;
 
-    /// Time for which agents may hand over runs that an earlier owner of a job started.
-    static constexpr Duration adoptionTime = std::chrono::milliseconds(350);
-
     using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
 
     /// Called when an agent says that a job has another owner or has ended.
@@ -66,14 +63,9 @@
     void onAgentDown(const std::string& agent);
     void onVersionNamed(const std::string& model);
 
-    /// A job was accepted or taken over.
-    void onJob(const OwnedJobPtr&);
-
-    /// Ends all runs of a job.
-    void cancelRuns(const OwnedJob&);
-
-    /// Text of unfinished items stays for a later job that names them again.
-    void keepTexts(const OwnedJob& owned) { carried_.keep(owned.job, now()); }
+    void onJob(const OwnedJobPtr&) override;
+    void cancelRuns(const OwnedJob&) override;
+    void keepTexts(const OwnedJob& owned) override { carried_.keep(owned.job, now()); }
 
     /// Does what an item's new state asks for.
     void act(const OwnedJobPtr&, size_t item, ItemAction);
--- a/src/io/hosted/OwnedJob.h
+++ b/src/io/hosted/OwnedJob.h
@@ -45,6 +45,21 @@
 
 using OwnedJobPtr = std::shared_ptr<OwnedJob>;
 
+/// Does the work of the jobs that a coordinator owns.
+class JobWorker {
+public:
+    virtual ~JobWorker() = default;
+
+    /// A job was accepted or taken over.
+    virtual void onJob(const OwnedJobPtr&) = 0;
+
+    /// Text of unfinished items stays for a later job that names them again.
+    virtual void keepTexts(const OwnedJob&) = 0;
+
+    /// Ends all runs of a job.
+    virtual void cancelRuns(const OwnedJob&) = 0;
+};
+
 /// All jobs that a coordinator owns, by id.
 using JobTable = std::map<std::string, OwnedJobPtr>;
 
--- /dev/null
+++ b/tests/io/JobHistory.cpp
@@ -0,0 +1,529 @@
+#include "JobHistory.h"
+
+#include "io/Tasks.h"
+
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+using namespace endiveroad;
+using namespace endiveroad::io;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusAccepted = 202;
+constexpr int statusUnknown = 404;
+
+std::string nameOf(size_t process)
+{
+    return fmt::format("c{}", process);
+}
+
+/// A job's body is the number of its items; a page has one line for each result.
+class PlainJobs : public BatchProtocol {
+public:
+    BatchJobSpec decodeJob(const std::string& id, const std::string& host, const std::string& route,
+        const std::string& body) const override
+    {
+        BatchJobSpec spec;
+        spec.id = id;
+        spec.host = host;
+        spec.route = route;
+        spec.model = "model";
+        const int items = std::stoi(body);
+        for (int i = 0; i < items; ++i) {
+            BatchItem item;
+            item.id = fmt::format("{}-{}", id, i);
+            item.path = "/job/" + item.id;
+            spec.items.push_back(std::move(item));
+        }
+        return spec;
+    }
+
+    std::string encodeResults(const std::vector<BatchResult>& listed, size_t first, size_t) const override
+    {
+        std::string page;
+        for (size_t i = first; i < listed.size(); ++i)
+            page += listed[i].item + "=" + listed[i].text + "\n";
+        return page;
+    }
+};
+
+const PlainJobs plainJobs;
+
+std::shared_ptr<const Directory> plainDirectory()
+{
+    Directory directory;
+    directory.routing.emplace();
+    RouteDeclaration route;
+    route.name = "job";
+    route.host = "h";
+    route.pathPrefix = "/job/";
+    route.kind = TrafficKind::BatchJobs;
+    directory.routing->routes.push_back(route);
+    return std::make_shared<const Directory>(std::move(directory));
+}
+
+std::vector<std::string> linesOf(const std::string& text)
+{
+    std::vector<std::string> lines;
+    std::istringstream stream(text);
+    for (std::string line; std::getline(stream, line);)
+        lines.push_back(line);
+    return lines;
+}
+
+} // namespace
+
+/// What one coordinator sees of the others, right or wrong.
+class JobHistory::View : public CoordinatorView {
+public:
+    View(JobHistory& history, std::string name)
+        : history_(history)
+        , name_(std::move(name))
+    {
+    }
+
+    bool isAlive(const std::string& other) const override { return history_.doesSee(name_, other); }
+
+    std::vector<std::string> alive() const override
+    {
+        std::vector<std::string> names;
+        for (size_t i = 0; i < coordinators; ++i) {
+            if (isAlive(nameOf(i)))
+                names.push_back(nameOf(i));
+        }
+        return names;
+    }
+
+    void announceOwner(const OwnedJob& owned) override { history_.announce(owned); }
+
+private:
+    JobHistory& history_;
+    std::string name_;
+};
+
+class JobHistory::Worker : public JobWorker {
+public:
+    void onJob(const OwnedJobPtr&) override { }
+    void keepTexts(const OwnedJob&) override { }
+    void cancelRuns(const OwnedJob&) override { }
+};
+
+struct JobHistory::Process {
+    Process(JobHistory& history, std::string name)
+        : view(history, name)
+        , store(history.contents_, history.random_, history.faultPercent_,
+              [&history](Instant at, std::function<void()> action) { history.later(at, std::move(action)); })
+        , context(std::make_unique<asio::io_context>())
+        , owner(*context, name, plainJobs, store, view, plainDirectory, 600s)
+    {
+        owner.setWorker(worker);
+        spawn(context->get_executor(), [this] { return owner.runListing(); });
+    }
+    Process(const Process&) = delete;
+    Process& operator=(const Process&) = delete;
+    /// Coroutines go first, while what they refer to is still there.
+    ~Process() { context.reset(); }
+
+    View view;
+    Worker worker;
+    UnreliableStore store;
+    std::unique_ptr<asio::io_context> context;
+    BatchOwner owner;
+    bool isPaused = false;
+};
+
+struct JobHistory::Job {
+    size_t items = 0;
+    bool isAccepted = false;
+    bool isEndAsked = false;
+    bool isEndAnswered = false;
+    /// Lines of all results that were ever durable, by position.
+    std::vector<std::string> results;
+};
+
+JobHistory::JobHistory(uint64_t seed)
+    : random_(seed)
+{
+    for (size_t i = 0; i < coordinators; ++i) {
+        processes_.emplace_back();
+        startProcess(i);
+    }
+}
+
+JobHistory::~JobHistory() = default;
+
+int JobHistory::listedItems() const
+{
+    size_t listed = 0;
+    for (const auto& [id, job] : jobs_)
+        listed += job.results.size();
+    return static_cast<int>(listed);
+}
+
+void JobHistory::violate(const std::string& what)
+{
+    if (violation_.empty())
+        violation_ = fmt::format("{} ms: {}", time_.wallMs(), what);
+}
+
+void JobHistory::later(Instant at, std::function<void()> action)
+{
+    late_.push({ at, ++lateNumber_, std::move(action) });
+}
+
+void JobHistory::startProcess(size_t index)
+{
+    processes_[index] = std::make_unique<Process>(*this, nameOf(index));
+    takeOver(index, true);
+}
+
+void JobHistory::kill(size_t index)
+{
+    processes_[index].reset();
+    later(time_.now() + std::chrono::milliseconds(draw(3000)), [this, index] {
+        if (!processes_[index])
+            startProcess(index);
+    });
+}
+
+void JobHistory::pause(size_t index)
+{
+    processes_[index]->isPaused = true;
+    later(time_.now() + std::chrono::milliseconds(draw(6000)), [this, index] { resume(index); });
+}
+
+void JobHistory::resume(size_t index)
+{
+    if (processes_[index])
+        processes_[index]->isPaused = false;
+}
+
+bool JobHistory::doesSee(const std::string& viewer, const std::string& seen) const
+{
+    if (viewer == seen)
+        return true;
+    for (size_t i = 0; i < coordinators; ++i) {
+        if (nameOf(i) == seen)
+            return processes_[i] && !cuts_.contains({ viewer, seen });
+    }
+    return false;
+}
+
+void JobHistory::pollAll()
+{
+    bool hasRun = true;
+    while (hasRun) {
+        hasRun = false;
+        for (size_t i = 0; i < coordinators; ++i) {
+            if (!processes_[i] || processes_[i]->isPaused)
+                continue;
+            processes_[i]->context->restart();
+            hasRun = processes_[i]->context->poll() > 0 || hasRun;
+        }
+    }
+    checkStore();
+}
+
+void JobHistory::advance(Duration duration)
+{
+    const Instant end = time_.now() + duration;
+    pollAll();
+    while (true) {
+        const Instant next = std::min(time_.next(), late_.empty() ? never : late_.top().at);
+        if (next > end)
+            break;
+        time_.advanceTo(next);
+        while (!late_.empty() && late_.top().at <= time_.now()) {
+            const LateAction due = late_.top();
+            late_.pop();
+            due.action();
+        }
+        pollAll();
+    }
+    time_.advanceTo(end);
+}
+
+void JobHistory::announce(const OwnedJob& owned)
+{
+    wire::JobOwnerNotice notice;
+    notice.job = owned.id();
+    notice.revision = owned.job.revision();
+    notice.owner = owned.record.owner;
+    for (size_t i = 0; i < coordinators; ++i) {
+        if (!doesSee(notice.owner, nameOf(i)) || nameOf(i) == notice.owner)
+            continue;
+        later(time_.now() + std::chrono::milliseconds(1 + draw(200)), [this, i, notice] {
+            if (!processes_[i])
+                return;
+            Process& process = *processes_[i];
+            asio::post(*process.context, [&process, notice] { process.owner.onOwner(notice); });
+        });
+    }
+}
+
+void JobHistory::takeOver(size_t index, bool isOwnOnly)
+{
+    Process& process = *processes_[index];
+    spawn(process.context->get_executor(), [this, &process, isOwnOnly]() -> asio::awaitable<void> {
+        const size_t before = process.owner.jobs().size();
+        try {
+            co_await process.owner.adoptOrphans(isOwnOnly);
+        } catch (const Error&) {
+            // The store was away; the next round tries again.
+        }
+        takeOvers_ += process.owner.jobs().size() > before ? 1 : 0;
+    });
+}
+
+void JobHistory::ask(size_t index, const wire::BatchCall& call, int hops)
+{
+    if (!processes_[index])
+        return;
+    Process& process = *processes_[index];
+    const Instant deadline = time_.now() + 4s;
+    const bool wasAccepted = jobs_[call.job].isAccepted;
+    spawn(process.context->get_executor(),
+        [this, &process, call, hops, deadline, wasAccepted]() -> asio::awaitable<void> {
+            const wire::BatchAnswer answer = co_await process.owner.perform(call, deadline);
+            // The answer reaches the caller although the process may be gone by then.
+            later(now(), [this, call, answer, hops, wasAccepted] { onAnswer(call, answer, hops, wasAccepted); });
+        });
+}
+
+void JobHistory::onAnswer(const wire::BatchCall& call, const wire::BatchAnswer& answer, int hops, bool wasAccepted)
+{
+    checkStore();
+    Job& job = jobs_[call.job];
+    if (!answer.owner.empty() && hops > 0) {
+        for (size_t i = 0; i < coordinators; ++i) {
+            if (nameOf(i) != answer.owner)
+                continue;
+            wire::BatchCall next = call;
+            if (!processes_[i])
+                next.unreachable.push_back(answer.owner);
+            ask(processes_[i] ? i : draw(coordinators), next, hops - 1);
+        }
+        return;
+    }
+    if (!answer.owner.empty())
+        return;
+    if (answer.status == statusUnknown && wasAccepted)
+        violate(call.job + " was accepted and is unknown");
+    if (answer.status == statusAccepted && call.operation == wire::BatchOperation::Submit) {
+        acceptedJobs_ += job.isAccepted ? 0 : 1;
+        job.isAccepted = true;
+    }
+    if (answer.status != statusOk)
+        return;
+    if (call.operation == wire::BatchOperation::Read)
+        checkPage(call.job, static_cast<size_t>(call.firstPosition), answer.body);
+    if (call.operation == wire::BatchOperation::Cancel) {
+        ends_ += job.isEndAnswered ? 0 : 1;
+        job.isEndAnswered = true;
+    }
+}
+
+void JobHistory::submit()
+{
+    wire::BatchCall call;
+    call.operation = wire::BatchOperation::Submit;
+    call.job = fmt::format("j{}", draw(maxJobs));
+    call.host = "h";
+    call.route = "job";
+    Job& job = jobs_[call.job];
+    if (job.items == 0)
+        job.items = 2 + draw(4);
+    call.body = std::to_string(job.items);
+    ask(draw(coordinators), call, 3);
+}
+
+void JobHistory::read()
+{
+    if (jobs_.empty())
+        return;
+    const auto chosen = std::next(jobs_.begin(), draw(static_cast<unsigned>(jobs_.size())));
+    wire::BatchCall call;
+    call.operation = wire::BatchOperation::Read;
+    call.job = chosen->first;
+    call.firstPosition = draw(static_cast<unsigned>(chosen->second.results.size()) + 1);
+    call.waitMs = static_cast<int32_t>(draw(600));
+    ask(draw(coordinators), call, 3);
+}
+
+void JobHistory::end()
+{
+    if (jobs_.empty())
+        return;
+    const auto chosen = std::next(jobs_.begin(), draw(static_cast<unsigned>(jobs_.size())));
+    wire::BatchCall call;
+    call.operation = wire::BatchOperation::Cancel;
+    call.job = chosen->first;
+    chosen->second.isEndAsked = true;
+    ask(draw(coordinators), call, 3);
+}
+
+/// Each owner gives an item a text of its own: a position that changed hands would show it.
+void JobHistory::finishItem()
+{
+    const size_t index = draw(coordinators);
+    if (!processes_[index] || processes_[index]->isPaused)
+        return;
+    Process& process = *processes_[index];
+    for (const auto& [id, owned] : process.owner.jobs()) {
+        const std::vector<size_t> waiting = owned->job.waiting(time_.now());
+        if (owned->job.isEnded() || waiting.empty() || draw(2) == 0)
+            continue;
+        const size_t item = waiting[draw(static_cast<unsigned>(waiting.size()))];
+        RunProgress progress;
+        progress.run = owned->job.start(item, "agent", 1, time_.now());
+        progress.events.push_back({ 0, fmt::format("{}.{}", nameOf(index), ++texts_), 1 });
+        progress.state = RunState::Completed;
+        progress.status = statusOk;
+        owned->job.onProgress(item, progress, time_.now());
+    }
+    process.owner.wake();
+}
+
+void JobHistory::cutOrJoin()
+{
+    const std::pair pair(nameOf(draw(coordinators)), nameOf(draw(coordinators)));
+    if (!cuts_.erase(pair))
+        cuts_.insert(pair);
+}
+
+void JobHistory::act()
+{
+    const size_t index = draw(coordinators);
+    switch (draw(16)) {
+    case 0:
+    case 1:
+        return submit();
+    case 2:
+    case 3:
+    case 4:
+        return read();
+    case 5:
+        return draw(3) == 0 ? end() : read();
+    case 6:
+        return draw(2) == 0 ? cutOrJoin() : cuts_.clear();
+    case 7:
+        if (processes_[index] && draw(2) == 0)
+            kill(index);
+        return;
+    case 8:
+        if (processes_[index] && !processes_[index]->isPaused)
+            pause(index);
+        return;
+    case 9:
+    case 10:
+        if (processes_[index])
+            takeOver(index, false);
+        return;
+    default:
+        return finishItem();
+    }
+}
+
+std::vector<std::string> JobHistory::durableResults(const std::string& job) const
+{
+    std::vector<std::string> lines;
+    for (const Document& document : contents_.list("endiveroad/results/" + job + "/").documents) {
+        for (const nlohmann::json& row : nlohmann::json::parse(document.value))
+            lines.push_back(row.at("item").get<std::string>() + "=" + row.at("text").get<std::string>());
+    }
+    return lines;
+}
+
+/// What was durable stays as it is; results come only behind it, each item once, and none behind an answered end.
+void JobHistory::checkStore()
+{
+    for (auto& [id, job] : jobs_) {
+        const std::vector<std::string> present = durableResults(id);
+        if (present.size() < job.results.size() || !std::equal(job.results.begin(), job.results.end(), present.begin()))
+            violate(id + ": a position changed");
+        if (job.isEndAnswered && present.size() > job.results.size())
+            violate(id + ": listed after the end was answered");
+        std::set<std::string> items;
+        for (const std::string& line : present) {
+            if (!items.insert(line.substr(0, line.find('='))).second)
+                violate(id + ": an item is listed twice");
+        }
+        job.results = present;
+        if (job.isAccepted && !contents_.read("endiveroad/jobs/" + id))
+            violate(id + ": accepted, but not durable");
+    }
+}
+
+void JobHistory::checkPage(const std::string& id, size_t first, const std::string& page)
+{
+    const Job& job = jobs_[id];
+    const std::vector<std::string> lines = linesOf(page);
+    for (size_t i = 0; i < lines.size(); ++i) {
+        if (first + i >= job.results.size())
+            violate(id + ": told before it was durable");
+        else if (job.results[first + i] != lines[i])
+            violate(id + ": told otherwise than it stands");
+    }
+}
+
+/// All troubles end; processes do what theirs do at rest.
+void JobHistory::settle()
+{
+    faultPercent_ = 0;
+    cuts_.clear();
+    // What is still under way to the store arrives before the end is judged.
+    for (int round = 0; round < 24; ++round) {
+        for (size_t i = 0; i < coordinators; ++i) {
+            resume(i);
+            if (processes_[i])
+                takeOver(i, false);
+        }
+        for (int turn = 0; turn < 4; ++turn) {
+            finishItem();
+            advance(150ms);
+        }
+    }
+}
+
+void JobHistory::checkEnd()
+{
+    for (const auto& [id, job] : jobs_) {
+        if (!job.isAccepted)
+            continue;
+        const auto record = contents_.read("endiveroad/jobs/" + id);
+        // An owner of the past that has nothing left to list may still answer reads; it can change nothing.
+        size_t owners = 0;
+        for (const ProcessPtr& process : processes_) {
+            const auto owned = process->owner.jobs().find(id);
+            const bool isOwner = record && owned != process->owner.jobs().end() && !owned->second->job.isEnded()
+                && owned->second->job.revision() == record->revision;
+            owners += isOwner ? 1 : 0;
+        }
+        const bool isEnded = record && nlohmann::json::parse(record->value).at("isEnded").get<bool>();
+        if (isEnded && !job.isEndAsked)
+            violate(id + ": ended, though nobody asked for it");
+        if (job.isEndAnswered && !isEnded)
+            violate(id + ": the end was answered and does not last");
+        if (!isEnded && owners != 1)
+            violate(fmt::format("{}: {} coordinators own it by its record", id, owners));
+        if (!isEnded && job.results.size() != job.items)
+            violate(fmt::format("{}: {} of {} items are listed", id, job.results.size(), job.items));
+    }
+}
+
+std::string JobHistory::run()
+{
+    constexpr int actions = 150;
+    for (int i = 0; i < actions && violation_.empty(); ++i) {
+        act();
+        advance(std::chrono::milliseconds(draw(120)));
+    }
+    settle();
+    checkEnd();
+    return violation_;
+}
--- /dev/null
+++ b/tests/io/JobHistory.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "UnreliableStore.h"
+#include "VirtualTime.h"
+#include "io/hosted/BatchOwner.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+/// One history of batch jobs at three coordinators in virtual time. Each coordinator has an I/O context of its own, so
+/// that it can be paused or lose its power between any two steps. Calls to the store are lost, lose their answers or
+/// are carried out late; coordinators do not see each other, take jobs over and wake up as owners of the past.
+class JobHistory {
+public:
+    explicit JobHistory(uint64_t seed);
+    ~JobHistory();
+
+    /// Runs the history to its end; returns what was broken, or an empty text.
+    std::string run();
+
+    int acceptedJobs() const { return acceptedJobs_; }
+    int listedItems() const;
+    int takeOvers() const { return takeOvers_; }
+    int ends() const { return ends_; }
+
+private:
+    static constexpr size_t coordinators = 3;
+    static constexpr size_t maxJobs = 4;
+
+    class View;
+    class Worker;
+    struct Process;
+    struct Job;
+    using ProcessPtr = std::unique_ptr<Process>;
+
+    struct LateAction {
+        endiveroad::Instant at;
+        uint64_t number = 0;
+        std::function<void()> action;
+        bool operator<(const LateAction& other) const
+        {
+            return std::tie(other.at, other.number) < std::tie(at, number);
+        }
+    };
+
+    unsigned draw(unsigned choices) { return static_cast<unsigned>(random_() % choices); }
+    void later(endiveroad::Instant, std::function<void()>);
+    void startProcess(size_t);
+    void kill(size_t);
+    void pause(size_t);
+    void resume(size_t);
+    bool doesSee(const std::string& viewer, const std::string& seen) const;
+    void advance(endiveroad::Duration);
+    void pollAll();
+
+    void act();
+    void submit();
+    void read();
+    void end();
+    void finishItem();
+    void cutOrJoin();
+    void takeOver(size_t, bool isOwnOnly);
+    void ask(size_t, const endiveroad::wire::BatchCall&, int hops);
+    void onAnswer(const endiveroad::wire::BatchCall&, const endiveroad::wire::BatchAnswer&, int hops, bool wasAccepted);
+    void finishItems(size_t);
+    void announce(const endiveroad::io::OwnedJob&);
+
+    std::vector<std::string> durableResults(const std::string& job) const;
+    void checkStore();
+    void checkPage(const std::string& job, size_t first, const std::string& page);
+    void settle();
+    void checkEnd();
+    void violate(const std::string&);
+
+    VirtualTime time_;
+    std::mt19937_64 random_;
+    unsigned faultPercent_ = 12;
+    StoreContents contents_;
+    std::priority_queue<LateAction> late_;
+    uint64_t lateNumber_ = 0;
+    std::vector<ProcessPtr> processes_;
+    /// Pairs of names that do not see each other.
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::map<std::string, Job> jobs_;
+    int acceptedJobs_ = 0;
+    int takeOvers_ = 0;
+    int ends_ = 0;
+    int64_t texts_ = 0;
+    std::string violation_;
+};
--- /dev/null
+++ b/tests/io/UnreliableStore.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "io/Clock.h"
+#include "io/Tasks.h"
+#include "io/hosted/MetadataStore.h"
+
+#include <algorithm>
+#include <endiveroad/Error.h>
+#include <functional>
+#include <map>
+#include <random>
+
+/// What a store holds, for good: keys with revisions, changed by conditional transactions.
+class StoreContents {
+public:
+    endiveroad::io::CommitResult apply(const endiveroad::io::StoreTransaction& transaction)
+    {
+        endiveroad::io::CommitResult result;
+        result.isCommitted = std::all_of(transaction.conditions.begin(), transaction.conditions.end(),
+            [this](const auto& condition) { return revisionOf(condition.key) == condition.revision; });
+        if (!result.isCommitted) {
+            for (const auto& condition : transaction.conditions) {
+                if (const auto found = documents_.find(condition.key); found != documents_.end())
+                    result.present.push_back(found->second);
+            }
+            return result;
+        }
+        result.revision = ++revision_;
+        for (const auto& put : transaction.puts)
+            documents_[put.key] = { put.key, revision_, put.value, false };
+        for (const std::string& key : transaction.removals)
+            documents_.erase(key);
+        return result;
+    }
+
+    endiveroad::io::StoreListing list(const std::string& prefix) const
+    {
+        endiveroad::io::StoreListing listing;
+        listing.asOf = revision_;
+        for (auto next = documents_.lower_bound(prefix); next != documents_.end(); ++next) {
+            if (!next->first.starts_with(prefix))
+                break;
+            listing.documents.push_back(next->second);
+        }
+        return listing;
+    }
+
+    std::optional<endiveroad::Document> read(const std::string& key) const
+    {
+        const auto found = documents_.find(key);
+        return found == documents_.end() ? std::nullopt : std::optional(found->second);
+    }
+
+private:
+    int64_t revisionOf(const std::string& key) const
+    {
+        const auto found = documents_.find(key);
+        return found == documents_.end() ? 0 : found->second.revision;
+    }
+
+    std::map<std::string, endiveroad::Document> documents_;
+    int64_t revision_ = 0;
+};
+
+/// One process's way to the store. Calls take time, are not carried out, lose their answers, or are carried out long
+/// after the caller was told that their outcome is unknown.
+class UnreliableStore : public endiveroad::io::MetadataStore {
+public:
+    /// Has something done at a later instant, whether the process is still there or not.
+    using Later = std::function<void(endiveroad::Instant, std::function<void()>)>;
+
+    /// Faults in percent of the calls; 0 for a store that always answers at once.
+    UnreliableStore(StoreContents& contents, std::mt19937_64& random, const unsigned& faultPercent, Later later)
+        : contents_(contents)
+        , random_(random)
+        , faultPercent_(faultPercent)
+        , later_(std::move(later))
+    {
+    }
+
+    boost::asio::awaitable<std::optional<endiveroad::Document>> read(std::string key, endiveroad::Instant) override
+    {
+        co_await travel();
+        const auto document = contents_.read(key);
+        co_await travel();
+        co_return document;
+    }
+
+    boost::asio::awaitable<endiveroad::io::StoreListing> list(std::string prefix, bool, endiveroad::Instant) override
+    {
+        co_await travel();
+        auto listing = contents_.list(prefix);
+        co_await travel();
+        co_return listing;
+    }
+
+    boost::asio::awaitable<endiveroad::io::StoreChanges> watch(
+        std::string, int64_t, std::chrono::milliseconds, endiveroad::Instant) override
+    {
+        throw endiveroad::StoreUnavailableError("nothing is watched here");
+    }
+
+    boost::asio::awaitable<endiveroad::io::CommitResult> commit(
+        endiveroad::io::StoreTransaction transaction, endiveroad::Instant deadline) override
+    {
+        co_await travel();
+        if (isFaulty()) {
+            if (draw(2) == 0)
+                contents_.apply(transaction);
+            else if (draw(2) == 0)
+                later_(deadline + std::chrono::milliseconds(draw(4000)),
+                    [&contents = contents_, transaction] { contents.apply(transaction); });
+            if (draw(2) == 0)
+                co_await endiveroad::io::sleepFor(deadline - endiveroad::io::now());
+            throw endiveroad::OutcomeUnknownError("no answer");
+        }
+        auto result = contents_.apply(transaction);
+        if (faultPercent_ > 0)
+            co_await endiveroad::io::sleepFor(std::chrono::milliseconds(1 + draw(30)));
+        co_return result;
+    }
+
+    boost::asio::awaitable<int64_t> grantLease(std::chrono::milliseconds, endiveroad::Instant) override { co_return 1; }
+    boost::asio::awaitable<bool> renewLease(int64_t, endiveroad::Instant) override { co_return true; }
+    boost::asio::awaitable<void> endLease(int64_t, endiveroad::Instant) override { co_return; }
+
+private:
+    unsigned draw(unsigned choices) { return static_cast<unsigned>(random_() % choices); }
+    bool isFaulty() { return draw(100) < faultPercent_; }
+
+    /// One way of a call, on which it may be lost before it does anything.
+    boost::asio::awaitable<void> travel()
+    {
+        if (faultPercent_ == 0)
+            co_return;
+        co_await endiveroad::io::sleepFor(std::chrono::milliseconds(1 + draw(30)));
+        if (isFaulty())
+            throw endiveroad::StoreUnavailableError("not carried out");
+    }
+
+    StoreContents& contents_;
+    std::mt19937_64& random_;
+    const unsigned& faultPercent_;
+    Later later_;
+};
--- /dev/null
+++ b/tests/io/VirtualTime.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "io/Clock.h"
+
+#include <map>
+
+/// Time that passes only when a test says so. Waits of all I/O contexts of the process end by it.
+class VirtualTime : public endiveroad::io::TimeSource {
+public:
+    VirtualTime() { endiveroad::io::useTimeSource(this); }
+    VirtualTime(const VirtualTime&) = delete;
+    VirtualTime& operator=(const VirtualTime&) = delete;
+    ~VirtualTime() override { endiveroad::io::useTimeSource(nullptr); }
+
+    endiveroad::Instant now() const override { return now_; }
+
+    int64_t wallMs() const override
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch()).count();
+    }
+
+    void begin(boost::asio::steady_timer& timer, endiveroad::Instant instant) override
+    {
+        using TimePoint = boost::asio::steady_timer::time_point;
+        const bool isOver = instant <= now_;
+        timer.expires_at(isOver ? TimePoint::min() : TimePoint::max());
+        if (!isOver)
+            waits_[++lastWait_] = { &timer, instant };
+    }
+
+    void end(boost::asio::steady_timer& timer) override
+    {
+        std::erase_if(waits_, [&timer](const auto& entry) { return entry.second.timer == &timer; });
+    }
+
+    /// When the next wait ends; `never` if there is none.
+    endiveroad::Instant next() const
+    {
+        endiveroad::Instant first = endiveroad::never;
+        for (const auto& [number, wait] : waits_)
+            first = std::min(first, wait.end);
+        return first;
+    }
+
+    /// Moves on to the instant and ends the waits that are over by then.
+    void advanceTo(endiveroad::Instant instant)
+    {
+        now_ = std::max(now_, instant);
+        for (auto wait = waits_.begin(); wait != waits_.end();) {
+            if (wait->second.end > now_) {
+                ++wait;
+                continue;
+            }
+            wait->second.timer->cancel();
+            wait = waits_.erase(wait);
+        }
+    }
+
+private:
+    struct Wait {
+        boost::asio::steady_timer* timer = nullptr;
+        endiveroad::Instant end;
+    };
+
+    endiveroad::Instant now_ { std::chrono::seconds(1000) };
+    /// In the order in which they began, so that waits that end together end in that order.
+    std::map<uint64_t, Wait> waits_;
+    uint64_t lastWait_ = 0;
+};
