Waiting coroutines may outlive their Signal; tests look at how processes exit

No test saw it, since none looked at exit codes. Ruled out: the log's new buffer (its lines stop before), a fault of the drain (DrainFinished and ProcessStopped are logged). Change: who waits is shared by the signal and its waiters.

--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -39,6 +39,8 @@
         self.path = os.path.join(deployment.dir, name + ".conf")
         self.log_path = os.path.join(deployment.dir, name + ".log")
         self.handle = None
+        # Exit codes of processes that ended by themselves other than well.
+        self.bad_exits = []
 
     def start(self):
         with open(self.path, "w", encoding="utf-8") as file:
@@ -55,6 +57,8 @@
             self.signal(signal.SIGCONT)
             self.signal(signal.SIGKILL)
             self.handle.wait()
+        elif self.handle and self.handle.returncode not in (0, -signal.SIGKILL):
+            self.bad_exits.append(self.handle.returncode)
 
     def restart(self):
         self.kill()
@@ -249,6 +253,20 @@
             time.sleep(0.1)
         raise AssertionError("job %s was not ended" % job)
 
+    def terminate_all(self, patience_s=15):
+        """Asks all processes to stop at once, and waits until they have."""
+        for machine in self.machines():
+            if machine.handle.poll() is None:
+                machine.signal(signal.SIGCONT)
+                machine.signal(signal.SIGTERM)
+        wait_until(lambda: all(machine.handle.poll() is not None for machine in self.machines()), patience_s)
+
+    def bad_exits(self):
+        """Processes that ended by themselves other than well, killed ones aside."""
+        for machine in self.machines():
+            machine.kill()
+        return {machine.name: machine.bad_exits for machine in self.machines() if machine.bad_exits}
+
     def close(self, keep=False):
         for machine in self.machines():
             machine.kill()
--- a/src/io/Signal.cpp
+++ b/src/io/Signal.cpp
@@ -7,28 +7,28 @@
 /// One waiting coroutine, which may be destroyed in the middle of its wait.
 class Signal::Waiter {
 public:
-    explicit Waiter(Signal& signal)
-        : signal_(signal)
+    explicit Waiter(const Signal& signal)
+        : waiting_(signal.waiting_)
         , timer_(signal.context_)
-        , number_(++signal.lastWaiter_)
+        , number_(++waiting_->last)
     {
-        signal_.waiting_[number_] = &timer_;
+        waiting_->timers[number_] = &timer_;
     }
     Waiter(const Waiter&) = delete;
     Waiter& operator=(const Waiter&) = delete;
-    ~Waiter() { signal_.waiting_.erase(number_); }
+    ~Waiter() { waiting_->timers.erase(number_); }
 
     asio::steady_timer& timer() { return timer_; }
 
 private:
-    Signal& signal_;
+    std::shared_ptr<Waiting> waiting_;
     asio::steady_timer timer_;
     uint64_t number_;
 };
 
 void Signal::notifyAll()
 {
-    for (const auto& [number, timer] : waiting_)
+    for (const auto& [number, timer] : waiting_->timers)
         timer->cancel();
 }
 
--- a/src/io/Signal.h
+++ b/src/io/Signal.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <endiveroad/Time.h>
 #include <map>
+#include <memory>
 
 namespace endiveroad::io {
 
@@ -26,10 +27,15 @@
 private:
     class Waiter;
 
+    /// Who waits. Coroutines are destroyed with their context, which may be after the signal.
+    struct Waiting {
+        /// In the order in which they came.
+        std::map<uint64_t, asio::steady_timer*> timers;
+        uint64_t last = 0;
+    };
+
     asio::io_context& context_;
-    /// In the order in which they came.
-    std::map<uint64_t, asio::steady_timer*> waiting_;
-    uint64_t lastWaiter_ = 0;
+    std::shared_ptr<Waiting> waiting_ = std::make_shared<Waiting>();
 };
 
 } // namespace endiveroad::io
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -286,6 +286,11 @@
         explained += done.returncode == 0 and verdict.startswith("cause (%s)" % party)
     print("explained: %d of %d" % (explained, len(expected)))
     assert explained == len(expected)
+    done = subprocess.run([deployment.binary, "explain", "--failed", *logs], stdout=subprocess.PIPE, timeout=20, check=False)
+    lines = done.stdout.decode().splitlines()
+    print(lines[-1])
+    assert done.returncode == 0, lines
+    assert set(expected) <= {line.split()[0] for line in lines}, lines
 
 
 CASES = {case.__name__: case for case in (
@@ -310,6 +315,8 @@
     try:
         deployment.start()
         CASES[arguments.case](deployment)
+        deployment.terminate_all()
+        assert not deployment.bad_exits(), deployment.bad_exits()
         is_passed = True
     finally:
         deployment.close(keep=arguments.keep or not is_passed)
