--- a/include/endiveroad/Metrics.h
+++ b/include/endiveroad/Metrics.h
@@ -32,13 +32,17 @@
     End
 };
 
-/// Quantiles of a latency over the last one to two windows, in bounded memory: one set of accumulators is filled while
-/// the one before it is still read.
+/// How long something took: a histogram since the start, and quantiles over the last one to two windows, in bounded
+/// memory: one set of accumulators is filled while the one before it is still read.
 class LatencyWindow {
 public:
     static constexpr std::array<double, 3> probabilities { 0.5, 0.9, 0.99 };
     static constexpr Duration window = std::chrono::minutes(1);
 
+    /// Upper bounds of the histogram's buckets in seconds; one more holds what took longer.
+    static constexpr std::array<double, 14> bucketBounds { 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1,
+        2.5, 5, 10, 30 };
+
     LatencyWindow();
     ~LatencyWindow();
     LatencyWindow(LatencyWindow&&) noexcept;
@@ -49,6 +53,9 @@
     /// Quantile estimates in seconds, in the order of probabilities; all 0 if there was no sample in time.
     std::array<double, 3> quantiles(Instant now) const;
 
+    /// Samples since the start that took no longer than each bound.
+    std::array<uint64_t, bucketBounds.size()> cumulativeBuckets() const;
+
     /// Samples and their sum in seconds since the start.
     uint64_t count() const { return count_; }
     double sumSeconds() const { return sumSeconds_; }
@@ -59,6 +66,8 @@
     std::unique_ptr<Estimate> present_;
     std::unique_ptr<Estimate> previous_;
     Instant windowEnd_ = Instant::min();
+    /// Samples by the first bound that holds them; those over all bounds are only counted.
+    std::array<uint64_t, bucketBounds.size()> buckets_ {};
     uint64_t count_ = 0;
     double sumSeconds_ = 0;
 };
--- a/include/endiveroad/RequestStory.h
+++ b/include/endiveroad/RequestStory.h
@@ -30,4 +30,8 @@
 /// failure.
 RequestStory tellStory(const std::vector<TimelineEntry>&, const std::string& id);
 
+/// Ids of all requests, jobs and items that the lines say were refused, given up or terminated, in the order of the
+/// lines, each once.
+std::vector<std::string> failedRequests(const std::vector<TimelineEntry>&);
+
 } // namespace endiveroad
--- a/src/cli/ExplainCommand.cpp
+++ b/src/cli/ExplainCommand.cpp
@@ -45,6 +45,26 @@
     return entries;
 }
 
+std::string causeLine(const RequestStory& story)
+{
+    const std::string verdict = story.cause.empty() ? "nothing went wrong that is on record" : story.cause;
+    return fmt::format("cause ({}): {}", blameName(story.blame), verdict);
+}
+
+/// One line for each request that failed, and how many of them have a cause.
+int explainFailed(const std::vector<TimelineEntry>& entries)
+{
+    const std::vector<std::string> ids = failedRequests(entries);
+    size_t explained = 0;
+    for (const std::string& id : ids) {
+        const RequestStory story = tellStory(entries, id);
+        explained += story.isExplained && story.blame != Blame::Nobody ? 1 : 0;
+        fmt::print("{} {}\n", id, causeLine(story));
+    }
+    fmt::print("explained: {} of {}\n", explained, ids.size());
+    return explained == ids.size() ? exitOk : exitFailure;
+}
+
 } // namespace
 
 int runExplain(const Arguments& arguments)
@@ -52,16 +72,26 @@
     cxxopts::Options options("endiveroad explain", "Tells from logs what became of a request, an item or a batch job.");
     options.add_options()("h,help", "Print this help")("id", "Id of the request, item or job",
         cxxopts::value<std::string>())("log", "Log of JSON lines, - for standard input (repeatable)",
-        cxxopts::value<std::vector<std::string>>())("cause-only", "Print the last line only");
+        cxxopts::value<std::vector<std::string>>())("cause-only", "Print the last line only")(
+        "failed", "In place of an id: print the cause of each failed request of the logs, and how many have one");
     options.parse_positional({ "id", "log" });
-    options.positional_help("ID LOG...");
+    options.positional_help("ID LOG... | --failed LOG...");
     const auto result = parse(options, arguments);
     if (!result)
         return exitOk;
-    if (result->count("id") == 0 || result->count("log") == 0)
-        throw UsageInvalidError("give an id and at least one log");
+    if (result->count("id") == 0)
+        throw UsageInvalidError("give an id or --failed, and at least one log");
     const std::string id = (*result)["id"].as<std::string>();
-    const RequestStory story = tellStory(readLogs((*result)["log"].as<std::vector<std::string>>()), id);
+    std::vector<std::string> logs
+        = result->count("log") > 0 ? (*result)["log"].as<std::vector<std::string>>() : std::vector<std::string>();
+    if (result->count("failed") > 0) {
+        // There is no id then: what stands in its place is the first log.
+        logs.insert(logs.begin(), id);
+        return explainFailed(readLogs(logs));
+    }
+    if (logs.empty())
+        throw UsageInvalidError("give an id and at least one log");
+    const RequestStory story = tellStory(readLogs(logs), id);
     if (story.lines.empty()) {
         fmt::print("no line names {}\n", id);
         return exitFailure;
@@ -70,8 +100,7 @@
         for (const TimelineEntry& line : story.lines)
             fmt::print("{}\n", io::toTextLine(line));
     }
-    const std::string verdict = story.cause.empty() ? "nothing went wrong that is on record" : story.cause;
-    fmt::print("cause ({}): {}\n", blameName(story.blame), verdict);
+    fmt::print("{}\n", causeLine(story));
     return story.isExplained ? exitOk : exitFailure;
 }
 
--- a/src/core/metrics/LatencyWindow.cpp
+++ b/src/core/metrics/LatencyWindow.cpp
@@ -5,6 +5,7 @@
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <numeric>
 
 namespace endiveroad {
 
@@ -72,9 +73,19 @@
     const double seconds = std::chrono::duration<double>(latency).count();
     present_->add(seconds);
     sumSeconds_ += seconds;
+    const auto bound = std::lower_bound(bucketBounds.begin(), bucketBounds.end(), seconds);
+    if (bound != bucketBounds.end())
+        ++buckets_[static_cast<size_t>(bound - bucketBounds.begin())];
     ++count_;
 }
 
+std::array<uint64_t, LatencyWindow::bucketBounds.size()> LatencyWindow::cumulativeBuckets() const
+{
+    auto cumulative = buckets_;
+    std::partial_sum(cumulative.begin(), cumulative.end(), cumulative.begin());
+    return cumulative;
+}
+
 std::array<double, 3> LatencyWindow::quantiles(Instant now) const
 {
     if (count_ == 0 || now >= windowEnd_ + window)
--- a/src/core/metrics/Metrics.cpp
+++ b/src/core/metrics/Metrics.cpp
@@ -56,16 +56,34 @@
     std::string last_;
 };
 
-void writeLatency(Writer& writer, const Row& row, const LatencyWindow& latency, Instant now)
+/// The row's labels and one more.
+std::string labelsWith(const Row& row, std::string_view name, std::string_view value)
 {
+    return fmt::format("{}{}{}=\"{}\"", row.labels, row.labels.empty() ? "" : ",", name, value);
+}
+
+void writeHistogram(Writer& writer, const Row& row, const LatencyWindow& latency)
+{
+    const auto buckets = latency.cumulativeBuckets();
+    for (size_t i = 0; i < buckets.size(); ++i) {
+        const std::string labels = labelsWith(row, "le", fmt::format("{}", LatencyWindow::bucketBounds[i]));
+        writer.line({ row.name, labels, row.help }, "histogram", "_bucket", static_cast<double>(buckets[i]));
+    }
+    const std::string all = labelsWith(row, "le", "+Inf");
+    writer.line({ row.name, all, row.help }, "histogram", "_bucket", static_cast<double>(latency.count()));
+    writer.line(row, "histogram", "_sum", latency.sumSeconds());
+    writer.line(row, "histogram", "_count", static_cast<double>(latency.count()));
+}
+
+void writeQuantiles(Writer& writer, const Row& row, const LatencyWindow& latency, Instant now)
+{
+    const std::string name = fmt::format("{}_recent", row.name);
+    const std::string help = row.help.empty() ? "" : fmt::format("{} Over the last one to two minutes.", row.help);
     const auto quantiles = latency.quantiles(now);
     for (size_t i = 0; i < quantiles.size(); ++i) {
-        const std::string labels = fmt::format(
-            "{}{}quantile=\"{}\"", row.labels, row.labels.empty() ? "" : ",", LatencyWindow::probabilities[i]);
-        writer.line({ row.name, labels, row.help }, "summary", quantiles[i]);
+        const std::string labels = labelsWith(row, "quantile", fmt::format("{}", LatencyWindow::probabilities[i]));
+        writer.line({ name, labels, help }, "gauge", quantiles[i]);
     }
-    writer.line(row, "summary", "_sum", latency.sumSeconds());
-    writer.line(row, "summary", "_count", static_cast<double>(latency.count()));
 }
 
 template <typename Key>
@@ -109,7 +127,9 @@
             static_cast<double>(count));
     }
     for (size_t i = 0; i < latencies_.size(); ++i)
-        writeLatency(writer, latencyRows[i], latencies_[i], now);
+        writeHistogram(writer, latencyRows[i], latencies_[i]);
+    for (size_t i = 0; i < latencies_.size(); ++i)
+        writeQuantiles(writer, latencyRows[i], latencies_[i], now);
     for (const Gauge& gauge : gauges)
         writer.line({ gauge.name, gauge.labels, gauge.help }, "gauge", gauge.value);
     return writer.take();
--- a/src/core/timeline/RequestStory.cpp
+++ b/src/core/timeline/RequestStory.cpp
@@ -3,6 +3,7 @@
 #include <endiveroad/Error.h>
 #include <endiveroad/RequestStory.h>
 #include <fmt/format.h>
+#include <map>
 #include <set>
 
 namespace endiveroad {
@@ -140,4 +141,19 @@
     return story;
 }
 
+std::vector<std::string> failedRequests(const std::vector<TimelineEntry>& entries)
+{
+    const std::map<Event, std::string_view> idFields { { Event::CallGivenUp, "request" },
+        { Event::BatchJobRefused, "job" }, { Event::BatchReadFailed, "job" }, { Event::ItemTerminated, "item" } };
+    std::vector<std::string> ids;
+    std::set<std::string> known;
+    for (const TimelineEntry& entry : entries) {
+        const auto field = idFields.find(entry.event);
+        const std::string id = field == idFields.end() ? std::string() : fieldOf(entry, field->second);
+        if (!id.empty() && known.insert(id).second)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 } // namespace endiveroad
--- a/src/io/Log.cpp
+++ b/src/io/Log.cpp
@@ -59,20 +59,34 @@
 
 bool Log::isWithinBudget(Event event)
 {
-    Budget& budget = budgets_[event];
     const Instant present = now();
-    if (present >= budget.windowEnd) {
-        const uint32_t omitted = std::exchange(budget.omitted, 0);
-        budget.windowEnd = present + std::chrono::seconds(1);
-        budget.lines = 0;
-        if (omitted > 0)
-            print({ clock_.tick(wallMs()), node_, Event::LinesOmitted,
-                { { "of", std::string(eventName(event)) }, { "lines", std::to_string(omitted) } } });
-    }
-    if (budget.lines < maxLinesPerSecond)
-        return ++budget.lines > 0;
-    ++budget.omitted;
-    return false;
+    Budget& budget = budgets_[event];
+    if (const uint32_t omitted = budget.renew(present))
+        printOmission(std::string(eventName(event)), omitted);
+    if (const uint32_t omitted = budgetOfAll_.renew(present))
+        printOmission("all", omitted);
+    if (budget.lines >= maxLinesPerSecond)
+        return ++budget.omitted == 0;
+    if (budgetOfAll_.lines >= maxLinesOfAllPerSecond)
+        return ++budgetOfAll_.omitted == 0;
+    ++budget.lines;
+    ++budgetOfAll_.lines;
+    return true;
+}
+
+uint32_t Log::Budget::renew(Instant now)
+{
+    if (now < windowEnd)
+        return 0;
+    windowEnd = now + std::chrono::seconds(1);
+    lines = 0;
+    return std::exchange(omitted, 0);
+}
+
+void Log::printOmission(std::string of, uint64_t lines)
+{
+    print({ clock_.tick(wallMs()), node_, Event::LinesOmitted,
+        { { "of", std::move(of) }, { "lines", std::to_string(lines) } } });
 }
 
 void Log::print(const TimelineEntry& entry)
@@ -85,25 +99,39 @@
 
 void Log::writeLine(const std::string& line)
 {
-    size_t written = 0;
-    while (written < line.size()) {
-        const ssize_t bytes = ::write(STDOUT_FILENO, line.data() + written, line.size() - written);
-        if (bytes < 0 && errno == EINTR)
-            continue;
-        if (bytes < 0) {
-            // Nobody reads the log; the count is told with the next line that can be written.
-            ++unread_;
-            return;
-        }
-        written += static_cast<size_t>(bytes);
+    if (!finishLine()) {
+        // Nobody reads the log; the count is told with the next line that can be written.
+        ++unread_;
+        return;
     }
-    if (unread_ == 0)
+    begun_ = line;
+    if (!finishLine() && begun_.size() == line.size()) {
+        begun_.clear();
+        ++unread_;
+        return;
+    }
+    if (unread_ == 0 || !begun_.empty())
         return;
     const uint64_t lines = std::exchange(unread_, 0);
     print({ clock_.tick(wallMs()), node_, Event::LinesOmitted,
         { { "reason", "standard output was not read" }, { "lines", std::to_string(lines) } } });
 }
 
+bool Log::finishLine()
+{
+    size_t written = 0;
+    while (written < begun_.size()) {
+        const ssize_t bytes = ::write(STDOUT_FILENO, begun_.data() + written, begun_.size() - written);
+        if (bytes < 0 && errno == EINTR)
+            continue;
+        if (bytes < 0)
+            break;
+        written += static_cast<size_t>(bytes);
+    }
+    begun_.erase(0, written);
+    return begun_.empty();
+}
+
 void log(Event event, LogFields fields)
 {
     Log::instance().write(event, std::move(fields));
--- a/src/io/Log.h
+++ b/src/io/Log.h
@@ -27,6 +27,10 @@
     /// Lines of one event that are written in a second; further ones are counted and named by LinesOmitted.
     static constexpr uint32_t maxLinesPerSecond = 150;
 
+    /// Lines of all events together that are written in a second. With the cost of a line (benchmark_Logging) it bounds
+    /// the processor time that logs take.
+    static constexpr uint32_t maxLinesOfAllPerSecond = 1500;
+
     void configure(LogFormat, LogLevel lowest, std::string node);
 
     /// Makes standard output drop lines that its reader is too slow for, in place of holding the process up.
@@ -44,10 +48,16 @@
         Instant windowEnd = Instant::min();
         uint32_t lines = 0;
         uint32_t omitted = 0;
+
+        /// Begins a new window if the present one is over. Returns the lines that were omitted in the one before.
+        uint32_t renew(Instant now);
     };
 
     void print(const TimelineEntry&);
+    void printOmission(std::string of, uint64_t lines);
     void writeLine(const std::string&);
+    /// Writes what is left of a line that has been begun. False if standard output does not take it all.
+    bool finishLine();
     /// Counts a line of the event. False if it is one too many.
     bool isWithinBudget(Event);
 
@@ -56,6 +66,9 @@
     std::string node_;
     HybridClock clock_;
     std::map<Event, Budget> budgets_;
+    Budget budgetOfAll_;
+    /// End of a line of which a part has been written: the next line must not begin in its middle.
+    std::string begun_;
     uint64_t unread_ = 0;
     EventRing ring_ { ringCapacity };
 };
--- a/tests/core/MetricsTest.cpp
+++ b/tests/core/MetricsTest.cpp
@@ -47,6 +47,18 @@
     }
 }
 
+TEST_CASE("a histogram counts each sample in all buckets that hold it", "[metrics]")
+{
+    LatencyWindow window;
+    for (int milliseconds : { 1, 2, 3, 100, 101, 40000 })
+        window.add(std::chrono::milliseconds(milliseconds), Instant());
+    const auto buckets = window.cumulativeBuckets();
+    const std::array<uint64_t, LatencyWindow::bucketBounds.size()> expected { 1, 2, 3, 3, 3, 3, 4, 5, 5, 5, 5, 5, 5,
+        5 };
+    CHECK(buckets == expected);
+    CHECK(window.count() == 6);
+}
+
 TEST_CASE("quantiles forget what is older than two windows", "[metrics]")
 {
     LatencyWindow window;
@@ -75,11 +87,14 @@
     for (const char* line : { "endiveroad_frames_total{direction=\"sent\"} 3",
              "endiveroad_events_total{event=\"SwapConfirmed\",level=\"info\"} 1",
              "endiveroad_errors_total{code=\"not_run\"} 1", "endiveroad_x{job=\"a\\\"\\\\\\n\"} 2.5",
-             "endiveroad_request_seconds{kind=\"service\",quantile=\"0.99\"} 0.001",
+             "endiveroad_request_seconds_bucket{kind=\"service\",le=\"0.001\"} 1",
+             "endiveroad_request_seconds_bucket{kind=\"service\",le=\"+Inf\"} 1",
+             "endiveroad_request_seconds_sum{kind=\"service\"} 0.001",
+             "endiveroad_request_seconds_recent{kind=\"service\",quantile=\"0.99\"} 0.001",
              "endiveroad_request_seconds_count{kind=\"service\"} 1", "endiveroad_store_calls_total 0" })
         CHECK(text.find(std::string("\n") + line + "\n") != std::string::npos);
     const std::regex sample(R"re([a-z_]+(\{[a-z]+="([^"\\]|\\.)*"(,[a-z]+="([^"\\]|\\.)*")*\})? [-+.e0-9]+)re");
-    const std::regex head(R"(# (HELP [a-z_]+ .+|TYPE [a-z_]+ (counter|gauge|summary)))");
+    const std::regex head(R"(# (HELP [a-z_]+ .+|TYPE [a-z_]+ (counter|gauge|histogram)))");
     std::set<std::string> heads;
     std::istringstream stream(text);
     for (std::string line; std::getline(stream, line);) {
--- /dev/null
+++ b/tests/io/LogTest.cpp
@@ -0,0 +1,127 @@
+#include "io/Log.h"
+#include "VirtualTime.h"
+
+#include <catch2/catch.hpp>
+#include <endiveroad/Error.h>
+#include <fcntl.h>
+#include <sstream>
+#include <unistd.h>
+
+using namespace endiveroad;
+using namespace endiveroad::io;
+
+namespace {
+
+/// Puts a pipe in the place of standard output, which nobody reads until read() is called.
+class OutputPipe {
+public:
+    OutputPipe()
+        : saved_(dup(STDOUT_FILENO))
+    {
+        REQUIRE(pipe2(ends_, O_NONBLOCK) == 0);
+        dup2(ends_[1], STDOUT_FILENO);
+    }
+    OutputPipe(const OutputPipe&) = delete;
+    OutputPipe& operator=(const OutputPipe&) = delete;
+    ~OutputPipe()
+    {
+        dup2(saved_, STDOUT_FILENO);
+        for (int descriptor : { saved_, ends_[0], ends_[1] })
+            close(descriptor);
+    }
+
+    std::string read()
+    {
+        std::string text;
+        char buffer[65536];
+        for (ssize_t bytes = ::read(ends_[0], buffer, sizeof(buffer)); bytes > 0;
+             bytes = ::read(ends_[0], buffer, sizeof(buffer)))
+            text.append(buffer, static_cast<size_t>(bytes));
+        return text;
+    }
+
+private:
+    int saved_;
+    int ends_[2] {};
+};
+
+struct Tally {
+    uint64_t written = 0;
+    uint64_t omitted = 0;
+    bool areLinesWhole = true;
+};
+
+Tally tallyOf(const std::string& text)
+{
+    Tally tally;
+    std::istringstream stream(text);
+    for (std::string line; std::getline(stream, line);) {
+        try {
+            const TimelineEntry entry = fromJsonLine(line);
+            if (entry.event != Event::LinesOmitted) {
+                ++tally.written;
+                continue;
+            }
+            for (const auto& [name, value] : entry.fields)
+                tally.omitted += name == "lines" ? std::stoull(value) : 0;
+        } catch (const FrameInvalidError&) {
+            tally.areLinesWhole = false;
+        }
+    }
+    return tally;
+}
+
+const std::vector<Event> kinds { Event::ItemPlaced, Event::ItemRunEnded, Event::ItemRefused, Event::ItemMoved,
+    Event::ResultsListed, Event::BatchJobAccepted, Event::BatchJobEnded, Event::BatchJobLost, Event::BatchJobClaimed,
+    Event::ServerUp, Event::ServerDown, Event::DirectoryChanged };
+
+} // namespace
+
+TEST_CASE("lines of all events together are bounded, and each line left out is counted", "[log]")
+{
+    VirtualTime time;
+    Log log;
+    log.configure(LogFormat::Json, LogLevel::Info, "node");
+    constexpr uint64_t linesOfKind = 140;
+    std::string first;
+    std::string second;
+    {
+        OutputPipe output;
+        for (Event kind : kinds) {
+            for (uint64_t i = 0; i < linesOfKind; ++i) {
+                log.write(kind, { { "n", std::to_string(i) } });
+                first += output.read();
+            }
+        }
+        time.advanceTo(time.now() + std::chrono::seconds(1));
+        log.write(kinds.front(), {});
+        second = output.read();
+    }
+    CHECK(tallyOf(first).written == Log::maxLinesOfAllPerSecond);
+    CHECK(tallyOf(second).written == 1);
+    CHECK(tallyOf(second).omitted == linesOfKind * kinds.size() - Log::maxLinesOfAllPerSecond);
+}
+
+TEST_CASE("a reader that stops reading costs whole lines, which are counted", "[log]")
+{
+    VirtualTime time;
+    Log log;
+    log.configure(LogFormat::Json, LogLevel::Info, "node");
+    uint64_t lines = 0;
+    std::string text;
+    {
+        OutputPipe output;
+        // Three pages a line: the sixteen pages of the pipe hold a part of one of them.
+        const std::string field(9000, 'x');
+        for (; lines < 100; ++lines)
+            log.write(Event::ItemPlaced, { { "n", field } });
+        text = output.read();
+        for (; lines < 103; ++lines)
+            log.write(Event::ItemMoved, { { "n", field } });
+        text += output.read();
+    }
+    const Tally tally = tallyOf(text);
+    CHECK(tally.areLinesWhole);
+    CHECK(tally.written < 100);
+    CHECK(tally.written + tally.omitted == lines);
+}
