--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -70,7 +70,8 @@
 
     def __init__(self, prefix, entries, coordinators, engines, services, is_relayed=False):
         self.prefix = prefix
-        # With relays, connections to the store and the servers can be harmed; by name of what they lead to.
+        # With relays, connections to the store, the servers and the coordinators can be harmed; by name of what they
+        # lead to.
         self.is_relayed = is_relayed
         self.relays = {}
         self.sizes = (entries, coordinators, engines, services)
@@ -115,6 +116,12 @@
         self.relays[name] = Relay(host, port)
         return await self.relays[name].start(host)
 
+    async def relay_peers(self, name, host, port, own_port):
+        """Others reach a coordinator at the port at which they expect it; it listens at one of its own."""
+        self.relays[name] = Relay(host, own_port)
+        await self.relays[name].start(host, port)
+        self.store.translations["%s:%d" % (host, own_port)] = "%s:%d" % (host, port)
+
     def configure(self, version, routes=None):
         document = configuration(version) if routes is None else {**configuration(version), "Routes": routes}
         self.run(self.store.write("op/config", json.dumps(document)))
@@ -158,6 +165,11 @@
             "Listen.Ready": "%s.%d:%d" % (prefix, 10 + i, self.port + 2)}) for i in range(entries)]
         self.coordinators = [Machine(self, "coordinator-%d" % i, "coordinator", "storage",
                                      "%s.%d" % (prefix, 40 + i), {}) for i in range(coordinators)]
+        if is_relayed:
+            for machine in self.coordinators:
+                own = self.port + 100
+                machine.settings["InternalPorts"] = "%d,%d" % (own, own + 15)
+                self.platform.run(self.platform.relay_peers(machine.name, machine.address, self.port, own))
         self.agents = [Machine(self, "agent-%d" % i, "agent", "side", "%s.%d" % (prefix, 160 + i), {
             "app": engine.address}) for i, engine in enumerate(self.platform.engines)]
 
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -100,10 +100,9 @@
     if (lease_ != 0 && !co_await store().renewLease(lease_, now() + storeTimeout))
         lease_ = 0;
     const auto present = directory();
-    const auto known = present->coordinators.find(settings().name);
-    const bool isRegistered
-        = lease_ != 0 && known != present->coordinators.end() && known->second.peer == settings().peers;
-    if (isRegistered)
+    // Somebody may take the key away without ending the lease.
+    const bool isThere = present->coordinators.contains(settings().name);
+    if (lease_ != 0 && registeredLease_ == lease_ && isThere)
         co_return;
     if (lease_ == 0)
         lease_ = co_await store().grantLease(leaseLifetime, now() + storeTimeout);
@@ -112,6 +111,7 @@
     transaction.puts.push_back(
         { DirectoryKeeper::coordinatorPrefix + settings().name, DirectoryKeeper::encodeCoordinator(record), lease_ });
     co_await store().commit(std::move(transaction), now() + storeTimeout);
+    registeredLease_ = lease_;
 }
 
 asio::awaitable<void> HostedCoordinator::keepRegistered()
--- a/src/io/hosted/HostedCoordinator.h
+++ b/src/io/hosted/HostedCoordinator.h
@@ -64,6 +64,8 @@
     ItemScorer scorer_;
     ItemDispatcher dispatcher_;
     int64_t lease_ = 0;
+    /// Lease under which this process has written its registration; 0 if it has not.
+    int64_t registeredLease_ = 0;
     Instant scanAt_;
     std::set<std::string> retirementsReported_;
 };
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -164,7 +164,9 @@
     const bool areSeedsNeeded = now() < startedAt_ + seedTime;
     std::map<std::string, Address> targets;
     for (const Address& address : keeper_->current()->coordinatorAddresses(settings_.seeds, areSeedsNeeded)) {
-        if (address != settings_.peers)
+        // Its own registration may lead back to it by another port.
+        const bool isOwn = role_ == HostedRole::Coordinator && address.host == settings_.peers.host;
+        if (!isOwn)
             targets.emplace(address.text(), address);
     }
     mesh_.setTargets(targets);
--- a/standins/hosted_relay.py
+++ b/standins/hosted_relay.py
@@ -16,8 +16,8 @@
         self.count = 0
         self.writers = set()
 
-    async def start(self, host):
-        server = await asyncio.start_server(self._session, host, 0)
+    async def start(self, host, port=0):
+        server = await asyncio.start_server(self._session, host, port)
         return server.sockets[0].getsockname()[1]
 
     def silence_open(self):
--- a/standins/hosted_store.py
+++ b/standins/hosted_store.py
@@ -21,6 +21,8 @@
         self.lose_answers = 0
         self.delay_s = 0.0
         self.refused_hosts = set()
+        # Texts that readers see otherwise than they were written, as behind a translation of addresses.
+        self.translations = {}
 
     # What operators, trainers and servers do; they reach the store whatever its faults.
 
@@ -86,11 +88,27 @@
         if self.mode == "busy":
             return await connection.answer(503, {})
         status, body = await self.perform(request)
+        body = self.translated(body)
         if request.method == "POST" and self.lose_answers > 0:
             self.lose_answers -= 1
             return connection.cut()
         await connection.answer(status, body, {"Content-Type": "application/json"})
 
+    def translated(self, body):
+        """The answer as its reader sees it."""
+        rows = body.get("Items", body.get("events", [body]))
+        seen = []
+        for row in rows:
+            if self.translations and row.get("Key", "").startswith("endiveroad/coordinators/") and "Value" in row:
+                text = base64.b64decode(row["Value"]).decode()
+                for written, read in self.translations.items():
+                    text = text.replace(written, read)
+                row = {**row, "Value": base64.b64encode(text.encode()).decode()}
+            seen.append(row)
+        if "Items" in body:
+            return {**body, "Items": seen}
+        return {**body, "events": seen} if "events" in body else seen[0]
+
     async def perform(self, request):
         if request.path == "/kv-key":
             item = self.items.get(request.query["Key"])
