--- a/src/core/batch/BatchPlacement.cpp
+++ b/src/core/batch/BatchPlacement.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <endiveroad/BatchPlacement.h>
 #include <endiveroad/Rendezvous.h>
+#include <limits>
+#include <numeric>
 #include <set>
 #include <tuple>
 
@@ -75,26 +77,35 @@
     return serving;
 }
 
-/// A partition of the agents, in which each agent falls to the model for which its weight is high.
-std::map<std::string, std::vector<std::string>> equalShares(
-    const std::vector<std::string>& models, const std::vector<std::string>& agents)
+/// Numbers of replicas for each model: proportional to demand, one at least, all replicas in total.
+std::vector<size_t> shareSizes(const std::vector<std::string>& models, const ModelDemands& demands, size_t replicas)
 {
-    const size_t share = (agents.size() + models.size() - 1) / models.size();
-    std::vector<std::tuple<uint64_t, std::string, std::string>> pairs;
+    double known = 0;
+    for (const auto& [model, demand] : demands)
+        known += demand;
+    const double mean = demands.empty() ? 1 : known / static_cast<double>(demands.size());
+    std::vector<double> wanted;
     for (const std::string& model : models) {
-        for (const std::string& agent : agents)
-            pairs.emplace_back(rendezvousWeight(model, agent), model, agent);
+        const auto found = demands.find(model);
+        wanted.push_back(std::max(found == demands.end() ? mean : found->second, std::numeric_limits<double>::min()));
     }
-    std::sort(pairs.rbegin(), pairs.rend());
-    std::map<std::string, std::vector<std::string>> shares;
-    std::set<std::string> taken;
-    for (const auto& [weight, model, agent] : pairs) {
-        if (taken.contains(agent) || shares[model].size() >= share)
-            continue;
-        taken.insert(agent);
-        shares[model].push_back(agent);
+    const double total = std::accumulate(wanted.begin(), wanted.end(), 0.0);
+    std::vector<size_t> sizes(models.size(), replicas >= models.size() ? 1 : 0);
+    size_t left = replicas - std::accumulate(sizes.begin(), sizes.end(), size_t(0));
+    // Each further replica goes to the model that is the furthest below its share.
+    for (; left > 0; --left) {
+        size_t neediest = 0;
+        double most = std::numeric_limits<double>::lowest();
+        for (size_t i = 0; i < models.size(); ++i) {
+            const double missing = wanted[i] / total * static_cast<double>(replicas) - static_cast<double>(sizes[i]);
+            if (missing > most) {
+                neediest = i;
+                most = missing;
+            }
+        }
+        ++sizes[neediest];
     }
-    return shares;
+    return sizes;
 }
 
 /// Replicas of one model that are to load its named version, those with the oldest weights first.
@@ -220,16 +231,26 @@
     });
 }
 
-std::vector<std::string> homeReplicas(const std::vector<std::string>& models, const std::vector<std::string>& agents,
-    const std::string& model, int64_t version)
+std::vector<std::string> homeReplicas(const std::vector<std::string>& models, const ModelDemands& demands,
+    const std::vector<std::string>& agents, const std::string& model, int64_t version)
 {
     const auto found = std::find(models.begin(), models.end(), model);
-    if (found == models.end())
+    if (found == models.end() || agents.empty())
         return {};
-    // Odd versions take the share that even versions of the next model have.
+    // Replicas stand on a ring in the order of their hashes. Each model has an arc; odd versions have the arc that lies
+    // half the ring further, which is another one unless a model has more than half of all.
+    std::vector<std::string> ring = agents;
+    std::sort(ring.begin(), ring.end(), [](const std::string& a, const std::string& b) {
+        return std::pair(rendezvousWeight("homes", a), a) < std::pair(rendezvousWeight("homes", b), b);
+    });
+    const std::vector<size_t> sizes = shareSizes(models, demands, ring.size());
     const auto position = static_cast<size_t>(found - models.begin());
-    const size_t share = (position + static_cast<size_t>(version % 2)) % models.size();
-    return equalShares(models, agents)[models[share]];
+    const size_t begin = std::accumulate(sizes.begin(), sizes.begin() + (found - models.begin()), size_t(0))
+        + (version % 2 == 0 ? 0 : ring.size() / 2);
+    std::vector<std::string> homes;
+    for (size_t i = 0; i < sizes[position]; ++i)
+        homes.push_back(ring[(begin + i) % ring.size()]);
+    return homes;
 }
 
 size_t maxLoadsAtOnce(size_t replicas)
--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -247,8 +247,8 @@
             { "items", std::to_string(spec.items.size()) },
             { "oldestVersion", std::to_string(owned->job.spec().oldestVersion) },
             { "revision", std::to_string(*revision) } });
-    others_.announceOwner(*owned);
     worker_->onJob(owned);
+    others_.announceOwner(*owned);
     co_return answerOf(statusAccepted);
 }
 
@@ -429,8 +429,8 @@
     log(Event::BatchJobClaimed,
         { { "job", stored.id }, { "from", stored.record.owner }, { "revision", std::to_string(*revision) },
             { "listed", std::to_string(listed) }, { "items", std::to_string(record.items) } });
-    others_.announceOwner(*owned);
     worker_->onJob(owned);
+    others_.announceOwner(*owned);
     co_return owned;
 }
 
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -82,19 +82,10 @@
 {
     for (HostedRole role : { HostedRole::Entry, HostedRole::Agent, HostedRole::Coordinator }) {
         for (const PeerConnectionPtr& connection : connectionsOf(role))
-            announceOwnerTo(owned, connection);
+            dispatcher_.sendOwner(owned, connection);
     }
 }
 
-void HostedCoordinator::announceOwnerTo(const OwnedJob& owned, const PeerConnectionPtr& connection)
-{
-    wire::JobOwnerNotice notice;
-    notice.job = owned.id();
-    notice.revision = owned.job.revision();
-    notice.owner = settings().name;
-    connection->notify(MessageType::JobOwner, wire::encode(notice));
-}
-
 asio::awaitable<void> HostedCoordinator::registerOnce()
 {
     if (lease_ != 0 && !co_await store().renewLease(lease_, now() + storeTimeout))
@@ -221,9 +212,12 @@
         dispatcher_.onProgress(connection, wire::decode<wire::ItemProgressNotice>(message.payload));
         owner_.wake();
         break;
-    case MessageType::JobOwner:
-        owner_.onOwner(wire::decode<wire::JobOwnerNotice>(message.payload));
+    case MessageType::JobOwner: {
+        const auto notice = wire::decode<wire::JobOwnerNotice>(message.payload);
+        owner_.onOwner(notice);
+        dispatcher_.onDemand(notice.model, notice.tokensPerSecond);
         break;
+    }
     default:
         break;
     }
@@ -237,7 +231,7 @@
         dispatcher_.onAgentUp(connection);
     else
         for (const auto& [id, owned] : owner_.jobs())
-            announceOwnerTo(*owned, connection);
+            dispatcher_.sendOwner(*owned, connection);
 }
 
 void HostedCoordinator::onPeerDown(const std::string& name)
--- a/src/io/hosted/HostedCoordinator.h
+++ b/src/io/hosted/HostedCoordinator.h
@@ -47,7 +47,6 @@
     bool isAlive(const std::string& coordinator) const override;
     std::vector<std::string> alive() const override;
     void announceOwner(const OwnedJob&) override;
-    void announceOwnerTo(const OwnedJob&, const PeerConnectionPtr&);
     PeerConnectionPtr agent(const std::string& name) const override;
     std::vector<PeerConnectionPtr> agents() const override { return connectionsOf(HostedRole::Agent); }
     bool mayAct() const override;
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -345,6 +345,8 @@
     notice.job = owned.id();
     notice.revision = owned.job.revision();
     notice.owner = owned.record.owner;
+    notice.model = owned.job.spec().model;
+    notice.tokensPerSecond = loads_.demandOf(notice.model);
     connection->notify(MessageType::JobOwner, wire::encode(notice));
 }
 
@@ -376,6 +378,11 @@
     wake();
 }
 
+void ItemDispatcher::onDemand(const std::string& model, double tokensPerSecond)
+{
+    loads_.onDemand(model, tokensPerSecond);
+}
+
 void ItemDispatcher::onVersionNamed(const std::string& model)
 {
     loads_.onVersionNamed(model, now());
@@ -384,6 +391,7 @@
 
 void ItemDispatcher::onJob(const OwnedJobPtr& owned)
 {
+    loads_.onJob(*owned);
     const BatchJobSpec& spec = owned->job.spec();
     for (size_t i = 0; i < spec.items.size(); ++i) {
         if (const auto text = carried_.find(spec.items[i].id, now()))
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -70,6 +70,12 @@
     /// Does what an item's new state asks for.
     void act(const OwnedJobPtr&, size_t item, ItemAction);
 
+    /// Tells a peer that this coordinator owns a job, and what the jobs of its model ask for.
+    void sendOwner(const OwnedJob&, const PeerConnectionPtr&) const;
+
+    /// Another coordinator says what the jobs of a model ask for.
+    void onDemand(const std::string& model, double tokensPerSecond);
+
     size_t replicas() const { return reports_.size(); }
 
 private:
@@ -91,7 +97,6 @@
     void withdraw(OwnedJob&, size_t item, const std::string& reason);
     void startItem(const OwnedJobPtr&, size_t item, const ReplicaView&);
     asio::awaitable<void> sendStart(OwnedJobPtr, size_t item, std::string agent, wire::ItemStart);
-    void sendOwner(const OwnedJob&, const PeerConnectionPtr&) const;
     static std::string encodedCancel(const OwnedJob&, const std::string& item);
 
     asio::io_context& context_;
--- a/src/io/hosted/WeightLoads.cpp
+++ b/src/io/hosted/WeightLoads.cpp
@@ -4,6 +4,30 @@
 
 namespace endiveroad::io {
 
+void WeightLoads::onJob(const OwnedJob& owned)
+{
+    const BatchJobSpec& spec = owned.job.spec();
+    const double seconds = static_cast<double>(std::max<int64_t>(owned.record.resultDueMs, 1)) / 1000;
+    double tokens = 0;
+    for (const BatchItem& item : spec.items)
+        tokens += item.expectedTokens;
+    const auto [known, isNew] = demands_.try_emplace(spec.model, tokens / seconds);
+    if (!isNew)
+        known->second += newestShare * (tokens / seconds - known->second);
+}
+
+void WeightLoads::onDemand(const std::string& model, double tokensPerSecond)
+{
+    if (tokensPerSecond > 0)
+        demands_[model] = tokensPerSecond;
+}
+
+double WeightLoads::demandOf(const std::string& model) const
+{
+    const auto known = demands_.find(model);
+    return known == demands_.end() ? 0 : known->second;
+}
+
 void WeightLoads::onOpenJob(const std::string& model, const std::string& service, Instant now)
 {
     interests_[model] = { service, now + modelInterest };
@@ -32,7 +56,7 @@
         agents.push_back(replica.agent);
     const auto declared = directory.routing->services.find(service);
     if (declared != directory.routing->services.end())
-        demand.homes = homeReplicas(declared->second.models, agents, model, demand.namedVersion);
+        demand.homes = homeReplicas(declared->second.models, demands_, agents, model, demand.namedVersion);
     return demand;
 }
 
--- a/src/io/hosted/WeightLoads.h
+++ b/src/io/hosted/WeightLoads.h
@@ -19,6 +19,18 @@
     /// Time for an agent to report that it has begun a load.
     static constexpr Duration askPause = std::chrono::milliseconds(300);
 
+    /// Share of the newest job in the moving average of a model's demand.
+    static constexpr double newestShare = 0.4;
+
+    /// This coordinator accepted or took over a job: its tokens are wanted by its due time.
+    void onJob(const OwnedJob&);
+
+    /// The owner of a job says what the jobs of its model ask for.
+    void onDemand(const std::string& model, double tokensPerSecond);
+
+    /// What the jobs of a model ask for; 0 if nothing is known.
+    double demandOf(const std::string& model) const;
+
     /// A trainer named a version of the model.
     void onVersionNamed(const std::string& model, Instant now) { namedAt_[model] = now; }
 
@@ -38,6 +50,7 @@
     LoadDemand demandFor(const std::string& model, const std::string& service, const std::vector<ReplicaView>&,
         const JobTable&, const Directory&) const;
 
+    ModelDemands demands_;
     std::map<std::string, Instant> namedAt_;
     /// By model.
     std::map<std::string, Interest> interests_;
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -212,7 +212,14 @@
 struct ItemCancelNotice { 1: string job  2: i64 revision  3: string item  4: bool isJobEnded }
 
 /** A coordinator owns the job from now on; agents send it all progress of the job's runs. */
-struct JobOwnerNotice { 1: string job  2: i64 revision  3: string owner }
+struct JobOwnerNotice {
+  1: string job
+  2: i64 revision
+  3: string owner
+  4: string model
+  /** What the model's jobs ask for, as far as the owner knows; 0 if nothing. */
+  5: double tokensPerSecond
+}
 
 struct ModelVersion { 1: string model  2: i64 version }
 
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -6118,6 +6118,14 @@
 void JobOwnerNotice::__set_owner(const std::string& val) {
   this->owner = val;
 }
+
+void JobOwnerNotice::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void JobOwnerNotice::__set_tokensPerSecond(const double val) {
+  this->tokensPerSecond = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobOwnerNotice& obj)
 {
   obj.printTo(out);
@@ -6170,6 +6178,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->tokensPerSecond);
+          this->__isset.tokensPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6199,6 +6223,14 @@
   xfer += oprot->writeString(this->owner);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokensPerSecond", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->tokensPerSecond);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6209,6 +6241,8 @@
   swap(a.job, b.job);
   swap(a.revision, b.revision);
   swap(a.owner, b.owner);
+  swap(a.model, b.model);
+  swap(a.tokensPerSecond, b.tokensPerSecond);
   swap(a.__isset, b.__isset);
 }
 
@@ -6216,12 +6250,16 @@
   job = other153.job;
   revision = other153.revision;
   owner = other153.owner;
+  model = other153.model;
+  tokensPerSecond = other153.tokensPerSecond;
   __isset = other153.__isset;
 }
 JobOwnerNotice& JobOwnerNotice::operator=(const JobOwnerNotice& other154) {
   job = other154.job;
   revision = other154.revision;
   owner = other154.owner;
+  model = other154.model;
+  tokensPerSecond = other154.tokensPerSecond;
   __isset = other154.__isset;
   return *this;
 }
@@ -6231,6 +6269,8 @@
   out << "job=" << to_string(job);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "owner=" << to_string(owner);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "tokensPerSecond=" << to_string(tokensPerSecond);
   out << ")";
 }
 
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -2598,10 +2598,12 @@
 std::ostream& operator<<(std::ostream& out, const ItemCancelNotice& obj);
 
 typedef struct _JobOwnerNotice__isset {
-  _JobOwnerNotice__isset() : job(false), revision(false), owner(false) {}
+  _JobOwnerNotice__isset() : job(false), revision(false), owner(false), model(false), tokensPerSecond(false) {}
   bool job :1;
   bool revision :1;
   bool owner :1;
+  bool model :1;
+  bool tokensPerSecond :1;
 } _JobOwnerNotice__isset;
 
 /**
@@ -2615,13 +2617,20 @@
   JobOwnerNotice() noexcept
                  : job(),
                    revision(0),
-                   owner() {
+                   owner(),
+                   model(),
+                   tokensPerSecond(0) {
   }
 
   virtual ~JobOwnerNotice() noexcept;
   std::string job;
   int64_t revision;
   std::string owner;
+  std::string model;
+  /**
+   * What the model's jobs ask for, as far as the owner knows; 0 if nothing.
+   */
+  double tokensPerSecond;
 
   _JobOwnerNotice__isset __isset;
 
@@ -2631,6 +2640,10 @@
 
   void __set_owner(const std::string& val);
 
+  void __set_model(const std::string& val);
+
+  void __set_tokensPerSecond(const double val);
+
   bool operator == (const JobOwnerNotice & rhs) const
   {
     if (!(job == rhs.job))
@@ -2639,6 +2652,10 @@
       return false;
     if (!(owner == rhs.owner))
       return false;
+    if (!(model == rhs.model))
+      return false;
+    if (!(tokensPerSecond == rhs.tokensPerSecond))
+      return false;
     return true;
   }
   bool operator != (const JobOwnerNotice &rhs) const {
--- a/tests/core/BatchPlacementTest.cpp
+++ b/tests/core/BatchPlacementTest.cpp
@@ -103,7 +103,7 @@
     std::map<std::string, std::vector<std::string>> before;
     std::set<std::string> all;
     for (const std::string& model : models) {
-        before[model] = homeReplicas(models, agents, model, 2);
+        before[model] = homeReplicas(models, {}, agents, model, 2);
         CHECK(before[model].size() == 3);
         all.insert(before[model].begin(), before[model].end());
     }
@@ -111,12 +111,35 @@
     agents.erase(agents.begin());
     size_t moved = 0;
     for (const std::string& model : models) {
-        for (const std::string& home : homeReplicas(models, agents, model, 2))
+        for (const std::string& home : homeReplicas(models, {}, agents, model, 2))
             moved += std::count(before.at(model).begin(), before.at(model).end(), home) == 0 ? 1 : 0;
     }
     CHECK(moved <= 2);
 }
 
+TEST_CASE("models whose steps are longer have more homes", "[placement]")
+{
+    // Steps of four trainers of a grown deployment, in expected tokens; all are due after the same time.
+    const std::vector<std::string> models { "a", "b", "c", "d" };
+    const ModelDemands demands { { "a", 120000 }, { "b", 79000 }, { "c", 197000 }, { "d", 191000 } };
+    std::vector<std::string> agents;
+    for (int i = 0; i < 38; ++i)
+        agents.push_back("a" + std::to_string(i));
+    std::map<std::string, size_t> sizes;
+    std::set<std::string> all;
+    for (const std::string& model : models) {
+        const auto homes = homeReplicas(models, demands, agents, model, 3);
+        sizes[model] = homes.size();
+        all.insert(homes.begin(), homes.end());
+    }
+    CHECK(sizes == std::map<std::string, size_t> { { "a", 8 }, { "b", 5 }, { "c", 13 }, { "d", 12 } });
+    CHECK(all.size() == agents.size());
+    // Nothing is known of "b" yet: it counts as the mean of the others.
+    CHECK(homeReplicas(models, { { "a", 1 }, { "c", 1 }, { "d", 1 } }, agents, "b", 3).size() >= 9);
+    // However little a model asks for, it has a home.
+    CHECK(homeReplicas(models, { { "a", 1e9 }, { "b", 0 }, { "c", 0 }, { "d", 0 } }, agents, "b", 3).size() == 1);
+}
+
 TEST_CASE("the homes of a version do not serve the version before, unless there is a single model", "[placement]")
 {
     std::vector<std::string> agents;
@@ -124,14 +147,14 @@
         agents.push_back("a" + std::to_string(i));
     const std::vector<std::string> models { "x", "y", "z" };
     for (const std::string& model : models) {
-        const auto even = homeReplicas(models, agents, model, 4);
-        for (const std::string& home : homeReplicas(models, agents, model, 5))
+        const auto even = homeReplicas(models, {}, agents, model, 4);
+        for (const std::string& home : homeReplicas(models, {}, agents, model, 5))
             CHECK(std::count(even.begin(), even.end(), home) == 0);
-        CHECK(homeReplicas(models, agents, model, 6) == even);
+        CHECK(homeReplicas(models, {}, agents, model, 6) == even);
     }
-    CHECK(homeReplicas({ "x" }, agents, "x", 4).size() == 12);
-    CHECK(homeReplicas({ "x" }, agents, "x", 5).size() == 12);
-    CHECK(homeReplicas(models, agents, "unknown", 5).empty());
+    CHECK(homeReplicas({ "x" }, {}, agents, "x", 4).size() == 12);
+    CHECK(homeReplicas({ "x" }, {}, agents, "x", 5).size() == 12);
+    CHECK(homeReplicas(models, {}, agents, "unknown", 5).empty());
 }
 
 TEST_CASE("loads wait for the items of a step, but not for long, and few run at once", "[placement]")
