--- a/include/endiveroad/BatchPlacement.h
+++ b/include/endiveroad/BatchPlacement.h
@@ -81,10 +81,10 @@
 /// What the jobs of each model ask for, in tokens a second; models of which nothing is known are left out.
 using ModelDemands = std::map<std::string, double>;
 
-/// Replicas that load a version of a model. Each model has a share of all replicas by its demand, one at least; of a model
-/// without a known demand the mean is assumed. A replica that comes or goes moves few others. Even and odd versions have
-/// different homes: a step may use the named version and the one before, so the homes of the one before serve it
-/// undisturbed while the others load, and the latter serve it as well once they have loaded.
+/// Replicas that load a version of a model. Each model has a share of all replicas by its demand, one at least; of a
+/// model without a known demand the mean is assumed. A replica that comes or goes moves few others. Even and odd
+/// versions have different homes: a step may use the named version and the one before, so the homes of the one before
+/// serve it undisturbed while the others load, and the latter serve it as well once they have loaded.
 std::vector<std::string> homeReplicas(const std::vector<std::string>& models, const ModelDemands&,
     const std::vector<std::string>& agents, const std::string& model, int64_t version);
 
--- a/src/core/batch/BatchJob.cpp
+++ b/src/core/batch/BatchJob.cpp
@@ -126,8 +126,11 @@
     ItemState& item = items_.at(index);
     if (item.stage == ItemStage::Running && item.run == news.run)
         return onProgress(index, news, now);
-    const bool isUseful = item.stage == ItemStage::Waiting && news.firstEvent == 0
-        && news.events.size() >= item.text.events.size()
+    const bool isWaiting = item.stage == ItemStage::Waiting && news.events.size() >= item.text.events.size();
+    // An owner that has just begun may have started the item anew before it heard of the run.
+    const bool isAhead = item.stage == ItemStage::Running && news.events.size() > item.text.events.size()
+        && areVersionsAllowed(news.events);
+    const bool isUseful = (isWaiting || isAhead) && news.firstEvent == 0
         && (news.state == RunState::Running || news.state == RunState::Completed);
     if (!isUseful)
         return news.state == RunState::Running ? ItemAction::CancelRun : ItemAction::None;
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -315,7 +315,7 @@
         if (item.stage == ItemStage::Running && item.run == progress.run)
             action = owned->job.onProgress(*index, news, now());
         else if (!owned->withdrawnRuns.contains(progress.run))
-            action = owned->job.onAdopted(*index, agent->peerName, news, now());
+            action = adopt(*owned, *index, agent->peerName, news);
         if (action == ItemAction::Restart)
             owned->avoidedAgents[*index] = agent->peerName;
         if (action == ItemAction::CancelRun) {
@@ -326,6 +326,25 @@
     }
 }
 
+ItemAction ItemDispatcher::adopt(OwnedJob& owned, size_t index, const std::string& agent, const RunProgress& news)
+{
+    const ItemState& item = owned.job.items()[index];
+    const bool wasRunning = item.stage == ItemStage::Running;
+    const int64_t ownRun = item.run;
+    const std::string ownAgent = item.agent;
+    const ItemAction action = owned.job.onAdopted(index, agent, news, now());
+    if (!wasRunning || item.run == ownRun)
+        return action;
+    const std::string& id = owned.job.spec().items[index].id;
+    log(Event::ItemMoved,
+        { { "job", owned.id() }, { "item", id }, { "run", std::to_string(ownRun) }, { "agent", ownAgent },
+            { "events", std::to_string(news.events.size()) }, { "reason", "an earlier owner's run is ahead" } });
+    owned.withdrawnRuns.insert(ownRun);
+    if (const PeerConnectionPtr connection = links_.agent(ownAgent))
+        connection->notify(MessageType::ItemCancel, encodedCancel(owned, id));
+    return action;
+}
+
 void ItemDispatcher::act(const OwnedJobPtr& owned, size_t index, ItemAction action)
 {
     if (action == ItemAction::Score)
@@ -394,9 +413,13 @@
     loads_.onJob(*owned);
     const BatchJobSpec& spec = owned->job.spec();
     for (size_t i = 0; i < spec.items.size(); ++i) {
-        if (const auto text = carried_.find(spec.items[i].id, now()))
+        const std::string& item = spec.items[i].id;
+        if (const auto saved = owned->restored.find(item); saved != owned->restored.end())
+            act(owned, i, owned->job.onCarried(i, saved->second));
+        else if (const auto text = carried_.find(item, now()))
             act(owned, i, owned->job.onCarried(i, *text));
     }
+    owned->restored.clear();
     wake();
 }
 
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -94,6 +94,8 @@
     bool isMoveDue(const OwnedJob&, size_t item, const ReplicaView& from, const std::vector<ReplicaView>&) const;
     void giveUpSilent(OwnedJob&);
     void load(const std::map<std::string, std::vector<ReplicaView>>&);
+    /// Takes over a run of an earlier owner if it is ahead of what is known here, and cancels this owner's own.
+    ItemAction adopt(OwnedJob&, size_t item, const std::string& agent, const RunProgress&);
     void withdraw(OwnedJob&, size_t item, const std::string& reason);
     void startItem(const OwnedJobPtr&, size_t item, const ReplicaView&);
     asio::awaitable<void> sendStart(OwnedJobPtr, size_t item, std::string agent, wire::ItemStart);
--- a/tests/core/BatchJobTest.cpp
+++ b/tests/core/BatchJobTest.cpp
@@ -97,6 +97,24 @@
     CHECK(job.items()[0].text.events == events(0, 3));
 }
 
+TEST_CASE("a run of an earlier owner displaces a younger one that is behind it", "[batch]")
+{
+    // A coordinator that starts again places items before all agents have found it.
+    BatchJob job = jobOf(1, 1);
+    const int64_t run = job.start(0, "a0", 3, start);
+    job.onProgress(0, news(run, 0, 2), start);
+    CHECK(job.onAdopted(0, "a1", news(77, 0, 2), start) == ItemAction::CancelRun);
+    CHECK(job.items()[0].run == run);
+    CHECK(job.onAdopted(0, "a1", news(78, 1, 9), start) == ItemAction::CancelRun);
+    CHECK(job.items()[0].run == run);
+    CHECK(job.onAdopted(0, "a1", news(79, 0, 9), start) == ItemAction::None);
+    CHECK(job.items()[0].run == 79);
+    CHECK(job.items()[0].agent == "a1");
+    CHECK(job.items()[0].text.events == events(0, 9));
+    CHECK(job.onProgress(0, news(run, 2, 3), start) == ItemAction::CancelRun);
+    CHECK(job.items()[0].text.events == events(0, 9));
+}
+
 TEST_CASE("a new owner adopts a run with all its events", "[batch]")
 {
     BatchJob job = jobOf(1, 1);
