--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -77,7 +77,6 @@
     , directory_(std::move(directory))
     , resultLifetime_(resultLifetime)
     , lister_(context, store_, jobs_, [this](const OwnedJobPtr& owned) { lose(owned, "the record has changed"); })
-    , saver_(context, store_, jobs_)
     , settled_(context)
 {
 }
@@ -423,17 +422,13 @@
         co_return nullptr;
     const std::string body = co_await store_.readBody(stored.id);
     std::vector<BatchResult> results = co_await store_.readResults(stored.id);
-    const std::vector<SavedText> texts = co_await store_.readTexts(stored.id);
     BatchJobSpec spec = protocol_.decodeJob(stored.id, record.host, record.route, body);
     const size_t listed = results.size();
     const OwnedJobPtr owned = insert(std::move(spec), record, *revision, std::move(results));
     owned->placeFrom = now() + adoptionTime;
-    for (const SavedText& saved : texts)
-        owned->restored[saved.item] = saved.text;
     log(Event::BatchJobClaimed,
         { { "job", stored.id }, { "from", stored.record.owner }, { "revision", std::to_string(*revision) },
-            { "listed", std::to_string(listed) }, { "texts", std::to_string(texts.size()) },
-            { "items", std::to_string(record.items) } });
+            { "listed", std::to_string(listed) }, { "items", std::to_string(record.items) } });
     worker_->onJob(owned);
     others_.announceOwner(*owned);
     co_return owned;
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -4,7 +4,6 @@
 #include "io/hosted/OwnedJob.h"
 #include "io/hosted/Protocol.h"
 #include "io/hosted/ResultLister.h"
-#include "io/hosted/TextSaver.h"
 
 #include <endiveroad_types.h>
 #include <map>
@@ -63,9 +62,6 @@
     /// Lists what can be listed.
     asio::awaitable<void> runListing() { return lister_.run(); }
 
-    /// Saves texts that have grown.
-    asio::awaitable<void> runSaving() { return saver_.run(); }
-
     /// Takes over open jobs whose owners are gone and that fall to this coordinator. With isOwnOnly only those that
     /// an earlier process of this name owned.
     asio::awaitable<void> adoptOrphans(bool isOwnOnly);
@@ -132,7 +128,6 @@
     JobWorker* worker_ = nullptr;
     JobTable jobs_;
     ResultLister lister_;
-    TextSaver saver_;
     std::map<std::string, Archived> archived_;
     /// Jobs that are being accepted, looked up or taken over now.
     std::set<std::string> settling_;
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -48,7 +48,6 @@
     spawn(executor, [this] { return takeOver(); });
     spawn(executor, [this] { return dispatcher_.run(); });
     spawn(executor, [this] { return owner_.runListing(); });
-    spawn(executor, [this] { return owner_.runSaving(); });
     spawn(executor, [this] { return reportRetirements(); });
 }
 
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -413,13 +413,9 @@
     loads_.onJob(*owned);
     const BatchJobSpec& spec = owned->job.spec();
     for (size_t i = 0; i < spec.items.size(); ++i) {
-        const std::string& item = spec.items[i].id;
-        if (const auto saved = owned->restored.find(item); saved != owned->restored.end())
-            act(owned, i, owned->job.onCarried(i, saved->second));
-        else if (const auto text = carried_.find(item, now()))
+        if (const auto text = carried_.find(spec.items[i].id, now()))
             act(owned, i, owned->job.onCarried(i, *text));
     }
-    owned->restored.clear();
     wake();
 }
 
--- a/src/io/hosted/JobStore.cpp
+++ b/src/io/hosted/JobStore.cpp
@@ -33,11 +33,6 @@
     return "endiveroad/results/" + job + "/";
 }
 
-std::string textPrefix(const std::string& job)
-{
-    return "endiveroad/texts/" + job + "/";
-}
-
 std::string numberedKey(const std::string& prefix, size_t number)
 {
     return fmt::format("{}{:08}", prefix, number);
@@ -107,38 +102,6 @@
     }
 }
 
-std::string encode(const std::vector<SavedText>& texts)
-{
-    Json rows = Json::array();
-    for (const SavedText& saved : texts) {
-        Json events = Json::array();
-        for (const GeneratedEvent& event : saved.text.events)
-            events.push_back({ event.id, event.version, event.data });
-        rows.push_back({ { "item", saved.item }, { "isComplete", saved.text.isComplete }, { "score", saved.text.score },
-            { "events", std::move(events) } });
-    }
-    return rows.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
-void decodeTexts(const Document& document, std::vector<SavedText>& texts)
-{
-    try {
-        const Json rows = Json::parse(document.value);
-        for (const Json& row : rows) {
-            SavedText saved;
-            saved.item = row.at("item").get<std::string>();
-            saved.text.isComplete = row.at("isComplete").get<bool>();
-            saved.text.score = row.at("score").get<std::string>();
-            for (const Json& event : row.at("events"))
-                saved.text.events.push_back(
-                    { event.at(0).get<int64_t>(), event.at(2).get<std::string>(), event.at(1).get<int64_t>() });
-            texts.push_back(std::move(saved));
-        }
-    } catch (const Json::exception& error) {
-        throw FrameInvalidError(fmt::format("the texts {} cannot be read: {}", document.key, error.what()));
-    }
-}
-
 } // namespace
 
 JobStore::JobStore(MetadataStore& store)
@@ -235,28 +198,10 @@
     co_return AppendOutcome::OwnerChanged;
 }
 
-asio::awaitable<AppendOutcome> JobStore::saveTexts(std::string job, int64_t revision, std::vector<SavedText> texts)
-{
-    StoreTransaction transaction;
-    transaction.conditions.push_back({ recordKey(job), revision });
-    transaction.puts.push_back({ numberedKey(textPrefix(job), 0), encode(texts), 0 });
-    const CommitResult result = co_await store_.commit(std::move(transaction), now() + callTimeout);
-    co_return result.isCommitted ? AppendOutcome::Appended : AppendOutcome::OwnerChanged;
-}
-
-asio::awaitable<std::vector<SavedText>> JobStore::readTexts(std::string job)
-{
-    const StoreListing listing = co_await store_.list(textPrefix(job), false, now() + callTimeout);
-    std::vector<SavedText> texts;
-    for (const Document& document : listing.documents)
-        decodeTexts(document, texts);
-    co_return texts;
-}
-
 asio::awaitable<void> JobStore::remove(std::string job)
 {
     std::vector<std::string> keys;
-    for (const std::string& prefix : { bodyPrefix(job), resultPrefix(job), textPrefix(job) }) {
+    for (const std::string& prefix : { bodyPrefix(job), resultPrefix(job) }) {
         const StoreListing listing = co_await store_.list(prefix, false, now() + callTimeout);
         for (const Document& document : listing.documents)
             keys.push_back(document.key);
--- a/src/io/hosted/JobStore.h
+++ b/src/io/hosted/JobStore.h
@@ -3,7 +3,6 @@
 #include "io/hosted/MetadataStore.h"
 
 #include <endiveroad/BatchJob.h>
-#include <endiveroad/SavedTexts.h>
 #include <optional>
 #include <string>
 #include <vector>
@@ -74,11 +73,6 @@
     asio::awaitable<AppendOutcome> append(
         std::string job, int64_t revision, size_t first, std::vector<BatchResult> results);
 
-    /// Replaces the saved texts of unfinished items.
-    asio::awaitable<AppendOutcome> saveTexts(std::string job, int64_t revision, std::vector<SavedText> texts);
-
-    asio::awaitable<std::vector<SavedText>> readTexts(std::string job);
-
     /// Removes everything of a job.
     asio::awaitable<void> remove(std::string job);
 
--- a/src/io/hosted/OwnedJob.h
+++ b/src/io/hosted/OwnedJob.h
@@ -4,7 +4,6 @@
 #include "io/hosted/JobStore.h"
 
 #include <endiveroad/BatchJob.h>
-#include <endiveroad/SavedTexts.h>
 #include <map>
 #include <memory>
 #include <set>
@@ -40,11 +39,6 @@
     std::set<int64_t> withdrawnRuns;
     /// Times that an item has been moved to a faster replica, by index of the item.
     std::map<size_t, int32_t> speedups;
-    /// Texts of this job that lie in the store.
-    SavedTexts saved;
-    bool isSaving = false;
-    /// Texts that an earlier owner saved, by item; used when the work on the job begins.
-    std::map<std::string, PartialText> restored;
     /// Agents that an item should not go to next, by index of the item.
     std::map<size_t, std::string> avoidedAgents;
 };
