--- a/include/endiveroad/Directory.h
+++ b/include/endiveroad/Directory.h
@@ -53,7 +53,6 @@
 
 struct ServiceDeclaration {
     std::string name;
-    std::string healthPath;
     /// Models that its replicas serve; empty for a plain service.
     std::vector<std::string> models;
 
--- a/include/endiveroad/HostedSettings.h
+++ b/include/endiveroad/HostedSettings.h
@@ -30,8 +30,6 @@
     Duration graceTime = std::chrono::seconds(8);
     /// Time for which results are kept after a job was submitted.
     Duration resultLifetime = std::chrono::seconds(120);
-    /// Engines refuse orders with an old fencing token.
-    bool areOrdersFenced = false;
 
     auto operator<=>(const HostedSettings&) const = default;
 };
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -70,7 +70,6 @@
     CHECK(settings.peers == Address { "10.1.0.41", 7380 });
     CHECK(settings.seeds == std::vector<Address> { { "10.1.0.38", 7380 }, { "10.2.0.40", 7380 } });
     CHECK(settings.replica == Address { "10.1.0.41", 8145 });
-    CHECK(settings.areOrdersFenced);
     CHECK(settings.graceTime == Duration(8s));
     CHECK_FALSE(settings.callers);
     CHECK_THROWS_AS(parseSettings("NodeName=x\n"), SettingsInvalidError);
