Ownership of jobs and runs of items have files of their own

Change: BatchOwnership.cpp finds, takes over and loses jobs, BatchOwner.cpp does what callers ask for; ItemRuns.cpp starts and follows runs, ItemDispatcher.cpp decides which item runs where. Functions were moved as they stood; Settling stands in the header, since both parts use it. HACKING.md tells of virtual time, histories of jobs and exit codes. Ruled out: new classes for the parts (they would share all of the state). Conclusion: no behaviour changed.

--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -80,7 +80,26 @@
 
 private:
     /// Marks a job whose place is being settled, so that nothing else accepts, finds or takes it over meanwhile.
-    class Settling;
+    class Settling {
+    public:
+        Settling(BatchOwner& owner, std::string job)
+            : owner_(owner)
+            , job_(std::move(job))
+        {
+            owner_.settling_.insert(job_);
+        }
+        Settling(const Settling&) = delete;
+        Settling& operator=(const Settling&) = delete;
+        ~Settling()
+        {
+            owner_.settling_.erase(job_);
+            owner_.settled_.notifyAll();
+        }
+
+    private:
+        BatchOwner& owner_;
+        std::string job_;
+    };
 
     struct Archived {
         std::vector<BatchResult> results;
--- /dev/null
+++ b/src/io/hosted/BatchOwnership.cpp
@@ -0,0 +1,181 @@
+#include "io/hosted/BatchOwner.h"
+
+#include "io/Clock.h"
+#include "io/Log.h"
+#include "io/Tasks.h"
+
+#include <algorithm>
+#include <endiveroad/Error.h>
+#include <endiveroad/Rendezvous.h>
+
+/// Who owns which job: finding, taking over and losing it. What callers ask for is in BatchOwner.cpp.
+namespace endiveroad::io {
+
+namespace {
+
+/// Time after the end of a job's lifetime at which it is removed.
+constexpr std::chrono::milliseconds removalMargin { 60000 };
+
+} // namespace
+
+asio::awaitable<void> BatchOwner::waitUntilSettled(const std::string& job)
+{
+    while (settling_.contains(job))
+        co_await settled_.wait(now() + JobStore::retryPause);
+}
+
+asio::awaitable<BatchOwner::Location> BatchOwner::locate(std::string job, std::vector<std::string> unreachable)
+{
+    co_await waitUntilSettled(job);
+    Location location;
+    if (const auto owned = jobs_.find(job); owned != jobs_.end()) {
+        location.owned = owned->second;
+        co_return location;
+    }
+    if (const auto archived = archived_.find(job); archived != archived_.end()) {
+        location.archived = &archived->second;
+        co_return location;
+    }
+    const Settling settling(*this, job);
+    location = co_await locateOnce(job, std::move(unreachable));
+    co_return location;
+}
+
+asio::awaitable<BatchOwner::Location> BatchOwner::locateOnce(std::string job, std::vector<std::string> unreachable)
+{
+    Location location;
+    const std::optional<StoredJob> stored = co_await store_.read(job);
+    if (!stored)
+        co_return location;
+    if (stored->record.isEnded) {
+        location.archived = co_await archive(*stored);
+        co_return location;
+    }
+    const std::string& owner = stored->record.owner;
+    const bool isOwnerReachable
+        = std::find(unreachable.begin(), unreachable.end(), owner) == unreachable.end() || others_.isAlive(owner);
+    if (owner != name_ && others_.isAlive(owner) && isOwnerReachable) {
+        location.owner = owner;
+        co_return location;
+    }
+    location.owned = co_await claimOnce(*stored);
+    if (location.owned)
+        co_return location;
+    // Somebody else was faster.
+    const std::optional<StoredJob> present = co_await store_.read(job);
+    if (present && present->record.owner != name_)
+        location.owner = present->record.owner;
+    if (!location.isKnown())
+        throw StoreUnavailableError("the owner of the job changes");
+    co_return location;
+}
+
+asio::awaitable<const BatchOwner::Archived*> BatchOwner::archive(StoredJob stored)
+{
+    Archived archived;
+    archived.items = stored.record.items;
+    archived.results = co_await store_.readResults(stored.id);
+    if (archived_.size() >= maxArchived)
+        archived_.erase(archived_.begin());
+    co_return &(archived_[stored.id] = std::move(archived));
+}
+
+asio::awaitable<OwnedJobPtr> BatchOwner::claim(StoredJob stored)
+{
+    if (jobs_.contains(stored.id) || settling_.contains(stored.id))
+        co_return nullptr;
+    const Settling settling(*this, stored.id);
+    co_return co_await claimOnce(stored);
+}
+
+asio::awaitable<OwnedJobPtr> BatchOwner::claimOnce(StoredJob stored)
+{
+    JobRecord record = stored.record;
+    record.owner = name_;
+    const auto revision = co_await store_.replace(stored.id, record, stored.revision);
+    if (!revision)
+        co_return nullptr;
+    const std::string body = co_await store_.readBody(stored.id);
+    std::vector<BatchResult> results = co_await store_.readResults(stored.id);
+    BatchJobSpec spec = protocol_.decodeJob(stored.id, record.host, record.route, body);
+    const size_t listed = results.size();
+    const OwnedJobPtr owned = insert(std::move(spec), record, *revision, std::move(results));
+    owned->placeFrom = now() + adoptionTime;
+    log(Event::BatchJobClaimed,
+        { { "job", stored.id }, { "from", stored.record.owner }, { "revision", std::to_string(*revision) },
+            { "listed", std::to_string(listed) }, { "items", std::to_string(record.items) } });
+    worker_->onJob(owned);
+    others_.announceOwner(*owned);
+    co_return owned;
+}
+
+asio::awaitable<void> BatchOwner::adoptOrphans(bool isOwnOnly)
+{
+    const std::vector<StoredJob> all = co_await store_.readAll();
+    for (const StoredJob& stored : all) {
+        if (stored.record.isEnded || jobs_.contains(stored.id))
+            continue;
+        const bool isOwn = stored.record.owner == name_;
+        if (!isOwn && (isOwnOnly || others_.isAlive(stored.record.owner)))
+            continue;
+        const std::vector<std::string> heirs = rendezvousOwners(stored.record.route, others_.alive(), 1);
+        if (!isOwn && (heirs.empty() || heirs.front() != name_))
+            continue;
+        co_await claim(stored);
+    }
+}
+
+asio::awaitable<void> BatchOwner::removeExpired()
+{
+    const int64_t present = wallMs();
+    const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(resultLifetime_) + removalMargin;
+    const std::vector<StoredJob> all = co_await store_.readAll();
+    for (const StoredJob& stored : all) {
+        const bool isExpired = stored.record.isEnded && present > stored.record.submittedMs + lifetime.count();
+        if (!isExpired || stored.record.owner != name_)
+            continue;
+        co_await store_.remove(stored.id);
+        jobs_.erase(stored.id);
+        archived_.erase(stored.id);
+    }
+}
+
+void BatchOwner::doubt(const OwnedJobPtr& owned)
+{
+    if (!owned->isLost && !owned->isInDoubt) {
+        owned->isInDoubt = true;
+        spawn(context_.get_executor(), [this, owned] { return verify(owned); });
+    }
+}
+
+asio::awaitable<void> BatchOwner::verify(OwnedJobPtr owned)
+{
+    try {
+        const std::optional<StoredJob> stored = co_await store_.read(owned->id());
+        const bool isOwner = stored && stored->record.owner == name_ && !stored->record.isEnded;
+        if (!isOwner)
+            lose(owned, "the record names another owner or the end of the job");
+    } catch (const Error& error) {
+        log(Event::StoreUnavailable, { { "calling", "owner record" }, { "reason", error.what() } });
+    }
+    owned->isInDoubt = false;
+}
+
+void BatchOwner::onOwner(const wire::JobOwnerNotice& notice)
+{
+    const auto found = jobs_.find(notice.job);
+    if (found != jobs_.end() && notice.owner != name_ && notice.revision > found->second->job.revision())
+        lose(found->second, "taken over by " + notice.owner);
+}
+
+void BatchOwner::lose(const OwnedJobPtr& owned, const std::string& reason)
+{
+    if (owned->isLost)
+        return;
+    owned->isLost = true;
+    log(Event::BatchJobLost, { { "job", owned->id() }, { "reason", reason } });
+    jobs_.erase(owned->id());
+    owned->changed.notifyAll();
+}
+
+} // namespace endiveroad::io
