Queues and refusals have metrics

Ruled out: a counter for each reason in the catalogue (reasons are a fixed few texts of one function; a label holds them). Change: gauges endiveroad_waiting_items and endiveroad_running_items by model at coordinators, endiveroad_refusals_total by reason at agents; the hosted harness serves metrics. Before: no such line. After: hosted.metrics_tell_of_queues_refusals_and_latencies (12 of 40 items run, 28 wait, none after the end) and MetricsTest pass. Conclusion: the last metric that the issue names is there.

--- a/include/endiveroad/Metrics.h
+++ b/include/endiveroad/Metrics.h
@@ -88,6 +88,8 @@
     void count(Counter counter, uint64_t by = 1) { counters_[static_cast<size_t>(counter)] += by; }
     void count(Event event) { ++events_[event]; }
     void count(ErrorCode code) { ++errors_[code]; }
+    /// An agent refused to start an item. Reasons are a fixed few.
+    void countRefusal(const std::string& reason) { ++refusals_[reason]; }
     void record(Latency, Duration, Instant now);
 
     uint64_t value(Counter counter) const { return counters_[static_cast<size_t>(counter)]; }
@@ -103,6 +105,7 @@
     std::array<LatencyWindow, static_cast<size_t>(Latency::End)> latencies_;
     std::map<Event, uint64_t> events_;
     std::map<ErrorCode, uint64_t> errors_;
+    std::map<std::string, uint64_t> refusals_;
 };
 
 /// A label value with quotes, backslashes and line ends escaped.
--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -46,7 +46,8 @@
         with open(self.path, "w", encoding="utf-8") as file:
             file.write("".join("%s=%s\n" % pair for pair in self.settings.items()))
         with open(self.log_path, "ab") as log:
-            self.handle = subprocess.Popen([self.deployment.binary, self.role, "--hosted"], stdout=log, stderr=log,
+            self.handle = subprocess.Popen([self.deployment.binary, self.role, "--hosted", "--metrics-port",
+                                            str(self.deployment.port + 4)], stdout=log, stderr=log,
                                            stdin=subprocess.DEVNULL, env={**os.environ, "ENDIVEROAD_BOOT": self.path})
 
     def signal(self, number):
--- a/src/core/metrics/Metrics.cpp
+++ b/src/core/metrics/Metrics.cpp
@@ -126,6 +126,11 @@
         writer.line({ "endiveroad_events_total", labels, "Events of docs/EVENTS.md, logged or not." }, "counter",
             static_cast<double>(count));
     }
+    for (const auto& [reason, count] : refusals_) {
+        const std::string labels = fmt::format("reason=\"{}\"", labelValue(reason));
+        writer.line({ "endiveroad_refusals_total", labels, "Starts of items that the agent refused, by reason." },
+            "counter", static_cast<double>(count));
+    }
     for (size_t i = 0; i < latencies_.size(); ++i)
         writeHistogram(writer, latencyRows[i], latencies_[i]);
     for (size_t i = 0; i < latencies_.size(); ++i)
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -243,11 +243,19 @@
 
 std::vector<Gauge> HostedCoordinator::gauges() const
 {
-    return { { "endiveroad_owned_jobs", "", "Batch jobs that this coordinator owns.",
-                 static_cast<double>(owner_.jobs().size()) },
+    std::vector<Gauge> gauges { { "endiveroad_owned_jobs", "", "Batch jobs that this coordinator owns.",
+                                    static_cast<double>(owner_.jobs().size()) },
         { "endiveroad_open_jobs", "", "Those of them that have not ended.", static_cast<double>(owner_.openJobs()) },
         { "endiveroad_known_replicas", "", "Replicas whose agents have reported.",
             static_cast<double>(dispatcher_.replicas()) } };
+    const auto queues = dispatcher_.queues();
+    for (const auto& [model, queue] : queues)
+        gauges.push_back({ "endiveroad_waiting_items", "model=\"" + labelValue(model) + "\"",
+            "Items of open jobs that wait for a replica.", static_cast<double>(queue.waiting) });
+    for (const auto& [model, queue] : queues)
+        gauges.push_back({ "endiveroad_running_items", "model=\"" + labelValue(model) + "\"",
+            "Items of open jobs that run on a replica.", static_cast<double>(queue.running) });
+    return gauges;
 }
 
 asio::awaitable<void> HostedCoordinator::drain()
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -204,6 +204,21 @@
     }
 }
 
+std::map<std::string, ItemDispatcher::Queue> ItemDispatcher::queues() const
+{
+    std::map<std::string, Queue> queues;
+    for (const auto& [id, owned] : jobs_) {
+        if (owned->job.isEnded())
+            continue;
+        Queue& queue = queues[owned->job.spec().model];
+        for (const ItemState& item : owned->job.items()) {
+            queue.waiting += item.stage == ItemStage::Waiting ? 1 : 0;
+            queue.running += item.stage == ItemStage::Running ? 1 : 0;
+        }
+    }
+    return queues;
+}
+
 void ItemDispatcher::onReport(const std::string& agent, const wire::ReplicaReport& report)
 {
     reports_[agent].last = report;
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -76,6 +76,13 @@
     /// Another coordinator says what the jobs of a model ask for.
     void onDemand(const std::string& model, double tokensPerSecond);
 
+    /// Items of open jobs that wait for a replica, and those that run, by model.
+    struct Queue {
+        size_t waiting = 0;
+        size_t running = 0;
+    };
+    std::map<std::string, Queue> queues() const;
+
     size_t replicas() const { return reports_.size(); }
 
 private:
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -105,6 +105,7 @@
     if (const auto known = owners_.find(order.job); known != owners_.end())
         answer.revision = known->second.revision;
     if (!answer.isAccepted) {
+        processMetrics().countRefusal(answer.reason);
         log(Event::ItemRefused,
             { { "job", order.job }, { "item", order.item }, { "reason", answer.reason },
                 { "revision", std::to_string(order.revision) }, { "server", engine_.server() } });
--- a/tests/core/MetricsTest.cpp
+++ b/tests/core/MetricsTest.cpp
@@ -81,12 +81,14 @@
     metrics.count(Counter::FramesSent, 3);
     metrics.count(Event::SwapConfirmed);
     metrics.count(ErrorCode::NotRun);
+    metrics.countRefusal("all slots are taken");
     metrics.record(Latency::ServiceCall, aMillisecond, Instant());
     const std::string text = metrics.prometheusText(
         { { "endiveroad_x", "job=\"" + labelValue("a\"\\\n") + "\"", "Help.", 2.5 } }, Instant());
     for (const char* line : { "endiveroad_frames_total{direction=\"sent\"} 3",
              "endiveroad_events_total{event=\"SwapConfirmed\",level=\"info\"} 1",
-             "endiveroad_errors_total{code=\"not_run\"} 1", "endiveroad_x{job=\"a\\\"\\\\\\n\"} 2.5",
+             "endiveroad_errors_total{code=\"not_run\"} 1",
+             "endiveroad_refusals_total{reason=\"all slots are taken\"} 1", "endiveroad_x{job=\"a\\\"\\\\\\n\"} 2.5",
              "endiveroad_request_seconds_bucket{kind=\"service\",le=\"0.001\"} 1",
              "endiveroad_request_seconds_bucket{kind=\"service\",le=\"+Inf\"} 1",
              "endiveroad_request_seconds_sum{kind=\"service\"} 0.001",
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -52,6 +52,27 @@
     assert deployment.read(deployment.entries[1], "job-unknown")[0] == 404
 
 
+def metrics_tell_of_queues_refusals_and_latencies(deployment):
+    for engine in deployment.platform.engines:
+        engine.extra_s = 0.1
+    deployment.submit("job-queue", names("queued", 40))
+
+    def lines(machines):
+        texts = [deployment.request(machine, "GET", "/metrics", port=deployment.port + 4)[1].decode() for machine in machines]
+        return [line for text in texts for line in text.splitlines()]
+
+    def value(machines, start):
+        return sum(float(line.rsplit(" ", 1)[1]) for line in lines(machines) if line.startswith(start))
+
+    label = '{model="%s"}' % MODELS[0]
+    wait_until(lambda: value(deployment.coordinators, "endiveroad_running_items" + label) == 12, 10)
+    assert value(deployment.coordinators, "endiveroad_waiting_items" + label) == 28
+    deployment.end("job-queue")
+    wait_until(lambda: value(deployment.coordinators, "endiveroad_waiting_items" + label) == 0, 10)
+    assert value(deployment.coordinators, 'endiveroad_batch_seconds_bucket{operation="submit",le="+Inf"}') >= 1
+    assert value(deployment.agents, 'endiveroad_item_run_seconds_bucket{le="+Inf"}') >= 1
+
+
 def versions_are_loaded_and_named(deployment):
     items = names("old", 6)
     deployment.submit("job-old", items)
@@ -294,7 +315,7 @@
 
 
 CASES = {case.__name__: case for case in (
-    whole_path, versions_are_loaded_and_named, coordinators_die_one_after_the_other,
+    whole_path, metrics_tell_of_queues_refusals_and_latencies, versions_are_loaded_and_named, coordinators_die_one_after_the_other,
     everything_is_killed_after_the_acknowledgement, store_is_away_while_a_job_runs, answers_of_the_store_are_lost,
     replica_breaks_its_streams_and_goes_dark, items_that_always_fail_are_given_up,
     history_is_lost_and_strangers_register, one_machine_is_turned_away_by_the_store,
