Read once more: one index of log lines, a redirection is never success, histories in three files

KeptConnections built a call's headers a second time, DirectoryKeeperTest a loop over virtual time, DirectStoreTransport held a template for one use. Conclusion: no bound, check or assertion was loosened.

--- a/include/endiveroad/RequestStory.h
+++ b/include/endiveroad/RequestStory.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <endiveroad/Timeline.h>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,12 +27,26 @@
     auto operator<=>(const RequestStory&) const = default;
 };
 
-/// Selects the lines of an id, and for an item those of its job that bear on all items, and names the cause of a
-/// failure.
-RequestStory tellStory(const std::vector<TimelineEntry>&, const std::string& id);
+/// Log lines of all processes, found by the ids that they name.
+class LogIndex {
+public:
+    explicit LogIndex(std::vector<TimelineEntry>);
+
+    /// Selects the lines of an id, and for an item those of its job that bear on all items, and names the cause of a
+    /// failure.
+    RequestStory story(const std::string& id) const;
+
+    /// Ids of all requests, jobs and items that the lines say were refused, given up or terminated, in the order of the
+    /// lines, each once.
+    std::vector<std::string> failed() const;
 
-/// Ids of all requests, jobs and items that the lines say were refused, given up or terminated, in the order of the
-/// lines, each once.
-std::vector<std::string> failedRequests(const std::vector<TimelineEntry>&);
+private:
+    std::vector<TimelineEntry> entries_;
+    /// Positions of the lines that name a request, item or job.
+    std::map<std::string, std::vector<size_t>> byId_;
+};
+
+/// The story of a single id.
+RequestStory tellStory(const std::vector<TimelineEntry>&, const std::string& id);
 
 } // namespace endiveroad
--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -195,18 +195,23 @@
         except OSError:
             return False
 
-    def request(self, entry, method, target, body=b"", headers=None, timeout=10, port=None):
-        connection = http.client.HTTPConnection(entry.address, port or self.port + 1, timeout=timeout)
+    def connect(self, entry, timeout=10, port=None):
+        return http.client.HTTPConnection(entry.address, port or self.port + 1, timeout=timeout)
+
+    def request(self, entry, method, target, body=b"", headers=None, timeout=10, port=None, kept=None):
+        """One request, over a connection of its own unless one is given that the caller keeps."""
+        connection = kept or self.connect(entry, timeout, port)
         try:
             connection.request(method, target, body, {"Host": HOST, **(headers or {})})
             response = connection.getresponse()
             return response.status, response.read(), dict(response.getheaders())
         finally:
-            connection.close()
+            if not kept:
+                connection.close()
 
-    def call(self, entry, request_id, target=CALL_PREFIX + "x", body=b"body", timeout_ms=3000):
+    def call(self, entry, request_id, target=CALL_PREFIX + "x", body=b"body", timeout_ms=3000, kept=None):
         return self.request(entry, "POST", target, body, {"Endiveroad-Request-Id": request_id,
-                                                          "Endiveroad-Deadline-Ms": str(timeout_ms)})
+                                                          "Endiveroad-Deadline-Ms": str(timeout_ms)}, kept=kept)
 
     def submit(self, job, items, model=MODELS[0], oldest=1, patience_s=15):
         """Submits a job, again after each failure, through one entry after the other. Returns the answers' statuses."""
--- a/src/cli/ExplainCommand.cpp
+++ b/src/cli/ExplainCommand.cpp
@@ -52,12 +52,12 @@
 }
 
 /// One line for each request that failed, and how many of them have a cause.
-int explainFailed(const std::vector<TimelineEntry>& entries)
+int explainFailed(const LogIndex& logs)
 {
-    const std::vector<std::string> ids = failedRequests(entries);
+    const std::vector<std::string> ids = logs.failed();
     size_t explained = 0;
     for (const std::string& id : ids) {
-        const RequestStory story = tellStory(entries, id);
+        const RequestStory story = logs.story(id);
         explained += story.isExplained && story.blame != Blame::Nobody ? 1 : 0;
         fmt::print("{} {}\n", id, causeLine(story));
     }
@@ -87,11 +87,11 @@
     if (result->count("failed") > 0) {
         // There is no id then: what stands in its place is the first log.
         logs.insert(logs.begin(), id);
-        return explainFailed(readLogs(logs));
+        return explainFailed(LogIndex(readLogs(logs)));
     }
     if (logs.empty())
         throw UsageInvalidError("give an id and at least one log");
-    const RequestStory story = tellStory(readLogs(logs), id);
+    const RequestStory story = LogIndex(readLogs(logs)).story(id);
     if (story.lines.empty()) {
         fmt::print("no line names {}\n", id);
         return exitFailure;
--- a/src/core/timeline/RequestStory.cpp
+++ b/src/core/timeline/RequestStory.cpp
@@ -19,13 +19,6 @@
     return {};
 }
 
-bool concerns(const TimelineEntry& entry, const std::string& id)
-{
-    return std::any_of(entry.fields.begin(), entry.fields.end(), [&](const auto& field) {
-        return field.second == id && (field.first == "request" || field.first == "item" || field.first == "job");
-    });
-}
-
 /// Events of a job that bear on each of its items.
 bool isOfWholeJob(Event event)
 {
@@ -122,32 +115,52 @@
     return names[static_cast<size_t>(blame)];
 }
 
-RequestStory tellStory(const std::vector<TimelineEntry>& entries, const std::string& id)
+LogIndex::LogIndex(std::vector<TimelineEntry> entries)
+    : entries_(std::move(entries))
 {
-    std::set<std::string> jobs;
-    for (const TimelineEntry& entry : entries) {
-        if (concerns(entry, id) && !fieldOf(entry, "job").empty())
-            jobs.insert(fieldOf(entry, "job"));
+    for (size_t i = 0; i < entries_.size(); ++i) {
+        std::set<std::string_view> named;
+        for (const auto& [name, value] : entries_[i].fields) {
+            const bool isId = name == "request" || name == "item" || name == "job";
+            if (isId && named.insert(value).second)
+                byId_[value].push_back(i);
+        }
     }
+}
+
+RequestStory LogIndex::story(const std::string& id) const
+{
     RequestStory story;
-    for (const TimelineEntry& entry : entries) {
-        const bool isOfJob = isOfWholeJob(entry.event) && jobs.contains(fieldOf(entry, "job"));
-        if (concerns(entry, id) || isOfJob)
-            story.lines.push_back(entry);
+    const auto own = byId_.find(id);
+    if (own == byId_.end())
+        return story;
+    std::set<size_t> chosen(own->second.begin(), own->second.end());
+    std::set<std::string> jobs;
+    for (size_t position : own->second)
+        jobs.insert(fieldOf(entries_[position], "job"));
+    for (const std::string& job : jobs) {
+        const auto ofJob = byId_.find(job);
+        for (size_t position : ofJob == byId_.end() ? std::vector<size_t>() : ofJob->second) {
+            const TimelineEntry& entry = entries_[position];
+            if (isOfWholeJob(entry.event) && fieldOf(entry, "job") == job)
+                chosen.insert(position);
+        }
     }
+    for (size_t position : chosen)
+        story.lines.push_back(entries_[position]);
     std::stable_sort(story.lines.begin(), story.lines.end(),
         [](const TimelineEntry& a, const TimelineEntry& b) { return a.stamp < b.stamp; });
     explain(story);
     return story;
 }
 
-std::vector<std::string> failedRequests(const std::vector<TimelineEntry>& entries)
+std::vector<std::string> LogIndex::failed() const
 {
     const std::map<Event, std::string_view> idFields { { Event::CallGivenUp, "request" },
         { Event::BatchJobRefused, "job" }, { Event::BatchReadFailed, "job" }, { Event::ItemTerminated, "item" } };
     std::vector<std::string> ids;
     std::set<std::string> known;
-    for (const TimelineEntry& entry : entries) {
+    for (const TimelineEntry& entry : entries_) {
         const auto field = idFields.find(entry.event);
         const std::string id = field == idFields.end() ? std::string() : fieldOf(entry, field->second);
         if (!id.empty() && known.insert(id).second)
@@ -156,4 +169,9 @@
     return ids;
 }
 
+RequestStory tellStory(const std::vector<TimelineEntry>& entries, const std::string& id)
+{
+    return LogIndex(entries).story(id);
+}
+
 } // namespace endiveroad
--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -15,6 +15,8 @@
 
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
+/// Promises nothing.
+constexpr int statusBadGateway = 502;
 
 wire::BatchAnswer answerOf(int status, std::string body = {})
 {
@@ -33,9 +35,10 @@
     return answer;
 }
 
+/// The status stands in case nobody follows: a caller must not take it for success.
 wire::BatchAnswer redirectTo(const std::string& owner)
 {
-    wire::BatchAnswer answer = answerOf(statusOk);
+    wire::BatchAnswer answer = answerOf(statusBadGateway);
     answer.owner = owner;
     return answer;
 }
@@ -110,6 +113,7 @@
         log(event,
             { { "job", call.job }, { "item", call.item }, { "code", std::string(codeText(error.code())) },
                 { "reason", error.what() } });
+        processMetrics().count(error.code());
         answer = answerOf(error, retryAfter);
     }
     processMetrics().record(latencyOf(call.operation), now() - startedAt, now());
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -6,7 +6,9 @@
 #include "wire/Codec.h"
 
 #include <algorithm>
+#include <array>
 #include <endiveroad/Error.h>
+#include <fmt/format.h>
 
 namespace endiveroad::io {
 
@@ -248,13 +250,16 @@
         { "endiveroad_open_jobs", "", "Those of them that have not ended.", static_cast<double>(owner_.openJobs()) },
         { "endiveroad_known_replicas", "", "Replicas whose agents have reported.",
             static_cast<double>(dispatcher_.replicas()) } };
-    const auto queues = dispatcher_.queues();
-    for (const auto& [model, queue] : queues)
-        gauges.push_back({ "endiveroad_waiting_items", "model=\"" + labelValue(model) + "\"",
-            "Items of open jobs that wait for a replica.", static_cast<double>(queue.waiting) });
-    for (const auto& [model, queue] : queues)
-        gauges.push_back({ "endiveroad_running_items", "model=\"" + labelValue(model) + "\"",
-            "Items of open jobs that run on a replica.", static_cast<double>(queue.running) });
+    constexpr std::array stages { std::pair(ItemStage::Waiting, "waiting"), std::pair(ItemStage::Running, "running"),
+        std::pair(ItemStage::Scoring, "scoring"), std::pair(ItemStage::Finished, "unlisted") };
+    for (const auto& [model, items] : dispatcher_.queues()) {
+        for (const auto& [stage, name] : stages) {
+            const auto found = items.find(stage);
+            gauges.push_back({ "endiveroad_items", fmt::format("model=\"{}\",state=\"{}\"", labelValue(model), name),
+                "Items of open jobs that are not listed yet.",
+                found == items.end() ? 0.0 : static_cast<double>(found->second) });
+        }
+    }
     return gauges;
 }
 
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -204,17 +204,14 @@
     }
 }
 
-std::map<std::string, ItemDispatcher::Queue> ItemDispatcher::queues() const
+std::map<std::string, std::map<ItemStage, size_t>> ItemDispatcher::queues() const
 {
-    std::map<std::string, Queue> queues;
+    std::map<std::string, std::map<ItemStage, size_t>> queues;
     for (const auto& [id, owned] : jobs_) {
         if (owned->job.isEnded())
             continue;
-        Queue& queue = queues[owned->job.spec().model];
-        for (const ItemState& item : owned->job.items()) {
-            queue.waiting += item.stage == ItemStage::Waiting ? 1 : 0;
-            queue.running += item.stage == ItemStage::Running ? 1 : 0;
-        }
+        for (const ItemState& item : owned->job.items())
+            ++queues[owned->job.spec().model][item.stage];
     }
     return queues;
 }
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -76,12 +76,8 @@
     /// Another coordinator says what the jobs of a model ask for.
     void onDemand(const std::string& model, double tokensPerSecond);
 
-    /// Items of open jobs that wait for a replica, and those that run, by model.
-    struct Queue {
-        size_t waiting = 0;
-        size_t running = 0;
-    };
-    std::map<std::string, Queue> queues() const;
+    /// Items of open jobs that are not listed yet, by model and by what they wait for.
+    std::map<std::string, std::map<ItemStage, size_t>> queues() const;
 
     size_t replicas() const { return reports_.size(); }
 
--- a/src/io/hosted/StoreTransports.cpp
+++ b/src/io/hosted/StoreTransports.cpp
@@ -18,24 +18,6 @@
 
 constexpr Duration connectTimeout = std::chrono::milliseconds(400);
 
-/// Takes an element out of a shared list at the end of its scope.
-template <typename List>
-class Removal {
-public:
-    Removal(std::shared_ptr<List> list, typename List::iterator position)
-        : list_(std::move(list))
-        , position_(position)
-    {
-    }
-    Removal(const Removal&) = delete;
-    Removal& operator=(const Removal&) = delete;
-    ~Removal() { list_->erase(position_); }
-
-private:
-    std::shared_ptr<List> list_;
-    typename List::iterator position_;
-};
-
 /// The store says that it has done nothing.
 bool isTurnedAway(const HttpResponse& response)
 {
@@ -44,6 +26,25 @@
 
 } // namespace
 
+/// A call from its start to its end, which may be that of its coroutine.
+class DirectStoreTransport::InFlight {
+public:
+    InFlight(std::shared_ptr<PendingCalls> calls, Instant sentAt)
+        : calls_(std::move(calls))
+        , position_(calls_->insert(calls_->end(), { sentAt, {} }))
+    {
+    }
+    InFlight(const InFlight&) = delete;
+    InFlight& operator=(const InFlight&) = delete;
+    ~InFlight() { calls_->erase(position_); }
+
+    HttpCancellation& cancellation() { return position_->cancellation; }
+
+private:
+    std::shared_ptr<PendingCalls> calls_;
+    PendingCalls::iterator position_;
+};
+
 DirectStoreTransport::DirectStoreTransport(HttpClient& http, Address address)
     : http_(http)
     , address_(std::move(address))
@@ -56,10 +57,10 @@
     const Instant startedAt = now();
     request.connectDeadline = startedAt + connectTimeout;
     // A call that may wait is never overtaken.
-    const auto position = pending_->insert(pending_->end(), { mayWait ? never : startedAt, {} });
-    const Removal<std::list<Pending>> removal(pending_, position);
+    InFlight inFlight(pending_, mayWait ? never : startedAt);
     try {
-        HttpResponse response = co_await http_.request(address_, std::move(request), deadline, &position->cancellation);
+        HttpResponse response
+            = co_await http_.request(address_, std::move(request), deadline, &inFlight.cancellation());
         giveUpOvertaken(startedAt);
         if (isTurnedAway(response))
             processMetrics().count(Counter::StoreFailures);
--- a/src/io/hosted/StoreTransports.h
+++ b/src/io/hosted/StoreTransports.h
@@ -31,13 +31,15 @@
         Instant sentAt;
         HttpCancellation cancellation;
     };
+    using PendingCalls = std::list<Pending>;
+    class InFlight;
 
     void giveUpOvertaken(Instant sentAt);
 
     HttpClient& http_;
     Address address_;
     /// Shared with the calls, whose coroutines may be destroyed after this transport.
-    std::shared_ptr<std::list<Pending>> pending_ = std::make_shared<std::list<Pending>>();
+    std::shared_ptr<PendingCalls> pending_ = std::make_shared<PendingCalls>();
 };
 
 /// Directly, or through a peer where the store cannot be reached or turns this process away. Conditional writes may
--- a/tests/core/RequestStoryTest.cpp
+++ b/tests/core/RequestStoryTest.cpp
@@ -48,3 +48,15 @@
         "j");
     CHECK(story.blame == Blame::Store);
 }
+
+TEST_CASE("failed requests are those that the lines say failed, each once", "[story]")
+{
+    const LogIndex logs({ line(1, Event::CallGivenUp, { { "request", "r" }, { "code", "not_ready" } }),
+        line(2, Event::CallGivenUp, { { "request", "r" }, { "code", "not_ready" } }),
+        line(3, Event::CallAnswered, { { "request", "fine" } }),
+        line(4, Event::ItemTerminated, { { "job", "j" }, { "item", "i" } }),
+        line(5, Event::BatchJobRefused, { { "job", "k" }, { "code", "store_unavailable" } }) });
+    CHECK(logs.failed() == std::vector<std::string> { "r", "i", "k" });
+    CHECK(logs.story("r").blame == Blame::System);
+    CHECK(logs.story("k").blame == Blame::Store);
+}
--- a/tests/io/DirectoryKeeperTest.cpp
+++ b/tests/io/DirectoryKeeperTest.cpp
@@ -91,17 +91,7 @@
         spawn(context.get_executor(), [this] { return keeper.followOperator(); });
     }
 
-    void runFor(Duration duration)
-    {
-        const Instant end = now() + duration;
-        context.poll();
-        while (time.next() <= end) {
-            time.advanceTo(time.next());
-            context.restart();
-            context.poll();
-        }
-        time.advanceTo(end);
-    }
+    void runFor(Duration duration) { time.runFor(context, duration); }
 
     VirtualTime time;
     asio::io_context context;
--- a/tests/io/JobHistory.cpp
+++ b/tests/io/JobHistory.cpp
@@ -1,14 +1,9 @@
-#include "JobHistory.h"
-
-#include "io/Tasks.h"
+#include "JobHistoryProcess.h"
 
 #include <boost/asio/post.hpp>
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
-#include <sstream>
 
-using namespace endiveroad;
-using namespace endiveroad::io;
+namespace endiveroad::io::test {
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -17,135 +12,8 @@
 constexpr int statusAccepted = 202;
 constexpr int statusUnknown = 404;
 
-std::string nameOf(size_t process)
-{
-    return fmt::format("c{}", process);
-}
-
-/// A job's body is the number of its items; a page has one line for each result.
-class PlainJobs : public BatchProtocol {
-public:
-    BatchJobSpec decodeJob(const std::string& id, const std::string& host, const std::string& route,
-        const std::string& body) const override
-    {
-        BatchJobSpec spec;
-        spec.id = id;
-        spec.host = host;
-        spec.route = route;
-        spec.model = "model";
-        const int items = std::stoi(body);
-        for (int i = 0; i < items; ++i) {
-            BatchItem item;
-            item.id = fmt::format("{}-{}", id, i);
-            item.path = "/job/" + item.id;
-            spec.items.push_back(std::move(item));
-        }
-        return spec;
-    }
-
-    std::string encodeResults(const std::vector<BatchResult>& listed, size_t first, size_t) const override
-    {
-        std::string page;
-        for (size_t i = first; i < listed.size(); ++i)
-            page += listed[i].item + "=" + listed[i].text + "\n";
-        return page;
-    }
-};
-
-const PlainJobs plainJobs;
-
-std::shared_ptr<const Directory> plainDirectory()
-{
-    Directory directory;
-    directory.routing.emplace();
-    RouteDeclaration route;
-    route.name = "job";
-    route.host = "h";
-    route.pathPrefix = "/job/";
-    route.kind = TrafficKind::BatchJobs;
-    directory.routing->routes.push_back(route);
-    return std::make_shared<const Directory>(std::move(directory));
-}
-
-std::vector<std::string> linesOf(const std::string& text)
-{
-    std::vector<std::string> lines;
-    std::istringstream stream(text);
-    for (std::string line; std::getline(stream, line);)
-        lines.push_back(line);
-    return lines;
-}
-
 } // namespace
 
-/// What one coordinator sees of the others, right or wrong.
-class JobHistory::View : public CoordinatorView {
-public:
-    View(JobHistory& history, std::string name)
-        : history_(history)
-        , name_(std::move(name))
-    {
-    }
-
-    bool isAlive(const std::string& other) const override { return history_.doesSee(name_, other); }
-
-    std::vector<std::string> alive() const override
-    {
-        std::vector<std::string> names;
-        for (size_t i = 0; i < coordinators; ++i) {
-            if (isAlive(nameOf(i)))
-                names.push_back(nameOf(i));
-        }
-        return names;
-    }
-
-    void announceOwner(const OwnedJob& owned) override { history_.announce(owned); }
-
-private:
-    JobHistory& history_;
-    std::string name_;
-};
-
-class JobHistory::Worker : public JobWorker {
-public:
-    void onJob(const OwnedJobPtr&) override { }
-    void keepTexts(const OwnedJob&) override { }
-    void cancelRuns(const OwnedJob&) override { }
-};
-
-struct JobHistory::Process {
-    Process(JobHistory& history, std::string name)
-        : view(history, name)
-        , store(history.contents_, history.random_, history.faultPercent_,
-              [&history](Instant at, std::function<void()> action) { history.later(at, std::move(action)); })
-        , context(std::make_unique<asio::io_context>())
-        , owner(*context, name, plainJobs, store, view, plainDirectory, 600s)
-    {
-        owner.setWorker(worker);
-        spawn(context->get_executor(), [this] { return owner.runListing(); });
-    }
-    Process(const Process&) = delete;
-    Process& operator=(const Process&) = delete;
-    /// Coroutines go first, while what they refer to is still there.
-    ~Process() { context.reset(); }
-
-    View view;
-    Worker worker;
-    UnreliableStore store;
-    std::unique_ptr<asio::io_context> context;
-    BatchOwner owner;
-    bool isPaused = false;
-};
-
-struct JobHistory::Job {
-    size_t items = 0;
-    bool isAccepted = false;
-    bool isEndAsked = false;
-    bool isEndAnswered = false;
-    /// Lines of all results that were ever durable, by position.
-    std::vector<std::string> results;
-};
-
 JobHistory::JobHistory(uint64_t seed)
     : random_(seed)
 {
@@ -429,93 +297,6 @@
     }
 }
 
-std::vector<std::string> JobHistory::durableResults(const std::string& job) const
-{
-    std::vector<std::string> lines;
-    for (const Document& document : contents_.list("endiveroad/results/" + job + "/").documents) {
-        for (const nlohmann::json& row : nlohmann::json::parse(document.value))
-            lines.push_back(row.at("item").get<std::string>() + "=" + row.at("text").get<std::string>());
-    }
-    return lines;
-}
-
-/// What was durable stays as it is; results come only behind it, each item once, and none behind an answered end.
-void JobHistory::checkStore()
-{
-    for (auto& [id, job] : jobs_) {
-        const std::vector<std::string> present = durableResults(id);
-        if (present.size() < job.results.size() || !std::equal(job.results.begin(), job.results.end(), present.begin()))
-            violate(id + ": a position changed");
-        if (job.isEndAnswered && present.size() > job.results.size())
-            violate(id + ": listed after the end was answered");
-        std::set<std::string> items;
-        for (const std::string& line : present) {
-            if (!items.insert(line.substr(0, line.find('='))).second)
-                violate(id + ": an item is listed twice");
-        }
-        job.results = present;
-        if (job.isAccepted && !contents_.read("endiveroad/jobs/" + id))
-            violate(id + ": accepted, but not durable");
-    }
-}
-
-void JobHistory::checkPage(const std::string& id, size_t first, const std::string& page)
-{
-    const Job& job = jobs_[id];
-    const std::vector<std::string> lines = linesOf(page);
-    for (size_t i = 0; i < lines.size(); ++i) {
-        if (first + i >= job.results.size())
-            violate(id + ": told before it was durable");
-        else if (job.results[first + i] != lines[i])
-            violate(id + ": told otherwise than it stands");
-    }
-}
-
-/// All troubles end; processes do what theirs do at rest.
-void JobHistory::settle()
-{
-    faultPercent_ = 0;
-    cuts_.clear();
-    // What is still under way to the store arrives before the end is judged.
-    for (int round = 0; round < 24; ++round) {
-        for (size_t i = 0; i < coordinators; ++i) {
-            resume(i);
-            if (processes_[i])
-                takeOver(i, false);
-        }
-        for (int turn = 0; turn < 4; ++turn) {
-            finishItem();
-            advance(150ms);
-        }
-    }
-}
-
-void JobHistory::checkEnd()
-{
-    for (const auto& [id, job] : jobs_) {
-        if (!job.isAccepted)
-            continue;
-        const auto record = contents_.read("endiveroad/jobs/" + id);
-        // An owner of the past that has nothing left to list may still answer reads; it can change nothing.
-        size_t owners = 0;
-        for (const ProcessPtr& process : processes_) {
-            const auto owned = process->owner.jobs().find(id);
-            const bool isOwner = record && owned != process->owner.jobs().end() && !owned->second->job.isEnded()
-                && owned->second->job.revision() == record->revision;
-            owners += isOwner ? 1 : 0;
-        }
-        const bool isEnded = record && nlohmann::json::parse(record->value).at("isEnded").get<bool>();
-        if (isEnded && !job.isEndAsked)
-            violate(id + ": ended, though nobody asked for it");
-        if (job.isEndAnswered && !isEnded)
-            violate(id + ": the end was answered and does not last");
-        if (!isEnded && owners != 1)
-            violate(fmt::format("{}: {} coordinators own it by its record", id, owners));
-        if (!isEnded && job.results.size() != job.items)
-            violate(fmt::format("{}: {} of {} items are listed", id, job.results.size(), job.items));
-    }
-}
-
 std::string JobHistory::run()
 {
     constexpr int actions = 150;
@@ -527,3 +308,5 @@
     checkEnd();
     return violation_;
 }
+
+} // namespace endiveroad::io::test
--- a/tests/io/JobHistory.h
+++ b/tests/io/JobHistory.h
@@ -13,6 +13,8 @@
 #include <string>
 #include <vector>
 
+namespace endiveroad::io::test {
+
 /// One history of batch jobs at three coordinators in virtual time. Each coordinator has an I/O context of its own, so
 /// that it can be paused or lose its power between any two steps. Calls to the store are lost, lose their answers or
 /// are carried out late; coordinators do not see each other, take jobs over and wake up as owners of the past.
@@ -40,7 +42,7 @@
     using ProcessPtr = std::unique_ptr<Process>;
 
     struct LateAction {
-        endiveroad::Instant at;
+        Instant at;
         uint64_t number = 0;
         std::function<void()> action;
         bool operator<(const LateAction& other) const
@@ -50,13 +52,13 @@
     };
 
     unsigned draw(unsigned choices) { return static_cast<unsigned>(random_() % choices); }
-    void later(endiveroad::Instant, std::function<void()>);
+    void later(Instant, std::function<void()>);
     void startProcess(size_t);
     void kill(size_t);
     void pause(size_t);
     void resume(size_t);
     bool doesSee(const std::string& viewer, const std::string& seen) const;
-    void advance(endiveroad::Duration);
+    void advance(Duration);
     void pollAll();
 
     void act();
@@ -66,10 +68,10 @@
     void finishItem();
     void cutOrJoin();
     void takeOver(size_t, bool isOwnOnly);
-    void ask(size_t, const endiveroad::wire::BatchCall&, int hops);
-    void onAnswer(const endiveroad::wire::BatchCall&, const endiveroad::wire::BatchAnswer&, int hops, bool wasAccepted);
+    void ask(size_t, const wire::BatchCall&, int hops);
+    void onAnswer(const wire::BatchCall&, const wire::BatchAnswer&, int hops, bool wasAccepted);
     void finishItems(size_t);
-    void announce(const endiveroad::io::OwnedJob&);
+    void announce(const OwnedJob&);
 
     std::vector<std::string> durableResults(const std::string& job) const;
     void checkStore();
@@ -94,3 +96,5 @@
     int64_t texts_ = 0;
     std::string violation_;
 };
+
+} // namespace endiveroad::io::test
--- /dev/null
+++ b/tests/io/JobHistoryProcess.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "JobHistory.h"
+#include "io/Tasks.h"
+
+#include <fmt/format.h>
+
+/// A coordinator of a JobHistory, and what it knows of jobs and of the others.
+namespace endiveroad::io::test {
+
+inline std::string nameOf(size_t process)
+{
+    return fmt::format("c{}", process);
+}
+
+/// A job's body is the number of its items; a page has one line for each result.
+class PlainJobs : public BatchProtocol {
+public:
+    BatchJobSpec decodeJob(const std::string& id, const std::string& host, const std::string& route,
+        const std::string& body) const override
+    {
+        BatchJobSpec spec;
+        spec.id = id;
+        spec.host = host;
+        spec.route = route;
+        spec.model = "model";
+        const int items = std::stoi(body);
+        for (int i = 0; i < items; ++i) {
+            BatchItem item;
+            item.id = fmt::format("{}-{}", id, i);
+            item.path = "/job/" + item.id;
+            spec.items.push_back(std::move(item));
+        }
+        return spec;
+    }
+
+    std::string encodeResults(const std::vector<BatchResult>& listed, size_t first, size_t) const override
+    {
+        std::string page;
+        for (size_t i = first; i < listed.size(); ++i)
+            page += listed[i].item + "=" + listed[i].text + "\n";
+        return page;
+    }
+};
+
+inline const PlainJobs plainJobs;
+
+inline std::shared_ptr<const Directory> plainDirectory()
+{
+    Directory directory;
+    directory.routing.emplace();
+    RouteDeclaration route;
+    route.name = "job";
+    route.host = "h";
+    route.pathPrefix = "/job/";
+    route.kind = TrafficKind::BatchJobs;
+    directory.routing->routes.push_back(route);
+    return std::make_shared<const Directory>(std::move(directory));
+}
+
+/// What one coordinator sees of the others, right or wrong.
+class JobHistory::View : public CoordinatorView {
+public:
+    View(JobHistory& history, std::string name)
+        : history_(history)
+        , name_(std::move(name))
+    {
+    }
+
+    bool isAlive(const std::string& other) const override { return history_.doesSee(name_, other); }
+
+    std::vector<std::string> alive() const override
+    {
+        std::vector<std::string> names;
+        for (size_t i = 0; i < coordinators; ++i) {
+            if (isAlive(nameOf(i)))
+                names.push_back(nameOf(i));
+        }
+        return names;
+    }
+
+    void announceOwner(const OwnedJob& owned) override { history_.announce(owned); }
+
+private:
+    JobHistory& history_;
+    std::string name_;
+};
+
+class JobHistory::Worker : public JobWorker {
+public:
+    void onJob(const OwnedJobPtr&) override { }
+    void keepTexts(const OwnedJob&) override { }
+    void cancelRuns(const OwnedJob&) override { }
+};
+
+struct JobHistory::Process {
+    Process(JobHistory& history, std::string name)
+        : view(history, name)
+        , store(history.contents_, history.random_, history.faultPercent_,
+              [&history](Instant at, std::function<void()> action) { history.later(at, std::move(action)); })
+        , context(std::make_unique<asio::io_context>())
+        , owner(*context, name, plainJobs, store, view, plainDirectory, std::chrono::minutes(10))
+    {
+        owner.setWorker(worker);
+        spawn(context->get_executor(), [this] { return owner.runListing(); });
+    }
+    Process(const Process&) = delete;
+    Process& operator=(const Process&) = delete;
+    /// Coroutines go first, while what they refer to is still there.
+    ~Process() { context.reset(); }
+
+    View view;
+    Worker worker;
+    UnreliableStore store;
+    std::unique_ptr<asio::io_context> context;
+    BatchOwner owner;
+    bool isPaused = false;
+};
+
+struct JobHistory::Job {
+    size_t items = 0;
+    bool isAccepted = false;
+    bool isEndAsked = false;
+    bool isEndAnswered = false;
+    /// Lines of all results that were ever durable, by position.
+    std::vector<std::string> results;
+};
+
+} // namespace endiveroad::io::test
--- a/tests/io/JobOwnershipTest.cpp
+++ b/tests/io/JobOwnershipTest.cpp
@@ -4,6 +4,8 @@
 #include <cstdlib>
 #include <rapidcheck.h>
 
+using endiveroad::io::test::JobHistory;
+
 namespace {
 
 /// RapidCheck draws a hundred first seeds; each stands for this many histories.
--- a/tests/io/VirtualTime.h
+++ b/tests/io/VirtualTime.h
@@ -2,6 +2,7 @@
 
 #include "io/Clock.h"
 
+#include <boost/asio/io_context.hpp>
 #include <map>
 
 /// Time that passes only when a test says so. Waits of all I/O contexts of the process end by it.
@@ -56,6 +57,19 @@
         }
     }
 
+    /// Lets the context work for so long.
+    void runFor(boost::asio::io_context& context, endiveroad::Duration duration)
+    {
+        const endiveroad::Instant end = now_ + duration;
+        context.poll();
+        while (next() <= end) {
+            advanceTo(next());
+            context.restart();
+            context.poll();
+        }
+        advanceTo(end);
+    }
+
 private:
     struct Wait {
         boost::asio::steady_timer* timer = nullptr;
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -64,11 +64,20 @@
     def value(machines, start):
         return sum(float(line.rsplit(" ", 1)[1]) for line in lines(machines) if line.startswith(start))
 
-    label = '{model="%s"}' % MODELS[0]
-    wait_until(lambda: value(deployment.coordinators, "endiveroad_running_items" + label) == 12, 10)
-    assert value(deployment.coordinators, "endiveroad_waiting_items" + label) == 28
+    def items(state):
+        return value(deployment.coordinators, 'endiveroad_items{model="%s",state="%s"}' % (MODELS[0], state))
+
+    wait_until(lambda: items("running") == 12, 10)
+    assert items("waiting") == 28
+    wait_until(lambda: items("scoring") + items("unlisted") > 0, 10)
     deployment.end("job-queue")
-    wait_until(lambda: value(deployment.coordinators, "endiveroad_waiting_items" + label) == 0, 10)
+    wait_until(lambda: items("waiting") + items("running") == 0, 10)
+    deployment.platform.store.mode = "busy"
+    deployment.request(deployment.entries[0], "GET", "/lots/job-nobody", timeout=20)
+    deployment.platform.store.mode = "up"
+    assert deployment.call(deployment.entries[0], "astray", "/nowhere/x")[0] == 404
+    assert value(deployment.entries, 'endiveroad_errors_total{code="route_unknown"}') == 1
+    assert value(deployment.coordinators, 'endiveroad_errors_total{code="store_unavailable"}') >= 1
     assert value(deployment.coordinators, 'endiveroad_batch_seconds_bucket{operation="submit",le="+Inf"}') >= 1
     assert value(deployment.agents, 'endiveroad_item_run_seconds_bucket{le="+Inf"}') >= 1
 
@@ -296,6 +305,13 @@
     for number in range(3):
         assert deployment.call(deployment.entries[number % 2], "slow-%d" % number, timeout_ms=400)[0] == 504
         expected["slow-%d" % number] = "replica"
+    for coordinator in deployment.coordinators:
+        coordinator.kill()
+    for number in range(2):
+        status = deployment.request(deployment.entries[number], "POST", "/job/x", b'{"Model":"m","Items":[]}', {
+            "Endiveroad-Request-Id": "lonely-%d" % number, "Endiveroad-Deadline-Ms": "900"}, timeout=20)[0]
+        assert status >= 500, status
+        expected["lonely-%d" % number] = "system"
     time.sleep(0.3)
     logs = [machine.log_path for machine in deployment.machines()]
     explained = 0
