Log which content a server had when it ended

A failed attempt now names the content, a fingerprint of method, host, target and body. When a server breaks a request off before its answer began, its address is probed: a refused connection, or a later start registered there, is logged as ServerCrashed and counted in endiveroad_server_crashes_total. Nothing is decided by it yet.

--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -158,18 +158,34 @@
         idle.push_back({ std::move(stream), now() + std::min(idleLifetime, declaredIdleLifetime(response)) });
 }
 
-asio::awaitable<std::unique_ptr<beast::tcp_stream>> HttpClient::open(const Address& address, Instant deadline)
+asio::awaitable<std::unique_ptr<beast::tcp_stream>> HttpClient::openNew(
+    const Address& address, Instant deadline, error_code& error)
 {
-    if (auto stream = takeIdle(address))
-        co_return stream;
     auto stream = std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
-    error_code error;
     const auto host = asio::ip::make_address(address.host, error);
     if (!error) {
         stream->expires_at(toSteadyTime(deadline));
         const asio::ip::tcp::endpoint endpoint(host, address.port);
         co_await stream->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
     }
+    co_return stream;
+}
+
+asio::awaitable<ListenerState> HttpClient::probe(Address address, Instant deadline)
+{
+    error_code error;
+    const auto stream = co_await openNew(address, deadline, error);
+    if (error == asio::error::connection_refused || error == asio::error::connection_reset)
+        co_return ListenerState::Refusing;
+    co_return error ? ListenerState::Silent : ListenerState::Listening;
+}
+
+asio::awaitable<std::unique_ptr<beast::tcp_stream>> HttpClient::open(const Address& address, Instant deadline)
+{
+    if (auto stream = takeIdle(address))
+        co_return stream;
+    error_code error;
+    auto stream = co_await openNew(address, deadline, error);
     if (error)
         throw ServerUnavailableError(fmt::format("{}: {}", address.text(), error.message()));
     stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -59,6 +59,9 @@
     boost::beast::tcp_stream* stream_ = nullptr;
 };
 
+/// Whether a process listens at an address. Silent: connections are neither accepted nor refused.
+enum class ListenerState { Listening, Refusing, Silent };
+
 /// Keeps a pool of idle connections for each address. A connection is reused only after a complete answer; after a
 /// timeout, an error or a cancellation it is closed.
 class HttpClient {
@@ -85,6 +88,9 @@
     asio::awaitable<HttpResponse> stream(
         Address, HttpRequest, Instant deadline, OnBody, HttpCancellation* = nullptr, OnHead = nullptr);
 
+    /// Opens a new connection to find out whether a process listens at the address, and closes it again.
+    asio::awaitable<ListenerState> probe(Address, Instant deadline);
+
     /// Closes all idle connections.
     void closeIdle() { idle_.clear(); }
 
@@ -94,6 +100,9 @@
         Instant expiry;
     };
 
+    /// Sets the error if no connection could be opened.
+    asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> openNew(
+        const Address&, Instant deadline, boost::system::error_code&);
     asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> open(const Address&, Instant deadline);
     std::unique_ptr<boost::beast::tcp_stream> takeIdle(const Address&);
     void keepIdle(const Address&, std::unique_ptr<boost::beast::tcp_stream>, const HttpResponse&);
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -28,7 +28,7 @@
 HostedCoordinator::HostedCoordinator(std::unique_ptr<Platform> platform, HostedOptions options)
     : HostedNode(std::move(platform), HostedRole::Coordinator, options)
     , serviceCaller_(
-          context(), http(), this->platform().replicaProtocol(), [this] { return directory(); },
+          context(), http(), this->platform().replicaProtocol(), crashDetector(), [this] { return directory(); },
           static_cast<uint64_t>(wallMs()) ^ std::hash<std::string>()(settings().name))
     , owner_(
           context(), settings().name, this->platform().batchProtocol(), store(), *this, [this] { return directory(); },
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -109,9 +109,9 @@
     , readinessHandler_(std::make_unique<ReadinessHandler>(*this))
     , callerHandler_(std::make_unique<CallerHandler>(*this))
     , serviceCaller_(
-          context(), http(), this->platform().replicaProtocol(), [this] { return directory(); },
+          context(), http(), this->platform().replicaProtocol(), crashDetector(), [this] { return directory(); },
           static_cast<uint64_t>(wallMs()) ^ std::hash<std::string>()(settings().name))
-    , streamProxy_(context(), http(), this->platform().replicaProtocol(), serviceCaller_)
+    , streamProxy_(context(), http(), this->platform().replicaProtocol(), serviceCaller_, crashDetector())
     , gateway_(*this)
 {
 }
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -70,6 +70,8 @@
     , startedAt_(now())
     , incarnation_(wallMs())
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+    , crashDetector_(
+          http_, [this] { return directory(); }, [](const UnansweredRequest&) {})
     , directStore_(http_, settings_.store)
     , relayedStore_(directStore_, [this] { return relays(); })
     , store_(platform_->makeStore(relayedStore_))
@@ -293,6 +295,7 @@
 {
     if (before->coordinators != current->coordinators)
         connectToCoordinators();
+    crashDetector_.onDirectory(*current);
     onDirectoryChanged(*before, *current);
 }
 
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -5,6 +5,7 @@
 #include "io/PeerAcceptor.h"
 #include "io/PeerConnection.h"
 #include "io/PeerMesh.h"
+#include "io/hosted/CrashDetector.h"
 #include "io/hosted/DirectorySync.h"
 #include "io/hosted/Protocol.h"
 #include "io/hosted/StoreTransports.h"
@@ -78,6 +79,7 @@
     std::shared_ptr<const Directory> directory() const { return directorySync_->current(); }
     asio::io_context& context() { return context_; }
     HttpClient& http() { return http_; }
+    CrashDetector& crashDetector() { return crashDetector_; }
     const Platform& platform() const { return *platform_; }
     MetadataStore& store() { return *store_; }
     Instant lastStoreAnswerAt() const { return relayedStore_.lastAnswerAt(); }
@@ -118,6 +120,7 @@
     int64_t incarnation_;
     asio::signal_set signals_;
     HttpClient http_;
+    CrashDetector crashDetector_;
     DirectStoreTransport directStore_;
     RelayedStoreTransport relayedStore_;
     std::unique_ptr<MetadataStore> store_;
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -37,6 +37,8 @@
     EventStreamReader reader;
     /// All events of the item, including those of earlier runs.
     std::vector<GeneratedEvent> events;
+    /// Number of events of earlier runs.
+    size_t earlierCount = 0;
     /// Number of events that have been sent to the owner.
     size_t sentCount = 0;
     bool isEndSent = false;
@@ -55,11 +57,12 @@
 };
 
 ItemRunner::ItemRunner(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    EngineController& engine, Address replica, EngineController::OnChange onChange)
+    EngineController& engine, CrashDetector& crashDetector, Address replica, EngineController::OnChange onChange)
     : context_(context)
     , http_(http)
     , protocol_(protocol)
     , engine_(engine)
+    , crashDetector_(crashDetector)
     , replica_(std::move(replica))
     , onChange_(std::move(onChange))
     , wake_(context)
@@ -122,7 +125,8 @@
     auto run = std::make_shared<Run>();
     run->startRequest = startRequest;
     run->events = fromWire(startRequest.events);
-    run->sentCount = run->events.size();
+    run->earlierCount = run->events.size();
+    run->sentCount = run->earlierCount;
     run->startRequest.events.clear();
     run->startedAt = now();
     run->lastActivity = run->startedAt;
@@ -152,6 +156,7 @@
 
 asio::awaitable<void> ItemRunner::execute(RunPtr run)
 {
+    RunState state = RunState::Failed;
     std::string failure;
     try {
         HttpRequest request = requestFor(*run);
@@ -176,13 +181,23 @@
         co_return;
     } catch (const ServerUnavailableError& error) {
         failure = error.what();
-        engine_.queryNow();
-        finishRun(*run, RunState::NotRun, 0, run->cancelReason.empty() ? failure : run->cancelReason);
+        state = RunState::NotRun;
     } catch (const Error& error) {
         failure = error.what();
-        engine_.queryNow();
-        finishRun(*run, RunState::Failed, 0, run->cancelReason.empty() ? failure : run->cancelReason);
     }
+    engine_.queryNow();
+    const bool hasNewEvents = run->events.size() > run->earlierCount;
+    if (state == RunState::Failed && run->cancelReason.empty() && !hasNewEvents)
+        co_await inspectBrokenRun(run);
+    finishRun(*run, state, 0, run->cancelReason.empty() ? failure : run->cancelReason);
+}
+
+asio::awaitable<void> ItemRunner::inspectBrokenRun(RunPtr run)
+{
+    const wire::ItemStart& start = run->startRequest;
+    const ContentId content = ContentId::of("POST", start.host, start.path, start.body);
+    UnansweredRequest unanswered { start.item, content, engine_.server(), replica_ };
+    co_await crashDetector_.inspect(std::move(unanswered));
 }
 
 void ItemRunner::processHead(Run& run, const HttpResponse& head)
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -29,6 +29,7 @@
     CallState(asio::io_context& context, RouteDeclaration declaration, ReplicaRequest call, Instant end)
         : route(std::move(declaration))
         , request(std::move(call))
+        , content(ContentId::of(request.method, route.host, request.target, request.body))
         , deadline(end)
         , changed(context)
     {
@@ -46,6 +47,7 @@
 
     RouteDeclaration route;
     ReplicaRequest request;
+    ContentId content;
     Instant deadline;
     Signal changed;
     std::list<HttpCancellation> cancellations;
@@ -59,10 +61,11 @@
 };
 
 ServiceCaller::ServiceCaller(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    DirectorySource directory, uint64_t seed)
+    CrashDetector& crashDetector, DirectorySource directory, uint64_t seed)
     : context_(context)
     , http_(http)
     , protocol_(protocol)
+    , crashDetector_(crashDetector)
     , directory_(std::move(directory))
     , loads_(seed)
     , random_(static_cast<uint32_t>(seed) | 1U)
@@ -181,25 +184,37 @@
     } catch (const std::exception& error) {
         failure = error.what();
     }
+    if (!failure.empty())
+        co_await processFailure(state, server, failure, isSent);
     --state->activeAttempts;
-    if (!failure.empty()) {
-        if (state->isDone && now() < state->deadline)
-            loads_.onAbandoned(server.id);
-        else
-            loads_.onFailure(server.id, now());
-        if (!isSent)
-            --state->possibleRuns;
-        if (!state->isDone) {
-            state->result.reason = failure;
-            const bool mayRepeat = !isSent || state->route.kind == TrafficKind::Idempotent;
-            log(Event::CallAttemptFailed,
-                { { "request", state->request.id }, { "server", server.id }, { "sent", isSent ? "yes" : "no" },
-                    { "reason", failure } });
-            if (!mayRepeat)
-                state->isDone = true;
+    state->changed.notifyAll();
+}
+
+asio::awaitable<void> ServiceCaller::processFailure(
+    std::shared_ptr<CallState> state, ServerRecord server, std::string failure, bool wasSent)
+{
+    const bool wasAbandoned = state->isDone && now() < state->deadline;
+    if (wasAbandoned)
+        loads_.onAbandoned(server.id);
+    else
+        loads_.onFailure(server.id, now());
+    if (!wasSent)
+        --state->possibleRuns;
+    if (!state->isDone) {
+        state->result.reason = failure;
+        const bool mayRepeat = !wasSent || state->route.kind == TrafficKind::Idempotent;
+        log(Event::CallAttemptFailed,
+            { { "request", state->request.id }, { "server", server.id }, { "sent", wasSent ? "yes" : "no" },
+                { "content", state->content.text() }, { "reason", failure } });
+        if (!mayRepeat) {
+            state->isDone = true;
+            state->changed.notifyAll();
         }
     }
-    state->changed.notifyAll();
+    if (!wasSent || wasAbandoned)
+        co_return;
+    UnansweredRequest unanswered { state->request.id, state->content, server.id, server.address };
+    co_await crashDetector_.inspect(std::move(unanswered));
 }
 
 void ServiceCaller::finishAttempt(
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "io/PeerConnection.h"
+#include "io/hosted/CrashDetector.h"
 #include "io/hosted/Protocol.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -54,7 +55,8 @@
 
     using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
 
-    ServiceCaller(asio::io_context&, HttpClient&, const ReplicaProtocol&, DirectorySource, uint64_t seed);
+    ServiceCaller(
+        asio::io_context&, HttpClient&, const ReplicaProtocol&, CrashDetector&, DirectorySource, uint64_t seed);
 
     /// Sets the request's server and timeout for each attempt.
     asio::awaitable<ServiceResult> call(
@@ -73,11 +75,13 @@
     const std::string& chooseService(const RouteDeclaration&);
     void startAttempt(const std::shared_ptr<CallState>&, const ServerRecord&);
     asio::awaitable<void> attempt(std::shared_ptr<CallState>, ServerRecord, HttpCancellation*);
+    asio::awaitable<void> processFailure(std::shared_ptr<CallState>, ServerRecord, std::string failure, bool wasSent);
     void finishAttempt(CallState&, const ServerRecord&, HttpResponse, Instant startedAt);
 
     asio::io_context& context_;
     HttpClient& http_;
     const ReplicaProtocol& protocol_;
+    CrashDetector& crashDetector_;
     DirectorySource directory_;
     ServerLoads loads_;
     std::minstd_rand random_;
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -46,6 +46,7 @@
     bool hasEnded = false;
     /// The response was received to its end.
     bool isComplete = false;
+    bool hasBody = false;
     /// False if the request has certainly not reached the server.
     bool wasSent = true;
     std::string failure;
@@ -64,12 +65,13 @@
     std::string failure;
 };
 
-StreamProxy::StreamProxy(
-    asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol, ServiceCaller& services)
+StreamProxy::StreamProxy(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
+    ServiceCaller& services, CrashDetector& crashDetector)
     : context_(context)
     , http_(http)
     , protocol_(protocol)
     , serviceCaller_(services)
+    , crashDetector_(crashDetector)
 {
 }
 
@@ -101,6 +103,7 @@
     };
     auto onBody = [serverStream](std::string_view piece) {
         serverStream->pending.append(piece);
+        serverStream->hasBody = true;
         serverStream->lastByteAt = now();
         serverStream->changed.notifyAll();
         return true;
@@ -174,6 +177,7 @@
     Instant deadline, PeerCancellationPtr cancellation)
 {
     Progress progress;
+    const ContentId content = ContentId::of(request.method, route.host, request.target, request.body);
     while (!progress.isDone && now() < deadline && !cancellation->isCancelled()
         && progress.runs < std::max(route.maxAttempts, 1)) {
         const ServerStreamPtr serverStream = openStream(route, request, progress, deadline);
@@ -199,8 +203,14 @@
             break;
         progress.failure = isRefused ? "the server refused" : serverStream->failure;
         log(Event::CallAttemptFailed,
-            { { "request", request.id }, { "server", serverStream->server.id }, { "reason", progress.failure },
+            { { "request", request.id }, { "server", serverStream->server.id }, { "content", content.text() },
+                { "reason", progress.failure },
                 { "lastEvent", progress.lastEventId ? std::to_string(*progress.lastEventId) : "" } });
+        const bool wasBrokenOff = serverStream->hasEnded && !serverStream->isComplete && serverStream->wasSent;
+        if (wasBrokenOff && !serverStream->hasBody) {
+            UnansweredRequest unanswered { request.id, content, serverStream->server.id, serverStream->server.address };
+            co_await crashDetector_.inspect(std::move(unanswered));
+        }
         const bool mayRetry = isRefused || !serverStream->wasSent || route.isResumable;
         if (!mayRetry)
             break;
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -18,7 +18,7 @@
     /// resumable and has attempts left.
     static constexpr Duration stallLimit = std::chrono::milliseconds(1500);
 
-    StreamProxy(asio::io_context&, HttpClient&, const ReplicaProtocol&, ServiceCaller&);
+    StreamProxy(asio::io_context&, HttpClient&, const ReplicaProtocol&, ServiceCaller&, CrashDetector&);
 
     /// Answers the exchange. Only complete events are forwarded. If a server's stream breaks, another server resumes it
     /// within the same answer if the route allows that; otherwise the answer ends without its last chunk, so that the
@@ -47,6 +47,7 @@
     HttpClient& http_;
     const ReplicaProtocol& protocol_;
     ServiceCaller& serviceCaller_;
+    CrashDetector& crashDetector_;
 };
 
 } // namespace endiveroad::io
