Tests that fail: requests that crash servers are sent again without end

Stand-in servers now end as killed processes do when they begin to run certain bodies, and come back under a new id. Six cases send such a request through both entries, on a route that may not be repeated, as a stream, as a job's item, as an item's scoring call, and while entries and coordinators start again. Bounds are the users': after the third crash and 3 s more, three retries; what is not sent is refused within 0.5 s with a Retry-After; sound calls beside are not refused for it.

--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -105,8 +105,7 @@
             self.services.append(service)
 
     async def _serve(self, server, host):
-        listening = await serve(host, 0, server.handle)
-        port = await self._relayed(server.id, host, listening.sockets[0].getsockname()[1])
+        port = await self._relayed(server.id, host, await server.start(host))
         server.address = "%s:%d" % (host, port)
         asyncio.create_task(server.beat())
 
@@ -161,6 +160,8 @@
         self.platform = Platform(prefix, entries, coordinators, engines, services, is_relayed)
         self.prefix = prefix
         self.port = 20000 + number % 20000
+        # Bodies of scoring calls that are not empty, by item.
+        self.scoring_bodies = {}
         self.entries = [Machine(self, "entry-%d" % i, "entry", "edge", "%s.%d" % (prefix, 10 + i), {
             "Listen.Front": "%s.%d:%d" % (prefix, 10 + i, self.port + 1),
             "Listen.Ready": "%s.%d:%d" % (prefix, 10 + i, self.port + 2)}) for i in range(entries)]
@@ -218,7 +219,8 @@
         rows = [{"Id": item, "Path": JOB_PREFIX + item, "Headers": {"Endiveroad-Model": model},
                  "Body": base64.b64encode(b"prompt of " + item.encode()).decode(), "Tokens": 10,
                  "Group": "group-%d" % (number // 2),
-                 "Scorer": {"Id": "score-" + item, "Host": HOST, "Path": SCORE_PREFIX + item, "Body": ""}}
+                 "Scorer": {"Id": "score-" + item, "Host": HOST, "Path": SCORE_PREFIX + item,
+                            "Body": base64.b64encode(self.scoring_bodies.get(item, b"")).decode()}}
                 for number, item in enumerate(items)]
         body = json.dumps({"Step": 0, "Model": model, "MinVersion": oldest, "TargetGroups": 1, "Items": rows})
         statuses = []
--- a/standins/hosted_http.py
+++ b/standins/hosted_http.py
@@ -72,17 +72,21 @@
     return Request(method, target, headers, body)
 
 
-async def serve(host, port, handle):
-    """Serves handle(request, connection) and returns the server."""
+async def serve(host, port, handle, writers=None):
+    """Serves handle(request, connection) and returns the server. Open connections stand in `writers`, if it is given."""
 
     async def session(reader, writer):
         connection = Connection(reader, writer)
+        if writers is not None:
+            writers.add(writer)
         try:
             while connection.is_open:
                 await handle(await read_request(reader), connection)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            if writers is not None:
+                writers.discard(writer)
             writer.close()
 
     return await asyncio.start_server(session, host, port)
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -3,6 +3,11 @@
 import json
 import time
 
+from hosted_http import serve
+
+# Heartbeats that a registration outlives its server by.
+MISSED_BEATS = 3
+BEAT_S = 1.2
 
 class Server:
     """What engines and plain services share: an id, a registration and a record of what ran."""
@@ -26,6 +31,41 @@
         self.lose_answers = 0
         self.extra_s = 0.0
         self.always_fails = set()
+        # Bodies that crash the server as soon as it begins to run them, and seconds that it is down then.
+        self.crashing_bodies = set()
+        self.down_s = 1.0
+        # (request id, time) of each request under which the server crashed.
+        self.crashes = []
+        self.starts = 0
+        self.listener = None
+        self.writers = set()
+
+    async def start(self, host, port=0):
+        """Listens at the host and returns the port."""
+        self.listener = await serve(host, port, self.handle, self.writers)
+        return self.listener.sockets[0].getsockname()[1]
+
+    def crash(self, request_id):
+        """Ends as a killed process does: its listener and connections are gone at once, its registration stays."""
+        self.crashes.append((request_id, time.monotonic()))
+        host, port = self.listener.sockets[0].getsockname()
+        self.listener.close()
+        self.listener = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+        asyncio.create_task(self.expire_registration(self.id))
+        asyncio.create_task(self.start_again(host, port))
+
+    async def expire_registration(self, server_id):
+        await asyncio.sleep(MISSED_BEATS * BEAT_S)
+        await self.store.erase("servers/" + server_id)
+
+    async def start_again(self, host, port):
+        await asyncio.sleep(self.down_s)
+        self.starts += 1
+        self.born = int(time.time() * 1000)
+        self.id = "%s.%d" % (self.id.split(".", 1)[0], self.starts)
+        await self.start(host, port)
 
     def registration(self):
         return {"Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "v1",
@@ -35,9 +75,9 @@
     async def beat(self):
         while True:
             self.beats += 1
-            if self.store.mode == "up":
+            if self.store.mode == "up" and self.listener:
                 await self.store.write("servers/" + self.id, json.dumps(self.registration()))
-            await asyncio.sleep(1.2)
+            await asyncio.sleep(BEAT_S)
 
     def refusal(self, request):
         expected = request.headers.get("endiveroad-expect-instance")
@@ -59,8 +99,10 @@
         headers = {"Endiveroad-Request-Id": request_id}
         if refusal:
             return await connection.answer(refusal[0], b"", {**headers, **refusal[1]})
-        self.running += 1
         self.ran.append((request_id, request.target, request.body))
+        if request.body in self.crashing_bodies:
+            return self.crash(request_id)
+        self.running += 1
         try:
             await asyncio.sleep(0.01 + self.extra_s)
         finally:
@@ -90,6 +132,12 @@
         self.cut_after = None
         self.is_dark = False
 
+    async def start(self, host, port=0):
+        # A replica that starts knows nothing of earlier orders.
+        self.orders = 0
+        self.fence = 0
+        return await super().start(host, port)
+
     async def handle(self, request, connection):
         if self.is_dark:
             await asyncio.sleep(3600)
@@ -130,6 +178,8 @@
             return await connection.answer(refusal[0], b"", {**headers, **refusal[1]})
         self.ran.append((item, request.target, request.body))
         self.ran_at.append((item, request.target, request.body, time.monotonic()))
+        if request.body in self.crashing_bodies:
+            return self.crash(item)
         if item in self.always_fails:
             return await connection.answer(500, b"", headers)
         first = int(request.headers.get("last-event-id", -1)) + 1
