--- a/src/io/hosted/CrashDetector.cpp
+++ b/src/io/hosted/CrashDetector.cpp
@@ -4,6 +4,8 @@
 #include "io/Log.h"
 #include "io/ProcessMetrics.h"
 
+#include <fmt/format.h>
+
 namespace endiveroad::io {
 
 CrashDetector::CrashDetector(HttpClient& http, DirectorySource directory, OnCrash onCrash)
@@ -20,7 +22,7 @@
     const int64_t startedMs = server ? server->startedMs : 0;
     const ListenerState state = co_await http_.probe(request.address, now() + probeTimeout);
     if (state == ListenerState::Refusing)
-        reportCrash(request, "its address refuses connections");
+        reportCrash(request, startedMs, "its address refuses connections");
     else if (state == ListenerState::Silent && startedMs > 0 && silent_.size() < maxSilent)
         silent_.push_back({ std::move(request), startedMs, now() + returnTime });
 }
@@ -32,18 +34,18 @@
         const ServerRecord* current = directory.serverAt(silent.request.address);
         const bool hasStartedAgain = current && current->startedMs > silent.startedMs;
         if (hasStartedAgain)
-            reportCrash(silent.request, "a server has started later at its address");
+            reportCrash(silent.request, silent.startedMs, "a server has started later at its address");
         return hasStartedAgain || silent.expiry <= currentTime;
     });
 }
 
-void CrashDetector::reportCrash(const UnansweredRequest& request, const char* evidence)
+void CrashDetector::reportCrash(const UnansweredRequest& request, int64_t startedMs, const char* evidence)
 {
     processMetrics().count(Counter::ServerCrashes);
     log(Event::ServerCrashed,
         { { "request", request.request }, { "content", request.content.text() }, { "server", request.server },
             { "evidence", evidence } });
-    onCrash_(request);
+    onCrash_(request, fmt::format("{}/{}", request.server, startedMs));
 }
 
 } // namespace endiveroad::io
--- a/src/io/hosted/CrashDetector.h
+++ b/src/io/hosted/CrashDetector.h
@@ -37,8 +37,9 @@
     /// Further requests to servers that neither accept nor refuse connections are not followed up.
     static constexpr size_t maxSilent = 256;
 
-    /// Called once for each request under which a server ended.
-    using OnCrash = std::function<void(const UnansweredRequest&)>;
+    /// Called once for each request under which a server ended. `serverStart` names this start of the server; a later
+    /// start under the same id has another name.
+    using OnCrash = std::function<void(const UnansweredRequest&, const std::string& serverStart)>;
 
     using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
 
@@ -58,7 +59,7 @@
         Instant expiry = never;
     };
 
-    void reportCrash(const UnansweredRequest&, const char* evidence);
+    void reportCrash(const UnansweredRequest&, int64_t startedMs, const char* evidence);
 
     HttpClient& http_;
     DirectorySource directory_;
--- /dev/null
+++ b/src/io/hosted/CrashGuard.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "io/PeerConnection.h"
+#include "io/hosted/CrashDetector.h"
+
+#include <endiveroad/CrashRegister.h>
+#include <endiveroad/Error.h>
+#include <endiveroad_types.h>
+#include <functional>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+/// Keeps requests that crash backend servers from reaching more of them, together with all other processes.
+namespace endiveroad::io {
+
+/// The request's content crashed servers and is not sent to any before retryAt.
+class ContentBlockedError : public PoisonRequestError {
+public:
+    ContentBlockedError(const ContentId& content, Instant retryAt);
+
+    Instant retryAt() const { return retryAt_; }
+
+private:
+    Instant retryAt_;
+};
+
+class CrashGuard {
+public:
+    /// Pause, drawn at random, before a suspect is sent to another server. Requests that were hit by the same crashes
+    /// finish elsewhere meanwhile.
+    static constexpr Duration minSuspectPause = std::chrono::milliseconds(50);
+    static constexpr Duration maxSuspectPause = std::chrono::milliseconds(150);
+
+    /// Sends an encoded wire::CrashNotice to the connected peers, without the one that it came from.
+    using Publish = std::function<void(const std::string& notice, const PeerConnection* origin)>;
+
+    /// With isRelay, changes that peers report are sent on to the other peers.
+    CrashGuard(HttpClient&, CrashDetector::DirectorySource, Publish, bool isRelay, uint64_t seed);
+
+    /// Asked before each attempt at a server. True if the content may be sent now.
+    bool admit(const ContentId&);
+
+    /// End of the content's block; nothing if it is not blocked.
+    std::optional<Instant> blockedUntil(const ContentId&) const;
+
+    /// When a request whose last server has ended may be sent to the next one.
+    Instant nextAttemptAt(const ContentId&);
+
+    /// Servers that a suspect should not be sent to, because they have another one; empty if the content is none.
+    std::set<std::string> serversToAvoid(const ContentId&) const;
+
+    void onStart(const ContentId& content, const std::string& server) { register_.onStart(content, server); }
+    void onEnd(const ContentId& content, const std::string& server) { register_.onEnd(content, server); }
+
+    /// A server answered the content, whatever the status.
+    void onAnswered(const ContentId&);
+
+    /// Finds out whether the server has ended, and counts the crash if it has. Call before onEnd().
+    asio::awaitable<void> inspect(UnansweredRequest request) { return detector_.inspect(std::move(request)); }
+
+    void onDirectory(const Directory& directory) { detector_.onDirectory(directory); }
+
+    /// Applies an encoded wire::CrashNotice of a peer.
+    void onNotice(const PeerConnection& origin, const std::string& payload);
+
+    /// All records as an encoded wire::CrashNotice for a peer that has just connected; nothing if there are none.
+    std::optional<std::string> encodeAll() const;
+
+    size_t blockedCount() const;
+
+private:
+    void onCrash(const UnansweredRequest&, const std::string& serverStart);
+    void publish(const ContentId&);
+
+    Publish publish_;
+    bool isRelay_;
+    CrashRegister register_;
+    CrashDetector detector_;
+    std::minstd_rand random_;
+};
+
+} // namespace endiveroad::io
--- a/src/io/hosted/HostedAgent.cpp
+++ b/src/io/hosted/HostedAgent.cpp
@@ -29,8 +29,8 @@
     , reportDue_(context())
     , engine_(context(), http(), this->platform().replicaProtocol(), store(), replicaAddress(settings()),
           settings().name, [this] { reportDue_.notifyAll(); })
-    , runner_(context(), http(), this->platform().replicaProtocol(), engine_, crashDetector(),
-          replicaAddress(settings()), [this] { reportDue_.notifyAll(); })
+    , runner_(context(), http(), this->platform().replicaProtocol(), engine_, crashGuard(), replicaAddress(settings()),
+          [this] { reportDue_.notifyAll(); })
 {
 }
 
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -28,15 +28,15 @@
 HostedCoordinator::HostedCoordinator(std::unique_ptr<Platform> platform, HostedOptions options)
     : HostedNode(std::move(platform), HostedRole::Coordinator, options)
     , serviceCaller_(
-          context(), http(), this->platform().replicaProtocol(), crashDetector(), [this] { return directory(); },
-          static_cast<uint64_t>(wallMs()) ^ std::hash<std::string>()(settings().name))
+          context(), http(), this->platform().replicaProtocol(), crashGuard(), [this] { return directory(); },
+          randomSeed())
     , owner_(
           context(), settings().name, this->platform().batchProtocol(), store(), *this, [this] { return directory(); },
           settings().resultLifetime)
     , scorer_(
           context(), serviceCaller_, [this] { return directory(); }, [this](const OwnedJobPtr&) { owner_.wake(); })
     , dispatcher_(
-          context(), owner_.jobs(), *this, scorer_, [this] { return directory(); },
+          context(), owner_.jobs(), *this, scorer_, crashGuard(), [this] { return directory(); },
           [this](const OwnedJobPtr& owned) { owner_.requestOwnershipCheck(owned); })
     , nextScanAt_(startedAt() + startGrace)
 {
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -109,9 +109,9 @@
     , readinessHandler_(std::make_unique<ReadinessHandler>(*this))
     , callerHandler_(std::make_unique<CallerHandler>(*this))
     , serviceCaller_(
-          context(), http(), this->platform().replicaProtocol(), crashDetector(), [this] { return directory(); },
-          static_cast<uint64_t>(wallMs()) ^ std::hash<std::string>()(settings().name))
-    , streamProxy_(context(), http(), this->platform().replicaProtocol(), serviceCaller_, crashDetector())
+          context(), http(), this->platform().replicaProtocol(), crashGuard(), [this] { return directory(); },
+          randomSeed())
+    , streamProxy_(context(), http(), this->platform().replicaProtocol(), serviceCaller_, crashGuard())
     , gateway_(*this)
 {
 }
@@ -187,6 +187,8 @@
         } else {
             response = co_await serveCall(query, request, route, deadline, cancellation);
         }
+    } catch (const ContentBlockedError& error) {
+        response = encodeFailure(request, error, error.retryAt() - now());
     } catch (const Error& error) {
         const bool mayRetry = error.code() == ErrorCode::NotReady || error.code() == ErrorCode::NotRun;
         response = encodeFailure(request, error, mayRetry ? retryAfter : Duration::zero());
@@ -226,6 +228,8 @@
         co_return response;
     }
     const std::string tried = result.servers.empty() ? "" : " (tried " + result.servers + ")";
+    if (!result.mayHaveRun && result.blockedUntil)
+        throw ContentBlockedError(result.content, *result.blockedUntil);
     if (!result.mayHaveRun)
         throw NotRunError((result.reason.empty() ? "no server of the route is ready" : result.reason) + tried);
     if (now() >= deadline)
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -70,13 +70,17 @@
     , startedAt_(now())
     , incarnation_(wallMs())
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
-    , crashDetector_(
-          http_, [this] { return directory(); }, [](const UnansweredRequest&) {})
     , directStore_(http_, settings_.store)
     , relayedStore_(directStore_, [this] { return relays(); })
     , store_(platform_->makeStore(relayedStore_))
     , directorySync_(std::make_unique<DirectorySync>(platform_->directoryProtocol(), *store_,
           static_cast<DirectoryListener&>(*this), readerElection(role, settings_)))
+    , crashGuard_(
+          http_, [this] { return directory(); },
+          [this](const std::string& notice, const PeerConnection* origin) {
+              notifyPeers(MessageType::CrashNotice, notice, origin);
+          },
+          role == HostedRole::Coordinator, randomSeed())
     , acceptor_(context_, *this, [this](const PeerConnectionPtr& connection) { sendHello(connection); })
     , mesh_(context_, *this, [this](const std::string&, const PeerConnectionPtr& connection) { sendHello(connection); })
 {
@@ -84,6 +88,11 @@
 
 HostedNode::~HostedNode() = default;
 
+uint64_t HostedNode::randomSeed() const
+{
+    return static_cast<uint64_t>(incarnation_) ^ std::hash<std::string>()(settings_.name);
+}
+
 void HostedNode::run()
 {
     Log::instance().configure(LogFormat::Json, LogLevel::Info, settings_.name);
@@ -183,6 +192,8 @@
     hello.incarnation = incarnation_;
     connection->notify(MessageType::Hello, wire::encode(hello));
     connection->notify(MessageType::DirectoryUpdate, directorySync_->encodeDocuments());
+    if (const auto crashes = crashGuard_.encodeAll())
+        connection->notify(MessageType::CrashNotice, *crashes);
     if (isDraining_)
         connection->notify(MessageType::Leaving, {});
 }
@@ -263,6 +274,9 @@
         case MessageType::DirectoryUpdate:
             directorySync_->onPeerUpdate(connection->peerName, message.payload);
             break;
+        case MessageType::CrashNotice:
+            crashGuard_.onNotice(*connection, message.payload);
+            break;
         case MessageType::Leaving:
             leavingPeers_.insert(connection->peerName);
             onPeerDown(connection->peerName);
@@ -295,15 +309,21 @@
 {
     if (before->coordinators != current->coordinators)
         connectToCoordinators();
-    crashDetector_.onDirectory(*current);
+    crashGuard_.onDirectory(*current);
     onDirectoryChanged(*before, *current);
 }
 
 void HostedNode::publish(const std::string& update)
+{
+    notifyPeers(MessageType::DirectoryUpdate, update);
+}
+
+void HostedNode::notifyPeers(MessageType type, const std::string& payload, const PeerConnection* origin)
 {
     for (const auto& [name, peer] : peers_) {
-        if (!peer.connections.empty())
-            peer.connections.back()->notify(MessageType::DirectoryUpdate, update);
+        const bool isOrigin = origin && origin->peerName == name;
+        if (!peer.connections.empty() && !isOrigin)
+            peer.connections.back()->notify(type, payload);
     }
 }
 
@@ -312,6 +332,9 @@
     std::vector<Gauge> allGauges = gauges();
     allGauges.push_back({ "endiveroad_peers", "", "Open connections to peer processes.",
         static_cast<double>(mesh_.connections().size() + acceptor_.connections().size()) });
+    allGauges.push_back(
+        { "endiveroad_blocked_contents", "", "Contents of requests that are refused because servers ended under them.",
+            static_cast<double>(crashGuard_.blockedCount()) });
     allGauges.push_back(
         { "endiveroad_draining", "", "1 while the process takes no new work.", isDraining_ ? 1.0 : 0.0 });
     HttpResponse response;
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -5,7 +5,7 @@
 #include "io/PeerAcceptor.h"
 #include "io/PeerConnection.h"
 #include "io/PeerMesh.h"
-#include "io/hosted/CrashDetector.h"
+#include "io/hosted/CrashGuard.h"
 #include "io/hosted/DirectorySync.h"
 #include "io/hosted/Protocol.h"
 #include "io/hosted/StoreTransports.h"
@@ -63,6 +63,9 @@
     virtual void onPeerDown(const std::string&) { }
     virtual std::vector<Gauge> gauges() const { return {}; }
 
+    /// Seed for random choices, another in each process and at each start.
+    uint64_t randomSeed() const;
+
     /// An open connection to a peer; null if there is none.
     PeerConnectionPtr peer(const std::string& name) const;
     bool isLeaving(const std::string& peer) const { return leavingPeers_.contains(peer); }
@@ -79,7 +82,7 @@
     std::shared_ptr<const Directory> directory() const { return directorySync_->current(); }
     asio::io_context& context() { return context_; }
     HttpClient& http() { return http_; }
-    CrashDetector& crashDetector() { return crashDetector_; }
+    CrashGuard& crashGuard() { return crashGuard_; }
     const Platform& platform() const { return *platform_; }
     MetadataStore& store() { return *store_; }
     Instant lastStoreAnswerAt() const { return relayedStore_.lastAnswerAt(); }
@@ -98,6 +101,9 @@
     void publish(const std::string& update) final;
     asio::awaitable<void> onHttp(HttpExchange&) final;
 
+    /// Sends a notice to all connected peers but the one of the connection `origin`, which may be null.
+    void notifyPeers(MessageType, const std::string& payload, const PeerConnection* origin = nullptr);
+
     void connectToCoordinators();
     void sendHello(const PeerConnectionPtr&);
     void onHello(const PeerConnectionPtr&, const std::string& payload);
@@ -120,11 +126,11 @@
     int64_t incarnation_;
     asio::signal_set signals_;
     HttpClient http_;
-    CrashDetector crashDetector_;
     DirectStoreTransport directStore_;
     RelayedStoreTransport relayedStore_;
     std::unique_ptr<MetadataStore> store_;
     std::unique_ptr<DirectorySync> directorySync_;
+    CrashGuard crashGuard_;
     PeerAcceptor acceptor_;
     PeerMesh mesh_;
     /// By name.
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -26,11 +26,12 @@
 } // namespace
 
 ItemDispatcher::ItemDispatcher(asio::io_context& context, const JobTable& jobs, AgentConnections& connections,
-    ItemScorer& scorer, DirectorySource directory, OnOwnershipUncertain onOwnershipUncertain)
+    ItemScorer& scorer, CrashGuard& crashGuard, DirectorySource directory, OnOwnershipUncertain onOwnershipUncertain)
     : context_(context)
     , jobs_(jobs)
     , connections_(connections)
     , scorer_(scorer)
+    , crashGuard_(crashGuard)
     , directory_(std::move(directory))
     , onOwnershipUncertain_(std::move(onOwnershipUncertain))
     , wake_(context)
@@ -127,6 +128,8 @@
             continue;
         const BatchJobSpec& spec = owned->job.spec();
         for (size_t item : owned->job.waiting(now())) {
+            if (crashGuard_.blockedUntil(owned->contents[item]))
+                continue;
             const auto avoided = owned->avoidedAgents.find(item);
             waiting.push_back({ id, item, spec.items[item].group, spec.model, spec.oldestVersion,
                 owned->job.policy().dueAt, spec.items[item].expectedTokens,
@@ -137,7 +140,9 @@
         const WaitingItem& item = waiting[placement.waitingIndex];
         const auto view = std::find_if(replicas.begin(), replicas.end(),
             [&](const ReplicaView& replica) { return replica.agent == placement.agent; });
-        startItem(jobs_.at(item.job), item.itemIndex, *view);
+        const OwnedJobPtr& owned = jobs_.at(item.job);
+        if (crashGuard_.admit(owned->contents[item.itemIndex]))
+            startItem(owned, item.itemIndex, *view);
     }
 }
 
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -2,6 +2,7 @@
 
 #include "io/Clock.h"
 #include "io/PeerConnection.h"
+#include "io/hosted/CrashGuard.h"
 #include "io/hosted/ItemScorer.h"
 #include "io/hosted/OwnedJob.h"
 #include "io/hosted/WeightLoads.h"
@@ -57,8 +58,8 @@
     /// Called when an agent's answer shows that a job may have another owner or may have ended.
     using OnOwnershipUncertain = std::function<void(const OwnedJobPtr&)>;
 
-    ItemDispatcher(
-        asio::io_context&, const JobTable&, AgentConnections&, ItemScorer&, DirectorySource, OnOwnershipUncertain);
+    ItemDispatcher(asio::io_context&, const JobTable&, AgentConnections&, ItemScorer&, CrashGuard&, DirectorySource,
+        OnOwnershipUncertain);
 
     /// Decides on starts, moves and weight loads whenever something has changed and at regular intervals, forever.
     asio::awaitable<void> run();
@@ -140,6 +141,7 @@
     const JobTable& jobs_;
     AgentConnections& connections_;
     ItemScorer& scorer_;
+    CrashGuard& crashGuard_;
     DirectorySource directory_;
     OnOwnershipUncertain onOwnershipUncertain_;
     Signal wake_;
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -28,11 +28,19 @@
 
 constexpr Duration connectTimeout = std::chrono::milliseconds(300);
 
+ContentId contentOf(const wire::ItemStart& start)
+{
+    return ContentId::of(itemMethod, start.host, start.path, start.body);
+}
+
 } // namespace
 
 /// One run of an item.
 struct ItemRunner::Run {
     wire::ItemStart startRequest;
+    ContentId content;
+    /// Server that has the run but has not delivered an event of it yet; empty before and after that.
+    std::string unprovenServer;
     HttpCancellation cancellation;
     EventStreamReader reader;
     /// All events of the item, including those of earlier runs.
@@ -57,12 +65,12 @@
 };
 
 ItemRunner::ItemRunner(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    EngineController& engine, CrashDetector& crashDetector, Address replica, EngineController::OnChange onChange)
+    EngineController& engine, CrashGuard& crashGuard, Address replica, EngineController::OnChange onChange)
     : context_(context)
     , http_(http)
     , protocol_(protocol)
     , engine_(engine)
-    , crashDetector_(crashDetector)
+    , crashGuard_(crashGuard)
     , replica_(std::move(replica))
     , onChange_(std::move(onChange))
     , wake_(context)
@@ -97,6 +105,8 @@
         return "the replica's weights are too old";
     if (running() >= slots)
         return "all slots are taken";
+    if (!crashGuard_.serversToAvoid(contentOf(startRequest)).empty())
+        return "another item under which replicas have ended starts here";
     return {};
 }
 
@@ -124,6 +134,7 @@
     }
     auto run = std::make_shared<Run>();
     run->startRequest = startRequest;
+    run->content = contentOf(startRequest);
     run->events = fromWire(startRequest.events);
     run->earlierCount = run->events.size();
     run->sentCount = run->earlierCount;
@@ -139,7 +150,7 @@
 HttpRequest ItemRunner::requestFor(const Run& run) const
 {
     ReplicaRequest call;
-    call.method = "POST";
+    call.method = itemMethod;
     call.target = run.startRequest.path;
     for (const wire::Header& header : run.startRequest.headers)
         call.headers.emplace_back(header.name, header.value);
@@ -159,6 +170,8 @@
     RunState state = RunState::Failed;
     std::string failure;
     try {
+        run->unprovenServer = engine_.server();
+        crashGuard_.onStart(run->content, run->unprovenServer);
         HttpRequest request = requestFor(*run);
         auto onHead = [this, run](const HttpResponse& head) { processHead(*run, head); };
         auto onBody = [this, run](std::string_view piece) {
@@ -172,9 +185,10 @@
             engine_.onServerMismatch();
         if (answer.verdict != ReplicaVerdict::Ran)
             finishRun(*run, RunState::NotRun, response.status, "the replica refused");
-        else if (response.status != statusOk)
+        else if (response.status != statusOk) {
+            crashGuard_.onAnswered(run->content);
             finishRun(*run, RunState::Failed, response.status, "the replica failed");
-        else if (run->reader.hasIncompleteEvent() || run->events.empty())
+        } else if (run->reader.hasIncompleteEvent() || run->events.empty())
             finishRun(*run, RunState::Failed, 0, "the stream ended inside an event or without any event");
         else
             finishRun(*run, RunState::Completed, statusOk, {});
@@ -194,10 +208,8 @@
 
 asio::awaitable<void> ItemRunner::inspectBrokenRun(RunPtr run)
 {
-    const wire::ItemStart& start = run->startRequest;
-    const ContentId content = ContentId::of("POST", start.host, start.path, start.body);
-    UnansweredRequest unanswered { start.item, content, engine_.server(), replica_ };
-    co_await crashDetector_.inspect(std::move(unanswered));
+    UnansweredRequest unanswered { run->startRequest.item, run->content, run->unprovenServer, replica_ };
+    co_await crashGuard_.inspect(std::move(unanswered));
 }
 
 void ItemRunner::processHead(Run& run, const HttpResponse& head)
@@ -222,6 +234,10 @@
         }
         if (!event.id)
             continue;
+        if (!run.unprovenServer.empty()) {
+            crashGuard_.onAnswered(run.content);
+            endRisk(run);
+        }
         updateMeans(run);
         run.events.push_back({ *event.id, std::move(event.data), run.version });
     }
@@ -243,8 +259,16 @@
     run.lastEventAt = currentTime;
 }
 
+void ItemRunner::endRisk(Run& run)
+{
+    if (!run.unprovenServer.empty())
+        crashGuard_.onEnd(run.content, run.unprovenServer);
+    run.unprovenServer.clear();
+}
+
 void ItemRunner::finishRun(Run& run, RunState state, int32_t status, const std::string& reason)
 {
+    endRisk(run);
     run.state = state;
     run.status = status;
     run.expiry = now() + endedLifetime;
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "io/PeerConnection.h"
-#include "io/hosted/CrashDetector.h"
+#include "io/hosted/CrashGuard.h"
 #include "io/hosted/EngineController.h"
 #include "io/hosted/Protocol.h"
 
@@ -35,8 +35,8 @@
     /// Also the time for which the owner of a job without runs is remembered.
     static constexpr Duration endedJobLifetime = std::chrono::seconds(60);
 
-    ItemRunner(asio::io_context&, HttpClient&, const ReplicaProtocol&, EngineController&, CrashDetector&,
-        Address replica, EngineController::OnChange);
+    ItemRunner(asio::io_context&, HttpClient&, const ReplicaProtocol&, EngineController&, CrashGuard&, Address replica,
+        EngineController::OnChange);
 
     /// Sends progress notices and cancels stalled runs; never returns.
     asio::awaitable<void> report();
@@ -76,6 +76,8 @@
     asio::awaitable<void> execute(RunPtr);
     /// The replica broke the run off. Counts a crash if it has ended before the run's first event.
     asio::awaitable<void> inspectBrokenRun(RunPtr);
+    /// The run no longer counts among those that may end the replica.
+    void endRisk(Run&);
     HttpRequest requestFor(const Run&) const;
     void processHead(Run&, const HttpResponse&);
     void processBody(Run&, std::string_view piece);
@@ -90,7 +92,7 @@
     HttpClient& http_;
     const ReplicaProtocol& protocol_;
     EngineController& engine_;
-    CrashDetector& crashDetector_;
+    CrashGuard& crashGuard_;
     Address replica_;
     EngineController::OnChange onChange_;
     Signal wake_;
--- a/src/io/hosted/ItemScorer.cpp
+++ b/src/io/hosted/ItemScorer.cpp
@@ -5,6 +5,7 @@
 #include "io/ProcessMetrics.h"
 #include "io/Tasks.h"
 
+#include <algorithm>
 #include <endiveroad/Error.h>
 
 namespace endiveroad::io {
@@ -36,16 +37,18 @@
 {
     ItemAction action = ItemAction::Score;
     while (action == ItemAction::Score && !owned->isLost && !owned->job.isEnded()) {
-        action = co_await callOnce(owned, item);
+        Instant retryAt = now();
+        action = co_await callOnce(owned, item, retryAt);
         if (action == ItemAction::Score)
-            co_await sleepFor(retryPause);
+            co_await sleepFor(retryAt - now());
     }
     if (action == ItemAction::Finished)
         onFinished_(owned);
 }
 
-asio::awaitable<ItemAction> ItemScorer::callOnce(OwnedJobPtr owned, size_t item)
+asio::awaitable<ItemAction> ItemScorer::callOnce(OwnedJobPtr owned, size_t item, Instant& retryAt)
 {
+    retryAt = now() + retryPause;
     const BatchItem& spec = owned->job.spec().items[item];
     const ScoringCall& scoring = *spec.scoring;
     const auto directory = directory_();
@@ -71,6 +74,9 @@
         log(Event::ItemScored, { { "item", spec.id }, { "ms", std::to_string(elapsed) } });
         co_return owned->job.onScored(item, result.stamp);
     }
+    retryAt = now() + retryPause;
+    if (result.blockedUntil)
+        retryAt = std::clamp(*result.blockedUntil, retryAt, now() + blockedRetryPause);
     log(Event::ScoringDelayed,
         { { "item", spec.id }, { "ms", std::to_string(elapsed) },
             { "serverErrors", std::to_string(result.serverErrors) }, { "reason", result.reason } });
--- a/src/io/hosted/ItemScorer.h
+++ b/src/io/hosted/ItemScorer.h
@@ -13,6 +13,9 @@
     /// Delay before a call that brought no score is repeated.
     static constexpr Duration retryPause = std::chrono::milliseconds(80);
 
+    /// The same while the call is blocked, if the block lasts that long.
+    static constexpr Duration blockedRetryPause = std::chrono::seconds(1);
+
     /// Called when an item has a result: it was scored, or terminated because its scoring failed too often.
     using OnFinished = std::function<void(const OwnedJobPtr&)>;
 
@@ -25,7 +28,8 @@
 
 private:
     asio::awaitable<void> run(OwnedJobPtr, size_t item);
-    asio::awaitable<ItemAction> callOnce(OwnedJobPtr, size_t item);
+    /// Sets retryAt to the earliest time of the next call, if one is needed.
+    asio::awaitable<ItemAction> callOnce(OwnedJobPtr, size_t item, Instant& retryAt);
 
     asio::io_context& context_;
     ServiceCaller& serviceCaller_;
--- a/src/io/hosted/OwnedJob.h
+++ b/src/io/hosted/OwnedJob.h
@@ -2,12 +2,15 @@
 
 #include "io/Signal.h"
 #include "io/hosted/JobStore.h"
+#include "io/hosted/Protocol.h"
 
 #include <endiveroad/BatchJob.h>
+#include <endiveroad/ContentId.h>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 /// A batch job at the coordinator that owns it, and the interface of the component that runs its items.
 namespace endiveroad::io {
@@ -18,11 +21,15 @@
         , record(std::move(owned))
         , changed(context)
     {
+        for (const BatchItem& item : job.spec().items)
+            contents.push_back(ContentId::of(itemMethod, record.host, item.path, item.body));
     }
 
     const std::string& id() const { return job.spec().id; }
 
     BatchJob job;
+    /// Content of each item's request to a replica, by index of the item.
+    std::vector<ContentId> contents;
     /// The owner record as last written by this coordinator.
     JobRecord record;
     /// Notified when results are listed, the job ends or is lost to another coordinator.
--- a/src/io/hosted/Protocol.h
+++ b/src/io/hosted/Protocol.h
@@ -53,6 +53,9 @@
     virtual std::string readinessTarget() const = 0;
 };
 
+/// HTTP method of the requests with which items of batch jobs are sent to replicas.
+inline constexpr const char* itemMethod = "POST";
+
 /// A request to a backend server.
 struct ReplicaRequest {
     std::string method;
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -43,7 +43,7 @@
 
     /// Whether another server may be tried. Refused attempts do not count towards the limit, since the server ran
     /// nothing.
-    bool hasAttemptsLeft() const { return possibleRuns < std::max(route.maxAttempts, 1); }
+    bool hasAttemptsLeft() const { return !result.blockedUntil && possibleRuns < std::max(route.maxAttempts, 1); }
 
     RouteDeclaration route;
     ReplicaRequest request;
@@ -57,15 +57,17 @@
     /// Number of attempts that a server ran or may have run.
     int32_t possibleRuns = 0;
     bool isDone = false;
+    /// Earliest time of the next attempt.
+    Instant notBefore = Instant::min();
     ServiceResult result;
 };
 
 ServiceCaller::ServiceCaller(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    CrashDetector& crashDetector, DirectorySource directory, uint64_t seed)
+    CrashGuard& crashGuard, DirectorySource directory, uint64_t seed)
     : context_(context)
     , http_(http)
     , protocol_(protocol)
-    , crashDetector_(crashDetector)
+    , crashGuard_(crashGuard)
     , directory_(std::move(directory))
     , loads_(seed)
     , random_(static_cast<uint32_t>(seed) | 1U)
@@ -109,6 +111,20 @@
     return directory->servers.at(*chosen);
 }
 
+std::optional<ServerRecord> ServiceCaller::chooseNext(CallState& state)
+{
+    if (now() < state.notBefore)
+        return std::nullopt;
+    std::set<std::string> excluded = crashGuard_.serversToAvoid(state.content);
+    excluded.insert(state.tried.begin(), state.tried.end());
+    auto server = chooseServer(state.route, excluded);
+    if (server && !crashGuard_.admit(state.content)) {
+        state.result.blockedUntil = crashGuard_.blockedUntil(state.content);
+        return std::nullopt;
+    }
+    return server;
+}
+
 asio::awaitable<ServiceResult> ServiceCaller::call(
     RouteDeclaration route, ReplicaRequest request, Instant deadline, PeerCancellationPtr cancellation)
 {
@@ -123,9 +139,11 @@
     Instant hedgeAt = now();
     while (!state->isDone && now() < deadline) {
         const bool mayHedge = state->activeAttempts == 0 || (isIdempotent && now() >= hedgeAt);
+        if (state->activeAttempts == 0)
+            state->result.blockedUntil = crashGuard_.blockedUntil(state->content);
         std::optional<ServerRecord> server;
         if (mayHedge && state->hasAttemptsLeft())
-            server = chooseServer(state->route, state->tried);
+            server = chooseNext(*state);
         if (server) {
             startAttempt(state, *server);
             hedgeAt = now() + state->route.latencyObjective / hedgeDivisor;
@@ -133,14 +151,17 @@
             // Either the limit of attempts is reached, or every ready server refused.
             if (!state->hasAttemptsLeft())
                 break;
-            state->tried.clear();
-            co_await state->changed.wait(std::min(deadline, now() + refusedPause));
+            const bool isPaused = now() < state->notBefore;
+            if (!isPaused)
+                state->tried.clear();
+            co_await state->changed.wait(std::min(deadline, isPaused ? state->notBefore : now() + refusedPause));
             continue;
         }
         const bool canHedgeLater = isIdempotent && state->hasAttemptsLeft() && hedgeAt > now();
         co_await state->changed.wait(canHedgeLater ? std::min(deadline, hedgeAt) : deadline);
     }
     state->isDone = true;
+    state->result.content = state->content;
     state->result.mayHaveRun = state->result.mayHaveRun || state->possibleRuns > 0;
     state->cancelAttempts();
     if (cancellation)
@@ -152,6 +173,7 @@
 {
     state->tried.insert(server.id);
     state->result.servers += (state->result.servers.empty() ? "" : " ") + server.id;
+    crashGuard_.onStart(state->content, server.id);
     state->cancellations.emplace_back();
     ++state->activeAttempts;
     ++state->possibleRuns;
@@ -186,6 +208,7 @@
     }
     if (!failure.empty())
         co_await processFailure(state, server, failure, isSent);
+    crashGuard_.onEnd(state->content, server.id);
     --state->activeAttempts;
     state->changed.notifyAll();
 }
@@ -214,7 +237,8 @@
     if (!wasSent || wasAbandoned)
         co_return;
     UnansweredRequest unanswered { state->request.id, state->content, server.id, server.address };
-    co_await crashDetector_.inspect(std::move(unanswered));
+    co_await crashGuard_.inspect(std::move(unanswered));
+    state->notBefore = crashGuard_.nextAttemptAt(state->content);
 }
 
 void ServiceCaller::finishAttempt(
@@ -234,6 +258,7 @@
     }
     if (isSuccess(response.status) && answer.stamp.empty())
         throw AnswerBrokenError("the answer has a success status but lacks the server's stamp");
+    crashGuard_.onAnswered(state.content);
     loads_.onAnswer(server.id, now() - startedAt, now());
     if (state.isDone)
         return;
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "io/PeerConnection.h"
-#include "io/hosted/CrashDetector.h"
+#include "io/hosted/CrashGuard.h"
 #include "io/hosted/Protocol.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -27,6 +27,9 @@
     std::string stamp;
     /// A server may have run the call, wholly or in part.
     bool mayHaveRun = false;
+    ContentId content;
+    /// The content is blocked until then, so it was not sent to any further server.
+    std::optional<Instant> blockedUntil;
     /// The caller has disconnected.
     bool isCancelled = false;
     int32_t attempts = 0;
@@ -55,8 +58,7 @@
 
     using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
 
-    ServiceCaller(
-        asio::io_context&, HttpClient&, const ReplicaProtocol&, CrashDetector&, DirectorySource, uint64_t seed);
+    ServiceCaller(asio::io_context&, HttpClient&, const ReplicaProtocol&, CrashGuard&, DirectorySource, uint64_t seed);
 
     /// Sets the request's server and timeout for each attempt.
     asio::awaitable<ServiceResult> call(
@@ -71,6 +73,9 @@
 private:
     class CallState;
 
+    /// Server for the next attempt, if one may start now and a server is free to be tried.
+    std::optional<ServerRecord> chooseNext(CallState&);
+
     /// Chooses one of the route's services at random by weight.
     const std::string& chooseService(const RouteDeclaration&);
     void startAttempt(const std::shared_ptr<CallState>&, const ServerRecord&);
@@ -81,7 +86,7 @@
     asio::io_context& context_;
     HttpClient& http_;
     const ReplicaProtocol& protocol_;
-    CrashDetector& crashDetector_;
+    CrashGuard& crashGuard_;
     DirectorySource directory_;
     ServerLoads loads_;
     std::minstd_rand random_;
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -47,17 +47,24 @@
     /// The response was received to its end.
     bool isComplete = false;
     bool hasBody = false;
+
+    /// The server closed the connection before the first byte of the body.
+    bool hasBrokenOff() const { return hasEnded && !isComplete && wasSent && !hasBody; }
+
     /// False if the request has certainly not reached the server.
     bool wasSent = true;
     std::string failure;
 };
 
 struct StreamProxy::Progress {
+    ContentId content;
     std::set<std::string> tried;
     /// Number of servers that ran or may have run the request.
     int32_t runs = 0;
     /// The response head has been sent to the caller.
     bool hasStarted = false;
+    /// Earliest time of the next attempt.
+    Instant notBefore = Instant::min();
     bool isDone = false;
     bool mayResume = false;
     EventStreamReader reader;
@@ -66,20 +73,22 @@
 };
 
 StreamProxy::StreamProxy(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    ServiceCaller& services, CrashDetector& crashDetector)
+    ServiceCaller& services, CrashGuard& crashGuard)
     : context_(context)
     , http_(http)
     , protocol_(protocol)
     , serviceCaller_(services)
-    , crashDetector_(crashDetector)
+    , crashGuard_(crashGuard)
 {
 }
 
 StreamProxy::ServerStreamPtr StreamProxy::openStream(
     const RouteDeclaration& route, const ReplicaRequest& request, const Progress& progress, Instant deadline)
 {
-    const auto server = serviceCaller_.chooseServer(route, progress.tried);
-    if (!server)
+    std::set<std::string> excluded = crashGuard_.serversToAvoid(progress.content);
+    excluded.insert(progress.tried.begin(), progress.tried.end());
+    const auto server = serviceCaller_.chooseServer(route, excluded);
+    if (!server || !crashGuard_.admit(progress.content))
         return nullptr;
     auto serverStream = std::make_shared<ServerStream>(context_, *server);
     ReplicaRequest call = request;
@@ -132,12 +141,13 @@
 }
 
 asio::awaitable<void> StreamProxy::answerUnstreamed(
-    HttpExchange& exchange, ServerStreamPtr serverStream, Instant deadline)
+    HttpExchange& exchange, ServerStreamPtr serverStream, const Progress& progress, Instant deadline)
 {
     while (!serverStream->hasEnded && now() < deadline)
         co_await serverStream->changed.wait(deadline);
     if (!serverStream->isComplete)
         throw OutcomeUnknownError(serverStream->failure.empty() ? "the time ran out" : serverStream->failure);
+    crashGuard_.onAnswered(progress.content);
     HttpResponse response;
     response.status = serverStream->head->status;
     response.headers = forwardedHeaders(serverStream->head->headers);
@@ -156,6 +166,8 @@
     while (!cancellation->isCancelled() && now() < deadline) {
         const size_t bytes = completeEventBytes(serverStream->pending);
         if (bytes > 0) {
+            if (!progress.lastEventId)
+                crashGuard_.onAnswered(progress.content);
             const std::string piece = serverStream->pending.substr(0, bytes);
             serverStream->pending.erase(0, bytes);
             for (const StreamEvent& event : progress.reader.feed(piece))
@@ -173,13 +185,27 @@
     progress.failure = serverStream->failure;
 }
 
+asio::awaitable<void> StreamProxy::inspectBroken(std::string request, ServerStreamPtr serverStream, Progress& progress)
+{
+    if (!serverStream->hasBrokenOff())
+        co_return;
+    const ServerRecord& server = serverStream->server;
+    UnansweredRequest unanswered { std::move(request), progress.content, server.id, server.address };
+    co_await crashGuard_.inspect(std::move(unanswered));
+    progress.notBefore = crashGuard_.nextAttemptAt(progress.content);
+}
+
 asio::awaitable<void> StreamProxy::serve(HttpExchange& exchange, RouteDeclaration route, ReplicaRequest request,
     Instant deadline, PeerCancellationPtr cancellation)
 {
     Progress progress;
-    const ContentId content = ContentId::of(request.method, route.host, request.target, request.body);
+    progress.content = ContentId::of(request.method, route.host, request.target, request.body);
     while (!progress.isDone && now() < deadline && !cancellation->isCancelled()
-        && progress.runs < std::max(route.maxAttempts, 1)) {
+        && progress.runs < std::max(route.maxAttempts, 1) && !crashGuard_.blockedUntil(progress.content)) {
+        if (now() < progress.notBefore) {
+            co_await sleepFor(progress.notBefore - now());
+            continue;
+        }
         const ServerStreamPtr serverStream = openStream(route, request, progress, deadline);
         if (!serverStream) {
             if (progress.runs > 0 || progress.hasStarted)
@@ -189,28 +215,29 @@
             continue;
         }
         progress.tried.insert(serverStream->server.id);
+        crashGuard_.onStart(progress.content, serverStream->server.id);
         const bool hasHead = co_await awaitHead(serverStream, deadline, cancellation);
+        if (!hasHead)
+            co_await inspectBroken(request.id, serverStream, progress);
+        crashGuard_.onEnd(progress.content, serverStream->server.id);
         const bool isRefused = hasHead && protocol_.decode(*serverStream->head).verdict != ReplicaVerdict::Ran;
         if (!isRefused && serverStream->wasSent)
             ++progress.runs;
         progress.mayResume = route.isResumable && progress.runs < route.maxAttempts;
         if (hasHead && !isRefused && serverStream->head->status == statusOk)
             co_await forward(exchange, serverStream, progress, deadline, cancellation);
+        if (hasHead)
+            co_await inspectBroken(request.id, serverStream, progress);
         else if (hasHead && !isRefused && !progress.hasStarted)
-            co_return co_await answerUnstreamed(exchange, serverStream, deadline);
+            co_return co_await answerUnstreamed(exchange, serverStream, progress, deadline);
         serverStream->cancellation.cancel();
         if (progress.isDone)
             break;
         progress.failure = isRefused ? "the server refused" : serverStream->failure;
         log(Event::CallAttemptFailed,
-            { { "request", request.id }, { "server", serverStream->server.id }, { "content", content.text() },
+            { { "request", request.id }, { "server", serverStream->server.id }, { "content", progress.content.text() },
                 { "reason", progress.failure },
                 { "lastEvent", progress.lastEventId ? std::to_string(*progress.lastEventId) : "" } });
-        const bool wasBrokenOff = serverStream->hasEnded && !serverStream->isComplete && serverStream->wasSent;
-        if (wasBrokenOff && !serverStream->hasBody) {
-            UnansweredRequest unanswered { request.id, content, serverStream->server.id, serverStream->server.address };
-            co_await crashDetector_.inspect(std::move(unanswered));
-        }
         const bool mayRetry = isRefused || !serverStream->wasSent || route.isResumable;
         if (!mayRetry)
             break;
@@ -220,6 +247,9 @@
     // The missing last chunk tells the caller that the answer is truncated.
     if (progress.hasStarted)
         co_return;
+    const auto blockedUntil = crashGuard_.blockedUntil(progress.content);
+    if (progress.runs == 0 && blockedUntil)
+        throw ContentBlockedError(progress.content, *blockedUntil);
     if (progress.runs == 0)
         throw NotRunError(progress.failure.empty() ? "no server of the route is ready" : progress.failure);
     if (now() >= deadline)
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -18,12 +18,12 @@
     /// resumable and has attempts left.
     static constexpr Duration stallLimit = std::chrono::milliseconds(1500);
 
-    StreamProxy(asio::io_context&, HttpClient&, const ReplicaProtocol&, ServiceCaller&, CrashDetector&);
+    StreamProxy(asio::io_context&, HttpClient&, const ReplicaProtocol&, ServiceCaller&, CrashGuard&);
 
     /// Answers the exchange. Only complete events are forwarded. If a server's stream breaks, another server resumes it
     /// within the same answer if the route allows that; otherwise the answer ends without its last chunk, so that the
-    /// caller detects the truncation. Throws if nothing has been sent to the caller: NotRunError if no server can
-    /// have run the request, OutcomeUnknownError or DeadlineUnknownError if one may have.
+    /// caller detects the truncation. Throws if nothing has been sent to the caller: NotRunError or ContentBlockedError
+    /// if no server can have run the request, OutcomeUnknownError or DeadlineUnknownError if one may have.
     asio::awaitable<void> serve(HttpExchange&, RouteDeclaration, ReplicaRequest, Instant deadline, PeerCancellationPtr);
 
 private:
@@ -39,7 +39,9 @@
     /// Returns whether the response head has arrived before the deadline.
     asio::awaitable<bool> awaitHead(ServerStreamPtr, Instant deadline, PeerCancellationPtr);
     /// Sends a response that is not an event stream as a whole.
-    asio::awaitable<void> answerUnstreamed(HttpExchange&, ServerStreamPtr, Instant deadline);
+    asio::awaitable<void> answerUnstreamed(HttpExchange&, ServerStreamPtr, const Progress&, Instant deadline);
+    /// Finds out whether a server that broke its stream off before the first byte has ended.
+    asio::awaitable<void> inspectBroken(std::string request, ServerStreamPtr, Progress&);
     /// Forwards events until the stream ends, stalls or the caller disconnects.
     asio::awaitable<void> forward(HttpExchange&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
 
@@ -47,7 +49,7 @@
     HttpClient& http_;
     const ReplicaProtocol& protocol_;
     ServiceCaller& serviceCaller_;
-    CrashDetector& crashDetector_;
+    CrashGuard& crashGuard_;
 };
 
 } // namespace endiveroad::io
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -339,3 +339,15 @@
 
 /** Asks an agent to have its replica load at least this version of the model's weights. */
 struct LoadModelNotice { 1: string model  2: i64 version }
+
+/** What the sender knows of a content under which servers ended; see CrashRecord in CrashRegister.h. */
+struct CrashRecord {
+  /** Halves of the content id. */
+  1: i64 contentHigh
+  2: i64 contentLow
+  3: i64 generation
+  4: list<string> crashedServers
+  /** Time until the end of the block, in ms; 0 if the content is not blocked. */
+  5: i64 blockedForMs
+}
+struct CrashNotice { 1: list<CrashRecord> records }
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -6810,4 +6810,308 @@
   out << ")";
 }
 
+
+CrashRecord::~CrashRecord() noexcept {
+}
+
+
+void CrashRecord::__set_contentHigh(const int64_t val) {
+  this->contentHigh = val;
+}
+
+void CrashRecord::__set_contentLow(const int64_t val) {
+  this->contentLow = val;
+}
+
+void CrashRecord::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void CrashRecord::__set_crashedServers(const std::vector<std::string> & val) {
+  this->crashedServers = val;
+}
+
+void CrashRecord::__set_blockedForMs(const int64_t val) {
+  this->blockedForMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHigh);
+          this->__isset.contentHigh = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentLow);
+          this->__isset.contentLow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashedServers.clear();
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _etype170;
+            xfer += iprot->readListBegin(_etype170, _size167);
+            this->crashedServers.resize(_size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
+            {
+              xfer += iprot->readString(this->crashedServers[_i171]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashedServers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->blockedForMs);
+          this->__isset.blockedForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashRecord");
+
+  xfer += oprot->writeFieldBegin("contentHigh", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->contentHigh);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentLow", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->contentLow);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashedServers", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->crashedServers.size()));
+    std::vector<std::string> ::const_iterator _iter172;
+    for (_iter172 = this->crashedServers.begin(); _iter172 != this->crashedServers.end(); ++_iter172)
+    {
+      xfer += oprot->writeString((*_iter172));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("blockedForMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->blockedForMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashRecord &a, CrashRecord &b) {
+  using ::std::swap;
+  swap(a.contentHigh, b.contentHigh);
+  swap(a.contentLow, b.contentLow);
+  swap(a.generation, b.generation);
+  swap(a.crashedServers, b.crashedServers);
+  swap(a.blockedForMs, b.blockedForMs);
+  swap(a.__isset, b.__isset);
+}
+
+CrashRecord::CrashRecord(const CrashRecord& other173) {
+  contentHigh = other173.contentHigh;
+  contentLow = other173.contentLow;
+  generation = other173.generation;
+  crashedServers = other173.crashedServers;
+  blockedForMs = other173.blockedForMs;
+  __isset = other173.__isset;
+}
+CrashRecord& CrashRecord::operator=(const CrashRecord& other174) {
+  contentHigh = other174.contentHigh;
+  contentLow = other174.contentLow;
+  generation = other174.generation;
+  crashedServers = other174.crashedServers;
+  blockedForMs = other174.blockedForMs;
+  __isset = other174.__isset;
+  return *this;
+}
+void CrashRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashRecord(";
+  out << "contentHigh=" << to_string(contentHigh);
+  out << ", " << "contentLow=" << to_string(contentLow);
+  out << ", " << "generation=" << to_string(generation);
+  out << ", " << "crashedServers=" << to_string(crashedServers);
+  out << ", " << "blockedForMs=" << to_string(blockedForMs);
+  out << ")";
+}
+
+
+CrashNotice::~CrashNotice() noexcept {
+}
+
+
+void CrashNotice::__set_records(const std::vector<CrashRecord> & val) {
+  this->records = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->records.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
+            {
+              xfer += this->records[_i179].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashNotice");
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<CrashRecord> ::const_iterator _iter180;
+    for (_iter180 = this->records.begin(); _iter180 != this->records.end(); ++_iter180)
+    {
+      xfer += (*_iter180).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashNotice &a, CrashNotice &b) {
+  using ::std::swap;
+  swap(a.records, b.records);
+  swap(a.__isset, b.__isset);
+}
+
+CrashNotice::CrashNotice(const CrashNotice& other181) {
+  records = other181.records;
+  __isset = other181.__isset;
+}
+CrashNotice& CrashNotice::operator=(const CrashNotice& other182) {
+  records = other182.records;
+  __isset = other182.__isset;
+  return *this;
+}
+void CrashNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashNotice(";
+  out << "records=" << to_string(records);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -21,6 +21,9 @@
 
 namespace endiveroad { namespace wire {
 
+/**
+ * NotRun: the request has not run and will not. Unknown: it may have run.
+ */
 struct Outcome {
   enum type {
     Done = 1,
@@ -143,6 +146,10 @@
 
 class LoadModelNotice;
 
+class CrashRecord;
+
+class CrashNotice;
+
 typedef struct _Hello__isset {
   _Hello__isset() : node(false), role(false), incarnation(false), settingsRevision(false), organisation(false) {}
   bool node :1;
@@ -152,6 +159,9 @@
   bool organisation :1;
 } _Hello__isset;
 
+/**
+ * Introduces the sender; each side of a new connection sends it.
+ */
 class Hello : public virtual ::apache::thrift::TBase {
  public:
 
@@ -166,9 +176,15 @@
   }
 
   virtual ~Hello() noexcept;
+  /**
+   * Name of the sending process.
+   */
   std::string node;
   std::string role;
   int64_t incarnation;
+  /**
+   * Revision in force; 0 for none.
+   */
   int64_t settingsRevision;
   std::string organisation;
 
@@ -232,6 +248,11 @@
   bool failureDomain :1;
 } _AgentReport__isset;
 
+/**
+ * State of an agent and its backend server, sent to all connected
+ * entries. An entry ignores a report that is older than the last one by
+ * incarnation, then by sequence.
+ */
 class AgentReport : public virtual ::apache::thrift::TBase {
  public:
 
@@ -257,7 +278,13 @@
   virtual ~AgentReport() noexcept;
   std::string agent;
   std::string pool;
+  /**
+   * Increases each time the agent's process starts.
+   */
   int64_t incarnation;
+  /**
+   * Increases with each report of an incarnation.
+   */
   int64_t sequence;
   int32_t freeSlots;
   int32_t running;
@@ -267,7 +294,13 @@
   int64_t version;
   bool isDraining;
   int64_t settingsRevision;
+  /**
+   * Bytes of finished samples in the agent's sample cache.
+   */
   int64_t heldBytes;
+  /**
+   * A swap of the engine's weights is in progress.
+   */
   bool isSwapping;
   bool isServerUp;
   std::string region;
@@ -416,6 +449,11 @@
   bool keyCreatedMs :1;
 } _CallRequest__isset;
 
+/**
+ * Used by two message types. Call: a caller's call, which an agent runs on its
+ * backend server. Forward: a caller's request about a job, which one entry passes
+ * on to the entry that coordinates the job; only method, target and body are set.
+ */
 class CallRequest : public virtual ::apache::thrift::TBase {
  public:
 
@@ -438,15 +476,21 @@
   std::string requestId;
   std::string pool;
   std::string method;
+  /**
+   * Path and query of the HTTP request.
+   */
   std::string target;
   std::vector<Header>  headers;
   std::string body;
   bool isIdempotent;
   std::string idempotencyKey;
   int32_t priority;
+  /**
+   * Hash of method, target and body; the same key with another hash is a conflict.
+   */
   int64_t fingerprint;
   /**
-   * Wall time in ms at which the caller made its key; 0 when not stated.
+   * Wall time in ms at which the caller created its key; 0 if it did not say.
    */
   int64_t keyCreatedMs;
 
@@ -527,6 +571,9 @@
   bool detail :1;
 } _CallAnswer__isset;
 
+/**
+ * Done: status, headers and body are set; otherwise errorCode, retryAfterMs and detail.
+ */
 class CallAnswer : public virtual ::apache::thrift::TBase {
  public:
 
@@ -551,6 +598,9 @@
   std::vector<Header>  headers;
   std::string body;
   std::string errorCode;
+  /**
+   * 0 for no hint; the entry then sends its default to the caller.
+   */
   int32_t retryAfterMs;
   std::string detail;
 
@@ -611,6 +661,9 @@
   bool version :1;
 } _Segment__isset;
 
+/**
+ * Tokens [firstToken, endToken) of a sample, generated with one weight version.
+ */
 class Segment : public virtual ::apache::thrift::TBase {
  public:
 
@@ -674,6 +727,9 @@
   bool finishReason :1;
 } _Sample__isset;
 
+/**
+ * A finished sample; include/endiveroad/Sample.h describes the fields.
+ */
 class Sample : public virtual ::apache::thrift::TBase {
  public:
 
@@ -774,6 +830,10 @@
   bool idleWeight :1;
 } _GenerateRequest__isset;
 
+/**
+ * Asks an agent for one sample. The agent answers from its sample cache if it
+ * holds the sample, and joins a generation of it that runs already.
+ */
 class GenerateRequest : public virtual ::apache::thrift::TBase {
  public:
 
@@ -798,11 +858,21 @@
   std::string job;
   int64_t step;
   int32_t index;
+  /**
+   * Hash of the step's content; tells apart steps with the same number.
+   */
   int64_t stepDigest;
   std::string prompt;
   int32_t maxTokens;
   int32_t priority;
+  /**
+   * Oldest weight version that may have generated a token of the sample.
+   */
   int64_t oldestVersion;
+  /**
+   * The job's objective, by which the agent decides on restarts after a swap.
+   * idleWeight: 0 counts only staleness, 1 only the trainer's idle time.
+   */
   int64_t stalenessBound;
   double idleWeight;
 
@@ -880,6 +950,9 @@
   bool retryAfterMs :1;
 } _GenerateAnswer__isset;
 
+/**
+ * The sample is set if the outcome is Done.
+ */
 class GenerateAnswer : public virtual ::apache::thrift::TBase {
  public:
 
@@ -950,7 +1023,8 @@
 } _HeldRequest__isset;
 
 /**
- * Asks an agent for the finished samples it holds of a step.
+ * Asks an agent for the finished samples of a step in its cache, without those
+ * in receivedBits, in which index i is bit i % 8 of byte i / 8.
  */
 class HeldRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -1014,6 +1088,9 @@
   bool running :1;
 } _HeldAnswer__isset;
 
+/**
+ * Running lists the indices of the step's samples that the agent is generating.
+ */
 class HeldAnswer : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1065,7 +1142,7 @@
 } _ReleaseNotice__isset;
 
 /**
- * Tells an agent which samples the trainer has received.
+ * Tells an agent which samples of a step the trainer has received; the agent evicts these first.
  */
 class ReleaseNotice : public virtual ::apache::thrift::TBase {
  public:
@@ -1128,6 +1205,9 @@
   bool requestId :1;
 } _CancelNotice__isset;
 
+/**
+ * The sender no longer waits for this GenerateRequest.
+ */
 class CancelNotice : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1174,6 +1254,12 @@
   bool order :1;
 } _LoadRequest__isset;
 
+/**
+ * Tells an agent to load weights into its engine. Has no effect if the agent
+ * knows a higher order, if its engine runs these weights already, or if it
+ * isn't ready to swap (VersionTracker::beginSwap()). Model holds the name of the
+ * pool; the agent does not read it.
+ */
 class LoadRequest : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1237,6 +1323,10 @@
   bool errorCode :1;
 } _LoadAnswer__isset;
 
+/**
+ * Done if the engine then runs the ordered version, otherwise Unknown. Version is
+ * the one that it runs, or -1 while unknown. errorCode is not set.
+ */
 class LoadAnswer : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1299,7 +1389,7 @@
 } _SettingsOffer__isset;
 
 /**
- * What a process tells of its settings; 0 for no revision in force.
+ * A process tells a peer which settings it has in force.
  */
 class SettingsOffer : public virtual ::apache::thrift::TBase {
  public:
@@ -1313,9 +1403,12 @@
   }
 
   virtual ~SettingsOffer() noexcept;
+  /**
+   * 0 for none.
+   */
   int64_t revision;
   /**
-   * The sender gets no answer from the key-value service.
+   * The sender's last attempt to reach the key-value service failed.
    */
   bool isStoreAway;
   /**
@@ -1363,7 +1456,7 @@
 } _SettingsRequest__isset;
 
 /**
- * Asks for what changed since a revision; 0 asks for all parts.
+ * Asks a peer for the changes since a revision; 0 asks for all parts.
  */
 class SettingsRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -1472,7 +1565,9 @@
 } _SettingsAnswer__isset;
 
 /**
- * Field 2 was a whole document.
+ * Changes from one settings document, the base, to a later one. If
+ * baseRevision is 0, it holds all parts. Field number 2 is retired; it
+ * held a whole document.
  */
 class SettingsAnswer : public virtual ::apache::thrift::TBase {
  public:
@@ -1495,8 +1590,17 @@
   int64_t inForceMs;
   int64_t baseRevision;
   std::string writeId;
+  /**
+   * Hash of the later document, against which the receiver checks its result.
+   */
   int64_t digest;
+  /**
+   * New and changed parts.
+   */
   std::vector<SettingsPart>  parts;
+  /**
+   * Names of the parts that only the base has.
+   */
   std::vector<std::string>  removed;
 
   _SettingsAnswer__isset __isset;
@@ -1558,7 +1662,9 @@
 } _PolicyNotice__isset;
 
 /**
- * Newest weights that a trainer announced for a model.
+ * Newest weights that a trainer announced for a pool, sent between entries.
+ * Model holds the name of the pool. Order is the announcement's sequence number;
+ * the highest is the newest.
  */
 class PolicyNotice : public virtual ::apache::thrift::TBase {
  public:
@@ -1622,6 +1728,9 @@
   bool withinMs :1;
 } _DrainRequest__isset;
 
+/**
+ * Asks the receiver to drain and then end. It answers with its status and does not read the fields.
+ */
 class DrainRequest : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1671,6 +1780,9 @@
   bool argument :1;
 } _TextRequest__isset;
 
+/**
+ * An operator's query for status or timeline; the argument is a JSON text (src/io/Survey.h).
+ */
 class TextRequest : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1761,7 +1873,7 @@
 } _Document__isset;
 
 /**
- * State of one key of the platform's store; a removed key keeps the revision of its removal.
+ * State of one key of the platform's store; a removed key has the revision of its removal.
  */
 class Document : public virtual ::apache::thrift::TBase {
  public:
@@ -1826,7 +1938,8 @@
 } _DirectoryUpdate__isset;
 
 /**
- * Documents that changed at the sender. A sender that reads the store itself says so with isFresh.
+ * Documents that changed at the sender. A coordinator that has just read the
+ * store itself sets isFresh; the receiver passes that on to its ReaderElection.
  */
 class DirectoryUpdate : public virtual ::apache::thrift::TBase {
  public:
@@ -1880,7 +1993,7 @@
 } _StoreCall__isset;
 
 /**
- * A call to the platform's store, made by the receiver for a sender that cannot reach the store.
+ * A request to the platform's store that the receiver forwards for a sender that cannot reach the store.
  */
 class StoreCall : public virtual ::apache::thrift::TBase {
  public:
@@ -1899,7 +2012,7 @@
   std::string target;
   std::string body;
   /**
-   * The store may hold its answer back until something changes.
+   * Long poll: the store may delay its answer until something changes.
    */
   bool mayWait;
 
@@ -2004,6 +2117,9 @@
   bool unreachable :1;
 } _BatchCall__isset;
 
+/**
+ * An operation on a batch job, sent to a coordinator.
+ */
 class BatchCall : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2027,11 +2143,29 @@
    */
   BatchOperation::type operation;
   std::string job;
+  /**
+   * Host header of the caller's request.
+   */
   std::string host;
+  /**
+   * For Submit.
+   */
   std::string route;
+  /**
+   * For Submit.
+   */
   std::string body;
+  /**
+   * For Read: position of the first result to return.
+   */
   int64_t firstPosition;
+  /**
+   * For ReadItem.
+   */
   std::string item;
+  /**
+   * For Read: longest time to wait for a result at firstPosition.
+   */
   int32_t waitMs;
   /**
    * Coordinators that the sender could not reach.
@@ -2120,7 +2254,7 @@
   int32_t status;
   std::string body;
   /**
-   * Set if another coordinator owns the job: the sender asks that one.
+   * Set if another coordinator owns the job; the sender then repeats the call there.
    */
   std::string owner;
   int32_t retryAfterMs;
@@ -2170,6 +2304,9 @@
   bool version :1;
 } _GeneratedEvent__isset;
 
+/**
+ * One event of an item's result stream, with the weight version that generated it.
+ */
 class GeneratedEvent : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2236,7 +2373,7 @@
 } _ItemStart__isset;
 
 /**
- * Starts an item on an agent's replica. Revision is that of the owner record under which the sender acts.
+ * Starts a run of an item on an agent's replica.
  */
 class ItemStart : public virtual ::apache::thrift::TBase {
  public:
@@ -2257,17 +2394,26 @@
 
   virtual ~ItemStart() noexcept;
   std::string job;
+  /**
+   * Revision of the owner record under which the sender acts; the agent refuses one lower than it knows.
+   */
   int64_t revision;
   std::string item;
+  /**
+   * Number of this run; all runs of a job have different numbers, also under different owners.
+   */
   int64_t run;
   std::string host;
   std::string path;
   std::vector<Header>  headers;
   std::string body;
   /**
-   * Events of earlier runs, behind the last of which this run goes on.
+   * Events of earlier runs; this run continues after the last of them.
    */
   std::vector<GeneratedEvent>  events;
+  /**
+   * The agent refuses the run if its replica has older weights than this.
+   */
   int64_t oldestVersion;
   std::string model;
 
@@ -2346,7 +2492,7 @@
 } _ItemStartAnswer__isset;
 
 /**
- * Revision is the highest known for the owner of the job; isJobEnded says that the job has ended.
+ * Revision is the highest that the agent knows for the job's owner record. Reason is empty if the run is accepted.
  */
 class ItemStartAnswer : public virtual ::apache::thrift::TBase {
  public:
@@ -2415,6 +2561,9 @@
   bool firstEvent :1;
 } _ItemProgress__isset;
 
+/**
+ * New events and the state of one run.
+ */
 class ItemProgress : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2444,7 +2593,7 @@
   int32_t status;
   std::vector<GeneratedEvent>  events;
   /**
-   * Events of the item that go before these.
+   * Number of the item's events before these.
    */
   int32_t firstEvent;
 
@@ -2549,7 +2698,9 @@
 } _ItemCancelNotice__isset;
 
 /**
- * Ends the runs of an item, or of the whole job if item is empty.
+ * Ends the run of an item, or all runs of the job if item is empty, except runs
+ * that belong to a higher revision of the owner record. If isJobEnded is set,
+ * the agent also refuses later starts of the job's items.
  */
 class ItemCancelNotice : public virtual ::apache::thrift::TBase {
  public:
@@ -2617,7 +2768,9 @@
 } _JobOwnerNotice__isset;
 
 /**
- * A coordinator owns the job from now on; agents send it all progress of the job's runs.
+ * The sending coordinator owns the job from now on; sent to agents and to other
+ * coordinators. Agents answer with the state and all events of the job's runs,
+ * and send it their further progress.
  */
 class JobOwnerNotice : public virtual ::apache::thrift::TBase {
  public:
@@ -2634,11 +2787,14 @@
 
   virtual ~JobOwnerNotice() noexcept;
   std::string job;
+  /**
+   * Revision of the owner record; agents ignore a notice with one lower than they know.
+   */
   int64_t revision;
   std::string owner;
   std::string model;
   /**
-   * What the model's jobs ask for, as far as the owner knows; 0 if nothing.
+   * Output tokens per second that the model's jobs need, as the owner estimates; 0 if unknown, which the receiver ignores.
    */
   double tokensPerSecond;
 
@@ -2748,6 +2904,9 @@
   bool eventMs :1;
 } _ReplicaReport__isset;
 
+/**
+ * State of an agent and its replica, sent to the coordinators.
+ */
 class ReplicaReport : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2768,15 +2927,21 @@
   virtual ~ReplicaReport() noexcept;
   std::string agent;
   std::string pool;
+  /**
+   * Id under which the replica is registered; empty if it is not ready.
+   */
   std::string server;
   bool isUp;
   int32_t running;
   int32_t slots;
   std::vector<ModelVersion>  models;
+  /**
+   * Empty if no load is in progress.
+   */
   std::string loadingModel;
   std::string failureDomain;
   /**
-   * Mean time between events of the present runs, in ms; 0 while unknown.
+   * Mean time between events of the replica's runs, in ms; 0 while unknown.
    */
   double eventMs;
 
@@ -2848,6 +3013,9 @@
   bool version :1;
 } _LoadModelNotice__isset;
 
+/**
+ * Asks an agent to have its replica load at least this version of the model's weights.
+ */
 class LoadModelNotice : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2892,6 +3060,127 @@
 
 std::ostream& operator<<(std::ostream& out, const LoadModelNotice& obj);
 
+typedef struct _CrashRecord__isset {
+  _CrashRecord__isset() : contentHigh(false), contentLow(false), generation(false), crashedServers(false), blockedForMs(false) {}
+  bool contentHigh :1;
+  bool contentLow :1;
+  bool generation :1;
+  bool crashedServers :1;
+  bool blockedForMs :1;
+} _CrashRecord__isset;
+
+/**
+ * What the sender knows of a content under which servers ended; see CrashRecord in CrashRegister.h.
+ */
+class CrashRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashRecord(const CrashRecord&);
+  CrashRecord& operator=(const CrashRecord&);
+  CrashRecord() noexcept
+              : contentHigh(0),
+                contentLow(0),
+                generation(0),
+                blockedForMs(0) {
+  }
+
+  virtual ~CrashRecord() noexcept;
+  /**
+   * Halves of the content id.
+   */
+  int64_t contentHigh;
+  int64_t contentLow;
+  int64_t generation;
+  std::vector<std::string>  crashedServers;
+  /**
+   * Time until the end of the block, in ms; 0 if the content is not blocked.
+   */
+  int64_t blockedForMs;
+
+  _CrashRecord__isset __isset;
+
+  void __set_contentHigh(const int64_t val);
+
+  void __set_contentLow(const int64_t val);
+
+  void __set_generation(const int64_t val);
+
+  void __set_crashedServers(const std::vector<std::string> & val);
+
+  void __set_blockedForMs(const int64_t val);
+
+  bool operator == (const CrashRecord & rhs) const
+  {
+    if (!(contentHigh == rhs.contentHigh))
+      return false;
+    if (!(contentLow == rhs.contentLow))
+      return false;
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(crashedServers == rhs.crashedServers))
+      return false;
+    if (!(blockedForMs == rhs.blockedForMs))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashRecord &a, CrashRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashRecord& obj);
+
+typedef struct _CrashNotice__isset {
+  _CrashNotice__isset() : records(false) {}
+  bool records :1;
+} _CrashNotice__isset;
+
+class CrashNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashNotice(const CrashNotice&);
+  CrashNotice& operator=(const CrashNotice&);
+  CrashNotice() noexcept {
+  }
+
+  virtual ~CrashNotice() noexcept;
+  std::vector<CrashRecord>  records;
+
+  _CrashNotice__isset __isset;
+
+  void __set_records(const std::vector<CrashRecord> & val);
+
+  bool operator == (const CrashNotice & rhs) const
+  {
+    if (!(records == rhs.records))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashNotice &a, CrashNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashNotice& obj);
+
 }} // namespace
 
 #endif
