--- a/src/io/hosted/CrashGuard.cpp
+++ b/src/io/hosted/CrashGuard.cpp
@@ -51,8 +51,8 @@
 }
 
 CrashGuard::CrashGuard(
-    HttpClient& http, CrashDetector::DirectorySource directory, Publish publish, bool isRelay, uint64_t seed)
-    : publish_(std::move(publish))
+    HttpClient& http, CrashDetector::DirectorySource directory, CrashListener& listener, bool isRelay, uint64_t seed)
+    : listener_(listener)
     , isRelay_(isRelay)
     , detector_(http, std::move(directory),
           [this](const UnansweredRequest& request, const std::string& serverStart) { onCrash(request, serverStart); })
@@ -116,9 +116,11 @@
 
 void CrashGuard::publish(const ContentId& content)
 {
+    const CrashRecord record = register_.record(content);
     wire::CrashNotice notice;
-    notice.records.push_back(toWire(register_.record(content)));
-    publish_(wire::encode(notice), nullptr);
+    notice.records.push_back(toWire(record));
+    listener_.publishCrashes(wire::encode(notice), nullptr);
+    listener_.onCrashRecord(record);
 }
 
 void CrashGuard::onNotice(const PeerConnection& origin, const std::string& payload)
@@ -126,12 +128,24 @@
     const auto notice = wire::decode<wire::CrashNotice>(payload);
     wire::CrashNotice changes;
     for (const wire::CrashRecord& encoded : notice.records) {
-        const CrashRecord record = fromWire(encoded);
-        if (register_.merge(record, now()))
-            changes.records.push_back(toWire(register_.record(record.content)));
+        const CrashRecord received = fromWire(encoded);
+        if (!register_.merge(received, now()))
+            continue;
+        const CrashRecord record = register_.record(received.content);
+        changes.records.push_back(toWire(record));
+        listener_.onCrashRecord(record);
     }
     if (isRelay_ && !changes.records.empty())
-        publish_(wire::encode(changes), &origin);
+        listener_.publishCrashes(wire::encode(changes), &origin);
+}
+
+void CrashGuard::restore(const CrashRecord& record)
+{
+    if (!register_.merge(record, now()))
+        return;
+    wire::CrashNotice notice;
+    notice.records.push_back(toWire(register_.record(record.content)));
+    listener_.publishCrashes(wire::encode(notice), nullptr);
 }
 
 std::optional<std::string> CrashGuard::encodeAll() const
--- a/src/io/hosted/CrashGuard.h
+++ b/src/io/hosted/CrashGuard.h
@@ -6,7 +6,6 @@
 #include <endiveroad/CrashRegister.h>
 #include <endiveroad/Error.h>
 #include <endiveroad_types.h>
-#include <functional>
 #include <optional>
 #include <random>
 #include <set>
@@ -26,6 +25,18 @@
     Instant retryAt_;
 };
 
+class CrashListener {
+public:
+    virtual ~CrashListener() = default;
+
+    /// Sends an encoded wire::CrashNotice to the connected peers, without the one that it came from; null if it came
+    /// from none.
+    virtual void publishCrashes(const std::string& notice, const PeerConnection* origin) = 0;
+
+    /// A record has changed, here or in another process.
+    virtual void onCrashRecord(const CrashRecord&) { }
+};
+
 class CrashGuard {
 public:
     /// Pause, drawn at random, before a suspect is sent to another server. Requests that were hit by the same crashes
@@ -33,11 +44,8 @@
     static constexpr Duration minSuspectPause = std::chrono::milliseconds(50);
     static constexpr Duration maxSuspectPause = std::chrono::milliseconds(150);
 
-    /// Sends an encoded wire::CrashNotice to the connected peers, without the one that it came from.
-    using Publish = std::function<void(const std::string& notice, const PeerConnection* origin)>;
-
     /// With isRelay, changes that peers report are sent on to the other peers.
-    CrashGuard(HttpClient&, CrashDetector::DirectorySource, Publish, bool isRelay, uint64_t seed);
+    CrashGuard(HttpClient&, CrashDetector::DirectorySource, CrashListener&, bool isRelay, uint64_t seed);
 
     /// Asked before each attempt at a server. True if the content may be sent now.
     bool admit(const ContentId&);
@@ -65,6 +73,9 @@
     /// Applies an encoded wire::CrashNotice of a peer.
     void onNotice(const PeerConnection& origin, const std::string& payload);
 
+    /// Applies a record from the store.
+    void restore(const CrashRecord&);
+
     /// All records as an encoded wire::CrashNotice for a peer that has just connected; nothing if there are none.
     std::optional<std::string> encodeAll() const;
 
@@ -72,9 +83,10 @@
 
 private:
     void onCrash(const UnansweredRequest&, const std::string& serverStart);
+    /// Tells the listener that the record of the content has changed here.
     void publish(const ContentId&);
 
-    Publish publish_;
+    CrashListener& listener_;
     bool isRelay_;
     CrashRegister register_;
     CrashDetector detector_;
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -38,6 +38,7 @@
     , dispatcher_(
           context(), owner_.jobs(), *this, scorer_, crashGuard(), [this] { return directory(); },
           [this](const OwnedJobPtr& owned) { owner_.requestOwnershipCheck(owned); })
+    , crashStore_(context(), store(), crashGuard(), [this] { return isFirst(); })
     , nextScanAt_(startedAt() + startGrace)
 {
     owner_.setWorker(dispatcher_);
@@ -51,6 +52,7 @@
     spawn(executor, [this] { return dispatcher_.run(); });
     spawn(executor, [this] { return owner_.runListing(); });
     spawn(executor, [this] { return reportRetirements(); });
+    spawn(executor, [this] { return crashStore_.run(); });
 }
 
 bool HostedCoordinator::isAlive(const std::string& coordinator) const
@@ -69,6 +71,12 @@
     return names;
 }
 
+bool HostedCoordinator::isFirst() const
+{
+    const std::vector<std::string> names = aliveCoordinators();
+    return !names.empty() && names.front() == settings().name;
+}
+
 PeerConnectionPtr HostedCoordinator::agent(const std::string& name) const
 {
     return isLeaving(name) ? nullptr : peer(name);
@@ -162,8 +170,7 @@
             const bool isOwn = vm == settings().name;
             const bool isEmpty = isOwn && owner_.openJobs() == 0;
             const bool isLate = now() > firstSeenAt + retirementGrace;
-            const std::vector<std::string> reporters = aliveCoordinators();
-            const bool isSubstitute = !isOwn && isLate && !reporters.empty() && reporters.front() == settings().name;
+            const bool isSubstitute = !isOwn && isLate && isFirst();
             if (isEmpty || (isOwn && isLate) || isSubstitute)
                 co_await reportRetirement(vm);
         }
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -76,11 +76,8 @@
     , directorySync_(std::make_unique<DirectorySync>(platform_->directoryProtocol(), *store_,
           static_cast<DirectoryListener&>(*this), readerElection(role, settings_)))
     , crashGuard_(
-          http_, [this] { return directory(); },
-          [this](const std::string& notice, const PeerConnection* origin) {
-              notifyPeers(MessageType::CrashNotice, notice, origin);
-          },
-          role == HostedRole::Coordinator, randomSeed())
+          http_, [this] { return directory(); }, static_cast<CrashListener&>(*this), role == HostedRole::Coordinator,
+          randomSeed())
     , acceptor_(context_, *this, [this](const PeerConnectionPtr& connection) { sendHello(connection); })
     , mesh_(context_, *this, [this](const std::string&, const PeerConnectionPtr& connection) { sendHello(connection); })
 {
@@ -318,6 +315,11 @@
     notifyPeers(MessageType::DirectoryUpdate, update);
 }
 
+void HostedNode::publishCrashes(const std::string& notice, const PeerConnection* origin)
+{
+    notifyPeers(MessageType::CrashNotice, notice, origin);
+}
+
 void HostedNode::notifyPeers(MessageType type, const std::string& payload, const PeerConnection* origin)
 {
     for (const auto& [name, peer] : peers_) {
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -35,7 +35,7 @@
 
 /// Connects to all coordinators, keeps the directory up to date, serves metrics and handles signals. All code runs on
 /// one thread.
-class HostedNode : public PeerHandler, protected DirectoryListener, private HttpHandler {
+class HostedNode : public PeerHandler, protected DirectoryListener, protected CrashListener, private HttpHandler {
 public:
     HostedNode(std::unique_ptr<Platform>, HostedRole, HostedOptions);
     ~HostedNode() override;
@@ -99,6 +99,7 @@
 
     void onDirectory(std::shared_ptr<const Directory> before, std::shared_ptr<const Directory> current) final;
     void publish(const std::string& update) final;
+    void publishCrashes(const std::string& notice, const PeerConnection* origin) final;
     asio::awaitable<void> onHttp(HttpExchange&) final;
 
     /// Sends a notice to all connected peers but the one of the connection `origin`, which may be null.
--- /dev/null
+++ b/tests/io/CrashGuardTest.cpp
@@ -0,0 +1,158 @@
+#include "io/hosted/CrashGuard.h"
+
+#include "Loop.h"
+#include "UnreliableStore.h"
+#include "VirtualTime.h"
+#include "io/Tasks.h"
+#include "io/hosted/CrashStore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+using namespace endiveroad;
+using namespace endiveroad::io;
+using namespace endiveroad::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ContentId content { 1, 2 };
+
+class IgnoringHandler : public PeerHandler {
+public:
+    asio::awaitable<std::string> onRequest(PeerConnectionPtr, PeerMessage) override { co_return std::string(); }
+    void onNotice(const PeerConnectionPtr&, const PeerMessage&) override { }
+    void onClosed(const PeerConnectionPtr&) override { }
+};
+
+/// A guard of its own process, with the notices that it has sent.
+struct Node : CrashListener {
+    explicit Node(bool isRelay = false)
+        : guard(
+            http, [this] { return directory; }, *this, isRelay, 1)
+    {
+    }
+
+    void publishCrashes(const std::string& notice, const PeerConnection*) override { notices.push_back(notice); }
+    void onCrashRecord(const CrashRecord& record) override { records.push_back(record); }
+
+    void registerServer(const Address& address, int64_t startedMs)
+    {
+        auto current = std::make_shared<Directory>();
+        ServerRecord server;
+        server.id = "s" + std::to_string(startedMs);
+        server.address = address;
+        server.startedMs = startedMs;
+        current->servers[server.id] = server;
+        directory = current;
+        guard.onDirectory(*directory);
+    }
+
+    std::shared_ptr<const Directory> directory = std::make_shared<Directory>();
+    HttpClient http;
+    std::vector<std::string> notices;
+    std::vector<CrashRecord> records;
+    CrashGuard guard;
+};
+
+UnansweredRequest unansweredAt(const Address& address, int number = 0)
+{
+    return { "request", content, "server-" + std::to_string(number), address };
+}
+
+/// An address at which nothing listens.
+Address closedAddress(asio::io_context& context)
+{
+    return addressOf(listenOnLoopback(context));
+}
+
+CrashRecord blockedRecord()
+{
+    CrashRecord record;
+    record.content = content;
+    record.crashedServers = { "a/1", "b/1", "c/1" };
+    record.blockedUntil = now() + CrashRegister::firstBlock;
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("a request whose server refuses connections afterwards counts as a crash", "[crashes]")
+{
+    asio::io_context context;
+    Node node;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        const Address address = closedAddress(context);
+        for (int number = 0; number < 3; ++number)
+            co_await node.guard.inspect(unansweredAt(address, number));
+        CHECK(node.guard.blockedUntil(content));
+        CHECK_FALSE(node.guard.admit(content));
+        CHECK(node.notices.size() == 3);
+    });
+}
+
+TEST_CASE("a lost answer of a server that goes on running is no crash", "[crashes]")
+{
+    asio::io_context context;
+    Node node;
+    const auto acceptor = listenOnLoopback(context);
+    const Address address = addressOf(acceptor);
+    node.registerServer(address, 5);
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        for (int number = 0; number < 5; ++number)
+            co_await node.guard.inspect(unansweredAt(address, number));
+        node.registerServer(address, 5);
+        CHECK(node.notices.empty());
+    });
+}
+
+TEST_CASE("a coordinator sends news of crashes on, once, and an entry does not", "[crashes]")
+{
+    asio::io_context context;
+    IgnoringHandler handler;
+    const PeerConnection origin(asio::ip::tcp::socket(context), handler);
+    Node reporter;
+    Node coordinator(true);
+    Node entry;
+    reporter.guard.restore(blockedRecord());
+    REQUIRE(reporter.notices.size() == 1);
+    for (int repetition = 0; repetition < 2; ++repetition) {
+        coordinator.guard.onNotice(origin, reporter.notices.front());
+        entry.guard.onNotice(origin, reporter.notices.front());
+    }
+    CHECK(coordinator.notices.size() == 1);
+    CHECK(entry.notices.empty());
+    CHECK_FALSE(coordinator.guard.admit(content));
+    CHECK_FALSE(entry.guard.admit(content));
+    CHECK(entry.guard.encodeAll());
+}
+
+TEST_CASE("blocked contents outlast the loss of all processes", "[crashes]")
+{
+    VirtualTime time;
+    asio::io_context context;
+    StoreContents contents;
+    std::mt19937_64 random(1);
+    unsigned faultPercent = 0;
+    UnreliableStore store(contents, random, faultPercent, [](Instant, std::function<void()>) {});
+    {
+        Node before;
+        CrashStore crashStore(context, store, before.guard, [] { return true; });
+        spawn(context.get_executor(), [&] { return crashStore.run(); });
+        context.poll();
+        crashStore.onRecord(blockedRecord());
+        context.poll();
+    }
+    REQUIRE(contents.list(CrashStore::keyPrefix).documents.size() == 1);
+    asio::io_context nextContext;
+    Node after;
+    CrashStore nextStore(nextContext, store, after.guard, [] { return true; });
+    spawn(nextContext.get_executor(), [&] { return nextStore.run(); });
+    nextContext.poll();
+    CHECK(after.guard.blockedUntil(content));
+    CHECK(after.notices.size() == 1);
+    after.guard.onAnswered(content);
+    nextStore.onRecord(after.records.back());
+    nextContext.poll();
+    CHECK(contents.list(CrashStore::keyPrefix).documents.empty());
+}
