Tell a server's end behind an address that still accepts by its next start

Where something in front of a server accepts connections for it (a relay, a balancer), the probe after a broken request finds a listener and the crash was not counted; a content could then crash servers without end. A probe that is not refused now leaves the question open for 15 s: a later start registered at the address answers it.

CrashGuardTest 'a server that ended behind an address that still accepts is told by its next start' failed before (0 notices for 1) and passes. A lost answer of a server that goes on running still counts for nothing (test beside it).

--- a/src/io/hosted/CrashDetector.cpp
+++ b/src/io/hosted/CrashDetector.cpp
@@ -23,19 +23,19 @@
     const ListenerState state = co_await http_.probe(request.address, now() + probeTimeout);
     if (state == ListenerState::Refusing)
         reportCrash(request, startedMs, "its address refuses connections");
-    else if (state == ListenerState::Silent && startedMs > 0 && silent_.size() < maxSilent)
-        silent_.push_back({ std::move(request), startedMs, now() + returnTime });
+    else if (startedMs > 0 && undecided_.size() < maxUndecided)
+        undecided_.push_back({ std::move(request), startedMs, now() + returnTime });
 }
 
 void CrashDetector::onDirectory(const Directory& directory)
 {
     const Instant currentTime = now();
-    std::erase_if(silent_, [&](const Silent& silent) {
-        const ServerRecord* current = directory.serverAt(silent.request.address);
-        const bool hasStartedAgain = current && current->startedMs > silent.startedMs;
+    std::erase_if(undecided_, [&](const Undecided& undecided) {
+        const ServerRecord* current = directory.serverAt(undecided.request.address);
+        const bool hasStartedAgain = current && current->startedMs > undecided.startedMs;
         if (hasStartedAgain)
-            reportCrash(silent.request, silent.startedMs, "a server has started later at its address");
-        return hasStartedAgain || silent.expiry <= currentTime;
+            reportCrash(undecided.request, undecided.startedMs, "a server has started later at its address");
+        return hasStartedAgain || undecided.expiry <= currentTime;
     });
 }
 
--- a/src/io/hosted/CrashDetector.h
+++ b/src/io/hosted/CrashDetector.h
@@ -30,12 +30,12 @@
     /// Time for a server's host to accept or refuse a connection.
     static constexpr Duration probeTimeout = std::chrono::milliseconds(100);
 
-    /// Time for which a server that neither accepts nor refuses connections is expected to register again, if it has
+    /// Time for which a server whose address does not refuse connections is expected to register again, if it has
     /// ended.
     static constexpr Duration returnTime = std::chrono::seconds(15);
 
-    /// Further requests to servers that neither accept nor refuse connections are not followed up.
-    static constexpr size_t maxSilent = 256;
+    /// Further requests to servers whose addresses do not refuse connections are not followed up.
+    static constexpr size_t maxUndecided = 256;
 
     /// Called once for each request under which a server ended. `serverStart` names this start of the server; a later
     /// start under the same id has another name.
@@ -45,14 +45,14 @@
 
     CrashDetector(HttpClient&, DirectorySource, OnCrash);
 
-    /// Probes the server's address. A refused connection shows that the server has ended. After a probe without an
-    /// answer, a later start at the same address shows it.
+    /// Probes the server's address. A refused connection shows that the server has ended. Otherwise a later start at
+    /// the same address shows it: the host may not answer, or something in front of the server may accept connections.
     asio::awaitable<void> inspect(UnansweredRequest);
 
     void onDirectory(const Directory&);
 
 private:
-    struct Silent {
+    struct Undecided {
         UnansweredRequest request;
         /// ServerRecord::startedMs of the server.
         int64_t startedMs = 0;
@@ -64,7 +64,7 @@
     HttpClient& http_;
     DirectorySource directory_;
     OnCrash onCrash_;
-    std::vector<Silent> silent_;
+    std::vector<Undecided> undecided_;
 };
 
 } // namespace endiveroad::io
--- a/tests/io/CrashGuardTest.cpp
+++ b/tests/io/CrashGuardTest.cpp
@@ -106,6 +106,23 @@
     });
 }
 
+TEST_CASE("a server that ended behind an address that still accepts is told by its next start", "[crashes]")
+{
+    asio::io_context context;
+    Node node;
+    const auto acceptor = listenOnLoopback(context);
+    const Address address = addressOf(acceptor);
+    node.registerServer(address, 5);
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        co_await node.guard.inspect(unansweredAt(address));
+        CHECK(node.notices.empty());
+        node.registerServer(address, 9);
+        CHECK(node.notices.size() == 1);
+        node.registerServer(address, 12);
+        CHECK(node.notices.size() == 1);
+    });
+}
+
 TEST_CASE("a coordinator sends news of crashes on, once, and an entry does not", "[crashes]")
 {
     asio::io_context context;
