Blame only attempts that a server had when it ended

Logs: one directory update after an outage of the store decided dozens of open questions at once; score-job-1-item-1 was blamed six times within a millisecond.

Cause: through a relay, every attempt at a server that is already gone is broken off and looked like one under which it ended; and old registrations at the same address counted one end several times.

Change: an end belongs to one start (address and start time). Only attempts under way when the server broke off the first one after its last answer are blamed; a server that answers anything has not ended under what it broke off before.

CrashGuardTest 'attempts that found a server gone are not blamed for its end' and 'a server that answers has not ended under the attempts that it broke off before' hold it.

--- a/src/io/hosted/CrashDetector.cpp
+++ b/src/io/hosted/CrashDetector.cpp
@@ -8,6 +8,22 @@
 
 namespace endiveroad::io {
 
+namespace {
+
+/// True if the directory knows a later start at the address.
+bool hasStartedAgain(const Directory& directory, const ServerStart& start)
+{
+    const ServerRecord* newest = directory.serverAt(start.address);
+    return newest && newest->startedMs > start.startedMs;
+}
+
+} // namespace
+
+std::string ServerStart::text() const
+{
+    return fmt::format("{}/{}", address.text(), startedMs);
+}
+
 CrashDetector::CrashDetector(HttpClient& http, DirectorySource directory, OnCrash onCrash)
     : http_(http)
     , directory_(std::move(directory))
@@ -15,37 +31,51 @@
 {
 }
 
-asio::awaitable<void> CrashDetector::inspect(UnansweredRequest request)
+asio::awaitable<void> CrashDetector::inspect(ServerAttempt attempt)
+{
+    if (hasStartedAgain(*directory_(), attempt.start))
+        co_return;
+    Breaks breaks { now(), now() + returnTime, {} };
+    const auto position = breaks_.try_emplace(attempt.start, std::move(breaks)).first;
+    if (attempt.sentAt > position->second.firstAt)
+        co_return;
+    const ListenerState state = co_await http_.probe(attempt.start.address, now() + probeTimeout);
+    if (state == ListenerState::Refusing) {
+        reportCrash(attempt, "its address refuses connections");
+        co_return;
+    }
+    const auto open = breaks_.find(attempt.start);
+    if (open != breaks_.end() && open->second.undecided.size() < maxUndecided)
+        open->second.undecided.push_back(std::move(attempt));
+}
+
+ServerStart CrashDetector::startAt(const Address& address) const
 {
     const auto directory = directory_();
-    const ServerRecord* server = directory->serverAt(request.address);
-    const int64_t startedMs = server ? server->startedMs : 0;
-    const ListenerState state = co_await http_.probe(request.address, now() + probeTimeout);
-    if (state == ListenerState::Refusing)
-        reportCrash(request, startedMs, "its address refuses connections");
-    else if (startedMs > 0 && undecided_.size() < maxUndecided)
-        undecided_.push_back({ std::move(request), startedMs, now() + returnTime });
+    const ServerRecord* server = directory->serverAt(address);
+    return server ? ServerStart::of(*server) : ServerStart { address, 0 };
 }
 
 void CrashDetector::onDirectory(const Directory& directory)
 {
     const Instant currentTime = now();
-    std::erase_if(undecided_, [&](const Undecided& undecided) {
-        const ServerRecord* current = directory.serverAt(undecided.request.address);
-        const bool hasStartedAgain = current && current->startedMs > undecided.startedMs;
-        if (hasStartedAgain)
-            reportCrash(undecided.request, undecided.startedMs, "a server has started later at its address");
-        return hasStartedAgain || undecided.expiry <= currentTime;
-    });
+    for (auto& [start, breaks] : breaks_) {
+        if (!hasStartedAgain(directory, start))
+            continue;
+        for (const ServerAttempt& attempt : breaks.undecided)
+            reportCrash(attempt, "a server has started later at its address");
+        breaks.undecided.clear();
+    }
+    std::erase_if(breaks_, [currentTime](const auto& entry) { return entry.second.expiry <= currentTime; });
 }
 
-void CrashDetector::reportCrash(const UnansweredRequest& request, int64_t startedMs, const char* evidence)
+void CrashDetector::reportCrash(const ServerAttempt& attempt, const char* evidence)
 {
     processMetrics().count(Counter::ServerCrashes);
     log(Event::ServerCrashed,
-        { { "request", request.request }, { "content", request.content.text() }, { "server", request.server },
+        { { "request", attempt.request }, { "content", attempt.content.text() }, { "server", attempt.server },
             { "evidence", evidence } });
-    onCrash_(request, fmt::format("{}/{}", request.server, startedMs));
+    onCrash_(attempt);
 }
 
 } // namespace endiveroad::io
--- a/src/io/hosted/CrashDetector.h
+++ b/src/io/hosted/CrashDetector.h
@@ -6,6 +6,7 @@
 #include <endiveroad/ContentId.h>
 #include <endiveroad/Directory.h>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -15,14 +16,28 @@
 
 namespace asio = boost::asio;
 
-/// A request that a server received and did not answer.
-struct UnansweredRequest {
+/// One start of a server. A later start at the same address is another.
+struct ServerStart {
+    Address address;
+    /// ServerRecord::startedMs; 0 if it is not known.
+    int64_t startedMs = 0;
+
+    auto operator<=>(const ServerStart&) const = default;
+
+    static ServerStart of(const ServerRecord& server) { return { server.address, server.startedMs }; }
+    std::string text() const;
+};
+
+/// A request that was sent to a server.
+struct ServerAttempt {
     std::string request;
     ContentId content;
+    /// Id of the server.
     std::string server;
-    Address address;
+    ServerStart start;
+    Instant sentAt;
 
-    auto operator<=>(const UnansweredRequest&) const = default;
+    auto operator<=>(const ServerAttempt&) const = default;
 };
 
 class CrashDetector {
@@ -34,37 +49,45 @@
     /// ended.
     static constexpr Duration returnTime = std::chrono::seconds(15);
 
-    /// Further requests to servers whose addresses do not refuse connections are not followed up.
+    /// Further attempts at a server whose address does not refuse connections are not followed up.
     static constexpr size_t maxUndecided = 256;
 
-    /// Called once for each request under which a server ended. `serverStart` names this start of the server; a later
-    /// start under the same id has another name.
-    using OnCrash = std::function<void(const UnansweredRequest&, const std::string& serverStart)>;
+    /// Called once for each attempt under which a server ended.
+    using OnCrash = std::function<void(const ServerAttempt&)>;
 
     using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
 
     CrashDetector(HttpClient&, DirectorySource, OnCrash);
 
-    /// Probes the server's address. A refused connection shows that the server has ended. Otherwise a later start at
-    /// the same address shows it: the host may not answer, or something in front of the server may accept connections.
-    asio::awaitable<void> inspect(UnansweredRequest);
+    /// The server broke the attempt off without an answer. Only attempts that the server had when it broke off the
+    /// first one after its last answer are taken for causes of its end; later ones found it gone. Probes the server's
+    /// address. A refused connection shows that the server has ended. Otherwise a later start at the same address shows
+    /// it: the host may not answer, or something in front of the server may accept connections.
+    asio::awaitable<void> inspect(ServerAttempt);
+
+    /// The server answered something, so it has not ended under the attempts that it broke off before.
+    void onServerAnswered(const ServerStart& start) { breaks_.erase(start); }
+
+    /// The start of the server that is registered at the address.
+    ServerStart startAt(const Address&) const;
 
     void onDirectory(const Directory&);
 
 private:
-    struct Undecided {
-        UnansweredRequest request;
-        /// ServerRecord::startedMs of the server.
-        int64_t startedMs = 0;
-        Instant expiry = never;
+    /// What a server has broken off since its last answer.
+    struct Breaks {
+        Instant firstAt;
+        Instant expiry;
+        /// Attempts under which the server may have ended.
+        std::vector<ServerAttempt> undecided;
     };
 
-    void reportCrash(const UnansweredRequest&, int64_t startedMs, const char* evidence);
+    void reportCrash(const ServerAttempt&, const char* evidence);
 
     HttpClient& http_;
     DirectorySource directory_;
     OnCrash onCrash_;
-    std::vector<Undecided> undecided_;
+    std::map<ServerStart, Breaks> breaks_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/hosted/CrashGuard.cpp
+++ b/src/io/hosted/CrashGuard.cpp
@@ -54,8 +54,7 @@
     HttpClient& http, CrashDetector::DirectorySource directory, CrashListener& listener, bool isRelay, uint64_t seed)
     : listener_(listener)
     , isRelay_(isRelay)
-    , detector_(http, std::move(directory),
-          [this](const UnansweredRequest& request, const std::string& serverStart) { onCrash(request, serverStart); })
+    , detector_(http, std::move(directory), [this](const ServerAttempt& attempt) { onCrash(attempt); })
     , random_(static_cast<uint32_t>(seed) | 1U)
 {
 }
@@ -93,25 +92,26 @@
     return now() + Duration(pause(random_));
 }
 
-void CrashGuard::onAnswered(const ContentId& content)
+void CrashGuard::onAnswered(const ServerAttempt& attempt)
 {
-    if (!register_.onAnswered(content, now()))
+    detector_.onServerAnswered(attempt.start);
+    if (!register_.onAnswered(attempt.content, now()))
         return;
-    log(Event::ContentCleared, { { "content", content.text() } });
-    publish(content);
+    log(Event::ContentCleared, { { "content", attempt.content.text() } });
+    publish(attempt.content);
 }
 
-void CrashGuard::onCrash(const UnansweredRequest& request, const std::string& serverStart)
+void CrashGuard::onCrash(const ServerAttempt& attempt)
 {
-    if (!register_.onCrash(request.content, request.server, serverStart, now()))
+    if (!register_.onCrash(attempt.content, attempt.server, attempt.start.text(), now()))
         return;
-    const CrashRecord record = register_.record(request.content);
+    const CrashRecord record = register_.record(attempt.content);
     if (record.blockedUntil > now())
         log(Event::ContentBlocked,
-            { { "content", request.content.text() }, { "request", request.request },
+            { { "content", attempt.content.text() }, { "request", attempt.request },
                 { "crashes", std::to_string(record.crashedServers.size()) },
                 { "blockedForMs", std::to_string(millisecondsUntil(record.blockedUntil)) } });
-    publish(request.content);
+    publish(attempt.content);
 }
 
 void CrashGuard::publish(const ContentId& content)
--- a/src/io/hosted/CrashGuard.h
+++ b/src/io/hosted/CrashGuard.h
@@ -59,14 +59,22 @@
     /// Servers that a suspect should not be sent to, because they have another one; empty if the content is none.
     std::set<std::string> serversToAvoid(const ContentId&) const;
 
-    void onStart(const ContentId& content, const std::string& server) { register_.onStart(content, server); }
-    void onEnd(const ContentId& content, const std::string& server) { register_.onEnd(content, server); }
+    /// The start of the server that is registered at the address.
+    ServerStart startAt(const Address& address) const { return detector_.startAt(address); }
 
-    /// A server answered the content, whatever the status.
-    void onAnswered(const ContentId&);
+    /// An attempt was sent; onEnd() follows once the server can no longer end under it.
+    void onStart(const ServerAttempt& attempt) { register_.onStart(attempt.content, attempt.server); }
+    void onEnd(const ServerAttempt& attempt) { register_.onEnd(attempt.content, attempt.server); }
 
-    /// Finds out whether the server has ended, and counts the crash if it has. Call before onEnd().
-    asio::awaitable<void> inspect(UnansweredRequest request) { return detector_.inspect(std::move(request)); }
+    /// The server answered the attempt, whatever the status.
+    void onAnswered(const ServerAttempt&);
+
+    /// The server has not run the attempt and said so.
+    void onRefused(const ServerAttempt& attempt) { detector_.onServerAnswered(attempt.start); }
+
+    /// The server broke the attempt off before its answer began. Finds out whether it has ended, and counts the crash
+    /// if it has. Call before onEnd().
+    asio::awaitable<void> inspect(ServerAttempt attempt) { return detector_.inspect(std::move(attempt)); }
 
     void onDirectory(const Directory& directory) { detector_.onDirectory(directory); }
 
@@ -82,7 +90,7 @@
     size_t blockedCount() const;
 
 private:
-    void onCrash(const UnansweredRequest&, const std::string& serverStart);
+    void onCrash(const ServerAttempt&);
     /// Tells the listener that the record of the content has changed here.
     void publish(const ContentId&);
 
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -38,15 +38,12 @@
 /// One run of an item.
 struct ItemRunner::Run {
     wire::ItemStart startRequest;
-    ContentId content;
-    /// Server that has the run but has not delivered an event of it yet; empty before and after that.
-    std::string unprovenServer;
+    /// The attempt at the replica, until it has delivered an event.
+    std::optional<ServerAttempt> unproven;
     HttpCancellation cancellation;
     EventStreamReader reader;
     /// All events of the item, including those of earlier runs.
     std::vector<GeneratedEvent> events;
-    /// Number of events of earlier runs.
-    size_t earlierCount = 0;
     /// Number of events that have been sent to the owner.
     size_t sentCount = 0;
     bool isEndSent = false;
@@ -134,10 +131,8 @@
     }
     auto run = std::make_shared<Run>();
     run->startRequest = startRequest;
-    run->content = contentOf(startRequest);
     run->events = fromWire(startRequest.events);
-    run->earlierCount = run->events.size();
-    run->sentCount = run->earlierCount;
+    run->sentCount = run->events.size();
     run->startRequest.events.clear();
     run->startedAt = now();
     run->lastActivity = run->startedAt;
@@ -170,8 +165,8 @@
     RunState state = RunState::Failed;
     std::string failure;
     try {
-        run->unprovenServer = engine_.server();
-        crashGuard_.onStart(run->content, run->unprovenServer);
+        run->unproven = attemptOf(*run);
+        crashGuard_.onStart(*run->unproven);
         HttpRequest request = requestFor(*run);
         auto onHead = [this, run](const HttpResponse& head) { processHead(*run, head); };
         auto onBody = [this, run](std::string_view piece) {
@@ -186,7 +181,7 @@
         if (answer.verdict != ReplicaVerdict::Ran)
             finishRun(*run, RunState::NotRun, response.status, "the replica refused");
         else if (response.status != statusOk) {
-            crashGuard_.onAnswered(run->content);
+            crashGuard_.onAnswered(*run->unproven);
             finishRun(*run, RunState::Failed, response.status, "the replica failed");
         } else if (run->reader.hasIncompleteEvent() || run->events.empty())
             finishRun(*run, RunState::Failed, 0, "the stream ended inside an event or without any event");
@@ -200,16 +195,15 @@
         failure = error.what();
     }
     engine_.queryNow();
-    const bool hasNewEvents = run->events.size() > run->earlierCount;
-    if (state == RunState::Failed && run->cancelReason.empty() && !hasNewEvents)
-        co_await inspectBrokenRun(run);
+    if (state == RunState::Failed && run->cancelReason.empty() && run->unproven)
+        co_await crashGuard_.inspect(*run->unproven);
     finishRun(*run, state, 0, run->cancelReason.empty() ? failure : run->cancelReason);
 }
 
-asio::awaitable<void> ItemRunner::inspectBrokenRun(RunPtr run)
+ServerAttempt ItemRunner::attemptOf(const Run& run) const
 {
-    UnansweredRequest unanswered { run->startRequest.item, run->content, run->unprovenServer, replica_ };
-    co_await crashGuard_.inspect(std::move(unanswered));
+    const ContentId content = contentOf(run.startRequest);
+    return { run.startRequest.item, content, engine_.server(), crashGuard_.startAt(replica_), now() };
 }
 
 void ItemRunner::processHead(Run& run, const HttpResponse& head)
@@ -234,10 +228,9 @@
         }
         if (!event.id)
             continue;
-        if (!run.unprovenServer.empty()) {
-            crashGuard_.onAnswered(run.content);
-            endRisk(run);
-        }
+        if (run.unproven)
+            crashGuard_.onAnswered(*run.unproven);
+        endRisk(run);
         updateMeans(run);
         run.events.push_back({ *event.id, std::move(event.data), run.version });
     }
@@ -261,9 +254,9 @@
 
 void ItemRunner::endRisk(Run& run)
 {
-    if (!run.unprovenServer.empty())
-        crashGuard_.onEnd(run.content, run.unprovenServer);
-    run.unprovenServer.clear();
+    if (run.unproven)
+        crashGuard_.onEnd(*run.unproven);
+    run.unproven.reset();
 }
 
 void ItemRunner::finishRun(Run& run, RunState state, int32_t status, const std::string& reason)
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -74,8 +74,7 @@
     /// Reason for which the order is refused; empty to accept it.
     std::string refusalReason(const wire::ItemStart&, int32_t slots) const;
     asio::awaitable<void> execute(RunPtr);
-    /// The replica broke the run off. Counts a crash if it has ended before the run's first event.
-    asio::awaitable<void> inspectBrokenRun(RunPtr);
+    ServerAttempt attemptOf(const Run&) const;
     /// The run no longer counts among those that may end the replica.
     void endRisk(Run&);
     HttpRequest requestFor(const Run&) const;
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -41,6 +41,11 @@
             cancellation.cancel();
     }
 
+    ServerAttempt attemptAt(const ServerRecord& server, Instant sentAt) const
+    {
+        return { request.id, content, server.id, ServerStart::of(server), sentAt };
+    }
+
     /// Whether another server may be tried. Refused attempts do not count towards the limit, since the server ran
     /// nothing.
     bool hasAttemptsLeft() const { return !result.blockedUntil && possibleRuns < std::max(route.maxAttempts, 1); }
@@ -173,7 +178,7 @@
 {
     state->tried.insert(server.id);
     state->result.servers += (state->result.servers.empty() ? "" : " ") + server.id;
-    crashGuard_.onStart(state->content, server.id);
+    crashGuard_.onStart(state->attemptAt(server, now()));
     state->cancellations.emplace_back();
     ++state->activeAttempts;
     ++state->possibleRuns;
@@ -207,14 +212,14 @@
         failure = error.what();
     }
     if (!failure.empty())
-        co_await processFailure(state, server, failure, isSent);
-    crashGuard_.onEnd(state->content, server.id);
+        co_await processFailure(state, server, failure, isSent, startedAt);
+    crashGuard_.onEnd(state->attemptAt(server, startedAt));
     --state->activeAttempts;
     state->changed.notifyAll();
 }
 
 asio::awaitable<void> ServiceCaller::processFailure(
-    std::shared_ptr<CallState> state, ServerRecord server, std::string failure, bool wasSent)
+    std::shared_ptr<CallState> state, ServerRecord server, std::string failure, bool wasSent, Instant startedAt)
 {
     const bool wasAbandoned = state->isDone && now() < state->deadline;
     if (wasAbandoned)
@@ -236,8 +241,8 @@
     }
     if (!wasSent || wasAbandoned)
         co_return;
-    UnansweredRequest unanswered { state->request.id, state->content, server.id, server.address };
-    co_await crashGuard_.inspect(std::move(unanswered));
+    ServerAttempt attempt = state->attemptAt(server, startedAt);
+    co_await crashGuard_.inspect(std::move(attempt));
     state->notBefore = crashGuard_.nextAttemptAt(state->content);
 }
 
@@ -249,16 +254,18 @@
         loads_.onLoadReport(server.id, answer.load->running, answer.load->waiting, now());
     if (answer.verdict != ReplicaVerdict::Ran) {
         --state.possibleRuns;
-        if (answer.verdict == ReplicaVerdict::ServerMismatch)
+        if (answer.verdict == ReplicaVerdict::ServerMismatch) {
             loads_.onFailure(server.id, now());
-        else
+        } else {
+            crashGuard_.onRefused(state.attemptAt(server, startedAt));
             loads_.onAbandoned(server.id);
+        }
         state.result.reason = fmt::format("{} refused with {}", server.id, response.status);
         return;
     }
     if (isSuccess(response.status) && answer.stamp.empty())
         throw AnswerBrokenError("the answer has a success status but lacks the server's stamp");
-    crashGuard_.onAnswered(state.content);
+    crashGuard_.onAnswered(state.attemptAt(server, startedAt));
     loads_.onAnswer(server.id, now() - startedAt, now());
     if (state.isDone)
         return;
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -80,7 +80,8 @@
     const std::string& chooseService(const RouteDeclaration&);
     void startAttempt(const std::shared_ptr<CallState>&, const ServerRecord&);
     asio::awaitable<void> attempt(std::shared_ptr<CallState>, ServerRecord, HttpCancellation*);
-    asio::awaitable<void> processFailure(std::shared_ptr<CallState>, ServerRecord, std::string failure, bool wasSent);
+    asio::awaitable<void> processFailure(
+        std::shared_ptr<CallState>, ServerRecord, std::string failure, bool wasSent, Instant startedAt);
     void finishAttempt(CallState&, const ServerRecord&, HttpResponse, Instant startedAt);
 
     asio::io_context& context_;
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -30,13 +30,13 @@
 } // namespace
 
 struct StreamProxy::ServerStream {
-    ServerStream(asio::io_context& context, ServerRecord record)
-        : server(std::move(record))
+    ServerStream(asio::io_context& context, ServerAttempt sent)
+        : attempt(std::move(sent))
         , changed(context)
     {
     }
 
-    ServerRecord server;
+    ServerAttempt attempt;
     Signal changed;
     HttpCancellation cancellation;
     std::optional<HttpResponse> head;
@@ -90,7 +90,8 @@
     const auto server = serviceCaller_.chooseServer(route, excluded);
     if (!server || !crashGuard_.admit(progress.content))
         return nullptr;
-    auto serverStream = std::make_shared<ServerStream>(context_, *server);
+    ServerAttempt attempt { request.id, progress.content, server->id, ServerStart::of(*server), now() };
+    auto serverStream = std::make_shared<ServerStream>(context_, std::move(attempt));
     ReplicaRequest call = request;
     call.server = server->id;
     call.timeout = deadline - now();
@@ -118,8 +119,8 @@
         return true;
     };
     try {
-        co_await http_.stream(
-            serverStream->server.address, std::move(request), deadline, onBody, &serverStream->cancellation, onHead);
+        co_await http_.stream(serverStream->attempt.start.address, std::move(request), deadline, onBody,
+            &serverStream->cancellation, onHead);
         serverStream->isComplete = true;
     } catch (const ServerUnavailableError& error) {
         serverStream->wasSent = false;
@@ -141,13 +142,13 @@
 }
 
 asio::awaitable<void> StreamProxy::answerUnstreamed(
-    HttpExchange& exchange, ServerStreamPtr serverStream, const Progress& progress, Instant deadline)
+    HttpExchange& exchange, ServerStreamPtr serverStream, Instant deadline)
 {
     while (!serverStream->hasEnded && now() < deadline)
         co_await serverStream->changed.wait(deadline);
     if (!serverStream->isComplete)
         throw OutcomeUnknownError(serverStream->failure.empty() ? "the time ran out" : serverStream->failure);
-    crashGuard_.onAnswered(progress.content);
+    crashGuard_.onAnswered(serverStream->attempt);
     HttpResponse response;
     response.status = serverStream->head->status;
     response.headers = forwardedHeaders(serverStream->head->headers);
@@ -167,7 +168,7 @@
         const size_t bytes = completeEventBytes(serverStream->pending);
         if (bytes > 0) {
             if (!progress.lastEventId)
-                crashGuard_.onAnswered(progress.content);
+                crashGuard_.onAnswered(serverStream->attempt);
             const std::string piece = serverStream->pending.substr(0, bytes);
             serverStream->pending.erase(0, bytes);
             for (const StreamEvent& event : progress.reader.feed(piece))
@@ -185,13 +186,11 @@
     progress.failure = serverStream->failure;
 }
 
-asio::awaitable<void> StreamProxy::inspectBroken(std::string request, ServerStreamPtr serverStream, Progress& progress)
+asio::awaitable<void> StreamProxy::inspectBroken(ServerStreamPtr serverStream, Progress& progress)
 {
     if (!serverStream->hasBrokenOff())
         co_return;
-    const ServerRecord& server = serverStream->server;
-    UnansweredRequest unanswered { std::move(request), progress.content, server.id, server.address };
-    co_await crashGuard_.inspect(std::move(unanswered));
+    co_await crashGuard_.inspect(serverStream->attempt);
     progress.notBefore = crashGuard_.nextAttemptAt(progress.content);
 }
 
@@ -214,12 +213,12 @@
             co_await sleepFor(ServiceCaller::refusedPause);
             continue;
         }
-        progress.tried.insert(serverStream->server.id);
-        crashGuard_.onStart(progress.content, serverStream->server.id);
+        progress.tried.insert(serverStream->attempt.server);
+        crashGuard_.onStart(serverStream->attempt);
         const bool hasHead = co_await awaitHead(serverStream, deadline, cancellation);
         if (!hasHead)
-            co_await inspectBroken(request.id, serverStream, progress);
-        crashGuard_.onEnd(progress.content, serverStream->server.id);
+            co_await inspectBroken(serverStream, progress);
+        crashGuard_.onEnd(serverStream->attempt);
         const bool isRefused = hasHead && protocol_.decode(*serverStream->head).verdict != ReplicaVerdict::Ran;
         if (!isRefused && serverStream->wasSent)
             ++progress.runs;
@@ -227,16 +226,16 @@
         if (hasHead && !isRefused && serverStream->head->status == statusOk)
             co_await forward(exchange, serverStream, progress, deadline, cancellation);
         if (hasHead)
-            co_await inspectBroken(request.id, serverStream, progress);
+            co_await inspectBroken(serverStream, progress);
         else if (hasHead && !isRefused && !progress.hasStarted)
-            co_return co_await answerUnstreamed(exchange, serverStream, progress, deadline);
+            co_return co_await answerUnstreamed(exchange, serverStream, deadline);
         serverStream->cancellation.cancel();
         if (progress.isDone)
             break;
         progress.failure = isRefused ? "the server refused" : serverStream->failure;
         log(Event::CallAttemptFailed,
-            { { "request", request.id }, { "server", serverStream->server.id }, { "content", progress.content.text() },
-                { "reason", progress.failure },
+            { { "request", request.id }, { "server", serverStream->attempt.server },
+                { "content", progress.content.text() }, { "reason", progress.failure },
                 { "lastEvent", progress.lastEventId ? std::to_string(*progress.lastEventId) : "" } });
         const bool mayRetry = isRefused || !serverStream->wasSent || route.isResumable;
         if (!mayRetry)
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -39,9 +39,9 @@
     /// Returns whether the response head has arrived before the deadline.
     asio::awaitable<bool> awaitHead(ServerStreamPtr, Instant deadline, PeerCancellationPtr);
     /// Sends a response that is not an event stream as a whole.
-    asio::awaitable<void> answerUnstreamed(HttpExchange&, ServerStreamPtr, const Progress&, Instant deadline);
+    asio::awaitable<void> answerUnstreamed(HttpExchange&, ServerStreamPtr, Instant deadline);
     /// Finds out whether a server that broke its stream off before the first byte has ended.
-    asio::awaitable<void> inspectBroken(std::string request, ServerStreamPtr, Progress&);
+    asio::awaitable<void> inspectBroken(ServerStreamPtr, Progress&);
     /// Forwards events until the stream ends, stalls or the caller disconnects.
     asio::awaitable<void> forward(HttpExchange&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
 
--- a/tests/io/CrashGuardTest.cpp
+++ b/tests/io/CrashGuardTest.cpp
@@ -55,9 +55,9 @@
     CrashGuard guard;
 };
 
-UnansweredRequest unansweredAt(const Address& address, int number = 0)
+ServerAttempt attemptAt(const Address& address, int64_t startedMs, Instant sentAt = now())
 {
-    return { "request", content, "server-" + std::to_string(number), address };
+    return { "request", content, "server", { address, startedMs }, sentAt };
 }
 
 /// An address at which nothing listens.
@@ -83,8 +83,8 @@
     Node node;
     runToEnd(context, [&]() -> asio::awaitable<void> {
         const Address address = closedAddress(context);
-        for (int number = 0; number < 3; ++number)
-            co_await node.guard.inspect(unansweredAt(address, number));
+        for (int64_t startedMs = 1; startedMs <= 3; ++startedMs)
+            co_await node.guard.inspect(attemptAt(address, startedMs));
         CHECK(node.guard.blockedUntil(content));
         CHECK_FALSE(node.guard.admit(content));
         CHECK(node.notices.size() == 3);
@@ -100,7 +100,7 @@
     node.registerServer(address, 5);
     runToEnd(context, [&]() -> asio::awaitable<void> {
         for (int number = 0; number < 5; ++number)
-            co_await node.guard.inspect(unansweredAt(address, number));
+            co_await node.guard.inspect(attemptAt(address, 5));
         node.registerServer(address, 5);
         CHECK(node.notices.empty());
     });
@@ -114,7 +114,7 @@
     const Address address = addressOf(acceptor);
     node.registerServer(address, 5);
     runToEnd(context, [&]() -> asio::awaitable<void> {
-        co_await node.guard.inspect(unansweredAt(address));
+        co_await node.guard.inspect(attemptAt(address, 5));
         CHECK(node.notices.empty());
         node.registerServer(address, 9);
         CHECK(node.notices.size() == 1);
@@ -123,6 +123,39 @@
     });
 }
 
+TEST_CASE("attempts that found a server gone are not blamed for its end", "[crashes]")
+{
+    asio::io_context context;
+    Node node;
+    const auto acceptor = listenOnLoopback(context);
+    const Address address = addressOf(acceptor);
+    node.registerServer(address, 5);
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        const Instant begin = now();
+        co_await node.guard.inspect(attemptAt(address, 5, begin));
+        for (int later = 1; later <= 5; ++later)
+            co_await node.guard.inspect(attemptAt(address, 5, now() + Duration(later)));
+        node.registerServer(address, 9);
+        co_await node.guard.inspect(attemptAt(address, 5, begin));
+        CHECK(node.records.size() == 1);
+    });
+}
+
+TEST_CASE("a server that answers has not ended under the attempts that it broke off before", "[crashes]")
+{
+    asio::io_context context;
+    Node node;
+    const auto acceptor = listenOnLoopback(context);
+    const Address address = addressOf(acceptor);
+    node.registerServer(address, 5);
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        co_await node.guard.inspect(attemptAt(address, 5));
+        node.guard.onRefused(attemptAt(address, 5));
+        node.registerServer(address, 9);
+        CHECK(node.records.empty());
+    });
+}
+
 TEST_CASE("a coordinator sends news of crashes on, once, and an entry does not", "[crashes]")
 {
     asio::io_context context;
@@ -168,7 +201,7 @@
     nextContext.poll();
     CHECK(after.guard.blockedUntil(content));
     CHECK(after.notices.size() == 1);
-    after.guard.onAnswered(content);
+    after.guard.onAnswered(attemptAt({}, 1));
     nextStore.onRecord(after.records.back());
     nextContext.poll();
     CHECK(contents.list(CrashStore::keyPrefix).documents.empty());
