Void reported crashes of a content that this process has had answered

Cause: only the process that saw a crash looked whether the content had been answered lately, and after a restart it knew of no answers.

Change: a process that merges crashes of a content that it has had answered in the last minute voids them and tells all others. A content that crashes servers is never answered, so it is not freed by this.

CrashRegisterTest has the case; the merge property lets nodes exchange what they void, and wants them to settle and agree as before.

--- a/include/endiveroad/CrashRegister.h
+++ b/include/endiveroad/CrashRegister.h
@@ -32,6 +32,9 @@
 /// still crashes servers.
 enum class CrashAdmission { Admitted, Trial, Blocked };
 
+/// Outcome of a merge. Changed: the own record changed. Voided: it did, and it has news for the sender of the record.
+enum class CrashMerge { Unchanged, Changed, Voided };
+
 class CrashRegister {
 public:
     /// Number of crashes from which a content is blocked.
@@ -85,8 +88,8 @@
     /// A server answered the content, whatever the status. Returns whether the record changed.
     bool onAnswered(const ContentId&, Instant now);
 
-    /// Merges a record of another process. Returns whether the own one changed.
-    bool merge(const CrashRecord&, Instant now);
+    /// Merges a record of another process. Crashes that it reports are void if the content was answered here lately.
+    CrashMerge merge(const CrashRecord&, Instant now);
 
     /// The record of a content; one without crashes if there is none.
     CrashRecord record(const ContentId&) const;
@@ -106,6 +109,8 @@
 
     bool isBlameOnOther(const ContentId&, const std::string& server) const;
     bool wasAnsweredLately(const ContentId&, Instant now) const;
+    /// Makes the crashes of a record void.
+    static void clear(CrashRecord&);
     void rememberAnswer(const ContentId&, Instant now);
     void removeExpired(Instant now);
 
--- a/src/core/calls/CrashRegister.cpp
+++ b/src/core/calls/CrashRegister.cpp
@@ -99,14 +99,18 @@
     const auto found = entries_.find(content);
     if (found == entries_.end() || found->second.record.crashedServers.empty())
         return false;
-    CrashRecord& record = found->second.record;
+    clear(found->second.record);
+    return true;
+}
+
+void CrashRegister::clear(CrashRecord& record)
+{
     ++record.generation;
     record.crashedServers.clear();
     record.blockedUntil = Instant::min();
-    return true;
 }
 
-bool CrashRegister::merge(const CrashRecord& other, Instant now)
+CrashMerge CrashRegister::merge(const CrashRecord& other, Instant now)
 {
     Entry& entry = entries_[other.content];
     const CrashRecord before = entry.record;
@@ -120,12 +124,16 @@
     }
     const bool isChanged = record.generation != before.generation || record.crashedServers != before.crashedServers
         || record.blockedUntil > before.blockedUntil + mergeTolerance;
-    if (isChanged)
-        entry.expiry = now + recordLifetime;
-    else
+    if (!isChanged) {
         record.blockedUntil = before.blockedUntil;
+        return CrashMerge::Unchanged;
+    }
+    const bool isVoid = !record.crashedServers.empty() && wasAnsweredLately(record.content, now);
+    if (isVoid)
+        clear(record);
+    entry.expiry = now + recordLifetime;
     removeExpired(now);
-    return isChanged;
+    return isVoid ? CrashMerge::Voided : CrashMerge::Changed;
 }
 
 CrashRecord CrashRegister::record(const ContentId& content) const
--- a/src/io/hosted/CrashGuard.cpp
+++ b/src/io/hosted/CrashGuard.cpp
@@ -97,8 +97,13 @@
     detector_.onServerAnswered(attempt.start);
     if (!register_.onAnswered(attempt.content, now()))
         return;
-    log(Event::ContentCleared, { { "content", attempt.content.text() } });
-    publish(attempt.content);
+    publishCleared(attempt.content);
+}
+
+void CrashGuard::publishCleared(const ContentId& content)
+{
+    log(Event::ContentCleared, { { "content", content.text() } });
+    publish(content);
 }
 
 void CrashGuard::onCrash(const ServerAttempt& attempt)
@@ -129,7 +134,10 @@
     wire::CrashNotice changes;
     for (const wire::CrashRecord& encoded : notice.records) {
         const CrashRecord received = fromWire(encoded);
-        if (!register_.merge(received, now()))
+        const CrashMerge outcome = register_.merge(received, now());
+        if (outcome == CrashMerge::Voided)
+            publishCleared(received.content);
+        if (outcome != CrashMerge::Changed)
             continue;
         const CrashRecord record = register_.record(received.content);
         changes.records.push_back(toWire(record));
@@ -141,7 +149,7 @@
 
 void CrashGuard::restore(const CrashRecord& record)
 {
-    if (!register_.merge(record, now()))
+    if (register_.merge(record, now()) == CrashMerge::Unchanged)
         return;
     wire::CrashNotice notice;
     notice.records.push_back(toWire(register_.record(record.content)));
--- a/src/io/hosted/CrashGuard.h
+++ b/src/io/hosted/CrashGuard.h
@@ -91,6 +91,7 @@
 
 private:
     void onCrash(const ServerAttempt&);
+    void publishCleared(const ContentId&);
     /// Tells the listener that the record of the content has changed here.
     void publish(const ContentId&);
 
--- a/tests/core/CrashRegisterTest.cpp
+++ b/tests/core/CrashRegisterTest.cpp
@@ -123,14 +123,25 @@
     CrashRegister second;
     crash(first, crashing, 3, start);
     const CrashRecord blocked = first.record(crashing);
-    CHECK(second.merge(blocked, start));
-    CHECK_FALSE(second.merge(blocked, start));
+    CHECK(second.merge(blocked, start) == CrashMerge::Changed);
+    CHECK(second.merge(blocked, start) == CrashMerge::Unchanged);
     CHECK(first.onAnswered(crashing, start));
-    CHECK(second.merge(first.record(crashing), start));
-    CHECK_FALSE(second.merge(blocked, start));
+    CHECK(second.merge(first.record(crashing), start) == CrashMerge::Changed);
+    CHECK(second.merge(blocked, start) == CrashMerge::Unchanged);
     CHECK(second.admit(crashing, start) == CrashAdmission::Admitted);
 }
 
+TEST_CASE("a process that has answers of a content voids crashes that another one reports", "[crashes]")
+{
+    CrashRegister restarted;
+    CrashRegister answered;
+    answered.onAnswered(sound, start);
+    crash(restarted, sound, 3, start + 1s);
+    CHECK(answered.merge(restarted.record(sound), start + 1s) == CrashMerge::Voided);
+    CHECK(restarted.merge(answered.record(sound), start + 1s) == CrashMerge::Changed);
+    CHECK(restarted.admit(sound, start + 1s) == CrashAdmission::Admitted);
+}
+
 TEST_CASE("records are forgotten some time after the last crash, and beyond their number", "[crashes]")
 {
     CrashRegister crashes;
@@ -166,6 +177,16 @@
             for (const CrashRecord& record : order)
                 node.merge(record, start);
         }
+        // What a node voided in this, it tells the others.
+        bool isSettled = false;
+        for (size_t round = 0; round < nodes.size() + 1 && !isSettled; ++round) {
+            isSettled = true;
+            for (CrashRegister& from : nodes) {
+                for (CrashRegister& to : nodes)
+                    isSettled = to.merge(from.record(crashing), start) == CrashMerge::Unchanged && isSettled;
+            }
+        }
+        RC_ASSERT(isSettled);
         RC_ASSERT(nodes[0].record(crashing) == nodes[1].record(crashing));
         RC_ASSERT(nodes[0].record(crashing) == nodes[2].record(crashing));
     });
