Share crashes with processes that are cut off from all coordinators

An entry that is cut off from the coordinators but reaches the store and servers learned of no crashes of others, nor they of its own: each such entry let a crashing request through anew.

All processes send news on, not coordinators alone, so that two halves of the coordinators learn through entries that reach both.

Not played under a cut of real processes yet.

--- a/src/io/hosted/CrashGuard.cpp
+++ b/src/io/hosted/CrashGuard.cpp
@@ -51,9 +51,8 @@
 }
 
 CrashGuard::CrashGuard(
-    HttpClient& http, CrashDetector::DirectorySource directory, CrashListener& listener, bool isRelay, uint64_t seed)
+    HttpClient& http, CrashDetector::DirectorySource directory, CrashListener& listener, uint64_t seed)
     : listener_(listener)
-    , isRelay_(isRelay)
     , detector_(http, std::move(directory), [this](const ServerAttempt& attempt) { onCrash(attempt); })
     , random_(static_cast<uint32_t>(seed) | 1U)
 {
@@ -143,7 +142,7 @@
         changes.records.push_back(toWire(record));
         listener_.onCrashRecord(record);
     }
-    if (isRelay_ && !changes.records.empty())
+    if (!changes.records.empty())
         listener_.publishCrashes(wire::encode(changes), &origin);
 }
 
--- a/src/io/hosted/CrashGuard.h
+++ b/src/io/hosted/CrashGuard.h
@@ -44,8 +44,7 @@
     static constexpr Duration minSuspectPause = std::chrono::milliseconds(50);
     static constexpr Duration maxSuspectPause = std::chrono::milliseconds(150);
 
-    /// With isRelay, changes that peers report are sent on to the other peers.
-    CrashGuard(HttpClient&, CrashDetector::DirectorySource, CrashListener&, bool isRelay, uint64_t seed);
+    CrashGuard(HttpClient&, CrashDetector::DirectorySource, CrashListener&, uint64_t seed);
 
     /// Asked before each attempt at a server. True if the content may be sent now.
     bool admit(const ContentId&);
@@ -78,9 +77,11 @@
 
     void onDirectory(const Directory& directory) { detector_.onDirectory(directory); }
 
-    /// Applies an encoded wire::CrashNotice of a peer.
+    /// Applies an encoded wire::CrashNotice of a peer, and sends what it changes here on to the other peers.
     void onNotice(const PeerConnection& origin, const std::string& payload);
 
+    CrashRecord record(const ContentId& content) const { return register_.record(content); }
+
     /// Applies a record from the store.
     void restore(const CrashRecord&);
 
@@ -96,7 +97,6 @@
     void publish(const ContentId&);
 
     CrashListener& listener_;
-    bool isRelay_;
     CrashRegister register_;
     CrashDetector detector_;
     std::minstd_rand random_;
--- a/src/io/hosted/CrashStore.cpp
+++ b/src/io/hosted/CrashStore.cpp
@@ -54,54 +54,72 @@
     }
 }
 
-CrashStore::CrashStore(asio::io_context& context, MetadataStore& store, CrashGuard& guard, IsWriter isWriter)
+CrashStore::CrashStore(
+    asio::io_context& context, MetadataStore& store, CrashGuard& guard, PartSource part, bool shouldRestore)
     : store_(store)
     , guard_(guard)
-    , isWriter_(std::move(isWriter))
+    , part_(std::move(part))
+    , shouldRestore_(shouldRestore)
     , changed_(context)
 {
 }
 
-void CrashStore::onRecord(const CrashRecord& record)
+void CrashStore::onRecord(const ContentId& content)
 {
-    const bool isBlocked = record.crashedServers.size() >= CrashRegister::blockThreshold;
-    const bool isCleared = record.generation > 0 && record.crashedServers.empty();
-    if (!isBlocked && !isCleared)
-        return;
-    unwritten_[record.content] = record;
+    unwritten_.insert(content);
     changed_.notifyAll();
 }
 
+void CrashStore::dropUnneeded(Part part)
+{
+    if (part == Part::Reader)
+        unwritten_.clear();
+    if (part != Part::Writer)
+        return;
+    std::erase_if(unwritten_, [this](const ContentId& content) {
+        const CrashRecord record = guard_.record(content);
+        const bool isCleared = record.crashedServers.empty();
+        return !isCleared && record.crashedServers.size() < CrashRegister::blockThreshold;
+    });
+}
+
 asio::awaitable<void> CrashStore::run()
 {
-    bool isRestored = false;
     while (true) {
-        Duration pause = Duration::zero();
+        bool hasFailed = false;
         try {
-            if (!isRestored)
-                co_await restore();
-            isRestored = true;
-            if (!isWriter_())
-                unwritten_.clear();
-            if (!unwritten_.empty())
-                co_await write();
+            co_await exchange();
         } catch (const Error& error) {
             log(Event::StoreUnavailable, { { "calling", "crash records" }, { "reason", error.what() } });
-            pause = retryPause;
+            hasFailed = true;
         }
-        if (pause > Duration::zero())
-            co_await sleepFor(pause);
+        if (hasFailed)
+            co_await sleepFor(retryPause);
         else if (unwritten_.empty())
-            co_await changed_.wait(never);
+            co_await changed_.wait(now() + isolatedInterval);
     }
 }
 
+asio::awaitable<void> CrashStore::exchange()
+{
+    const Part part = part_();
+    if (shouldRestore_ || part == Part::Isolated)
+        co_await restore();
+    shouldRestore_ = false;
+    dropUnneeded(part);
+    if (!unwritten_.empty())
+        co_await write();
+}
+
 asio::awaitable<void> CrashStore::restore()
 {
     const StoreListing listing = co_await store_.list(keyPrefix, false, now() + callTimeout);
     for (const Document& document : listing.documents) {
         try {
-            guard_.restore(decodeCrashRecord(document.value));
+            const CrashRecord stored = decodeCrashRecord(document.value);
+            guard_.restore(stored);
+            if (guard_.record(stored.content).crashedServers != stored.crashedServers)
+                onRecord(stored.content);
         } catch (const FrameInvalidError& error) {
             log(Event::FrameRefused, { { "key", document.key }, { "reason", error.what() } });
         }
@@ -120,17 +138,17 @@
 asio::awaitable<void> CrashStore::write()
 {
     const int64_t lease = co_await this->lease();
-    const std::map<ContentId, CrashRecord> records = unwritten_;
     StoreTransaction transaction;
-    for (const auto& [content, record] : records) {
-        if (transaction.puts.size() + transaction.removals.size() >= maxRecordsPerWrite)
+    std::vector<CrashRecord> written;
+    for (const ContentId& content : unwritten_) {
+        if (written.size() >= maxRecordsPerWrite)
             break;
-        if (record.crashedServers.empty())
+        written.push_back(guard_.record(content));
+        if (written.back().crashedServers.empty())
             transaction.removals.push_back(keyOf(content));
         else
-            transaction.puts.push_back({ keyOf(content), encodeCrashRecord(record), lease });
+            transaction.puts.push_back({ keyOf(content), encodeCrashRecord(written.back()), lease });
     }
-    const size_t count = transaction.puts.size() + transaction.removals.size();
     try {
         co_await store_.commit(std::move(transaction), now() + callTimeout);
     } catch (const Error&) {
@@ -138,12 +156,9 @@
         leaseReusableUntil_ = Instant::min();
         throw;
     }
-    size_t written = 0;
-    for (const auto& [content, record] : records) {
-        const auto current = unwritten_.find(content);
-        const bool isUnchanged = current != unwritten_.end() && current->second == record;
-        if (written++ < count && isUnchanged)
-            unwritten_.erase(current);
+    for (const CrashRecord& record : written) {
+        if (guard_.record(record.content) == record)
+            unwritten_.erase(record.content);
     }
 }
 
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -38,7 +38,6 @@
     , dispatcher_(
           context(), owner_.jobs(), *this, scorer_, crashGuard(), [this] { return directory(); },
           [this](const OwnedJobPtr& owned) { owner_.requestOwnershipCheck(owned); })
-    , crashStore_(context(), store(), crashGuard(), [this] { return isFirst(); })
     , nextScanAt_(startedAt() + startGrace)
 {
     owner_.setWorker(dispatcher_);
@@ -52,7 +51,6 @@
     spawn(executor, [this] { return dispatcher_.run(); });
     spawn(executor, [this] { return owner_.runListing(); });
     spawn(executor, [this] { return reportRetirements(); });
-    spawn(executor, [this] { return crashStore_.run(); });
 }
 
 bool HostedCoordinator::isAlive(const std::string& coordinator) const
--- a/src/io/hosted/HostedCoordinator.h
+++ b/src/io/hosted/HostedCoordinator.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "io/hosted/BatchOwner.h"
-#include "io/hosted/CrashStore.h"
 #include "io/hosted/HostedNode.h"
 #include "io/hosted/ItemDispatcher.h"
 #include "io/hosted/ItemScorer.h"
@@ -46,7 +45,6 @@
     void onNodeNotice(const PeerConnectionPtr&, const PeerMessage&) override;
     void onPeerUp(const PeerConnectionPtr&) override;
     void onPeerDown(const std::string&) override;
-    void onCrashRecord(const CrashRecord& record) override { crashStore_.onRecord(record); }
     std::vector<Gauge> gauges() const override;
 
     bool isAlive(const std::string& coordinator) const override;
@@ -56,8 +54,8 @@
     std::vector<PeerConnectionPtr> agents() const override { return connectionsOf(HostedRole::Agent); }
     bool mayStartItems() const override;
 
-    /// True in the one coordinator that acts for all: the first by name of those that are alive.
-    bool isFirst() const;
+    /// True in the first coordinator by name of those that are alive.
+    bool isFirst() const override;
     bool isRetiring() const { return directory()->retiringVms.contains(settings().name); }
     /// Keeps this coordinator's registration in the store until the process drains.
     asio::awaitable<void> maintainRegistration();
@@ -75,7 +73,6 @@
     BatchOwner owner_;
     ItemScorer scorer_;
     ItemDispatcher dispatcher_;
-    CrashStore crashStore_;
     /// 0 if there is none.
     int64_t lease_ = 0;
     /// Lease under which this process has written its registration; 0 if it has not.
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -76,8 +76,9 @@
     , directorySync_(std::make_unique<DirectorySync>(platform_->directoryProtocol(), *store_,
           static_cast<DirectoryListener&>(*this), readerElection(role, settings_)))
     , crashGuard_(
-          http_, [this] { return directory(); }, static_cast<CrashListener&>(*this), role == HostedRole::Coordinator,
-          randomSeed())
+          http_, [this] { return directory(); }, static_cast<CrashListener&>(*this), randomSeed())
+    , crashStore_(
+          context_, *store_, crashGuard_, [this] { return crashStorePart(); }, role == HostedRole::Coordinator)
     , acceptor_(context_, *this, [this](const PeerConnectionPtr& connection) { sendHello(connection); })
     , mesh_(context_, *this, [this](const std::string&, const PeerConnectionPtr& connection) { sendHello(connection); })
 {
@@ -111,6 +112,7 @@
     spawn(context_.get_executor(), [this] { return pollSettings(); });
     spawn(context_.get_executor(), [this] { return directorySync_->readServers(); });
     spawn(context_.get_executor(), [this] { return directorySync_->watchOperatorDocuments(); });
+    spawn(context_.get_executor(), [this] { return crashStore_.run(); });
     start();
     context_.run();
     log(Event::ProcessStopped);
@@ -315,6 +317,15 @@
     notifyPeers(MessageType::DirectoryUpdate, update);
 }
 
+CrashStore::Part HostedNode::crashStorePart() const
+{
+    const size_t ownRegistrations = role_ == HostedRole::Coordinator ? 1 : 0;
+    const bool hasCoordinators = !activePeers(HostedRole::Coordinator).empty();
+    if (!hasCoordinators && directory()->coordinators.size() > ownRegistrations)
+        return CrashStore::Part::Isolated;
+    return isFirst() ? CrashStore::Part::Writer : CrashStore::Part::Reader;
+}
+
 void HostedNode::publishCrashes(const std::string& notice, const PeerConnection* origin)
 {
     notifyPeers(MessageType::CrashNotice, notice, origin);
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -6,6 +6,7 @@
 #include "io/PeerConnection.h"
 #include "io/PeerMesh.h"
 #include "io/hosted/CrashGuard.h"
+#include "io/hosted/CrashStore.h"
 #include "io/hosted/DirectorySync.h"
 #include "io/hosted/Protocol.h"
 #include "io/hosted/StoreTransports.h"
@@ -62,6 +63,8 @@
     /// Called when a peer announces that it leaves, and when its last connection has closed.
     virtual void onPeerDown(const std::string&) { }
     virtual std::vector<Gauge> gauges() const { return {}; }
+    /// True in the one coordinator that acts for all.
+    virtual bool isFirst() const { return false; }
 
     /// Seed for random choices, another in each process and at each start.
     uint64_t randomSeed() const;
@@ -100,6 +103,8 @@
     void onDirectory(std::shared_ptr<const Directory> before, std::shared_ptr<const Directory> current) final;
     void publish(const std::string& update) final;
     void publishCrashes(const std::string& notice, const PeerConnection* origin) final;
+    void onCrashRecord(const CrashRecord& record) final { crashStore_.onRecord(record.content); }
+    CrashStore::Part crashStorePart() const;
     asio::awaitable<void> onHttp(HttpExchange&) final;
 
     /// Sends a notice to all connected peers but the one of the connection `origin`, which may be null.
@@ -132,6 +137,7 @@
     std::unique_ptr<MetadataStore> store_;
     std::unique_ptr<DirectorySync> directorySync_;
     CrashGuard crashGuard_;
+    CrashStore crashStore_;
     PeerAcceptor acceptor_;
     PeerMesh mesh_;
     /// By name.
