Count a crash that takes the server's host down

A content whose servers fall silent in place of refusing connections was counted only if they came back at the same address. A server whose host answers no probe has now ended once its registration is gone, too. Found by reading; the test 'a server on a silent host has ended once its registration is gone' keeps a listener's queue full to have a silent host.

--- a/src/io/hosted/CrashDetector.cpp
+++ b/src/io/hosted/CrashDetector.cpp
@@ -46,7 +46,7 @@
     }
     const auto open = breaks_.find(attempt.start);
     if (open != breaks_.end() && open->second.undecided.size() < maxUndecided)
-        open->second.undecided.push_back(std::move(attempt));
+        open->second.undecided.push_back({ std::move(attempt), state == ListenerState::Silent });
 }
 
 ServerStart CrashDetector::startAt(const Address& address) const
@@ -60,15 +60,26 @@
 {
     const Instant currentTime = now();
     for (auto& [start, breaks] : breaks_) {
-        if (!hasStartedAgain(directory, start))
-            continue;
-        for (const ServerAttempt& attempt : breaks.undecided)
-            reportCrash(attempt, "a server has started later at its address");
-        breaks.undecided.clear();
+        std::erase_if(breaks.undecided, [&](const Undecided& undecided) {
+            const char* evidence = evidenceOf(undecided, directory);
+            if (evidence)
+                reportCrash(undecided.attempt, evidence);
+            return evidence != nullptr;
+        });
     }
     std::erase_if(breaks_, [currentTime](const auto& entry) { return entry.second.expiry <= currentTime; });
 }
 
+const char* CrashDetector::evidenceOf(const Undecided& undecided, const Directory& directory)
+{
+    const ServerStart& start = undecided.attempt.start;
+    if (hasStartedAgain(directory, start))
+        return "a server has started later at its address";
+    if (undecided.isHostSilent && !directory.serverAt(start.address))
+        return "its host is silent and its registration is gone";
+    return nullptr;
+}
+
 void CrashDetector::reportCrash(const ServerAttempt& attempt, const char* evidence)
 {
     processMetrics().count(Counter::ServerCrashes);
--- a/src/io/hosted/CrashDetector.h
+++ b/src/io/hosted/CrashDetector.h
@@ -62,7 +62,8 @@
     /// The server broke the attempt off without an answer. Only attempts that the server had when it broke off the
     /// first one after its last answer are taken for causes of its end; later ones found it gone. Probes the server's
     /// address. A refused connection shows that the server has ended. Otherwise a later start at the same address shows
-    /// it: the host may not answer, or something in front of the server may accept connections.
+    /// it, since something in front of the server may accept connections; or, if the host does not answer, the removal
+    /// of the registration.
     asio::awaitable<void> inspect(ServerAttempt);
 
     /// The server answered something, so it has not ended under the attempts that it broke off before.
@@ -74,14 +75,21 @@
     void onDirectory(const Directory&);
 
 private:
+    /// An attempt under which a server may have ended.
+    struct Undecided {
+        ServerAttempt attempt;
+        bool isHostSilent = false;
+    };
+
     /// What a server has broken off since its last answer.
     struct Breaks {
         Instant firstAt;
         Instant expiry;
-        /// Attempts under which the server may have ended.
-        std::vector<ServerAttempt> undecided;
+        std::vector<Undecided> undecided;
     };
 
+    /// What shows that the server has ended under the attempt; null if nothing does.
+    static const char* evidenceOf(const Undecided&, const Directory&);
     void reportCrash(const ServerAttempt&, const char* evidence);
 
     HttpClient& http_;
--- a/tests/io/CrashGuardTest.cpp
+++ b/tests/io/CrashGuardTest.cpp
@@ -123,6 +123,31 @@
     });
 }
 
+TEST_CASE("a server on a silent host has ended once its registration is gone", "[crashes]")
+{
+    asio::io_context context;
+    Node node;
+    // The queue of connections is kept full, so that a further one gets no answer.
+    asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::v4());
+    acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+    acceptor.listen(0);
+    const Address address = addressOf(acceptor);
+    std::vector<asio::ip::tcp::socket> waiting;
+    for (int i = 0; i < 4; ++i) {
+        waiting.emplace_back(context);
+        waiting.back().async_connect(acceptor.local_endpoint(), [](boost::system::error_code) {});
+    }
+    node.registerServer(address, 5);
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        co_await sleepFor(20ms);
+        co_await node.guard.inspect(attemptAt(address, 5));
+        node.registerServer(address, 5);
+        CHECK(node.records.empty());
+        node.registerServer({ "127.0.0.1", 1 }, 7);
+        CHECK(node.records.size() == 1);
+    });
+}
+
 TEST_CASE("attempts that found a server gone are not blamed for its end", "[crashes]")
 {
     asio::io_context context;
