Do not block a content for crashes that another one explains

Logs: two services only, both down most of the first 4 s; call-22 was at three ends of servers, and so was the crashing request, which had a fourth. Each entry blamed what it had sent itself and could not see the other's.

Change: the register holds the crashes of all contents; a crash counts towards a content's block only if no other content with more crashes was there. CrashRegisterTest 'a content that was there at some of another one's crashes is not blocked' (failed before: Blocked).

--- a/include/endiveroad/CrashRegister.h
+++ b/include/endiveroad/CrashRegister.h
@@ -66,7 +66,9 @@
     static constexpr size_t maxRecords = 1000;
     static constexpr size_t maxAnswers = 4096;
 
-    /// Time until which the content is not sent to servers; in the past if it is not blocked.
+    /// Time until which the content is not sent to servers; in the past if it is not blocked. A crash counts for the
+    /// block only if no other content was there at more crashes: a neighbour of a content that crashes servers is there
+    /// at some of its crashes.
     Instant blockedUntil(const ContentId&) const;
 
     bool isSuspect(const ContentId&) const;
@@ -107,6 +109,8 @@
     /// Length of the block after this number of crashes; zero below blockThreshold.
     static Duration blockAfter(size_t crashes);
 
+    /// Number of the record's crashes that no content with more crashes explains.
+    size_t unexplainedCrashes(const CrashRecord&) const;
     bool isBlameOnOther(const ContentId&, const std::string& server) const;
     bool wasAnsweredLately(const ContentId&, Instant now) const;
     /// Makes the crashes of a record void.
--- a/src/core/calls/CrashRegister.cpp
+++ b/src/core/calls/CrashRegister.cpp
@@ -16,7 +16,24 @@
 Instant CrashRegister::blockedUntil(const ContentId& content) const
 {
     const auto found = entries_.find(content);
-    return found == entries_.end() ? Instant::min() : found->second.record.blockedUntil;
+    if (found == entries_.end() || unexplainedCrashes(found->second.record) < blockThreshold)
+        return Instant::min();
+    return found->second.record.blockedUntil;
+}
+
+size_t CrashRegister::unexplainedCrashes(const CrashRecord& record) const
+{
+    const std::set<std::string>& crashes = record.crashedServers;
+    if (crashes.size() < blockThreshold)
+        return crashes.size();
+    std::set<std::string> unexplained = crashes;
+    for (const auto& [content, entry] : entries_) {
+        if (entry.record.crashedServers.size() <= crashes.size())
+            continue;
+        for (const std::string& server : entry.record.crashedServers)
+            unexplained.erase(server);
+    }
+    return unexplained.size();
 }
 
 bool CrashRegister::isSuspect(const ContentId& content) const
@@ -31,10 +48,10 @@
     if (found == entries_.end())
         return CrashAdmission::Admitted;
     CrashRecord& record = found->second.record;
+    if (unexplainedCrashes(record) < blockThreshold)
+        return CrashAdmission::Admitted;
     if (record.blockedUntil > now)
         return CrashAdmission::Blocked;
-    if (record.crashedServers.size() < blockThreshold)
-        return CrashAdmission::Admitted;
     record.blockedUntil = now + trialTime;
     return CrashAdmission::Trial;
 }
@@ -157,7 +174,7 @@
 size_t CrashRegister::blockedCount(Instant now) const
 {
     return static_cast<size_t>(std::count_if(
-        entries_.begin(), entries_.end(), [now](const auto& entry) { return entry.second.record.blockedUntil > now; }));
+        entries_.begin(), entries_.end(), [&](const auto& entry) { return blockedUntil(entry.first) > now; }));
 }
 
 bool CrashRegister::wasAnsweredLately(const ContentId& content, Instant now) const
--- a/src/io/hosted/CrashGuard.cpp
+++ b/src/io/hosted/CrashGuard.cpp
@@ -110,7 +110,7 @@
     if (!register_.onCrash(attempt.content, attempt.server, attempt.start.text(), now()))
         return;
     const CrashRecord record = register_.record(attempt.content);
-    if (record.blockedUntil > now())
+    if (blockedUntil(attempt.content))
         log(Event::ContentBlocked,
             { { "content", attempt.content.text() }, { "request", attempt.request },
                 { "crashes", std::to_string(record.crashedServers.size()) },
--- a/tests/core/CrashRegisterTest.cpp
+++ b/tests/core/CrashRegisterTest.cpp
@@ -105,6 +105,23 @@
     CHECK(crashes.onCrash(sound, "s9", "s9/1", start));
 }
 
+TEST_CASE("a content that was there at some of another one's crashes is not blocked", "[crashes]")
+{
+    CrashRegister crashes;
+    crash(crashes, crashing, 4, start);
+    CrashRecord neighbour;
+    neighbour.content = sound;
+    neighbour.crashedServers = { "s1/1", "s2/1", "s3/1" };
+    neighbour.blockedUntil = start + CrashRegister::firstBlock;
+    crashes.merge(neighbour, start);
+    CHECK(crashes.admit(sound, start) == CrashAdmission::Admitted);
+    CHECK(crashes.admit(crashing, start) == CrashAdmission::Blocked);
+    CHECK(crashes.blockedCount(start) == 1);
+    neighbour.crashedServers = { "s7/1", "s8/1", "s9/1" };
+    crashes.merge(neighbour, start);
+    CHECK(crashes.admit(sound, start) == CrashAdmission::Blocked);
+}
+
 TEST_CASE("a suspect is kept apart from other suspects", "[crashes]")
 {
     CrashRegister crashes;
