Count every content that a server had at its end, and settle blocks

Seen in a new core history (8 contents that crash servers at once, 9 servers): one of them got 4 retries later than 3 s after its third crash, where 3 are allowed. Trace: its first crashes were laid to a sound neighbour that was a suspect by then, so the register knew of 1 where 3 had happened.

A block that has stood for 0.5 s is final, so that a content which crashes more does not free it.

--- a/include/endiveroad/CrashRegister.h
+++ b/include/endiveroad/CrashRegister.h
@@ -40,8 +40,7 @@
     /// Number of crashes from which a content is blocked.
     static constexpr size_t blockThreshold = 3;
 
-    /// Number of crashes from which a content is a suspect: it runs apart from other suspects, and alone is blamed if
-    /// the server ends.
+    /// Number of crashes from which a content is a suspect, which runs apart from other suspects.
     static constexpr size_t suspectThreshold = blockThreshold - 1;
 
     /// Length of the first block. Each further crash doubles it.
@@ -55,6 +54,9 @@
     /// Time after the last crash for which a record is kept.
     static constexpr Duration recordLifetime = std::chrono::minutes(10);
 
+    /// Time for the crashes of neighbours to become known here.
+    static constexpr Duration settleTime = std::chrono::milliseconds(500);
+
     /// Time after an answer for which crashes under the content are taken for coincidence. It keeps contents that many
     /// callers send, and that run on several servers at once, from being blocked when those servers fail together.
     static constexpr Duration answerLifetime = std::chrono::minutes(1);
@@ -68,7 +70,7 @@
 
     /// Time until which the content is not sent to servers; in the past if it is not blocked. A crash counts for the
     /// block only if no other content was there at more crashes: a neighbour of a content that crashes servers is there
-    /// at some of its crashes.
+    /// at some of its crashes. What was blocked for settleTime stays blocked, whatever is learned of other contents.
     Instant blockedUntil(const ContentId&) const;
 
     bool isSuspect(const ContentId&) const;
@@ -83,9 +85,9 @@
     /// Servers that have a suspect of this process other than the content.
     std::set<std::string> serversWithOtherSuspects(const ContentId&) const;
 
-    /// A server ended while it had the content. Returns whether the record changed. It does not if another content that
-    /// this process sent to the server is a suspect and this one is not, or if the content was answered lately.
-    bool onCrash(const ContentId&, const std::string& server, const std::string& serverStart, Instant now);
+    /// A server ended while it had the content. Returns whether the record changed. It does not if the content was
+    /// answered lately.
+    bool onCrash(const ContentId&, const std::string& serverStart, Instant now);
 
     /// A server answered the content, whatever the status. Returns whether the record changed.
     bool onAnswered(const ContentId&, Instant now);
@@ -104,17 +106,23 @@
     struct Entry {
         CrashRecord record;
         Instant expiry = never;
+        /// When a block that still holds becomes final.
+        Instant settledAt = never;
+        bool isBlockFinal = false;
     };
 
     /// Length of the block after this number of crashes; zero below blockThreshold.
     static Duration blockAfter(size_t crashes);
 
+    bool hasBlock(const Entry&) const;
+    /// Call after each change of a record.
+    void settleBlocks(Instant now);
     /// Number of the record's crashes that no content with more crashes explains.
     size_t unexplainedCrashes(const CrashRecord&) const;
-    bool isBlameOnOther(const ContentId&, const std::string& server) const;
+    bool hasOtherSuspect(const ContentId&, const std::string& server) const;
     bool wasAnsweredLately(const ContentId&, Instant now) const;
     /// Makes the crashes of a record void.
-    static void clear(CrashRecord&);
+    static void clear(Entry&);
     void rememberAnswer(const ContentId&, Instant now);
     void removeExpired(Instant now);
 
--- a/src/core/calls/CrashRegister.cpp
+++ b/src/core/calls/CrashRegister.cpp
@@ -16,9 +16,23 @@
 Instant CrashRegister::blockedUntil(const ContentId& content) const
 {
     const auto found = entries_.find(content);
-    if (found == entries_.end() || unexplainedCrashes(found->second.record) < blockThreshold)
-        return Instant::min();
-    return found->second.record.blockedUntil;
+    return found != entries_.end() && hasBlock(found->second) ? found->second.record.blockedUntil : Instant::min();
+}
+
+bool CrashRegister::hasBlock(const Entry& entry) const
+{
+    return entry.isBlockFinal || unexplainedCrashes(entry.record) >= blockThreshold;
+}
+
+void CrashRegister::settleBlocks(Instant now)
+{
+    for (auto& [content, entry] : entries_) {
+        if (entry.isBlockFinal || entry.record.crashedServers.size() < blockThreshold)
+            continue;
+        if (entry.settledAt == never)
+            entry.settledAt = now + settleTime;
+        entry.isBlockFinal = now >= entry.settledAt && hasBlock(entry);
+    }
 }
 
 size_t CrashRegister::unexplainedCrashes(const CrashRecord& record) const
@@ -47,9 +61,10 @@
     const auto found = entries_.find(content);
     if (found == entries_.end())
         return CrashAdmission::Admitted;
-    CrashRecord& record = found->second.record;
-    if (unexplainedCrashes(record) < blockThreshold)
+    settleBlocks(now);
+    if (!hasBlock(found->second))
         return CrashAdmission::Admitted;
+    CrashRecord& record = found->second.record;
     if (record.blockedUntil > now)
         return CrashAdmission::Blocked;
     record.blockedUntil = now + trialTime;
@@ -77,13 +92,13 @@
 {
     std::set<std::string> servers;
     for (const auto& [server, contents] : running_) {
-        if (isBlameOnOther(content, server))
+        if (hasOtherSuspect(content, server))
             servers.insert(server);
     }
     return servers;
 }
 
-bool CrashRegister::isBlameOnOther(const ContentId& content, const std::string& server) const
+bool CrashRegister::hasOtherSuspect(const ContentId& content, const std::string& server) const
 {
     const auto found = running_.find(server);
     return found != running_.end()
@@ -91,12 +106,9 @@
             [&](const ContentId& other) { return other != content && isSuspect(other); });
 }
 
-bool CrashRegister::onCrash(
-    const ContentId& content, const std::string& server, const std::string& serverStart, Instant now)
+bool CrashRegister::onCrash(const ContentId& content, const std::string& serverStart, Instant now)
 {
-    const bool isCoincidence
-        = wasAnsweredLately(content, now) || (!isSuspect(content) && isBlameOnOther(content, server));
-    if (isCoincidence)
+    if (wasAnsweredLately(content, now))
         return false;
     Entry& entry = entries_[content];
     entry.record.content = content;
@@ -107,6 +119,7 @@
         entry.record.blockedUntil = std::max(entry.record.blockedUntil, now + block);
     entry.expiry = now + recordLifetime;
     removeExpired(now);
+    settleBlocks(now);
     return true;
 }
 
@@ -116,15 +129,17 @@
     const auto found = entries_.find(content);
     if (found == entries_.end() || found->second.record.crashedServers.empty())
         return false;
-    clear(found->second.record);
+    clear(found->second);
     return true;
 }
 
-void CrashRegister::clear(CrashRecord& record)
+void CrashRegister::clear(Entry& entry)
 {
-    ++record.generation;
-    record.crashedServers.clear();
-    record.blockedUntil = Instant::min();
+    ++entry.record.generation;
+    entry.record.crashedServers.clear();
+    entry.record.blockedUntil = Instant::min();
+    entry.settledAt = never;
+    entry.isBlockFinal = false;
 }
 
 CrashMerge CrashRegister::merge(const CrashRecord& other, Instant now)
@@ -134,6 +149,7 @@
     CrashRecord& record = entry.record;
     record.content = other.content;
     if (other.generation > record.generation) {
+        clear(entry);
         record = other;
     } else if (other.generation == record.generation) {
         record.crashedServers.insert(other.crashedServers.begin(), other.crashedServers.end());
@@ -147,9 +163,10 @@
     }
     const bool isVoid = !record.crashedServers.empty() && wasAnsweredLately(record.content, now);
     if (isVoid)
-        clear(record);
+        clear(entry);
     entry.expiry = now + recordLifetime;
     removeExpired(now);
+    settleBlocks(now);
     return isVoid ? CrashMerge::Voided : CrashMerge::Changed;
 }
 
--- a/src/io/hosted/CrashGuard.cpp
+++ b/src/io/hosted/CrashGuard.cpp
@@ -107,7 +107,7 @@
 
 void CrashGuard::onCrash(const ServerAttempt& attempt)
 {
-    if (!register_.onCrash(attempt.content, attempt.server, attempt.start.text(), now()))
+    if (!register_.onCrash(attempt.content, attempt.start.text(), now()))
         return;
     const CrashRecord record = register_.record(attempt.content);
     if (blockedUntil(attempt.content))
