Bound the retries of calls that crash servers in the product's own deployment

Change: CrashGuard and CrashDetector move from the hosted roles to src/io; agents inspect calls that their server broke off, and take a server that answers its health check again for a later start; entries ask before each attempt. A keyed call that is blocked is told outcome_unknown, as an attempt under its key may have run; others poison_request, 503, with Retry-After.

--- a/src/io/hosted/CrashDetector.cpp
+++ b/src/io/CrashDetector.cpp
@@ -1,4 +1,4 @@
-#include "io/hosted/CrashDetector.h"
+#include "io/CrashDetector.h"
 
 #include "io/Clock.h"
 #include "io/Log.h"
@@ -33,6 +33,7 @@
 
 asio::awaitable<void> CrashDetector::inspect(ServerAttempt attempt)
 {
+    removeExpired();
     if (hasStartedAgain(*directory_(), attempt.start))
         co_return;
     Breaks breaks { now(), now() + returnTime, {} };
@@ -58,7 +59,6 @@
 
 void CrashDetector::onDirectory(const Directory& directory)
 {
-    const Instant currentTime = now();
     for (auto& [start, breaks] : breaks_) {
         std::erase_if(breaks.undecided, [&](const Undecided& undecided) {
             const char* evidence = evidenceOf(undecided, directory);
@@ -67,6 +67,12 @@
             return evidence != nullptr;
         });
     }
+    removeExpired();
+}
+
+void CrashDetector::removeExpired()
+{
+    const Instant currentTime = now();
     std::erase_if(breaks_, [currentTime](const auto& entry) { return entry.second.expiry <= currentTime; });
 }
 
--- a/src/io/hosted/CrashDetector.h
+++ b/src/io/CrashDetector.h
@@ -90,6 +90,7 @@
 
     /// What shows that the server has ended under the attempt; null if nothing does.
     static const char* evidenceOf(const Undecided&, const Directory&);
+    void removeExpired();
     void reportCrash(const ServerAttempt&, const char* evidence);
 
     HttpClient& http_;
--- a/src/io/hosted/CrashGuard.cpp
+++ b/src/io/CrashGuard.cpp
@@ -1,4 +1,4 @@
-#include "io/hosted/CrashGuard.h"
+#include "io/CrashGuard.h"
 
 #include "io/Clock.h"
 #include "io/Log.h"
--- a/src/io/hosted/CrashGuard.h
+++ b/src/io/CrashGuard.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "io/CrashDetector.h"
 #include "io/PeerConnection.h"
-#include "io/hosted/CrashDetector.h"
 
 #include <endiveroad/CrashRegister.h>
 #include <endiveroad/Error.h>
--- a/src/io/Node.cpp
+++ b/src/io/Node.cpp
@@ -44,6 +44,9 @@
     : options_(std::move(options))
     , incarnation_(wallMs())
     , signals_(context_, SIGTERM, SIGINT)
+    , crashGuard_(
+          http_, [this] { return servers_; }, static_cast<CrashListener&>(*this),
+          static_cast<uint64_t>(incarnation_) ^ std::hash<std::string>()(options_.name))
     , settings_([this](auto before, auto inForce) { applySettings(before, inForce); },
           [this](const std::string& peer, MessageType type, const std::string& payload) {
               sendToPeer(peer, type, payload);
@@ -148,6 +151,28 @@
     hello.incarnation = incarnation_;
     hello.settingsRevision = settings_.revision();
     peer->notify(MessageType::Hello, wire::encode(hello));
+    if (const auto crashes = crashGuard_.encodeAll())
+        peer->notify(MessageType::CrashNotice, *crashes);
+}
+
+void Node::onServerStarted(const Address& address)
+{
+    ServerRecord server;
+    server.id = address.text();
+    server.address = address;
+    server.startedMs = wallMs();
+    auto servers = std::make_shared<Directory>();
+    servers->servers.emplace(server.id, server);
+    servers_ = std::move(servers);
+    crashGuard_.onDirectory(*servers_);
+}
+
+void Node::publishCrashes(const std::string& notice, const PeerConnection* origin)
+{
+    for (const auto& [name, peer] : peers_) {
+        if (!origin || origin->peerName != name)
+            peer->notify(MessageType::CrashNotice, notice);
+    }
 }
 
 void Node::sendToPeer(const std::string& peer, MessageType type, const std::string& payload)
@@ -241,6 +266,8 @@
     try {
         if (message.type == MessageType::Hello)
             onHello(peer, message);
+        else if (message.type == MessageType::CrashNotice)
+            crashGuard_.onNotice(*peer, message.payload);
         else if (!settings_.onMessage(peer->peerName, message.type, message.payload))
             onNodeNotice(peer, message);
     } catch (const Error& error) {
--- a/src/io/Node.h
+++ b/src/io/Node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "io/CrashGuard.h"
 #include "io/HttpClient.h"
 #include "io/PeerAcceptor.h"
 #include "io/PeerMesh.h"
@@ -30,7 +31,7 @@
     std::optional<std::string> keyFile;
 };
 
-class Node : public PeerHandler {
+class Node : public PeerHandler, private CrashListener {
 public:
     explicit Node(NodeOptions);
 
@@ -86,6 +87,7 @@
 
     asio::io_context& context() { return context_; }
     HttpClient& http() { return http_; }
+    CrashGuard& crashGuard() { return crashGuard_; }
     PeerMesh& mesh() { return mesh_; }
     const std::set<PeerConnectionPtr>& acceptedPeers() const { return acceptor_.connections(); }
     std::shared_ptr<const Settings> settings() const { return settings_.current(); }
@@ -97,6 +99,9 @@
     /// Number of connected peers that have sent a Hello.
     size_t peerCount() const { return peers_.size(); }
 
+    /// The backend server of this process answers for the first time, or again after it did not.
+    void onServerStarted(const Address&);
+
     /// Starts to drain this process, which then ends. Further calls have no effect.
     void stop();
 
@@ -108,6 +113,7 @@
     asio::awaitable<void> watchKeyFile();
     void closeRevokedPeers();
     asio::awaitable<void> stopGracefully();
+    void publishCrashes(const std::string& notice, const PeerConnection* origin) final;
     void sendHello(const PeerConnectionPtr&);
     void onHello(const PeerConnectionPtr&, const PeerMessage&);
     void sendToPeer(const std::string& peer, MessageType, const std::string& payload);
@@ -119,6 +125,9 @@
     asio::io_context context_ { 1 };
     asio::signal_set signals_;
     HttpClient http_;
+    /// The last known start of the backend server.
+    std::shared_ptr<const Directory> servers_ = std::make_shared<Directory>();
+    CrashGuard crashGuard_;
     std::unique_ptr<StoreClient> store_;
     SettingsKeeper settings_;
     PeerAcceptor acceptor_;
--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -83,7 +83,8 @@
     region_ = pool.region;
     failureDomain_ = replica.failureDomain;
     server_ = replica.server;
-    calls_ = std::make_unique<CallRunner>(http(), admission_, name(), server_, incarnation());
+    onServerStarted(server_);
+    calls_ = std::make_unique<CallRunner>(http(), crashGuard(), admission_, name(), server_, incarnation());
     reportsNotBefore_ = now() + OutcomeTable::clockMargin;
     const auto executor = context().get_executor();
     if (pool.kind == PoolKind::Engine) {
@@ -100,6 +101,8 @@
     if (isUp == admission_.isServerUp())
         return;
     admission_.setServerUp(isUp);
+    if (isUp)
+        onServerStarted(server_);
     log(isUp ? Event::ServerUp : Event::ServerDown, { { "server", server_.text() } });
     sendReports();
 }
--- a/src/io/agent/CallRunner.cpp
+++ b/src/io/agent/CallRunner.cpp
@@ -83,8 +83,10 @@
 
 } // namespace
 
-CallRunner::CallRunner(HttpClient& http, Admission& admission, std::string agent, Address server, int64_t startedWallMs)
+CallRunner::CallRunner(HttpClient& http, CrashGuard& crashGuard, Admission& admission, std::string agent,
+    Address server, int64_t startedWallMs)
     : http_(http)
+    , crashGuard_(crashGuard)
     , server_(std::move(server))
     , admission_(
           admission, std::move(agent), startedWallMs, now() - std::chrono::milliseconds(wallMs() - startedWallMs))
@@ -177,11 +179,14 @@
     const Instant start = now();
     HttpCancellation httpCancellation;
     const CancellationLink link(call.key ? nullptr : cancellation, httpCancellation);
+    ServerAttempt attempt = attemptOf(request);
+    std::string failure;
     try {
         const HttpResponse response
             = co_await http_.request(server_, std::move(message), call.deadline, &httpCancellation);
         processMetrics().record(Latency::BackendCall, now() - start, now());
         log(Event::CallFinished, { { "request", request.requestId }, { "status", std::to_string(response.status) } });
+        crashGuard_.onAnswered(attempt);
         CallOutcome outcome { response.status, response.headers, response.body };
         wire::CallAnswer answer = toAnswer(outcome);
         admission_.finish(call, std::move(outcome), now());
@@ -192,9 +197,17 @@
             now() + (call.key ? OutcomeTable::refusedKeyBlockTime : CallAdmission::retryDelay));
     } catch (const Error& error) {
         admission_.finishUnknown(call, now());
-        co_return makeRefusal(
-            wire::Outcome::Unknown, ErrorCode::OutcomeUnknown, error.what(), now() + unknownRetryDelay);
+        failure = error.what();
     }
+    if (!httpCancellation.isCancelled())
+        co_await crashGuard_.inspect(std::move(attempt));
+    co_return makeRefusal(wire::Outcome::Unknown, ErrorCode::OutcomeUnknown, failure, now() + unknownRetryDelay);
+}
+
+ServerAttempt CallRunner::attemptOf(const wire::CallRequest& request) const
+{
+    const ContentId content = ContentId::of(request.method, request.pool, request.target, request.body);
+    return { request.requestId, content, server_.text(), crashGuard_.startAt(server_), now() };
 }
 
 } // namespace endiveroad::io
--- a/src/io/agent/CallRunner.h
+++ b/src/io/agent/CallRunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "io/CrashGuard.h"
 #include "io/HttpClient.h"
 #include "io/PeerConnection.h"
 
@@ -19,7 +20,7 @@
     /// creation time, and is refused if that is further ahead than this.
     static constexpr Duration maxClockLead = std::chrono::seconds(2);
 
-    CallRunner(HttpClient&, Admission&, std::string agent, Address server, int64_t startedWallMs);
+    CallRunner(HttpClient&, CrashGuard&, Admission&, std::string agent, Address server, int64_t startedWallMs);
 
     /// Applies the declaration of the agent's pool in a settings revision.
     void onPool(const PoolDeclaration&, int64_t revision);
@@ -39,7 +40,10 @@
     /// Answer to a call that does not run: the stored outcome of its key, or an error.
     wire::CallAnswer answerWithoutRun(const CallMetadata&, const CallDecision&) const;
 
+    ServerAttempt attemptOf(const wire::CallRequest&) const;
+
     HttpClient& http_;
+    CrashGuard& crashGuard_;
     Address server_;
     CallAdmission admission_;
     /// Timers of the repeats that wait for the running attempt with their key; cancelled when it ends.
--- a/src/io/entry/CallRouter.cpp
+++ b/src/io/entry/CallRouter.cpp
@@ -109,6 +109,13 @@
     return std::string(isPrintable && id.size() <= maxLength ? id : std::string_view());
 }
 
+constexpr const char* blockedDetail = "servers have ended under requests with this content";
+
+ContentId contentOf(const wire::CallRequest& request)
+{
+    return ContentId::of(request.method, request.pool, request.target, request.body);
+}
+
 HttpResponse toResponse(wire::CallAnswer answer)
 {
     HttpResponse response;
@@ -121,8 +128,10 @@
 
 } // namespace
 
-CallRouter::CallRouter(AgentDirectory& agents, std::string entryName, int64_t incarnation, std::string failureDomain)
+CallRouter::CallRouter(AgentDirectory& agents, CrashGuard& crashGuard, std::string entryName, int64_t incarnation,
+    std::string failureDomain)
     : agents_(agents)
+    , crashGuard_(crashGuard)
     , entryName_(std::move(entryName))
     , failureDomain_(std::move(failureDomain))
     , incarnation_(incarnation)
@@ -226,6 +235,9 @@
     if (homes.empty())
         throw CallFailure(
             attempts.errorWithoutAgent(), fmt::format("pool {} declares no replica", pool.name), retryAfter);
+    // An attempt under this key may have crashed a server, so a blocked call is not said to be not run.
+    if (!crashGuard_.admit(contentOf(call.request)))
+        throw CallFailure(ErrorCode::OutcomeUnknown, blockedDetail, remainingBlock(contentOf(call.request)));
     AttemptResult result = co_await callAgent(homes.front(), std::move(call), deadline);
     if (result.response)
         co_return std::move(*result.response);
@@ -249,10 +261,17 @@
     demand.failureDomain = failureDomain_;
     CallAttempts attempts(CallAttempts::Kind::Idempotent, deadline);
     std::string detail = "no replica has free capacity";
+    const ContentId content = contentOf(call.request);
     while (true) {
+        if (crashGuard_.blockedUntil(content)) {
+            const bool hasNotRun = attempts.errorWithoutAgent() == ErrorCode::NotRun;
+            throw CallFailure(hasNotRun ? ErrorCode::PoisonRequest : ErrorCode::OutcomeUnknown, blockedDetail,
+                remainingBlock(content));
+        }
         const auto agent = agents_.table(pool.name).acquire(now(), demand);
         if (!agent)
             throw CallFailure(attempts.errorWithoutAgent(), detail, retryAfter);
+        crashGuard_.admit(content);
         AttemptResult result = co_await callAgent(*agent, call, deadline);
         agents_.table(pool.name).release(*agent);
         if (result.response)
@@ -268,6 +287,11 @@
     }
 }
 
+Duration CallRouter::remainingBlock(const ContentId& content) const
+{
+    return crashGuard_.blockedUntil(content).value_or(now() + retryAfter) - now();
+}
+
 asio::awaitable<CallRouter::AttemptResult> CallRouter::callAgent(std::string agent, Call call, Instant deadline)
 {
     AttemptResult result;
@@ -283,6 +307,8 @@
         const std::string payload
             = co_await peer->call(MessageType::Call, wire::encode(call.request), deadline, call.cancellation);
         recordAnswer(wire::decode<wire::CallAnswer>(payload), result);
+        if (result.response)
+            crashGuard_.onAnswered({ call.request.requestId, contentOf(call.request), agent, {}, now() });
     } catch (const Error& error) {
         result.detail = error.what();
         result.failure = error.code() == ErrorCode::PeerUnavailable ? AttemptFailure::NotSent : AttemptFailure::Unknown;
--- a/src/io/entry/CallRouter.h
+++ b/src/io/entry/CallRouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "io/CrashGuard.h"
 #include "io/HttpServer.h"
 #include "io/entry/AgentDirectory.h"
 
@@ -26,7 +27,7 @@
     /// status 503.
     static constexpr Duration retryAfter = std::chrono::milliseconds(500);
 
-    CallRouter(AgentDirectory&, std::string entryName, int64_t incarnation, std::string failureDomain);
+    CallRouter(AgentDirectory&, CrashGuard&, std::string entryName, int64_t incarnation, std::string failureDomain);
 
     /// Runs a caller's call on a pool and sends the answer. Target is the path and query for the backend server.
     asio::awaitable<void> route(HttpExchange&, std::string pool, std::string target);
@@ -49,8 +50,11 @@
     /// Fills the result from an agent's answer.
     static void recordAnswer(wire::CallAnswer, AttemptResult&);
     std::string nextRequestId();
+    /// Time until the end of the content's block.
+    Duration remainingBlock(const ContentId&) const;
 
     AgentDirectory& agents_;
+    CrashGuard& crashGuard_;
     std::string entryName_;
     std::string failureDomain_;
     int64_t incarnation_;
--- a/src/io/entry/EntryNode.cpp
+++ b/src/io/entry/EntryNode.cpp
@@ -118,7 +118,7 @@
     if (self == inForce->entries.end())
         return;
     if (!calls_) {
-        calls_ = std::make_unique<CallRouter>(agents_, name(), incarnation(), self->second.failureDomain);
+        calls_ = std::make_unique<CallRouter>(agents_, crashGuard(), name(), incarnation(), self->second.failureDomain);
         weightRollout_ = std::make_unique<WeightRollout>(context(), agents_);
         server_ = std::make_unique<HttpServer>(*this);
         server_->start(context(), self->second.http);
--- a/src/io/hosted/CrashStore.h
+++ b/src/io/hosted/CrashStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "io/CrashGuard.h"
 #include "io/Signal.h"
-#include "io/hosted/CrashGuard.h"
 #include "io/hosted/MetadataStore.h"
 
 #include <endiveroad/CrashRegister.h>
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "io/CrashGuard.h"
 #include "io/HttpClient.h"
 #include "io/HttpServer.h"
 #include "io/PeerAcceptor.h"
 #include "io/PeerConnection.h"
 #include "io/PeerMesh.h"
-#include "io/hosted/CrashGuard.h"
 #include "io/hosted/CrashStore.h"
 #include "io/hosted/DirectorySync.h"
 #include "io/hosted/Protocol.h"
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "io/Clock.h"
+#include "io/CrashGuard.h"
 #include "io/PeerConnection.h"
-#include "io/hosted/CrashGuard.h"
 #include "io/hosted/ItemScorer.h"
 #include "io/hosted/OwnedJob.h"
 #include "io/hosted/WeightLoads.h"
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "io/CrashGuard.h"
 #include "io/PeerConnection.h"
-#include "io/hosted/CrashGuard.h"
 #include "io/hosted/Protocol.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/tests/io/CrashGuardTest.cpp
+++ b/tests/io/CrashGuardTest.cpp
@@ -1,4 +1,4 @@
-#include "io/hosted/CrashGuard.h"
+#include "io/CrashGuard.h"
 
 #include "Loop.h"
 #include "UnreliableStore.h"
--- a/tests/process/fault_steps.py
+++ b/tests/process/fault_steps.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -187,6 +188,56 @@
     assert entry.handle.wait(timeout=20) == 0
 
 
+class Revivers:
+    """Servers of a pool that end when they run a body with POISON and start again after a second."""
+
+    POISON = "crashes-servers"
+
+    def __init__(self, case, pool):
+        self.processes = [case.deployment.processes["server-" + replica] for replica in case.deployment.pools[pool]["replicas"]]
+        self.ends = []
+        self.is_stopped = False
+        for process in self.processes:
+            process.command += ["--poison", self.POISON]
+            process.restart()
+        self.threads = [threading.Thread(target=self.revive, args=(process,)) for process in self.processes]
+        for thread in self.threads:
+            thread.start()
+
+    def revive(self, process):
+        while not self.is_stopped:
+            time.sleep(0.02)
+            if not self.is_stopped and not process.is_running():
+                self.ends.append(time.monotonic())
+                time.sleep(1.0)
+                process.start()
+
+    def stop(self):
+        self.is_stopped = True
+        for thread in self.threads:
+            thread.join()
+
+
+def repeats_of_a_crashing_call_pile_up(case):
+    """The same bound as on a shared platform: three retries later than 3 s after the third end of a server."""
+    servers = Revivers(case, "closure-api")
+    time.sleep(2)
+    end = time.monotonic() + 14
+    number = 0
+    while time.monotonic() < end:
+        number += 1
+        try:
+            call("GET", case.entries[number % len(case.entries)], "/v1/services/closure-api/board", {"text": Revivers.POISON})
+        except (OSError, ValueError):
+            pass
+        time.sleep(0.15)
+    servers.stop()
+    ends = sorted(servers.ends)
+    late = [moment for moment in ends if len(ends) > 2 and moment > ends[2] + 3]
+    print("servers ended: %d, late retries: %d" % (len(ends), len(late)))
+    assert len(ends) >= 3 and len(late) <= 3, "%d retries, %d servers ended in all" % (len(late), len(ends))
+
+
 def settings_stay_in_force_without_the_store(case):
     """A limit on bodies is changed, then the store goes away; its effect must be seen at every entry, also at one that
     is started again during the outage."""
@@ -209,7 +260,8 @@
     paused_coordinator_wakes_and_still_believes, engine_restarts_while_connections_fall_silent,
     half_done_load_while_a_trainer_restores, hung_load_does_not_hold_the_steps,
     hung_load_does_not_hold_the_rollout,
-    leaving_agent_cuts_nothing_and_gets_nothing, leaving_entry_cuts_nothing, settings_stay_in_force_without_the_store)}
+    leaving_agent_cuts_nothing_and_gets_nothing, leaving_entry_cuts_nothing, settings_stay_in_force_without_the_store,
+    repeats_of_a_crashing_call_pile_up)}
 
 
 def main():
