Relay of the soak: a connection that lost bytes stays cut

Trace: while the relay before coordinator-0 lost its answers, agents and entry-1 connected to it anew; its Hello was lost, heartbeats after it passed. The agents did not know the coordinator by name for the rest of the run and sent it no reports. A TCP connection cannot lose bytes and go on; the relay did. Now nothing follows on a connection that lost any, so that its silence is noticed. Stricter than before: mode one_way now outlasts its time on open connections.

--- a/standins/hosted_relay.py
+++ b/standins/hosted_relay.py
@@ -3,7 +3,7 @@
 
 
 class Relay:
-    """Stands before one server. Modes: "open", "delay", "reset", "one_way" (answers are lost) and "silent" (nothing more
+    """Stands before one server. Modes: "open", "delay", "reset", "one_way" (answers are lost, and nothing follows on a connection that lost any) and "silent" (nothing more
     passes on the connections that are open; new ones work)."""
 
     DELAY_S = 0.15
@@ -48,13 +48,15 @@
             upstream.close()
 
     async def _pump(self, reader, writer, number, is_answer):
+        has_lost_bytes = False
         while True:
             data = await reader.read(65536)
             if not data:
                 break
             if self.mode == "delay":
                 await asyncio.sleep(self.DELAY_S)
-            if number < self.silenced_below or (self.mode == "one_way" and is_answer):
+            has_lost_bytes = has_lost_bytes or (self.mode == "one_way" and is_answer)
+            if number < self.silenced_below or has_lost_bytes:
                 continue
             writer.write(data)
             await writer.drain()
