Pass on a failure that comes in place of a stream

Callers saw: on a streaming route, a server's 500 became 502 outcome_unknown without its stamp. StreamProxy::serve is split: attempt() handles one server's answer, throwFailure() the end without one.

hosted.a_failure_in_place_of_a_stream_passes_unchanged failed before (502) and passes.

--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -194,13 +194,47 @@
     progress.notBefore = crashGuard_.nextAttemptAt(progress.content);
 }
 
+asio::awaitable<StreamProxy::AttemptEnd> StreamProxy::attempt(HttpExchange& exchange, const RouteDeclaration& route,
+    ServerStreamPtr serverStream, Progress& progress, Instant deadline, PeerCancellationPtr cancellation)
+{
+    progress.tried.insert(serverStream->attempt.server);
+    crashGuard_.onStart(serverStream->attempt);
+    const bool hasHead = co_await awaitHead(serverStream, deadline, cancellation);
+    if (!hasHead)
+        co_await inspectBroken(serverStream, progress);
+    crashGuard_.onEnd(serverStream->attempt);
+    const bool isRefused = hasHead && protocol_.decode(*serverStream->head).verdict != ReplicaVerdict::Ran;
+    if (isRefused)
+        crashGuard_.onRefused(serverStream->attempt);
+    else if (serverStream->wasSent)
+        ++progress.runs;
+    progress.mayResume = route.isResumable && progress.runs < route.maxAttempts;
+    const bool isStream = hasHead && !isRefused && serverStream->head->status == statusOk;
+    if (hasHead && !isRefused && !isStream && !progress.hasStarted) {
+        co_await answerUnstreamed(exchange, serverStream, deadline);
+        co_return AttemptEnd::Answered;
+    }
+    if (isStream) {
+        co_await forward(exchange, serverStream, progress, deadline, cancellation);
+        co_await inspectBroken(serverStream, progress);
+    }
+    serverStream->cancellation.cancel();
+    if (progress.isDone) {
+        co_await exchange.endStream();
+        co_return AttemptEnd::Answered;
+    }
+    progress.failure = isRefused ? "the server refused" : serverStream->failure;
+    const bool mayRetry = isRefused || !serverStream->wasSent || route.isResumable;
+    co_return mayRetry ? AttemptEnd::MayRetry : AttemptEnd::Final;
+}
+
 asio::awaitable<void> StreamProxy::serve(HttpExchange& exchange, RouteDeclaration route, ReplicaRequest request,
     Instant deadline, PeerCancellationPtr cancellation)
 {
     Progress progress;
     progress.content = ContentId::of(request.method, route.host, request.target, request.body);
-    while (!progress.isDone && now() < deadline && !cancellation->isCancelled()
-        && progress.runs < std::max(route.maxAttempts, 1) && !crashGuard_.blockedUntil(progress.content)) {
+    while (now() < deadline && !cancellation->isCancelled() && progress.runs < std::max(route.maxAttempts, 1)
+        && !crashGuard_.blockedUntil(progress.content)) {
         if (now() < progress.notBefore) {
             co_await sleepFor(progress.notBefore - now());
             continue;
@@ -213,39 +247,23 @@
             co_await sleepFor(ServiceCaller::refusedPause);
             continue;
         }
-        progress.tried.insert(serverStream->attempt.server);
-        crashGuard_.onStart(serverStream->attempt);
-        const bool hasHead = co_await awaitHead(serverStream, deadline, cancellation);
-        if (!hasHead)
-            co_await inspectBroken(serverStream, progress);
-        crashGuard_.onEnd(serverStream->attempt);
-        const bool isRefused = hasHead && protocol_.decode(*serverStream->head).verdict != ReplicaVerdict::Ran;
-        if (!isRefused && serverStream->wasSent)
-            ++progress.runs;
-        progress.mayResume = route.isResumable && progress.runs < route.maxAttempts;
-        if (hasHead && !isRefused && serverStream->head->status == statusOk)
-            co_await forward(exchange, serverStream, progress, deadline, cancellation);
-        if (hasHead)
-            co_await inspectBroken(serverStream, progress);
-        else if (hasHead && !isRefused && !progress.hasStarted)
-            co_return co_await answerUnstreamed(exchange, serverStream, deadline);
-        serverStream->cancellation.cancel();
-        if (progress.isDone)
-            break;
-        progress.failure = isRefused ? "the server refused" : serverStream->failure;
+        const AttemptEnd end = co_await attempt(exchange, route, serverStream, progress, deadline, cancellation);
+        if (end == AttemptEnd::Answered)
+            co_return;
         log(Event::CallAttemptFailed,
             { { "request", request.id }, { "server", serverStream->attempt.server },
                 { "content", progress.content.text() }, { "reason", progress.failure },
                 { "lastEvent", progress.lastEventId ? std::to_string(*progress.lastEventId) : "" } });
-        const bool mayRetry = isRefused || !serverStream->wasSent || route.isResumable;
-        if (!mayRetry)
+        if (end == AttemptEnd::Final)
             break;
     }
-    if (progress.isDone)
-        co_return co_await exchange.endStream();
     // The missing last chunk tells the caller that the answer is truncated.
-    if (progress.hasStarted)
-        co_return;
+    if (!progress.hasStarted)
+        throwFailure(progress, deadline);
+}
+
+void StreamProxy::throwFailure(const Progress& progress, Instant deadline) const
+{
     const auto blockedUntil = crashGuard_.blockedUntil(progress.content);
     if (progress.runs == 0 && blockedUntil)
         throw ContentBlockedError(progress.content, *blockedUntil);
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -32,7 +32,14 @@
     using ServerStreamPtr = std::shared_ptr<ServerStream>;
     /// State of an exchange across the servers that were tried.
     struct Progress;
-
+    /// Answered: the caller has its whole answer. Final: no other server may be tried.
+    enum class AttemptEnd { Answered, MayRetry, Final };
+
+    /// Waits for a server's answer and passes it on as far as it comes.
+    asio::awaitable<AttemptEnd> attempt(
+        HttpExchange&, const RouteDeclaration&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
+    /// Throws the error for a caller to which nothing has been sent.
+    [[noreturn]] void throwFailure(const Progress&, Instant deadline) const;
     /// Sends the request to a server that has not been tried and starts to read its stream; null if there is none.
     ServerStreamPtr openStream(const RouteDeclaration&, const ReplicaRequest&, const Progress&, Instant deadline);
     asio::awaitable<void> readStream(ServerStreamPtr, HttpRequest, Instant deadline);
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -266,6 +266,16 @@
         assert response.headers["Endiveroad-Upstream-Stamp"] == stamp(item)
 
 
+def a_failure_in_place_of_a_stream_passes_unchanged(deployment):
+    for engine in deployment.platform.engines:
+        engine.always_fails = {"stream-fails"}
+    status, body, headers = deployment.call(deployment.entries[0], "stream-fails", "/stream/x", b"prompt")
+    assert (status, body) == (500, b""), (status, body)
+    assert headers["Endiveroad-Request-Id"] == "stream-fails", headers
+    ran = [item for engine in deployment.platform.engines for item, _, _ in engine.ran]
+    assert ran == ["stream-fails"], ran
+
+
 def settings_change_without_a_signal(deployment):
     entry = deployment.entries[0]
     entry.settings["Bounds.GraceS"] = 9
@@ -337,7 +347,8 @@
     history_is_lost_and_strangers_register, one_machine_is_turned_away_by_the_store,
     a_replica_that_starts_again_leaves_its_old_registration, requests_that_may_not_be_repeated,
     entries_leave_without_cutting_a_request, failures_are_explained_by_the_logs,
-    streams_pass_as_they_come_and_resume, settings_change_without_a_signal)}
+    streams_pass_as_they_come_and_resume,
+    a_failure_in_place_of_a_stream_passes_unchanged, settings_change_without_a_signal)}
 
 
 def main():
