Let a job's lock outlive its BatchOwner

Cause: coroutines that still wait for the store are destroyed with the event loop, after the coordinator; JobLock's destructor then changed the members of the BatchOwner that was gone.

hosted.coordinators_stop_while_reads_wait_for_the_store, with the address sanitizer: before, heap-use-after-free in ~JobLock from locate, in two coordinators of three; after, two runs clean. Without the sanitizer the old build passed 3 of 3. The lock now holds a weak pointer to what it changes.

--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -78,7 +78,7 @@
     , resultLifetime_(resultLifetime)
     , lister_(
           context, store_, jobs_, [this](const OwnedJobPtr& owned) { dropJob(owned, "the owner record has changed"); })
-    , unlocked_(context)
+    , lockedJobs_(std::make_shared<LockedJobs>(context))
 {
 }
 
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -84,25 +84,40 @@
     void wake() { lister_.wake(); }
 
 private:
-    /// Locks a job while one coroutine accepts it, looks it up or takes it over, so that no other one does so.
+    /// Jobs that are locked, and notification of each unlocking.
+    struct LockedJobs {
+        explicit LockedJobs(asio::io_context& context)
+            : unlocked(context)
+        {
+        }
+
+        std::set<std::string> ids;
+        Signal unlocked;
+    };
+
+    /// Locks a job while one coroutine accepts it, looks it up or takes it over, so that no other one does so. At the
+    /// end of the process a coroutine, and so its lock, may outlive the BatchOwner.
     class JobLock {
     public:
-        JobLock(BatchOwner& owner, std::string job)
-            : owner_(owner)
+        JobLock(const BatchOwner& owner, std::string job)
+            : lockedJobs_(owner.lockedJobs_)
             , job_(std::move(job))
         {
-            owner_.lockedJobs_.insert(job_);
+            owner.lockedJobs_->ids.insert(job_);
         }
         JobLock(const JobLock&) = delete;
         JobLock& operator=(const JobLock&) = delete;
         ~JobLock()
         {
-            owner_.lockedJobs_.erase(job_);
-            owner_.unlocked_.notifyAll();
+            const auto lockedJobs = lockedJobs_.lock();
+            if (!lockedJobs)
+                return;
+            lockedJobs->ids.erase(job_);
+            lockedJobs->unlocked.notifyAll();
         }
 
     private:
-        BatchOwner& owner_;
+        std::weak_ptr<LockedJobs> lockedJobs_;
         std::string job_;
     };
 
@@ -160,8 +175,7 @@
     JobTable jobs_;
     ResultLister lister_;
     std::map<std::string, EndedJob> endedJobs_;
-    std::set<std::string> lockedJobs_;
-    Signal unlocked_;
+    std::shared_ptr<LockedJobs> lockedJobs_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/hosted/BatchOwnership.cpp
+++ b/src/io/hosted/BatchOwnership.cpp
@@ -21,8 +21,8 @@
 
 asio::awaitable<void> BatchOwner::waitUntilUnlocked(const std::string& job)
 {
-    while (lockedJobs_.contains(job))
-        co_await unlocked_.wait(now() + JobStore::retryPause);
+    while (lockedJobs_->ids.contains(job))
+        co_await lockedJobs_->unlocked.wait(now() + JobStore::retryPause);
 }
 
 asio::awaitable<BatchOwner::Location> BatchOwner::locate(std::string job, std::vector<std::string> unreachable)
@@ -83,7 +83,7 @@
 
 asio::awaitable<OwnedJobPtr> BatchOwner::takeOver(StoredJob stored)
 {
-    if (jobs_.contains(stored.id) || lockedJobs_.contains(stored.id))
+    if (jobs_.contains(stored.id) || lockedJobs_->ids.contains(stored.id))
         co_return nullptr;
     const JobLock lock(*this, stored.id);
     co_return co_await takeOverOnce(stored);
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -246,6 +246,25 @@
     assert deployment.entries[0].handle.wait(timeout=9) == 0
 
 
+def coordinators_stop_while_reads_wait_for_the_store(deployment):
+    """The store does not answer, so reads of unknown jobs are under way when the coordinators' processes end."""
+    deployment.platform.store.mode = "silent"
+
+    def read(number):
+        try:
+            deployment.request(deployment.entries[number % 2], "GET", "/lots/job-waits-%d" % number)
+        except (OSError, http.client.HTTPException):
+            pass
+
+    callers = [threading.Thread(target=read, args=(number,)) for number in range(60)]
+    for thread in callers:
+        thread.start()
+        time.sleep(0.005)
+    deployment.terminate_all()
+    for thread in callers:
+        thread.join()
+
+
 def streams_pass_as_they_come_and_resume(deployment):
     deployment.platform.engines[0].cut_after = 5
     deployment.platform.engines[1].cut_after = 7
@@ -347,7 +366,7 @@
     history_is_lost_and_strangers_register, one_machine_is_turned_away_by_the_store,
     a_replica_that_starts_again_leaves_its_old_registration, requests_that_may_not_be_repeated,
     entries_leave_without_cutting_a_request, failures_are_explained_by_the_logs,
-    streams_pass_as_they_come_and_resume,
+    coordinators_stop_while_reads_wait_for_the_store, streams_pass_as_they_come_and_resume,
     a_failure_in_place_of_a_stream_passes_unchanged, settings_change_without_a_signal)}
 
 
