--- a/src/core/timeline/RequestDiagnosis.cpp
+++ b/src/core/timeline/RequestDiagnosis.cpp
@@ -55,6 +55,9 @@
     case ErrorCode::StoreUnavailable:
         diagnosis.responsibleParty = ResponsibleParty::Store;
         break;
+    case ErrorCode::PoisonRequest:
+        diagnosis.responsibleParty = ResponsibleParty::Replica;
+        break;
     case ErrorCode::NotReady:
         diagnosis.responsibleParty = ResponsibleParty::System;
         break;
--- a/tests/core/RequestDiagnosisTest.cpp
+++ b/tests/core/RequestDiagnosisTest.cpp
@@ -26,6 +26,14 @@
     CHECK(diagnosis.isExplained);
 }
 
+TEST_CASE("a call that is blocked for its content is attributed to the servers that ended under it", "[diagnosis]")
+{
+    const RequestDiagnosis diagnosis
+        = diagnoseRequest({ line(1, Event::CallGivenUp, { { "request", "r" }, { "code", "poison_request" } }) }, "r");
+    CHECK(diagnosis.responsibleParty == ResponsibleParty::Replica);
+    CHECK(diagnosis.isExplained);
+}
+
 TEST_CASE("the diagnosis of an item includes events of its whole job but not of other items", "[diagnosis]")
 {
     const std::vector<TimelineEntry> log { line(1, Event::BatchJobAccepted, { { "job", "j" } }),
