--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -1,4 +1,5 @@
 """A deployment on a stand-in of the shared platform: real processes, each on a loopback address of its own."""
+import argparse
 import asyncio
 import base64
 import http.client
@@ -294,6 +295,27 @@
             subprocess.run(["rm", "-rf", self.dir], check=False)
 
 
+def run_case(description, cases, **sizes):
+    """Runs the case that the command line names on a deployment of its own; its processes have to end well."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--bin", required=True)
+    parser.add_argument("--case", choices=sorted(cases), required=True)
+    parser.add_argument("--keep", action="store_true", help="keep settings and logs of the processes")
+    arguments = parser.parse_args()
+    deployment = HostedDeployment(arguments.bin, **sizes)
+    is_passed = False
+    try:
+        deployment.start()
+        cases[arguments.case](deployment)
+        deployment.terminate_all()
+        assert not deployment.bad_exits(), deployment.bad_exits()
+        is_passed = True
+    finally:
+        deployment.close(keep=arguments.keep or not is_passed)
+        if not is_passed:
+            print("logs: " + deployment.dir, file=sys.stderr)
+
+
 def wait_until(condition, patience_s):
     end = time.monotonic() + patience_s
     while not condition():
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -75,9 +75,8 @@
     if (echoedHeader.empty())
         return true;
     const std::string_view echoed = response.header(echoedHeader);
-    const bool isSuccess = response.status >= 200 && response.status < 300;
     if (echoed.empty())
-        return !isSuccess;
+        return !response.isSuccess();
     return echoed == headerValue(requestHeaders, echoedHeader);
 }
 
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -42,6 +42,8 @@
     HeaderList headers;
     std::string body;
 
+    bool isSuccess() const { return status >= 200 && status < 300; }
+
     /// Value of a header by case-insensitive name; empty if missing.
     std::string_view header(std::string_view name) const;
 };
--- a/src/io/hosted/ItemScorer.cpp
+++ b/src/io/hosted/ItemScorer.cpp
@@ -10,15 +10,6 @@
 
 namespace endiveroad::io {
 
-namespace {
-
-bool isSuccess(int status)
-{
-    return status >= 200 && status < 300;
-}
-
-} // namespace
-
 ItemScorer::ItemScorer(
     asio::io_context& context, ServiceCaller& services, ServiceCaller::DirectorySource directory, OnFinished onFinished)
     : context_(context)
@@ -69,7 +60,7 @@
     const ServiceResult result
         = co_await serviceCaller_.call(route, std::move(request), startedAt + route.timeout, nullptr);
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt).count();
-    if (result.response && isSuccess(result.response->status)) {
+    if (result.response && result.response->isSuccess()) {
         processMetrics().record(Latency::Scoring, now() - startedAt, now());
         log(Event::ItemScored, { { "item", spec.id }, { "ms", std::to_string(elapsed) } });
         co_return owned->job.onScored(item, result.stamp);
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -16,11 +16,6 @@
 
 constexpr int statusServerError = 500;
 
-bool isSuccess(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 } // namespace
 
 /// State of a call, shared by its concurrent attempts.
@@ -263,7 +258,7 @@
         state.result.reason = fmt::format("{} refused with {}", server.id, response.status);
         return;
     }
-    if (isSuccess(response.status) && answer.stamp.empty())
+    if (response.isSuccess() && answer.stamp.empty())
         throw AnswerBrokenError("the answer has a success status but lacks the server's stamp");
     crashGuard_.onAnswered(state.attemptAt(server, startedAt));
     loads_.onAnswer(server.id, now() - startedAt, now());
--- a/tests/io/CrashGuardTest.cpp
+++ b/tests/io/CrashGuardTest.cpp
@@ -55,6 +55,16 @@
     CrashGuard guard;
 };
 
+/// A node and an address at which something listens for the server that is registered there, started at 5.
+struct ListeningServer {
+    ListeningServer() { node.registerServer(address, 5); }
+
+    asio::io_context context;
+    Node node;
+    asio::ip::tcp::acceptor acceptor = listenOnLoopback(context);
+    Address address = addressOf(acceptor);
+};
+
 ServerAttempt attemptAt(const Address& address, int64_t startedMs, Instant sentAt = now())
 {
     return { "request", content, "server", { address, startedMs }, sentAt };
@@ -93,12 +103,10 @@
 
 TEST_CASE("a lost answer of a server that goes on running is no crash", "[crashes]")
 {
-    asio::io_context context;
-    Node node;
-    const auto acceptor = listenOnLoopback(context);
-    const Address address = addressOf(acceptor);
-    node.registerServer(address, 5);
-    runToEnd(context, [&]() -> asio::awaitable<void> {
+    ListeningServer server;
+    Node& node = server.node;
+    const Address& address = server.address;
+    runToEnd(server.context, [&]() -> asio::awaitable<void> {
         for (int number = 0; number < 5; ++number)
             co_await node.guard.inspect(attemptAt(address, 5));
         node.registerServer(address, 5);
@@ -108,12 +116,10 @@
 
 TEST_CASE("a server that ended behind an address that still accepts is told by its next start", "[crashes]")
 {
-    asio::io_context context;
-    Node node;
-    const auto acceptor = listenOnLoopback(context);
-    const Address address = addressOf(acceptor);
-    node.registerServer(address, 5);
-    runToEnd(context, [&]() -> asio::awaitable<void> {
+    ListeningServer server;
+    Node& node = server.node;
+    const Address& address = server.address;
+    runToEnd(server.context, [&]() -> asio::awaitable<void> {
         co_await node.guard.inspect(attemptAt(address, 5));
         CHECK(node.notices.empty());
         node.registerServer(address, 9);
@@ -150,12 +156,10 @@
 
 TEST_CASE("attempts that found a server gone are not blamed for its end", "[crashes]")
 {
-    asio::io_context context;
-    Node node;
-    const auto acceptor = listenOnLoopback(context);
-    const Address address = addressOf(acceptor);
-    node.registerServer(address, 5);
-    runToEnd(context, [&]() -> asio::awaitable<void> {
+    ListeningServer server;
+    Node& node = server.node;
+    const Address& address = server.address;
+    runToEnd(server.context, [&]() -> asio::awaitable<void> {
         const Instant begin = now();
         co_await node.guard.inspect(attemptAt(address, 5, begin));
         for (int later = 1; later <= 5; ++later)
@@ -168,12 +172,10 @@
 
 TEST_CASE("a server that answers has not ended under the attempts that it broke off before", "[crashes]")
 {
-    asio::io_context context;
-    Node node;
-    const auto acceptor = listenOnLoopback(context);
-    const Address address = addressOf(acceptor);
-    node.registerServer(address, 5);
-    runToEnd(context, [&]() -> asio::awaitable<void> {
+    ListeningServer server;
+    Node& node = server.node;
+    const Address& address = server.address;
+    runToEnd(server.context, [&]() -> asio::awaitable<void> {
         co_await node.guard.inspect(attemptAt(address, 5));
         node.guard.onRefused(attemptAt(address, 5));
         node.registerServer(address, 9);
--- a/tests/process/crashing_requests.py
+++ b/tests/process/crashing_requests.py
@@ -1,6 +1,5 @@
 #!/usr/bin/env python3
 """Requests that crash each server that begins to run them, sent again and again by callers and by the system itself."""
-import argparse
 import collections
 import os
 import sys
@@ -8,7 +7,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts", "lib"))
-from hosted import CALL_PREFIX, HostedDeployment, wait_until  # noqa: E402
+from hosted import CALL_PREFIX, run_case, wait_until  # noqa: E402
 
 # The users' bounds: crashes before a request is known, the time that all processes have to learn of them, and how often
 # servers may get the request after that.
@@ -187,25 +186,5 @@
     repeats_of_a_crashing_scoring_call_pile_up)}
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--bin", required=True)
-    parser.add_argument("--case", choices=sorted(CASES), required=True)
-    parser.add_argument("--keep", action="store_true", help="keep settings and logs of the processes")
-    arguments = parser.parse_args()
-    deployment = HostedDeployment(arguments.bin, engines=4, services=4)
-    is_passed = False
-    try:
-        deployment.start()
-        CASES[arguments.case](deployment)
-        deployment.terminate_all()
-        assert not deployment.bad_exits(), deployment.bad_exits()
-        is_passed = True
-    finally:
-        deployment.close(keep=arguments.keep or not is_passed)
-        if not is_passed:
-            print("logs: " + deployment.dir, file=sys.stderr)
-
-
 if __name__ == "__main__":
-    main()
+    run_case(__doc__, CASES, engines=4, services=4)
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -1,6 +1,5 @@
 #!/usr/bin/env python3
 """The real programs on a stand-in of the shared platform: batch jobs and calls, under failures of either side."""
-import argparse
 import http.client
 import json
 import os
@@ -12,7 +11,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts", "lib"))
-from hosted import CALL_PREFIX, HOST, HostedDeployment, MODELS, route, wait_until  # noqa: E402
+from hosted import CALL_PREFIX, HOST, MODELS, route, run_case, wait_until  # noqa: E402
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "standins"))
 from hosted_servers import stamp, whole_text  # noqa: E402
 
@@ -370,26 +369,5 @@
     a_failure_in_place_of_a_stream_passes_unchanged, settings_change_without_a_signal)}
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--bin", required=True)
-    parser.add_argument("--standin", help="not used; the stand-ins of the platform run in this process")
-    parser.add_argument("--case", choices=sorted(CASES), default="whole_path")
-    parser.add_argument("--keep", action="store_true", help="keep settings and logs of the processes")
-    arguments = parser.parse_args()
-    deployment = HostedDeployment(arguments.bin)
-    is_passed = False
-    try:
-        deployment.start()
-        CASES[arguments.case](deployment)
-        deployment.terminate_all()
-        assert not deployment.bad_exits(), deployment.bad_exits()
-        is_passed = True
-    finally:
-        deployment.close(keep=arguments.keep or not is_passed)
-        if not is_passed:
-            print("logs: " + deployment.dir, file=sys.stderr)
-
-
 if __name__ == "__main__":
-    main()
+    run_case(__doc__, CASES)
