--- a/include/endiveroad/CrashRegister.h
+++ b/include/endiveroad/CrashRegister.h
@@ -111,6 +111,11 @@
         bool isBlockFinal = false;
     };
 
+    struct Answer {
+        ContentId content;
+        Instant expiry;
+    };
+
     /// Length of the block after this number of crashes; zero below blockThreshold.
     static Duration blockAfter(size_t crashes);
 
@@ -129,10 +134,6 @@
     std::map<ContentId, Entry> entries_;
     /// Contents that this process has sent to a server and not heard of yet, by server.
     std::map<std::string, std::multiset<ContentId>> running_;
-    struct Answer {
-        ContentId content;
-        Instant expiry;
-    };
     /// In order of expiry.
     std::list<Answer> answers_;
     std::map<ContentId, std::list<Answer>::iterator> answerPositions_;
--- a/src/io/CrashGuard.h
+++ b/src/io/CrashGuard.h
@@ -25,6 +25,7 @@
     Instant retryAt_;
 };
 
+/// What a process does with news of crashes.
 class CrashListener {
 public:
     virtual ~CrashListener() = default;
--- a/src/io/entry/CallRouter.cpp
+++ b/src/io/entry/CallRouter.cpp
@@ -271,7 +271,10 @@
         const auto agent = agents_.table(pool.name).acquire(now(), demand);
         if (!agent)
             throw CallFailure(attempts.errorWithoutAgent(), detail, retryAfter);
-        crashGuard_.admit(content);
+        if (!crashGuard_.admit(content)) {
+            agents_.table(pool.name).release(*agent);
+            continue;
+        }
         AttemptResult result = co_await callAgent(*agent, call, deadline);
         agents_.table(pool.name).release(*agent);
         if (result.response)
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -99,13 +99,13 @@
 }
 
 std::optional<ServerRecord> ServiceCaller::chooseServer(
-    const RouteDeclaration& route, const std::set<std::string>& tried)
+    const RouteDeclaration& route, const std::set<std::string>& excluded)
 {
     const auto directory = directory_();
     std::vector<std::string> ids;
     for (const ServerRecord* server : directory->readyServers(chooseService(route)))
         ids.push_back(server->id);
-    const auto chosen = loads_.choose(ids, tried, now());
+    const auto chosen = loads_.choose(ids, excluded, now());
     if (!chosen)
         return std::nullopt;
     return directory->servers.at(*chosen);
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -64,8 +64,8 @@
     asio::awaitable<ServiceResult> call(
         RouteDeclaration, ReplicaRequest, Instant deadline, PeerCancellationPtr cancellation);
 
-    /// Chooses a ready server of one of the route's services that has not been tried; nothing if there is none.
-    std::optional<ServerRecord> chooseServer(const RouteDeclaration&, const std::set<std::string>& tried);
+    /// Chooses a ready server of one of the route's services that is not excluded; nothing if there is none.
+    std::optional<ServerRecord> chooseServer(const RouteDeclaration&, const std::set<std::string>& excluded);
 
     /// Removes the load records of servers that are no longer registered.
     void onDirectory(const Directory&);
