--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -47,6 +47,9 @@
 
     def crash(self, request_id):
         """Ends as a killed process does: its listener and connections are gone at once, its registration stays."""
+        if not self.listener:
+            # Another request that it had at the same time has ended it already.
+            return
         self.crashes.append((request_id, time.monotonic()))
         host, port = self.listener.sockets[0].getsockname()
         self.listener.close()
