A server that says in an answer that it leaves gets nothing new

Nothing knew the header: only registrations told of a leaving server, so a process that was cut off from the store went on choosing it. Change: the adapter decodes the header; every path that gets the head of a server's answer (calls, streams, runs of items, scoring calls, state queries, orders, failures and answers that break off included) passes it to LeavingNews. The directory then has that start of the server as draining (core: LeavingServers), peers are told once, and a coordinator that acts for all sends it on. A later start under the id is used at once. A load under way ends when its replica leaves; an order without the expected server can no longer go out.

--- a/include/endiveroad/endiveroad.h
+++ b/include/endiveroad/endiveroad.h
@@ -17,6 +17,7 @@
 #include <endiveroad/HostedSettings.h>
 #include <endiveroad/JobCoordinator.h>
 #include <endiveroad/KeyHomes.h>
+#include <endiveroad/LeavingServers.h>
 #include <endiveroad/OutcomeTable.h>
 #include <endiveroad/ReaderElection.h>
 #include <endiveroad/Rendezvous.h>
--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -316,6 +316,10 @@
             print("logs: " + deployment.dir, file=sys.stderr)
 
 
+def names(prefix, count):
+    return ["%s-%d" % (prefix, number) for number in range(count)]
+
+
 def wait_until(condition, patience_s):
     end = time.monotonic() + patience_s
     while not condition():
--- a/src/io/CrashDetector.h
+++ b/src/io/CrashDetector.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <endiveroad/ContentId.h>
 #include <endiveroad/Directory.h>
+#include <endiveroad/LeavingServers.h>
 #include <functional>
 #include <map>
 #include <memory>
@@ -38,6 +39,8 @@
     Instant sentAt;
 
     auto operator<=>(const ServerAttempt&) const = default;
+
+    ServerIncarnation receiver() const { return { server, start.startedMs }; }
 };
 
 class CrashDetector {
--- a/src/io/Frame.h
+++ b/src/io/Frame.h
@@ -44,6 +44,7 @@
     LoadModel = 58,
     Leaving = 59,
     CrashNotice = 60,
+    ServersLeaving = 61,
 };
 
 /// Header of a frame. On the wire: magic u16, version u8, kind u8, type u16, zero u16, length u32, budgetMs u32,
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -192,14 +192,15 @@
 }
 
 asio::awaitable<HttpResponse> HttpClient::request(
-    Address address, HttpRequest request, Instant deadline, HttpCancellation* cancellation)
+    Address address, HttpRequest request, Instant deadline, HttpCancellation* cancellation, OnHead onHead)
 {
     std::string body;
     auto collect = [&body](std::string_view piece) {
         body.append(piece);
         return true;
     };
-    HttpResponse response = co_await stream(address, std::move(request), deadline, collect, cancellation);
+    HttpResponse response
+        = co_await stream(address, std::move(request), deadline, collect, cancellation, std::move(onHead));
     response.body = std::move(body);
     co_return response;
 }
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -78,13 +78,14 @@
     /// Called for each piece of a streamed body. Returns false to stop reading and close the connection.
     using OnBody = std::function<bool(std::string_view)>;
 
+    /// Called with the status and headers of an answer before the first piece of its body.
+    using OnHead = std::function<void(const HttpResponse&)>;
+
     /// Sends a request and reads the complete answer. Throws ServerUnavailableError if no connection could be opened or
     /// the request was cancelled before it was sent (the server did not run it), OutcomeUnknownError if no complete
     /// answer arrived by the deadline.
-    asio::awaitable<HttpResponse> request(Address, HttpRequest, Instant deadline, HttpCancellation* = nullptr);
-
-    /// Called with the status and headers of a streamed answer before the first piece of its body.
-    using OnHead = std::function<void(const HttpResponse&)>;
+    asio::awaitable<HttpResponse> request(
+        Address, HttpRequest, Instant deadline, HttpCancellation* = nullptr, OnHead = nullptr);
 
     /// Like request(), but passes the body to onBody piece by piece; the returned body is empty.
     asio::awaitable<HttpResponse> stream(
--- a/src/io/hosted/DirectorySync.cpp
+++ b/src/io/hosted/DirectorySync.cpp
@@ -181,6 +181,14 @@
     applyDocuments(documents, false);
 }
 
+bool DirectorySync::addLeaving(const ServerIncarnation& server)
+{
+    const bool isNews = leavingServers_.add(server, now());
+    if (isNews)
+        rebuild();
+    return isNews;
+}
+
 std::string DirectorySync::encodeDocuments() const
 {
     wire::DirectoryUpdate update;
@@ -214,6 +222,7 @@
     std::vector<std::string> unreadable;
     Directory directory = protocol_.decode(documents_, unreadable);
     decodeCoordinators(directory);
+    leavingServers_.apply(directory, now());
     for (const std::string& entry : unreadable) {
         if (std::find(unreadable_.begin(), unreadable_.end(), entry) == unreadable_.end())
             log(Event::DirectoryUnreadable, { { "entry", entry } });
--- a/src/io/hosted/DirectorySync.h
+++ b/src/io/hosted/DirectorySync.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <endiveroad/Directory.h>
 #include <endiveroad/DocumentSet.h>
+#include <endiveroad/LeavingServers.h>
 #include <endiveroad/ReaderElection.h>
 #include <endiveroad_types.h>
 #include <memory>
@@ -67,6 +68,11 @@
     /// Applies an update from a peer.
     void onPeerUpdate(const std::string& peer, const std::string& payload);
 
+    /// A server said that it is leaving; from now on the directory has it as draining. Returns whether this was not
+    /// known.
+    bool addLeaving(const ServerIncarnation&);
+    const LeavingServers& leavingServers() const { return leavingServers_; }
+
     /// Encodes all documents as an update for a peer that has just connected.
     std::string encodeDocuments() const;
 
@@ -94,6 +100,7 @@
     DirectoryListener& listener_;
     ReaderElection election_;
     DocumentSet documents_;
+    LeavingServers leavingServers_;
     std::shared_ptr<const Directory> current_;
     std::vector<std::string> unreadable_;
     /// Revision after which the operator's documents are watched; nothing if they have to be listed first.
--- a/src/io/hosted/EngineController.cpp
+++ b/src/io/hosted/EngineController.cpp
@@ -42,10 +42,11 @@
 } // namespace
 
 EngineController::EngineController(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    MetadataStore& store, Address replica, std::string name, OnChange onChange)
+    ServerAnswerListener& answerListener, MetadataStore& store, Address replica, std::string name, OnChange onChange)
     : context_(context)
     , http_(http)
     , protocol_(protocol)
+    , answerListener_(answerListener)
     , store_(store)
     , replica_(std::move(replica))
     , name_(std::move(name))
@@ -65,11 +66,12 @@
     }
 }
 
-void EngineController::setServer(std::string id)
+void EngineController::setServer(std::optional<ServerIncarnation> server)
 {
-    if (id == server_)
+    ServerIncarnation current = server.value_or(ServerIncarnation());
+    if (current == server_)
         return;
-    server_ = std::move(id);
+    server_ = std::move(current);
     hasServerMismatch_ = false;
     wake_.notifyAll();
     onChange_();
@@ -78,7 +80,7 @@
 void EngineController::onServerMismatch()
 {
     if (!hasServerMismatch_)
-        log(Event::ServerDown, { { "server", server_ }, { "reason", "another server has its address" } });
+        log(Event::ServerDown, { { "server", server_.id }, { "reason", "another server has its address" } });
     hasServerMismatch_ = true;
     onChange_();
 }
@@ -103,13 +105,19 @@
     onChange_();
 }
 
+asio::awaitable<HttpResponse> EngineController::send(HttpRequest request, Instant deadline)
+{
+    request.connectDeadline = now() + queryTimeout / 2;
+    auto onHead = [this, receiver = server_](
+                      const HttpResponse& head) { answerListener_.onAnswer(protocol_.decode(head), receiver); };
+    co_return co_await http_.request(replica_, std::move(request), deadline, nullptr, std::move(onHead));
+}
+
 asio::awaitable<bool> EngineController::query()
 {
     bool isAnswered = false;
     try {
-        HttpRequest request = protocol_.encodeStateQuery();
-        request.connectDeadline = now() + queryTimeout / 2;
-        const HttpResponse response = co_await http_.request(replica_, std::move(request), now() + queryTimeout);
+        const HttpResponse response = co_await send(protocol_.encodeStateQuery(), now() + queryTimeout);
         if (response.status == 200) {
             EngineState state = protocol_.decodeState(response.body);
             isAnswered = true;
@@ -120,12 +128,12 @@
         }
     } catch (const Error& error) {
         if (isUp_)
-            log(Event::ServerDown, { { "server", server_ }, { "reason", error.what() } });
+            log(Event::ServerDown, { { "server", server_.id }, { "reason", error.what() } });
     }
     if (isAnswered != isUp_) {
         isUp_ = isAnswered;
         if (isUp_)
-            log(Event::ServerUp, { { "server", server_ } });
+            log(Event::ServerUp, { { "server", server_.id } });
         onChange_();
     }
     co_return isAnswered;
@@ -133,7 +141,7 @@
 
 void EngineController::load(const std::string& model, int64_t version)
 {
-    if (!loadingModel_.empty() || this->version(model) >= version)
+    if (server_.id.empty() || !loadingModel_.empty() || this->version(model) >= version)
         return;
     loadingModel_ = model;
     onChange_();
@@ -156,10 +164,8 @@
     order.holder = name_;
     order.fencingToken = fencingToken_;
     order.expectedOrders = state_.acceptedOrders;
-    order.server = server_;
-    HttpRequest request = protocol_.encodeOrder(order);
-    request.connectDeadline = now() + queryTimeout / 2;
-    const HttpResponse response = co_await http_.request(replica_, std::move(request), now() + orderTimeout);
+    order.server = server_.id;
+    const HttpResponse response = co_await send(protocol_.encodeOrder(order), now() + orderTimeout);
     co_return protocol_.decodeOrderOutcome(response);
 }
 
@@ -168,19 +174,25 @@
     const Instant deadline = now() + loadTimeout;
     const Instant startedAt = now();
     Instant orderAgainAt = now();
+    const ServerIncarnation receiver = server_;
     std::string reason = "timed out";
     while (now() < deadline && this->version(model) < version) {
+        if (server_ != receiver) {
+            reason = "the replica is leaving or was replaced";
+            break;
+        }
         bool isPauseDue = true;
         try {
             if (fencingToken_ == 0)
                 co_await obtainFencingToken();
             co_await query();
-            const bool mayOrder = this->version(model) < version && !state_.isLoading && now() >= orderAgainAt;
+            const bool mayOrder
+                = this->version(model) < version && !state_.isLoading && now() >= orderAgainAt && server_ == receiver;
             if (mayOrder) {
                 orderAgainAt = now() + orderTimeout;
                 const OrderOutcome outcome = co_await sendOrder(model, version);
                 log(Event::WeightLoadOrdered,
-                    { { "model", model }, { "version", std::to_string(version) }, { "server", server_ },
+                    { { "model", model }, { "version", std::to_string(version) }, { "server", server_.id },
                         { "fence", std::to_string(fencingToken_) },
                         { "expectedOrders", std::to_string(state_.acceptedOrders) },
                         { "outcome", outcomeName(outcome) } });
@@ -194,7 +206,7 @@
             // If an order was sent, the replica may still carry it out. Repeating it is safe: once the replica has
             // accepted one, its count of accepted orders no longer equals expectedOrders and it rejects the other.
             log(Event::WeightLoadFailed,
-                { { "model", model }, { "version", std::to_string(version) }, { "server", server_ },
+                { { "model", model }, { "version", std::to_string(version) }, { "server", server_.id },
                     { "reason", error.what() }, { "final", "no" } });
         }
         if (isPauseDue)
@@ -206,12 +218,12 @@
         processMetrics().record(Latency::WeightLoad, now() - startedAt, now());
     if (isLoaded)
         log(Event::WeightLoadDone,
-            { { "model", model }, { "version", std::to_string(version) }, { "server", server_ },
+            { { "model", model }, { "version", std::to_string(version) }, { "server", server_.id },
                 { "ms", std::to_string(elapsed) } });
     else
         log(Event::WeightLoadFailed,
-            { { "model", model }, { "version", std::to_string(version) }, { "server", server_ }, { "reason", reason },
-                { "final", "yes" } });
+            { { "model", model }, { "version", std::to_string(version) }, { "server", server_.id },
+                { "reason", reason }, { "final", "yes" } });
     if (!isLoaded)
         co_await sleepFor(retryPause);
     loadingModel_.clear();
--- a/src/io/hosted/EngineController.h
+++ b/src/io/hosted/EngineController.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -33,16 +34,17 @@
     /// Called when something that is reported to the coordinators has changed.
     using OnChange = std::function<void()>;
 
-    EngineController(asio::io_context&, HttpClient&, const ReplicaProtocol&, MetadataStore&, Address replica,
-        std::string name, OnChange);
+    EngineController(asio::io_context&, HttpClient&, const ReplicaProtocol&, ServerAnswerListener&, MetadataStore&,
+        Address replica, std::string name, OnChange);
 
     /// Queries the replica's state at intervals; never returns.
     asio::awaitable<void> monitor();
 
-    /// Sets the id under which the replica is registered; empty if it is not registered.
-    void setServer(std::string id);
+    /// Sets the server that is registered as ready at the replica's address; nothing if there is none. A load that is
+    /// under way ends when it changes.
+    void setServer(std::optional<ServerIncarnation>);
     /// Id of the registered server; empty if there is none, or if another server now answers at its address.
-    const std::string& server() const { return hasServerMismatch_ ? noServer_ : server_; }
+    const std::string& server() const { return hasServerMismatch_ ? noServer_ : server_.id; }
 
     /// Called when the replica answers that it is not the registered server.
     void onServerMismatch();
@@ -69,6 +71,8 @@
 
 private:
     asio::awaitable<bool> query();
+    /// Sends a request to the replica and passes the head of its answer on to the listener.
+    asio::awaitable<HttpResponse> send(HttpRequest, Instant deadline);
     asio::awaitable<void> executeLoad(std::string model, int64_t version);
     asio::awaitable<OrderOutcome> sendOrder(const std::string& model, int64_t version);
     asio::awaitable<void> obtainFencingToken();
@@ -76,12 +80,14 @@
     asio::io_context& context_;
     HttpClient& http_;
     const ReplicaProtocol& protocol_;
+    ServerAnswerListener& answerListener_;
     MetadataStore& store_;
     Address replica_;
     std::string name_;
     OnChange onChange_;
     Signal wake_;
-    std::string server_;
+    /// Its id is empty if no server is registered as ready.
+    ServerIncarnation server_;
     /// Always empty; server() returns a reference to it.
     std::string noServer_;
     bool hasServerMismatch_ = false;
--- a/src/io/hosted/HostedAgent.cpp
+++ b/src/io/hosted/HostedAgent.cpp
@@ -27,10 +27,10 @@
 HostedAgent::HostedAgent(std::unique_ptr<Platform> platform, HostedOptions options)
     : HostedNode(std::move(platform), HostedRole::Agent, options)
     , reportDue_(context())
-    , engine_(context(), http(), this->platform().replicaProtocol(), store(), replicaAddress(settings()),
-          settings().name, [this] { reportDue_.notifyAll(); })
-    , runner_(context(), http(), this->platform().replicaProtocol(), engine_, crashGuard(), replicaAddress(settings()),
-          [this] { reportDue_.notifyAll(); })
+    , engine_(context(), http(), this->platform().replicaProtocol(), answerListener(), store(),
+          replicaAddress(settings()), settings().name, [this] { reportDue_.notifyAll(); })
+    , runner_(context(), http(), this->platform().replicaProtocol(), answerListener(), engine_, crashGuard(),
+          replicaAddress(settings()), [this] { reportDue_.notifyAll(); })
 {
 }
 
@@ -50,7 +50,7 @@
 void HostedAgent::onDirectoryChanged(const Directory&, const Directory&)
 {
     const ServerRecord* server = readyServer();
-    engine_.setServer(server ? server->id : std::string());
+    engine_.setServer(server ? std::optional(ServerIncarnation::of(*server)) : std::nullopt);
 }
 
 asio::awaitable<std::string> HostedAgent::onNodeRequest(PeerConnectionPtr connection, PeerMessage message)
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -109,9 +109,10 @@
     , readinessHandler_(std::make_unique<ReadinessHandler>(*this))
     , callerHandler_(std::make_unique<CallerHandler>(*this))
     , serviceCaller_(
-          context(), http(), this->platform().replicaProtocol(), crashGuard(), [this] { return directory(); },
-          randomSeed())
-    , streamProxy_(context(), http(), this->platform().replicaProtocol(), serviceCaller_, crashGuard())
+          context(), http(), this->platform().replicaProtocol(), answerListener(), crashGuard(),
+          [this] { return directory(); }, randomSeed())
+    , streamProxy_(
+          context(), http(), this->platform().replicaProtocol(), answerListener(), serviceCaller_, crashGuard())
     , gateway_(*this)
 {
 }
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -75,6 +75,8 @@
     , store_(platform_->makeStore(relayedStore_))
     , directorySync_(std::make_unique<DirectorySync>(platform_->directoryProtocol(), *store_,
           static_cast<DirectoryListener&>(*this), readerElection(role, settings_)))
+    , leavingNews_(
+          *directorySync_, [this](const std::string& notice) { notifyPeers(MessageType::ServersLeaving, notice); })
     , crashGuard_(
           http_, [this] { return directory(); }, static_cast<CrashListener&>(*this), randomSeed())
     , crashStore_(
@@ -193,6 +195,8 @@
     connection->notify(MessageType::DirectoryUpdate, directorySync_->encodeDocuments());
     if (const auto crashes = crashGuard_.encodeAll())
         connection->notify(MessageType::CrashNotice, *crashes);
+    if (const auto leaving = leavingNews_.encodeAll())
+        connection->notify(MessageType::ServersLeaving, *leaving);
     if (isDraining_)
         connection->notify(MessageType::Leaving, {});
 }
@@ -276,6 +280,9 @@
         case MessageType::CrashNotice:
             crashGuard_.onNotice(*connection, message.payload);
             break;
+        case MessageType::ServersLeaving:
+            onLeavingNotice(connection, message.payload);
+            break;
         case MessageType::Leaving:
             leavingPeers_.insert(connection->peerName);
             onPeerDown(connection->peerName);
@@ -317,6 +324,15 @@
     notifyPeers(MessageType::DirectoryUpdate, update);
 }
 
+void HostedNode::onLeavingNotice(const PeerConnectionPtr& connection, const std::string& payload)
+{
+    const auto news = leavingNews_.onNotice(payload);
+    const auto sender = peers_.find(connection->peerName);
+    const bool isFromCoordinator = sender != peers_.end() && sender->second.role == HostedRole::Coordinator;
+    if (news && !isFromCoordinator && isFirst())
+        notifyPeers(MessageType::ServersLeaving, *news, connection.get());
+}
+
 CrashStore::Part HostedNode::crashStorePart() const
 {
     const size_t ownRegistrations = role_ == HostedRole::Coordinator ? 1 : 0;
@@ -348,6 +364,9 @@
     allGauges.push_back(
         { "endiveroad_blocked_contents", "", "Contents of requests that are refused because servers ended under them.",
             static_cast<double>(crashGuard_.blockedCount()) });
+    allGauges.push_back(
+        { "endiveroad_leaving_servers", "", "Servers that said they are leaving and have not started again since.",
+            static_cast<double>(directorySync_->leavingServers().all().size()) });
     allGauges.push_back(
         { "endiveroad_draining", "", "1 while the process takes no new work.", isDraining_ ? 1.0 : 0.0 });
     HttpResponse response;
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -8,6 +8,7 @@
 #include "io/PeerMesh.h"
 #include "io/hosted/CrashStore.h"
 #include "io/hosted/DirectorySync.h"
+#include "io/hosted/LeavingNews.h"
 #include "io/hosted/Protocol.h"
 #include "io/hosted/StoreTransports.h"
 
@@ -86,6 +87,7 @@
     asio::io_context& context() { return context_; }
     HttpClient& http() { return http_; }
     CrashGuard& crashGuard() { return crashGuard_; }
+    ServerAnswerListener& answerListener() { return leavingNews_; }
     const Platform& platform() const { return *platform_; }
     MetadataStore& store() { return *store_; }
     Instant lastStoreAnswerAt() const { return relayedStore_.lastAnswerAt(); }
@@ -104,6 +106,9 @@
     void publish(const std::string& update) final;
     void publishCrashes(const std::string& notice, const PeerConnection* origin) final;
     void onCrashRecord(const CrashRecord& record) final { crashStore_.onRecord(record.content); }
+    /// Learns of leaving servers from a peer. The coordinator that acts for all sends what entries and agents report on
+    /// to the others.
+    void onLeavingNotice(const PeerConnectionPtr&, const std::string& payload);
     CrashStore::Part crashStorePart() const;
     asio::awaitable<void> onHttp(HttpExchange&) final;
 
@@ -136,6 +141,7 @@
     RelayedStoreTransport relayedStore_;
     std::unique_ptr<MetadataStore> store_;
     std::unique_ptr<DirectorySync> directorySync_;
+    LeavingNews leavingNews_;
     CrashGuard crashGuard_;
     CrashStore crashStore_;
     PeerAcceptor acceptor_;
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -38,6 +38,8 @@
 /// One run of an item.
 struct ItemRunner::Run {
     wire::ItemStart startRequest;
+    /// The replica that runs it.
+    ServerIncarnation receiver;
     /// The attempt at the replica, until it has delivered an event.
     std::optional<ServerAttempt> unproven;
     HttpCancellation cancellation;
@@ -62,10 +64,12 @@
 };
 
 ItemRunner::ItemRunner(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    EngineController& engine, CrashGuard& crashGuard, Address replica, EngineController::OnChange onChange)
+    ServerAnswerListener& answerListener, EngineController& engine, CrashGuard& crashGuard, Address replica,
+    EngineController::OnChange onChange)
     : context_(context)
     , http_(http)
     , protocol_(protocol)
+    , answerListener_(answerListener)
     , engine_(engine)
     , crashGuard_(crashGuard)
     , replica_(std::move(replica))
@@ -166,6 +170,7 @@
     std::string failure;
     try {
         run->unproven = attemptOf(*run);
+        run->receiver = run->unproven->receiver();
         crashGuard_.onStart(*run->unproven);
         HttpRequest request = requestFor(*run);
         auto onHead = [this, run](const HttpResponse& head) { processHead(*run, head); };
@@ -211,6 +216,7 @@
     run.lastActivity = now();
     run.isStreaming = head.status == statusOk;
     const ReplicaAnswer answer = protocol_.decode(head);
+    answerListener_.onAnswer(answer, run.receiver);
     run.version = answer.version.value_or(engine_.version(run.startRequest.model));
     if (run.isStreaming && answer.version && !run.startRequest.model.empty())
         engine_.onVersionSeen(run.startRequest.model, *answer.version);
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -35,8 +35,8 @@
     /// Also the time for which the owner of a job without runs is remembered.
     static constexpr Duration endedJobLifetime = std::chrono::seconds(60);
 
-    ItemRunner(asio::io_context&, HttpClient&, const ReplicaProtocol&, EngineController&, CrashGuard&, Address replica,
-        EngineController::OnChange);
+    ItemRunner(asio::io_context&, HttpClient&, const ReplicaProtocol&, ServerAnswerListener&, EngineController&,
+        CrashGuard&, Address replica, EngineController::OnChange);
 
     /// Sends progress notices and cancels stalled runs; never returns.
     asio::awaitable<void> report();
@@ -90,6 +90,7 @@
     asio::io_context& context_;
     HttpClient& http_;
     const ReplicaProtocol& protocol_;
+    ServerAnswerListener& answerListener_;
     EngineController& engine_;
     CrashGuard& crashGuard_;
     Address replica_;
--- a/src/io/hosted/Protocol.h
+++ b/src/io/hosted/Protocol.h
@@ -8,6 +8,7 @@
 #include <endiveroad/Directory.h>
 #include <endiveroad/DocumentSet.h>
 #include <endiveroad/HostedSettings.h>
+#include <endiveroad/LeavingServers.h>
 #include <map>
 #include <memory>
 #include <optional>
@@ -89,6 +90,22 @@
         int32_t waiting = 0;
     };
     std::optional<Load> load;
+    /// The server that answered is leaving and must get no new requests.
+    bool isLeaving = false;
+    /// What the answer says of that in place of the value that means it; empty if it says nothing else.
+    std::string unknownLeavingValue;
+    /// Id of the server that answered; empty if the answer does not state it.
+    std::string server;
+};
+
+/// Told of the answers of backend servers as soon as their heads have arrived, whether or not the rest follows.
+class ServerAnswerListener {
+public:
+    virtual ~ServerAnswerListener() = default;
+
+    /// `receiver` is the server that the request was sent to. An answer with the verdict ServerMismatch comes from
+    /// another one.
+    virtual void onAnswer(const ReplicaAnswer&, const ServerIncarnation& receiver) = 0;
 };
 
 /// State that an engine replica reports.
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -63,10 +63,11 @@
 };
 
 ServiceCaller::ServiceCaller(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    CrashGuard& crashGuard, DirectorySource directory, uint64_t seed)
+    ServerAnswerListener& answerListener, CrashGuard& crashGuard, DirectorySource directory, uint64_t seed)
     : context_(context)
     , http_(http)
     , protocol_(protocol)
+    , answerListener_(answerListener)
     , crashGuard_(crashGuard)
     , directory_(std::move(directory))
     , loads_(seed)
@@ -196,9 +197,11 @@
     request.connectDeadline = startedAt + connectTimeout;
     std::string failure;
     bool isSent = true;
+    auto onHead = [this, receiver = ServerIncarnation::of(server)](
+                      const HttpResponse& head) { answerListener_.onAnswer(protocol_.decode(head), receiver); };
     try {
         HttpResponse response
-            = co_await http_.request(server.address, std::move(request), state->deadline, cancellation);
+            = co_await http_.request(server.address, std::move(request), state->deadline, cancellation, onHead);
         finishAttempt(*state, server, std::move(response), startedAt);
     } catch (const ServerUnavailableError& error) {
         failure = error.what();
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -58,7 +58,8 @@
 
     using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
 
-    ServiceCaller(asio::io_context&, HttpClient&, const ReplicaProtocol&, CrashGuard&, DirectorySource, uint64_t seed);
+    ServiceCaller(asio::io_context&, HttpClient&, const ReplicaProtocol&, ServerAnswerListener&, CrashGuard&,
+        DirectorySource, uint64_t seed);
 
     /// Sets the request's server and timeout for each attempt.
     asio::awaitable<ServiceResult> call(
@@ -87,6 +88,7 @@
     asio::io_context& context_;
     HttpClient& http_;
     const ReplicaProtocol& protocol_;
+    ServerAnswerListener& answerListener_;
     CrashGuard& crashGuard_;
     DirectorySource directory_;
     ServerLoads loads_;
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -73,10 +73,11 @@
 };
 
 StreamProxy::StreamProxy(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    ServiceCaller& services, CrashGuard& crashGuard)
+    ServerAnswerListener& answerListener, ServiceCaller& services, CrashGuard& crashGuard)
     : context_(context)
     , http_(http)
     , protocol_(protocol)
+    , answerListener_(answerListener)
     , serviceCaller_(services)
     , crashGuard_(crashGuard)
 {
@@ -106,7 +107,8 @@
 
 asio::awaitable<void> StreamProxy::readStream(ServerStreamPtr serverStream, HttpRequest request, Instant deadline)
 {
-    auto onHead = [serverStream](const HttpResponse& head) {
+    auto onHead = [this, serverStream](const HttpResponse& head) {
+        answerListener_.onAnswer(protocol_.decode(head), serverStream->attempt.receiver());
         serverStream->head = head;
         serverStream->lastByteAt = now();
         serverStream->changed.notifyAll();
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -18,7 +18,8 @@
     /// resumable and has attempts left.
     static constexpr Duration stallLimit = std::chrono::milliseconds(1500);
 
-    StreamProxy(asio::io_context&, HttpClient&, const ReplicaProtocol&, ServiceCaller&, CrashGuard&);
+    StreamProxy(
+        asio::io_context&, HttpClient&, const ReplicaProtocol&, ServerAnswerListener&, ServiceCaller&, CrashGuard&);
 
     /// Answers the exchange. Only complete events are forwarded. If a server's stream breaks, another server resumes it
     /// within the same answer if the route allows that; otherwise the answer ends without its last chunk, so that the
@@ -55,6 +56,7 @@
     asio::io_context& context_;
     HttpClient& http_;
     const ReplicaProtocol& protocol_;
+    ServerAnswerListener& answerListener_;
     ServiceCaller& serviceCaller_;
     CrashGuard& crashGuard_;
 };
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -351,3 +351,7 @@
   5: i64 blockedForMs
 }
 struct CrashNotice { 1: list<CrashRecord> records }
+
+/** A server that said in an answer that it is leaving, and which of its starts said so (ServerRecord::startedMs). */
+struct LeavingServer { 1: string id  2: i64 startedMs }
+struct LeavingNotice { 1: list<LeavingServer> servers }
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -7114,4 +7114,228 @@
   out << ")";
 }
 
+
+LeavingServer::~LeavingServer() noexcept {
+}
+
+
+void LeavingServer::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void LeavingServer::__set_startedMs(const int64_t val) {
+  this->startedMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeavingServer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeavingServer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedMs);
+          this->__isset.startedMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeavingServer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeavingServer");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startedMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeavingServer &a, LeavingServer &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.startedMs, b.startedMs);
+  swap(a.__isset, b.__isset);
+}
+
+LeavingServer::LeavingServer(const LeavingServer& other183) {
+  id = other183.id;
+  startedMs = other183.startedMs;
+  __isset = other183.__isset;
+}
+LeavingServer& LeavingServer::operator=(const LeavingServer& other184) {
+  id = other184.id;
+  startedMs = other184.startedMs;
+  __isset = other184.__isset;
+  return *this;
+}
+void LeavingServer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeavingServer(";
+  out << "id=" << to_string(id);
+  out << ", " << "startedMs=" << to_string(startedMs);
+  out << ")";
+}
+
+
+LeavingNotice::~LeavingNotice() noexcept {
+}
+
+
+void LeavingNotice::__set_servers(const std::vector<LeavingServer> & val) {
+  this->servers = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeavingNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeavingNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size185;
+            ::apache::thrift::protocol::TType _etype188;
+            xfer += iprot->readListBegin(_etype188, _size185);
+            this->servers.resize(_size185);
+            uint32_t _i189;
+            for (_i189 = 0; _i189 < _size185; ++_i189)
+            {
+              xfer += this->servers[_i189].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeavingNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeavingNotice");
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<LeavingServer> ::const_iterator _iter190;
+    for (_iter190 = this->servers.begin(); _iter190 != this->servers.end(); ++_iter190)
+    {
+      xfer += (*_iter190).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeavingNotice &a, LeavingNotice &b) {
+  using ::std::swap;
+  swap(a.servers, b.servers);
+  swap(a.__isset, b.__isset);
+}
+
+LeavingNotice::LeavingNotice(const LeavingNotice& other191) {
+  servers = other191.servers;
+  __isset = other191.__isset;
+}
+LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other192) {
+  servers = other192.servers;
+  __isset = other192.__isset;
+  return *this;
+}
+void LeavingNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeavingNotice(";
+  out << "servers=" << to_string(servers);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -150,6 +150,10 @@
 
 class CrashNotice;
 
+class LeavingServer;
+
+class LeavingNotice;
+
 typedef struct _Hello__isset {
   _Hello__isset() : node(false), role(false), incarnation(false), settingsRevision(false), organisation(false) {}
   bool node :1;
@@ -3181,6 +3185,101 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashNotice& obj);
 
+typedef struct _LeavingServer__isset {
+  _LeavingServer__isset() : id(false), startedMs(false) {}
+  bool id :1;
+  bool startedMs :1;
+} _LeavingServer__isset;
+
+/**
+ * A server that said in an answer that it is leaving, and which of its starts said so (ServerRecord::startedMs).
+ */
+class LeavingServer : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeavingServer(const LeavingServer&);
+  LeavingServer& operator=(const LeavingServer&);
+  LeavingServer() noexcept
+                : id(),
+                  startedMs(0) {
+  }
+
+  virtual ~LeavingServer() noexcept;
+  std::string id;
+  int64_t startedMs;
+
+  _LeavingServer__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_startedMs(const int64_t val);
+
+  bool operator == (const LeavingServer & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(startedMs == rhs.startedMs))
+      return false;
+    return true;
+  }
+  bool operator != (const LeavingServer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeavingServer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeavingServer &a, LeavingServer &b);
+
+std::ostream& operator<<(std::ostream& out, const LeavingServer& obj);
+
+typedef struct _LeavingNotice__isset {
+  _LeavingNotice__isset() : servers(false) {}
+  bool servers :1;
+} _LeavingNotice__isset;
+
+class LeavingNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeavingNotice(const LeavingNotice&);
+  LeavingNotice& operator=(const LeavingNotice&);
+  LeavingNotice() noexcept {
+  }
+
+  virtual ~LeavingNotice() noexcept;
+  std::vector<LeavingServer>  servers;
+
+  _LeavingNotice__isset __isset;
+
+  void __set_servers(const std::vector<LeavingServer> & val);
+
+  bool operator == (const LeavingNotice & rhs) const
+  {
+    if (!(servers == rhs.servers))
+      return false;
+    return true;
+  }
+  bool operator != (const LeavingNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeavingNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeavingNotice &a, LeavingNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const LeavingNotice& obj);
+
 }} // namespace
 
 #endif
--- a/standins/hosted_http.py
+++ b/standins/hosted_http.py
@@ -27,18 +27,20 @@
         self.reader = reader
         self.writer = writer
         self.is_open = True
+        # Headers of every answer on this connection.
+        self.common_headers = {}
 
     async def answer(self, status, body=b"", headers=None):
         if not isinstance(body, bytes):
             body = json.dumps(body).encode()
         lines = ["HTTP/1.1 %d X" % status, "Content-Length: %d" % len(body)]
-        lines += ["%s: %s" % pair for pair in (headers or {}).items()]
+        lines += ["%s: %s" % pair for pair in {**(headers or {}), **self.common_headers}.items()]
         self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         await self.writer.drain()
 
     async def begin_stream(self, headers):
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
-        lines += ["%s: %s" % pair for pair in headers.items()]
+        lines += ["%s: %s" % pair for pair in {**headers, **self.common_headers}.items()]
         self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         await self.writer.drain()
 
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -22,6 +22,8 @@
         self.born = int(time.time() * 1000)
         self.beats = 0
         self.is_draining = False
+        # Says in every answer that it is leaving, while its registration stays as it is.
+        self.is_leaving = False
         # (request id, target, body) of each request that ran, in order.
         self.ran = []
         # The same with the time at which each began.
@@ -42,9 +44,19 @@
 
     async def start(self, host, port=0):
         """Listens at the host and returns the port."""
-        self.listener = await serve(host, port, self.handle, self.writers)
+        self.listener = await serve(host, port, self.answer, self.writers)
         return self.listener.sockets[0].getsockname()[1]
 
+    async def answer(self, request, connection):
+        connection.common_headers = {"Server-Leaving": "1"} if self.is_leaving else {}
+        await self.handle(request, connection)
+
+    def be_reborn(self, server_id):
+        """Starts again at its address, under an id that may be the one it had; the registration tells the start."""
+        self.is_leaving = False
+        self.born = int(time.time() * 1000)
+        self.id = server_id
+
     def crash(self, request_id):
         """Ends as a killed process does: its listener and connections are gone at once, its registration stays."""
         if not self.listener:
--- a/tests/io/HttpClientTest.cpp
+++ b/tests/io/HttpClientTest.cpp
@@ -163,3 +163,24 @@
         CHECK(server.connections == 0);
     });
 }
+
+TEST_CASE("the head of an answer that breaks off is passed on", "[http]")
+{
+    asio::io_context context;
+    RawServer server(context);
+    server.answer = "HTTP/1.1 200 OK\r\nX-State: seen\r\nContent-Length: 10\r\n\r\nhalf";
+    HttpClient client;
+    std::string state;
+    bool isUnknown = false;
+    auto onHead = [&state](const HttpResponse& head) { state = head.header("X-State"); };
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        HttpRequest request;
+        try {
+            co_await client.request(server.address(), request, now() + testTimeout, nullptr, onHead);
+        } catch (const OutcomeUnknownError&) {
+            isUnknown = true;
+        }
+    });
+    CHECK(isUnknown);
+    CHECK(state == "seen");
+}
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -205,6 +205,26 @@
     CHECK_FALSE(codec.parseVersionLine("retry: 12"));
 }
 
+TEST_CASE("a server's statement that it is leaving is decoded from any answer", "[platform]")
+{
+    const ReplicaCodec codec;
+    HttpResponse response;
+    response.status = 503;
+    CHECK_FALSE(codec.decode(response).isLeaving);
+    response.headers = { { "server-leaving", "1" }, { "Endiveroad-Instance-Id", "i-2" } };
+    for (const int status : { 200, 202, 421, 500, 503 }) {
+        response.status = status;
+        CHECK(codec.decode(response).isLeaving);
+        CHECK(codec.decode(response).server == "i-2");
+    }
+    response.headers = { { "Server-Leaving", "yes" } };
+    CHECK_FALSE(codec.decode(response).isLeaving);
+    CHECK(codec.decode(response).unknownLeavingValue == "yes");
+    response.headers = { { "Server-Leaving", "1" }, { "Server-Leaving", "0" } };
+    CHECK(codec.decode(response).isLeaving);
+    CHECK(codec.decode(response).unknownLeavingValue == "0");
+}
+
 TEST_CASE("an engine's state and the outcome of a weight order are decoded", "[platform]")
 {
     const ReplicaCodec codec;
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -11,15 +11,11 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts", "lib"))
-from hosted import CALL_PREFIX, HOST, MODELS, route, run_case, wait_until  # noqa: E402
+from hosted import CALL_PREFIX, HOST, MODELS, names, route, run_case, wait_until  # noqa: E402
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "standins"))
 from hosted_servers import stamp, whole_text  # noqa: E402
 
 
-def names(prefix, count):
-    return ["%s-%d" % (prefix, number) for number in range(count)]
-
-
 def check_results(deployment, job, items, results):
     """Each item stands once, whole, scored by its own call, and its request reached replicas unchanged."""
     assert sorted(result["Id"] for result in results) == sorted(items), results
