Plain calls wait in line, and those that cannot be served in time are turned away at once

Change: ServerLoads (core) bounds the calls of a process at each server, from half of its slots up to all of them; a refusal halves the bound and gives the server a pause of 25 ms. WaitingCalls (core) orders the calls that wait by priority, then by deadline, and tells which cannot be answered in time at the measured rate; these get 503 with the time until the line is through. A service without a ready server is refused at once, for calls and streams. Ruled out: a fixed share of the slots for each process, as no process knows how many others call.

--- a/include/endiveroad/ServerLoads.h
+++ b/include/endiveroad/ServerLoads.h
@@ -13,7 +13,27 @@
 /// Load balancing over the backend servers of services that do not run models.
 namespace endiveroad {
 
-/// Chooses the backend server of each call by the latency and load that this process has observed.
+/// A server that may get a call.
+struct ServerCandidate {
+    std::string id;
+    /// Number of requests that it can run at once, for all processes together.
+    int32_t slots = 1;
+
+    auto operator<=>(const ServerCandidate&) const = default;
+};
+
+/// How fast a group of servers takes the calls of one process.
+struct ServiceRate {
+    /// Time between two calls that begin.
+    Duration interval {};
+    /// Latency of the fastest server.
+    Duration latency {};
+
+    auto operator<=>(const ServiceRate&) const = default;
+};
+
+/// Chooses the backend server of each call by the latency and load that this process has observed, and bounds how many
+/// calls this process has at each server.
 class ServerLoads {
 public:
     /// How long after a failed call a server is chosen only if no other is left.
@@ -22,16 +42,26 @@
     /// Age from which a load that a server reported is ignored.
     static constexpr Duration loadLifetime = std::chrono::milliseconds(500);
 
+    /// Calls that a process may have at a server beyond its slots, so that a slot that becomes free has work at once.
+    static constexpr int32_t queuedCalls = 2;
+
+    /// Time after a refusal in which a full server gets no call of this process.
+    static constexpr Duration refusalPause = std::chrono::milliseconds(25);
+
     explicit ServerLoads(uint64_t seed)
         : random_(seed)
     {
     }
 
     /// Chooses the server with the lowest product of expected queue length and latency. Suspended servers are chosen
-    /// only if no other is left, servers in `tried` never; nothing if all were tried. Ties are broken at random. Load
-    /// pattern: few servers of unequal speed, some of which become slow or stop answering.
+    /// only if no other is left; never those in `tried`, those that refused just now, and those that have as many calls
+    /// of this process as its limit allows. Nothing if none is left. Ties are broken at random. Load pattern: few
+    /// servers of unequal speed, some of which become slow or stop answering.
     std::optional<std::string> choose(
-        const std::vector<std::string>& servers, const std::set<std::string>& tried, Instant now);
+        const std::vector<ServerCandidate>& servers, const std::set<std::string>& tried, Instant now);
+
+    /// How fast the servers take this process's calls while all of them are busy.
+    ServiceRate rateOf(const std::vector<ServerCandidate>& servers) const;
 
     /// A call was sent to the server; one of onAnswer(), onFailure() and onAbandoned() follows.
     void onStart(std::string_view server);
@@ -42,6 +72,11 @@
     /// The server could not be reached, sent a broken answer or was too late; suspends it.
     void onFailure(std::string_view server, Instant now);
 
+    /// The server refused the call because it is full. Halves the limit of this process, which begins at half of the
+    /// server's slots; each answer raises it, up to all slots and queuedCalls. Load pattern: several processes send
+    /// more calls to a service than it has slots, none of them knowing of the others.
+    void onRefused(std::string_view server, Instant now);
+
     /// The call was abandoned for a reason unrelated to the server.
     void onAbandoned(std::string_view server);
 
@@ -58,6 +93,11 @@
         int32_t reportedLoad = 0;
         Instant reportedLoadExpiry = Instant::min();
         Instant suspendedUntil = Instant::min();
+        /// Calls that this process may have at the server; 0 until it is a candidate for the first time.
+        double limit = 0;
+        /// Largest limit, from the server's slots.
+        double maxLimit = 0;
+        Instant fullUntil = Instant::min();
     };
 
     Server& server(std::string_view id);
--- a/include/endiveroad/endiveroad.h
+++ b/include/endiveroad/endiveroad.h
@@ -32,4 +32,5 @@
 #include <endiveroad/Time.h>
 #include <endiveroad/Timeline.h>
 #include <endiveroad/VersionTracker.h>
+#include <endiveroad/WaitingCalls.h>
 #include <endiveroad/WeightPlan.h>
--- a/src/core/routing/ServerLoads.cpp
+++ b/src/core/routing/ServerLoads.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <endiveroad/ServerLoads.h>
+#include <limits>
 #include <tuple>
 
 namespace endiveroad {
@@ -12,6 +13,18 @@
 /// Assumed latency of a server before its first answer, in ms.
 constexpr double defaultLatencyMs = 25;
 
+/// Factor of the limit at a refusal, and the least limit.
+constexpr double refusalFactor = 0.5;
+constexpr double leastLimit = 1;
+
+/// Share of a server's slots that a process uses before it knows whether others use it too.
+constexpr double firstLimitShare = 0.5;
+
+double latencyOf(double measuredMs)
+{
+    return measuredMs > 0 ? measuredMs : defaultLatencyMs;
+}
+
 } // namespace
 
 ServerLoads::Server& ServerLoads::server(std::string_view id)
@@ -23,17 +36,21 @@
 }
 
 std::optional<std::string> ServerLoads::choose(
-    const std::vector<std::string>& servers, const std::set<std::string>& tried, Instant now)
+    const std::vector<ServerCandidate>& servers, const std::set<std::string>& tried, Instant now)
 {
     std::optional<std::string> best;
     std::tuple<bool, double, uint64_t> bestRank;
-    for (const std::string& id : servers) {
+    for (const auto& [id, slots] : servers) {
         if (tried.contains(id))
             continue;
-        const Server& state = server(id);
+        Server& state = server(id);
+        state.maxLimit = slots + queuedCalls;
+        const double firstLimit = std::max(leastLimit, slots * firstLimitShare);
+        state.limit = std::min(state.limit > 0 ? state.limit : firstLimit, state.maxLimit);
+        if (state.fullUntil > now || state.inFlight >= state.limit)
+            continue;
         const int32_t reported = state.reportedLoadExpiry > now ? state.reportedLoad : 0;
-        const double latency = state.latencyMs > 0 ? state.latencyMs : defaultLatencyMs;
-        const double cost = (1 + std::max(state.inFlight, reported)) * latency;
+        const double cost = (1 + std::max(state.inFlight, reported)) * latencyOf(state.latencyMs);
         const std::tuple rank(state.suspendedUntil > now, cost, static_cast<uint64_t>(random_()));
         if (best && bestRank <= rank)
             continue;
@@ -55,6 +72,36 @@
     state.inFlight = std::max(0, state.inFlight - 1);
     state.latencyMs = state.latencyMs > 0 ? state.latencyMs + newestLatencyWeight * (ms - state.latencyMs) : ms;
     state.suspendedUntil = Instant::min();
+    if (state.limit > 0)
+        state.limit = std::min(state.maxLimit, state.limit + 1 / state.limit);
+}
+
+ServiceRate ServerLoads::rateOf(const std::vector<ServerCandidate>& servers) const
+{
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    double callsPerMs = 0;
+    double lowestMs = std::numeric_limits<double>::max();
+    for (const auto& [id, slots] : servers) {
+        const auto found = servers_.find(id);
+        const Server state = found == servers_.end() ? Server() : found->second;
+        const double limit = state.limit > 0 ? state.limit : slots;
+        callsPerMs += std::min<double>(limit, slots) / latencyOf(state.latencyMs);
+        lowestMs = std::min(lowestMs, latencyOf(state.latencyMs));
+    }
+    if (callsPerMs <= 0)
+        return { Duration::max(), Duration::max() };
+    return { std::chrono::duration_cast<Duration>(Milliseconds(1 / callsPerMs)),
+        std::chrono::duration_cast<Duration>(Milliseconds(lowestMs)) };
+}
+
+void ServerLoads::onRefused(std::string_view id, Instant now)
+{
+    Server& state = server(id);
+    // Calls that were sent before the first refusal say nothing new.
+    if (state.fullUntil <= now)
+        state.limit = std::max(leastLimit, std::min<double>(state.limit, state.inFlight) * refusalFactor);
+    state.inFlight = std::max(0, state.inFlight - 1);
+    state.fullUntil = now + refusalPause;
 }
 
 void ServerLoads::onFailure(std::string_view id, Instant now)
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -188,6 +188,8 @@
         } else {
             response = co_await serveCall(query, request, route, deadline, cancellation);
         }
+    } catch (const ServersFullError& error) {
+        response = encodeFailure(request, error, error.retryAt() - now());
     } catch (const ContentBlockedError& error) {
         response = encodeFailure(request, error, error.retryAt() - now());
     } catch (const Error& error) {
@@ -231,6 +233,8 @@
     const std::string tried = result.servers.empty() ? "" : " (tried " + result.servers + ")";
     if (!result.mayHaveRun && result.blockedUntil)
         throw ContentBlockedError(result.content, *result.blockedUntil);
+    if (!result.mayHaveRun && result.retryAt)
+        throw ServersFullError(result.reason + tried, *result.retryAt);
     if (!result.mayHaveRun)
         throw NotRunError((result.reason.empty() ? "no server of the route is ready" : result.reason) + tried);
     if (now() >= deadline)
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -26,6 +26,7 @@
         , request(std::move(call))
         , content(ContentId::of(request.method, route.host, request.target, request.body))
         , deadline(end)
+        , ticket(newTicket())
         , changed(context)
     {
     }
@@ -43,12 +44,22 @@
 
     /// Whether another server may be tried. Refused attempts do not count towards the limit, since the server ran
     /// nothing.
+    /// The service in whose queue the call waits.
+    std::string service() const { return route.services.empty() ? std::string() : route.services.front().service; }
+
+    bool isQueued() const { return ticket.number != 0; }
+
+    /// Place of a call that has not begun to wait.
+    CallTicket newTicket() const { return { route.priority, deadline, 0 }; }
+
     bool hasAttemptsLeft() const { return !result.blockedUntil && possibleRuns < std::max(route.maxAttempts, 1); }
 
     RouteDeclaration route;
     ReplicaRequest request;
     ContentId content;
     Instant deadline;
+    /// Its number is 0 while the call does not wait.
+    CallTicket ticket;
     Signal changed;
     std::list<HttpCancellation> cancellations;
     std::set<std::string> tried;
@@ -102,11 +113,13 @@
 std::optional<ServerRecord> ServiceCaller::chooseServer(
     const RouteDeclaration& route, const std::set<std::string>& excluded)
 {
+    if (route.services.empty())
+        return std::nullopt;
     const auto directory = directory_();
-    std::vector<std::string> ids;
+    std::vector<ServerCandidate> candidates;
     for (const ServerRecord* server : directory->readyServers(chooseService(route)))
-        ids.push_back(server->id);
-    const auto chosen = loads_.choose(ids, excluded, now());
+        candidates.push_back({ server->id, server->slots });
+    const auto chosen = loads_.choose(candidates, excluded, now());
     if (!chosen)
         return std::nullopt;
     return directory->servers.at(*chosen);
@@ -114,7 +127,7 @@
 
 std::optional<ServerRecord> ServiceCaller::chooseNext(CallState& state)
 {
-    if (now() < state.notBefore)
+    if (now() < state.notBefore || !waitingCalls_.isFirst(state.service(), state.ticket))
         return std::nullopt;
     std::set<std::string> excluded = crashGuard_.serversToAvoid(state.content);
     excluded.insert(state.tried.begin(), state.tried.end());
@@ -126,6 +139,78 @@
     return server;
 }
 
+std::vector<ServerCandidate> ServiceCaller::candidatesOf(const RouteDeclaration& route) const
+{
+    const auto directory = directory_();
+    std::vector<ServerCandidate> candidates;
+    for (const WeightedService& weighted : route.services) {
+        for (const ServerRecord* server : directory->readyServers(weighted.service))
+            candidates.push_back({ server->id, server->slots });
+    }
+    return candidates;
+}
+
+bool ServiceCaller::hasReadyServer(const RouteDeclaration& route) const
+{
+    return !candidatesOf(route).empty();
+}
+
+asio::awaitable<void> ServiceCaller::awaitServer(CallStatePtr state)
+{
+    const bool isPaused = now() < state->notBefore;
+    if (isPaused) {
+        co_await state->changed.wait(std::min(state->deadline, state->notBefore));
+        co_return;
+    }
+    state->tried.clear();
+    if (!state->isQueued()) {
+        state->ticket = waitingCalls_.add(state->service(), state->route.priority, state->deadline);
+        waiting_.emplace(state->ticket, state);
+    }
+    turnAwayHopeless(*state);
+    if (state->isDone)
+        co_return;
+    // Each call that leaves the queue wakes the next one.
+    const bool isFirst = waitingCalls_.isFirst(state->service(), state->ticket);
+    co_await state->changed.wait(isFirst ? std::min(state->deadline, now() + waitInterval) : state->deadline);
+}
+
+void ServiceCaller::turnAwayHopeless(const CallState& first)
+{
+    const std::string service = first.service();
+    const ServiceRate rate = loads_.rateOf(candidatesOf(first.route));
+    const Instant retryAt = now() + rate.interval * static_cast<Duration::rep>(waitingCalls_.count(service));
+    for (const CallTicket& ticket : waitingCalls_.hopeless(service, rate, now())) {
+        const auto found = waiting_.find(ticket);
+        if (found == waiting_.end())
+            continue;
+        CallState& state = *found->second;
+        state.result.reason = "the servers of the route are full";
+        state.result.retryAt = retryAt;
+        state.isDone = true;
+        state.changed.notifyAll();
+    }
+}
+
+void ServiceCaller::leaveQueue(const CallStatePtr& state)
+{
+    if (!state->isQueued())
+        return;
+    const std::string service = state->service();
+    waitingCalls_.remove(service, state->ticket);
+    waiting_.erase(state->ticket);
+    state->ticket = state->newTicket();
+    wakeFirst(service);
+}
+
+void ServiceCaller::wakeFirst(const std::string& service)
+{
+    const auto first = waitingCalls_.first(service);
+    const auto found = first ? waiting_.find(*first) : waiting_.end();
+    if (found != waiting_.end())
+        found->second->changed.notifyAll();
+}
+
 asio::awaitable<ServiceResult> ServiceCaller::call(
     RouteDeclaration route, ReplicaRequest request, Instant deadline, PeerCancellationPtr cancellation)
 {
@@ -146,21 +231,24 @@
         if (mayHedge && state->hasAttemptsLeft())
             server = chooseNext(*state);
         if (server) {
+            leaveQueue(state);
             startAttempt(state, *server);
             hedgeAt = now() + state->route.latencyObjective / hedgeDivisor;
         } else if (state->activeAttempts == 0) {
-            // Either the limit of attempts is reached, or every ready server refused.
+            // Either the limit of attempts is reached, or no ready server has room.
             if (!state->hasAttemptsLeft())
                 break;
-            const bool isPaused = now() < state->notBefore;
-            if (!isPaused)
-                state->tried.clear();
-            co_await state->changed.wait(std::min(deadline, isPaused ? state->notBefore : now() + refusedPause));
+            if (!hasReadyServer(state->route)) {
+                state->result.reason = "no server of the route is ready";
+                break;
+            }
+            co_await awaitServer(state);
             continue;
         }
         const bool canHedgeLater = isIdempotent && state->hasAttemptsLeft() && hedgeAt > now();
         co_await state->changed.wait(canHedgeLater ? std::min(deadline, hedgeAt) : deadline);
     }
+    leaveQueue(state);
     state->isDone = true;
     state->result.content = state->content;
     state->result.mayHaveRun = state->result.mayHaveRun || state->possibleRuns > 0;
@@ -212,6 +300,7 @@
     if (!failure.empty())
         co_await processFailure(state, server, failure, isSent, startedAt);
     crashGuard_.onEnd(state->attemptAt(server, startedAt));
+    wakeFirst(state->service());
     --state->activeAttempts;
     state->changed.notifyAll();
 }
@@ -256,7 +345,7 @@
             loads_.onFailure(server.id, now());
         } else {
             crashGuard_.onRefused(state.attemptAt(server, startedAt));
-            loads_.onAbandoned(server.id);
+            loads_.onRefused(server.id, now());
         }
         state.result.reason = fmt::format("{} refused with {}", server.id, response.status);
         return;
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -7,8 +7,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <endiveroad/Directory.h>
+#include <endiveroad/Error.h>
 #include <endiveroad/ServerLoads.h>
+#include <endiveroad/WaitingCalls.h>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -19,6 +22,21 @@
 
 namespace asio = boost::asio;
 
+/// The servers are full, and the calls that wait take longer than the request has.
+class ServersFullError : public NotRunError {
+public:
+    ServersFullError(const std::string& detail, Instant retryAt)
+        : NotRunError(detail)
+        , retryAt_(retryAt)
+    {
+    }
+
+    Instant retryAt() const { return retryAt_; }
+
+private:
+    Instant retryAt_;
+};
+
 /// Outcome of a call.
 struct ServiceResult {
     /// The server's answer; nothing if there is none to return to the caller.
@@ -28,6 +46,8 @@
     /// A server may have run the call, wholly or in part.
     bool mayHaveRun = false;
     ContentId content;
+    /// No server can take the call in time; when it is worth sending again. Nothing if that is not known.
+    std::optional<Instant> retryAt;
     /// The content is blocked until then, so it was not sent to any further server.
     std::optional<Instant> blockedUntil;
     /// The caller has disconnected.
@@ -51,8 +71,8 @@
     /// divided by this has passed.
     static constexpr int hedgeDivisor = 2;
 
-    /// Pause before servers that refused a request are tried again.
-    static constexpr Duration refusedPause = std::chrono::milliseconds(25);
+    /// Longest time between two looks for a server by a call that waits for one.
+    static constexpr Duration waitInterval = ServerLoads::refusalPause;
 
     static constexpr Duration connectTimeout = std::chrono::milliseconds(250);
 
@@ -68,15 +88,34 @@
     /// Chooses a ready server of one of the route's services that is not excluded; nothing if there is none.
     std::optional<ServerRecord> chooseServer(const RouteDeclaration&, const std::set<std::string>& excluded);
 
+    /// True if a server of one of the route's services takes new requests.
+    bool hasReadyServer(const RouteDeclaration&) const;
+
     /// Removes the load records of servers that are no longer registered.
     void onDirectory(const Directory&);
 
 private:
     class CallState;
 
+    using CallStatePtr = std::shared_ptr<CallState>;
+
     /// Server for the next attempt, if one may start now and a server is free to be tried.
     std::optional<ServerRecord> chooseNext(CallState&);
 
+    /// Waits until a server may have room for the call, it is cancelled or its deadline has passed.
+    asio::awaitable<void> awaitServer(CallStatePtr);
+
+    /// Ends the calls in the queue of this one that cannot be answered in time.
+    void turnAwayHopeless(const CallState&);
+
+    void leaveQueue(const CallStatePtr&);
+
+    /// A call has left a server or the queue, so the first one that waits may go.
+    void wakeFirst(const std::string& service);
+
+    /// Ready servers of all services of the route.
+    std::vector<ServerCandidate> candidatesOf(const RouteDeclaration&) const;
+
     /// Chooses one of the route's services at random by weight.
     const std::string& chooseService(const RouteDeclaration&);
     void startAttempt(const std::shared_ptr<CallState>&, const ServerRecord&);
@@ -92,6 +131,9 @@
     CrashGuard& crashGuard_;
     DirectorySource directory_;
     ServerLoads loads_;
+    WaitingCalls waitingCalls_;
+    /// The calls in waitingCalls_.
+    std::map<CallTicket, CallStatePtr> waiting_;
     std::minstd_rand random_;
 };
 
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -243,10 +243,10 @@
         }
         const ServerStreamPtr serverStream = openStream(route, request, progress, deadline);
         if (!serverStream) {
-            if (progress.runs > 0 || progress.hasStarted)
+            if (progress.runs > 0 || progress.hasStarted || !serviceCaller_.hasReadyServer(route))
                 break;
             progress.tried.clear();
-            co_await sleepFor(ServiceCaller::refusedPause);
+            co_await sleepFor(ServiceCaller::waitInterval);
             continue;
         }
         const AttemptEnd end = co_await attempt(exchange, route, serverStream, progress, deadline, cancellation);
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -29,6 +29,9 @@
         # The same with the time at which each began.
         self.ran_at = []
         self.running = 0
+        # Requests that wait beyond the slots before further ones are refused as too many, and how many were.
+        self.queue = 24
+        self.refused = 0
         # Faults: requests of which the answer is lost, and seconds that a request takes longer.
         self.lose_answers = 0
         self.extra_s = 0.0
@@ -100,7 +103,8 @@
             return 421, {"Endiveroad-Instance-Id": self.id}
         if "endiveroad-request-id" not in request.headers:
             return 400, {"Endiveroad-Not-Executed": "1"}
-        if self.running >= self.slots + 24:
+        if self.running >= self.slots + self.queue:
+            self.refused += 1
             return 503, {"Endiveroad-Not-Executed": "1"}
         return None
 
--- a/tests/core/ServerLoadsTest.cpp
+++ b/tests/core/ServerLoadsTest.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Instant start { 10s };
-const std::vector<std::string> servers { "s0", "s1", "s2" };
+const std::vector<ServerCandidate> servers { { "s0", 6 }, { "s1", 6 }, { "s2", 6 } };
 
 } // namespace
 
@@ -31,7 +31,7 @@
     loads.onStart("s0");
     loads.onLoadReport("s1", 5, 2, start);
     CHECK(loads.choose(servers, {}, start) == "s2");
-    CHECK(loads.choose({ "s1", "s2" }, {}, start + ServerLoads::loadLifetime));
+    CHECK(loads.choose({ { "s1", 6 }, { "s2", 6 } }, {}, start + ServerLoads::loadLifetime));
 }
 
 TEST_CASE("a server that failed is chosen last, and one that was tried never", "[servers]")
@@ -44,3 +44,130 @@
     CHECK(loads.choose(servers, { "s1", "s2" }, start) == "s0");
     CHECK_FALSE(loads.choose(servers, { "s0", "s1", "s2" }, start));
 }
+
+TEST_CASE("a process bounds its calls at each server and takes refusals for a smaller share of it", "[servers]")
+{
+    ServerLoads loads(1);
+    const std::vector<ServerCandidate> one { { "s0", 6 } };
+    const auto fill = [&](Instant now) {
+        int sent = 0;
+        for (; loads.choose(one, {}, now); ++sent)
+            loads.onStart("s0");
+        return sent;
+    };
+    CHECK(fill(start) == 3);
+    for (int i = 0; i < 40; ++i) {
+        loads.onAnswer("s0", 80ms, start);
+        fill(start);
+    }
+    // All of its slots and the calls that queue.
+    for (int i = 0; i < 6 + ServerLoads::queuedCalls; ++i)
+        loads.onAnswer("s0", 80ms, start);
+    CHECK(fill(start) == 6 + ServerLoads::queuedCalls);
+    for (int i = 0; i < 4; ++i)
+        loads.onRefused("s0", start);
+    CHECK_FALSE(loads.choose(one, {}, start));
+    const Instant later = start + ServerLoads::refusalPause;
+    // Four calls are left, which is the new limit: one burst of refusals halves it once.
+    CHECK_FALSE(loads.choose(one, {}, later));
+    for (int i = 0; i < 4; ++i)
+        loads.onAnswer("s0", 80ms, later);
+    CHECK(fill(later) == 5);
+}
+
+TEST_CASE("the limit of a server recovers once it answers", "[servers]")
+{
+    ServerLoads loads(1);
+    const std::vector<ServerCandidate> one { { "s0", 6 } };
+    Instant now = start;
+    for (int i = 0; i < 20; ++i) {
+        now += ServerLoads::refusalPause;
+        REQUIRE(loads.choose(one, {}, now));
+        loads.onStart("s0");
+        loads.onRefused("s0", now);
+    }
+    now += ServerLoads::refusalPause;
+    for (int i = 0; i < 60; ++i) {
+        REQUIRE(loads.choose(one, {}, now));
+        loads.onStart("s0");
+        loads.onAnswer("s0", 25ms, now);
+    }
+    int sent = 0;
+    for (; loads.choose(one, {}, now); ++sent)
+        loads.onStart("s0");
+    CHECK(sent == 6 + ServerLoads::queuedCalls);
+}
+
+TEST_CASE("the rate of a service follows from the slots and the latencies", "[servers]")
+{
+    ServerLoads loads(1);
+    CHECK(loads.rateOf({}).latency == Duration::max());
+    for (int i = 0; i < 200; ++i) {
+        for (const ServerCandidate& server : servers) {
+            loads.choose(servers, {}, start);
+            loads.onStart(server.id);
+            loads.onAnswer(server.id, server.id == "s2" ? 60ms : 90ms, start);
+        }
+    }
+    // 12 slots at 90 ms a call and 6 at 60 ms: 7 calls in 30 ms.
+    const ServiceRate rate = loads.rateOf(servers);
+    CHECK(std::chrono::round<std::chrono::milliseconds>(rate.latency) == 60ms);
+    CHECK(std::chrono::round<std::chrono::milliseconds>(rate.interval * 70) == 300ms);
+}
+
+TEST_CASE("several processes share a full service without a storm of refusals", "[servers]")
+{
+    // Four processes each have 120 scoring calls of 80 ms at once for seven servers with 6 slots and 4 places to queue.
+    constexpr int processes = 4;
+    constexpr int callsEach = 120;
+    constexpr int places = 6 + 4;
+    constexpr Duration work = 80ms;
+    std::vector<ServerCandidate> candidates;
+    for (int i = 0; i < 7; ++i)
+        candidates.push_back({ "s" + std::to_string(i), 6 });
+    std::vector<ServerLoads> loads;
+    for (int i = 0; i < processes; ++i)
+        loads.emplace_back(i + 1);
+    struct Running {
+        Instant end;
+        int process;
+        Instant sentAt;
+    };
+    std::map<std::string, std::vector<Running>> running;
+    std::vector<int> left(processes, callsEach);
+    int refusals = 0;
+    int answers = 0;
+    Instant now = start;
+    for (; answers < processes * callsEach && now < start + 10s; now += 1ms) {
+        for (auto& [server, calls] : running) {
+            std::erase_if(calls, [&](const Running& call) {
+                if (call.end > now)
+                    return false;
+                loads[call.process].onAnswer(server, now - call.sentAt, now);
+                ++answers;
+                return true;
+            });
+        }
+        for (int process = 0; process < processes; ++process) {
+            while (left[process] > 0) {
+                const auto chosen = loads[process].choose(candidates, {}, now);
+                if (!chosen)
+                    break;
+                loads[process].onStart(*chosen);
+                auto& calls = running[*chosen];
+                if (calls.size() >= places) {
+                    loads[process].onRefused(*chosen, now);
+                    ++refusals;
+                    continue;
+                }
+                const Instant begin = calls.size() < 6 ? now : calls[calls.size() - 6].end;
+                calls.push_back({ begin + work, process, now });
+                --left[process];
+            }
+        }
+    }
+    CHECK(answers == processes * callsEach);
+    // 480 calls of 80 ms on 42 slots take 0.92 s at least.
+    CHECK(now - start < 1500ms);
+    CHECK(refusals < processes * callsEach / 4);
+}
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -305,6 +305,47 @@
     assert deployment.call(entry, "after-reload")[0] == 200
 
 
+def calls_without_a_ready_server_are_refused_at_once(deployment):
+    for service in deployment.platform.services:
+        service.is_leaving = True
+    for number in range(40):
+        deployment.call(deployment.entries[0], "last-%d" % number)
+    began = time.monotonic()
+    status, _, headers = deployment.call(deployment.entries[0], "refused")
+    assert status == 503 and float(headers["Retry-After"]) > 0, (status, headers)
+    assert time.monotonic() - began < 0.3, "the refusal came late"
+
+
+def a_burst_of_calls_fills_the_servers_without_a_storm(deployment):
+    """Calls of 0.3 s for 12 slots: three times what the servers can do within the callers' time."""
+    for service in deployment.platform.services:
+        service.extra_s = 0.3
+        service.queue = 2
+    outcomes = []
+
+    def caller(number):
+        began = time.monotonic()
+        status, _, headers = deployment.call(deployment.entries[number % 2], "burst-%d" % number, timeout_ms=1500)
+        outcomes.append((status, headers.get("Retry-After"), time.monotonic() - began))
+
+    callers = [threading.Thread(target=caller, args=(number,)) for number in range(150)]
+    for thread in callers:
+        thread.start()
+    for thread in callers:
+        thread.join()
+    served = sum(1 for status, _, _ in outcomes if status == 200)
+    refused = [(retry, took) for status, retry, took in outcomes if status == 503]
+    # 12 slots do 48 calls in 1.2 s. A few calls that were sent with little time left may get no answer in time.
+    assert served >= 40, served
+    assert len(outcomes) - served - len(refused) <= 24, outcomes
+    assert all(retry and float(retry) > 0 for retry, _ in refused), refused
+    early = sum(1 for _, took in refused if took < 1.0)
+    assert early >= len(refused) / 2, "%d of %d refusals came early" % (early, len(refused))
+    asked_in_vain = sum(service.refused for service in deployment.platform.services)
+    print("served %d, refused %d, asked in vain %d" % (served, len(refused), asked_in_vain))
+    assert asked_in_vain < len(outcomes), asked_in_vain
+
+
 def failures_are_explained_by_the_logs(deployment):
     """Failed requests of several kinds, picked at random: each one's cause comes from the logs of all processes."""
     expected = {}
@@ -362,7 +403,8 @@
     a_replica_that_starts_again_leaves_its_old_registration, requests_that_may_not_be_repeated,
     entries_leave_without_cutting_a_request, failures_are_explained_by_the_logs,
     coordinators_stop_while_reads_wait_for_the_store, streams_pass_as_they_come_and_resume,
-    a_failure_in_place_of_a_stream_passes_unchanged, settings_change_without_a_signal)}
+    a_failure_in_place_of_a_stream_passes_unchanged, settings_change_without_a_signal,
+    calls_without_a_ready_server_are_refused_at_once, a_burst_of_calls_fills_the_servers_without_a_storm)}
 
 
 if __name__ == "__main__":
