A replica that turned slow stays slow while nothing runs on it

Runs that left one slow replica went to another slow one: its runs had left it before, so after 3 s without events the mean of its fast times counted again (item moved three times, 95, 65 and 134 ms an event, median 47). Ruled out: replicas that slow down when they are full; at 5 or 6 runs they all show 45 to 48 ms an event.

--- a/include/endiveroad/endiveroad.h
+++ b/include/endiveroad/endiveroad.h
@@ -12,6 +12,7 @@
 #include <endiveroad/DuplicateDetector.h>
 #include <endiveroad/Error.h>
 #include <endiveroad/Event.h>
+#include <endiveroad/EventPace.h>
 #include <endiveroad/EventStream.h>
 #include <endiveroad/GeneratedTextCache.h>
 #include <endiveroad/HostedSettings.h>
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -8,7 +8,6 @@
 #include "wire/Codec.h"
 
 #include <algorithm>
-#include <endiveroad/BatchPlacement.h>
 #include <endiveroad/Error.h>
 #include <endiveroad/EventStream.h>
 #include <fmt/format.h>
@@ -19,13 +18,6 @@
 
 constexpr int statusOk = 200;
 
-/// Weight of the newest time between events in the recent and in the long-term moving average.
-constexpr double recentMeanWeight = 0.1;
-constexpr double longTermMeanWeight = 0.01;
-
-/// Time after the last event for which the recent moving average is valid.
-constexpr Duration recentEventMsLifetime = std::chrono::seconds(3);
-
 constexpr Duration connectTimeout = std::chrono::milliseconds(300);
 
 ContentId contentOf(const wire::ItemStart& start)
@@ -86,7 +78,7 @@
 
 double ItemRunner::eventMs() const
 {
-    return recentEventMsExpiry_ > now() ? recentEventMs_ : longTermEventMs_;
+    return pace_.meanMs(now());
 }
 
 std::string ItemRunner::refusalReason(const wire::ItemStart& startRequest, int32_t slots) const
@@ -237,24 +229,16 @@
         if (run.unproven)
             crashGuard_.onAnswered(*run.unproven);
         endRisk(run);
-        updateMeans(run);
+        measurePace(run);
         run.events.push_back({ *event.id, std::move(event.data), run.version });
     }
 }
 
-void ItemRunner::updateMeans(Run& run)
+void ItemRunner::measurePace(Run& run)
 {
     const Instant currentTime = now();
-    if (run.lastEventAt != Instant::min()) {
-        const double gap = std::chrono::duration<double, std::milli>(currentTime - run.lastEventAt).count();
-        const bool isKnown = recentEventMs_ > 0 && recentEventMsExpiry_ > currentTime;
-        recentEventMs_ = isKnown ? recentEventMs_ + recentMeanWeight * (gap - recentEventMs_) : gap;
-        recentEventMsExpiry_ = currentTime + recentEventMsLifetime;
-        if (longTermEventMs_ <= 0)
-            longTermEventMs_ = gap;
-        else if (gap < slowReplicaFactor * longTermEventMs_)
-            longTermEventMs_ += longTermMeanWeight * (gap - longTermEventMs_);
-    }
+    if (run.lastEventAt != Instant::min())
+        pace_.onEvent(currentTime - run.lastEventAt, currentTime);
     run.lastEventAt = currentTime;
 }
 
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -6,6 +6,7 @@
 #include "io/hosted/Protocol.h"
 
 #include <endiveroad/BatchJob.h>
+#include <endiveroad/EventPace.h>
 #include <endiveroad_types.h>
 #include <map>
 #include <memory>
@@ -55,8 +56,7 @@
     /// Number of active runs.
     int32_t running() const;
 
-    /// Mean time between events in ms: the recent mean if there were events lately, else the long-term one; 0 if
-    /// unknown.
+    /// EventPace::meanMs() of the replica.
     double eventMs() const;
 
 private:
@@ -84,8 +84,8 @@
     /// Sends the owners what they do not have yet; with isAll also the state of runs that have no new events.
     void sendProgress(bool isAll);
     void removeExpired();
-    /// Updates the mean times between events.
-    void updateMeans(Run&);
+    /// An event has arrived.
+    void measurePace(Run&);
 
     asio::io_context& context_;
     HttpClient& http_;
@@ -102,10 +102,7 @@
     std::map<std::string, Owner> owners_;
     /// Time at which an ended job is forgotten, by job id.
     std::map<std::string, Instant> endedJobs_;
-    double recentEventMs_ = 0;
-    /// Long-term mean, which leaves out times between events that are far above it.
-    double longTermEventMs_ = 0;
-    Instant recentEventMsExpiry_ = Instant::min();
+    EventPace pace_;
 };
 
 } // namespace endiveroad::io
