Orders and state queries do not take late copies of other answers for their own

Cause: an agent's state queries and orders carry no request id, and share connections with runs. Change: an order opens a connection of its own, which runs use afterwards; an answer that names a request id is never taken for the answer to a state query or order. Ruled out: a request id on both, as nothing says that servers repeat it there; telling the answers apart by their bodies. Calls with ids were safe before.

--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -75,9 +75,12 @@
     if (echoedHeader.empty())
         return true;
     const std::string_view echoed = response.header(echoedHeader);
+    const std::string sent = headerValue(requestHeaders, echoedHeader);
+    if (sent.empty())
+        return echoed.empty();
     if (echoed.empty())
         return !response.isSuccess();
-    return echoed == headerValue(requestHeaders, echoedHeader);
+    return echoed == sent;
 }
 
 /// How long the connection may be reused: the timeout in the Keep-Alive header less idleMargin, or idleLifetime if the
@@ -179,9 +182,10 @@
     co_return error ? ListenerState::Silent : ListenerState::Listening;
 }
 
-asio::awaitable<std::unique_ptr<beast::tcp_stream>> HttpClient::open(const Address& address, Instant deadline)
+asio::awaitable<std::unique_ptr<beast::tcp_stream>> HttpClient::open(
+    const Address& address, bool needsNew, Instant deadline)
 {
-    if (auto stream = takeIdle(address))
+    if (auto stream = needsNew ? nullptr : takeIdle(address))
         co_return stream;
     error_code error;
     auto stream = co_await openNew(address, deadline, error);
@@ -212,7 +216,7 @@
     HttpCancellation& cancel = cancellation ? *cancellation : unused;
     if (cancel.isCancelled())
         throw ServerUnavailableError("the request was cancelled before it was sent");
-    auto stream = co_await open(address, std::min(deadline, request.connectDeadline));
+    auto stream = co_await open(address, request.needsNewConnection, std::min(deadline, request.connectDeadline));
     const HeaderList requestHeaders = request.echoedHeader.empty() ? HeaderList() : request.headers;
     const std::string echoedHeader = request.echoedHeader;
     const bool isCloseDelimitedBodyAllowed = request.isCloseDelimitedBodyAllowed;
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -27,8 +27,12 @@
     /// Deadline for opening a connection; the deadline of the request applies as well.
     Instant connectDeadline = never;
     /// Name of a request header whose value the answer must repeat; empty for none. An answer with another value, or a
-    /// success without the header, is treated as the answer to another request and fails with OutcomeUnknownError.
+    /// success without the header, is treated as the answer to another request and fails with OutcomeUnknownError. If
+    /// the request does not have the header, the answer must not have it either.
     std::string echoedHeader {};
+    /// Opens a connection of its own. For requests whose answer could not be told from a late second copy of another
+    /// answer, which may arrive on any connection that was in use before.
+    bool needsNewConnection = false;
     /// Accepts a body that is delimited only by the end of the connection if the connection closes cleanly. Otherwise
     /// such an answer fails with OutcomeUnknownError, as a truncated one looks the same.
     bool isCloseDelimitedBodyAllowed = false;
@@ -106,7 +110,8 @@
     /// Sets the error if no connection could be opened.
     asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> openNew(
         const Address&, Instant deadline, boost::system::error_code&);
-    asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> open(const Address&, Instant deadline);
+    /// Takes an idle connection, unless a new one is needed or none is idle.
+    asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> open(const Address&, bool needsNew, Instant deadline);
     std::unique_ptr<boost::beast::tcp_stream> takeIdle(const Address&);
     void keepIdle(const Address&, std::unique_ptr<boost::beast::tcp_stream>, const HttpResponse&);
 
--- a/standins/hosted_http.py
+++ b/standins/hosted_http.py
@@ -27,6 +27,8 @@
         self.reader = reader
         self.writer = writer
         self.is_open = True
+        # Seconds after an answer at which a second copy of it is sent; never if None.
+        self.copy_after_s = None
         # Headers of every answer on this connection.
         self.common_headers = {}
 
@@ -35,8 +37,15 @@
             body = json.dumps(body).encode()
         lines = ["HTTP/1.1 %d X" % status, "Content-Length: %d" % len(body)]
         lines += ["%s: %s" % pair for pair in {**(headers or {}), **self.common_headers}.items()]
-        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        answer = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        self.writer.write(answer)
         await self.writer.drain()
+        if self.copy_after_s is not None:
+            asyncio.get_running_loop().call_later(self.copy_after_s, self.send_copy, answer)
+
+    def send_copy(self, answer):
+        if not self.writer.is_closing():
+            self.writer.write(answer)
 
     async def begin_stream(self, headers):
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -22,6 +22,8 @@
         self.born = int(time.time() * 1000)
         self.beats = 0
         self.is_draining = False
+        # Fault: seconds after each answer at which it sends a second copy on the same connection.
+        self.copy_after_s = None
         # Says in every answer that it is leaving, while its registration stays as it is.
         self.is_leaving = False
         # (request id, target, body) of each request that ran, in order.
@@ -52,6 +54,7 @@
 
     async def answer(self, request, connection):
         connection.common_headers = {"Server-Leaving": "1"} if self.is_leaving else {}
+        connection.copy_after_s = self.copy_after_s
         await self.handle(request, connection)
 
     def be_reborn(self, server_id):
@@ -149,6 +152,8 @@
         self.is_busy = False
         # Faults: events after which streams are cut, and whether the replica answers at all.
         self.cut_after = None
+        # Seconds that an order takes to be answered.
+        self.order_s = 0.0
         self.is_dark = False
 
     async def start(self, host, port=0):
@@ -170,6 +175,7 @@
 
     async def order(self, request, connection):
         order = request.json()
+        await asyncio.sleep(self.order_s)
         if self.versions.get(order["Model"]) == order["Version"]:
             return await connection.answer(200)
         if self.is_busy or order.get("Expected", self.orders) != self.orders:
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -305,6 +305,46 @@
     assert deployment.call(entry, "after-reload")[0] == 200
 
 
+def second_copies_of_answers_reach_nobody(deployment):
+    """Servers send each answer again, some at once and some when the connection is in use again."""
+    platform = deployment.platform
+    for number, server in enumerate(platform.services + platform.engines):
+        server.copy_after_s = 0.002 if number % 2 else 0.011
+    for engine in platform.engines:
+        engine.order_s = 0.03
+
+    def caller(label):
+        for turn in range(60):
+            request = "%s-%d" % (label, turn)
+            status, body, headers = deployment.call(deployment.entries[0], request)
+            if status == 200:
+                right = body == b"answer to " + request.encode()
+                outcomes.append(right and headers["Endiveroad-Upstream-Stamp"] == stamp(request))
+
+    outcomes = []
+    callers = [threading.Thread(target=caller, args=("copies-%d" % number,)) for number in range(4)]
+    for thread in callers:
+        thread.start()
+    for thread in callers:
+        thread.join()
+    assert all(outcomes) and len(outcomes) > 200, outcomes
+    items = names("copied", 12)
+    deployment.submit("job-copied", items)
+    platform.name_version(MODELS[0], 2)
+    check_results(deployment, "job-copied", items, deployment.read_all("job-copied", 12))
+    new = names("loaded", 6)
+    deployment.submit("job-loaded", new, oldest=2)
+    results = deployment.read_all("job-loaded", 6)
+    assert all(result["Versions"] == [2] for result in results), results
+    logs = ""
+    for agent in deployment.agents:
+        with open(agent.log_path, encoding="utf-8") as log:
+            logs += log.read()
+    assert '"outcome":"accepted"' in logs
+    assert '"outcome":"already holds"' not in logs, "a copy of a state was read as the answer to an order"
+    assert '"ServerDown"' not in logs, "a copy of another answer was read as the replica's state"
+
+
 def calls_without_a_ready_server_are_refused_at_once(deployment):
     for service in deployment.platform.services:
         service.is_leaving = True
@@ -404,7 +444,7 @@
     entries_leave_without_cutting_a_request, failures_are_explained_by_the_logs,
     coordinators_stop_while_reads_wait_for_the_store, streams_pass_as_they_come_and_resume,
     a_failure_in_place_of_a_stream_passes_unchanged, settings_change_without_a_signal,
-    calls_without_a_ready_server_are_refused_at_once, a_burst_of_calls_fills_the_servers_without_a_storm)}
+    second_copies_of_answers_reach_nobody, calls_without_a_ready_server_are_refused_at_once, a_burst_of_calls_fills_the_servers_without_a_storm)}
 
 
 if __name__ == "__main__":
