Slow but sound runs end, trickling streams are left, and malformed records stop no task

Streams: an agent cancels a run after 1.3 s without a byte and a coordinator after 3 s without an event, each time from the start of the next run. Trickles: StreamProxy took any byte for progress, so a server that sends a comment now and then held a stream until the deadline (IncompleteRead at the caller). Only complete events count. replicas_that_send_bytes_but_no_events_are_left. Malformed records: a coordinator's registration with a field of another type raised an exception of the JSON library, which only handlers of our own errors looked for. It ended the task that reads the directory, in one coordinator after the other, and the reading of frames in every process that got it; the next configuration never applied. Registrations are decoded strictly, tasks that run to the end of the process start again after an unexpected exception (spawnRestarting, TaskRestarted), and a frame that cannot be handled closes its connection.

--- a/include/endiveroad/BatchPlacement.h
+++ b/include/endiveroad/BatchPlacement.h
@@ -5,6 +5,7 @@
 #include <endiveroad/Time.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,9 +45,9 @@
     int64_t oldestVersion = 0;
     Instant dueAt = never;
     double expectedTokens = 0;
-    /// Agent on which the item's last run failed or was too slow; empty if none. It gets the item only if no other
-    /// replica can run it now.
-    std::string avoidedAgent;
+    /// Agents on which the item's last run failed or was too slow, or any of its runs stalled. They get the item only
+    /// if no other replica can run it now.
+    std::set<std::string> avoidedAgents;
 
     auto operator<=>(const WaitingItem&) const = default;
 };
--- a/src/core/batch/BatchPlacement.cpp
+++ b/src/core/batch/BatchPlacement.cpp
@@ -25,8 +25,8 @@
     return (eventMs > 0 ? eventMs : 1) * (1 + slowdownPerRun * replica.running);
 }
 
-/// Usable replica with the shortest expected time between events; item.avoidedAgent only if no other is usable. Among
-/// equally fast replicas, items of a group prefer the same one. Null if no replica is usable.
+/// Usable replica with the shortest expected time between events; one of item.avoidedAgents only if no other is usable.
+/// Among equally fast replicas, items of a group prefer the same one. Null if no replica is usable.
 ReplicaView* bestReplica(const WaitingItem& item, std::vector<ReplicaView>& replicas, double medianMs)
 {
     ReplicaView* best = nullptr;
@@ -34,7 +34,7 @@
     for (ReplicaView& replica : replicas) {
         if (!isUsable(replica, item.model, item.oldestVersion))
             continue;
-        const std::tuple rank(replica.agent == item.avoidedAgent, expectedEventMs(replica, medianMs),
+        const std::tuple rank(item.avoidedAgents.contains(replica.agent), expectedEventMs(replica, medianMs),
             rendezvousWeight(item.job + "/" + item.group, replica.agent));
         if (best && bestRank <= rank)
             continue;
--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -295,6 +295,8 @@
         log(Event::FrameRefused, { { "peer", peerName }, { "reason", error.what() } });
     } catch (const boost::system::system_error&) {
         // The peer closed the connection or the socket failed; close() below ends the open calls.
+    } catch (const std::exception& error) {
+        log(Event::FrameRefused, { { "peer", peerName }, { "reason", error.what() } });
     }
     close();
 }
--- a/src/io/Tasks.cpp
+++ b/src/io/Tasks.cpp
@@ -27,6 +27,36 @@
 
 namespace {
 
+/// Pause before a task that failed is started again.
+constexpr Duration restartPause = std::chrono::milliseconds(200);
+
+/// Returns whether the task ended as it should.
+asio::awaitable<bool> runTask(const std::function<asio::awaitable<void>()>& body)
+{
+    try {
+        co_await body();
+        co_return true;
+    } catch (const std::exception& error) {
+        log(Event::TaskRestarted, { { "reason", error.what() } });
+    }
+    co_return false;
+}
+
+} // namespace
+
+void spawnRestarting(const asio::any_io_executor& executor, std::function<asio::awaitable<void>()> body)
+{
+    asio::co_spawn(
+        executor,
+        [body = std::move(body)]() -> asio::awaitable<void> {
+            while (!co_await runTask(body))
+                co_await sleepFor(restartPause);
+        },
+        asio::detached);
+}
+
+namespace {
+
 /// Registers a wait with the time source, and ends it also if the waiting coroutine is destroyed.
 class Wait {
 public:
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -148,6 +148,8 @@
     asio::awaitable<Location> locate(std::string job, std::vector<std::string> unreachable);
     /// Looks a job up in the store and takes it over if its owner is not alive. The caller holds the job's lock.
     asio::awaitable<Location> locateOnce(std::string job, std::vector<std::string> unreachable);
+    /// Takes a job over; a failure that concerns only this job is logged. Throws StoreUnavailableError.
+    asio::awaitable<void> tryTakeOver(StoredJob);
     /// Takes a job over unless it is owned or locked here. Returns null then or if its record has changed.
     asio::awaitable<OwnedJobPtr> takeOver(StoredJob);
     asio::awaitable<OwnedJobPtr> takeOverOnce(StoredJob);
--- a/src/io/hosted/BatchOwnership.cpp
+++ b/src/io/hosted/BatchOwnership.cpp
@@ -123,7 +123,19 @@
             = rendezvousOwners(stored.record.route, coordinators_.aliveCoordinators(), 1);
         if (!isOwn && (successors.empty() || successors.front() != name_))
             continue;
+        co_await tryTakeOver(stored);
+    }
+}
+
+asio::awaitable<void> BatchOwner::tryTakeOver(StoredJob stored)
+{
+    try {
         co_await takeOver(stored);
+    } catch (const StoreUnavailableError&) {
+        // The other jobs would fail in the same way.
+        throw;
+    } catch (const Error& error) {
+        log(Event::BatchReadFailed, { { "job", stored.id }, { "reason", error.what() } });
     }
 }
 
--- a/src/io/hosted/DirectorySync.cpp
+++ b/src/io/hosted/DirectorySync.cpp
@@ -221,7 +221,7 @@
 {
     std::vector<std::string> unreadable;
     Directory directory = protocol_.decode(documents_, unreadable);
-    decodeCoordinators(directory);
+    decodeCoordinators(directory, unreadable);
     leavingServers_.apply(directory, now());
     for (const std::string& entry : unreadable) {
         if (std::find(unreadable_.begin(), unreadable_.end(), entry) == unreadable_.end())
@@ -239,20 +239,19 @@
     listener_.onDirectory(before, current_);
 }
 
-void DirectorySync::decodeCoordinators(Directory& directory) const
+void DirectorySync::decodeCoordinators(Directory& directory, std::vector<std::string>& unreadable) const
 {
     for (const Document* document : documents_.find(coordinatorPrefix)) {
-        const auto object = nlohmann::json::parse(document->value, nullptr, false);
-        if (!object.is_object())
-            continue;
         CoordinatorRecord record;
         record.name = document->key.substr(std::string_view(coordinatorPrefix).size());
-        record.failureDomain = object.value("failureDomain", "");
         try {
+            const auto object = nlohmann::json::parse(document->value);
+            record.failureDomain = object.value("failureDomain", "");
             record.peer = Address::parse(object.value("peer", ""));
-        } catch (const Error&) {
-            // Only coordinators write under this prefix, so an address that does not parse was
-            // written by a later version of the coordinator.
+        } catch (const std::exception&) {
+            // Only coordinators write under this prefix, so a value that cannot be decoded was written by a later
+            // version of the coordinator.
+            unreadable.push_back(document->key);
             continue;
         }
         std::string name = record.name;
--- a/src/io/hosted/DirectorySync.h
+++ b/src/io/hosted/DirectorySync.h
@@ -93,7 +93,8 @@
     /// isRegistrationRead they come from this process's own listing of registrations, which counts for the election.
     void applyDocuments(const std::vector<Document>&, bool isRegistrationRead);
     void rebuild();
-    void decodeCoordinators(Directory&) const;
+    /// Adds the keys of registrations that cannot be decoded to `unreadable`.
+    void decodeCoordinators(Directory&, std::vector<std::string>& unreadable) const;
 
     const DirectoryProtocol& protocol_;
     MetadataStore& store_;
--- a/src/io/hosted/EngineController.cpp
+++ b/src/io/hosted/EngineController.cpp
@@ -126,7 +126,7 @@
             if (isChanged)
                 onChange_();
         }
-    } catch (const Error& error) {
+    } catch (const std::exception& error) {
         if (isUp_)
             log(Event::ServerDown, { { "server", server_.id }, { "reason", error.what() } });
     }
@@ -202,7 +202,7 @@
                 }
                 isPauseDue = outcome != OrderOutcome::AlreadyLoaded;
             }
-        } catch (const Error& error) {
+        } catch (const std::exception& error) {
             // If an order was sent, the replica may still carry it out. Repeating it is safe: once the replica has
             // accepted one, its count of accepted orders no longer equals expectedOrders and it rejects the other.
             log(Event::WeightLoadFailed,
--- a/src/io/hosted/HostedAgent.cpp
+++ b/src/io/hosted/HostedAgent.cpp
@@ -42,9 +42,9 @@
 
 void HostedAgent::start()
 {
-    spawn(context().get_executor(), [this] { return engine_.monitor(); });
-    spawn(context().get_executor(), [this] { return runner_.report(); });
-    spawn(context().get_executor(), [this] { return report(); });
+    spawnRestarting(context().get_executor(), [this] { return engine_.monitor(); });
+    spawnRestarting(context().get_executor(), [this] { return runner_.report(); });
+    spawnRestarting(context().get_executor(), [this] { return report(); });
 }
 
 void HostedAgent::onDirectoryChanged(const Directory&, const Directory&)
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -46,11 +46,11 @@
 void HostedCoordinator::start()
 {
     const auto executor = context().get_executor();
-    spawn(executor, [this] { return maintainRegistration(); });
-    spawn(executor, [this] { return runTakeOvers(); });
-    spawn(executor, [this] { return dispatcher_.run(); });
-    spawn(executor, [this] { return owner_.runListing(); });
-    spawn(executor, [this] { return reportRetirements(); });
+    spawnRestarting(executor, [this] { return maintainRegistration(); });
+    spawnRestarting(executor, [this] { return runTakeOvers(); });
+    spawnRestarting(executor, [this] { return dispatcher_.run(); });
+    spawnRestarting(executor, [this] { return owner_.runListing(); });
+    spawnRestarting(executor, [this] { return reportRetirements(); });
 }
 
 bool HostedCoordinator::isAlive(const std::string& coordinator) const
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -111,10 +111,10 @@
         co_await sleepFor(seedTime);
         connectToCoordinators();
     });
-    spawn(context_.get_executor(), [this] { return pollSettings(); });
-    spawn(context_.get_executor(), [this] { return directorySync_->readServers(); });
-    spawn(context_.get_executor(), [this] { return directorySync_->watchOperatorDocuments(); });
-    spawn(context_.get_executor(), [this] { return crashStore_.run(); });
+    spawnRestarting(context_.get_executor(), [this] { return pollSettings(); });
+    spawnRestarting(context_.get_executor(), [this] { return directorySync_->readServers(); });
+    spawnRestarting(context_.get_executor(), [this] { return directorySync_->watchOperatorDocuments(); });
+    spawnRestarting(context_.get_executor(), [this] { return crashStore_.run(); });
     start();
     context_.run();
     log(Event::ProcessStopped);
@@ -290,7 +290,7 @@
         default:
             onNodeNotice(connection, message);
         }
-    } catch (const Error& error) {
+    } catch (const std::exception& error) {
         log(Event::FrameRefused, { { "peer", connection->peerName }, { "reason", error.what() } });
     }
 }
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -130,10 +130,8 @@
         for (size_t item : owned->job.waiting(now())) {
             if (crashGuard_.blockedUntil(owned->contents[item]))
                 continue;
-            const auto avoided = owned->avoidedAgents.find(item);
             waiting.push_back({ id, item, spec.items[item].group, spec.model, spec.oldestVersion,
-                owned->job.policy().dueAt, spec.items[item].expectedTokens,
-                avoided == owned->avoidedAgents.end() ? std::string() : avoided->second });
+                owned->job.policy().dueAt, spec.items[item].expectedTokens, owned->agentsToAvoid(item) });
         }
     }
     for (const Placement& placement : placeItems(waiting, replicas)) {
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -39,8 +39,9 @@
     /// Time for an agent to answer the request to start an item.
     static constexpr Duration startTimeout = std::chrono::milliseconds(800);
 
-    /// A run that delivers no new event for this long is withdrawn, whatever state its agent is in. Unlike
-    /// ItemRunner::stallLimit, it counts events that reach the coordinator, not bytes that reach the agent.
+    /// A run that delivers no new event for this long is withdrawn, whatever state its agent is in; for later runs of
+    /// an item that stalled see StallLimit.h. Unlike ItemRunner::stallLimit, it counts events that reach the
+    /// coordinator, not bytes that reach the agent.
     static constexpr Duration silenceLimit = std::chrono::milliseconds(3000);
 
     /// Minimum age of a run that is moved to another replica.
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <endiveroad/Error.h>
 #include <endiveroad/EventStream.h>
+#include <endiveroad/StallLimit.h>
 #include <fmt/format.h>
 
 namespace endiveroad::io {
@@ -51,6 +52,8 @@
     Instant lastActivity = Instant::min();
     Instant lastEventAt = Instant::min();
     Instant expiry = never;
+    /// Cancelled because it delivered nothing for too long.
+    bool isStalled = false;
     /// Reason of the cancellation; empty if the run was not cancelled.
     std::string cancelReason;
 };
@@ -188,7 +191,7 @@
     } catch (const ServerUnavailableError& error) {
         failure = error.what();
         state = RunState::NotRun;
-    } catch (const Error& error) {
+    } catch (const std::exception& error) {
         failure = error.what();
     }
     engine_.queryNow();
@@ -318,10 +321,12 @@
         co_await wake_.wait(now() + progressInterval);
         sendProgress(false);
         for (const auto& [item, run] : runs_) {
-            const bool isStalled = run->state == RunState::Running && now() > run->lastActivity + stallLimit;
+            const Duration limit = stallLimitAfter(stallLimit, run->startRequest.stalls);
+            const bool isStalled = run->state == RunState::Running && now() > run->lastActivity + limit;
             if (!isStalled || run->cancellation.isCancelled())
                 continue;
             log(Event::ServerStalled, { { "item", item }, { "server", engine_.server() } });
+            run->isStalled = true;
             run->cancelReason = "the replica sent nothing for too long";
             run->cancellation.cancel();
         }
@@ -346,6 +351,7 @@
         progress.run = run->startRequest.run;
         progress.state = toWire(run->state);
         progress.status = run->status;
+        progress.isStalled = run->isStalled;
         progress.firstEvent = static_cast<int32_t>(run->sentCount);
         progress.events = toWire(run->events, run->sentCount);
         run->sentCount = run->events.size();
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -22,8 +22,8 @@
     /// Interval between two progress notices of a run.
     static constexpr Duration progressInterval = std::chrono::milliseconds(100);
 
-    /// A run that receives no bytes for this long has stalled and is cancelled. Bytes without an event count too,
-    /// unlike for ItemDispatcher::silenceLimit.
+    /// A run that receives no bytes for this long has stalled and is cancelled; for later runs of an item that stalled
+    /// see StallLimit.h. Bytes without an event count too, unlike for ItemDispatcher::silenceLimit.
     static constexpr Duration stallLimit = std::chrono::milliseconds(1300);
 
     /// Time limit of a run.
--- a/src/io/hosted/ItemRuns.cpp
+++ b/src/io/hosted/ItemRuns.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <endiveroad/Error.h>
+#include <endiveroad/StallLimit.h>
 #include <fmt/format.h>
 
 /// Starting, withdrawing and adopting runs of items, and agents' reports on them. ItemDispatcher.cpp decides which item
@@ -35,6 +36,7 @@
     startRequest.events = toWire(job.items()[index].text.events);
     startRequest.oldestVersion = job.spec().oldestVersion;
     startRequest.model = job.spec().model;
+    startRequest.stalls = owned->stalls(index);
     log(Event::ItemPlaced,
         { { "job", owned->id() }, { "item", spec.id }, { "run", std::to_string(startRequest.run) },
             { "agent", replica.agent }, { "running", std::to_string(replica.running) },
@@ -100,8 +102,12 @@
 {
     for (size_t i = 0; i < owned.job.items().size(); ++i) {
         const ItemState& item = owned.job.items()[i];
-        if (item.stage == ItemStage::Running && now() > item.lastEventAt + silenceLimit)
-            withdraw(owned, i, "the run has delivered no event for too long");
+        if (item.stage != ItemStage::Running)
+            continue;
+        if (now() <= item.lastEventAt + stallLimitAfter(silenceLimit, owned.stalls(i)))
+            continue;
+        owned.stalledAgents[i].push_back(item.agent);
+        withdraw(owned, i, "the run has delivered no event for too long");
     }
 }
 
@@ -116,6 +122,8 @@
         const RunProgress report { progress.run, static_cast<size_t>(std::max(progress.firstEvent, 0)),
             fromWire(progress.events), fromWire(progress.state), progress.status };
         const ItemState& item = owned->job.items()[*index];
+        if (progress.isStalled && item.stage == ItemStage::Running && item.run == progress.run)
+            owned->stalledAgents[*index].push_back(agent->peerName);
         ItemAction action = ItemAction::None;
         if (item.stage == ItemStage::Running && item.run == progress.run)
             action = owned->job.onProgress(*index, report, now());
--- a/src/io/hosted/JobStore.cpp
+++ b/src/io/hosted/JobStore.cpp
@@ -1,6 +1,7 @@
 #include "io/hosted/JobStore.h"
 
 #include "io/Clock.h"
+#include "io/Log.h"
 
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
@@ -138,8 +139,13 @@
 {
     const StoreListing listing = co_await store_.list(recordPrefix, false, now() + callTimeout);
     std::vector<StoredJob> jobs;
-    for (const Document& document : listing.documents)
-        jobs.push_back(decodeRecord(document));
+    for (const Document& document : listing.documents) {
+        try {
+            jobs.push_back(decodeRecord(document));
+        } catch (const FrameInvalidError& error) {
+            log(Event::JobRecordUnreadable, { { "key", document.key }, { "reason", error.what() } });
+        }
+    }
     co_return jobs;
 }
 
--- a/src/io/hosted/OwnedJob.h
+++ b/src/io/hosted/OwnedJob.h
@@ -27,6 +27,23 @@
 
     const std::string& id() const { return job.spec().id; }
 
+    int32_t stalls(size_t item) const
+    {
+        const auto found = stalledAgents.find(item);
+        return found == stalledAgents.end() ? 0 : static_cast<int32_t>(found->second.size());
+    }
+
+    /// WaitingItem::avoidedAgents of the item.
+    std::set<std::string> agentsToAvoid(size_t item) const
+    {
+        std::set<std::string> agents;
+        if (const auto stalled = stalledAgents.find(item); stalled != stalledAgents.end())
+            agents.insert(stalled->second.begin(), stalled->second.end());
+        if (const auto last = avoidedAgents.find(item); last != avoidedAgents.end())
+            agents.insert(last->second);
+        return agents;
+    }
+
     BatchJob job;
     /// Content of each item's request to a replica, by index of the item.
     std::vector<ContentId> contents;
@@ -49,6 +66,8 @@
     std::set<int64_t> withdrawnRuns;
     /// How often an item has been moved to a faster replica, by index of the item.
     std::map<size_t, int32_t> moveCounts;
+    /// Agents on which runs of an item have stalled, one entry for each such run, by index of the item.
+    std::map<size_t, std::vector<std::string>> stalledAgents;
     /// Agent that the item's next run should avoid, by index of the item.
     std::map<size_t, std::string> avoidedAgents;
 };
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -19,12 +19,13 @@
 /// Number of bytes up to the end of the last complete event; 0 if there is none.
 size_t completeEventBytes(const std::string& text)
 {
+    size_t bytes = 0;
     for (const std::string_view boundary : { "\n\n", "\r\n\r\n" }) {
         const size_t end = text.rfind(boundary);
         if (end != std::string::npos)
-            return end + boundary.size();
+            bytes = std::max(bytes, end + boundary.size());
     }
-    return 0;
+    return bytes;
 }
 
 } // namespace
@@ -42,7 +43,8 @@
     std::optional<HttpResponse> head;
     /// Bytes that have not been forwarded.
     std::string pending;
-    Instant lastByteAt = now();
+    /// When the head or the last complete event came.
+    Instant lastEventAt = now();
     bool hasEnded = false;
     /// The response was received to its end.
     bool isComplete = false;
@@ -110,13 +112,12 @@
     auto onHead = [this, serverStream](const HttpResponse& head) {
         answerListener_.onAnswer(protocol_.decode(head), serverStream->attempt.receiver());
         serverStream->head = head;
-        serverStream->lastByteAt = now();
+        serverStream->lastEventAt = now();
         serverStream->changed.notifyAll();
     };
     auto onBody = [serverStream](std::string_view piece) {
         serverStream->pending.append(piece);
         serverStream->hasBody = true;
-        serverStream->lastByteAt = now();
         serverStream->changed.notifyAll();
         return true;
     };
@@ -127,7 +128,7 @@
     } catch (const ServerUnavailableError& error) {
         serverStream->wasSent = false;
         serverStream->failure = error.what();
-    } catch (const Error& error) {
+    } catch (const std::exception& error) {
         serverStream->failure = error.what();
     }
     serverStream->hasEnded = true;
@@ -169,6 +170,7 @@
     while (!cancellation->isCancelled() && now() < deadline) {
         const size_t bytes = completeEventBytes(serverStream->pending);
         if (bytes > 0) {
+            serverStream->lastEventAt = now();
             if (!progress.lastEventId)
                 crashGuard_.onAnswered(serverStream->attempt);
             const std::string piece = serverStream->pending.substr(0, bytes);
@@ -179,7 +181,7 @@
             continue;
         }
         // A stalled stream is abandoned only if the route is resumable and has attempts left.
-        const Instant stalledAt = progress.mayResume ? serverStream->lastByteAt + stallLimit : never;
+        const Instant stalledAt = progress.mayResume ? serverStream->lastEventAt + stallLimit : never;
         if (serverStream->hasEnded || now() > stalledAt)
             break;
         co_await serverStream->changed.wait(std::min(deadline, stalledAt == never ? never : stalledAt + Duration(1)));
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -14,8 +14,9 @@
 
 class StreamProxy {
 public:
-    /// Time without a byte after the response head after which a server's stream is cancelled, if the route is
-    /// resumable and has attempts left.
+    /// Time without a complete event after the response head after which a server's stream is cancelled, if the route
+    /// is resumable and has attempts left. Bytes that complete no event do not count: a server that sends one now and
+    /// then has stalled all the same.
     static constexpr Duration stallLimit = std::chrono::milliseconds(1500);
 
     StreamProxy(
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -276,6 +276,8 @@
   /** The agent refuses the run if its replica has older weights than this. */
   10: i64 oldestVersion
   11: string model
+  /** Number of the item's runs that stalled; see StallLimit.h. */
+  12: i32 stalls
 }
 /** Revision is the highest that the agent knows for the job's owner record. Reason is empty if the run is accepted. */
 struct ItemStartAnswer { 1: bool isAccepted  2: string reason  3: i64 revision  4: bool isJobEnded }
@@ -293,6 +295,8 @@
   6: list<GeneratedEvent> events
   /** Number of the item's events before these. */
   7: i32 firstEvent
+  /** The agent has cancelled the run because it delivered nothing for too long. */
+  8: bool isStalled
 }
 struct ItemProgressNotice { 1: list<ItemProgress> items }
 
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -5188,6 +5188,10 @@
 void ItemStart::__set_model(const std::string& val) {
   this->model = val;
 }
+
+void ItemStart::__set_stalls(const int32_t val) {
+  this->stalls = val;
+}
 std::ostream& operator<<(std::ostream& out, const ItemStart& obj)
 {
   obj.printTo(out);
@@ -5328,6 +5332,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->stalls);
+          this->__isset.stalls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5405,6 +5417,10 @@
   xfer += oprot->writeString(this->model);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("stalls", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->stalls);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5423,6 +5439,7 @@
   swap(a.events, b.events);
   swap(a.oldestVersion, b.oldestVersion);
   swap(a.model, b.model);
+  swap(a.stalls, b.stalls);
   swap(a.__isset, b.__isset);
 }
 
@@ -5438,6 +5455,7 @@
   events = other130.events;
   oldestVersion = other130.oldestVersion;
   model = other130.model;
+  stalls = other130.stalls;
   __isset = other130.__isset;
 }
 ItemStart& ItemStart::operator=(const ItemStart& other131) {
@@ -5452,6 +5470,7 @@
   events = other131.events;
   oldestVersion = other131.oldestVersion;
   model = other131.model;
+  stalls = other131.stalls;
   __isset = other131.__isset;
   return *this;
 }
@@ -5469,6 +5488,7 @@
   out << ", " << "events=" << to_string(events);
   out << ", " << "oldestVersion=" << to_string(oldestVersion);
   out << ", " << "model=" << to_string(model);
+  out << ", " << "stalls=" << to_string(stalls);
   out << ")";
 }
 
@@ -5656,6 +5676,10 @@
 void ItemProgress::__set_firstEvent(const int32_t val) {
   this->firstEvent = val;
 }
+
+void ItemProgress::__set_isStalled(const bool val) {
+  this->isStalled = val;
+}
 std::ostream& operator<<(std::ostream& out, const ItemProgress& obj)
 {
   obj.printTo(out);
@@ -5754,6 +5778,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isStalled);
+          this->__isset.isStalled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5807,6 +5839,10 @@
   xfer += oprot->writeI32(this->firstEvent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isStalled", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->isStalled);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5821,6 +5857,7 @@
   swap(a.status, b.status);
   swap(a.events, b.events);
   swap(a.firstEvent, b.firstEvent);
+  swap(a.isStalled, b.isStalled);
   swap(a.__isset, b.__isset);
 }
 
@@ -5832,6 +5869,7 @@
   status = other141.status;
   events = other141.events;
   firstEvent = other141.firstEvent;
+  isStalled = other141.isStalled;
   __isset = other141.__isset;
 }
 ItemProgress& ItemProgress::operator=(const ItemProgress& other142) {
@@ -5842,6 +5880,7 @@
   status = other142.status;
   events = other142.events;
   firstEvent = other142.firstEvent;
+  isStalled = other142.isStalled;
   __isset = other142.__isset;
   return *this;
 }
@@ -5855,6 +5894,7 @@
   out << ", " << "status=" << to_string(status);
   out << ", " << "events=" << to_string(events);
   out << ", " << "firstEvent=" << to_string(firstEvent);
+  out << ", " << "isStalled=" << to_string(isStalled);
   out << ")";
 }
 
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -2362,7 +2362,7 @@
 std::ostream& operator<<(std::ostream& out, const GeneratedEvent& obj);
 
 typedef struct _ItemStart__isset {
-  _ItemStart__isset() : job(false), revision(false), item(false), run(false), host(false), path(false), headers(false), body(false), events(false), oldestVersion(false), model(false) {}
+  _ItemStart__isset() : job(false), revision(false), item(false), run(false), host(false), path(false), headers(false), body(false), events(false), oldestVersion(false), model(false), stalls(false) {}
   bool job :1;
   bool revision :1;
   bool item :1;
@@ -2374,6 +2374,7 @@
   bool events :1;
   bool oldestVersion :1;
   bool model :1;
+  bool stalls :1;
 } _ItemStart__isset;
 
 /**
@@ -2393,7 +2394,8 @@
               path(),
               body(),
               oldestVersion(0),
-              model() {
+              model(),
+              stalls(0) {
   }
 
   virtual ~ItemStart() noexcept;
@@ -2420,6 +2422,10 @@
    */
   int64_t oldestVersion;
   std::string model;
+  /**
+   * Number of the item's runs that stalled; see StallLimit.h.
+   */
+  int32_t stalls;
 
   _ItemStart__isset __isset;
 
@@ -2445,6 +2451,8 @@
 
   void __set_model(const std::string& val);
 
+  void __set_stalls(const int32_t val);
+
   bool operator == (const ItemStart & rhs) const
   {
     if (!(job == rhs.job))
@@ -2469,6 +2477,8 @@
       return false;
     if (!(model == rhs.model))
       return false;
+    if (!(stalls == rhs.stalls))
+      return false;
     return true;
   }
   bool operator != (const ItemStart &rhs) const {
@@ -2555,7 +2565,7 @@
 std::ostream& operator<<(std::ostream& out, const ItemStartAnswer& obj);
 
 typedef struct _ItemProgress__isset {
-  _ItemProgress__isset() : job(false), item(false), run(false), state(false), status(false), events(false), firstEvent(false) {}
+  _ItemProgress__isset() : job(false), item(false), run(false), state(false), status(false), events(false), firstEvent(false), isStalled(false) {}
   bool job :1;
   bool item :1;
   bool run :1;
@@ -2563,6 +2573,7 @@
   bool status :1;
   bool events :1;
   bool firstEvent :1;
+  bool isStalled :1;
 } _ItemProgress__isset;
 
 /**
@@ -2579,7 +2590,8 @@
                  run(0),
                  state(static_cast<RunState::type>(0)),
                  status(0),
-                 firstEvent(0) {
+                 firstEvent(0),
+                 isStalled(0) {
   }
 
   virtual ~ItemProgress() noexcept;
@@ -2600,6 +2612,10 @@
    * Number of the item's events before these.
    */
   int32_t firstEvent;
+  /**
+   * The agent has cancelled the run because it delivered nothing for too long.
+   */
+  bool isStalled;
 
   _ItemProgress__isset __isset;
 
@@ -2617,6 +2633,8 @@
 
   void __set_firstEvent(const int32_t val);
 
+  void __set_isStalled(const bool val);
+
   bool operator == (const ItemProgress & rhs) const
   {
     if (!(job == rhs.job))
@@ -2633,6 +2651,8 @@
       return false;
     if (!(firstEvent == rhs.firstEvent))
       return false;
+    if (!(isStalled == rhs.isStalled))
+      return false;
     return true;
   }
   bool operator != (const ItemProgress &rhs) const {
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -152,6 +152,8 @@
         self.is_busy = False
         # Faults: events after which streams are cut, and whether the replica answers at all.
         self.cut_after = None
+        # Sends bytes that complete no event now and then, and nothing else.
+        self.is_trickling = False
         # Seconds that an order takes to be answered.
         self.order_s = 0.0
         self.is_dark = False
@@ -213,6 +215,9 @@
         try:
             await connection.begin_stream({**headers, "Endiveroad-Weight-Versions": str(version),
                                            "Endiveroad-Upstream-Stamp": stamp(item)})
+            while self.is_trickling and not connection.has_client_left():
+                await connection.send_piece(b": still here\n")
+                await asyncio.sleep(0.2)
             for number in range(first, event_count(item)):
                 await asyncio.sleep(self.EVENT_S + self.extra_s)
                 if connection.has_client_left():
--- a/tests/core/BatchPlacementTest.cpp
+++ b/tests/core/BatchPlacementTest.cpp
@@ -68,7 +68,7 @@
 {
     std::vector<ReplicaView> replicas { replica("a0", 0, 10), replica("a1", 5, 40) };
     WaitingItem failed = item(0, 1);
-    failed.avoidedAgent = "a0";
+    failed.avoidedAgents = { "a0" };
     CHECK(placeItems({ failed }, replicas).front().agent == "a1");
     std::vector<ReplicaView> onlyOne { replica("a0") };
     CHECK(placeItems({ failed }, onlyOne).front().agent == "a0");
--- a/tests/process/hosted.py
+++ b/tests/process/hosted.py
@@ -11,9 +11,9 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts", "lib"))
-from hosted import CALL_PREFIX, HOST, MODELS, names, route, run_case, wait_until  # noqa: E402
+from hosted import CALL_PREFIX, HOST, MODELS, configuration, names, route, run_case, wait_until  # noqa: E402
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "standins"))
-from hosted_servers import stamp, whole_text  # noqa: E402
+from hosted_servers import event_count, stamp, whole_text  # noqa: E402
 
 
 def check_results(deployment, job, items, results):
@@ -179,6 +179,34 @@
     assert deployment.call(deployment.entries[0], "after")[0] == 200
 
 
+def malformed_records_stop_no_task(deployment):
+    """Values that no writer should write, under every prefix that is read: settings apply, and jobs are taken over."""
+    platform = deployment.platform
+    values = ["", "not json", "[]", "5", '{"peer":5}', '{"peer":"x","failureDomain":[]}', '{"owner":7,"items":"many"}',
+              '{"Model":3,"Version":"x"}', "\xff\xfe", '{"peer":"1.2.3.4:99999999999"}']
+    prefixes = ["endiveroad/coordinators/", "endiveroad/jobs/", "endiveroad/crashes/", "op/version/", "op/retire/",
+                "servers/", "op/"]
+    platform.name_version(MODELS[0], 2)
+    for prefix in prefixes:
+        for number, value in enumerate(values):
+            platform.run(platform.store.write("%sodd-%d" % (prefix, number), value))
+    # The coordinators' registrations are read every two seconds.
+    time.sleep(3.0)
+    platform.configure(7, configuration(7)["Routes"] + [route("added", "/added/", "idempotent", "plain")])
+    wait_until(lambda: all(deployment.call(entry, "added", "/added/x")[0] == 200 for entry in deployment.entries), 4)
+    for engine in platform.engines:
+        engine.extra_s = 0.05
+    items = names("odd", 8)
+    deployment.submit("job-odd", items)
+    owner = json.loads(platform.store.value("endiveroad/jobs/job-odd"))["owner"]
+    next(machine for machine in deployment.coordinators if machine.name == owner).kill()
+    check_results(deployment, "job-odd", items, deployment.read_all("job-odd", 8))
+    for machine in deployment.machines():
+        with open(machine.log_path, encoding="utf-8") as log:
+            failed = [line for line in log if '"ProcessFailed"' in line]
+        assert not failed, failed[0]
+
+
 def one_machine_is_turned_away_by_the_store(deployment):
     # The first coordinator by name reads for all others; its calls go through a peer.
     coordinator = deployment.coordinators[0]
@@ -305,6 +333,38 @@
     assert deployment.call(entry, "after-reload")[0] == 200
 
 
+def short_items(prefix, count):
+    """Ids of items of 4 to 6 events."""
+    items = [item for item in names(prefix, 4000) if event_count(item) <= 6][:count]
+    assert len(items) == count
+    return items
+
+
+def slow_but_sound_runs_end(deployment):
+    """Every replica takes longer for an event than the time after which a run counts as stalled at first."""
+    for engine in deployment.platform.engines:
+        engine.extra_s = 1.8
+    items = short_items("slow", 3)
+    deployment.submit("job-slow", items)
+    check_results(deployment, "job-slow", items, deployment.read_all("job-slow", 3, patience_s=60))
+
+
+def replicas_that_send_bytes_but_no_events_are_left(deployment):
+    deployment.platform.engines[0].is_trickling = True
+    deployment.platform.engines[1].is_trickling = True
+    items = short_items("trickle", 6)
+    deployment.submit("job-trickle", items)
+    began = time.monotonic()
+    for number in range(3):
+        item = "trickled-%d" % number
+        status, body, _ = deployment.request(deployment.entries[0], "POST", "/stream/x", b"prompt", {
+            "Endiveroad-Request-Id": item, "Endiveroad-Model": MODELS[0], "Endiveroad-Deadline-Ms": "8000"}, timeout=20)
+        text = "\n".join(line[6:] for line in body.decode().split("\n") if line.startswith("data: "))
+        assert (status, text) == (200, whole_text(item)), (status, body)
+    assert time.monotonic() - began < 20
+    check_results(deployment, "job-trickle", items, deployment.read_all("job-trickle", 6, patience_s=40))
+
+
 def second_copies_of_answers_reach_nobody(deployment):
     """Servers send each answer again, some at once and some when the connection is in use again."""
     platform = deployment.platform
@@ -444,7 +504,7 @@
     entries_leave_without_cutting_a_request, failures_are_explained_by_the_logs,
     coordinators_stop_while_reads_wait_for_the_store, streams_pass_as_they_come_and_resume,
     a_failure_in_place_of_a_stream_passes_unchanged, settings_change_without_a_signal,
-    second_copies_of_answers_reach_nobody, calls_without_a_ready_server_are_refused_at_once, a_burst_of_calls_fills_the_servers_without_a_storm)}
+    slow_but_sound_runs_end, replicas_that_send_bytes_but_no_events_are_left, malformed_records_stop_no_task, second_copies_of_answers_reach_nobody, calls_without_a_ready_server_are_refused_at_once, a_burst_of_calls_fills_the_servers_without_a_storm)}
 
 
 if __name__ == "__main__":
