Orders reuse a connection that has rested, in place of a new one each

Change: HttpClient reuses for such a request only a connection that has been idle for a second with nothing to read; it opens one if there is none. Idle connections that were just used stay in the pool. Ruled out: the connection used last, as a copy of the state query before an order arrives on it.

--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -131,22 +131,27 @@
         stream_->close();
 }
 
-std::unique_ptr<beast::tcp_stream> HttpClient::takeIdle(const Address& address)
+bool HttpClient::isReusable(beast::tcp_stream& stream)
+{
+    char byte = 0;
+    error_code error;
+    stream.socket().non_blocking(true, error);
+    stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+std::unique_ptr<beast::tcp_stream> HttpClient::takeIdle(const Address& address, Instant latestUse)
 {
     auto& idle = idle_[address];
-    while (!idle.empty()) {
-        Idle candidate = std::move(idle.back());
-        idle.pop_back();
-        if (candidate.expiry < now())
+    // Connections are kept in the order of their last use. The one used last is the least likely to have been closed.
+    for (size_t i = idle.size(); i > 0; --i) {
+        const auto candidate = idle.begin() + static_cast<ptrdiff_t>(i) - 1;
+        if (candidate->since > latestUse)
             continue;
-        // Only a connection with nothing to read is reused: an end of stream means that the server closed it, and
-        // unexpected bytes belong to no request.
-        char byte = 0;
-        error_code error;
-        candidate.stream->socket().non_blocking(true, error);
-        candidate.stream->socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-        if (error == asio::error::would_block)
-            return std::move(candidate.stream);
+        Idle taken = std::move(*candidate);
+        idle.erase(candidate);
+        if (taken.expiry >= now() && isReusable(*taken.stream))
+            return std::move(taken.stream);
     }
     return nullptr;
 }
@@ -157,7 +162,7 @@
     auto& idle = idle_[address];
     stream->expires_never();
     if (idle.size() < maxIdlePerAddress)
-        idle.push_back({ std::move(stream), now() + std::min(idleLifetime, declaredIdleLifetime(response)) });
+        idle.push_back({ std::move(stream), now(), now() + std::min(idleLifetime, declaredIdleLifetime(response)) });
 }
 
 asio::awaitable<std::unique_ptr<beast::tcp_stream>> HttpClient::openNew(
@@ -183,9 +188,9 @@
 }
 
 asio::awaitable<std::unique_ptr<beast::tcp_stream>> HttpClient::open(
-    const Address& address, bool needsNew, Instant deadline)
+    const Address& address, Instant latestUse, Instant deadline)
 {
-    if (auto stream = needsNew ? nullptr : takeIdle(address))
+    if (auto stream = takeIdle(address, latestUse))
         co_return stream;
     error_code error;
     auto stream = co_await openNew(address, deadline, error);
@@ -216,7 +221,7 @@
     HttpCancellation& cancel = cancellation ? *cancellation : unused;
     if (cancel.isCancelled())
         throw ServerUnavailableError("the request was cancelled before it was sent");
-    auto stream = co_await open(address, request.needsNewConnection, std::min(deadline, request.connectDeadline));
+    auto stream = co_await open(address, request.latestUse, std::min(deadline, request.connectDeadline));
     const HeaderList requestHeaders = request.echoedHeader.empty() ? HeaderList() : request.headers;
     const std::string echoedHeader = request.echoedHeader;
     const bool isCloseDelimitedBodyAllowed = request.isCloseDelimitedBodyAllowed;
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -30,9 +30,9 @@
     /// success without the header, is treated as the answer to another request and fails with OutcomeUnknownError. If
     /// the request does not have the header, the answer must not have it either.
     std::string echoedHeader {};
-    /// Opens a connection of its own. For requests whose answer could not be told from a late second copy of another
-    /// answer, which may arrive on any connection that was in use before.
-    bool needsNewConnection = false;
+    /// Only a connection that has been idle since this time is reused. For requests whose answer could not be told from
+    /// a late second copy of another answer, which may arrive on a connection that was in use shortly before.
+    Instant latestUse = never;
     /// Accepts a body that is delimited only by the end of the connection if the connection closes cleanly. Otherwise
     /// such an answer fails with OutcomeUnknownError, as a truncated one looks the same.
     bool isCloseDelimitedBodyAllowed = false;
@@ -104,15 +104,20 @@
 private:
     struct Idle {
         std::unique_ptr<boost::beast::tcp_stream> stream;
+        Instant since;
         Instant expiry;
     };
 
     /// Sets the error if no connection could be opened.
     asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> openNew(
         const Address&, Instant deadline, boost::system::error_code&);
-    /// Takes an idle connection, unless a new one is needed or none is idle.
-    asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> open(const Address&, bool needsNew, Instant deadline);
-    std::unique_ptr<boost::beast::tcp_stream> takeIdle(const Address&);
+    /// Takes a connection that has been idle since latestUse, or opens a new one.
+    asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> open(
+        const Address&, Instant latestUse, Instant deadline);
+    /// Null if there is none.
+    std::unique_ptr<boost::beast::tcp_stream> takeIdle(const Address&, Instant latestUse);
+    /// Whether a connection has neither been closed by the server nor got bytes that belong to no request.
+    static bool isReusable(boost::beast::tcp_stream&);
     void keepIdle(const Address&, std::unique_ptr<boost::beast::tcp_stream>, const HttpResponse&);
 
     std::map<Address, std::vector<Idle>> idle_;
--- a/src/io/hosted/EngineController.cpp
+++ b/src/io/hosted/EngineController.cpp
@@ -165,7 +165,9 @@
     order.fencingToken = fencingToken_;
     order.expectedOrders = state_.acceptedOrders;
     order.server = server_.id;
-    const HttpResponse response = co_await send(protocol_.encodeOrder(order), now() + orderTimeout);
+    HttpRequest request = protocol_.encodeOrder(order);
+    request.latestUse = now() - orderRestTime;
+    const HttpResponse response = co_await send(std::move(request), now() + orderTimeout);
     co_return protocol_.decodeOrderOutcome(response);
 }
 
--- a/src/io/hosted/EngineController.h
+++ b/src/io/hosted/EngineController.h
@@ -28,6 +28,9 @@
     /// Time after which an unconfirmed order is sent again; also the time limit of the request.
     static constexpr Duration orderTimeout = std::chrono::milliseconds(600);
 
+    /// An order goes out on a connection that has not been used for this long, or on a new one.
+    static constexpr Duration orderRestTime = std::chrono::seconds(1);
+
     /// Time limit of a weight load, repeated orders included.
     static constexpr Duration loadTimeout = std::chrono::seconds(12);
 
--- a/tests/io/HttpClientTest.cpp
+++ b/tests/io/HttpClientTest.cpp
@@ -1,4 +1,5 @@
 #include "io/HttpClient.h"
+#include "VirtualTime.h"
 #include "io/Loop.h"
 
 #include <boost/asio/read_until.hpp>
@@ -184,3 +185,22 @@
     CHECK(isUnknown);
     CHECK(state == "seen");
 }
+
+TEST_CASE("a request may ask for a connection that has not been used lately", "[http]")
+{
+    VirtualTime time;
+    asio::io_context context;
+    RawServer server(context);
+    server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    server.isSilentAfter = true;
+    HttpClient client;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        HttpRequest first;
+        co_await client.request(server.address(), first, never);
+        CHECK(server.connections == 1);
+        HttpRequest second;
+        second.latestUse = now() - 1s;
+        co_await client.request(server.address(), second, never);
+        CHECK(server.connections == 2);
+    });
+}
