--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -26,6 +26,10 @@
         self.copy_after_s = None
         # Says in every answer that it is leaving, while its registration stays as it is.
         self.is_leaving = False
+        # Names this limit in every answer, in requests a second from all processes together; none if None.
+        self.limit = None
+        # Time at which each request arrived, whatever became of it, with its target.
+        self.arrivals = []
         # (request id, target, body) of each request that ran, in order.
         self.ran = []
         # The same with the time at which each began.
@@ -53,7 +57,10 @@
         return self.listener.sockets[0].getsockname()[1]
 
     async def answer(self, request, connection):
+        self.arrivals.append((time.monotonic(), request.target))
         connection.common_headers = {"Server-Leaving": "1"} if self.is_leaving else {}
+        if self.limit is not None:
+            connection.common_headers["Server-Limit"] = str(self.limit)
         connection.copy_after_s = self.copy_after_s
         await self.handle(request, connection)
 
