Requests to backend servers go through one client, which counts them and hears every answer

Four classes sent requests to servers by themselves and each passed the answer's head on. ServerClient is now the only way, and takes a permit, which nothing withholds yet. What is sent stays as it was.

--- a/src/io/hosted/EngineController.cpp
+++ b/src/io/hosted/EngineController.cpp
@@ -41,12 +41,11 @@
 
 } // namespace
 
-EngineController::EngineController(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    ServerAnswerListener& answerListener, MetadataStore& store, Address replica, std::string name, OnChange onChange)
+EngineController::EngineController(asio::io_context& context, ServerClient& client, RequestLimits& limits,
+    MetadataStore& store, Address replica, std::string name, OnChange onChange)
     : context_(context)
-    , http_(http)
-    , protocol_(protocol)
-    , answerListener_(answerListener)
+    , client_(client)
+    , limits_(limits)
     , store_(store)
     , replica_(std::move(replica))
     , name_(std::move(name))
@@ -72,6 +71,8 @@
     if (current == server_)
         return;
     server_ = std::move(current);
+    if (!server_.id.empty())
+        lastServer_ = server_;
     hasServerMismatch_ = false;
     wake_.notifyAll();
     onChange_();
@@ -105,21 +106,21 @@
     onChange_();
 }
 
-asio::awaitable<HttpResponse> EngineController::send(HttpRequest request, Instant deadline)
+asio::awaitable<HttpResponse> EngineController::send(ServerPermit permit, HttpRequest request, Instant deadline)
 {
     request.connectDeadline = now() + queryTimeout / 2;
-    auto onHead = [this, receiver = server_](
-                      const HttpResponse& head) { answerListener_.onAnswer(protocol_.decode(head), receiver); };
-    co_return co_await http_.request(replica_, std::move(request), deadline, nullptr, std::move(onHead));
+    co_return co_await client_.request(std::move(permit), replica_, std::move(request), deadline);
 }
 
 asio::awaitable<bool> EngineController::query()
 {
     bool isAnswered = false;
     try {
-        const HttpResponse response = co_await send(protocol_.encodeStateQuery(), now() + queryTimeout);
+        auto permit = limits_.tryTake(lastServer_, RequestPath::StateQuery);
+        const HttpResponse response
+            = co_await send(*permit, client_.protocol().encodeStateQuery(), now() + queryTimeout);
         if (response.status == 200) {
-            EngineState state = protocol_.decodeState(response.body);
+            EngineState state = client_.protocol().decodeState(response.body);
             isAnswered = true;
             const bool isChanged = state.versions != state_.versions;
             state_ = std::move(state);
@@ -165,10 +166,11 @@
     order.fencingToken = fencingToken_;
     order.expectedOrders = state_.acceptedOrders;
     order.server = server_.id;
-    HttpRequest request = protocol_.encodeOrder(order);
+    HttpRequest request = client_.protocol().encodeOrder(order);
     request.latestUse = now() - orderRestTime;
-    const HttpResponse response = co_await send(std::move(request), now() + orderTimeout);
-    co_return protocol_.decodeOrderOutcome(response);
+    auto permit = limits_.tryTake(server_, RequestPath::Order);
+    const HttpResponse response = co_await send(*permit, std::move(request), now() + orderTimeout);
+    co_return client_.protocol().decodeOrderOutcome(response);
 }
 
 asio::awaitable<void> EngineController::executeLoad(std::string model, int64_t version)
--- a/src/io/hosted/EngineController.h
+++ b/src/io/hosted/EngineController.h
@@ -2,6 +2,7 @@
 
 #include "io/Signal.h"
 #include "io/hosted/Protocol.h"
+#include "io/hosted/ServerClient.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -37,8 +38,8 @@
     /// Called when something that is reported to the coordinators has changed.
     using OnChange = std::function<void()>;
 
-    EngineController(asio::io_context&, HttpClient&, const ReplicaProtocol&, ServerAnswerListener&, MetadataStore&,
-        Address replica, std::string name, OnChange);
+    EngineController(
+        asio::io_context&, ServerClient&, RequestLimits&, MetadataStore&, Address replica, std::string name, OnChange);
 
     /// Queries the replica's state at intervals; never returns.
     asio::awaitable<void> monitor();
@@ -49,6 +50,10 @@
     /// Id of the registered server; empty if there is none, or if another server now answers at its address.
     const std::string& server() const { return hasServerMismatch_ ? noServer_ : server_.id; }
 
+    /// The server that answers at the replica's address, as far as is known; also while it is draining or its
+    /// registration is missing.
+    const ServerIncarnation& lastServer() const { return lastServer_; }
+
     /// Called when the replica answers that it is not the registered server.
     void onServerMismatch();
 
@@ -74,16 +79,14 @@
 
 private:
     asio::awaitable<bool> query();
-    /// Sends a request to the replica and passes the head of its answer on to the listener.
-    asio::awaitable<HttpResponse> send(HttpRequest, Instant deadline);
+    asio::awaitable<HttpResponse> send(ServerPermit, HttpRequest, Instant deadline);
     asio::awaitable<void> executeLoad(std::string model, int64_t version);
     asio::awaitable<OrderOutcome> sendOrder(const std::string& model, int64_t version);
     asio::awaitable<void> obtainFencingToken();
 
     asio::io_context& context_;
-    HttpClient& http_;
-    const ReplicaProtocol& protocol_;
-    ServerAnswerListener& answerListener_;
+    ServerClient& client_;
+    RequestLimits& limits_;
     MetadataStore& store_;
     Address replica_;
     std::string name_;
@@ -91,6 +94,8 @@
     Signal wake_;
     /// Its id is empty if no server is registered as ready.
     ServerIncarnation server_;
+    /// The newest server_ that was not empty.
+    ServerIncarnation lastServer_;
     /// Always empty; server() returns a reference to it.
     std::string noServer_;
     bool hasServerMismatch_ = false;
--- a/src/io/hosted/HostedAgent.cpp
+++ b/src/io/hosted/HostedAgent.cpp
@@ -27,10 +27,10 @@
 HostedAgent::HostedAgent(std::unique_ptr<Platform> platform, HostedOptions options)
     : HostedNode(std::move(platform), HostedRole::Agent, options)
     , reportDue_(context())
-    , engine_(context(), http(), this->platform().replicaProtocol(), answerListener(), store(),
-          replicaAddress(settings()), settings().name, [this] { reportDue_.notifyAll(); })
-    , runner_(context(), http(), this->platform().replicaProtocol(), answerListener(), engine_, crashGuard(),
-          replicaAddress(settings()), [this] { reportDue_.notifyAll(); })
+    , engine_(context(), servers(), requestLimits(), store(), replicaAddress(settings()), settings().name,
+          [this] { reportDue_.notifyAll(); })
+    , runner_(context(), servers(), requestLimits(), engine_, crashGuard(), replicaAddress(settings()),
+          [this] { reportDue_.notifyAll(); })
 {
 }
 
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -28,8 +28,7 @@
 HostedCoordinator::HostedCoordinator(std::unique_ptr<Platform> platform, HostedOptions options)
     : HostedNode(std::move(platform), HostedRole::Coordinator, options)
     , serviceCaller_(
-          context(), http(), this->platform().replicaProtocol(), answerListener(), crashGuard(),
-          [this] { return directory(); }, randomSeed())
+          context(), servers(), requestLimits(), crashGuard(), [this] { return directory(); }, randomSeed())
     , owner_(
           context(), settings().name, this->platform().batchProtocol(), store(), *this, [this] { return directory(); },
           settings().resultLifetime)
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -109,10 +109,8 @@
     , readinessHandler_(std::make_unique<ReadinessHandler>(*this))
     , callerHandler_(std::make_unique<CallerHandler>(*this))
     , serviceCaller_(
-          context(), http(), this->platform().replicaProtocol(), answerListener(), crashGuard(),
-          [this] { return directory(); }, randomSeed())
-    , streamProxy_(
-          context(), http(), this->platform().replicaProtocol(), answerListener(), serviceCaller_, crashGuard())
+          context(), servers(), requestLimits(), crashGuard(), [this] { return directory(); }, randomSeed())
+    , streamProxy_(context(), servers(), serviceCaller_, crashGuard())
     , gateway_(*this)
 {
 }
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -10,6 +10,8 @@
 #include "io/hosted/DirectorySync.h"
 #include "io/hosted/LeavingNews.h"
 #include "io/hosted/Protocol.h"
+#include "io/hosted/RequestLimits.h"
+#include "io/hosted/ServerClient.h"
 #include "io/hosted/StoreTransports.h"
 
 #include <boost/asio/io_context.hpp>
@@ -85,9 +87,9 @@
 
     std::shared_ptr<const Directory> directory() const { return directorySync_->current(); }
     asio::io_context& context() { return context_; }
-    HttpClient& http() { return http_; }
     CrashGuard& crashGuard() { return crashGuard_; }
-    ServerAnswerListener& answerListener() { return leavingNews_; }
+    ServerClient& servers() { return servers_; }
+    RequestLimits& requestLimits() { return requestLimits_; }
     const Platform& platform() const { return *platform_; }
     MetadataStore& store() { return *store_; }
     Instant lastStoreAnswerAt() const { return relayedStore_.lastAnswerAt(); }
@@ -142,6 +144,8 @@
     std::unique_ptr<MetadataStore> store_;
     std::unique_ptr<DirectorySync> directorySync_;
     LeavingNews leavingNews_;
+    RequestLimits requestLimits_;
+    ServerClient servers_;
     CrashGuard crashGuard_;
     CrashStore crashStore_;
     PeerAcceptor acceptor_;
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -31,8 +31,8 @@
 /// One run of an item.
 struct ItemRunner::Run {
     wire::ItemStart startRequest;
-    /// The replica that runs it.
-    ServerIncarnation receiver;
+    /// For the request that starts the run.
+    std::optional<ServerPermit> permit;
     /// The attempt at the replica, until it has delivered an event.
     std::optional<ServerAttempt> unproven;
     HttpCancellation cancellation;
@@ -58,13 +58,11 @@
     std::string cancelReason;
 };
 
-ItemRunner::ItemRunner(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    ServerAnswerListener& answerListener, EngineController& engine, CrashGuard& crashGuard, Address replica,
-    EngineController::OnChange onChange)
+ItemRunner::ItemRunner(asio::io_context& context, ServerClient& client, RequestLimits& limits, EngineController& engine,
+    CrashGuard& crashGuard, Address replica, EngineController::OnChange onChange)
     : context_(context)
-    , http_(http)
-    , protocol_(protocol)
-    , answerListener_(answerListener)
+    , client_(client)
+    , limits_(limits)
     , engine_(engine)
     , crashGuard_(crashGuard)
     , replica_(std::move(replica))
@@ -130,6 +128,7 @@
     }
     auto run = std::make_shared<Run>();
     run->startRequest = startRequest;
+    run->permit = limits_.tryTake(engine_.lastServer(), RequestPath::Item);
     run->events = fromWire(startRequest.events);
     run->sentCount = run->events.size();
     run->startRequest.events.clear();
@@ -154,7 +153,7 @@
     call.server = engine_.server();
     if (!run.events.empty())
         call.lastEventId = run.events.back().id;
-    HttpRequest request = protocol_.encode(std::move(call));
+    HttpRequest request = client_.protocol().encode(std::move(call));
     request.connectDeadline = now() + connectTimeout;
     return request;
 }
@@ -165,7 +164,6 @@
     std::string failure;
     try {
         run->unproven = attemptOf(*run);
-        run->receiver = run->unproven->receiver();
         crashGuard_.onStart(*run->unproven);
         HttpRequest request = requestFor(*run);
         auto onHead = [this, run](const HttpResponse& head) { processHead(*run, head); };
@@ -173,9 +171,9 @@
             processBody(*run, piece);
             return true;
         };
-        const HttpResponse response
-            = co_await http_.stream(replica_, std::move(request), now() + runLimit, onBody, &run->cancellation, onHead);
-        const ReplicaAnswer answer = protocol_.decode(response);
+        const HttpResponse response = co_await client_.stream(
+            *run->permit, replica_, std::move(request), now() + runLimit, onBody, &run->cancellation, onHead);
+        const ReplicaAnswer answer = client_.protocol().decode(response);
         if (answer.verdict == ReplicaVerdict::ServerMismatch)
             engine_.onServerMismatch();
         if (answer.verdict != ReplicaVerdict::Ran)
@@ -210,8 +208,7 @@
 {
     run.lastActivity = now();
     run.isStreaming = head.status == statusOk;
-    const ReplicaAnswer answer = protocol_.decode(head);
-    answerListener_.onAnswer(answer, run.receiver);
+    const ReplicaAnswer answer = client_.protocol().decode(head);
     run.version = answer.version.value_or(engine_.version(run.startRequest.model));
     if (run.isStreaming && answer.version && !run.startRequest.model.empty())
         engine_.onVersionSeen(run.startRequest.model, *answer.version);
@@ -224,7 +221,7 @@
         return;
     for (StreamEvent& event : run.reader.feed(piece)) {
         for (const std::string& line : event.otherLines) {
-            if (const auto version = protocol_.parseVersionLine(line))
+            if (const auto version = client_.protocol().parseVersionLine(line))
                 run.version = *version;
         }
         if (!event.id)
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -36,8 +36,8 @@
     /// Also the time for which the owner of a job without runs is remembered.
     static constexpr Duration endedJobLifetime = std::chrono::seconds(60);
 
-    ItemRunner(asio::io_context&, HttpClient&, const ReplicaProtocol&, ServerAnswerListener&, EngineController&,
-        CrashGuard&, Address replica, EngineController::OnChange);
+    ItemRunner(asio::io_context&, ServerClient&, RequestLimits&, EngineController&, CrashGuard&, Address replica,
+        EngineController::OnChange);
 
     /// Sends progress notices and cancels stalled runs; never returns.
     asio::awaitable<void> report();
@@ -88,9 +88,8 @@
     void measurePace(Run&);
 
     asio::io_context& context_;
-    HttpClient& http_;
-    const ReplicaProtocol& protocol_;
-    ServerAnswerListener& answerListener_;
+    ServerClient& client_;
+    RequestLimits& limits_;
     EngineController& engine_;
     CrashGuard& crashGuard_;
     Address replica_;
--- a/src/io/hosted/Protocol.h
+++ b/src/io/hosted/Protocol.h
@@ -94,6 +94,10 @@
     bool isLeaving = false;
     /// What the answer says of that in place of the value that means it; empty if it says nothing else.
     std::string unknownLeavingValue;
+    /// Requests a second that the server takes from all processes together; nothing if it states no limit.
+    std::optional<double> requestLimit;
+    /// What the answer states in place of a limit that can be read; empty if it states nothing else.
+    std::string unknownLimitValue;
     /// Id of the server that answered; empty if the answer does not state it.
     std::string server;
 };
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -73,12 +73,11 @@
     ServiceResult result;
 };
 
-ServiceCaller::ServiceCaller(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    ServerAnswerListener& answerListener, CrashGuard& crashGuard, DirectorySource directory, uint64_t seed)
+ServiceCaller::ServiceCaller(asio::io_context& context, ServerClient& client, RequestLimits& limits,
+    CrashGuard& crashGuard, DirectorySource directory, uint64_t seed)
     : context_(context)
-    , http_(http)
-    , protocol_(protocol)
-    , answerListener_(answerListener)
+    , client_(client)
+    , limits_(limits)
     , crashGuard_(crashGuard)
     , directory_(std::move(directory))
     , loads_(seed)
@@ -110,8 +109,8 @@
     return route.services.back().service;
 }
 
-std::optional<ServerRecord> ServiceCaller::chooseServer(
-    const RouteDeclaration& route, const std::set<std::string>& excluded)
+std::optional<ChosenServer> ServiceCaller::chooseServer(
+    const RouteDeclaration& route, const std::set<std::string>& excluded, RequestPath path)
 {
     if (route.services.empty())
         return std::nullopt;
@@ -122,16 +121,20 @@
     const auto chosen = loads_.choose(candidates, excluded, now());
     if (!chosen)
         return std::nullopt;
-    return directory->servers.at(*chosen);
+    const ServerRecord& server = directory->servers.at(*chosen);
+    auto permit = limits_.tryTake(ServerIncarnation::of(server), path);
+    if (!permit)
+        return std::nullopt;
+    return ChosenServer { server, *std::move(permit) };
 }
 
-std::optional<ServerRecord> ServiceCaller::chooseNext(CallState& state)
+std::optional<ChosenServer> ServiceCaller::chooseNext(CallState& state)
 {
     if (now() < state.notBefore || !waitingCalls_.isFirst(state.service(), state.ticket))
         return std::nullopt;
     std::set<std::string> excluded = crashGuard_.serversToAvoid(state.content);
     excluded.insert(state.tried.begin(), state.tried.end());
-    auto server = chooseServer(state.route, excluded);
+    auto server = chooseServer(state.route, excluded, RequestPath::Call);
     if (server && !crashGuard_.admit(state.content)) {
         state.result.blockedUntil = crashGuard_.blockedUntil(state.content);
         return std::nullopt;
@@ -227,7 +230,7 @@
         const bool mayHedge = state->activeAttempts == 0 || (isIdempotent && now() >= hedgeAt);
         if (state->activeAttempts == 0)
             state->result.blockedUntil = crashGuard_.blockedUntil(state->content);
-        std::optional<ServerRecord> server;
+        std::optional<ChosenServer> server;
         if (mayHedge && state->hasAttemptsLeft())
             server = chooseNext(*state);
         if (server) {
@@ -258,8 +261,9 @@
     co_return std::move(state->result);
 }
 
-void ServiceCaller::startAttempt(const std::shared_ptr<CallState>& state, const ServerRecord& server)
+void ServiceCaller::startAttempt(const std::shared_ptr<CallState>& state, const ChosenServer& chosen)
 {
+    const ServerRecord& server = chosen.server;
     state->tried.insert(server.id);
     state->result.servers += (state->result.servers.empty() ? "" : " ") + server.id;
     crashGuard_.onStart(state->attemptAt(server, now()));
@@ -270,26 +274,25 @@
     loads_.onStart(server.id);
     HttpCancellation* cancellation = &state->cancellations.back();
     spawn(
-        context_.get_executor(), [this, state, server, cancellation] { return attempt(state, server, cancellation); });
+        context_.get_executor(), [this, state, chosen, cancellation] { return attempt(state, chosen, cancellation); });
 }
 
 asio::awaitable<void> ServiceCaller::attempt(
-    std::shared_ptr<CallState> state, ServerRecord server, HttpCancellation* cancellation)
+    std::shared_ptr<CallState> state, ChosenServer chosen, HttpCancellation* cancellation)
 {
     const Instant startedAt = now();
+    const ServerRecord server = chosen.server;
     ReplicaRequest call = state->request;
     call.server = server.id;
     call.timeout = state->deadline - startedAt;
-    HttpRequest request = protocol_.encode(std::move(call));
+    HttpRequest request = client_.protocol().encode(std::move(call));
     request.isCloseDelimitedBodyAllowed = true;
     request.connectDeadline = startedAt + connectTimeout;
     std::string failure;
     bool isSent = true;
-    auto onHead = [this, receiver = ServerIncarnation::of(server)](
-                      const HttpResponse& head) { answerListener_.onAnswer(protocol_.decode(head), receiver); };
     try {
-        HttpResponse response
-            = co_await http_.request(server.address, std::move(request), state->deadline, cancellation, onHead);
+        HttpResponse response = co_await client_.request(
+            chosen.permit, server.address, std::move(request), state->deadline, cancellation);
         finishAttempt(*state, server, std::move(response), startedAt);
     } catch (const ServerUnavailableError& error) {
         failure = error.what();
@@ -336,7 +339,7 @@
 void ServiceCaller::finishAttempt(
     CallState& state, const ServerRecord& server, HttpResponse response, Instant startedAt)
 {
-    const ReplicaAnswer answer = protocol_.decode(response);
+    const ReplicaAnswer answer = client_.protocol().decode(response);
     if (answer.load)
         loads_.onLoadReport(server.id, answer.load->running, answer.load->waiting, now());
     if (answer.verdict != ReplicaVerdict::Ran) {
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -3,6 +3,7 @@
 #include "io/CrashGuard.h"
 #include "io/PeerConnection.h"
 #include "io/hosted/Protocol.h"
+#include "io/hosted/ServerClient.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -37,6 +38,12 @@
     Instant retryAt_;
 };
 
+/// A server that was chosen for a request, and the permit to send it.
+struct ChosenServer {
+    ServerRecord server;
+    ServerPermit permit;
+};
+
 /// Outcome of a call.
 struct ServiceResult {
     /// The server's answer; nothing if there is none to return to the caller.
@@ -78,15 +85,15 @@
 
     using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
 
-    ServiceCaller(asio::io_context&, HttpClient&, const ReplicaProtocol&, ServerAnswerListener&, CrashGuard&,
-        DirectorySource, uint64_t seed);
+    ServiceCaller(asio::io_context&, ServerClient&, RequestLimits&, CrashGuard&, DirectorySource, uint64_t seed);
 
     /// Sets the request's server and timeout for each attempt.
     asio::awaitable<ServiceResult> call(
         RouteDeclaration, ReplicaRequest, Instant deadline, PeerCancellationPtr cancellation);
 
     /// Chooses a ready server of one of the route's services that is not excluded; nothing if there is none.
-    std::optional<ServerRecord> chooseServer(const RouteDeclaration&, const std::set<std::string>& excluded);
+    std::optional<ChosenServer> chooseServer(
+        const RouteDeclaration&, const std::set<std::string>& excluded, RequestPath);
 
     /// True if a server of one of the route's services takes new requests.
     bool hasReadyServer(const RouteDeclaration&) const;
@@ -100,7 +107,7 @@
     using CallStatePtr = std::shared_ptr<CallState>;
 
     /// Server for the next attempt, if one may start now and a server is free to be tried.
-    std::optional<ServerRecord> chooseNext(CallState&);
+    std::optional<ChosenServer> chooseNext(CallState&);
 
     /// Waits until a server may have room for the call, it is cancelled or its deadline has passed.
     asio::awaitable<void> awaitServer(CallStatePtr);
@@ -118,16 +125,15 @@
 
     /// Chooses one of the route's services at random by weight.
     const std::string& chooseService(const RouteDeclaration&);
-    void startAttempt(const std::shared_ptr<CallState>&, const ServerRecord&);
-    asio::awaitable<void> attempt(std::shared_ptr<CallState>, ServerRecord, HttpCancellation*);
+    void startAttempt(const std::shared_ptr<CallState>&, const ChosenServer&);
+    asio::awaitable<void> attempt(std::shared_ptr<CallState>, ChosenServer, HttpCancellation*);
     asio::awaitable<void> processFailure(
         std::shared_ptr<CallState>, ServerRecord, std::string failure, bool wasSent, Instant startedAt);
     void finishAttempt(CallState&, const ServerRecord&, HttpResponse, Instant startedAt);
 
     asio::io_context& context_;
-    HttpClient& http_;
-    const ReplicaProtocol& protocol_;
-    ServerAnswerListener& answerListener_;
+    ServerClient& client_;
+    RequestLimits& limits_;
     CrashGuard& crashGuard_;
     DirectorySource directory_;
     ServerLoads loads_;
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -74,12 +74,10 @@
     std::string failure;
 };
 
-StreamProxy::StreamProxy(asio::io_context& context, HttpClient& http, const ReplicaProtocol& protocol,
-    ServerAnswerListener& answerListener, ServiceCaller& services, CrashGuard& crashGuard)
+StreamProxy::StreamProxy(
+    asio::io_context& context, ServerClient& client, ServiceCaller& services, CrashGuard& crashGuard)
     : context_(context)
-    , http_(http)
-    , protocol_(protocol)
-    , answerListener_(answerListener)
+    , client_(client)
     , serviceCaller_(services)
     , crashGuard_(crashGuard)
 {
@@ -90,27 +88,29 @@
 {
     std::set<std::string> excluded = crashGuard_.serversToAvoid(progress.content);
     excluded.insert(progress.tried.begin(), progress.tried.end());
-    const auto server = serviceCaller_.chooseServer(route, excluded);
-    if (!server || !crashGuard_.admit(progress.content))
+    const auto chosen = serviceCaller_.chooseServer(route, excluded, RequestPath::Stream);
+    if (!chosen || !crashGuard_.admit(progress.content))
         return nullptr;
-    ServerAttempt attempt { request.id, progress.content, server->id, ServerStart::of(*server), now() };
+    const ServerRecord& server = chosen->server;
+    ServerAttempt attempt { request.id, progress.content, server.id, ServerStart::of(server), now() };
     auto serverStream = std::make_shared<ServerStream>(context_, std::move(attempt));
     ReplicaRequest call = request;
-    call.server = server->id;
+    call.server = server.id;
     call.timeout = deadline - now();
     if (progress.lastEventId)
         call.lastEventId = progress.lastEventId;
-    HttpRequest encoded = protocol_.encode(std::move(call));
+    HttpRequest encoded = client_.protocol().encode(std::move(call));
     encoded.connectDeadline = now() + ServiceCaller::connectTimeout;
-    spawn(context_.get_executor(),
-        [this, serverStream, encoded, deadline] { return readStream(serverStream, encoded, deadline); });
+    spawn(context_.get_executor(), [this, serverStream, permit = chosen->permit, encoded, deadline] {
+        return readStream(serverStream, permit, encoded, deadline);
+    });
     return serverStream;
 }
 
-asio::awaitable<void> StreamProxy::readStream(ServerStreamPtr serverStream, HttpRequest request, Instant deadline)
+asio::awaitable<void> StreamProxy::readStream(
+    ServerStreamPtr serverStream, ServerPermit permit, HttpRequest request, Instant deadline)
 {
-    auto onHead = [this, serverStream](const HttpResponse& head) {
-        answerListener_.onAnswer(protocol_.decode(head), serverStream->attempt.receiver());
+    auto onHead = [serverStream](const HttpResponse& head) {
         serverStream->head = head;
         serverStream->lastEventAt = now();
         serverStream->changed.notifyAll();
@@ -122,7 +122,7 @@
         return true;
     };
     try {
-        co_await http_.stream(serverStream->attempt.start.address, std::move(request), deadline, onBody,
+        co_await client_.stream(permit, serverStream->attempt.start.address, std::move(request), deadline, onBody,
             &serverStream->cancellation, onHead);
         serverStream->isComplete = true;
     } catch (const ServerUnavailableError& error) {
@@ -207,7 +207,7 @@
     if (!hasHead)
         co_await inspectBroken(serverStream, progress);
     crashGuard_.onEnd(serverStream->attempt);
-    const bool isRefused = hasHead && protocol_.decode(*serverStream->head).verdict != ReplicaVerdict::Ran;
+    const bool isRefused = hasHead && client_.protocol().decode(*serverStream->head).verdict != ReplicaVerdict::Ran;
     if (isRefused)
         crashGuard_.onRefused(serverStream->attempt);
     else if (serverStream->wasSent)
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -19,8 +19,7 @@
     /// then has stalled all the same.
     static constexpr Duration stallLimit = std::chrono::milliseconds(1500);
 
-    StreamProxy(
-        asio::io_context&, HttpClient&, const ReplicaProtocol&, ServerAnswerListener&, ServiceCaller&, CrashGuard&);
+    StreamProxy(asio::io_context&, ServerClient&, ServiceCaller&, CrashGuard&);
 
     /// Answers the exchange. Only complete events are forwarded. If a server's stream breaks, another server resumes it
     /// within the same answer if the route allows that; otherwise the answer ends without its last chunk, so that the
@@ -44,7 +43,7 @@
     [[noreturn]] void throwFailure(const Progress&, Instant deadline) const;
     /// Sends the request to a server that has not been tried and starts to read its stream; null if there is none.
     ServerStreamPtr openStream(const RouteDeclaration&, const ReplicaRequest&, const Progress&, Instant deadline);
-    asio::awaitable<void> readStream(ServerStreamPtr, HttpRequest, Instant deadline);
+    asio::awaitable<void> readStream(ServerStreamPtr, ServerPermit, HttpRequest, Instant deadline);
     /// Returns whether the response head has arrived before the deadline.
     asio::awaitable<bool> awaitHead(ServerStreamPtr, Instant deadline, PeerCancellationPtr);
     /// Sends a response that is not an event stream as a whole.
@@ -55,9 +54,7 @@
     asio::awaitable<void> forward(HttpExchange&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
 
     asio::io_context& context_;
-    HttpClient& http_;
-    const ReplicaProtocol& protocol_;
-    ServerAnswerListener& answerListener_;
+    ServerClient& client_;
     ServiceCaller& serviceCaller_;
     CrashGuard& crashGuard_;
 };
