--- a/include/endiveroad/ServerLoads.h
+++ b/include/endiveroad/ServerLoads.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <endiveroad/LimitedServers.h>
 #include <endiveroad/Time.h>
 #include <map>
 #include <optional>
@@ -18,6 +19,8 @@
     std::string id;
     /// Number of requests that it can run at once, for all processes together.
     int32_t slots = 1;
+    /// For a server with a request limit.
+    std::optional<PermitOutlook> permits = std::nullopt;
 
     auto operator<=>(const ServerCandidate&) const = default;
 };
@@ -28,6 +31,10 @@
     Duration interval {};
     /// Latency of the fastest server.
     Duration latency {};
+    /// When the next call may begin.
+    Instant startAt = Instant::min();
+    /// Share by which calls may begin later than worked out, since others share request limits.
+    double uncertainty = 0;
 
     auto operator<=>(const ServiceRate&) const = default;
 };
@@ -48,6 +55,9 @@
     /// Time after a refusal in which a full server gets no call of this process.
     static constexpr Duration refusalPause = std::chrono::milliseconds(25);
 
+    /// ServiceRate::uncertainty of servers that all have request limits.
+    static constexpr double limitUncertainty = 1;
+
     explicit ServerLoads(uint64_t seed)
         : random_(seed)
     {
@@ -60,7 +70,8 @@
     std::optional<std::string> choose(
         const std::vector<ServerCandidate>& servers, const std::set<std::string>& tried, Instant now);
 
-    /// How fast the servers take this process's calls while all of them are busy.
+    /// How fast the servers take this process's calls while all of them are busy, or as fast as their request limits
+    /// allow.
     ServiceRate rateOf(const std::vector<ServerCandidate>& servers) const;
 
     /// A call was sent to the server; one of onAnswer(), onFailure() and onAbandoned() follows.
--- a/include/endiveroad/WaitingCalls.h
+++ b/include/endiveroad/WaitingCalls.h
@@ -33,12 +33,20 @@
 
     std::optional<CallTicket> first(const std::string& service) const;
 
+    /// The latest deadline of the calls that wait for the service; nothing if none waits.
+    std::optional<Instant> lastDeadline(const std::string& service) const;
+
     /// False if a call that goes before waits for the service.
     bool isFirst(const std::string& service, const CallTicket&) const;
 
     /// The calls that cannot be answered before their deadlines if one begins each `rate.interval` and takes
-    /// `rate.latency`. They do not delay those behind them.
-    std::vector<CallTicket> hopeless(const std::string& service, const ServiceRate& rate, Instant now) const;
+    /// `rate.latency`. They do not delay those behind them. A call that has just begun to wait has to be in time with
+    /// `rate.uncertainty` as well, so that few calls are given up after they have waited.
+    std::vector<CallTicket> hopeless(const std::string& service, const ServiceRate& rate, Instant now,
+        std::optional<CallTicket> newcomer = std::nullopt) const;
+
+    /// Services for which calls wait.
+    std::vector<std::string> services() const;
 
     /// Number of calls that wait for the service.
     size_t count(const std::string& service) const;
--- /dev/null
+++ b/src/core/routing/PermitQueue.cpp
@@ -0,0 +1,120 @@
+#include <algorithm>
+#include <cmath>
+#include <endiveroad/PermitQueue.h>
+
+namespace endiveroad {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Longest wait that is worked out, so that tiny rates give no overflow.
+constexpr Duration longestWait = std::chrono::hours(1);
+
+Duration toDuration(double seconds)
+{
+    const double longest = Seconds(longestWait).count();
+    return std::chrono::ceil<Duration>(Seconds(std::clamp(seconds, 0.0, longest)));
+}
+
+} // namespace
+
+PermitQueue::PermitQueue(double limit, double permits, Instant now)
+    : limit_(limit)
+    , permits_(permits)
+    , accumulatedAt_(now)
+{
+}
+
+double PermitQueue::rate() const
+{
+    return std::max(limit_, leastRate);
+}
+
+void PermitQueue::setLimit(double limit, Instant now)
+{
+    accumulate(now);
+    limit_ = limit;
+}
+
+void PermitQueue::accumulate(Instant now)
+{
+    const double most = std::max(1.0, rate() * Seconds(burstTime).count());
+    const double elapsed = Seconds(std::max(now - accumulatedAt_, Duration::zero())).count();
+    permits_ = std::min(most, permits_ + rate() * elapsed);
+    accumulatedAt_ = now;
+    std::erase_if(askers_, [now](const auto& entry) { return entry.second <= now; });
+}
+
+uint64_t PermitQueue::add(PermitDemand demand, Instant now)
+{
+    askers_[demand.process] = now + askerLifetime;
+    waiting_.emplace(++lastTicket_, std::move(demand));
+    return lastTicket_;
+}
+
+std::vector<uint64_t> PermitQueue::ticketsInOrder() const
+{
+    std::vector<uint64_t> tickets;
+    for (const auto& [ticket, demand] : waiting_)
+        tickets.push_back(ticket);
+    std::stable_sort(tickets.begin(), tickets.end(),
+        [this](uint64_t a, uint64_t b) { return waiting_.at(a).priority < waiting_.at(b).priority; });
+    return tickets;
+}
+
+uint64_t PermitQueue::nextTicket() const
+{
+    const bool isOldestDue = grants_ % oldestFirstInterval == oldestFirstInterval - 1;
+    return isOldestDue ? waiting_.begin()->first : ticketsInOrder().front();
+}
+
+Instant PermitQueue::permitAt(double permits) const
+{
+    return accumulatedAt_ + toDuration((permits - permits_) / rate());
+}
+
+std::vector<PermitDecision> PermitQueue::decide(Instant now)
+{
+    accumulate(now);
+    std::vector<PermitDecision> decisions;
+    double permits = 1;
+    for (const uint64_t ticket : ticketsInOrder()) {
+        const Instant startAt = permitAt(permits);
+        if (startAt <= waiting_.at(ticket).latestStart) {
+            ++permits;
+            continue;
+        }
+        decisions.push_back({ ticket, 0, startAt });
+        waiting_.erase(ticket);
+    }
+    while (permits_ >= 1 && !waiting_.empty()) {
+        const uint64_t ticket = nextTicket();
+        const PermitDemand& demand = waiting_.at(ticket);
+        const int32_t count = std::clamp(demand.count, 1, static_cast<int32_t>(std::min(permits_, 1e6)));
+        askers_[demand.process] = now + askerLifetime;
+        ++grants_;
+        permits_ -= count;
+        decisions.push_back({ ticket, count, now });
+        waiting_.erase(ticket);
+    }
+    return decisions;
+}
+
+Instant PermitQueue::nextDecisionAt() const
+{
+    return waiting_.empty() ? never : permitAt(1);
+}
+
+size_t PermitQueue::askers(Instant now) const
+{
+    return static_cast<size_t>(
+        std::count_if(askers_.begin(), askers_.end(), [now](const auto& entry) { return entry.second > now; }));
+}
+
+Duration PermitQueue::intervalOfProcess(Instant now) const
+{
+    return toDuration(static_cast<double>(std::max<size_t>(askers(now), 1)) / rate());
+}
+
+} // namespace endiveroad
--- a/src/core/routing/ServerLoads.cpp
+++ b/src/core/routing/ServerLoads.cpp
@@ -40,7 +40,7 @@
 {
     std::optional<std::string> best;
     std::tuple<bool, double, uint64_t> bestRank;
-    for (const auto& [id, slots] : servers) {
+    for (const auto& [id, slots, permits] : servers) {
         if (tried.contains(id))
             continue;
         Server& state = server(id);
@@ -81,17 +81,25 @@
     using Milliseconds = std::chrono::duration<double, std::milli>;
     double callsPerMs = 0;
     double lowestMs = std::numeric_limits<double>::max();
-    for (const auto& [id, slots] : servers) {
+    double limitedCallsPerMs = 0;
+    Instant startAt = never;
+    for (const auto& [id, slots, permits] : servers) {
         const auto found = servers_.find(id);
         const Server state = found == servers_.end() ? Server() : found->second;
         const double limit = state.limit > 0 ? state.limit : slots;
-        callsPerMs += std::min<double>(limit, slots) / latencyOf(state.latencyMs);
+        double serverCallsPerMs = std::min<double>(limit, slots) / latencyOf(state.latencyMs);
+        if (permits)
+            serverCallsPerMs = std::min(serverCallsPerMs, 1 / Milliseconds(permits->interval).count());
+        callsPerMs += serverCallsPerMs;
+        limitedCallsPerMs += permits ? serverCallsPerMs : 0;
+        startAt = std::min(startAt, permits ? permits->nextAt : Instant::min());
         lowestMs = std::min(lowestMs, latencyOf(state.latencyMs));
     }
     if (callsPerMs <= 0)
-        return { Duration::max(), Duration::max() };
+        return { Duration::max(), Duration::max(), never };
     return { std::chrono::duration_cast<Duration>(Milliseconds(1 / callsPerMs)),
-        std::chrono::duration_cast<Duration>(Milliseconds(lowestMs)) };
+        std::chrono::duration_cast<Duration>(Milliseconds(lowestMs)), startAt,
+        limitUncertainty * limitedCallsPerMs / callsPerMs };
 }
 
 void ServerLoads::onRefused(std::string_view id, Instant now)
--- a/src/io/Frame.h
+++ b/src/io/Frame.h
@@ -45,6 +45,9 @@
     Leaving = 59,
     CrashNotice = 60,
     ServersLeaving = 61,
+    LimitsHeard = 62,
+    LimitsInForce = 63,
+    PermitRequest = 64,
 };
 
 /// Header of a frame. On the wire: magic u16, version u8, kind u8, type u16, zero u16, length u32, budgetMs u32,
--- a/src/io/hosted/EngineController.cpp
+++ b/src/io/hosted/EngineController.cpp
@@ -5,6 +5,7 @@
 #include "io/ProcessMetrics.h"
 #include "io/Tasks.h"
 
+#include <algorithm>
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
 
@@ -58,13 +59,22 @@
 {
     while (true) {
         const bool isAnswered = co_await query();
-        Duration pause = isAnswered ? idleInterval : unreachableInterval;
-        if (!loadingModel_.empty())
-            pause = loadingInterval;
-        co_await wake_.wait(now() + pause);
+        co_await wake_.wait(now() + queryPause(isAnswered));
     }
 }
 
+Duration EngineController::queryPause(bool isAnswered) const
+{
+    const bool isLoading = !loadingModel_.empty();
+    Duration pause = isAnswered ? idleInterval : unreachableInterval;
+    if (isLoading)
+        pause = loadingInterval;
+    if (!limits_.isLimited(lastServer_))
+        return pause;
+    const int requests = isLoading ? requestsPerLoadingQuery : requestsPerQuery;
+    return std::max(pause, limits_.outlook(lastServer_).interval * requests);
+}
+
 void EngineController::setServer(std::optional<ServerIncarnation> server)
 {
     ServerIncarnation current = server.value_or(ServerIncarnation());
@@ -116,7 +126,11 @@
 {
     bool isAnswered = false;
     try {
-        auto permit = limits_.tryTake(lastServer_, RequestPath::StateQuery);
+        auto permit
+            = co_await limits_.obtain(lastServer_, RequestPath::StateQuery, queryPriority, now() + queryTimeout);
+        // Without a permit nothing new is known.
+        if (!permit)
+            co_return isUp_;
         const HttpResponse response
             = co_await send(*permit, client_.protocol().encodeStateQuery(), now() + queryTimeout);
         if (response.status == 200) {
@@ -157,8 +171,13 @@
     fencingToken_ = result.revision;
 }
 
-asio::awaitable<OrderOutcome> EngineController::sendOrder(const std::string& model, int64_t version)
+asio::awaitable<OrderOutcome> EngineController::sendOrder(std::string model, int64_t version, Instant deadline)
 {
+    auto permit = co_await limits_.obtain(server_, RequestPath::Order, orderPriority, deadline);
+    if (!permit)
+        throw NotRunError("the replica's request limit leaves no room for the order");
+    if (permit->receiver() != server_)
+        throw NotRunError("the replica is leaving or was replaced");
     WeightLoadOrder order;
     order.model = model;
     order.version = version;
@@ -168,7 +187,6 @@
     order.server = server_.id;
     HttpRequest request = client_.protocol().encodeOrder(order);
     request.latestUse = now() - orderRestTime;
-    auto permit = limits_.tryTake(server_, RequestPath::Order);
     const HttpResponse response = co_await send(*permit, std::move(request), now() + orderTimeout);
     co_return client_.protocol().decodeOrderOutcome(response);
 }
@@ -194,7 +212,7 @@
                 = this->version(model) < version && !state_.isLoading && now() >= orderAgainAt && server_ == receiver;
             if (mayOrder) {
                 orderAgainAt = now() + orderTimeout;
-                const OrderOutcome outcome = co_await sendOrder(model, version);
+                const OrderOutcome outcome = co_await sendOrder(model, version, deadline);
                 log(Event::WeightLoadOrdered,
                     { { "model", model }, { "version", std::to_string(version) }, { "server", server_.id },
                         { "fence", std::to_string(fencingToken_) },
@@ -214,7 +232,7 @@
                     { "reason", error.what() }, { "final", "no" } });
         }
         if (isPauseDue)
-            co_await sleepFor(loadingInterval);
+            co_await sleepFor(queryPause(true));
     }
     const bool isLoaded = this->version(model) >= version;
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt).count();
--- a/src/io/hosted/EngineController.h
+++ b/src/io/hosted/EngineController.h
@@ -26,6 +26,15 @@
     static constexpr Duration unreachableInterval = std::chrono::milliseconds(250);
     static constexpr Duration idleInterval = std::chrono::milliseconds(2000);
 
+    /// A replica that names a request limit is not asked for its state more often than once for so many requests that
+    /// the limit allows, and while it loads weights once for so many.
+    static constexpr int requestsPerQuery = 8;
+    static constexpr int requestsPerLoadingQuery = 2;
+
+    /// Priorities of permits for orders and state queries.
+    static constexpr int32_t orderPriority = 0;
+    static constexpr int32_t queryPriority = 50;
+
     /// Time after which an unconfirmed order is sent again; also the time limit of the request.
     static constexpr Duration orderTimeout = std::chrono::milliseconds(600);
 
@@ -81,7 +90,10 @@
     asio::awaitable<bool> query();
     asio::awaitable<HttpResponse> send(ServerPermit, HttpRequest, Instant deadline);
     asio::awaitable<void> executeLoad(std::string model, int64_t version);
-    asio::awaitable<OrderOutcome> sendOrder(const std::string& model, int64_t version);
+    /// Waits for a permit until the deadline.
+    asio::awaitable<OrderOutcome> sendOrder(std::string model, int64_t version, Instant deadline);
+    /// Pause after a state query.
+    Duration queryPause(bool isAnswered) const;
     asio::awaitable<void> obtainFencingToken();
 
     asio::io_context& context_;
--- a/src/io/hosted/HostedAgent.cpp
+++ b/src/io/hosted/HostedAgent.cpp
@@ -5,6 +5,7 @@
 #include "io/Tasks.h"
 #include "wire/Codec.h"
 
+#include <algorithm>
 #include <endiveroad/Error.h>
 #include <endiveroad_types.h>
 
@@ -42,6 +43,7 @@
 
 void HostedAgent::start()
 {
+    requestLimits().setOnPermit([this] { reportDue_.notifyAll(); });
     spawnRestarting(context().get_executor(), [this] { return engine_.monitor(); });
     spawnRestarting(context().get_executor(), [this] { return runner_.report(); });
     spawnRestarting(context().get_executor(), [this] { return report(); });
@@ -91,6 +93,24 @@
     connection->notify(MessageType::ReplicaReport, encodedReport());
 }
 
+int32_t HostedAgent::usableSlots(const ServerRecord& server) const
+{
+    const ServerIncarnation receiver = ServerIncarnation::of(server);
+    const int32_t startable = static_cast<int32_t>(requestLimits().permits(receiver));
+    return requestLimits().isLimited(receiver) ? std::min(server.slots, runner_.running() + startable) : server.slots;
+}
+
+void HostedAgent::demandPermits()
+{
+    const ServerRecord* server = readyServer();
+    const int32_t freeSlots = server ? server->slots - runner_.running() : 0;
+    if (freeSlots <= 0 || isDraining() || connectionsOf(HostedRole::Coordinator).empty())
+        return;
+    const ServerIncarnation receiver = ServerIncarnation::of(*server);
+    if (requestLimits().isLimited(receiver) && requestLimits().permits(receiver) == 0)
+        requestLimits().demand(receiver, itemPriority, static_cast<size_t>(freeSlots), now() + reportInterval);
+}
+
 std::string HostedAgent::encodedReport() const
 {
     const ServerRecord* server = readyServer();
@@ -104,7 +124,7 @@
     if (server) {
         report.pool = server->service;
         report.server = server->id;
-        report.slots = server->slots;
+        report.slots = usableSlots(*server);
     }
     for (const auto& [model, version] : engine_.versions()) {
         wire::ModelVersion row;
@@ -121,6 +141,7 @@
         const std::string encoded = encodedReport();
         for (const PeerConnectionPtr& coordinator : connectionsOf(HostedRole::Coordinator))
             coordinator->notify(MessageType::ReplicaReport, encoded);
+        demandPermits();
         co_await reportDue_.wait(now() + reportInterval);
         co_await sleepFor(reportDelay);
     }
--- a/src/io/hosted/HostedAgent.h
+++ b/src/io/hosted/HostedAgent.h
@@ -12,6 +12,9 @@
     /// Longest pause between two reports to the coordinators.
     static constexpr Duration reportInterval = std::chrono::milliseconds(500);
 
+    /// Priority of permits for items that may be placed on the replica, behind that of callers' requests.
+    static constexpr int32_t itemPriority = 100;
+
     /// Time after SIGTERM in which the last progress notices reach the coordinators that own the jobs.
     static constexpr Duration progressFlushTime = std::chrono::milliseconds(400);
 
@@ -28,6 +31,10 @@
 
     /// The replica's registration; null if there is none or the server is draining.
     const ServerRecord* readyServer() const;
+    /// Number of items that the replica may run at once: its slots, or what its request limit lets begin.
+    int32_t usableSlots(const ServerRecord&) const;
+    /// Asks for permits for the items that may be placed here, if the replica has a request limit.
+    void demandPermits();
     /// An encoded wire::ReplicaReport.
     std::string encodedReport() const;
     /// Sends reports to all coordinators on changes and at intervals; never returns.
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -44,6 +44,7 @@
 
 void HostedCoordinator::start()
 {
+    requestLimits().setOnPermit([this] { serviceCaller_.onPermit(); });
     const auto executor = context().get_executor();
     spawnRestarting(executor, [this] { return maintainRegistration(); });
     spawnRestarting(executor, [this] { return runTakeOvers(); });
--- a/src/io/hosted/HostedCoordinator.h
+++ b/src/io/hosted/HostedCoordinator.h
@@ -56,6 +56,7 @@
 
     /// True in the first coordinator by name of those that are alive.
     bool isFirst() const override;
+    bool mayIssuePermits() const override { return !isDraining() && !isRetiring(); }
     bool isRetiring() const { return directory()->retiringVms.contains(settings().name); }
     /// Keeps this coordinator's registration in the store until the process drains.
     asio::awaitable<void> maintainRegistration();
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -117,6 +117,7 @@
 
 void HostedEntry::start()
 {
+    requestLimits().setOnPermit([this] { serviceCaller_.onPermit(); });
     if (!settings().callers || !settings().readiness)
         throw SettingsInvalidError(
             "an entry needs the settings of the addresses for callers and for the readiness probe");
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <endiveroad/Error.h>
+#include <endiveroad/Rendezvous.h>
 #include <endiveroad_types.h>
 #include <fmt/format.h>
 
@@ -77,6 +78,7 @@
           static_cast<DirectoryListener&>(*this), readerElection(role, settings_)))
     , leavingNews_(
           *directorySync_, [this](const std::string& notice) { notifyPeers(MessageType::ServersLeaving, notice); })
+    , requestLimits_(context_, static_cast<PermitPeers&>(*this), incarnation_)
     , servers_(http_, platform_->replicaProtocol(), leavingNews_, requestLimits_)
     , crashGuard_(
           http_, [this] { return directory(); }, static_cast<CrashListener&>(*this), randomSeed())
@@ -198,6 +200,9 @@
         connection->notify(MessageType::CrashNotice, *crashes);
     if (const auto leaving = leavingNews_.encodeAll())
         connection->notify(MessageType::ServersLeaving, *leaving);
+    const auto limits = role_ == HostedRole::Coordinator ? requestLimits_.encodeAll() : std::nullopt;
+    if (limits)
+        connection->notify(MessageType::LimitsInForce, *limits);
     if (isDraining_)
         connection->notify(MessageType::Leaving, {});
 }
@@ -259,6 +264,8 @@
 {
     if (message.type == MessageType::StoreCall)
         co_return co_await relayStoreCall(directStore_, std::move(message));
+    if (message.type == MessageType::PermitRequest)
+        co_return co_await requestLimits_.onRequest(std::move(message));
     co_return co_await onNodeRequest(std::move(connection), std::move(message));
 }
 
@@ -284,6 +291,12 @@
         case MessageType::ServersLeaving:
             onLeavingNotice(connection, message.payload);
             break;
+        case MessageType::LimitsHeard:
+            requestLimits_.onHeardNotice(connection, message.payload);
+            break;
+        case MessageType::LimitsInForce:
+            requestLimits_.onInForceNotice(message.payload);
+            break;
         case MessageType::Leaving:
             leavingPeers_.insert(connection->peerName);
             onPeerDown(connection->peerName);
@@ -317,9 +330,21 @@
     if (before->coordinators != current->coordinators)
         connectToCoordinators();
     crashGuard_.onDirectory(*current);
+    requestLimits_.onDirectory(*current);
     onDirectoryChanged(*before, *current);
 }
 
+PermitSource HostedNode::permitSource(const std::string& server) const
+{
+    std::vector<std::string> names = activePeers(HostedRole::Coordinator);
+    if (mayIssuePermits())
+        names.push_back(settings_.name);
+    const std::vector<std::string> owners = rendezvousOwners(server, names, 1);
+    if (owners.empty())
+        return { true, nullptr };
+    return { false, owners.front() == settings_.name ? nullptr : peer(owners.front()) };
+}
+
 void HostedNode::publish(const std::string& update)
 {
     notifyPeers(MessageType::DirectoryUpdate, update);
@@ -368,6 +393,9 @@
     allGauges.push_back(
         { "endiveroad_leaving_servers", "", "Servers that said they are leaving and have not started again since.",
             static_cast<double>(directorySync_->leavingServers().all().size()) });
+    allGauges.push_back({ "endiveroad_limited_servers", "",
+        "Servers that name a limit on the requests that they take from all processes together.",
+        static_cast<double>(requestLimits_.limitedCount()) });
     allGauges.push_back(
         { "endiveroad_draining", "", "1 while the process takes no new work.", isDraining_ ? 1.0 : 0.0 });
     HttpResponse response;
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -39,7 +39,11 @@
 
 /// Connects to all coordinators, keeps the directory up to date, serves metrics and handles signals. All code runs on
 /// one thread.
-class HostedNode : public PeerHandler, protected DirectoryListener, protected CrashListener, private HttpHandler {
+class HostedNode : public PeerHandler,
+                   protected DirectoryListener,
+                   protected CrashListener,
+                   private HttpHandler,
+                   private PermitPeers {
 public:
     HostedNode(std::unique_ptr<Platform>, HostedRole, HostedOptions);
     ~HostedNode() override;
@@ -69,6 +73,9 @@
     /// True in the one coordinator that acts for all.
     virtual bool isFirst() const { return false; }
 
+    /// True in a coordinator that issues permits for limited servers.
+    virtual bool mayIssuePermits() const { return false; }
+
     /// Seed for random choices, another in each process and at each start.
     uint64_t randomSeed() const;
 
@@ -90,6 +97,7 @@
     CrashGuard& crashGuard() { return crashGuard_; }
     ServerClient& servers() { return servers_; }
     RequestLimits& requestLimits() { return requestLimits_; }
+    const RequestLimits& requestLimits() const { return requestLimits_; }
     const Platform& platform() const { return *platform_; }
     MetadataStore& store() { return *store_; }
     Instant lastStoreAnswerAt() const { return relayedStore_.lastAnswerAt(); }
@@ -111,6 +119,9 @@
     /// Learns of leaving servers from a peer. The coordinator that acts for all sends what entries and agents report on
     /// to the others.
     void onLeavingNotice(const PeerConnectionPtr&, const std::string& payload);
+    PermitSource permitSource(const std::string& server) const final;
+    const std::string& processName() const final { return settings_.name; }
+    void publishLimits(const std::string& notice) final { notifyPeers(MessageType::LimitsInForce, notice); }
     CrashStore::Part crashStorePart() const;
     asio::awaitable<void> onHttp(HttpExchange&) final;
 
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -109,6 +109,11 @@
 {
     wire::ItemStartAnswer answer;
     answer.reason = refusalReason(startRequest, slots);
+    std::optional<ServerPermit> permit;
+    if (answer.reason.empty()) {
+        permit = limits_.tryTake(engine_.lastServer(), RequestPath::Item);
+        answer.reason = permit ? "" : "the replica's request limit is used up";
+    }
     answer.isAccepted = answer.reason.empty();
     answer.isJobEnded = endedJobs_.contains(startRequest.job);
     if (const auto jobOwner = owners_.find(startRequest.job); jobOwner != owners_.end())
@@ -128,7 +133,7 @@
     }
     auto run = std::make_shared<Run>();
     run->startRequest = startRequest;
-    run->permit = limits_.tryTake(engine_.lastServer(), RequestPath::Item);
+    run->permit = std::move(permit);
     run->events = fromWire(startRequest.events);
     run->sentCount = run->events.size();
     run->startRequest.events.clear();
--- a/src/io/hosted/ItemScorer.cpp
+++ b/src/io/hosted/ItemScorer.cpp
@@ -66,8 +66,9 @@
         co_return owned->job.onScored(item, result.stamp);
     }
     retryAt = now() + retryPause;
-    if (result.blockedUntil)
-        retryAt = std::clamp(*result.blockedUntil, retryAt, now() + blockedRetryPause);
+    const std::optional<Instant> notBefore = result.blockedUntil ? result.blockedUntil : result.retryAt;
+    if (notBefore)
+        retryAt = std::clamp(*notBefore, retryAt, now() + blockedRetryPause);
     log(Event::ScoringDelayed,
         { { "item", spec.id }, { "ms", std::to_string(elapsed) },
             { "serverErrors", std::to_string(result.serverErrors) }, { "reason", result.reason } });
--- a/src/io/hosted/ItemScorer.h
+++ b/src/io/hosted/ItemScorer.h
@@ -13,7 +13,7 @@
     /// Delay before a call that brought no score is repeated.
     static constexpr Duration retryPause = std::chrono::milliseconds(80);
 
-    /// The same while the call is blocked, if the block lasts that long.
+    /// The same while the call is blocked or no server can take it, if that lasts so long.
     static constexpr Duration blockedRetryPause = std::chrono::seconds(1);
 
     /// Called when an item has a result: it was scored, or terminated because its scoring failed too often.
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -65,6 +65,9 @@
     std::set<std::string> tried;
     /// Number of attempts without an outcome yet.
     int32_t activeAttempts = 0;
+    RequestPath path = RequestPath::Call;
+    /// Servers that were tried are tried again when no other has room.
+    bool mayTryAgain = true;
     /// Number of attempts that a server ran or may have run.
     int32_t possibleRuns = 0;
     bool isDone = false;
@@ -91,6 +94,7 @@
     for (const auto& [id, server] : directory.servers)
         ids.insert(id);
     loads_.retain(ids);
+    std::erase_if(explorations_, [&ids](const auto& entry) { return !ids.contains(entry.first); });
 }
 
 const std::string& ServiceCaller::chooseService(const RouteDeclaration& route)
@@ -109,32 +113,71 @@
     return route.services.back().service;
 }
 
-std::optional<ChosenServer> ServiceCaller::chooseServer(
-    const RouteDeclaration& route, const std::set<std::string>& excluded, RequestPath path)
+std::optional<ChosenServer> ServiceCaller::chooseServer(const CallState& state, const std::set<std::string>& excluded)
 {
-    if (route.services.empty())
+    if (state.route.services.empty())
         return std::nullopt;
     const auto directory = directory_();
+    const bool isHedge = state.activeAttempts > 0;
     std::vector<ServerCandidate> candidates;
-    for (const ServerRecord* server : directory->readyServers(chooseService(route)))
-        candidates.push_back({ server->id, server->slots });
+    std::vector<ServerRecord> limited;
+    for (const ServerRecord* server : directory->readyServers(chooseService(state.route))) {
+        const ServerIncarnation receiver = ServerIncarnation::of(*server);
+        const bool isLimited = limits_.isLimited(receiver);
+        if (isLimited && !excluded.contains(server->id))
+            limited.push_back(*server);
+        // A server in need gets no second copies of requests.
+        if (!isLimited || (!isHedge && limits_.mayTake(receiver)))
+            candidates.push_back({ server->id, server->slots });
+    }
     const auto chosen = loads_.choose(candidates, excluded, now());
+    if (!isHedge)
+        demandPermits(state, limited, !chosen);
     if (!chosen)
         return std::nullopt;
     const ServerRecord& server = directory->servers.at(*chosen);
-    auto permit = limits_.tryTake(ServerIncarnation::of(server), path);
+    auto permit = limits_.tryTake(ServerIncarnation::of(server), state.path);
     if (!permit)
         return std::nullopt;
     return ChosenServer { server, *std::move(permit) };
 }
 
+void ServiceCaller::demandPermits(const CallState& state, const std::vector<ServerRecord>& limited, bool isWaiting)
+{
+    const Duration latency = loads_.rateOf(candidatesOf(state.route)).latency;
+    for (const ServerRecord& server : limited) {
+        const ServerIncarnation receiver = ServerIncarnation::of(server);
+        if (limits_.permits(receiver) > 0)
+            continue;
+        if (isWaiting) {
+            const size_t waiting = std::max<size_t>(waitingCalls_.count(state.service()), 1);
+            // Any call that waits can use the permits.
+            const Instant deadline
+                = std::max(state.deadline, waitingCalls_.lastDeadline(state.service()).value_or(state.deadline));
+            limits_.demand(receiver, state.route.priority, waiting, deadline - latency);
+            continue;
+        }
+        Instant& exploreAt = explorations_[server.id];
+        if (now() < exploreAt)
+            continue;
+        exploreAt = now() + explorationInterval;
+        limits_.demand(receiver, explorationPriority, 1, now() + explorationWait);
+    }
+}
+
+void ServiceCaller::onPermit()
+{
+    for (const std::string& service : waitingCalls_.services())
+        wakeFirst(service);
+}
+
 std::optional<ChosenServer> ServiceCaller::chooseNext(CallState& state)
 {
     if (now() < state.notBefore || !waitingCalls_.isFirst(state.service(), state.ticket))
         return std::nullopt;
     std::set<std::string> excluded = crashGuard_.serversToAvoid(state.content);
     excluded.insert(state.tried.begin(), state.tried.end());
-    auto server = chooseServer(state.route, excluded, RequestPath::Call);
+    auto server = chooseServer(state, excluded);
     if (server && !crashGuard_.admit(state.content)) {
         state.result.blockedUntil = crashGuard_.blockedUntil(state.content);
         return std::nullopt;
@@ -147,8 +190,13 @@
     const auto directory = directory_();
     std::vector<ServerCandidate> candidates;
     for (const WeightedService& weighted : route.services) {
-        for (const ServerRecord* server : directory->readyServers(weighted.service))
-            candidates.push_back({ server->id, server->slots });
+        for (const ServerRecord* server : directory->readyServers(weighted.service)) {
+            const ServerIncarnation receiver = ServerIncarnation::of(*server);
+            ServerCandidate candidate { server->id, server->slots };
+            if (limits_.isLimited(receiver))
+                candidate.permits = limits_.outlook(receiver);
+            candidates.push_back(std::move(candidate));
+        }
     }
     return candidates;
 }
@@ -165,12 +213,14 @@
         co_await state->changed.wait(std::min(state->deadline, state->notBefore));
         co_return;
     }
-    state->tried.clear();
-    if (!state->isQueued()) {
+    if (state->mayTryAgain)
+        state->tried.clear();
+    const bool isNewcomer = !state->isQueued();
+    if (isNewcomer) {
         state->ticket = waitingCalls_.add(state->service(), state->route.priority, state->deadline);
         waiting_.emplace(state->ticket, state);
     }
-    turnAwayHopeless(*state);
+    turnAwayHopeless(*state, isNewcomer);
     if (state->isDone)
         co_return;
     // Each call that leaves the queue wakes the next one.
@@ -178,12 +228,14 @@
     co_await state->changed.wait(isFirst ? std::min(state->deadline, now() + waitInterval) : state->deadline);
 }
 
-void ServiceCaller::turnAwayHopeless(const CallState& first)
+void ServiceCaller::turnAwayHopeless(const CallState& waiting, bool isNewcomer)
 {
-    const std::string service = first.service();
-    const ServiceRate rate = loads_.rateOf(candidatesOf(first.route));
-    const Instant retryAt = now() + rate.interval * static_cast<Duration::rep>(waitingCalls_.count(service));
-    for (const CallTicket& ticket : waitingCalls_.hopeless(service, rate, now())) {
+    const std::string service = waiting.service();
+    const ServiceRate rate = loads_.rateOf(candidatesOf(waiting.route));
+    const auto newcomer = isNewcomer ? std::optional(waiting.ticket) : std::nullopt;
+    const Instant startAt = std::max(now(), rate.startAt);
+    const Instant retryAt = startAt + rate.interval * static_cast<Duration::rep>(waitingCalls_.count(service));
+    for (const CallTicket& ticket : waitingCalls_.hopeless(service, rate, now(), newcomer)) {
         const auto found = waiting_.find(ticket);
         if (found == waiting_.end())
             continue;
@@ -261,6 +313,39 @@
     co_return std::move(state->result);
 }
 
+asio::awaitable<std::optional<ChosenServer>> ServiceCaller::obtainServer(RouteDeclaration route, ReplicaRequest request,
+    std::set<std::string> tried, bool mayTryAgain, Instant deadline, PeerCancellationPtr cancellation)
+{
+    auto state = std::make_shared<CallState>(context_, std::move(route), std::move(request), deadline);
+    state->path = RequestPath::Stream;
+    state->mayTryAgain = mayTryAgain;
+    state->tried = std::move(tried);
+    cancellation->onCancel([state] {
+        state->isDone = true;
+        state->changed.notifyAll();
+    });
+    std::optional<ChosenServer> chosen;
+    while (!state->isDone && now() < deadline) {
+        chosen = chooseNext(*state);
+        if (chosen || state->result.blockedUntil || !hasUntriedServer(*state))
+            break;
+        co_await awaitServer(state);
+    }
+    leaveQueue(state);
+    cancellation->onCancel(nullptr);
+    if (state->result.retryAt)
+        throw ServersFullError(state->result.reason, *state->result.retryAt);
+    co_return chosen;
+}
+
+bool ServiceCaller::hasUntriedServer(const CallState& state) const
+{
+    const std::vector<ServerCandidate> candidates = candidatesOf(state.route);
+    return std::any_of(candidates.begin(), candidates.end(), [&state](const ServerCandidate& candidate) {
+        return state.mayTryAgain || !state.tried.contains(candidate.id);
+    });
+}
+
 void ServiceCaller::startAttempt(const std::shared_ptr<CallState>& state, const ChosenServer& chosen)
 {
     const ServerRecord& server = chosen.server;
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -78,6 +78,14 @@
     /// divided by this has passed.
     static constexpr int hedgeDivisor = 2;
 
+    /// Time between two requests for permits for a limited server while others have room. They let the process use what
+    /// the limit leaves, and learn of its end.
+    static constexpr Duration explorationInterval = std::chrono::milliseconds(500);
+
+    /// Time for which a call may wait for such a permit, and its priority.
+    static constexpr Duration explorationWait = std::chrono::milliseconds(100);
+    static constexpr int32_t explorationPriority = 1000;
+
     /// Longest time between two looks for a server by a call that waits for one.
     static constexpr Duration waitInterval = ServerLoads::refusalPause;
 
@@ -91,9 +99,15 @@
     asio::awaitable<ServiceResult> call(
         RouteDeclaration, ReplicaRequest, Instant deadline, PeerCancellationPtr cancellation);
 
-    /// Chooses a ready server of one of the route's services that is not excluded; nothing if there is none.
-    std::optional<ChosenServer> chooseServer(
-        const RouteDeclaration&, const std::set<std::string>& excluded, RequestPath);
+    /// Waits for a server that has room for one run of a request. Servers that were tried are tried again only if
+    /// mayTryAgain is set and no other has room. Nothing if there is none by the
+    /// deadline or when the request is cancelled, if all ready servers have been tried, or if the content is blocked.
+    /// Throws ServersFullError if none can take the request in time.
+    asio::awaitable<std::optional<ChosenServer>> obtainServer(RouteDeclaration, ReplicaRequest,
+        std::set<std::string> tried, bool mayTryAgain, Instant deadline, PeerCancellationPtr);
+
+    /// Permits may have come for limited servers.
+    void onPermit();
 
     /// True if a server of one of the route's services takes new requests.
     bool hasReadyServer(const RouteDeclaration&) const;
@@ -106,20 +120,29 @@
 
     using CallStatePtr = std::shared_ptr<CallState>;
 
+    /// Chooses a ready server of one of the route's services that is not excluded, with a permit; nothing if there is
+    /// none. Asks for permits for limited servers.
+    std::optional<ChosenServer> chooseServer(const CallState&, const std::set<std::string>& excluded);
+    void demandPermits(const CallState&, const std::vector<ServerRecord>& limited, bool isWaiting);
+
     /// Server for the next attempt, if one may start now and a server is free to be tried.
     std::optional<ChosenServer> chooseNext(CallState&);
 
     /// Waits until a server may have room for the call, it is cancelled or its deadline has passed.
     asio::awaitable<void> awaitServer(CallStatePtr);
 
-    /// Ends the calls in the queue of this one that cannot be answered in time.
-    void turnAwayHopeless(const CallState&);
+    /// Ends the calls in the queue of this one that cannot be answered in time. isNewcomer: this one has just begun to
+    /// wait.
+    void turnAwayHopeless(const CallState&, bool isNewcomer);
 
     void leaveQueue(const CallStatePtr&);
 
     /// A call has left a server or the queue, so the first one that waits may go.
     void wakeFirst(const std::string& service);
 
+    /// True if a ready server of the route may still be tried.
+    bool hasUntriedServer(const CallState&) const;
+
     /// Ready servers of all services of the route.
     std::vector<ServerCandidate> candidatesOf(const RouteDeclaration&) const;
 
@@ -140,6 +163,8 @@
     WaitingCalls waitingCalls_;
     /// The calls in waitingCalls_.
     std::map<CallTicket, CallStatePtr> waiting_;
+    /// When a permit for the server is requested again although others have room, by server id.
+    std::map<std::string, Instant> explorations_;
     std::minstd_rand random_;
 };
 
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -83,14 +83,22 @@
 {
 }
 
-StreamProxy::ServerStreamPtr StreamProxy::openStream(
-    const RouteDeclaration& route, const ReplicaRequest& request, const Progress& progress, Instant deadline)
+asio::awaitable<StreamProxy::ServerStreamPtr> StreamProxy::openStream(const RouteDeclaration& route,
+    const ReplicaRequest& request, const Progress& progress, Instant deadline, PeerCancellationPtr cancellation)
 {
-    std::set<std::string> excluded = crashGuard_.serversToAvoid(progress.content);
-    excluded.insert(progress.tried.begin(), progress.tried.end());
-    const auto chosen = serviceCaller_.chooseServer(route, excluded, RequestPath::Stream);
-    if (!chosen || !crashGuard_.admit(progress.content))
-        return nullptr;
+    const bool hasRun = progress.runs > 0 || progress.hasStarted;
+    const Instant latestStart = hasRun ? deadline : now() + (deadline - now()) / waitDivisor;
+    std::optional<ChosenServer> chosen;
+    try {
+        chosen
+            = co_await serviceCaller_.obtainServer(route, request, progress.tried, !hasRun, latestStart, cancellation);
+    } catch (const ServersFullError&) {
+        // A request that may have run is not reported as refused.
+        if (!hasRun)
+            throw;
+    }
+    if (!chosen)
+        co_return nullptr;
     const ServerRecord& server = chosen->server;
     ServerAttempt attempt { request.id, progress.content, server.id, ServerStart::of(server), now() };
     auto serverStream = std::make_shared<ServerStream>(context_, std::move(attempt));
@@ -104,7 +112,7 @@
     spawn(context_.get_executor(), [this, serverStream, permit = chosen->permit, encoded, deadline] {
         return readStream(serverStream, permit, encoded, deadline);
     });
-    return serverStream;
+    co_return serverStream;
 }
 
 asio::awaitable<void> StreamProxy::readStream(
@@ -243,14 +251,9 @@
             co_await sleepFor(progress.notBefore - now());
             continue;
         }
-        const ServerStreamPtr serverStream = openStream(route, request, progress, deadline);
-        if (!serverStream) {
-            if (progress.runs > 0 || progress.hasStarted || !serviceCaller_.hasReadyServer(route))
-                break;
-            progress.tried.clear();
-            co_await sleepFor(ServiceCaller::waitInterval);
-            continue;
-        }
+        const ServerStreamPtr serverStream = co_await openStream(route, request, progress, deadline, cancellation);
+        if (!serverStream)
+            break;
         const AttemptEnd end = co_await attempt(exchange, route, serverStream, progress, deadline, cancellation);
         if (end == AttemptEnd::Answered)
             co_return;
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -19,6 +19,9 @@
     /// then has stalled all the same.
     static constexpr Duration stallLimit = std::chrono::milliseconds(1500);
 
+    /// Part of the time that a request has left for which it may wait for a server; the stream needs the rest.
+    static constexpr int waitDivisor = 2;
+
     StreamProxy(asio::io_context&, ServerClient&, ServiceCaller&, CrashGuard&);
 
     /// Answers the exchange. Only complete events are forwarded. If a server's stream breaks, another server resumes it
@@ -41,8 +44,10 @@
         HttpExchange&, const RouteDeclaration&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
     /// Throws the error for a caller to which nothing has been sent.
     [[noreturn]] void throwFailure(const Progress&, Instant deadline) const;
-    /// Sends the request to a server that has not been tried and starts to read its stream; null if there is none.
-    ServerStreamPtr openStream(const RouteDeclaration&, const ReplicaRequest&, const Progress&, Instant deadline);
+    /// Sends the request to a server that has not been tried and starts to read its stream; null if there is none in
+    /// time.
+    asio::awaitable<ServerStreamPtr> openStream(
+        const RouteDeclaration&, const ReplicaRequest&, const Progress&, Instant deadline, PeerCancellationPtr);
     asio::awaitable<void> readStream(ServerStreamPtr, ServerPermit, HttpRequest, Instant deadline);
     /// Returns whether the response head has arrived before the deadline.
     asio::awaitable<bool> awaitHead(ServerStreamPtr, Instant deadline, PeerCancellationPtr);
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -359,3 +359,29 @@
 /** A server that said in an answer that it is leaving, and which of its starts said so (ServerRecord::startedMs). */
 struct LeavingServer { 1: string id  2: i64 startedMs }
 struct LeavingNotice { 1: list<LeavingServer> servers }
+
+/** A request limit that a server named (LimitedServers.h); limit is negative if the server names none any more. */
+struct ServerLimit {
+  1: string server
+  2: i64 startedMs
+  3: double limit
+  4: i64 issuer
+  5: i64 sequence
+}
+struct LimitNotice { 1: list<ServerLimit> limits }
+
+/** Asks the process that issues the permits for a server. isForwarded: by a coordinator on behalf of the process. */
+struct PermitRequest {
+  1: ServerLimit known
+  2: string process
+  3: i32 priority
+  4: i32 count
+  5: bool isForwarded
+}
+/** count is 0 if no permit can be issued in time; retryInMs then tells when one could have been. */
+struct PermitAnswer {
+  1: ServerLimit limit
+  2: i32 count
+  3: i64 retryInMs
+  4: i64 intervalMs
+}
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -7378,4 +7378,612 @@
   out << ")";
 }
 
+
+ServerLimit::~ServerLimit() noexcept {
+}
+
+
+void ServerLimit::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void ServerLimit::__set_startedMs(const int64_t val) {
+  this->startedMs = val;
+}
+
+void ServerLimit::__set_limit(const double val) {
+  this->limit = val;
+}
+
+void ServerLimit::__set_issuer(const int64_t val) {
+  this->issuer = val;
+}
+
+void ServerLimit::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedMs);
+          this->__isset.startedMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limit);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->issuer);
+          this->__isset.issuer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerLimit");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startedMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->limit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("issuer", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->issuer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerLimit &a, ServerLimit &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.startedMs, b.startedMs);
+  swap(a.limit, b.limit);
+  swap(a.issuer, b.issuer);
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
+}
+
+ServerLimit::ServerLimit(const ServerLimit& other193) {
+  server = other193.server;
+  startedMs = other193.startedMs;
+  limit = other193.limit;
+  issuer = other193.issuer;
+  sequence = other193.sequence;
+  __isset = other193.__isset;
+}
+ServerLimit& ServerLimit::operator=(const ServerLimit& other194) {
+  server = other194.server;
+  startedMs = other194.startedMs;
+  limit = other194.limit;
+  issuer = other194.issuer;
+  sequence = other194.sequence;
+  __isset = other194.__isset;
+  return *this;
+}
+void ServerLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerLimit(";
+  out << "server=" << to_string(server);
+  out << ", " << "startedMs=" << to_string(startedMs);
+  out << ", " << "limit=" << to_string(limit);
+  out << ", " << "issuer=" << to_string(issuer);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ")";
+}
+
+
+LimitNotice::~LimitNotice() noexcept {
+}
+
+
+void LimitNotice::__set_limits(const std::vector<ServerLimit> & val) {
+  this->limits = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LimitNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _etype198;
+            xfer += iprot->readListBegin(_etype198, _size195);
+            this->limits.resize(_size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
+            {
+              xfer += this->limits[_i199].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LimitNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LimitNotice");
+
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<ServerLimit> ::const_iterator _iter200;
+    for (_iter200 = this->limits.begin(); _iter200 != this->limits.end(); ++_iter200)
+    {
+      xfer += (*_iter200).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LimitNotice &a, LimitNotice &b) {
+  using ::std::swap;
+  swap(a.limits, b.limits);
+  swap(a.__isset, b.__isset);
+}
+
+LimitNotice::LimitNotice(const LimitNotice& other201) {
+  limits = other201.limits;
+  __isset = other201.__isset;
+}
+LimitNotice& LimitNotice::operator=(const LimitNotice& other202) {
+  limits = other202.limits;
+  __isset = other202.__isset;
+  return *this;
+}
+void LimitNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LimitNotice(";
+  out << "limits=" << to_string(limits);
+  out << ")";
+}
+
+
+PermitRequest::~PermitRequest() noexcept {
+}
+
+
+void PermitRequest::__set_known(const ServerLimit& val) {
+  this->known = val;
+}
+
+void PermitRequest::__set_process(const std::string& val) {
+  this->process = val;
+}
+
+void PermitRequest::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void PermitRequest::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void PermitRequest::__set_isForwarded(const bool val) {
+  this->isForwarded = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->known.read(iprot);
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isForwarded);
+          this->__isset.isForwarded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PermitRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitRequest");
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->known.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isForwarded", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->isForwarded);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitRequest &a, PermitRequest &b) {
+  using ::std::swap;
+  swap(a.known, b.known);
+  swap(a.process, b.process);
+  swap(a.priority, b.priority);
+  swap(a.count, b.count);
+  swap(a.isForwarded, b.isForwarded);
+  swap(a.__isset, b.__isset);
+}
+
+PermitRequest::PermitRequest(const PermitRequest& other203) {
+  known = other203.known;
+  process = other203.process;
+  priority = other203.priority;
+  count = other203.count;
+  isForwarded = other203.isForwarded;
+  __isset = other203.__isset;
+}
+PermitRequest& PermitRequest::operator=(const PermitRequest& other204) {
+  known = other204.known;
+  process = other204.process;
+  priority = other204.priority;
+  count = other204.count;
+  isForwarded = other204.isForwarded;
+  __isset = other204.__isset;
+  return *this;
+}
+void PermitRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitRequest(";
+  out << "known=" << to_string(known);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "count=" << to_string(count);
+  out << ", " << "isForwarded=" << to_string(isForwarded);
+  out << ")";
+}
+
+
+PermitAnswer::~PermitAnswer() noexcept {
+}
+
+
+void PermitAnswer::__set_limit(const ServerLimit& val) {
+  this->limit = val;
+}
+
+void PermitAnswer::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void PermitAnswer::__set_retryInMs(const int64_t val) {
+  this->retryInMs = val;
+}
+
+void PermitAnswer::__set_intervalMs(const int64_t val) {
+  this->intervalMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limit.read(iprot);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryInMs);
+          this->__isset.retryInMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->intervalMs);
+          this->__isset.intervalMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PermitAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitAnswer");
+
+  xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->limit.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryInMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->retryInMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("intervalMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->intervalMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitAnswer &a, PermitAnswer &b) {
+  using ::std::swap;
+  swap(a.limit, b.limit);
+  swap(a.count, b.count);
+  swap(a.retryInMs, b.retryInMs);
+  swap(a.intervalMs, b.intervalMs);
+  swap(a.__isset, b.__isset);
+}
+
+PermitAnswer::PermitAnswer(const PermitAnswer& other205) {
+  limit = other205.limit;
+  count = other205.count;
+  retryInMs = other205.retryInMs;
+  intervalMs = other205.intervalMs;
+  __isset = other205.__isset;
+}
+PermitAnswer& PermitAnswer::operator=(const PermitAnswer& other206) {
+  limit = other206.limit;
+  count = other206.count;
+  retryInMs = other206.retryInMs;
+  intervalMs = other206.intervalMs;
+  __isset = other206.__isset;
+  return *this;
+}
+void PermitAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitAnswer(";
+  out << "limit=" << to_string(limit);
+  out << ", " << "count=" << to_string(count);
+  out << ", " << "retryInMs=" << to_string(retryInMs);
+  out << ", " << "intervalMs=" << to_string(intervalMs);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -154,6 +154,14 @@
 
 class LeavingNotice;
 
+class ServerLimit;
+
+class LimitNotice;
+
+class PermitRequest;
+
+class PermitAnswer;
+
 typedef struct _Hello__isset {
   _Hello__isset() : node(false), role(false), incarnation(false), settingsRevision(false), organisation(false) {}
   bool node :1;
@@ -3300,6 +3308,261 @@
 
 std::ostream& operator<<(std::ostream& out, const LeavingNotice& obj);
 
+typedef struct _ServerLimit__isset {
+  _ServerLimit__isset() : server(false), startedMs(false), limit(false), issuer(false), sequence(false) {}
+  bool server :1;
+  bool startedMs :1;
+  bool limit :1;
+  bool issuer :1;
+  bool sequence :1;
+} _ServerLimit__isset;
+
+/**
+ * A request limit that a server named (LimitedServers.h); limit is negative if the server names none any more.
+ */
+class ServerLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerLimit(const ServerLimit&);
+  ServerLimit& operator=(const ServerLimit&);
+  ServerLimit() noexcept
+              : server(),
+                startedMs(0),
+                limit(0),
+                issuer(0),
+                sequence(0) {
+  }
+
+  virtual ~ServerLimit() noexcept;
+  std::string server;
+  int64_t startedMs;
+  double limit;
+  int64_t issuer;
+  int64_t sequence;
+
+  _ServerLimit__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_startedMs(const int64_t val);
+
+  void __set_limit(const double val);
+
+  void __set_issuer(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  bool operator == (const ServerLimit & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(startedMs == rhs.startedMs))
+      return false;
+    if (!(limit == rhs.limit))
+      return false;
+    if (!(issuer == rhs.issuer))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerLimit &a, ServerLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerLimit& obj);
+
+typedef struct _LimitNotice__isset {
+  _LimitNotice__isset() : limits(false) {}
+  bool limits :1;
+} _LimitNotice__isset;
+
+class LimitNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitNotice(const LimitNotice&);
+  LimitNotice& operator=(const LimitNotice&);
+  LimitNotice() noexcept {
+  }
+
+  virtual ~LimitNotice() noexcept;
+  std::vector<ServerLimit>  limits;
+
+  _LimitNotice__isset __isset;
+
+  void __set_limits(const std::vector<ServerLimit> & val);
+
+  bool operator == (const LimitNotice & rhs) const
+  {
+    if (!(limits == rhs.limits))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LimitNotice &a, LimitNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitNotice& obj);
+
+typedef struct _PermitRequest__isset {
+  _PermitRequest__isset() : known(false), process(false), priority(false), count(false), isForwarded(false) {}
+  bool known :1;
+  bool process :1;
+  bool priority :1;
+  bool count :1;
+  bool isForwarded :1;
+} _PermitRequest__isset;
+
+/**
+ * Asks the process that issues the permits for a server. isForwarded: by a coordinator on behalf of the process.
+ */
+class PermitRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitRequest(const PermitRequest&);
+  PermitRequest& operator=(const PermitRequest&);
+  PermitRequest() noexcept
+                : process(),
+                  priority(0),
+                  count(0),
+                  isForwarded(0) {
+  }
+
+  virtual ~PermitRequest() noexcept;
+  ServerLimit known;
+  std::string process;
+  int32_t priority;
+  int32_t count;
+  bool isForwarded;
+
+  _PermitRequest__isset __isset;
+
+  void __set_known(const ServerLimit& val);
+
+  void __set_process(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_count(const int32_t val);
+
+  void __set_isForwarded(const bool val);
+
+  bool operator == (const PermitRequest & rhs) const
+  {
+    if (!(known == rhs.known))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(count == rhs.count))
+      return false;
+    if (!(isForwarded == rhs.isForwarded))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitRequest &a, PermitRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitRequest& obj);
+
+typedef struct _PermitAnswer__isset {
+  _PermitAnswer__isset() : limit(false), count(false), retryInMs(false), intervalMs(false) {}
+  bool limit :1;
+  bool count :1;
+  bool retryInMs :1;
+  bool intervalMs :1;
+} _PermitAnswer__isset;
+
+/**
+ * count is 0 if no permit can be issued in time; retryInMs then tells when one could have been.
+ */
+class PermitAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitAnswer(const PermitAnswer&);
+  PermitAnswer& operator=(const PermitAnswer&);
+  PermitAnswer() noexcept
+               : count(0),
+                 retryInMs(0),
+                 intervalMs(0) {
+  }
+
+  virtual ~PermitAnswer() noexcept;
+  ServerLimit limit;
+  int32_t count;
+  int64_t retryInMs;
+  int64_t intervalMs;
+
+  _PermitAnswer__isset __isset;
+
+  void __set_limit(const ServerLimit& val);
+
+  void __set_count(const int32_t val);
+
+  void __set_retryInMs(const int64_t val);
+
+  void __set_intervalMs(const int64_t val);
+
+  bool operator == (const PermitAnswer & rhs) const
+  {
+    if (!(limit == rhs.limit))
+      return false;
+    if (!(count == rhs.count))
+      return false;
+    if (!(retryInMs == rhs.retryInMs))
+      return false;
+    if (!(intervalMs == rhs.intervalMs))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitAnswer &a, PermitAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitAnswer& obj);
+
 }} // namespace
 
 #endif
--- a/tests/process/limited_servers.py
+++ b/tests/process/limited_servers.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Servers that name in their answers how many requests a second they take from all processes together."""
 import bisect
+import http.client
 import os
 import signal
 import sys
@@ -45,7 +46,8 @@
                 status, _, headers = self.deployment.request(
                     entry, "POST", self.target, b"body", {"Endiveroad-Request-Id": "c-%d-%d-%d" % (id(self), number, turn),
                                                           "Endiveroad-Deadline-Ms": str(self.timeout_ms), **self.headers})
-            except OSError:
+            except (OSError, ValueError, http.client.HTTPException):
+                # The answer broke off.
                 status, headers = 0, {}
             took = time.monotonic() - begun
             self.calls.append((begun, entry.name, status, took, headers.get("Retry-After")))
