Permits are issued for the part of the coordinators that an issuer is connected to

Cause: who issues follows from who is connected, and no lease or election of our own is wanted for it. RequestLimits reaches other processes through an interface, so that a cluster of it runs in virtual time.

--- a/include/endiveroad/PermitQueue.h
+++ b/include/endiveroad/PermitQueue.h
@@ -55,6 +55,9 @@
     double limit() const { return limit_; }
     void setLimit(double limit, Instant now);
 
+    /// Share of the limit that this queue may issue, above 0 and at most 1; the whole at first.
+    void setShare(double share, Instant now);
+
     /// Returns the ticket of the demand.
     uint64_t add(PermitDemand, Instant now);
 
@@ -85,6 +88,7 @@
     uint64_t nextTicket() const;
 
     double limit_;
+    double share_ = 1;
     double permits_;
     Instant accumulatedAt_;
     uint64_t lastTicket_ = 0;
--- a/src/core/routing/PermitQueue.cpp
+++ b/src/core/routing/PermitQueue.cpp
@@ -28,7 +28,7 @@
 
 double PermitQueue::rate() const
 {
-    return std::max(limit_, leastRate);
+    return std::max(limit_, leastRate) * share_;
 }
 
 void PermitQueue::setLimit(double limit, Instant now)
@@ -46,6 +46,12 @@
     std::erase_if(askers_, [now](const auto& entry) { return entry.second <= now; });
 }
 
+void PermitQueue::setShare(double share, Instant now)
+{
+    accumulate(now);
+    share_ = share;
+}
+
 uint64_t PermitQueue::add(PermitDemand demand, Instant now)
 {
     askers_[demand.process] = now + askerLifetime;
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -265,7 +265,7 @@
     if (message.type == MessageType::StoreCall)
         co_return co_await relayStoreCall(directStore_, std::move(message));
     if (message.type == MessageType::PermitRequest)
-        co_return co_await requestLimits_.onRequest(std::move(message));
+        co_return co_await requestLimits_.onRequest(std::move(message.payload), message.deadline, message.cancellation);
     co_return co_await onNodeRequest(std::move(connection), std::move(message));
 }
 
@@ -292,7 +292,8 @@
             onLeavingNotice(connection, message.payload);
             break;
         case MessageType::LimitsHeard:
-            requestLimits_.onHeardNotice(connection, message.payload);
+            if (const auto correction = requestLimits_.onHeardNotice(message.payload))
+                connection->notify(MessageType::LimitsInForce, *correction);
             break;
         case MessageType::LimitsInForce:
             requestLimits_.onInForceNotice(message.payload);
@@ -334,15 +335,40 @@
     onDirectoryChanged(*before, *current);
 }
 
-PermitSource HostedNode::permitSource(const std::string& server) const
+std::string HostedNode::permitIssuer(const std::string& server) const
 {
     std::vector<std::string> names = activePeers(HostedRole::Coordinator);
     if (mayIssuePermits())
         names.push_back(settings_.name);
     const std::vector<std::string> owners = rendezvousOwners(server, names, 1);
-    if (owners.empty())
-        return { true, nullptr };
-    return { false, owners.front() == settings_.name ? nullptr : peer(owners.front()) };
+    return owners.empty() ? std::string() : owners.front();
+}
+
+double HostedNode::issuerShare() const
+{
+    std::set<std::string> reached { settings_.name };
+    for (const std::string& name : activePeers(HostedRole::Coordinator))
+        reached.insert(name);
+    std::set<std::string> known = reached;
+    for (const auto& [name, record] : directory()->coordinators) {
+        if (!isLeaving(name))
+            known.insert(name);
+    }
+    return static_cast<double>(reached.size()) / static_cast<double>(known.size());
+}
+
+asio::awaitable<std::string> HostedNode::askIssuer(std::string issuer, std::string request, Instant deadline)
+{
+    const PeerConnectionPtr connection = peer(issuer);
+    if (!connection)
+        throw PeerUnavailableError("the connection to the coordinator was lost");
+    co_return co_await connection->call(MessageType::PermitRequest, std::move(request), deadline);
+}
+
+void HostedNode::reportToIssuer(const std::string& issuer, const std::string& notice)
+{
+    if (const PeerConnectionPtr connection = peer(issuer))
+        connection->notify(MessageType::LimitsHeard, notice);
 }
 
 void HostedNode::publish(const std::string& update)
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -119,7 +119,10 @@
     /// Learns of leaving servers from a peer. The coordinator that acts for all sends what entries and agents report on
     /// to the others.
     void onLeavingNotice(const PeerConnectionPtr&, const std::string& payload);
-    PermitSource permitSource(const std::string& server) const final;
+    std::string permitIssuer(const std::string& server) const final;
+    double issuerShare() const final;
+    asio::awaitable<std::string> askIssuer(std::string issuer, std::string request, Instant deadline) final;
+    void reportToIssuer(const std::string& issuer, const std::string& notice) final;
     const std::string& processName() const final { return settings_.name; }
     void publishLimits(const std::string& notice) final { notifyPeers(MessageType::LimitsInForce, notice); }
     CrashStore::Part crashStorePart() const;
--- a/src/io/hosted/RequestLimits.cpp
+++ b/src/io/hosted/RequestLimits.cpp
@@ -151,25 +151,26 @@
 
 asio::awaitable<wire::PermitAnswer> RequestLimits::decide(wire::PermitRequest request, Instant latestStart)
 {
-    const PermitSource source = peers_.permitSource(request.known.server);
-    if (source.isMissing)
+    std::string issuer = peers_.permitIssuer(request.known.server);
+    if (issuer.empty())
         throw PeerUnavailableError("no coordinator can be reached");
-    if (!source.connection)
+    if (issuer == peers_.processName())
         co_return co_await issue(std::move(request), latestStart, nullptr);
-    const std::string payload = wire::encode(request);
+    std::string payload = wire::encode(request);
     const std::string answer
-        = co_await source.connection->call(MessageType::PermitRequest, payload, latestStart + answerMargin);
+        = co_await peers_.askIssuer(std::move(issuer), std::move(payload), latestStart + answerMargin);
     co_return wire::decode<wire::PermitAnswer>(answer);
 }
 
-asio::awaitable<std::string> RequestLimits::onRequest(PeerMessage message)
+asio::awaitable<std::string> RequestLimits::onRequest(
+    std::string payload, Instant deadline, PeerCancellationPtr cancellation)
 {
-    auto request = wire::decode<wire::PermitRequest>(message.payload);
-    const Instant latestStart = message.deadline - answerMargin;
-    const bool isOwn = !peers_.permitSource(request.known.server).connection;
+    auto request = wire::decode<wire::PermitRequest>(payload);
+    const Instant latestStart = deadline - answerMargin;
+    const std::string issuer = peers_.permitIssuer(request.known.server);
     wire::PermitAnswer answer;
-    if (isOwn || request.isForwarded) {
-        answer = co_await issue(std::move(request), latestStart, message.cancellation);
+    if (issuer == peers_.processName() || request.isForwarded) {
+        answer = co_await issue(std::move(request), latestStart, std::move(cancellation));
     } else {
         request.isForwarded = true;
         answer = co_await decide(std::move(request), latestStart);
@@ -190,6 +191,7 @@
     PermitQueue* queue = issuer_.queue(server);
     if (!queue)
         return;
+    queue->setShare(peers_.issuerShare(), now());
     const std::vector<PermitDecision> decisions = queue->decide(now());
     for (const PermitDecision& decision : decisions)
         waiters.decisions[decision.ticket] = decision;
@@ -265,14 +267,11 @@
 
 void RequestLimits::report(const LimitRecord& news)
 {
-    const PermitSource source = peers_.permitSource(news.server.id);
-    if (source.isMissing)
-        return;
-    if (source.connection) {
-        source.connection->notify(MessageType::LimitsHeard, encodeNotice({ news }));
-        return;
-    }
-    hear(news);
+    const std::string issuer = peers_.permitIssuer(news.server.id);
+    if (issuer == peers_.processName())
+        hear(news);
+    else if (!issuer.empty())
+        peers_.reportToIssuer(issuer, encodeNotice({ news }));
 }
 
 void RequestLimits::hear(const LimitRecord& heard)
@@ -310,8 +309,9 @@
         notifyPermit();
 }
 
-void RequestLimits::onHeardNotice(const PeerConnectionPtr& connection, const std::string& payload)
+std::optional<std::string> RequestLimits::onHeardNotice(const std::string& payload)
 {
+    std::vector<LimitRecord> corrections;
     const auto notice = wire::decode<wire::LimitNotice>(payload);
     for (const wire::ServerLimit& encoded : notice.limits) {
         const LimitRecord heard = fromWire(encoded);
@@ -319,8 +319,9 @@
         const LimitRecord inForce = issuer_.record(heard.server);
         const bool isRefused = !heard.limit && inForce.limit;
         if (isRefused)
-            connection->notify(MessageType::LimitsInForce, encodeNotice({ inForce }));
+            corrections.push_back(inForce);
     }
+    return corrections.empty() ? std::nullopt : std::optional(encodeNotice(corrections));
 }
 
 void RequestLimits::onInForceNotice(const std::string& payload)
--- a/src/io/hosted/RequestLimits.h
+++ b/src/io/hosted/RequestLimits.h
@@ -49,21 +49,21 @@
     std::optional<LimitNumber> number_;
 };
 
-/// The process that issues the permits for a server.
-struct PermitSource {
-    /// No coordinator can be reached, so nobody issues permits.
-    bool isMissing = false;
-    /// Null if this process issues them.
-    PeerConnectionPtr connection;
-};
-
 /// Finds out which process issues permits, and reaches it.
 class PermitPeers {
 public:
     virtual ~PermitPeers() = default;
 
-    virtual PermitSource permitSource(const std::string& server) const = 0;
     virtual const std::string& processName() const = 0;
+    /// Name of the process that issues the permits for the server; empty if no coordinator can be reached.
+    virtual std::string permitIssuer(const std::string& server) const = 0;
+    /// Share of the limits that this process may issue: that of the registered coordinators which it is connected to,
+    /// itself included. Coordinators that are cut off from each other do not know of each other's permits.
+    virtual double issuerShare() const = 0;
+    /// Sends a MessageType::PermitRequest to another process and returns its answer.
+    virtual asio::awaitable<std::string> askIssuer(std::string issuer, std::string request, Instant deadline) = 0;
+    /// Sends a MessageType::LimitsHeard to another process.
+    virtual void reportToIssuer(const std::string& issuer, const std::string& notice) = 0;
     /// Sends an encoded wire::LimitNotice of limits that this process issues permits for to all connected peers.
     virtual void publishLimits(const std::string& notice) = 0;
 };
@@ -110,12 +110,12 @@
     /// Forgets limits of servers that have started again since.
     void onDirectory(const Directory&);
 
-    /// A peer heard of limits (MessageType::LimitsHeard).
-    void onHeardNotice(const PeerConnectionPtr&, const std::string& payload);
+    /// A peer heard of limits (MessageType::LimitsHeard). Returns a notice that corrects the peer, if it has to be.
+    std::optional<std::string> onHeardNotice(const std::string& payload);
     /// A peer that issues permits published limits (MessageType::LimitsInForce).
     void onInForceNotice(const std::string& payload);
     /// Answers a peer's MessageType::PermitRequest, or has the process answer it that issues the permits.
-    asio::awaitable<std::string> onRequest(PeerMessage);
+    asio::awaitable<std::string> onRequest(std::string payload, Instant deadline, PeerCancellationPtr);
     /// All known limits as a notice for a peer that has just connected; nothing if there are none.
     std::optional<std::string> encodeAll() const;
 
--- a/tests/core/ServerLoadsTest.cpp
+++ b/tests/core/ServerLoadsTest.cpp
@@ -171,3 +171,18 @@
     CHECK(now - start < 1500ms);
     CHECK(refusals < processes * callsEach / 4);
 }
+
+TEST_CASE("limited servers add to the rate what their limits leave this process", "[loads]")
+{
+    const ServerLoads loads(1);
+    const ServerCandidate unlimited { "s0", 6 };
+    const ServerCandidate limited { "s1", 6, PermitOutlook { start + 2s, 4s } };
+    const ServiceRate alone = loads.rateOf({ limited });
+    CHECK(alone.startAt == start + 2s);
+    CHECK(alone.interval == 4s);
+    CHECK(alone.uncertainty == ServerLoads::limitUncertainty);
+    const ServiceRate both = loads.rateOf({ unlimited, limited });
+    CHECK(both.startAt == Instant::min());
+    CHECK(both.interval < 100ms);
+    CHECK(both.uncertainty < 0.1);
+}
--- a/tests/core/WaitingCallsTest.cpp
+++ b/tests/core/WaitingCallsTest.cpp
@@ -57,3 +57,19 @@
     CHECK(waiting.hopeless("s", { Duration::max(), Duration::max() }, start).size() == 42);
     CHECK(waiting.hopeless("t", { 10ms, 80ms }, start).empty());
 }
+
+TEST_CASE("a call that begins to wait for limited servers needs more time in hand than one that waits", "[waiting]")
+{
+    const Instant start { 10s };
+    const ServiceRate rate { 300ms, 20ms, start + 100ms, 1.0 };
+    WaitingCalls calls;
+    const CallTicket waiting = calls.add("s", 1, start + 150ms);
+    const CallTicket newcomer = calls.add("s", 1, start + 600ms);
+    CHECK(calls.hopeless("s", rate, start).empty());
+    // It begins at 400 ms if all goes as worked out, at 1,100 ms if others take more.
+    CHECK(calls.hopeless("s", rate, start, newcomer) == std::vector<CallTicket> { newcomer });
+    CHECK(calls.lastDeadline("s") == start + 600ms);
+    calls.remove("s", waiting);
+    CHECK(calls.hopeless("s", rate, start, newcomer).empty());
+    CHECK(calls.services() == std::vector<std::string> { "s" });
+}
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -225,6 +225,31 @@
     CHECK(codec.decode(response).unknownLeavingValue == "0");
 }
 
+TEST_CASE("a server's request limit is a number that is not negative, and the lowest of several", "[platform]")
+{
+    const ReplicaCodec codec;
+    HttpResponse response;
+    response.status = 200;
+    CHECK_FALSE(codec.decode(response).requestLimit);
+    for (const int status : { 200, 202, 421, 500, 503 }) {
+        response.status = status;
+        response.headers = { { "server-limit", "2.5" } };
+        CHECK(codec.decode(response).requestLimit == 2.5);
+    }
+    for (const char* value : { "0", "0.25", "1e2" }) {
+        response.headers = { { "Server-Limit", value } };
+        CHECK(codec.decode(response).requestLimit);
+    }
+    for (const char* value : { "", "-1", "nan", "inf", "1e999", "many", "2 3", "0x", "5/s" }) {
+        response.headers = { { "Server-Limit", value } };
+        CHECK_FALSE(codec.decode(response).requestLimit);
+        CHECK_FALSE(codec.decode(response).unknownLimitValue.empty());
+    }
+    response.headers = { { "Server-Limit", "3" }, { "Server-Limit", "1" }, { "Server-Limit", "x" } };
+    CHECK(codec.decode(response).requestLimit == 1.0);
+    CHECK(codec.decode(response).unknownLimitValue == "x");
+}
+
 TEST_CASE("an engine's state and the outcome of a weight order are decoded", "[platform]")
 {
     const ReplicaCodec codec;
