What a limit leaves for a second is not lost

Permits now accumulate for a second and an agent's demand waits two. The 40 histories and limited.* keep the bound.

--- a/include/endiveroad/LimitedServers.h
+++ b/include/endiveroad/LimitedServers.h
@@ -51,6 +51,9 @@
     /// Time after which a permit that was not used is void, so that permits held by many processes cannot add up.
     static constexpr Duration permitLifetime = std::chrono::seconds(1);
 
+    /// Uses in this time tell how many permits a process needs at once.
+    static constexpr Duration usePeriod = std::chrono::milliseconds(200);
+
     /// Time for which a limited server is remembered after the last answer or grant for it.
     static constexpr Duration recordLifetime = std::chrono::minutes(10);
 
@@ -85,7 +88,7 @@
     /// Number of permits that this process holds.
     size_t permits(const ServerIncarnation&, Instant now) const;
 
-    /// Number of permits that it used in the last burstTime of the queue; how many it will need is taken from it.
+    /// Number of permits that it used in the last usePeriod.
     size_t recentUses(const ServerIncarnation&, Instant now) const;
 
     PermitOutlook outlook(const ServerIncarnation&, Instant now) const;
--- a/include/endiveroad/PermitQueue.h
+++ b/include/endiveroad/PermitQueue.h
@@ -38,7 +38,7 @@
 class PermitQueue {
 public:
     /// Time for which unused permits accumulate; at least one does in any case.
-    static constexpr Duration burstTime = std::chrono::milliseconds(200);
+    static constexpr Duration burstTime = std::chrono::seconds(1);
 
     /// Lowest rate, in permits a second. A server that named zero gets a request now and then all the same, as only its
     /// answers tell that the limit has ended.
--- a/src/core/routing/LimitedServers.cpp
+++ b/src/core/routing/LimitedServers.cpp
@@ -143,7 +143,7 @@
     if (known->permits.empty())
         return std::nullopt;
     known->permits.pop_front();
-    while (!known->uses.empty() && known->uses.front() + PermitQueue::burstTime <= now)
+    while (!known->uses.empty() && known->uses.front() + usePeriod <= now)
         known->uses.pop_front();
     known->uses.push_back(now);
     return known->number;
@@ -154,8 +154,8 @@
     const Record* known = find(server);
     if (!known)
         return 0;
-    return static_cast<size_t>(std::count_if(
-        known->uses.begin(), known->uses.end(), [now](Instant at) { return at + PermitQueue::burstTime > now; }));
+    return static_cast<size_t>(
+        std::count_if(known->uses.begin(), known->uses.end(), [now](Instant at) { return at + usePeriod > now; }));
 }
 
 PermitOutlook LimitedServers::outlook(const ServerIncarnation& server, Instant now) const
--- a/src/io/hosted/HostedAgent.cpp
+++ b/src/io/hosted/HostedAgent.cpp
@@ -108,7 +108,7 @@
         return;
     const ServerIncarnation receiver = ServerIncarnation::of(*server);
     if (requestLimits().isLimited(receiver) && requestLimits().permits(receiver) == 0)
-        requestLimits().demand(receiver, itemPriority, static_cast<size_t>(freeSlots), now() + reportInterval);
+        requestLimits().demand(receiver, itemPriority, static_cast<size_t>(freeSlots), now() + permitWait);
 }
 
 std::string HostedAgent::encodedReport() const
@@ -142,7 +142,7 @@
         for (const PeerConnectionPtr& coordinator : connectionsOf(HostedRole::Coordinator))
             coordinator->notify(MessageType::ReplicaReport, encoded);
         demandPermits();
-        co_await reportDue_.wait(now() + reportInterval);
+        co_await reportDue_.wait(now() + permitWait);
         co_await sleepFor(reportDelay);
     }
 }
--- a/src/io/hosted/HostedAgent.h
+++ b/src/io/hosted/HostedAgent.h
@@ -12,6 +12,9 @@
     /// Longest pause between two reports to the coordinators.
     static constexpr Duration reportInterval = std::chrono::milliseconds(500);
 
+    /// Time that a demand for such permits may wait.
+    static constexpr Duration permitWait = std::chrono::seconds(2);
+
     /// Priority of permits for items that may be placed on the replica, behind that of callers' requests.
     static constexpr int32_t itemPriority = 100;
 
