--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -42,6 +42,8 @@
         self.lose_answers = 0
         self.extra_s = 0.0
         self.always_fails = set()
+        # Requests that can never be done, answered with 422.
+        self.unprocessable = set()
         # Bodies that crash the server as soon as it begins to run them, and seconds that it is down then.
         self.crashing_bodies = set()
         self.down_s = 1.0
@@ -215,7 +217,10 @@
         if request.body in self.crashing_bodies:
             return self.crash(item)
         if item in self.always_fails:
+            await asyncio.sleep(self.extra_s)
             return await connection.answer(500, b"", headers)
+        if item in self.unprocessable:
+            return await connection.answer(422, b"", headers)
         first = int(request.headers.get("last-event-id", -1)) + 1
         version = self.versions[model]
         self.running += 1
