Failed runs of an item count for all its owners and jobs

Cause: each owner of each job counted for itself; a take-over, a later job and a report that came after the end of its job began anew. Class: a bound kept by one process that all of them together must keep. Change: a failed run is a record of its item and number, which no other run has. Coordinators tell each other, also at a new connection, and merge by union, so that an agent's repeated report counts once; agents report failures of ended jobs too. A job that gets an item takes over what is known and terminates it if that is enough. No call of the store. After a restart of all coordinators at once only runs that agents still remember (8 s) count.

--- a/include/endiveroad/BatchJob.h
+++ b/include/endiveroad/BatchJob.h
@@ -218,6 +218,10 @@
     /// maxFailedScorings.
     ItemAction onScoringFailed(size_t item, int32_t failures);
 
+    /// Runs of the item failed for earlier owners or in earlier jobs. Terminates the item if it waits and they are too
+    /// many.
+    ItemAction onKnownFailures(size_t item, int32_t failedRuns, bool isUnprocessable);
+
     /// Terminates all items without a result once terminateAt has passed. Returns their indices.
     std::vector<size_t> terminateOverdue(Instant now);
 
--- a/src/core/batch/BatchJob.cpp
+++ b/src/core/batch/BatchJob.cpp
@@ -225,6 +225,16 @@
     return ItemAction::Score;
 }
 
+ItemAction BatchJob::onKnownFailures(size_t index, int32_t failedRuns, bool isUnprocessable)
+{
+    ItemState& item = items_.at(index);
+    item.failedRuns = std::max(item.failedRuns, failedRuns);
+    const bool isDoomed = isUnprocessable || item.failedRuns >= policy_.maxFailedRuns;
+    if (item.stage != ItemStage::Waiting || !isDoomed)
+        return ItemAction::None;
+    return finish(index, ResultState::Terminated);
+}
+
 ItemAction BatchJob::finish(size_t index, ResultState state)
 {
     ItemState& item = items_.at(index);
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -219,6 +219,9 @@
         dispatcher_.onProgress(connection, wire::decode<wire::ItemProgressNotice>(message.payload));
         owner_.wake();
         break;
+    case MessageType::ItemFailures:
+        dispatcher_.onFailures(wire::decode<wire::ItemFailureNotice>(message.payload));
+        break;
     case MessageType::JobOwner: {
         const auto notice = wire::decode<wire::JobOwnerNotice>(message.payload);
         owner_.onOwner(notice);
@@ -234,11 +237,15 @@
 {
     const std::vector<std::string> agentNames = activePeers(HostedRole::Agent);
     const bool isAgent = std::find(agentNames.begin(), agentNames.end(), connection->peerName) != agentNames.end();
-    if (isAgent)
+    if (isAgent) {
         dispatcher_.onAgentUp(connection);
-    else
-        for (const auto& [id, owned] : owner_.jobs())
-            dispatcher_.sendOwnerNotice(*owned, connection);
+        return;
+    }
+    for (const auto& [id, owned] : owner_.jobs())
+        dispatcher_.sendOwnerNotice(*owned, connection);
+    // An entry ignores it.
+    if (const auto failures = dispatcher_.encodeFailures())
+        connection->notify(MessageType::ItemFailures, *failures);
 }
 
 void HostedCoordinator::onPeerDown(const std::string& name)
--- a/src/io/hosted/HostedCoordinator.h
+++ b/src/io/hosted/HostedCoordinator.h
@@ -52,6 +52,7 @@
     void announceOwner(const OwnedJob&) override;
     PeerConnectionPtr agent(const std::string& name) const override;
     std::vector<PeerConnectionPtr> agents() const override { return connectionsOf(HostedRole::Agent); }
+    std::vector<PeerConnectionPtr> coordinators() const override { return connectionsOf(HostedRole::Coordinator); }
     bool mayStartItems() const override;
 
     /// True in the first coordinator by name of those that are alive.
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -244,6 +244,7 @@
     for (size_t i = 0; i < spec.items.size(); ++i) {
         if (const auto text = textCache_.find(spec.items[i].id, now()))
             performAction(owned, i, owned->job.onEarlierText(i, *text));
+        applyFailures(owned, i);
     }
     wake();
 }
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -9,6 +9,7 @@
 
 #include <endiveroad/BatchPlacement.h>
 #include <endiveroad/Directory.h>
+#include <endiveroad/FailedRuns.h>
 #include <endiveroad/GeneratedTextCache.h>
 #include <endiveroad_types.h>
 #include <functional>
@@ -19,7 +20,7 @@
 /// loads from agents.
 namespace endiveroad::io {
 
-/// The coordinator's connections to agents.
+/// The coordinator's connections to agents and to other coordinators.
 class AgentConnections {
 public:
     virtual ~AgentConnections() = default;
@@ -28,6 +29,8 @@
     virtual PeerConnectionPtr agent(const std::string& name) const = 0;
     /// All connected agents.
     virtual std::vector<PeerConnectionPtr> agents() const = 0;
+    /// All other connected coordinators.
+    virtual std::vector<PeerConnectionPtr> coordinators() const = 0;
 
     /// False while this coordinator may be isolated from the others: they may have taken its jobs over without its
     /// notice.
@@ -90,6 +93,12 @@
     /// Tells a peer that this coordinator owns a job, and the token demand of the job's model.
     void sendOwnerNotice(const OwnedJob&, const PeerConnectionPtr&) const;
 
+    /// Another coordinator reported failed runs.
+    void onFailures(const wire::ItemFailureNotice&);
+
+    /// All known failed runs for a coordinator that has connected; nothing if there are none.
+    std::optional<std::string> encodeFailures() const;
+
     /// Another coordinator reported the token demand of a model.
     void onDemandReport(const std::string& model, double tokensPerSecond);
 
@@ -107,6 +116,11 @@
         int32_t starting = 0;
     };
 
+    /// Remembers that a run of an item failed for good, and tells the other coordinators.
+    void recordFailure(const FailedRun&);
+    /// Applies what is known of the item's failed runs in this and other jobs.
+    void applyFailures(const OwnedJobPtr&, size_t item);
+
     /// One round of decisions.
     void runRound();
     /// Terminates all items of a job if serviceOf() finds no service for it in the current configuration.
@@ -151,6 +165,7 @@
     WeightLoads loads_;
     /// Texts of ended jobs' unlisted items.
     GeneratedTextCache textCache_;
+    FailedRuns failedRuns_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -283,6 +283,9 @@
         if (!isAffected || run->startRequest.revision > notice.revision)
             continue;
         run->cancelReason = notice.isJobEnded ? "the job has ended" : "the owner withdrew the run";
+        // A failure that is not reported yet counts for later jobs with the item.
+        if (run->state == RunState::Failed)
+            continue;
         // The owner that cancels a run needs no notice of its end. While the run is still active, setOwner() recognises
         // by this that it was withdrawn.
         run->isEndSent = true;
--- a/src/io/hosted/ItemRuns.cpp
+++ b/src/io/hosted/ItemRuns.cpp
@@ -111,9 +111,79 @@
     }
 }
 
+namespace {
+
+constexpr int32_t statusServerError = 500;
+constexpr int32_t statusUnprocessable = 422;
+
+/// The failed run that a report tells of; nothing if the run goes on, ended otherwise or failed for another reason.
+std::optional<FailedRun> failedRunOf(const wire::ItemProgress& progress)
+{
+    const bool isUnprocessable = progress.status == statusUnprocessable;
+    const bool hasFailed = fromWire(progress.state) == RunState::Failed;
+    if (!hasFailed || (!isUnprocessable && progress.status != statusServerError))
+        return std::nullopt;
+    return FailedRun { progress.item, progress.run, isUnprocessable };
+}
+
+wire::ItemFailure toWire(const FailedRun& failed)
+{
+    wire::ItemFailure encoded;
+    encoded.item = failed.item;
+    encoded.run = failed.run;
+    encoded.isUnprocessable = failed.isUnprocessable;
+    return encoded;
+}
+
+} // namespace
+
+void ItemDispatcher::recordFailure(const FailedRun& failed)
+{
+    if (!failedRuns_.add(failed, now()))
+        return;
+    wire::ItemFailureNotice notice;
+    notice.failures.push_back(toWire(failed));
+    const std::string encoded = wire::encode(notice);
+    for (const PeerConnectionPtr& coordinator : connections_.coordinators())
+        coordinator->notify(MessageType::ItemFailures, encoded);
+}
+
+std::optional<std::string> ItemDispatcher::encodeFailures() const
+{
+    wire::ItemFailureNotice notice;
+    for (const FailedRun& failed : failedRuns_.all(now()))
+        notice.failures.push_back(toWire(failed));
+    return notice.failures.empty() ? std::nullopt : std::optional(wire::encode(notice));
+}
+
+void ItemDispatcher::onFailures(const wire::ItemFailureNotice& notice)
+{
+    for (const wire::ItemFailure& encoded : notice.failures) {
+        if (!failedRuns_.add({ encoded.item, encoded.run, encoded.isUnprocessable }, now()))
+            continue;
+        for (const auto& [id, owned] : jobs_) {
+            if (const auto index = owned->job.indexOf(encoded.item))
+                applyFailures(owned, *index);
+        }
+    }
+}
+
+void ItemDispatcher::applyFailures(const OwnedJobPtr& owned, size_t index)
+{
+    const std::string& item = owned->job.spec().items[index].id;
+    const int32_t errors = failedRuns_.serverErrors(item, now());
+    const bool isUnprocessable = failedRuns_.isUnprocessable(item, now());
+    if (errors > 0 || isUnprocessable)
+        performAction(owned, index, owned->job.onKnownFailures(index, errors, isUnprocessable));
+}
+
 void ItemDispatcher::onProgress(const PeerConnectionPtr& agent, const wire::ItemProgressNotice& notice)
 {
     for (const wire::ItemProgress& progress : notice.items) {
+        // Also for a job that has ended, since its items may come again.
+        const auto failed = failedRunOf(progress);
+        if (failed)
+            recordFailure(*failed);
         const auto found = jobs_.find(progress.job);
         const auto index = found == jobs_.end() ? std::nullopt : found->second->job.indexOf(progress.item);
         if (!index || found->second->job.isEnded())
@@ -136,6 +206,8 @@
             agent->notify(MessageType::ItemCancel, encodeCancel(*owned, progress.item));
         }
         performAction(owned, *index, action);
+        if (failed)
+            applyFailures(owned, *index);
     }
 }
 
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -360,6 +360,10 @@
 struct LeavingServer { 1: string id  2: i64 startedMs }
 struct LeavingNotice { 1: list<LeavingServer> servers }
 
+/** Runs of items that failed (FailedRuns.h). */
+struct ItemFailure { 1: string item  2: i64 run  3: bool isUnprocessable }
+struct ItemFailureNotice { 1: list<ItemFailure> failures }
+
 /** A request limit that a server named (LimitedServers.h); limit is negative if the server names none any more. */
 struct ServerLimit {
   1: string server
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -7379,6 +7379,250 @@
 }
 
 
+ItemFailure::~ItemFailure() noexcept {
+}
+
+
+void ItemFailure::__set_item(const std::string& val) {
+  this->item = val;
+}
+
+void ItemFailure::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void ItemFailure::__set_isUnprocessable(const bool val) {
+  this->isUnprocessable = val;
+}
+std::ostream& operator<<(std::ostream& out, const ItemFailure& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ItemFailure::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->item);
+          this->__isset.item = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isUnprocessable);
+          this->__isset.isUnprocessable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ItemFailure::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ItemFailure");
+
+  xfer += oprot->writeFieldBegin("item", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->item);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isUnprocessable", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->isUnprocessable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ItemFailure &a, ItemFailure &b) {
+  using ::std::swap;
+  swap(a.item, b.item);
+  swap(a.run, b.run);
+  swap(a.isUnprocessable, b.isUnprocessable);
+  swap(a.__isset, b.__isset);
+}
+
+ItemFailure::ItemFailure(const ItemFailure& other193) {
+  item = other193.item;
+  run = other193.run;
+  isUnprocessable = other193.isUnprocessable;
+  __isset = other193.__isset;
+}
+ItemFailure& ItemFailure::operator=(const ItemFailure& other194) {
+  item = other194.item;
+  run = other194.run;
+  isUnprocessable = other194.isUnprocessable;
+  __isset = other194.__isset;
+  return *this;
+}
+void ItemFailure::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ItemFailure(";
+  out << "item=" << to_string(item);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "isUnprocessable=" << to_string(isUnprocessable);
+  out << ")";
+}
+
+
+ItemFailureNotice::~ItemFailureNotice() noexcept {
+}
+
+
+void ItemFailureNotice::__set_failures(const std::vector<ItemFailure> & val) {
+  this->failures = val;
+}
+std::ostream& operator<<(std::ostream& out, const ItemFailureNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ItemFailureNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->failures.clear();
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _etype198;
+            xfer += iprot->readListBegin(_etype198, _size195);
+            this->failures.resize(_size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
+            {
+              xfer += this->failures[_i199].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ItemFailureNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ItemFailureNotice");
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
+    std::vector<ItemFailure> ::const_iterator _iter200;
+    for (_iter200 = this->failures.begin(); _iter200 != this->failures.end(); ++_iter200)
+    {
+      xfer += (*_iter200).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ItemFailureNotice &a, ItemFailureNotice &b) {
+  using ::std::swap;
+  swap(a.failures, b.failures);
+  swap(a.__isset, b.__isset);
+}
+
+ItemFailureNotice::ItemFailureNotice(const ItemFailureNotice& other201) {
+  failures = other201.failures;
+  __isset = other201.__isset;
+}
+ItemFailureNotice& ItemFailureNotice::operator=(const ItemFailureNotice& other202) {
+  failures = other202.failures;
+  __isset = other202.__isset;
+  return *this;
+}
+void ItemFailureNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ItemFailureNotice(";
+  out << "failures=" << to_string(failures);
+  out << ")";
+}
+
+
 ServerLimit::~ServerLimit() noexcept {
 }
 
@@ -7522,21 +7766,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerLimit::ServerLimit(const ServerLimit& other193) {
-  server = other193.server;
-  startedMs = other193.startedMs;
-  limit = other193.limit;
-  issuer = other193.issuer;
-  sequence = other193.sequence;
-  __isset = other193.__isset;
+ServerLimit::ServerLimit(const ServerLimit& other203) {
+  server = other203.server;
+  startedMs = other203.startedMs;
+  limit = other203.limit;
+  issuer = other203.issuer;
+  sequence = other203.sequence;
+  __isset = other203.__isset;
 }
-ServerLimit& ServerLimit::operator=(const ServerLimit& other194) {
-  server = other194.server;
-  startedMs = other194.startedMs;
-  limit = other194.limit;
-  issuer = other194.issuer;
-  sequence = other194.sequence;
-  __isset = other194.__isset;
+ServerLimit& ServerLimit::operator=(const ServerLimit& other204) {
+  server = other204.server;
+  startedMs = other204.startedMs;
+  limit = other204.limit;
+  issuer = other204.issuer;
+  sequence = other204.sequence;
+  __isset = other204.__isset;
   return *this;
 }
 void ServerLimit::printTo(std::ostream& out) const {
@@ -7590,14 +7834,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size195;
-            ::apache::thrift::protocol::TType _etype198;
-            xfer += iprot->readListBegin(_etype198, _size195);
-            this->limits.resize(_size195);
-            uint32_t _i199;
-            for (_i199 = 0; _i199 < _size195; ++_i199)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->limits.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += this->limits[_i199].read(iprot);
+              xfer += this->limits[_i209].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7626,10 +7870,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<ServerLimit> ::const_iterator _iter200;
-    for (_iter200 = this->limits.begin(); _iter200 != this->limits.end(); ++_iter200)
+    std::vector<ServerLimit> ::const_iterator _iter210;
+    for (_iter210 = this->limits.begin(); _iter210 != this->limits.end(); ++_iter210)
     {
-      xfer += (*_iter200).write(oprot);
+      xfer += (*_iter210).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7646,13 +7890,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitNotice::LimitNotice(const LimitNotice& other201) {
-  limits = other201.limits;
-  __isset = other201.__isset;
+LimitNotice::LimitNotice(const LimitNotice& other211) {
+  limits = other211.limits;
+  __isset = other211.__isset;
 }
-LimitNotice& LimitNotice::operator=(const LimitNotice& other202) {
-  limits = other202.limits;
-  __isset = other202.__isset;
+LimitNotice& LimitNotice::operator=(const LimitNotice& other212) {
+  limits = other212.limits;
+  __isset = other212.__isset;
   return *this;
 }
 void LimitNotice::printTo(std::ostream& out) const {
@@ -7806,21 +8050,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitRequest::PermitRequest(const PermitRequest& other203) {
-  known = other203.known;
-  process = other203.process;
-  priority = other203.priority;
-  count = other203.count;
-  isForwarded = other203.isForwarded;
-  __isset = other203.__isset;
-}
-PermitRequest& PermitRequest::operator=(const PermitRequest& other204) {
-  known = other204.known;
-  process = other204.process;
-  priority = other204.priority;
-  count = other204.count;
-  isForwarded = other204.isForwarded;
-  __isset = other204.__isset;
+PermitRequest::PermitRequest(const PermitRequest& other213) {
+  known = other213.known;
+  process = other213.process;
+  priority = other213.priority;
+  count = other213.count;
+  isForwarded = other213.isForwarded;
+  __isset = other213.__isset;
+}
+PermitRequest& PermitRequest::operator=(const PermitRequest& other214) {
+  known = other214.known;
+  process = other214.process;
+  priority = other214.priority;
+  count = other214.count;
+  isForwarded = other214.isForwarded;
+  __isset = other214.__isset;
   return *this;
 }
 void PermitRequest::printTo(std::ostream& out) const {
@@ -7961,19 +8205,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitAnswer::PermitAnswer(const PermitAnswer& other205) {
-  limit = other205.limit;
-  count = other205.count;
-  retryInMs = other205.retryInMs;
-  intervalMs = other205.intervalMs;
-  __isset = other205.__isset;
+PermitAnswer::PermitAnswer(const PermitAnswer& other215) {
+  limit = other215.limit;
+  count = other215.count;
+  retryInMs = other215.retryInMs;
+  intervalMs = other215.intervalMs;
+  __isset = other215.__isset;
 }
-PermitAnswer& PermitAnswer::operator=(const PermitAnswer& other206) {
-  limit = other206.limit;
-  count = other206.count;
-  retryInMs = other206.retryInMs;
-  intervalMs = other206.intervalMs;
-  __isset = other206.__isset;
+PermitAnswer& PermitAnswer::operator=(const PermitAnswer& other216) {
+  limit = other216.limit;
+  count = other216.count;
+  retryInMs = other216.retryInMs;
+  intervalMs = other216.intervalMs;
+  __isset = other216.__isset;
   return *this;
 }
 void PermitAnswer::printTo(std::ostream& out) const {
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -154,6 +154,10 @@
 
 class LeavingNotice;
 
+class ItemFailure;
+
+class ItemFailureNotice;
+
 class ServerLimit;
 
 class LimitNotice;
@@ -3308,6 +3312,108 @@
 
 std::ostream& operator<<(std::ostream& out, const LeavingNotice& obj);
 
+typedef struct _ItemFailure__isset {
+  _ItemFailure__isset() : item(false), run(false), isUnprocessable(false) {}
+  bool item :1;
+  bool run :1;
+  bool isUnprocessable :1;
+} _ItemFailure__isset;
+
+/**
+ * Runs of items that failed (FailedRuns.h).
+ */
+class ItemFailure : public virtual ::apache::thrift::TBase {
+ public:
+
+  ItemFailure(const ItemFailure&);
+  ItemFailure& operator=(const ItemFailure&);
+  ItemFailure() noexcept
+              : item(),
+                run(0),
+                isUnprocessable(0) {
+  }
+
+  virtual ~ItemFailure() noexcept;
+  std::string item;
+  int64_t run;
+  bool isUnprocessable;
+
+  _ItemFailure__isset __isset;
+
+  void __set_item(const std::string& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_isUnprocessable(const bool val);
+
+  bool operator == (const ItemFailure & rhs) const
+  {
+    if (!(item == rhs.item))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(isUnprocessable == rhs.isUnprocessable))
+      return false;
+    return true;
+  }
+  bool operator != (const ItemFailure &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ItemFailure & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ItemFailure &a, ItemFailure &b);
+
+std::ostream& operator<<(std::ostream& out, const ItemFailure& obj);
+
+typedef struct _ItemFailureNotice__isset {
+  _ItemFailureNotice__isset() : failures(false) {}
+  bool failures :1;
+} _ItemFailureNotice__isset;
+
+class ItemFailureNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  ItemFailureNotice(const ItemFailureNotice&);
+  ItemFailureNotice& operator=(const ItemFailureNotice&);
+  ItemFailureNotice() noexcept {
+  }
+
+  virtual ~ItemFailureNotice() noexcept;
+  std::vector<ItemFailure>  failures;
+
+  _ItemFailureNotice__isset __isset;
+
+  void __set_failures(const std::vector<ItemFailure> & val);
+
+  bool operator == (const ItemFailureNotice & rhs) const
+  {
+    if (!(failures == rhs.failures))
+      return false;
+    return true;
+  }
+  bool operator != (const ItemFailureNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ItemFailureNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ItemFailureNotice &a, ItemFailureNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const ItemFailureNotice& obj);
+
 typedef struct _ServerLimit__isset {
   _ServerLimit__isset() : server(false), startedMs(false), limit(false), issuer(false), sequence(false) {}
   bool server :1;
