Answers without end cost neither memory nor time

Servers in trouble may send bytes that are no answer without end. A caller was told 'bad version'. Cause: bodies were collected up to 64 MB each, without a bound on all of them; the buffer in which heads and chunk headers are parsed had none at all, nor had an event of a stream or what waits for a slow caller. Change: bounds in bytes for each: what is parsed at once, one answer (16 MB, of the store 4 MB), all long answers together (32 MB; answers up to 64 KB do not count, so that sound ones pass), an event, an item's text (1 MB, what can be listed) and what waits for a caller. Deadlines bound the time as before. Callers are told that the answer is too long or not valid HTTP. Requests of callers are parsed within a bound too.

--- a/include/endiveroad/EventStream.h
+++ b/include/endiveroad/EventStream.h
@@ -23,7 +23,11 @@
 
 class EventStreamReader {
 public:
+    /// Longest event, with the lines that belong to no field.
+    static constexpr size_t maxEventBytes = 1U << 20;
+
     /// Parses the next bytes of the body, any number of them, and returns the events that they complete.
+    /// Throws AnswerBrokenError if an event is too long.
     std::vector<StreamEvent> feed(std::string_view piece);
 
     /// True if the bytes so far end within an event.
@@ -34,6 +38,8 @@
 
     std::string line_;
     StreamEvent event_;
+    /// Bytes of the event's whole lines.
+    size_t eventBytes_ = 0;
     /// At least one whole line of event_ has been parsed.
     bool hasOpenEvent_ = false;
     /// At least one of the lines is a data line, so that the next one is joined with a line feed.
--- a/src/core/http/EventStream.cpp
+++ b/src/core/http/EventStream.cpp
@@ -1,5 +1,7 @@
 #include <charconv>
+#include <endiveroad/Error.h>
 #include <endiveroad/EventStream.h>
+#include <fmt/format.h>
 
 namespace endiveroad {
 
@@ -33,9 +35,12 @@
     while (!piece.empty()) {
         const size_t end = piece.find('\n');
         line_.append(piece.substr(0, end));
+        if (eventBytes_ + line_.size() > maxEventBytes)
+            throw AnswerBrokenError(fmt::format("an event of the stream is longer than {} bytes", maxEventBytes));
         if (end == std::string_view::npos)
             break;
         piece.remove_prefix(end + 1);
+        eventBytes_ += line_.size() + 1;
         processLine(events);
         line_.clear();
     }
@@ -50,6 +55,7 @@
         if (hasOpenEvent_)
             events.push_back(std::move(event_));
         event_ = {};
+        eventBytes_ = 0;
         hasOpenEvent_ = false;
         hasData_ = false;
         return;
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -98,11 +98,61 @@
     return std::chrono::seconds(seconds) - HttpClient::idleMargin;
 }
 
+/// What went wrong with an answer, for the caller.
+std::string describe(const error_code& error)
+{
+    const bool isTooLong = error == http::error::header_limit || error == http::error::body_limit
+        || error == http::error::buffer_overflow;
+    if (isTooLong)
+        return "the answer is too long";
+    const bool isBroken = error == http::error::end_of_stream || error == http::error::partial_message;
+    if (!isBroken && error.category() == http::make_error_code(http::error::bad_version).category())
+        return fmt::format("the answer is not valid HTTP: {}", error.message());
+    return error.message();
+}
+
 [[noreturn]] void throwOutcomeUnknown(const Address& address, const error_code& error)
 {
-    throw OutcomeUnknownError(fmt::format("{}: {}", address.text(), error.message()));
+    throw OutcomeUnknownError(fmt::format("{}: {}", address.text(), describe(error)));
 }
 
+/// Collects a body, within the limits on one body and on all that are collected at the same time.
+class BodyCollector {
+public:
+    BodyCollector(std::shared_ptr<size_t> heldBytes, size_t maxBytes)
+        : heldBytes_(std::move(heldBytes))
+        , maxBytes_(maxBytes)
+    {
+    }
+    BodyCollector(const BodyCollector&) = delete;
+    BodyCollector& operator=(const BodyCollector&) = delete;
+    ~BodyCollector() { *heldBytes_ -= countedBytes_; }
+
+    /// Returns false if the body is too long; the piece is not added then.
+    bool add(std::string_view piece)
+    {
+        const size_t size = body_.size() + piece.size();
+        const size_t counted = size > HttpClient::smallAnswerBytes ? size - countedBytes_ : 0;
+        isTooLong_ = size > maxBytes_ || *heldBytes_ + counted > HttpClient::maxHeldBytes;
+        if (isTooLong_)
+            return false;
+        *heldBytes_ += counted;
+        countedBytes_ += counted;
+        body_.append(piece);
+        return true;
+    }
+
+    bool isTooLong() const { return isTooLong_; }
+    std::string release() { return std::move(body_); }
+
+private:
+    std::shared_ptr<size_t> heldBytes_;
+    size_t maxBytes_;
+    size_t countedBytes_ = 0;
+    std::string body_;
+    bool isTooLong_ = false;
+};
+
 } // namespace
 
 std::string_view HttpResponse::header(std::string_view name) const
@@ -203,14 +253,13 @@
 asio::awaitable<HttpResponse> HttpClient::request(
     Address address, HttpRequest request, Instant deadline, HttpCancellation* cancellation, OnHead onHead)
 {
-    std::string body;
-    auto collect = [&body](std::string_view piece) {
-        body.append(piece);
-        return true;
-    };
+    BodyCollector body(heldBytes_, request.maxAnswerBytes);
+    auto collect = [&body](std::string_view piece) { return body.add(piece); };
     HttpResponse response
         = co_await stream(address, std::move(request), deadline, collect, cancellation, std::move(onHead));
-    response.body = std::move(body);
+    if (body.isTooLong())
+        throw OutcomeUnknownError(fmt::format("{}: the answer is too long", address.text()));
+    response.body = body.release();
     co_return response;
 }
 
@@ -235,7 +284,7 @@
     if (error)
         throwOutcomeUnknown(address, error);
 
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(maxParsedBytes);
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(maxResponseBytes);
     co_await http::async_read_header(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -7,6 +7,7 @@
 #include <endiveroad/Time.h>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,6 +37,8 @@
     /// Accepts a body that is delimited only by the end of the connection if the connection closes cleanly. Otherwise
     /// such an answer fails with OutcomeUnknownError, as a truncated one looks the same.
     bool isCloseDelimitedBodyAllowed = false;
+    /// Longest body that HttpClient::request() returns.
+    size_t maxAnswerBytes = 16U << 20;
 };
 
 /// A request with a JSON body and its Content-Type.
@@ -79,15 +82,23 @@
     static constexpr Duration idleMargin = std::chrono::milliseconds(250);
     static constexpr uint64_t maxResponseBytes = 64U << 20;
 
+    /// Bytes of an answer that are parsed at once: its head, or what stands between the pieces of a chunked body.
+    static constexpr size_t maxParsedBytes = 128U << 10;
+
+    /// Most bytes of longer answers that all calls of request() may hold together, and the length up to which an answer
+    /// does not count towards it. Servers that send without end must not take the memory that sound answers need.
+    static constexpr size_t maxHeldBytes = 32U << 20;
+    static constexpr size_t smallAnswerBytes = 64U << 10;
+
     /// Called for each piece of a streamed body. Returns false to stop reading and close the connection.
     using OnBody = std::function<bool(std::string_view)>;
 
     /// Called with the status and headers of an answer before the first piece of its body.
     using OnHead = std::function<void(const HttpResponse&)>;
 
-    /// Sends a request and reads the complete answer. Throws ServerUnavailableError if no connection could be opened or
-    /// the request was cancelled before it was sent (the server did not run it), OutcomeUnknownError if no complete
-    /// answer arrived by the deadline.
+    /// Sends a request and reads the complete answer, if it is not too long. Throws ServerUnavailableError if no
+    /// connection could be opened or the request was cancelled before it was sent (the server did not run it),
+    /// OutcomeUnknownError if no complete answer arrived by the deadline.
     asio::awaitable<HttpResponse> request(
         Address, HttpRequest, Instant deadline, HttpCancellation* = nullptr, OnHead = nullptr);
 
@@ -121,6 +132,8 @@
     void keepIdle(const Address&, std::unique_ptr<boost::beast::tcp_stream>, const HttpResponse&);
 
     std::map<Address, std::vector<Idle>> idle_;
+    /// Bytes of long answers that request() holds. Shared with its coroutines, which may outlive the client.
+    std::shared_ptr<size_t> heldBytes_ = std::make_shared<size_t>(0);
 };
 
 } // namespace endiveroad::io
--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -20,6 +20,9 @@
 
 namespace {
 
+/// Bytes of a request that are parsed at once: its head, or what stands between the pieces of a chunked body.
+constexpr size_t maxParsedBytes = 1U << 20;
+
 http::response<http::string_body> toBeast(HttpResponse response, bool isKeptAlive)
 {
     http::response<http::string_body> message;
@@ -315,7 +318,7 @@
     HttpServer& server_;
     std::shared_ptr<std::set<Session*>> sessions_;
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_ { maxParsedBytes };
     HttpQuery query_;
     std::function<void()> onDisconnect_;
     uint64_t exchangeNumber_ = 0;
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -39,6 +39,8 @@
     EventStreamReader reader;
     /// All events of the item, including those of earlier runs.
     std::vector<GeneratedEvent> events;
+    /// Length of the events' data.
+    size_t textBytes = 0;
     /// Number of events that have been sent to the owner.
     size_t sentCount = 0;
     bool isEndSent = false;
@@ -135,6 +137,8 @@
     run->startRequest = startRequest;
     run->permit = std::move(permit);
     run->events = fromWire(startRequest.events);
+    for (const GeneratedEvent& event : run->events)
+        run->textBytes += event.data.size();
     run->sentCount = run->events.size();
     run->startRequest.events.clear();
     run->startedAt = now();
@@ -235,6 +239,9 @@
             crashGuard_.onAnswered(*run.unproven);
         endRisk(run);
         measurePace(run);
+        run.textBytes += event.data.size();
+        if (run.textBytes > maxTextBytes)
+            throw AnswerBrokenError(fmt::format("the text is longer than {} bytes", maxTextBytes));
         run.events.push_back({ *event.id, std::move(event.data), run.version });
     }
 }
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -26,6 +26,9 @@
     /// see StallLimit.h. Bytes without an event count too, unlike for ItemDispatcher::silenceLimit.
     static constexpr Duration stallLimit = std::chrono::milliseconds(1300);
 
+    /// Longest text of an item; a longer one could not be listed.
+    static constexpr size_t maxTextBytes = 1U << 20;
+
     /// Time limit of a run.
     static constexpr Duration runLimit = std::chrono::seconds(60);
 
--- a/src/io/hosted/StoreTransports.cpp
+++ b/src/io/hosted/StoreTransports.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Longest answer of the store: a page of a listing has about 1 MB of values, encoded as text.
+constexpr size_t maxAnswerBytes = 4U << 20;
+
 constexpr int statusTooManyRequests = 429;
 constexpr int statusUnavailable = 503;
 
@@ -56,6 +59,7 @@
     processMetrics().count(Counter::StoreCalls);
     const Instant startedAt = now();
     request.connectDeadline = startedAt + connectTimeout;
+    request.maxAnswerBytes = maxAnswerBytes;
     // `never` exempts a call that may wait for a change from cancelOvertaken().
     PendingCallGuard pendingCall(pending_, mayWait ? never : startedAt);
     try {
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -49,6 +49,8 @@
     /// The response was received to its end.
     bool isComplete = false;
     bool hasBody = false;
+    /// It was broken off because of maxPendingBytes.
+    bool isTooLong = false;
 
     /// The server closed the connection before the first byte of the body.
     bool hasBrokenOff() const { return hasEnded && !isComplete && wasSent && !hasBody; }
@@ -124,15 +126,19 @@
         serverStream->changed.notifyAll();
     };
     auto onBody = [serverStream](std::string_view piece) {
-        serverStream->pending.append(piece);
         serverStream->hasBody = true;
+        serverStream->isTooLong = serverStream->pending.size() + piece.size() > maxPendingBytes;
+        if (!serverStream->isTooLong)
+            serverStream->pending.append(piece);
         serverStream->changed.notifyAll();
-        return true;
+        return !serverStream->isTooLong;
     };
     try {
         co_await client_.stream(permit, serverStream->attempt.start.address, std::move(request), deadline, onBody,
             &serverStream->cancellation, onHead);
-        serverStream->isComplete = true;
+        serverStream->isComplete = !serverStream->isTooLong;
+        if (serverStream->isTooLong)
+            serverStream->failure = "the answer is too long, or the caller reads it too slowly";
     } catch (const ServerUnavailableError& error) {
         serverStream->wasSent = false;
         serverStream->failure = error.what();
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -19,6 +19,9 @@
     /// then has stalled all the same.
     static constexpr Duration stallLimit = std::chrono::milliseconds(1500);
 
+    /// Most bytes of a stream that wait for the caller, or of an answer that is no stream.
+    static constexpr size_t maxPendingBytes = 4U << 20;
+
     /// Part of the time that a request has left for which it may wait for a server; the stream needs the rest.
     static constexpr int waitDivisor = 2;
 
--- a/standins/hosted_http.py
+++ b/standins/hosted_http.py
@@ -61,6 +61,33 @@
         self.writer.write(b"0\r\n\r\n")
         await self.writer.drain()
 
+    async def send_without_end(self, kind):
+        """Answers with bytes that never end, until the client closes: in the head, in the body or between."""
+        filler = b"x" * 65536
+        head = b"HTTP/1.1 200 OK\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n"
+        events = chunked + b"Content-Type: text/event-stream\r\n"
+        chunk = b"%x\r\n%s\r\n" % (len(filler), filler)
+        first, rest = {
+            "garbage": (b"", filler),
+            "header": (head + b"X-Filler: ", filler),
+            "headers": (head, b"X-Filler: x\r\n" * 4096),
+            "body": (chunked + b"\r\n", chunk),
+            "chunk-extension": (chunked + b"\r\n5;x=", filler),
+            "trailer": (chunked + b"\r\n0\r\nX-Filler: ", filler),
+            "until-close": (head + b"\r\n", filler),
+            "event": (events + b"\r\n6\r\ndata: \r\n", chunk),
+            "lines": (events + b"\r\n", b"%x\r\n%s\r\n" % (65536, b"data: xxxxxxxxx\n" * 4096)),
+        }[kind]
+        self.writer.write(first)
+        try:
+            while not self.has_client_left():
+                self.writer.write(rest)
+                await self.writer.drain()
+        except ConnectionError:
+            pass
+        self.cut()
+
     def cut(self):
         """Ends the connection without an answer, or in the middle of one."""
         self.is_open = False
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -28,6 +28,8 @@
         self.is_leaving = False
         # Names this limit in every answer, in requests a second from all processes together; none if None.
         self.limit = None
+        # Kind of bytes without end with which it answers each request (send_without_end()); sound if None.
+        self.endless = None
         # Time at which each request arrived, whatever became of it, with its target.
         self.arrivals = []
         # (request id, target, body) of each request that ran, in order.
@@ -64,6 +66,8 @@
         if self.limit is not None:
             connection.common_headers["Server-Limit"] = str(self.limit)
         connection.copy_after_s = self.copy_after_s
+        if self.endless:
+            return await connection.send_without_end(self.endless)
         await self.handle(request, connection)
 
     def be_reborn(self, server_id):
--- a/standins/hosted_store.py
+++ b/standins/hosted_store.py
@@ -18,6 +18,8 @@
         self.calls = 0
         # Faults: "up", "busy" (503), "reset" or "silent"; answers lost after writes; seconds for each answer.
         self.mode = "up"
+        # Kind of bytes without end with which it answers each call; sound if None.
+        self.endless = None
         self.lose_answers = 0
         self.delay_s = 0.0
         self.refused_hosts = set()
@@ -83,6 +85,8 @@
             await asyncio.sleep(self.delay_s)
         if self.mode == "silent":
             await asyncio.sleep(3600)
+        if self.endless:
+            return await connection.send_without_end(self.endless)
         if self.mode == "reset":
             return connection.cut()
         if self.mode == "busy":
--- a/tests/core/EventStreamTest.cpp
+++ b/tests/core/EventStreamTest.cpp
@@ -1,6 +1,7 @@
 #include "core/FixedSeed.h"
 
 #include <catch2/catch.hpp>
+#include <endiveroad/Error.h>
 #include <endiveroad/EventStream.h>
 
 using namespace endiveroad;
@@ -38,3 +39,18 @@
         RC_ASSERT(events == expected);
     });
 }
+
+TEST_CASE("an event that never ends is given up, whether in one line or in many", "[stream]")
+{
+    const std::string filler(EventStreamReader::maxEventBytes / 4, 'x');
+    for (const char* end : { "", "\n" }) {
+        EventStreamReader reader;
+        const std::string piece = "data: " + filler + end;
+        for (int i = 0; i < 3; ++i)
+            CHECK(reader.feed(piece).empty());
+        CHECK_THROWS_AS(reader.feed(piece), AnswerBrokenError);
+    }
+    EventStreamReader reader;
+    for (int i = 0; i < 8; ++i)
+        CHECK(reader.feed("data: " + filler + "\n\n").size() == 1);
+}
