Samples of rollout jobs that crash engines are refused like calls

Cause: the agent's generator went on with a sample by itself until its deadline and asked no register of crashes; only calls did.

--- a/src/io/agent/AgentNode.cpp
+++ b/src/io/agent/AgentNode.cpp
@@ -88,7 +88,8 @@
     reportsNotBefore_ = now() + OutcomeTable::clockMargin;
     const auto executor = context().get_executor();
     if (pool.kind == PoolKind::Engine) {
-        rolloutWorker_ = std::make_unique<RolloutWorker>(context(), http(), admission_, server_, name(), pool.model);
+        rolloutWorker_
+            = std::make_unique<RolloutWorker>(context(), http(), crashGuard(), admission_, server_, name(), pool.model);
         spawn(executor, [this] { return rolloutWorker_->watchEngine([this](bool isUp) { onServerState(isUp); }); });
     } else {
         spawn(executor, [this] { return probeServer(); });
--- a/src/io/agent/Generator.cpp
+++ b/src/io/agent/Generator.cpp
@@ -16,10 +16,12 @@
         stream->cancel();
 }
 
-Generator::Generator(
-    asio::io_context& context, EngineClient& engine, VersionTracker& tracker, std::string agentName, std::string model)
+Generator::Generator(asio::io_context& context, EngineClient& engine, VersionTracker& tracker, CrashGuard& crashGuard,
+    Address engineAddress, std::string agentName, std::string model)
     : engine_(engine)
     , tracker_(tracker)
+    , crashGuard_(crashGuard)
+    , engineAddress_(std::move(engineAddress))
     , agentName_(std::move(agentName))
     , model_(std::move(model))
     , changed_(context)
@@ -64,15 +66,26 @@
     co_return version != unknownVersion&& version >= minVersion;
 }
 
+ServerAttempt Generator::attemptOf(const wire::GenerateRequest& request) const
+{
+    const ContentId content = ContentId::of("POST", request.job, model_, request.prompt);
+    return { request.requestId, content, engineAddress_.text(), crashGuard_.startAt(engineAddress_), now() };
+}
+
 asio::awaitable<void> Generator::runStream(
     const wire::GenerateRequest& request, SampleProgress& progress, Instant deadline, GenerationHandle& handle)
 {
+    const ServerAttempt attempt = attemptOf(request);
+    if (!crashGuard_.admit(attempt.content))
+        throw NotRunError("engines have ended under the prompt");
     OpenStream stream;
     stream.epoch = tracker_.epoch();
     streams_.insert(&stream);
     handle.stream = &stream.cancellation;
     progress.openStream(tracker_);
-    co_await readStream(request, progress, deadline, stream, handle);
+    crashGuard_.onStart(attempt);
+    co_await readStream(request, progress, deadline, stream, handle, attempt);
+    crashGuard_.onEnd(attempt);
     handle.stream = nullptr;
     const bool wasSwapped = stream.cancellation.isCancelled() && !handle.isCancelled;
     const bool isConfirmed = co_await confirmTokens(progress, stream);
@@ -80,12 +93,14 @@
     const uint32_t keptTokens = progress.closeStream(isConfirmed);
     if (!isConfirmed)
         log(Event::TokensDiscarded, { { "request", request.requestId }, { "reason", "unattributable" } });
+    if (stream.isBrokenOff && !stream.isAnswered && !stream.cancellation.isCancelled())
+        co_await crashGuard_.inspect(attempt);
     if (!progress.isFinished() && !wasSwapped && keptTokens == 0)
         co_await sleepFor(emptyStreamDelay);
 }
 
 asio::awaitable<void> Generator::readStream(const wire::GenerateRequest& request, SampleProgress& progress,
-    Instant deadline, OpenStream& stream, GenerationHandle& handle)
+    Instant deadline, OpenStream& stream, GenerationHandle& handle, const ServerAttempt& attempt)
 {
     if (progress.tokensLeft() == 0)
         co_return;
@@ -95,6 +110,9 @@
     auto onChunk = [&](const EngineChunk& chunk) {
         if (stream.cancellation.isCancelled() || handle.isCancelled)
             return false;
+        if (!stream.isAnswered)
+            crashGuard_.onAnswered(attempt);
+        stream.isAnswered = true;
         if (!progress.onTokens(chunk.text, chunk.tokens, chunk.version, tracker_))
             return false;
         finishReason = chunk.finishReason;
@@ -104,7 +122,10 @@
         const bool isEnded = co_await engine_.complete(std::move(completion), deadline, onChunk, stream.cancellation);
         if (isEnded && !finishReason.empty())
             progress.onEnd(finishReason);
+    } catch (const ServerUnavailableError& error) {
+        log(Event::SampleRefused, { { "request", request.requestId }, { "reason", error.what() } });
     } catch (const Error& error) {
+        stream.isBrokenOff = true;
         log(Event::SampleRefused, { { "request", request.requestId }, { "reason", error.what() } });
     }
 }
--- a/src/io/agent/Generator.h
+++ b/src/io/agent/Generator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "io/CrashGuard.h"
 #include "io/EngineClient.h"
 #include "io/Signal.h"
 
@@ -34,12 +35,13 @@
     /// the entry can send the sample to another engine while a load hangs here.
     static constexpr Duration maxVersionWait = std::chrono::seconds(1);
 
-    Generator(asio::io_context&, EngineClient&, VersionTracker&, std::string agentName, std::string model);
+    Generator(asio::io_context&, EngineClient&, VersionTracker&, CrashGuard&, Address engineAddress,
+        std::string agentName, std::string model);
 
     /// Generates a sample. After a swap or an engine failure it continues the sample or starts it again. Throws
     /// NotRunError if the deadline passes, if the generation is cancelled, or if the engine's version stays unknown for
-    /// maxVersionWait or is older than the request allows. NotRunError means here that no sample was kept, so that it
-    /// may be generated again.
+    /// maxVersionWait or is older than the request allows, or if engines have ended under the prompt. NotRunError means
+    /// here that no sample was kept, so that it may be generated again.
     asio::awaitable<Sample> generate(wire::GenerateRequest, Instant deadline, std::shared_ptr<GenerationHandle>);
 
     /// Orders the engine to load weights, unless it runs them already or VersionTracker::beginSwap() rejects the order.
@@ -58,12 +60,18 @@
         /// Set by the status that a swap requests after it has cancelled the stream: whether the epoch lasted until
         /// then.
         std::optional<bool> isConfirmed;
+        /// The engine has sent a token.
+        bool isAnswered = false;
+        /// The engine broke the stream off after it had been sent.
+        bool isBrokenOff = false;
     };
 
     /// Opens one stream, reads it to its end and keeps its tokens if they are confirmed.
     asio::awaitable<void> runStream(const wire::GenerateRequest&, SampleProgress&, Instant deadline, GenerationHandle&);
-    asio::awaitable<void> readStream(
-        const wire::GenerateRequest&, SampleProgress&, Instant deadline, OpenStream&, GenerationHandle&);
+    asio::awaitable<void> readStream(const wire::GenerateRequest&, SampleProgress&, Instant deadline, OpenStream&,
+        GenerationHandle&, const ServerAttempt&);
+    /// The attempt at the engine with the sample's prompt.
+    ServerAttempt attemptOf(const wire::GenerateRequest&) const;
     /// Returns whether a status requested after the last token of the ended stream confirms the tokens' version.
     asio::awaitable<bool> confirmTokens(SampleProgress&, OpenStream&);
     /// Passes the engine's status to the tracker. Returns whether the engine answered.
@@ -75,6 +83,8 @@
 
     EngineClient& engine_;
     VersionTracker& tracker_;
+    CrashGuard& crashGuard_;
+    Address engineAddress_;
     std::string agentName_;
     std::string model_;
     std::set<OpenStream*> streams_;
--- a/src/io/agent/RolloutWorker.cpp
+++ b/src/io/agent/RolloutWorker.cpp
@@ -28,13 +28,13 @@
 
 } // namespace
 
-RolloutWorker::RolloutWorker(asio::io_context& context, HttpClient& http, Admission& admission, const Address& server,
-    std::string agentName, std::string model)
+RolloutWorker::RolloutWorker(asio::io_context& context, HttpClient& http, CrashGuard& crashGuard, Admission& admission,
+    const Address& server, std::string agentName, std::string model)
     : context_(context)
     , admission_(admission)
     , sampleCache_(RolloutPolicy().heldBytesPerAgent)
     , engine_(std::make_unique<CompletionsEngineClient>(http, server))
-    , generator_(context, *engine_, tracker_, std::move(agentName), std::move(model))
+    , generator_(context, *engine_, tracker_, crashGuard, server, std::move(agentName), std::move(model))
 {
 }
 
--- a/src/io/agent/RolloutWorker.h
+++ b/src/io/agent/RolloutWorker.h
@@ -18,8 +18,8 @@
 public:
     static constexpr int32_t refusedRetryAfterMs = 200;
 
-    RolloutWorker(
-        asio::io_context&, HttpClient&, Admission&, const Address& server, std::string agentName, std::string model);
+    RolloutWorker(asio::io_context&, HttpClient&, CrashGuard&, Admission&, const Address& server, std::string agentName,
+        std::string model);
 
     const VersionTracker& tracker() const { return tracker_; }
     const SampleCache& sampleCache() const { return sampleCache_; }
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -49,6 +49,8 @@
         # Bodies that crash the server as soon as it begins to run them, and seconds that it is down then.
         self.crashing_bodies = set()
         self.down_s = 1.0
+        # Starts again under the id that it has; its registration tells the new start with its next beat.
+        self.keeps_id = False
         # (request id, time) of each request under which the server crashed.
         self.crashes = []
         self.starts = 0
@@ -87,7 +89,8 @@
         self.listener = None
         for writer in list(self.writers):
             writer.transport.abort()
-        asyncio.create_task(self.expire_registration(self.id))
+        if not self.keeps_id:
+            asyncio.create_task(self.expire_registration(self.id))
         asyncio.create_task(self.start_again(host, port))
 
     async def expire_registration(self, server_id):
@@ -98,7 +101,8 @@
         await asyncio.sleep(self.down_s)
         self.starts += 1
         self.born = int(time.time() * 1000)
-        self.id = "%s.%d" % (self.id.split(".", 1)[0], self.starts)
+        if not self.keeps_id:
+            self.id = "%s.%d" % (self.id.split(".", 1)[0], self.starts)
         await self.start(host, port)
 
     def registration(self):
--- a/tests/process/crashing_requests.py
+++ b/tests/process/crashing_requests.py
@@ -113,6 +113,17 @@
     assert repeats.sound[200] >= 0.9 * sum(repeats.sound.values()), repeats.sound
 
 
+def servers_that_start_again_under_their_id_are_hit_without_end(deployment):
+    services = deployment.platform.services
+    make_crashing(services)
+    for service in services:
+        service.keeps_id = True
+        # Back, and hit again, before the registration tells the new start.
+        service.down_s = 0.1
+    Repeats(deployment, CALL_PREFIX + "x").run(20)
+    check_retries(services)
+
+
 def repeats_of_a_crashing_call_that_may_not_be_repeated_pile_up(deployment):
     services = deployment.platform.services
     make_crashing(services)
@@ -181,7 +192,7 @@
 
 
 CASES = {case.__name__: case for case in (
-    repeats_of_a_crashing_call_pile_up, repeats_of_a_crashing_call_that_may_not_be_repeated_pile_up,
+    repeats_of_a_crashing_call_pile_up, servers_that_start_again_under_their_id_are_hit_without_end, repeats_of_a_crashing_call_that_may_not_be_repeated_pile_up,
     repeats_of_a_crashing_stream_pile_up, restarts_forget_a_crashing_call, repeats_of_a_crashing_item_pile_up,
     repeats_of_a_crashing_scoring_call_pile_up)}
 
--- a/tests/process/fault_steps.py
+++ b/tests/process/fault_steps.py
@@ -238,6 +238,26 @@
     assert len(ends) >= 3 and len(late) <= 3, "%d retries, %d servers ended in all" % (len(late), len(ends))
 
 
+def samples_that_crash_engines_are_dispatched_without_end(case):
+    """A sample whose prompt ends each engine that begins to run it reaches engines three times late at the most."""
+    engines = Revivers(case, "ledge-lm")
+    time.sleep(2)
+    try:
+        status, answer = call("PUT", case.entries[0], "/v1/jobs/%s/policy" % JOB, {"version": 1, "weights": ""})
+        assert status == 200, (status, answer)
+        prompts = [Revivers.POISON] + ["prompt %d" % index for index in range(7)]
+        step = {"samplesPerGroup": 1, "samples": [{"prompt": prompt, "maxTokens": 8} for prompt in prompts]}
+        status, answer = call("PUT", case.entries[0], "/v1/jobs/%s/steps/1" % JOB, step)
+        assert status == 201, (status, answer)
+        time.sleep(16)
+    finally:
+        engines.stop()
+    ends = sorted(engines.ends)
+    late = [moment for moment in ends if len(ends) > 2 and moment > ends[2] + 3]
+    print("engines ended: %d, late retries: %d" % (len(ends), len(late)))
+    assert len(ends) >= 3 and len(late) <= 3, "%d retries, %d engines ended in all" % (len(late), len(ends))
+
+
 def settings_stay_in_force_without_the_store(case):
     """A limit on bodies is changed, then the store goes away; its effect must be seen at every entry, also at one that
     is started again during the outage."""
@@ -261,7 +281,7 @@
     half_done_load_while_a_trainer_restores, hung_load_does_not_hold_the_steps,
     hung_load_does_not_hold_the_rollout,
     leaving_agent_cuts_nothing_and_gets_nothing, leaving_entry_cuts_nothing, settings_stay_in_force_without_the_store,
-    repeats_of_a_crashing_call_pile_up)}
+    repeats_of_a_crashing_call_pile_up, samples_that_crash_engines_are_dispatched_without_end)}
 
 
 def main():
