--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -32,6 +32,8 @@
         self.endless = None
         # Time at which each request arrived, whatever became of it, with its target.
         self.arrivals = []
+        # (time, request id, time left in ms) of each request with an id, None if it names no time.
+        self.deadlines = []
         # (request id, target, body) of each request that ran, in order.
         self.ran = []
         # The same with the time at which each began.
@@ -64,6 +66,9 @@
 
     async def answer(self, request, connection):
         self.arrivals.append((time.monotonic(), request.target))
+        if "endiveroad-request-id" in request.headers:
+            left = request.headers.get("endiveroad-deadline-ms")
+            self.deadlines.append((time.monotonic(), request.headers["endiveroad-request-id"], left and int(left)))
         connection.common_headers = {"Server-Leaving": "1"} if self.is_leaving else {}
         if self.limit is not None:
             connection.common_headers["Server-Limit"] = str(self.limit)
