--- a/src/core/routing/PermitQueue.cpp
+++ b/src/core/routing/PermitQueue.cpp
@@ -76,8 +76,9 @@
 {
     std::vector<uint64_t> order;
     for (const auto& [ticket, demand] : waiting_) {
-        const auto lessUrgent = std::find_if(
-            order.begin(), order.end(), [&](uint64_t other) { return waiting_.at(other).priority > demand.priority; });
+        const int32_t priority = demand.priority;
+        const auto lessUrgent = std::find_if(order.begin(), order.end(),
+            [this, priority](uint64_t other) { return waiting_.at(other).priority > priority; });
         auto position = static_cast<size_t>(lessUrgent - order.begin());
         order.insert(lessUrgent, ticket);
         while (position + 1 < order.size() && !areInTime(order, position + 1)) {
