--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -34,6 +34,10 @@
         self.arrivals = []
         # (time, request id, time left in ms) of each request with an id, None if it names no time.
         self.deadlines = []
+        # (time, request id, body) of each request with an id that arrived, whatever became of it.
+        self.reached = []
+        # (time, request id, the server that it names) of each request that named another server.
+        self.misdirected = []
         # (request id, target, body) of each request that ran, in order.
         self.ran = []
         # The same with the time at which each began.
@@ -69,6 +73,7 @@
         if "endiveroad-request-id" in request.headers:
             left = request.headers.get("endiveroad-deadline-ms")
             self.deadlines.append((time.monotonic(), request.headers["endiveroad-request-id"], left and int(left)))
+            self.reached.append((time.monotonic(), request.headers["endiveroad-request-id"], request.body))
         connection.common_headers = {"Server-Leaving": "1"} if self.is_leaving else {}
         if self.limit is not None:
             connection.common_headers["Server-Limit"] = str(self.limit)
@@ -89,6 +94,10 @@
             # Another request that it had at the same time has ended it already.
             return
         self.crashes.append((request_id, time.monotonic()))
+        self.end()
+
+    def end(self):
+        """Ends without a word, and starts again after down_s."""
         host, port = self.listener.sockets[0].getsockname()
         self.listener.close()
         self.listener = None
@@ -125,6 +134,7 @@
     def refusal(self, request):
         expected = request.headers.get("endiveroad-expect-instance")
         if expected and expected != self.id:
+            self.misdirected.append((time.monotonic(), request.headers.get("endiveroad-request-id", ""), expected))
             return 421, {"Endiveroad-Instance-Id": self.id}
         if "endiveroad-request-id" not in request.headers:
             return 400, {"Endiveroad-Not-Executed": "1"}
--- a/tests/process/crashing_requests.py
+++ b/tests/process/crashing_requests.py
@@ -76,13 +76,15 @@
     return sorted(moment for server in servers for _, moment in server.crashes)
 
 
-def check_retries(servers):
-    """After the third crash and STABLE_S more, at most RETRIES further attempts reach servers."""
+def check_retries(servers, body=CRASHING):
+    """After the third crash and STABLE_S more, at most RETRIES further attempts reach servers, run or not."""
     times = crash_times(servers)
     print("servers ended:", len(times), ["%.2f" % (moment - times[0]) for moment in times])
     assert len(times) >= CRASHES, times
     known_at = times[CRASHES - 1] + STABLE_S
-    late = [moment for moment in times if moment > known_at]
+    late = [moment for server in servers for moment, _, reached in server.reached
+            if reached == body and moment > known_at]
+    print("late retries:", len(late))
     assert len(late) <= RETRIES, "%d retries, %d servers ended in all" % (len(late), len(times))
 
 
@@ -113,6 +115,29 @@
     assert repeats.sound[200] >= 0.9 * sum(repeats.sound.values()), repeats.sound
 
 
+def a_call_that_was_answered_before_it_crashed_servers_piles_up(deployment):
+    services = deployment.platform.services
+    repeats = Repeats(deployment, CALL_PREFIX + "x")
+    repeats.run(4)
+    assert all(status == 200 for _, status, _, _ in repeats.answers), repeats.answers
+    make_crashing(services)
+    repeats.run(20)
+    check_retries(services)
+    check_rejections(repeats, services)
+
+
+def repeats_of_a_crashing_call_pile_up_where_servers_start_under_new_ids(deployment):
+    """Servers are back before their registrations tell it, so attempts meet servers that others take for gone."""
+    services = deployment.platform.services
+    make_crashing(services)
+    for service in services:
+        service.down_s = 0.1
+    repeats = Repeats(deployment, CALL_PREFIX + "x", pause_s=0.05)
+    repeats.run(20)
+    check_retries(services)
+    assert repeats.condemned == 0, "%d sound calls were refused" % repeats.condemned
+
+
 def servers_that_start_again_under_their_id_are_hit_without_end(deployment):
     services = deployment.platform.services
     make_crashing(services)
@@ -177,7 +202,7 @@
     deployment.submit("job-second", ["item-2", "item-3", "other-0", "other-1"])
     deployment.read_all("job-second", 3)
     time.sleep(10)
-    check_retries(engines)
+    check_retries(engines, b"prompt of item-3")
 
 
 def repeats_of_a_crashing_scoring_call_pile_up(deployment):
@@ -194,7 +219,8 @@
 CASES = {case.__name__: case for case in (
     repeats_of_a_crashing_call_pile_up, servers_that_start_again_under_their_id_are_hit_without_end, repeats_of_a_crashing_call_that_may_not_be_repeated_pile_up,
     repeats_of_a_crashing_stream_pile_up, restarts_forget_a_crashing_call, repeats_of_a_crashing_item_pile_up,
-    repeats_of_a_crashing_scoring_call_pile_up)}
+    repeats_of_a_crashing_scoring_call_pile_up, a_call_that_was_answered_before_it_crashed_servers_piles_up,
+    repeats_of_a_crashing_call_pile_up_where_servers_start_under_new_ids)}
 
 
 if __name__ == "__main__":
