--- a/src/io/hosted/ServerClient.cpp
+++ b/src/io/hosted/ServerClient.cpp
@@ -41,6 +41,8 @@
         processMetrics().count(Counter::LimitedRequests);
     return [this, permit, onHead = std::move(onHead)](const HttpResponse& head) {
         const ReplicaAnswer answer = protocol_.decode(head);
+        if (answer.verdict == ReplicaVerdict::ServerMismatch)
+            processMetrics().count(Counter::ServerMismatches);
         answerListener_.onAnswer(answer, permit.receiver());
         limits_.onAnswer(answer, permit);
         if (onHead)
