--- a/include/endiveroad/LeavingServers.h
+++ b/include/endiveroad/LeavingServers.h
@@ -8,10 +8,14 @@
 #include <string>
 #include <vector>
 
-/// Memory of the backend servers that said in an answer that they are leaving. Their registrations may tell it later,
-/// or never.
+/// Memory of what answers say of backend servers that their registrations tell later, or never: that they are leaving,
+/// or that another server has taken their place.
 namespace endiveroad {
 
+/// Why a start of a server gets no new work. Leaving: it said so. Replaced: another server answered at its address, so it
+/// has ended.
+enum class Departure { Leaving, Replaced };
+
 /// One start of a server under its id.
 struct ServerIncarnation {
     std::string id;
@@ -23,6 +27,14 @@
     static ServerIncarnation of(const ServerRecord& server) { return { server.id, server.startedMs }; }
 };
 
+/// A start of a server that gets no new work.
+struct DepartedServer {
+    ServerIncarnation server;
+    Departure departure = Departure::Leaving;
+
+    auto operator<=>(const DepartedServer&) const = default;
+};
+
 /// What one process knows. A server gets no new work from the first answer that says so until it starts again; a later
 /// start under the same id is not affected.
 class LeavingServers {
@@ -34,20 +46,22 @@
     static constexpr size_t maxRecords = 4096;
 
     /// Returns whether this was not known.
-    bool add(const ServerIncarnation&, Instant now);
+    bool add(const DepartedServer&, Instant now);
 
-    /// True if this start of the server, or a later one under its id, said that it is leaving.
+    /// True if this start of the server, or a later one under its id, gets no new work.
     bool contains(const ServerIncarnation&) const;
 
-    /// Marks the servers as draining, and forgets those that the directory knows by a later start.
+    /// Marks the servers as draining, and as replaced if they are, and forgets those that the directory knows by a later
+    /// start.
     void apply(Directory&, Instant now);
 
     /// Ordered by id.
-    std::vector<ServerIncarnation> all() const;
+    std::vector<DepartedServer> all() const;
 
 private:
     struct Record {
         int64_t startedMs = 0;
+        Departure departure = Departure::Leaving;
         Instant expiry = never;
     };
 
--- a/include/endiveroad/ServerLoads.h
+++ b/include/endiveroad/ServerLoads.h
@@ -55,6 +55,9 @@
     /// Time after a refusal in which a full server gets no call of this process.
     static constexpr Duration refusalPause = std::chrono::milliseconds(25);
 
+    /// Time in which a server that could not be reached gets no call of this process.
+    static constexpr Duration unreachablePause = std::chrono::milliseconds(100);
+
     /// ServiceRate::uncertainty of servers that all have request limits.
     static constexpr double limitUncertainty = 1;
 
@@ -64,8 +67,8 @@
     }
 
     /// Chooses the server with the lowest product of expected queue length and latency. Suspended servers are chosen
-    /// only if no other is left; never those in `tried`, those that refused just now, and those that have as many calls
-    /// of this process as its limit allows. Nothing if none is left. Ties are broken at random. Load pattern: few
+    /// only if no other is left; never those in `tried`, those that refused or could not be reached just now, and those
+    /// that have as many calls of this process as its limit allows. Nothing if none is left. Ties are broken at random. Load pattern: few
     /// servers of unequal speed, some of which become slow or stop answering.
     std::optional<std::string> choose(
         const std::vector<ServerCandidate>& servers, const std::set<std::string>& tried, Instant now);
@@ -80,9 +83,13 @@
     /// The server answered after the given time. Also lifts its suspension.
     void onAnswer(std::string_view server, Duration latency, Instant now);
 
-    /// The server could not be reached, sent a broken answer or was too late; suspends it.
+    /// The server sent a broken answer or was too late; suspends it.
     void onFailure(std::string_view server, Instant now);
 
+    /// The server could not be reached; suspends it, and for a shorter time it is not chosen at all. Does not end a call
+    /// that onStart() began. Load pattern: all servers of a service end together while calls wait for them.
+    void onUnreachable(std::string_view server, Instant now);
+
     /// The server refused the call because it is full. Halves the limit of this process, which begins at half of the
     /// server's slots; each answer raises it, up to all slots and queuedCalls. Load pattern: several processes send
     /// more calls to a service than it has slots, none of them knowing of the others.
@@ -109,6 +116,7 @@
         /// Largest limit, from the server's slots.
         double maxLimit = 0;
         Instant fullUntil = Instant::min();
+        Instant unreachableUntil = Instant::min();
     };
 
     Server& server(std::string_view id);
--- a/src/core/directory/LeavingServers.cpp
+++ b/src/core/directory/LeavingServers.cpp
@@ -1,13 +1,21 @@
 #include <algorithm>
 #include <endiveroad/LeavingServers.h>
+#include <tuple>
 
 namespace endiveroad {
 
-bool LeavingServers::add(const ServerIncarnation& server, Instant now)
+bool LeavingServers::add(const DepartedServer& departed, Instant now)
 {
-    if (server.id.empty() || contains(server))
+    const ServerIncarnation& server = departed.server;
+    if (server.id.empty())
         return false;
-    records_[server.id] = { server.startedMs, now + recordLifetime };
+    const auto known = records_.find(server.id);
+    if (known != records_.end()) {
+        const std::tuple before(known->second.startedMs, known->second.departure);
+        if (before >= std::tuple(server.startedMs, departed.departure))
+            return false;
+    }
+    records_[server.id] = { server.startedMs, departed.departure, now + recordLifetime };
     if (records_.size() > maxRecords) {
         const auto first = std::min_element(records_.begin(), records_.end(),
             [](const auto& a, const auto& b) { return a.second.expiry < b.second.expiry; });
@@ -32,6 +40,7 @@
             record = records_.erase(record);
         } else {
             server->second.isDraining = true;
+            server->second.isReplaced = record->second.departure == Departure::Replaced;
             record->second.expiry = now + recordLifetime;
             ++record;
         }
@@ -39,11 +48,11 @@
     std::erase_if(records_, [now](const auto& entry) { return entry.second.expiry <= now; });
 }
 
-std::vector<ServerIncarnation> LeavingServers::all() const
+std::vector<DepartedServer> LeavingServers::all() const
 {
-    std::vector<ServerIncarnation> servers;
+    std::vector<DepartedServer> servers;
     for (const auto& [id, record] : records_)
-        servers.push_back({ id, record.startedMs });
+        servers.push_back({ { id, record.startedMs }, record.departure });
     return servers;
 }
 
--- a/src/core/routing/ServerLoads.cpp
+++ b/src/core/routing/ServerLoads.cpp
@@ -47,7 +47,7 @@
         state.maxLimit = slots + queuedCalls;
         const double firstLimit = std::max(leastLimit, slots * firstLimitShare);
         state.limit = std::min(state.limit > 0 ? state.limit : firstLimit, state.maxLimit);
-        if (state.fullUntil > now || state.inFlight >= state.limit)
+        if (state.fullUntil > now || state.unreachableUntil > now || state.inFlight >= state.limit)
             continue;
         const int32_t reported = state.reportedLoadExpiry > now ? state.reportedLoad : 0;
         const double cost = (1 + std::max(state.inFlight, reported)) * latencyOf(state.latencyMs);
@@ -72,6 +72,7 @@
     state.inFlight = std::max(0, state.inFlight - 1);
     state.latencyMs = state.latencyMs > 0 ? state.latencyMs + newestLatencyWeight * (ms - state.latencyMs) : ms;
     state.suspendedUntil = Instant::min();
+    state.unreachableUntil = Instant::min();
     if (state.limit > 0)
         state.limit = std::min(state.maxLimit, state.limit + 1 / state.limit);
 }
@@ -119,6 +120,13 @@
     state.suspendedUntil = now + suspension;
 }
 
+void ServerLoads::onUnreachable(std::string_view id, Instant now)
+{
+    Server& state = server(id);
+    state.suspendedUntil = now + suspension;
+    state.unreachableUntil = now + unreachablePause;
+}
+
 void ServerLoads::onAbandoned(std::string_view id)
 {
     Server& state = server(id);
--- a/src/io/hosted/DirectorySync.cpp
+++ b/src/io/hosted/DirectorySync.cpp
@@ -181,7 +181,7 @@
     applyDocuments(documents, false);
 }
 
-bool DirectorySync::addLeaving(const ServerIncarnation& server)
+bool DirectorySync::addLeaving(const DepartedServer& server)
 {
     const bool isNews = leavingServers_.add(server, now());
     if (isNews)
--- a/src/io/hosted/DirectorySync.h
+++ b/src/io/hosted/DirectorySync.h
@@ -68,9 +68,9 @@
     /// Applies an update from a peer.
     void onPeerUpdate(const std::string& peer, const std::string& payload);
 
-    /// A server said that it is leaving; from now on the directory has it as draining. Returns whether this was not
+    /// A server is leaving or was replaced; from now on the directory has it as draining. Returns whether this was not
     /// known.
-    bool addLeaving(const ServerIncarnation&);
+    bool addLeaving(const DepartedServer&);
     const LeavingServers& leavingServers() const { return leavingServers_; }
 
     /// Encodes all documents as an update for a peer that has just connected.
--- a/src/io/hosted/EngineController.cpp
+++ b/src/io/hosted/EngineController.cpp
@@ -83,19 +83,10 @@
     server_ = std::move(current);
     if (!server_.id.empty())
         lastServer_ = server_;
-    hasServerMismatch_ = false;
     wake_.notifyAll();
     onChange_();
 }
 
-void EngineController::onServerMismatch()
-{
-    if (!hasServerMismatch_)
-        log(Event::ServerDown, { { "server", server_.id }, { "reason", "another server has its address" } });
-    hasServerMismatch_ = true;
-    onChange_();
-}
-
 void EngineController::queryNow()
 {
     wake_.notifyAll();
--- a/src/io/hosted/EngineController.h
+++ b/src/io/hosted/EngineController.h
@@ -56,15 +56,13 @@
     /// Sets the server that is registered as ready at the replica's address; nothing if there is none. A load that is
     /// under way ends when it changes.
     void setServer(std::optional<ServerIncarnation>);
-    /// Id of the registered server; empty if there is none, or if another server now answers at its address.
-    const std::string& server() const { return hasServerMismatch_ ? noServer_ : server_.id; }
+    /// Id of the registered server; empty if there is none.
+    const std::string& server() const { return server_.id; }
 
     /// The server that answers at the replica's address, as far as is known; also while it is draining or its
     /// registration is missing.
     const ServerIncarnation& lastServer() const { return lastServer_; }
 
-    /// Called when the replica answers that it is not the registered server.
-    void onServerMismatch();
 
     /// Whether the replica answered the last query.
     bool isUp() const { return isUp_; }
@@ -108,9 +106,6 @@
     ServerIncarnation server_;
     /// The newest server_ that was not empty.
     ServerIncarnation lastServer_;
-    /// Always empty; server() returns a reference to it.
-    std::string noServer_;
-    bool hasServerMismatch_ = false;
     EngineState state_;
     std::string loadingModel_;
     /// Fencing token of this agent process; 0 until obtained. A revision of the store, so a later process has a higher
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -183,8 +183,6 @@
         const HttpResponse response = co_await client_.stream(
             *run->permit, replica_, std::move(request), now() + runLimit, onBody, &run->cancellation, onHead);
         const ReplicaAnswer answer = client_.protocol().decode(response);
-        if (answer.verdict == ReplicaVerdict::ServerMismatch)
-            engine_.onServerMismatch();
         if (answer.verdict != ReplicaVerdict::Ran)
             finishRun(*run, RunState::NotRun, response.status, "the replica refused");
         else if (response.status != statusOk) {
@@ -195,6 +193,11 @@
         else
             finishRun(*run, RunState::Completed, statusOk, {});
         co_return;
+    } catch (const ConnectionRefusedError& error) {
+        failure = error.what();
+        state = RunState::NotRun;
+        if (run->unproven)
+            crashGuard_.onConnectionRefused(*run->unproven);
     } catch (const ServerUnavailableError& error) {
         failure = error.what();
         state = RunState::NotRun;
--- a/src/io/hosted/LeavingNews.cpp
+++ b/src/io/hosted/LeavingNews.cpp
@@ -9,15 +9,16 @@
 
 namespace {
 
-std::optional<std::string> encode(const std::vector<ServerIncarnation>& servers)
+std::optional<std::string> encode(const std::vector<DepartedServer>& servers)
 {
     if (servers.empty())
         return std::nullopt;
     wire::LeavingNotice notice;
-    for (const ServerIncarnation& server : servers) {
+    for (const auto& [server, departure] : servers) {
         wire::LeavingServer encoded;
         encoded.id = server.id;
         encoded.startedMs = server.startedMs;
+        encoded.isReplaced = departure == Departure::Replaced;
         notice.servers.push_back(std::move(encoded));
     }
     return wire::encode(notice);
@@ -46,21 +47,31 @@
 {
     if (!answer.unknownLeavingValue.empty())
         log(Event::LeavingUnclear, { { "server", receiver.id }, { "value", answer.unknownLeavingValue } });
-    if (!answer.isLeaving)
-        return;
+    // A mismatch without another server's id shows nothing.
+    const bool isReplaced = answer.verdict == ReplicaVerdict::ServerMismatch && !answer.server.empty()
+        && answer.server != receiver.id;
+    if (isReplaced && learn({ receiver, Departure::Replaced }))
+        log(Event::ServerReplaced, { { "server", receiver.id }, { "successor", answer.server } });
     const ServerIncarnation sender = senderOf(answer, receiver);
-    if (!directorySync_.addLeaving(sender))
-        return;
-    log(Event::ServerLeaving, { { "server", sender.id }, { "startedMs", std::to_string(sender.startedMs) } });
-    publish_(*encode({ sender }));
+    if (answer.isLeaving && learn({ sender, Departure::Leaving }))
+        log(Event::ServerLeaving, { { "server", sender.id }, { "startedMs", std::to_string(sender.startedMs) } });
+}
+
+bool LeavingNews::learn(const DepartedServer& departed)
+{
+    const bool isNews = directorySync_.addLeaving(departed);
+    if (isNews)
+        publish_(*encode({ departed }));
+    return isNews;
 }
 
 std::optional<std::string> LeavingNews::onNotice(const std::string& payload)
 {
     const auto notice = wire::decode<wire::LeavingNotice>(payload);
-    std::vector<ServerIncarnation> news;
+    std::vector<DepartedServer> news;
     for (const wire::LeavingServer& encoded : notice.servers) {
-        const ServerIncarnation server { encoded.id, encoded.startedMs };
+        const DepartedServer server { { encoded.id, encoded.startedMs },
+            encoded.isReplaced ? Departure::Replaced : Departure::Leaving };
         if (directorySync_.addLeaving(server))
             news.push_back(server);
     }
--- a/src/io/hosted/LeavingNews.h
+++ b/src/io/hosted/LeavingNews.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <string>
 
-/// What this process hears of leaving servers, from their answers and from peers. A server that said so gets no new
-/// work, whatever its registration says and whether or not the store can be reached.
+/// What this process hears of servers that are leaving or were replaced, from answers and from peers. Such a server gets
+/// no new work, whatever its registration says and whether or not the store can be reached.
 namespace endiveroad::io {
 
 class LeavingNews : public ServerAnswerListener {
@@ -24,10 +24,13 @@
     /// Applies a notice of a peer. Returns an encoded notice of the part that is news, if any.
     std::optional<std::string> onNotice(const std::string& payload);
 
-    /// All known leaving servers as a notice for a peer that has just connected; nothing if there are none.
+    /// All known servers of this kind as a notice for a peer that has just connected; nothing if there are none.
     std::optional<std::string> encodeAll() const;
 
 private:
+    /// Publishes what was not known; returns whether it was news.
+    bool learn(const DepartedServer&);
+
     /// The server that an answer comes from; its id is empty if that is not known.
     ServerIncarnation senderOf(const ReplicaAnswer&, const ServerIncarnation& receiver) const;
 
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -62,9 +62,7 @@
     CallTicket ticket;
     Signal changed;
     std::list<HttpCancellation> cancellations;
-    std::set<std::string> tried;
-    /// Servers that were tried are tried again when no other has room.
-    bool mayTryAgain = true;
+    TriedServers tried;
     RequestPath path = RequestPath::Call;
     /// Number of attempts without an outcome yet.
     int32_t activeAttempts = 0;
@@ -167,6 +165,11 @@
     }
 }
 
+void ServiceCaller::onUnreachable(const std::string& server)
+{
+    loads_.onUnreachable(server, now());
+}
+
 void ServiceCaller::onPermit()
 {
     for (const std::string& service : waitingCalls_.services())
@@ -178,7 +181,8 @@
     if (now() < state.notBefore || !waitingCalls_.isFirst(state.service(), state.ticket))
         return std::nullopt;
     std::set<std::string> excluded = crashGuard_.serversToAvoid(state.content);
-    excluded.insert(state.tried.begin(), state.tried.end());
+    excluded.insert(state.tried.any.begin(), state.tried.any.end());
+    excluded.insert(state.tried.misdirected.begin(), state.tried.misdirected.end());
     auto server = chooseServer(state, excluded);
     if (server && !crashGuard_.admit(state.content)) {
         state.result.blockedUntil = crashGuard_.blockedUntil(state.content);
@@ -215,8 +219,12 @@
         co_await state->changed.wait(std::min(state->deadline, state->notBefore));
         co_return;
     }
-    if (state->mayTryAgain)
-        state->tried.clear();
+    if (!hasUsableServer(*state)) {
+        co_await state->changed.wait(std::min(state->deadline, now() + waitInterval));
+        co_return;
+    }
+    if (state->tried.mayTryAgain)
+        state->tried.any.clear();
     const bool isNewcomer = !state->isQueued();
     if (isNewcomer) {
         state->ticket = waitingCalls_.add(state->service(), state->route.priority, state->deadline);
@@ -295,8 +303,9 @@
             // Either the limit of attempts is reached, or no ready server has room.
             if (!state->hasAttemptsLeft())
                 break;
-            if (!hasReadyServer(state->route)) {
-                state->result.reason = "no server of the route is ready";
+            if (!hasUsableServer(*state) && !isServerExpected(state->route)) {
+                if (!hasReadyServer(state->route))
+                    state->result.reason = "no server of the route is ready";
                 break;
             }
             co_await awaitServer(state);
@@ -316,11 +325,10 @@
 }
 
 asio::awaitable<std::optional<ChosenServer>> ServiceCaller::obtainServer(RouteDeclaration route, ReplicaRequest request,
-    std::set<std::string> tried, bool mayTryAgain, Instant deadline, PeerCancellationPtr cancellation)
+    TriedServers tried, Instant deadline, PeerCancellationPtr cancellation)
 {
     auto state = std::make_shared<CallState>(context_, std::move(route), std::move(request), deadline);
     state->path = RequestPath::Stream;
-    state->mayTryAgain = mayTryAgain;
     state->tried = std::move(tried);
     cancellation->onCancel([state] {
         state->isDone = true;
@@ -329,7 +337,8 @@
     std::optional<ChosenServer> chosen;
     while (!state->isDone && now() < deadline) {
         chosen = chooseNext(*state);
-        if (chosen || state->result.blockedUntil || !hasUntriedServer(*state))
+        const bool mayWait = hasUsableServer(*state) || isServerExpected(state->route);
+        if (chosen || state->result.blockedUntil || !mayWait)
             break;
         co_await awaitServer(state);
     }
@@ -340,18 +349,26 @@
     co_return chosen;
 }
 
-bool ServiceCaller::hasUntriedServer(const CallState& state) const
+bool ServiceCaller::hasUsableServer(const CallState& state) const
 {
+    const TriedServers& tried = state.tried;
     const std::vector<ServerCandidate> candidates = candidatesOf(state.route);
-    return std::any_of(candidates.begin(), candidates.end(), [&state](const ServerCandidate& candidate) {
-        return state.mayTryAgain || !state.tried.contains(candidate.id);
+    return std::any_of(candidates.begin(), candidates.end(), [&tried](const ServerCandidate& candidate) {
+        return !tried.misdirected.contains(candidate.id) && (tried.mayTryAgain || !tried.any.contains(candidate.id));
     });
 }
 
+bool ServiceCaller::isServerExpected(const RouteDeclaration& route) const
+{
+    const auto directory = directory_();
+    return std::any_of(route.services.begin(), route.services.end(),
+        [&directory](const WeightedService& weighted) { return directory->isServerExpected(weighted.service); });
+}
+
 void ServiceCaller::startAttempt(const std::shared_ptr<CallState>& state, const ChosenServer& chosen)
 {
     const ServerRecord& server = chosen.server;
-    state->tried.insert(server.id);
+    state->tried.any.insert(server.id);
     state->result.servers += (state->result.servers.empty() ? "" : " ") + server.id;
     crashGuard_.onStart(state->attemptAt(server, now()));
     state->cancellations.emplace_back();
@@ -377,16 +394,23 @@
     request.connectDeadline = startedAt + connectTimeout;
     std::string failure;
     bool isSent = true;
+    bool isConnectionRefused = false;
     try {
         HttpResponse response = co_await client_.request(
             chosen.permit, server.address, std::move(request), state->deadline, cancellation);
         finishAttempt(*state, server, std::move(response), startedAt);
+    } catch (const ConnectionRefusedError& error) {
+        failure = error.what();
+        isSent = false;
+        isConnectionRefused = true;
     } catch (const ServerUnavailableError& error) {
         failure = error.what();
         isSent = false;
     } catch (const std::exception& error) {
         failure = error.what();
     }
+    if (isConnectionRefused)
+        crashGuard_.onConnectionRefused(state->attemptAt(server, startedAt));
     if (!failure.empty())
         co_await processFailure(state, server, failure, isSent, startedAt);
     crashGuard_.onEnd(state->attemptAt(server, startedAt));
@@ -399,10 +423,12 @@
     std::shared_ptr<CallState> state, ServerRecord server, std::string failure, bool wasSent, Instant startedAt)
 {
     const bool wasAbandoned = state->isDone && now() < state->deadline;
-    if (wasAbandoned)
-        loads_.onAbandoned(server.id);
-    else
+    if (wasSent && !wasAbandoned)
         loads_.onFailure(server.id, now());
+    else
+        loads_.onAbandoned(server.id);
+    if (!wasSent && !wasAbandoned)
+        onUnreachable(server.id);
     if (!wasSent)
         --state->possibleRuns;
     if (!state->isDone) {
@@ -432,7 +458,8 @@
     if (answer.verdict != ReplicaVerdict::Ran) {
         --state.possibleRuns;
         if (answer.verdict == ReplicaVerdict::ServerMismatch) {
-            loads_.onFailure(server.id, now());
+            state.tried.misdirected.insert(server.id);
+            loads_.onAbandoned(server.id);
         } else {
             crashGuard_.onRefused(state.attemptAt(server, startedAt));
             loads_.onRefused(server.id, now());
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -44,6 +44,17 @@
     ServerPermit permit;
 };
 
+/// The servers that one request has been sent to, by id.
+struct TriedServers {
+    /// Tried again only if mayTryAgain is set and no other has room.
+    std::set<std::string> any;
+    bool mayTryAgain = true;
+    /// Answered that they will not run this request; never tried again.
+    std::set<std::string> misdirected;
+
+    auto operator<=>(const TriedServers&) const = default;
+};
+
 /// Outcome of a call.
 struct ServiceResult {
     /// The server's answer; nothing if there is none to return to the caller.
@@ -99,12 +110,14 @@
     asio::awaitable<ServiceResult> call(
         RouteDeclaration, ReplicaRequest, Instant deadline, PeerCancellationPtr cancellation);
 
-    /// Waits for a server that has room for one run of a request. Servers that were tried are tried again only if
-    /// mayTryAgain is set and no other has room. Nothing if there is none by the
-    /// deadline or when the request is cancelled, if all ready servers have been tried, or if the content is blocked.
-    /// Throws ServersFullError if none can take the request in time.
-    asio::awaitable<std::optional<ChosenServer>> obtainServer(RouteDeclaration, ReplicaRequest,
-        std::set<std::string> tried, bool mayTryAgain, Instant deadline, PeerCancellationPtr);
+    /// Waits for a server that has room for one run of a request. Nothing if there is none by the deadline or when the
+    /// request is cancelled, if no ready server is left for it, or if the content is blocked. Throws ServersFullError if
+    /// none can take the request in time.
+    asio::awaitable<std::optional<ChosenServer>> obtainServer(
+        RouteDeclaration, ReplicaRequest, TriedServers, Instant deadline, PeerCancellationPtr);
+
+    /// A server could not be reached.
+    void onUnreachable(const std::string& server);
 
     /// Permits may have come for limited servers.
     void onPermit();
@@ -141,7 +154,10 @@
     void wakeFirst(const std::string& service);
 
     /// True if a ready server of the route may still be tried.
-    bool hasUntriedServer(const CallState&) const;
+    bool hasUsableServer(const CallState&) const;
+
+    /// True if a server of the route was replaced by one whose registration is still to come.
+    bool isServerExpected(const RouteDeclaration&) const;
 
     /// Ready servers of all services of the route.
     std::vector<ServerCandidate> candidatesOf(const RouteDeclaration&) const;
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -62,7 +62,7 @@
 
 struct StreamProxy::Progress {
     ContentId content;
-    std::set<std::string> tried;
+    TriedServers tried;
     /// Number of servers that ran or may have run the request.
     int32_t runs = 0;
     /// The response head has been sent to the caller.
@@ -90,10 +90,11 @@
 {
     const bool hasRun = progress.runs > 0 || progress.hasStarted;
     const Instant latestStart = hasRun ? deadline : now() + (deadline - now()) / waitDivisor;
+    TriedServers tried = progress.tried;
+    tried.mayTryAgain = !hasRun;
     std::optional<ChosenServer> chosen;
     try {
-        chosen
-            = co_await serviceCaller_.obtainServer(route, request, progress.tried, !hasRun, latestStart, cancellation);
+        chosen = co_await serviceCaller_.obtainServer(route, request, std::move(tried), latestStart, cancellation);
     } catch (const ServersFullError&) {
         // A request that may have run is not reported as refused.
         if (!hasRun)
@@ -139,9 +140,16 @@
         serverStream->isComplete = !serverStream->isTooLong;
         if (serverStream->isTooLong)
             serverStream->failure = "the answer is too long, or the caller reads it too slowly";
+    } catch (const ConnectionRefusedError& error) {
+        serverStream->wasSent = false;
+        serverStream->failure = error.what();
+        crashGuard_.onConnectionRefused(serverStream->attempt);
+        serviceCaller_.onUnreachable(serverStream->attempt.server);
     } catch (const ServerUnavailableError& error) {
         serverStream->wasSent = false;
         serverStream->failure = error.what();
+        if (!serverStream->cancellation.isCancelled())
+            serviceCaller_.onUnreachable(serverStream->attempt.server);
     } catch (const std::exception& error) {
         serverStream->failure = error.what();
     }
@@ -215,14 +223,18 @@
 asio::awaitable<StreamProxy::AttemptEnd> StreamProxy::attempt(HttpExchange& exchange, const RouteDeclaration& route,
     ServerStreamPtr serverStream, Progress& progress, Instant deadline, PeerCancellationPtr cancellation)
 {
-    progress.tried.insert(serverStream->attempt.server);
+    progress.tried.any.insert(serverStream->attempt.server);
     crashGuard_.onStart(serverStream->attempt);
     const bool hasHead = co_await awaitHead(serverStream, deadline, cancellation);
     if (!hasHead)
         co_await inspectBroken(serverStream, progress);
     crashGuard_.onEnd(serverStream->attempt);
-    const bool isRefused = hasHead && client_.protocol().decode(*serverStream->head).verdict != ReplicaVerdict::Ran;
-    if (isRefused)
+    const ReplicaVerdict verdict
+        = hasHead ? client_.protocol().decode(*serverStream->head).verdict : ReplicaVerdict::Ran;
+    const bool isRefused = verdict != ReplicaVerdict::Ran;
+    if (verdict == ReplicaVerdict::ServerMismatch)
+        progress.tried.misdirected.insert(serverStream->attempt.server);
+    else if (isRefused)
         crashGuard_.onRefused(serverStream->attempt);
     else if (serverStream->wasSent)
         ++progress.runs;
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -353,11 +353,16 @@
   4: list<string> crashedServers
   /** Time until the end of the block, in ms; 0 if the content is not blocked. */
   5: i64 blockedForMs
+  /** Whether jobs owe the content (ContentKind in CrashRegister.h). */
+  6: bool isOwed
 }
 struct CrashNotice { 1: list<CrashRecord> records }
 
-/** A server that said in an answer that it is leaving, and which of its starts said so (ServerRecord::startedMs). */
-struct LeavingServer { 1: string id  2: i64 startedMs }
+/**
+ * A server that said in an answer that it is leaving, or whose place another one has taken, and which of its starts
+ * (ServerRecord::startedMs).
+ */
+struct LeavingServer { 1: string id  2: i64 startedMs  3: bool isReplaced }
 struct LeavingNotice { 1: list<LeavingServer> servers }
 
 /** Runs of items that failed (FailedRuns.h). */
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -6874,6 +6874,10 @@
 void CrashRecord::__set_blockedForMs(const int64_t val) {
   this->blockedForMs = val;
 }
+
+void CrashRecord::__set_isOwed(const bool val) {
+  this->isOwed = val;
+}
 std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
 {
   obj.printTo(out);
@@ -6954,6 +6958,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isOwed);
+          this->__isset.isOwed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6999,6 +7011,10 @@
   xfer += oprot->writeI64(this->blockedForMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isOwed", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->isOwed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7011,6 +7027,7 @@
   swap(a.generation, b.generation);
   swap(a.crashedServers, b.crashedServers);
   swap(a.blockedForMs, b.blockedForMs);
+  swap(a.isOwed, b.isOwed);
   swap(a.__isset, b.__isset);
 }
 
@@ -7020,6 +7037,7 @@
   generation = other173.generation;
   crashedServers = other173.crashedServers;
   blockedForMs = other173.blockedForMs;
+  isOwed = other173.isOwed;
   __isset = other173.__isset;
 }
 CrashRecord& CrashRecord::operator=(const CrashRecord& other174) {
@@ -7028,6 +7046,7 @@
   generation = other174.generation;
   crashedServers = other174.crashedServers;
   blockedForMs = other174.blockedForMs;
+  isOwed = other174.isOwed;
   __isset = other174.__isset;
   return *this;
 }
@@ -7039,6 +7058,7 @@
   out << ", " << "generation=" << to_string(generation);
   out << ", " << "crashedServers=" << to_string(crashedServers);
   out << ", " << "blockedForMs=" << to_string(blockedForMs);
+  out << ", " << "isOwed=" << to_string(isOwed);
   out << ")";
 }
 
@@ -7166,6 +7186,10 @@
 void LeavingServer::__set_startedMs(const int64_t val) {
   this->startedMs = val;
 }
+
+void LeavingServer::__set_isReplaced(const bool val) {
+  this->isReplaced = val;
+}
 std::ostream& operator<<(std::ostream& out, const LeavingServer& obj)
 {
   obj.printTo(out);
@@ -7210,6 +7234,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isReplaced);
+          this->__isset.isReplaced = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7235,6 +7267,10 @@
   xfer += oprot->writeI64(this->startedMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isReplaced", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->isReplaced);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7244,17 +7280,20 @@
   using ::std::swap;
   swap(a.id, b.id);
   swap(a.startedMs, b.startedMs);
+  swap(a.isReplaced, b.isReplaced);
   swap(a.__isset, b.__isset);
 }
 
 LeavingServer::LeavingServer(const LeavingServer& other183) {
   id = other183.id;
   startedMs = other183.startedMs;
+  isReplaced = other183.isReplaced;
   __isset = other183.__isset;
 }
 LeavingServer& LeavingServer::operator=(const LeavingServer& other184) {
   id = other184.id;
   startedMs = other184.startedMs;
+  isReplaced = other184.isReplaced;
   __isset = other184.__isset;
   return *this;
 }
@@ -7263,6 +7302,7 @@
   out << "LeavingServer(";
   out << "id=" << to_string(id);
   out << ", " << "startedMs=" << to_string(startedMs);
+  out << ", " << "isReplaced=" << to_string(isReplaced);
   out << ")";
 }
 
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -3097,12 +3097,13 @@
 std::ostream& operator<<(std::ostream& out, const LoadModelNotice& obj);
 
 typedef struct _CrashRecord__isset {
-  _CrashRecord__isset() : contentHigh(false), contentLow(false), generation(false), crashedServers(false), blockedForMs(false) {}
+  _CrashRecord__isset() : contentHigh(false), contentLow(false), generation(false), crashedServers(false), blockedForMs(false), isOwed(false) {}
   bool contentHigh :1;
   bool contentLow :1;
   bool generation :1;
   bool crashedServers :1;
   bool blockedForMs :1;
+  bool isOwed :1;
 } _CrashRecord__isset;
 
 /**
@@ -3117,7 +3118,8 @@
               : contentHigh(0),
                 contentLow(0),
                 generation(0),
-                blockedForMs(0) {
+                blockedForMs(0),
+                isOwed(0) {
   }
 
   virtual ~CrashRecord() noexcept;
@@ -3132,6 +3134,10 @@
    * Time until the end of the block, in ms; 0 if the content is not blocked.
    */
   int64_t blockedForMs;
+  /**
+   * Whether jobs owe the content (ContentKind in CrashRegister.h).
+   */
+  bool isOwed;
 
   _CrashRecord__isset __isset;
 
@@ -3145,6 +3151,8 @@
 
   void __set_blockedForMs(const int64_t val);
 
+  void __set_isOwed(const bool val);
+
   bool operator == (const CrashRecord & rhs) const
   {
     if (!(contentHigh == rhs.contentHigh))
@@ -3157,6 +3165,8 @@
       return false;
     if (!(blockedForMs == rhs.blockedForMs))
       return false;
+    if (!(isOwed == rhs.isOwed))
+      return false;
     return true;
   }
   bool operator != (const CrashRecord &rhs) const {
@@ -3218,13 +3228,15 @@
 std::ostream& operator<<(std::ostream& out, const CrashNotice& obj);
 
 typedef struct _LeavingServer__isset {
-  _LeavingServer__isset() : id(false), startedMs(false) {}
+  _LeavingServer__isset() : id(false), startedMs(false), isReplaced(false) {}
   bool id :1;
   bool startedMs :1;
+  bool isReplaced :1;
 } _LeavingServer__isset;
 
 /**
- * A server that said in an answer that it is leaving, and which of its starts said so (ServerRecord::startedMs).
+ * A server that said in an answer that it is leaving, or whose place another one has taken, and which of its starts
+ * (ServerRecord::startedMs).
  */
 class LeavingServer : public virtual ::apache::thrift::TBase {
  public:
@@ -3233,12 +3245,14 @@
   LeavingServer& operator=(const LeavingServer&);
   LeavingServer() noexcept
                 : id(),
-                  startedMs(0) {
+                  startedMs(0),
+                  isReplaced(0) {
   }
 
   virtual ~LeavingServer() noexcept;
   std::string id;
   int64_t startedMs;
+  bool isReplaced;
 
   _LeavingServer__isset __isset;
 
@@ -3246,12 +3260,16 @@
 
   void __set_startedMs(const int64_t val);
 
+  void __set_isReplaced(const bool val);
+
   bool operator == (const LeavingServer & rhs) const
   {
     if (!(id == rhs.id))
       return false;
     if (!(startedMs == rhs.startedMs))
       return false;
+    if (!(isReplaced == rhs.isReplaced))
+      return false;
     return true;
   }
   bool operator != (const LeavingServer &rhs) const {
--- a/tests/core/ServerLoadsTest.cpp
+++ b/tests/core/ServerLoadsTest.cpp
@@ -45,6 +45,14 @@
     CHECK_FALSE(loads.choose(servers, { "s0", "s1", "s2" }, start));
 }
 
+TEST_CASE("a server that could not be reached gets no call for a while, even if no other is left", "[servers]")
+{
+    ServerLoads loads(1);
+    loads.onUnreachable("s0", start);
+    CHECK_FALSE(loads.choose(servers, { "s1", "s2" }, start + ServerLoads::unreachablePause - Duration(1)));
+    CHECK(loads.choose(servers, { "s1", "s2" }, start + ServerLoads::unreachablePause) == "s0");
+}
+
 TEST_CASE("a process bounds its calls at each server and takes refusals for a smaller share of it", "[servers]")
 {
     ServerLoads loads(1);
