--- a/include/endiveroad/CrashRegister.h
+++ b/include/endiveroad/CrashRegister.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include <array>
+#include <compare>
 #include <cstdint>
 #include <endiveroad/ContentId.h>
 #include <endiveroad/Time.h>
-#include <list>
 #include <map>
 #include <set>
 #include <string>
@@ -13,6 +14,10 @@
 /// often such a request reaches servers, whatever sends it again: a caller, an entry, a coordinator or a restart.
 namespace endiveroad {
 
+/// Who sends a content again after it was rejected. Call: the caller, who is told when. Owed: nobody; a job that was
+/// accepted waits for it, so it is sent again as soon as possible.
+enum class ContentKind { Call, Owed };
+
 /// What is known of one content. Processes exchange records and merge them; the order and number of merges make no
 /// difference.
 struct CrashRecord {
@@ -22,34 +27,62 @@
     int64_t generation = 0;
     /// The servers that ended under the content, each start of a server under a name of its own.
     std::set<std::string> crashedServers;
-    /// The content is not sent to servers before this time.
+    /// Those of them that ended under a trial.
+    std::set<std::string> failedTrials;
+    /// A trial is under way until then, unless its outcome comes earlier.
+    Instant trialUntil = Instant::min();
+    /// Id of the server that has the last trial.
+    std::string trialServer;
+    /// The content is not sent to servers before this time if one of the failed trials counts.
     Instant blockedUntil = Instant::min();
+    ContentKind kind = ContentKind::Call;
 
     auto operator<=>(const CrashRecord&) const = default;
 };
 
-/// Whether a content may be sent to a server now. Trial: its block has ended, and this request finds out whether it
-/// still crashes servers.
-enum class CrashAdmission { Admitted, Trial, Blocked };
+/// Whether a content may be sent to a server now. Trial: this request finds out whether the content crashes servers,
+/// and no other is sent meanwhile. Pending: such a request is under way or about to begin, and none has ended a server
+/// yet. Blocked: a trial has ended a server.
+enum class CrashAdmission { Admitted, Trial, Pending, Blocked };
+
+/// An attempt under which a server ended.
+struct CrashReport {
+    ContentId content;
+    /// Name of the start of the server.
+    std::string serverStart;
+    Instant sentAt;
+    ContentKind kind = ContentKind::Call;
 
-/// Outcome of a merge. Changed: the own record changed. Voided: it did, and it has news for the sender of the record.
-enum class CrashMerge { Unchanged, Changed, Voided };
+    auto operator<=>(const CrashReport&) const = default;
+};
 
 class CrashRegister {
 public:
-    /// Number of crashes from which a content is blocked.
+    /// Number of crashes from which a content is sent as a trial only. Servers that end together for another reason
+    /// reach it as well, so the first trial follows at once; it tells the one from the other.
     static constexpr size_t blockThreshold = 3;
 
     /// Number of crashes from which a content is a suspect, which runs apart from other suspects.
     static constexpr size_t suspectThreshold = blockThreshold - 1;
 
-    /// Length of the first block. Each further crash doubles it.
-    static constexpr Duration firstBlock = std::chrono::seconds(10);
+    /// Length of the block after each failed trial; the last one holds for all further ones. Three trials later than
+    /// the third crash is known are the users' limit.
+    static constexpr std::array<Duration, 3> callBlocks { std::chrono::seconds(10), std::chrono::seconds(40),
+        std::chrono::minutes(5) };
+
+    /// The same for owed contents, which the users want to be placed again within 5 s unless they go on crashing
+    /// servers.
+    static constexpr std::array<Duration, 5> owedBlocks { std::chrono::milliseconds(500), std::chrono::seconds(1),
+        std::chrono::seconds(4), std::chrono::seconds(40), std::chrono::minutes(5) };
     static constexpr Duration longestBlock = std::chrono::minutes(5);
 
-    /// After a block has ended, one request with the content is sent to a server. Time for its outcome to become known,
-    /// in which no other is sent.
+    /// Time for the outcome of a trial to become known, in which no other is sent.
     static constexpr Duration trialTime = std::chrono::seconds(5);
+    static constexpr Duration owedTrialTime = std::chrono::seconds(1);
+
+    /// A trial that no server ran is followed by another at once for this time after the content reached
+    /// blockThreshold; later it counts like one without an outcome.
+    static constexpr Duration freeTrialTime = std::chrono::seconds(2);
 
     /// Time after the last crash for which a record is kept.
     static constexpr Duration recordLifetime = std::chrono::minutes(10);
@@ -57,26 +90,29 @@
     /// Time for the crashes of neighbours to become known here.
     static constexpr Duration settleTime = std::chrono::milliseconds(500);
 
-    /// Time after an answer for which crashes under the content are taken for coincidence. It keeps contents that many
-    /// callers send, and that run on several servers at once, from being blocked when those servers fail together.
-    static constexpr Duration answerLifetime = std::chrono::minutes(1);
-
     /// A record whose block ends later than the known one by no more than this changes nothing; transmission shifts it.
     static constexpr Duration mergeTolerance = std::chrono::milliseconds(200);
 
-    /// The records and answers that expire first are forgotten beyond these numbers.
+    /// The records that expire first are forgotten beyond this number.
     static constexpr size_t maxRecords = 1000;
-    static constexpr size_t maxAnswers = 4096;
 
-    /// Time until which the content is not sent to servers; in the past if it is not blocked. A crash counts for the
-    /// block only if no other content was there at more crashes: a neighbour of a content that crashes servers is there
-    /// at some of its crashes. What was blocked for settleTime stays blocked, whatever is learned of other contents.
+    /// Time until which the content is not sent to servers; in the past if it may be sent now. A crash counts
+    /// only if no other content was there at more crashes: a neighbour of a content that crashes servers is there
+    /// at some of its crashes. What was held back for settleTime is so for good, whatever is learned of other contents.
     Instant blockedUntil(const ContentId&) const;
 
+    /// True if the content is held back until a trial shows whether it crashes servers, and none has ended one yet.
+    bool isPending(const ContentId&) const;
+
     bool isSuspect(const ContentId&) const;
 
-    /// Asked before each attempt at a server. A trial changes the record: the content is blocked again for trialTime.
-    CrashAdmission admit(const ContentId&, Instant now);
+    /// Asked before each attempt at a server. A trial changes the record: the content is held back for trialTime, and
+    /// others keep away from the server. The first process that asks when a trial is due gets it after trialDelay,
+    /// which processes draw at random, since requests with the content may wait in several of them.
+    CrashAdmission admit(const ContentId&, const std::string& server, Duration trialDelay, Instant now);
+
+    /// No server ran an attempt that was sent at this time. wasReceived: one answered so.
+    void onNotRun(const ContentId&, Instant sentAt, bool wasReceived, Instant now);
 
     /// This process sent the content to a server; onEnd() follows.
     void onStart(const ContentId&, const std::string& server);
@@ -85,58 +121,62 @@
     /// Servers that have a suspect of this process other than the content.
     std::set<std::string> serversWithOtherSuspects(const ContentId&) const;
 
-    /// A server ended while it had the content. Returns whether the record changed. It does not if the content was
-    /// answered lately.
-    bool onCrash(const ContentId&, const std::string& serverStart, Instant now);
+    /// Servers that have a trial of another content, of any process.
+    std::set<std::string> serversWithOtherTrials(const ContentId&, Instant now) const;
+
+    /// A server ended while it had a content. Returns whether the record changed.
+    bool onCrash(const CrashReport&, Instant now);
 
     /// A server answered the content, whatever the status. Returns whether the record changed.
-    bool onAnswered(const ContentId&, Instant now);
+    bool onAnswered(const ContentId&);
 
-    /// Merges a record of another process. Crashes that it reports are void if the content was answered here lately.
-    CrashMerge merge(const CrashRecord&, Instant now);
+    /// Merges a record of another process. Returns whether the own one changed.
+    bool merge(const CrashRecord&, Instant now);
 
     /// The record of a content; one without crashes if there is none.
     CrashRecord record(const ContentId&) const;
     std::vector<CrashRecord> records() const;
 
-    /// Number of contents that are blocked.
+    /// Number of contents that are held back.
     size_t blockedCount(Instant now) const;
 
 private:
     struct Entry {
         CrashRecord record;
         Instant expiry = never;
-        /// When a block that still holds becomes final.
-        Instant settledAt = never;
+        /// Since when only trials are sent. An attempt that this process sent later was one.
+        Instant trialsSince = never;
+        /// Whether that stays so, whatever is learned of other contents.
         bool isBlockFinal = false;
+        /// Since when a failed trial counts, and whether that stays so.
+        Instant provenSince = never;
+        bool isProofFinal = false;
+        /// When this process may send the trial that is due; `never` until a request asks for it.
+        Instant nextTrialAt = never;
     };
 
-    struct Answer {
-        ContentId content;
-        Instant expiry;
-    };
-
-    /// Length of the block after this number of crashes; zero below blockThreshold.
-    static Duration blockAfter(size_t crashes);
+    /// Length of the block after this number of failed trials that count.
+    static Duration blockAfter(size_t failures, ContentKind);
 
     bool hasBlock(const Entry&) const;
+    /// True if a trial has shown that the content crashes servers.
+    bool isProven(const Entry&) const;
+    /// Number of the failed trials that count: those without another content that may have ended the server as well.
+    size_t countedFailures(const CrashRecord&) const;
+    bool hadOtherCause(const ContentId&, const std::string& serverStart) const;
+    bool wasTrial(const Entry&, Instant sentAt) const;
     /// Call after each change of a record.
     void settleBlocks(Instant now);
     /// Number of the record's crashes that no content with more crashes explains.
     size_t unexplainedCrashes(const CrashRecord&) const;
     bool hasOtherSuspect(const ContentId&, const std::string& server) const;
-    bool wasAnsweredLately(const ContentId&, Instant now) const;
     /// Makes the crashes of a record void.
     static void clear(Entry&);
-    void rememberAnswer(const ContentId&, Instant now);
     void removeExpired(Instant now);
 
     std::map<ContentId, Entry> entries_;
     /// Contents that this process has sent to a server and not heard of yet, by server.
     std::map<std::string, std::multiset<ContentId>> running_;
-    /// In order of expiry.
-    std::list<Answer> answers_;
-    std::map<ContentId, std::list<Answer>::iterator> answerPositions_;
 };
 
 } // namespace endiveroad
--- a/include/endiveroad/Directory.h
+++ b/include/endiveroad/Directory.h
@@ -142,8 +142,8 @@
     /// Servers of the service that are not draining.
     std::vector<const ServerRecord*> readyServers(std::string_view service) const;
 
-    /// True if a server of the service was replaced at its address by one that is not registered yet. What answers there
-    /// may belong to another service, so only its registration brings it into use.
+    /// True if a server of the service was replaced at its address by one that is not registered yet. What answers
+    /// there may belong to another service, so only its registration brings it into use.
     bool isServerExpected(std::string_view service) const;
 
     /// Server at this address; null if there is none. Of several registrations with the same address, the one of the
--- a/include/endiveroad/LeavingServers.h
+++ b/include/endiveroad/LeavingServers.h
@@ -12,8 +12,8 @@
 /// or that another server has taken their place.
 namespace endiveroad {
 
-/// Why a start of a server gets no new work. Leaving: it said so. Replaced: another server answered at its address, so it
-/// has ended.
+/// Why a start of a server gets no new work. Leaving: it said so. Replaced: another server answered at its address, so
+/// it has ended.
 enum class Departure { Leaving, Replaced };
 
 /// One start of a server under its id.
@@ -51,8 +51,8 @@
     /// True if this start of the server, or a later one under its id, gets no new work.
     bool contains(const ServerIncarnation&) const;
 
-    /// Marks the servers as draining, and as replaced if they are, and forgets those that the directory knows by a later
-    /// start.
+    /// Marks the servers as draining, and as replaced if they are, and forgets those that the directory knows by a
+    /// later start.
     void apply(Directory&, Instant now);
 
     /// Ordered by id.
--- a/include/endiveroad/ServerLoads.h
+++ b/include/endiveroad/ServerLoads.h
@@ -68,8 +68,8 @@
 
     /// Chooses the server with the lowest product of expected queue length and latency. Suspended servers are chosen
     /// only if no other is left; never those in `tried`, those that refused or could not be reached just now, and those
-    /// that have as many calls of this process as its limit allows. Nothing if none is left. Ties are broken at random. Load pattern: few
-    /// servers of unequal speed, some of which become slow or stop answering.
+    /// that have as many calls of this process as its limit allows. Nothing if none is left. Ties are broken at random.
+    /// Load pattern: few servers of unequal speed, some of which become slow or stop answering.
     std::optional<std::string> choose(
         const std::vector<ServerCandidate>& servers, const std::set<std::string>& tried, Instant now);
 
@@ -86,8 +86,8 @@
     /// The server sent a broken answer or was too late; suspends it.
     void onFailure(std::string_view server, Instant now);
 
-    /// The server could not be reached; suspends it, and for a shorter time it is not chosen at all. Does not end a call
-    /// that onStart() began. Load pattern: all servers of a service end together while calls wait for them.
+    /// The server could not be reached; suspends it, and for a shorter time it is not chosen at all. Does not end a
+    /// call that onStart() began. Load pattern: all servers of a service end together while calls wait for them.
     void onUnreachable(std::string_view server, Instant now);
 
     /// The server refused the call because it is full. Halves the limit of this process, which begins at half of the
--- a/src/core/calls/CrashRegister.cpp
+++ b/src/core/calls/CrashRegister.cpp
@@ -3,20 +3,29 @@
 
 namespace endiveroad {
 
-Duration CrashRegister::blockAfter(size_t crashes)
+Duration CrashRegister::blockAfter(size_t failures, ContentKind kind)
 {
-    if (crashes < blockThreshold)
-        return Duration::zero();
-    Duration block = firstBlock;
-    for (size_t i = blockThreshold; i < crashes && block < longestBlock; ++i)
-        block *= 2;
-    return std::min(block, longestBlock);
+    const auto lengthIn
+        = [failures](const auto& blocks) { return blocks[std::clamp<size_t>(failures, 1, blocks.size()) - 1]; };
+    return kind == ContentKind::Owed ? lengthIn(owedBlocks) : lengthIn(callBlocks);
 }
 
 Instant CrashRegister::blockedUntil(const ContentId& content) const
 {
     const auto found = entries_.find(content);
-    return found != entries_.end() && hasBlock(found->second) ? found->second.record.blockedUntil : Instant::min();
+    if (found == entries_.end() || !hasBlock(found->second))
+        return Instant::min();
+    const Entry& entry = found->second;
+    Instant end = entry.record.trialUntil;
+    if (entry.nextTrialAt != never)
+        end = std::max(end, entry.nextTrialAt);
+    return isProven(entry) ? std::max(end, entry.record.blockedUntil) : end;
+}
+
+bool CrashRegister::isPending(const ContentId& content) const
+{
+    const auto found = entries_.find(content);
+    return found != entries_.end() && hasBlock(found->second) && !isProven(found->second);
 }
 
 bool CrashRegister::hasBlock(const Entry& entry) const
@@ -24,14 +33,47 @@
     return entry.isBlockFinal || unexplainedCrashes(entry.record) >= blockThreshold;
 }
 
+bool CrashRegister::isProven(const Entry& entry) const
+{
+    return entry.isProofFinal || countedFailures(entry.record) > 0;
+}
+
+size_t CrashRegister::countedFailures(const CrashRecord& record) const
+{
+    return static_cast<size_t>(std::count_if(record.failedTrials.begin(), record.failedTrials.end(),
+        [&](const std::string& server) { return !hadOtherCause(record.content, server); }));
+}
+
+bool CrashRegister::hadOtherCause(const ContentId& content, const std::string& serverStart) const
+{
+    return std::any_of(entries_.begin(), entries_.end(), [&](const auto& entry) {
+        const std::set<std::string>& crashes = entry.second.record.crashedServers;
+        return entry.first != content && crashes.size() >= blockThreshold && crashes.contains(serverStart);
+    });
+}
+
+bool CrashRegister::wasTrial(const Entry& entry, Instant sentAt) const
+{
+    return sentAt >= entry.trialsSince && hasBlock(entry);
+}
+
 void CrashRegister::settleBlocks(Instant now)
 {
     for (auto& [content, entry] : entries_) {
         if (entry.isBlockFinal || entry.record.crashedServers.size() < blockThreshold)
             continue;
-        if (entry.settledAt == never)
-            entry.settledAt = now + settleTime;
-        entry.isBlockFinal = now >= entry.settledAt && hasBlock(entry);
+        if (entry.trialsSince == never)
+            entry.trialsSince = now;
+        entry.isBlockFinal = now >= entry.trialsSince + settleTime && hasBlock(entry);
+    }
+    for (auto& [content, entry] : entries_) {
+        if (entry.isProofFinal || entry.record.failedTrials.empty())
+            continue;
+        if (!isProven(entry))
+            entry.provenSince = never;
+        else if (entry.provenSince == never)
+            entry.provenSince = now;
+        entry.isProofFinal = entry.provenSince != never && now >= entry.provenSince + settleTime;
     }
 }
 
@@ -56,21 +98,41 @@
     return found != entries_.end() && found->second.record.crashedServers.size() >= suspectThreshold;
 }
 
-CrashAdmission CrashRegister::admit(const ContentId& content, Instant now)
+CrashAdmission CrashRegister::admit(
+    const ContentId& content, const std::string& server, Duration trialDelay, Instant now)
 {
     const auto found = entries_.find(content);
     if (found == entries_.end())
         return CrashAdmission::Admitted;
     settleBlocks(now);
-    if (!hasBlock(found->second))
+    Entry& entry = found->second;
+    if (!hasBlock(entry))
         return CrashAdmission::Admitted;
-    CrashRecord& record = found->second.record;
-    if (record.blockedUntil > now)
-        return CrashAdmission::Blocked;
-    record.blockedUntil = now + trialTime;
+    CrashRecord& record = entry.record;
+    const CrashAdmission refusal = isProven(entry) ? CrashAdmission::Blocked : CrashAdmission::Pending;
+    const bool isBlocked = refusal == CrashAdmission::Blocked && record.blockedUntil > now;
+    if (isBlocked || record.trialUntil > now)
+        return refusal;
+    if (entry.nextTrialAt == never)
+        entry.nextTrialAt = now + trialDelay;
+    if (entry.nextTrialAt > now)
+        return refusal;
+    entry.nextTrialAt = never;
+    record.trialUntil = now + (record.kind == ContentKind::Owed ? owedTrialTime : trialTime);
+    record.trialServer = server;
     return CrashAdmission::Trial;
 }
 
+void CrashRegister::onNotRun(const ContentId& content, Instant sentAt, bool wasReceived, Instant now)
+{
+    const auto found = entries_.find(content);
+    if (found == entries_.end() || !wasTrial(found->second, sentAt))
+        return;
+    const bool isFree = !isProven(found->second) && now < found->second.trialsSince + freeTrialTime;
+    if (!wasReceived || isFree)
+        found->second.record.trialUntil = now;
+}
+
 void CrashRegister::onStart(const ContentId& content, const std::string& server)
 {
     running_[server].insert(content);
@@ -98,6 +160,16 @@
     return servers;
 }
 
+std::set<std::string> CrashRegister::serversWithOtherTrials(const ContentId& content, Instant now) const
+{
+    std::set<std::string> servers;
+    for (const auto& [other, entry] : entries_) {
+        if (other != content && entry.record.trialUntil > now)
+            servers.insert(entry.record.trialServer);
+    }
+    return servers;
+}
+
 bool CrashRegister::hasOtherSuspect(const ContentId& content, const std::string& server) const
 {
     const auto found = running_.find(server);
@@ -106,26 +178,30 @@
             [&](const ContentId& other) { return other != content && isSuspect(other); });
 }
 
-bool CrashRegister::onCrash(const ContentId& content, const std::string& serverStart, Instant now)
+bool CrashRegister::onCrash(const CrashReport& report, Instant now)
 {
-    if (wasAnsweredLately(content, now))
-        return false;
-    Entry& entry = entries_[content];
-    entry.record.content = content;
-    if (!entry.record.crashedServers.insert(serverStart).second)
+    Entry& entry = entries_[report.content];
+    CrashRecord& record = entry.record;
+    record.content = report.content;
+    record.kind = std::max(record.kind, report.kind);
+    const bool isFailedTrial = wasTrial(entry, report.sentAt);
+    if (!record.crashedServers.insert(report.serverStart).second)
         return false;
-    const Duration block = blockAfter(entry.record.crashedServers.size());
-    if (block > Duration::zero())
-        entry.record.blockedUntil = std::max(entry.record.blockedUntil, now + block);
+    if (isFailedTrial) {
+        record.failedTrials.insert(report.serverStart);
+        record.trialUntil = now;
+        const Duration block = blockAfter(countedFailures(record), record.kind);
+        record.blockedUntil = std::max(record.blockedUntil, now + block);
+    }
+    entry.nextTrialAt = never;
     entry.expiry = now + recordLifetime;
     removeExpired(now);
     settleBlocks(now);
     return true;
 }
 
-bool CrashRegister::onAnswered(const ContentId& content, Instant now)
+bool CrashRegister::onAnswered(const ContentId& content)
 {
-    rememberAnswer(content, now);
     const auto found = entries_.find(content);
     if (found == entries_.end() || found->second.record.crashedServers.empty())
         return false;
@@ -137,12 +213,18 @@
 {
     ++entry.record.generation;
     entry.record.crashedServers.clear();
+    entry.record.failedTrials.clear();
+    entry.record.trialUntil = Instant::min();
+    entry.record.trialServer.clear();
     entry.record.blockedUntil = Instant::min();
-    entry.settledAt = never;
+    entry.provenSince = never;
+    entry.isProofFinal = false;
+    entry.trialsSince = never;
     entry.isBlockFinal = false;
+    entry.nextTrialAt = never;
 }
 
-CrashMerge CrashRegister::merge(const CrashRecord& other, Instant now)
+bool CrashRegister::merge(const CrashRecord& other, Instant now)
 {
     Entry& entry = entries_[other.content];
     const CrashRecord before = entry.record;
@@ -153,21 +235,32 @@
         record = other;
     } else if (other.generation == record.generation) {
         record.crashedServers.insert(other.crashedServers.begin(), other.crashedServers.end());
+        // A trial that failed is over.
+        const size_t failures = record.failedTrials.size();
+        record.failedTrials.insert(other.failedTrials.begin(), other.failedTrials.end());
+        const bool hasNewFailure = record.failedTrials.size() > failures;
+        if (hasNewFailure || other.trialUntil > record.trialUntil) {
+            record.trialUntil = other.trialUntil;
+            record.trialServer = other.trialServer;
+        }
         record.blockedUntil = std::max(record.blockedUntil, other.blockedUntil);
+        record.kind = std::max(record.kind, other.kind);
     }
     const bool isChanged = record.generation != before.generation || record.crashedServers != before.crashedServers
-        || record.blockedUntil > before.blockedUntil + mergeTolerance;
+        || record.failedTrials != before.failedTrials || record.kind != before.kind
+        || record.blockedUntil > before.blockedUntil + mergeTolerance
+        || record.trialUntil > before.trialUntil + mergeTolerance;
     if (!isChanged) {
         record.blockedUntil = before.blockedUntil;
-        return CrashMerge::Unchanged;
+        record.trialUntil = before.trialUntil;
+        record.trialServer = before.trialServer;
+        return false;
     }
-    const bool isVoid = !record.crashedServers.empty() && wasAnsweredLately(record.content, now);
-    if (isVoid)
-        clear(entry);
+    entry.nextTrialAt = never;
     entry.expiry = now + recordLifetime;
     removeExpired(now);
     settleBlocks(now);
-    return isVoid ? CrashMerge::Voided : CrashMerge::Changed;
+    return true;
 }
 
 CrashRecord CrashRegister::record(const ContentId& content) const
@@ -194,25 +287,6 @@
         entries_.begin(), entries_.end(), [&](const auto& entry) { return blockedUntil(entry.first) > now; }));
 }
 
-bool CrashRegister::wasAnsweredLately(const ContentId& content, Instant now) const
-{
-    const auto found = answerPositions_.find(content);
-    return found != answerPositions_.end() && found->second->expiry > now;
-}
-
-void CrashRegister::rememberAnswer(const ContentId& content, Instant now)
-{
-    const auto found = answerPositions_.find(content);
-    if (found != answerPositions_.end())
-        answers_.erase(found->second);
-    answers_.push_back({ content, now + answerLifetime });
-    answerPositions_[content] = std::prev(answers_.end());
-    while (answers_.size() > maxAnswers || answers_.front().expiry <= now) {
-        answerPositions_.erase(answers_.front().content);
-        answers_.pop_front();
-    }
-}
-
 void CrashRegister::removeExpired(Instant now)
 {
     std::erase_if(entries_, [now](const auto& entry) { return entry.second.expiry <= now; });
--- a/src/io/CrashDetector.h
+++ b/src/io/CrashDetector.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <endiveroad/ContentId.h>
+#include <endiveroad/CrashRegister.h>
 #include <endiveroad/Directory.h>
 #include <endiveroad/LeavingServers.h>
 #include <functional>
@@ -37,6 +38,7 @@
     std::string server;
     ServerStart start;
     Instant sentAt;
+    ContentKind kind = ContentKind::Call;
 
     auto operator<=>(const ServerAttempt&) const = default;
 
--- a/src/io/CrashGuard.cpp
+++ b/src/io/CrashGuard.cpp
@@ -2,6 +2,7 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
+#include "io/Tasks.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -19,6 +20,13 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(instant - currentTime).count();
 }
 
+/// The past if the time is not positive.
+Instant instantAfter(int64_t milliseconds, Duration longest)
+{
+    const std::chrono::milliseconds time(milliseconds);
+    return time.count() > 0 ? now() + std::min<Duration>(time, longest) : Instant::min();
+}
+
 wire::CrashRecord toWire(const CrashRecord& record)
 {
     wire::CrashRecord encoded;
@@ -26,7 +34,11 @@
     encoded.contentLow = static_cast<int64_t>(record.content.low);
     encoded.generation = record.generation;
     encoded.crashedServers.assign(record.crashedServers.begin(), record.crashedServers.end());
+    encoded.failedTrials.assign(record.failedTrials.begin(), record.failedTrials.end());
     encoded.blockedForMs = millisecondsUntil(record.blockedUntil);
+    encoded.trialForMs = millisecondsUntil(record.trialUntil);
+    encoded.trialServer = record.trialServer;
+    encoded.isOwed = record.kind == ContentKind::Owed;
     return encoded;
 }
 
@@ -36,9 +48,11 @@
     record.content = { static_cast<uint64_t>(encoded.contentHigh), static_cast<uint64_t>(encoded.contentLow) };
     record.generation = encoded.generation;
     record.crashedServers = { encoded.crashedServers.begin(), encoded.crashedServers.end() };
-    const std::chrono::milliseconds blockedFor(encoded.blockedForMs);
-    if (blockedFor.count() > 0)
-        record.blockedUntil = now() + std::min<Duration>(blockedFor, CrashRegister::longestBlock);
+    record.failedTrials = { encoded.failedTrials.begin(), encoded.failedTrials.end() };
+    record.kind = encoded.isOwed ? ContentKind::Owed : ContentKind::Call;
+    record.blockedUntil = instantAfter(encoded.blockedForMs, CrashRegister::longestBlock);
+    record.trialUntil = instantAfter(encoded.trialForMs, CrashRegister::trialTime);
+    record.trialServer = encoded.trialServer;
     return record;
 }
 
@@ -58,29 +72,69 @@
 {
 }
 
-bool CrashGuard::admit(const ContentId& content)
+bool CrashGuard::admit(const ContentId& content, const std::string& server, ContentKind kind)
 {
-    const CrashAdmission admission = register_.admit(content, now());
+    std::uniform_int_distribution<Duration::rep> anyDelay(0, maxTrialDelay.count());
+    const Duration delay = kind == ContentKind::Owed ? Duration::zero() : Duration(anyDelay(random_));
+    const CrashAdmission admission = register_.admit(content, server, delay, now());
     if (admission == CrashAdmission::Trial) {
-        log(Event::ContentTried, { { "content", content.text() } });
+        log(Event::ContentTried, { { "content", content.text() }, { "server", server } });
         publish(content);
     }
-    return admission != CrashAdmission::Blocked;
+    return admission == CrashAdmission::Admitted || admission == CrashAdmission::Trial;
+}
+
+asio::awaitable<bool> CrashGuard::admitUntil(ContentId content, std::string server, Instant deadline, ContentKind kind)
+{
+    while (!admit(content, server, kind)) {
+        if (!isPending(content) || now() >= deadline)
+            co_return false;
+        co_await sleepFor(trialCheckInterval);
+    }
+    co_return true;
 }
 
 std::optional<Instant> CrashGuard::blockedUntil(const ContentId& content) const
 {
     const Instant end = register_.blockedUntil(content);
-    if (end <= now())
+    if (end <= now() || register_.isPending(content))
         return std::nullopt;
     return end;
 }
 
+bool CrashGuard::isPending(const ContentId& content) const
+{
+    return register_.isPending(content) && register_.blockedUntil(content) > now();
+}
+
+void CrashGuard::onRefused(const ServerAttempt& attempt)
+{
+    detector_.onServerAnswered(attempt.start);
+    register_.onNotRun(attempt.content, attempt.sentAt, true, now());
+}
+
+void CrashGuard::onMisdirected(const ServerAttempt& attempt)
+{
+    register_.onNotRun(attempt.content, attempt.sentAt, true, now());
+}
+
+void CrashGuard::onNotSent(const ServerAttempt& attempt)
+{
+    register_.onNotRun(attempt.content, attempt.sentAt, false, now());
+}
+
 std::set<std::string> CrashGuard::serversToAvoid(const ContentId& content) const
 {
     if (!register_.isSuspect(content))
         return {};
-    return register_.serversWithOtherSuspects(content);
+    std::set<std::string> servers = serversOnTrial(content);
+    servers.merge(register_.serversWithOtherSuspects(content));
+    return servers;
+}
+
+std::set<std::string> CrashGuard::serversOnTrial(const ContentId& content) const
+{
+    return register_.serversWithOtherTrials(content, now());
 }
 
 Instant CrashGuard::nextAttemptAt(const ContentId& content)
@@ -94,22 +148,22 @@
 void CrashGuard::onAnswered(const ServerAttempt& attempt)
 {
     detector_.onServerAnswered(attempt.start);
-    if (!register_.onAnswered(attempt.content, now()))
+    if (!register_.onAnswered(attempt.content))
         return;
-    publishCleared(attempt.content);
-}
-
-void CrashGuard::publishCleared(const ContentId& content)
-{
-    log(Event::ContentCleared, { { "content", content.text() } });
-    publish(content);
+    log(Event::ContentCleared, { { "content", attempt.content.text() } });
+    publish(attempt.content);
 }
 
 void CrashGuard::onCrash(const ServerAttempt& attempt)
 {
-    if (!register_.onCrash(attempt.content, attempt.start.text(), now()))
+    const CrashReport report { attempt.content, attempt.start.text(), attempt.sentAt, attempt.kind };
+    if (!register_.onCrash(report, now()))
         return;
     const CrashRecord record = register_.record(attempt.content);
+    if (register_.isPending(attempt.content))
+        log(Event::ContentHeld,
+            { { "content", attempt.content.text() }, { "request", attempt.request },
+                { "crashes", std::to_string(record.crashedServers.size()) } });
     if (blockedUntil(attempt.content))
         log(Event::ContentBlocked,
             { { "content", attempt.content.text() }, { "request", attempt.request },
@@ -133,10 +187,7 @@
     wire::CrashNotice changes;
     for (const wire::CrashRecord& encoded : notice.records) {
         const CrashRecord received = fromWire(encoded);
-        const CrashMerge outcome = register_.merge(received, now());
-        if (outcome == CrashMerge::Voided)
-            publishCleared(received.content);
-        if (outcome != CrashMerge::Changed)
+        if (!register_.merge(received, now()))
             continue;
         const CrashRecord record = register_.record(received.content);
         changes.records.push_back(toWire(record));
@@ -148,7 +199,7 @@
 
 void CrashGuard::restore(const CrashRecord& record)
 {
-    if (register_.merge(record, now()) == CrashMerge::Unchanged)
+    if (!register_.merge(record, now()))
         return;
     wire::CrashNotice notice;
     notice.records.push_back(toWire(register_.record(record.content)));
--- a/src/io/CrashGuard.h
+++ b/src/io/CrashGuard.h
@@ -45,20 +45,39 @@
     static constexpr Duration minSuspectPause = std::chrono::milliseconds(50);
     static constexpr Duration maxSuspectPause = std::chrono::milliseconds(150);
 
+    /// Longest delay, drawn at random, before this process sends a trial.
+    static constexpr Duration maxTrialDelay = std::chrono::milliseconds(500);
+
+    /// Interval at which a request looks for the outcome of a trial.
+    static constexpr Duration trialCheckInterval = std::chrono::milliseconds(25);
+
     CrashGuard(HttpClient&, CrashDetector::DirectorySource, CrashListener&, uint64_t seed);
 
-    /// Asked before each attempt at a server. True if the content may be sent now.
-    bool admit(const ContentId&);
+    /// Asked before each attempt at a server. True if the content may be sent now. An owed content that a trial is due
+    /// for gets it without delay.
+    bool admit(const ContentId&, const std::string& server, ContentKind = ContentKind::Call);
 
-    /// End of the content's block; nothing if it is not blocked.
+    /// admit() that waits for the outcome of a trial until the deadline.
+    asio::awaitable<bool> admitUntil(ContentId, std::string server, Instant deadline, ContentKind = ContentKind::Call);
+
+    /// End of the content's block; nothing if it is not blocked. A content whose first trial is due or under way is
+    /// not.
     std::optional<Instant> blockedUntil(const ContentId&) const;
 
+    /// True while the content is held back until the outcome of its first trial is known.
+    bool isPending(const ContentId&) const;
+
     /// When a request whose last server has ended may be sent to the next one.
     Instant nextAttemptAt(const ContentId&);
 
     /// Servers that a suspect should not be sent to, because they have another one; empty if the content is none.
     std::set<std::string> serversToAvoid(const ContentId&) const;
 
+    /// Servers that may end under a trial of another content; other requests keep away from them if they can.
+    std::set<std::string> serversOnTrial(const ContentId&) const;
+
+    bool isSuspect(const ContentId& content) const { return register_.isSuspect(content); }
+
     /// The start of the server that is registered at the address.
     ServerStart startAt(const Address& address) const { return detector_.startAt(address); }
 
@@ -70,7 +89,13 @@
     void onAnswered(const ServerAttempt&);
 
     /// The server has not run the attempt and said so.
-    void onRefused(const ServerAttempt& attempt) { detector_.onServerAnswered(attempt.start); }
+    void onRefused(const ServerAttempt&);
+
+    /// Another server answered the attempt.
+    void onMisdirected(const ServerAttempt&);
+
+    /// The attempt has not reached the server.
+    void onNotSent(const ServerAttempt&);
 
     /// The server broke the attempt off before its answer began. Finds out whether it has ended, and counts the crash
     /// if it has. Call before onEnd().
@@ -96,7 +121,6 @@
 
 private:
     void onCrash(const ServerAttempt&);
-    void publishCleared(const ContentId&);
     /// Tells the listener that the record of the content has changed here.
     void publish(const ContentId&);
 
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -3,8 +3,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <endiveroad/Settings.h>
 #include <endiveroad/Error.h>
+#include <endiveroad/Settings.h>
 #include <endiveroad/Time.h>
 #include <functional>
 #include <map>
--- a/src/io/agent/Generator.cpp
+++ b/src/io/agent/Generator.cpp
@@ -69,14 +69,16 @@
 ServerAttempt Generator::attemptOf(const wire::GenerateRequest& request) const
 {
     const ContentId content = ContentId::of("POST", request.job, model_, request.prompt);
-    return { request.requestId, content, engineAddress_.text(), crashGuard_.startAt(engineAddress_), now() };
+    return { request.requestId, content, engineAddress_.text(), crashGuard_.startAt(engineAddress_), now(),
+        ContentKind::Owed };
 }
 
 asio::awaitable<void> Generator::runStream(
     const wire::GenerateRequest& request, SampleProgress& progress, Instant deadline, GenerationHandle& handle)
 {
     const ServerAttempt attempt = attemptOf(request);
-    if (!crashGuard_.admit(attempt.content))
+    const bool isAdmitted = co_await crashGuard_.admitUntil(attempt.content, attempt.server, deadline, attempt.kind);
+    if (!isAdmitted)
         throw NotRunError("engines have ended under the prompt");
     OpenStream stream;
     stream.epoch = tracker_.epoch();
--- a/src/io/entry/CallRouter.cpp
+++ b/src/io/entry/CallRouter.cpp
@@ -236,7 +236,8 @@
         throw CallFailure(
             attempts.errorWithoutAgent(), fmt::format("pool {} declares no replica", pool.name), retryAfter);
     // An attempt under this key may have crashed a server, so a blocked call is not said to be not run.
-    if (!crashGuard_.admit(contentOf(call.request)))
+    const bool isAdmitted = co_await crashGuard_.admitUntil(contentOf(call.request), homes.front(), deadline);
+    if (!isAdmitted)
         throw CallFailure(ErrorCode::OutcomeUnknown, blockedDetail, remainingBlock(contentOf(call.request)));
     AttemptResult result = co_await callAgent(homes.front(), std::move(call), deadline);
     if (result.response)
@@ -271,8 +272,11 @@
         const auto agent = agents_.table(pool.name).acquire(now(), demand);
         if (!agent)
             throw CallFailure(attempts.errorWithoutAgent(), detail, retryAfter);
-        if (!crashGuard_.admit(content)) {
+        const bool isAdmitted = co_await crashGuard_.admitUntil(content, *agent, deadline);
+        if (!isAdmitted) {
             agents_.table(pool.name).release(*agent);
+            if (now() >= deadline)
+                throw CallFailure(attempts.errorWithoutAgent(), detail, retryAfter);
             continue;
         }
         AttemptResult result = co_await callAgent(*agent, call, deadline);
--- a/src/io/hosted/CrashStore.cpp
+++ b/src/io/hosted/CrashStore.cpp
@@ -27,11 +27,13 @@
 std::string encodeCrashRecord(const CrashRecord& record)
 {
     const Instant currentTime = now();
+    // A trial is soon over, so it is not stored.
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::max(record.blockedUntil, currentTime) - currentTime);
     return Json {
         { "content", record.content.text() }, { "generation", record.generation },
-        { "crashedServers", record.crashedServers }, { "blockedUntilMs", wallMs() + left.count() }
+        { "crashedServers", record.crashedServers }, { "failedTrials", record.failedTrials },
+        { "isOwed", record.kind == ContentKind::Owed }, { "blockedUntilMs", wallMs() + left.count() }
     }.dump();
 }
 
@@ -43,6 +45,8 @@
         record.content = ContentId::parse(object.at("content").get<std::string>());
         record.generation = object.at("generation").get<int64_t>();
         record.crashedServers = object.at("crashedServers").get<std::set<std::string>>();
+        record.failedTrials = object.value("failedTrials", std::set<std::string>());
+        record.kind = object.value("isOwed", false) ? ContentKind::Owed : ContentKind::Call;
         const std::chrono::milliseconds left(object.at("blockedUntilMs").get<int64_t>() - wallMs());
         if (left.count() > 0)
             record.blockedUntil = now() + std::min<Duration>(left, CrashRegister::longestBlock);
--- a/src/io/hosted/EngineController.h
+++ b/src/io/hosted/EngineController.h
@@ -63,7 +63,6 @@
     /// registration is missing.
     const ServerIncarnation& lastServer() const { return lastServer_; }
 
-
     /// Whether the replica answered the last query.
     bool isUp() const { return isUp_; }
 
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -416,9 +416,9 @@
     allGauges.push_back(
         { "endiveroad_blocked_contents", "", "Contents of requests that are refused because servers ended under them.",
             static_cast<double>(crashGuard_.blockedCount()) });
-    allGauges.push_back(
-        { "endiveroad_leaving_servers", "", "Servers that said they are leaving, or were replaced, and have not started again since.",
-            static_cast<double>(directorySync_->leavingServers().all().size()) });
+    allGauges.push_back({ "endiveroad_leaving_servers", "",
+        "Servers that said they are leaving, or were replaced, and have not started again since.",
+        static_cast<double>(directorySync_->leavingServers().all().size()) });
     allGauges.push_back({ "endiveroad_limited_servers", "",
         "Servers that name a limit on the requests that they take from all processes together.",
         static_cast<double>(requestLimits_.limitedCount()) });
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -128,7 +128,8 @@
             continue;
         const BatchJobSpec& spec = owned->job.spec();
         for (size_t item : owned->job.waiting(now())) {
-            if (crashGuard_.blockedUntil(owned->contents[item]))
+            const ContentId& content = owned->contents[item];
+            if (crashGuard_.blockedUntil(content) || crashGuard_.isPending(content))
                 continue;
             waiting.push_back({ id, item, spec.items[item].group, spec.model, spec.oldestVersion,
                 owned->job.policy().dueAt, spec.items[item].expectedTokens, owned->agentsToAvoid(item) });
@@ -139,7 +140,8 @@
         const auto view = std::find_if(replicas.begin(), replicas.end(),
             [&](const ReplicaView& replica) { return replica.agent == placement.agent; });
         const OwnedJobPtr& owned = jobs_.at(item.job);
-        if (crashGuard_.admit(owned->contents[item.itemIndex]))
+        const std::string& server = reports_[placement.agent].last.server;
+        if (crashGuard_.admit(owned->contents[item.itemIndex], server, ContentKind::Owed))
             startItem(owned, item.itemIndex, *view);
     }
 }
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -101,7 +101,7 @@
         return "the replica's weights are too old";
     if (running() >= slots)
         return "all slots are taken";
-    if (!crashGuard_.serversToAvoid(contentOf(startRequest)).empty())
+    if (crashGuard_.serversToAvoid(contentOf(startRequest)).contains(engine_.server()))
         return "another item under which replicas have ended starts here";
     return {};
 }
@@ -213,7 +213,8 @@
 ServerAttempt ItemRunner::attemptOf(const Run& run) const
 {
     const ContentId content = contentOf(run.startRequest);
-    return { run.startRequest.item, content, engine_.server(), crashGuard_.startAt(replica_), now() };
+    return { run.startRequest.item, content, engine_.server(), crashGuard_.startAt(replica_), now(),
+        ContentKind::Owed };
 }
 
 void ItemRunner::processHead(Run& run, const HttpResponse& head)
--- a/src/io/hosted/LeavingNews.cpp
+++ b/src/io/hosted/LeavingNews.cpp
@@ -48,8 +48,8 @@
     if (!answer.unknownLeavingValue.empty())
         log(Event::LeavingUnclear, { { "server", receiver.id }, { "value", answer.unknownLeavingValue } });
     // A mismatch without another server's id shows nothing.
-    const bool isReplaced = answer.verdict == ReplicaVerdict::ServerMismatch && !answer.server.empty()
-        && answer.server != receiver.id;
+    const bool isReplaced
+        = answer.verdict == ReplicaVerdict::ServerMismatch && !answer.server.empty() && answer.server != receiver.id;
     if (isReplaced && learn({ receiver, Departure::Replaced }))
         log(Event::ServerReplaced, { { "server", receiver.id }, { "successor", answer.server } });
     const ServerIncarnation sender = senderOf(answer, receiver);
--- a/src/io/hosted/LeavingNews.h
+++ b/src/io/hosted/LeavingNews.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <string>
 
-/// What this process hears of servers that are leaving or were replaced, from answers and from peers. Such a server gets
-/// no new work, whatever its registration says and whether or not the store can be reached.
+/// What this process hears of servers that are leaving or were replaced, from answers and from peers. Such a server
+/// gets no new work, whatever its registration says and whether or not the store can be reached.
 namespace endiveroad::io {
 
 class LeavingNews : public ServerAnswerListener {
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -39,7 +39,7 @@
 
     ServerAttempt attemptAt(const ServerRecord& server, Instant sentAt) const
     {
-        return { request.id, content, server.id, ServerStart::of(server), sentAt };
+        return { request.id, content, server.id, ServerStart::of(server), sentAt, kind };
     }
 
     /// The service in whose queue the call waits.
@@ -57,6 +57,7 @@
     RouteDeclaration route;
     ReplicaRequest request;
     ContentId content;
+    ContentKind kind = ContentKind::Call;
     Instant deadline;
     /// Its number is 0 while the call does not wait.
     CallTicket ticket;
@@ -178,13 +179,19 @@
 
 std::optional<ChosenServer> ServiceCaller::chooseNext(CallState& state)
 {
-    if (now() < state.notBefore || !waitingCalls_.isFirst(state.service(), state.ticket))
+    if (now() < state.notBefore || crashGuard_.isPending(state.content)
+        || !waitingCalls_.isFirst(state.service(), state.ticket))
         return std::nullopt;
     std::set<std::string> excluded = crashGuard_.serversToAvoid(state.content);
     excluded.insert(state.tried.any.begin(), state.tried.any.end());
     excluded.insert(state.tried.misdirected.begin(), state.tried.misdirected.end());
-    auto server = chooseServer(state, excluded);
-    if (server && !crashGuard_.admit(state.content)) {
+    const std::set<std::string> onTrial = crashGuard_.serversOnTrial(state.content);
+    std::set<std::string> excludedFirst = excluded;
+    excludedFirst.insert(onTrial.begin(), onTrial.end());
+    auto server = chooseServer(state, excludedFirst);
+    if (!server && excludedFirst != excluded)
+        server = chooseServer(state, excluded);
+    if (server && !crashGuard_.admit(state.content, server->server.id, state.kind)) {
         state.result.blockedUntil = crashGuard_.blockedUntil(state.content);
         return std::nullopt;
     }
@@ -214,6 +221,12 @@
 
 asio::awaitable<void> ServiceCaller::awaitServer(CallStatePtr state)
 {
+    if (crashGuard_.isPending(state->content)) {
+        // Others that wait for a server go first meanwhile.
+        leaveQueue(state);
+        co_await state->changed.wait(std::min(state->deadline, now() + CrashGuard::trialCheckInterval));
+        co_return;
+    }
     const bool isPaused = now() < state->notBefore;
     if (isPaused) {
         co_await state->changed.wait(std::min(state->deadline, state->notBefore));
@@ -276,10 +289,11 @@
         found->second->changed.notifyAll();
 }
 
-asio::awaitable<ServiceResult> ServiceCaller::call(
-    RouteDeclaration route, ReplicaRequest request, Instant deadline, PeerCancellationPtr cancellation)
+asio::awaitable<ServiceResult> ServiceCaller::call(RouteDeclaration route, ReplicaRequest request, Instant deadline,
+    PeerCancellationPtr cancellation, ContentKind kind)
 {
     auto state = std::make_shared<CallState>(context_, std::move(route), std::move(request), deadline);
+    state->kind = kind;
     if (cancellation)
         cancellation->onCancel([state] {
             state->result.isCancelled = true;
@@ -429,8 +443,10 @@
         loads_.onAbandoned(server.id);
     if (!wasSent && !wasAbandoned)
         onUnreachable(server.id);
-    if (!wasSent)
+    if (!wasSent) {
         --state->possibleRuns;
+        crashGuard_.onNotSent(state->attemptAt(server, startedAt));
+    }
     if (!state->isDone) {
         state->result.reason = failure;
         const bool mayRepeat = !wasSent || state->route.kind == TrafficKind::Idempotent;
@@ -458,6 +474,7 @@
     if (answer.verdict != ReplicaVerdict::Ran) {
         --state.possibleRuns;
         if (answer.verdict == ReplicaVerdict::ServerMismatch) {
+            crashGuard_.onMisdirected(state.attemptAt(server, startedAt));
             state.tried.misdirected.insert(server.id);
             loads_.onAbandoned(server.id);
         } else {
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -107,12 +107,12 @@
     ServiceCaller(asio::io_context&, ServerClient&, RequestLimits&, CrashGuard&, DirectorySource, uint64_t seed);
 
     /// Sets the request's server and timeout for each attempt.
-    asio::awaitable<ServiceResult> call(
-        RouteDeclaration, ReplicaRequest, Instant deadline, PeerCancellationPtr cancellation);
+    asio::awaitable<ServiceResult> call(RouteDeclaration, ReplicaRequest, Instant deadline,
+        PeerCancellationPtr cancellation, ContentKind = ContentKind::Call);
 
     /// Waits for a server that has room for one run of a request. Nothing if there is none by the deadline or when the
-    /// request is cancelled, if no ready server is left for it, or if the content is blocked. Throws ServersFullError if
-    /// none can take the request in time.
+    /// request is cancelled, if no ready server is left for it, or if the content is blocked. Throws ServersFullError
+    /// if none can take the request in time.
     asio::awaitable<std::optional<ChosenServer>> obtainServer(
         RouteDeclaration, ReplicaRequest, TriedServers, Instant deadline, PeerCancellationPtr);
 
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -226,17 +226,20 @@
     progress.tried.any.insert(serverStream->attempt.server);
     crashGuard_.onStart(serverStream->attempt);
     const bool hasHead = co_await awaitHead(serverStream, deadline, cancellation);
+    if (!serverStream->wasSent)
+        crashGuard_.onNotSent(serverStream->attempt);
     if (!hasHead)
         co_await inspectBroken(serverStream, progress);
     crashGuard_.onEnd(serverStream->attempt);
     const ReplicaVerdict verdict
         = hasHead ? client_.protocol().decode(*serverStream->head).verdict : ReplicaVerdict::Ran;
     const bool isRefused = verdict != ReplicaVerdict::Ran;
-    if (verdict == ReplicaVerdict::ServerMismatch)
+    if (verdict == ReplicaVerdict::ServerMismatch) {
         progress.tried.misdirected.insert(serverStream->attempt.server);
-    else if (isRefused)
+        crashGuard_.onMisdirected(serverStream->attempt);
+    } else if (isRefused) {
         crashGuard_.onRefused(serverStream->attempt);
-    else if (serverStream->wasSent)
+    } else if (serverStream->wasSent)
         ++progress.runs;
     progress.mayResume = route.isResumable && progress.runs < route.maxAttempts;
     const bool isStream = hasHead && !isRefused && serverStream->head->status == statusOk;
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -355,6 +355,11 @@
   5: i64 blockedForMs
   /** Whether jobs owe the content (ContentKind in CrashRegister.h). */
   6: bool isOwed
+  /** Those of the crashed servers that ended under a trial. */
+  7: list<string> failedTrials
+  /** Time until a trial that is under way is given up, in ms; 0 if there is none. */
+  8: i64 trialForMs
+  9: string trialServer
 }
 struct CrashNotice { 1: list<CrashRecord> records }
 
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -6878,6 +6878,18 @@
 void CrashRecord::__set_isOwed(const bool val) {
   this->isOwed = val;
 }
+
+void CrashRecord::__set_failedTrials(const std::vector<std::string> & val) {
+  this->failedTrials = val;
+}
+
+void CrashRecord::__set_trialForMs(const int64_t val) {
+  this->trialForMs = val;
+}
+
+void CrashRecord::__set_trialServer(const std::string& val) {
+  this->trialServer = val;
+}
 std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
 {
   obj.printTo(out);
@@ -6966,6 +6978,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->failedTrials.clear();
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->failedTrials.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
+            {
+              xfer += iprot->readString(this->failedTrials[_i176]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.failedTrials = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->trialForMs);
+          this->__isset.trialForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->trialServer);
+          this->__isset.trialServer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6998,10 +7046,10 @@
   xfer += oprot->writeFieldBegin("crashedServers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->crashedServers.size()));
-    std::vector<std::string> ::const_iterator _iter172;
-    for (_iter172 = this->crashedServers.begin(); _iter172 != this->crashedServers.end(); ++_iter172)
+    std::vector<std::string> ::const_iterator _iter177;
+    for (_iter177 = this->crashedServers.begin(); _iter177 != this->crashedServers.end(); ++_iter177)
     {
-      xfer += oprot->writeString((*_iter172));
+      xfer += oprot->writeString((*_iter177));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7015,6 +7063,26 @@
   xfer += oprot->writeBool(this->isOwed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("failedTrials", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failedTrials.size()));
+    std::vector<std::string> ::const_iterator _iter178;
+    for (_iter178 = this->failedTrials.begin(); _iter178 != this->failedTrials.end(); ++_iter178)
+    {
+      xfer += oprot->writeString((*_iter178));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trialForMs", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->trialForMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trialServer", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->trialServer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7028,26 +7096,35 @@
   swap(a.crashedServers, b.crashedServers);
   swap(a.blockedForMs, b.blockedForMs);
   swap(a.isOwed, b.isOwed);
+  swap(a.failedTrials, b.failedTrials);
+  swap(a.trialForMs, b.trialForMs);
+  swap(a.trialServer, b.trialServer);
   swap(a.__isset, b.__isset);
 }
 
-CrashRecord::CrashRecord(const CrashRecord& other173) {
-  contentHigh = other173.contentHigh;
-  contentLow = other173.contentLow;
-  generation = other173.generation;
-  crashedServers = other173.crashedServers;
-  blockedForMs = other173.blockedForMs;
-  isOwed = other173.isOwed;
-  __isset = other173.__isset;
-}
-CrashRecord& CrashRecord::operator=(const CrashRecord& other174) {
-  contentHigh = other174.contentHigh;
-  contentLow = other174.contentLow;
-  generation = other174.generation;
-  crashedServers = other174.crashedServers;
-  blockedForMs = other174.blockedForMs;
-  isOwed = other174.isOwed;
-  __isset = other174.__isset;
+CrashRecord::CrashRecord(const CrashRecord& other179) {
+  contentHigh = other179.contentHigh;
+  contentLow = other179.contentLow;
+  generation = other179.generation;
+  crashedServers = other179.crashedServers;
+  blockedForMs = other179.blockedForMs;
+  isOwed = other179.isOwed;
+  failedTrials = other179.failedTrials;
+  trialForMs = other179.trialForMs;
+  trialServer = other179.trialServer;
+  __isset = other179.__isset;
+}
+CrashRecord& CrashRecord::operator=(const CrashRecord& other180) {
+  contentHigh = other180.contentHigh;
+  contentLow = other180.contentLow;
+  generation = other180.generation;
+  crashedServers = other180.crashedServers;
+  blockedForMs = other180.blockedForMs;
+  isOwed = other180.isOwed;
+  failedTrials = other180.failedTrials;
+  trialForMs = other180.trialForMs;
+  trialServer = other180.trialServer;
+  __isset = other180.__isset;
   return *this;
 }
 void CrashRecord::printTo(std::ostream& out) const {
@@ -7059,6 +7136,9 @@
   out << ", " << "crashedServers=" << to_string(crashedServers);
   out << ", " << "blockedForMs=" << to_string(blockedForMs);
   out << ", " << "isOwed=" << to_string(isOwed);
+  out << ", " << "failedTrials=" << to_string(failedTrials);
+  out << ", " << "trialForMs=" << to_string(trialForMs);
+  out << ", " << "trialServer=" << to_string(trialServer);
   out << ")";
 }
 
@@ -7102,14 +7182,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->records.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->records.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              xfer += this->records[_i179].read(iprot);
+              xfer += this->records[_i185].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7138,10 +7218,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<CrashRecord> ::const_iterator _iter180;
-    for (_iter180 = this->records.begin(); _iter180 != this->records.end(); ++_iter180)
+    std::vector<CrashRecord> ::const_iterator _iter186;
+    for (_iter186 = this->records.begin(); _iter186 != this->records.end(); ++_iter186)
     {
-      xfer += (*_iter180).write(oprot);
+      xfer += (*_iter186).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7158,13 +7238,13 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNotice::CrashNotice(const CrashNotice& other181) {
-  records = other181.records;
-  __isset = other181.__isset;
+CrashNotice::CrashNotice(const CrashNotice& other187) {
+  records = other187.records;
+  __isset = other187.__isset;
 }
-CrashNotice& CrashNotice::operator=(const CrashNotice& other182) {
-  records = other182.records;
-  __isset = other182.__isset;
+CrashNotice& CrashNotice::operator=(const CrashNotice& other188) {
+  records = other188.records;
+  __isset = other188.__isset;
   return *this;
 }
 void CrashNotice::printTo(std::ostream& out) const {
@@ -7284,17 +7364,17 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingServer::LeavingServer(const LeavingServer& other183) {
-  id = other183.id;
-  startedMs = other183.startedMs;
-  isReplaced = other183.isReplaced;
-  __isset = other183.__isset;
+LeavingServer::LeavingServer(const LeavingServer& other189) {
+  id = other189.id;
+  startedMs = other189.startedMs;
+  isReplaced = other189.isReplaced;
+  __isset = other189.__isset;
 }
-LeavingServer& LeavingServer::operator=(const LeavingServer& other184) {
-  id = other184.id;
-  startedMs = other184.startedMs;
-  isReplaced = other184.isReplaced;
-  __isset = other184.__isset;
+LeavingServer& LeavingServer::operator=(const LeavingServer& other190) {
+  id = other190.id;
+  startedMs = other190.startedMs;
+  isReplaced = other190.isReplaced;
+  __isset = other190.__isset;
   return *this;
 }
 void LeavingServer::printTo(std::ostream& out) const {
@@ -7346,14 +7426,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size185;
-            ::apache::thrift::protocol::TType _etype188;
-            xfer += iprot->readListBegin(_etype188, _size185);
-            this->servers.resize(_size185);
-            uint32_t _i189;
-            for (_i189 = 0; _i189 < _size185; ++_i189)
+            uint32_t _size191;
+            ::apache::thrift::protocol::TType _etype194;
+            xfer += iprot->readListBegin(_etype194, _size191);
+            this->servers.resize(_size191);
+            uint32_t _i195;
+            for (_i195 = 0; _i195 < _size191; ++_i195)
             {
-              xfer += this->servers[_i189].read(iprot);
+              xfer += this->servers[_i195].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7382,10 +7462,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<LeavingServer> ::const_iterator _iter190;
-    for (_iter190 = this->servers.begin(); _iter190 != this->servers.end(); ++_iter190)
+    std::vector<LeavingServer> ::const_iterator _iter196;
+    for (_iter196 = this->servers.begin(); _iter196 != this->servers.end(); ++_iter196)
     {
-      xfer += (*_iter190).write(oprot);
+      xfer += (*_iter196).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7402,13 +7482,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingNotice::LeavingNotice(const LeavingNotice& other191) {
-  servers = other191.servers;
-  __isset = other191.__isset;
+LeavingNotice::LeavingNotice(const LeavingNotice& other197) {
+  servers = other197.servers;
+  __isset = other197.__isset;
 }
-LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other192) {
-  servers = other192.servers;
-  __isset = other192.__isset;
+LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other198) {
+  servers = other198.servers;
+  __isset = other198.__isset;
   return *this;
 }
 void LeavingNotice::printTo(std::ostream& out) const {
@@ -7528,17 +7608,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemFailure::ItemFailure(const ItemFailure& other193) {
-  item = other193.item;
-  run = other193.run;
-  isUnprocessable = other193.isUnprocessable;
-  __isset = other193.__isset;
+ItemFailure::ItemFailure(const ItemFailure& other199) {
+  item = other199.item;
+  run = other199.run;
+  isUnprocessable = other199.isUnprocessable;
+  __isset = other199.__isset;
 }
-ItemFailure& ItemFailure::operator=(const ItemFailure& other194) {
-  item = other194.item;
-  run = other194.run;
-  isUnprocessable = other194.isUnprocessable;
-  __isset = other194.__isset;
+ItemFailure& ItemFailure::operator=(const ItemFailure& other200) {
+  item = other200.item;
+  run = other200.run;
+  isUnprocessable = other200.isUnprocessable;
+  __isset = other200.__isset;
   return *this;
 }
 void ItemFailure::printTo(std::ostream& out) const {
@@ -7590,14 +7670,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failures.clear();
-            uint32_t _size195;
-            ::apache::thrift::protocol::TType _etype198;
-            xfer += iprot->readListBegin(_etype198, _size195);
-            this->failures.resize(_size195);
-            uint32_t _i199;
-            for (_i199 = 0; _i199 < _size195; ++_i199)
+            uint32_t _size201;
+            ::apache::thrift::protocol::TType _etype204;
+            xfer += iprot->readListBegin(_etype204, _size201);
+            this->failures.resize(_size201);
+            uint32_t _i205;
+            for (_i205 = 0; _i205 < _size201; ++_i205)
             {
-              xfer += this->failures[_i199].read(iprot);
+              xfer += this->failures[_i205].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7626,10 +7706,10 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<ItemFailure> ::const_iterator _iter200;
-    for (_iter200 = this->failures.begin(); _iter200 != this->failures.end(); ++_iter200)
+    std::vector<ItemFailure> ::const_iterator _iter206;
+    for (_iter206 = this->failures.begin(); _iter206 != this->failures.end(); ++_iter206)
     {
-      xfer += (*_iter200).write(oprot);
+      xfer += (*_iter206).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7646,13 +7726,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemFailureNotice::ItemFailureNotice(const ItemFailureNotice& other201) {
-  failures = other201.failures;
-  __isset = other201.__isset;
+ItemFailureNotice::ItemFailureNotice(const ItemFailureNotice& other207) {
+  failures = other207.failures;
+  __isset = other207.__isset;
 }
-ItemFailureNotice& ItemFailureNotice::operator=(const ItemFailureNotice& other202) {
-  failures = other202.failures;
-  __isset = other202.__isset;
+ItemFailureNotice& ItemFailureNotice::operator=(const ItemFailureNotice& other208) {
+  failures = other208.failures;
+  __isset = other208.__isset;
   return *this;
 }
 void ItemFailureNotice::printTo(std::ostream& out) const {
@@ -7806,21 +7886,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerLimit::ServerLimit(const ServerLimit& other203) {
-  server = other203.server;
-  startedMs = other203.startedMs;
-  limit = other203.limit;
-  issuer = other203.issuer;
-  sequence = other203.sequence;
-  __isset = other203.__isset;
-}
-ServerLimit& ServerLimit::operator=(const ServerLimit& other204) {
-  server = other204.server;
-  startedMs = other204.startedMs;
-  limit = other204.limit;
-  issuer = other204.issuer;
-  sequence = other204.sequence;
-  __isset = other204.__isset;
+ServerLimit::ServerLimit(const ServerLimit& other209) {
+  server = other209.server;
+  startedMs = other209.startedMs;
+  limit = other209.limit;
+  issuer = other209.issuer;
+  sequence = other209.sequence;
+  __isset = other209.__isset;
+}
+ServerLimit& ServerLimit::operator=(const ServerLimit& other210) {
+  server = other210.server;
+  startedMs = other210.startedMs;
+  limit = other210.limit;
+  issuer = other210.issuer;
+  sequence = other210.sequence;
+  __isset = other210.__isset;
   return *this;
 }
 void ServerLimit::printTo(std::ostream& out) const {
@@ -7874,14 +7954,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size205;
-            ::apache::thrift::protocol::TType _etype208;
-            xfer += iprot->readListBegin(_etype208, _size205);
-            this->limits.resize(_size205);
-            uint32_t _i209;
-            for (_i209 = 0; _i209 < _size205; ++_i209)
+            uint32_t _size211;
+            ::apache::thrift::protocol::TType _etype214;
+            xfer += iprot->readListBegin(_etype214, _size211);
+            this->limits.resize(_size211);
+            uint32_t _i215;
+            for (_i215 = 0; _i215 < _size211; ++_i215)
             {
-              xfer += this->limits[_i209].read(iprot);
+              xfer += this->limits[_i215].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7910,10 +7990,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<ServerLimit> ::const_iterator _iter210;
-    for (_iter210 = this->limits.begin(); _iter210 != this->limits.end(); ++_iter210)
+    std::vector<ServerLimit> ::const_iterator _iter216;
+    for (_iter216 = this->limits.begin(); _iter216 != this->limits.end(); ++_iter216)
     {
-      xfer += (*_iter210).write(oprot);
+      xfer += (*_iter216).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7930,13 +8010,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitNotice::LimitNotice(const LimitNotice& other211) {
-  limits = other211.limits;
-  __isset = other211.__isset;
+LimitNotice::LimitNotice(const LimitNotice& other217) {
+  limits = other217.limits;
+  __isset = other217.__isset;
 }
-LimitNotice& LimitNotice::operator=(const LimitNotice& other212) {
-  limits = other212.limits;
-  __isset = other212.__isset;
+LimitNotice& LimitNotice::operator=(const LimitNotice& other218) {
+  limits = other218.limits;
+  __isset = other218.__isset;
   return *this;
 }
 void LimitNotice::printTo(std::ostream& out) const {
@@ -8090,21 +8170,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitRequest::PermitRequest(const PermitRequest& other213) {
-  known = other213.known;
-  process = other213.process;
-  priority = other213.priority;
-  count = other213.count;
-  isForwarded = other213.isForwarded;
-  __isset = other213.__isset;
-}
-PermitRequest& PermitRequest::operator=(const PermitRequest& other214) {
-  known = other214.known;
-  process = other214.process;
-  priority = other214.priority;
-  count = other214.count;
-  isForwarded = other214.isForwarded;
-  __isset = other214.__isset;
+PermitRequest::PermitRequest(const PermitRequest& other219) {
+  known = other219.known;
+  process = other219.process;
+  priority = other219.priority;
+  count = other219.count;
+  isForwarded = other219.isForwarded;
+  __isset = other219.__isset;
+}
+PermitRequest& PermitRequest::operator=(const PermitRequest& other220) {
+  known = other220.known;
+  process = other220.process;
+  priority = other220.priority;
+  count = other220.count;
+  isForwarded = other220.isForwarded;
+  __isset = other220.__isset;
   return *this;
 }
 void PermitRequest::printTo(std::ostream& out) const {
@@ -8245,19 +8325,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitAnswer::PermitAnswer(const PermitAnswer& other215) {
-  limit = other215.limit;
-  count = other215.count;
-  retryInMs = other215.retryInMs;
-  intervalMs = other215.intervalMs;
-  __isset = other215.__isset;
+PermitAnswer::PermitAnswer(const PermitAnswer& other221) {
+  limit = other221.limit;
+  count = other221.count;
+  retryInMs = other221.retryInMs;
+  intervalMs = other221.intervalMs;
+  __isset = other221.__isset;
 }
-PermitAnswer& PermitAnswer::operator=(const PermitAnswer& other216) {
-  limit = other216.limit;
-  count = other216.count;
-  retryInMs = other216.retryInMs;
-  intervalMs = other216.intervalMs;
-  __isset = other216.__isset;
+PermitAnswer& PermitAnswer::operator=(const PermitAnswer& other222) {
+  limit = other222.limit;
+  count = other222.count;
+  retryInMs = other222.retryInMs;
+  intervalMs = other222.intervalMs;
+  __isset = other222.__isset;
   return *this;
 }
 void PermitAnswer::printTo(std::ostream& out) const {
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -3097,13 +3097,16 @@
 std::ostream& operator<<(std::ostream& out, const LoadModelNotice& obj);
 
 typedef struct _CrashRecord__isset {
-  _CrashRecord__isset() : contentHigh(false), contentLow(false), generation(false), crashedServers(false), blockedForMs(false), isOwed(false) {}
+  _CrashRecord__isset() : contentHigh(false), contentLow(false), generation(false), crashedServers(false), blockedForMs(false), isOwed(false), failedTrials(false), trialForMs(false), trialServer(false) {}
   bool contentHigh :1;
   bool contentLow :1;
   bool generation :1;
   bool crashedServers :1;
   bool blockedForMs :1;
   bool isOwed :1;
+  bool failedTrials :1;
+  bool trialForMs :1;
+  bool trialServer :1;
 } _CrashRecord__isset;
 
 /**
@@ -3119,7 +3122,9 @@
                 contentLow(0),
                 generation(0),
                 blockedForMs(0),
-                isOwed(0) {
+                isOwed(0),
+                trialForMs(0),
+                trialServer() {
   }
 
   virtual ~CrashRecord() noexcept;
@@ -3138,6 +3143,15 @@
    * Whether jobs owe the content (ContentKind in CrashRegister.h).
    */
   bool isOwed;
+  /**
+   * Those of the crashed servers that ended under a trial.
+   */
+  std::vector<std::string>  failedTrials;
+  /**
+   * Time until a trial that is under way is given up, in ms; 0 if there is none.
+   */
+  int64_t trialForMs;
+  std::string trialServer;
 
   _CrashRecord__isset __isset;
 
@@ -3153,6 +3167,12 @@
 
   void __set_isOwed(const bool val);
 
+  void __set_failedTrials(const std::vector<std::string> & val);
+
+  void __set_trialForMs(const int64_t val);
+
+  void __set_trialServer(const std::string& val);
+
   bool operator == (const CrashRecord & rhs) const
   {
     if (!(contentHigh == rhs.contentHigh))
@@ -3167,6 +3187,12 @@
       return false;
     if (!(isOwed == rhs.isOwed))
       return false;
+    if (!(failedTrials == rhs.failedTrials))
+      return false;
+    if (!(trialForMs == rhs.trialForMs))
+      return false;
+    if (!(trialServer == rhs.trialServer))
+      return false;
     return true;
   }
   bool operator != (const CrashRecord &rhs) const {
