BUDGET: every failed trial counts, and a trial's time is the time of its sending

Cause: in the product's own deployment the start of an engine is not known, so an engine that ended again had the same name and its end counted for nothing; and Generator took the time of an attempt before it waited for a trial, so that the trial was taken for an earlier attempt.

Change: a failed trial at a server that is known to have ended is numbered. The time of sending is taken after the wait. What was sent while another content explained the ends is no trial (trialsSince begins with the block).

--- a/include/endiveroad/CrashRegister.h
+++ b/include/endiveroad/CrashRegister.h
@@ -27,7 +27,7 @@
     int64_t generation = 0;
     /// The servers that ended under the content, each start of a server under a name of its own.
     std::set<std::string> crashedServers;
-    /// Those of them that ended under a trial.
+    /// Those of them that ended under a trial; numbered if a server ended again before its new start was known.
     std::set<std::string> failedTrials;
     /// A trial is under way until then, unless its outcome comes earlier.
     Instant trialUntil = Instant::min();
@@ -163,7 +163,7 @@
     bool isProven(const Entry&) const;
     /// Number of the failed trials that count: those without another content that may have ended the server as well.
     size_t countedFailures(const CrashRecord&) const;
-    bool hadOtherCause(const ContentId&, const std::string& serverStart) const;
+    bool hadOtherCause(const ContentId&, const std::string& failedTrial) const;
     bool wasTrial(const Entry&, Instant sentAt) const;
     /// Call after each change of a record.
     void settleBlocks(Instant now);
--- a/src/core/calls/CrashRegister.cpp
+++ b/src/core/calls/CrashRegister.cpp
@@ -3,6 +3,13 @@
 
 namespace endiveroad {
 
+namespace {
+
+/// Stands in the name of a failed trial before its number if the server start was known to have ended before.
+constexpr char repeatMark = '+';
+
+} // namespace
+
 Duration CrashRegister::blockAfter(size_t failures, ContentKind kind)
 {
     const auto lengthIn
@@ -44,8 +51,9 @@
         [&](const std::string& server) { return !hadOtherCause(record.content, server); }));
 }
 
-bool CrashRegister::hadOtherCause(const ContentId& content, const std::string& serverStart) const
+bool CrashRegister::hadOtherCause(const ContentId& content, const std::string& failedTrial) const
 {
+    const std::string serverStart = failedTrial.substr(0, failedTrial.find(repeatMark));
     return std::any_of(entries_.begin(), entries_.end(), [&](const auto& entry) {
         const std::set<std::string>& crashes = entry.second.record.crashedServers;
         return entry.first != content && crashes.size() >= blockThreshold && crashes.contains(serverStart);
@@ -62,9 +70,11 @@
     for (auto& [content, entry] : entries_) {
         if (entry.isBlockFinal || entry.record.crashedServers.size() < blockThreshold)
             continue;
-        if (entry.trialsSince == never)
+        if (!hasBlock(entry))
+            entry.trialsSince = never;
+        else if (entry.trialsSince == never)
             entry.trialsSince = now;
-        entry.isBlockFinal = now >= entry.trialsSince + settleTime && hasBlock(entry);
+        entry.isBlockFinal = entry.trialsSince != never && now >= entry.trialsSince + settleTime;
     }
     for (auto& [content, entry] : entries_) {
         if (entry.isProofFinal || entry.record.failedTrials.empty())
@@ -185,10 +195,14 @@
     record.content = report.content;
     record.kind = std::max(record.kind, report.kind);
     const bool isFailedTrial = wasTrial(entry, report.sentAt);
-    if (!record.crashedServers.insert(report.serverStart).second)
+    std::string server = report.serverStart;
+    // Only one process sends a trial, so this is another end of a server whose new start is not known yet.
+    if (isFailedTrial && record.crashedServers.contains(server))
+        server += repeatMark + std::to_string(record.failedTrials.size() + 1);
+    if (!record.crashedServers.insert(server).second)
         return false;
     if (isFailedTrial) {
-        record.failedTrials.insert(report.serverStart);
+        record.failedTrials.insert(server);
         record.trialUntil = now;
         const Duration block = blockAfter(countedFailures(record), record.kind);
         record.blockedUntil = std::max(record.blockedUntil, now + block);
--- a/src/io/agent/Generator.cpp
+++ b/src/io/agent/Generator.cpp
@@ -76,10 +76,11 @@
 asio::awaitable<void> Generator::runStream(
     const wire::GenerateRequest& request, SampleProgress& progress, Instant deadline, GenerationHandle& handle)
 {
-    const ServerAttempt attempt = attemptOf(request);
+    ServerAttempt attempt = attemptOf(request);
     const bool isAdmitted = co_await crashGuard_.admitUntil(attempt.content, attempt.server, deadline, attempt.kind);
     if (!isAdmitted)
         throw NotRunError("engines have ended under the prompt");
+    attempt.sentAt = now();
     OpenStream stream;
     stream.epoch = tracker_.epoch();
     streams_.insert(&stream);
--- a/tests/core/CrashRegisterTest.cpp
+++ b/tests/core/CrashRegisterTest.cpp
@@ -106,6 +106,20 @@
     CHECK(crashes.record(crashing).crashedServers.size() == 2);
 }
 
+TEST_CASE("each failed trial counts, also at a server whose new start is not known", "[crashes]")
+{
+    CrashRegister crashes;
+    crash(crashes, crashing, 3, start);
+    Instant now = start;
+    for (size_t failures = 1; failures <= CrashRegister::callBlocks.size(); ++failures) {
+        REQUIRE(crashes.admit(crashing, "s0", 0s, now) == CrashAdmission::Trial);
+        CHECK(crashes.onCrash({ crashing, "s0/1", now }, now));
+        CHECK(crashes.record(crashing).failedTrials.size() == failures);
+        CHECK(crashes.blockedUntil(crashing) == now + CrashRegister::callBlocks[failures - 1]);
+        now = crashes.blockedUntil(crashing);
+    }
+}
+
 TEST_CASE("one trial is admitted at a time, and an answer ends the block", "[crashes]")
 {
     CrashRegister crashes;
--- a/tests/process/owed_items.py
+++ b/tests/process/owed_items.py
@@ -15,10 +15,13 @@
     return sorted(moment for server in servers for _, moment in server.crashes)
 
 
-def end_under(servers, body, count):
-    """Lets `count` servers end under the body, and no more; returns the time of the calm."""
+def make_crashing(servers, body):
     for server in servers:
         server.crashing_bodies.add(body)
+
+
+def end_crashes(servers, count):
+    """Waits until `count` servers have ended, and lets no more end; returns the time of the calm."""
     wait_until(lambda: len(crash_times(servers)) >= count, 60)
     for server in servers:
         server.crashing_bodies.clear()
@@ -39,9 +42,10 @@
 
 
 def check_job(deployment, count):
-    deployment.submit("job-owed", ["item-0", "item-1", "item-2"])
     body = b"prompt of item-1"
-    calm_since = end_under(deployment.platform.engines, body, count)
+    make_crashing(deployment.platform.engines, body)
+    deployment.submit("job-owed", ["item-0", "item-1", "item-2"])
+    calm_since = end_crashes(deployment.platform.engines, count)
     check_placed(deployment.platform.engines, body, calm_since)
     results = {result["Id"]: result for result in deployment.read_all("job-owed", 3)}
     assert all(result["State"] == "completed" for result in results.values()), results
@@ -58,9 +62,10 @@
 def a_scoring_call_under_which_five_servers_ended_is_not_sent_again(deployment):
     body = b"the text of item-1"
     deployment.scoring_bodies["item-1"] = body
-    deployment.submit("job-scored", ["item-0", "item-1", "item-2"])
     services = deployment.platform.services
-    calm_since = end_under(services, body, 5)
+    make_crashing(services, body)
+    deployment.submit("job-scored", ["item-0", "item-1", "item-2"])
+    calm_since = end_crashes(services, 5)
     check_placed(services, body, calm_since)
     results = {result["Id"]: result for result in deployment.read_all("job-scored", 3)}
     assert all(result["State"] == "completed" for result in results.values()), results
