--- a/include/endiveroad/CrashRegister.h
+++ b/include/endiveroad/CrashRegister.h
@@ -4,8 +4,10 @@
 #include <compare>
 #include <cstdint>
 #include <endiveroad/ContentId.h>
+#include <endiveroad/CrashTrial.h>
 #include <endiveroad/Time.h>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,23 +29,26 @@
     int64_t generation = 0;
     /// The servers that ended under the content, each start of a server under a name of its own.
     std::set<std::string> crashedServers;
-    /// Those of them that ended under a trial; numbered if a server ended again before its new start was known.
-    std::set<std::string> failedTrials;
-    /// A trial is under way until then, unless its outcome comes earlier.
-    Instant trialUntil = Instant::min();
-    /// Id of the server that has the last trial.
-    std::string trialServer;
+    /// Ends under trials.
+    std::set<FailedTrial> failedTrials;
+    CrashTrial trial;
     /// The content is not sent to servers before this time if one of the failed trials counts.
     Instant blockedUntil = Instant::min();
     ContentKind kind = ContentKind::Call;
 
     auto operator<=>(const CrashRecord&) const = default;
+
+    bool isSameButTrial(CrashRecord other) const
+    {
+        other.trial = trial;
+        return *this == other;
+    }
 };
 
 /// Whether a content may be sent to a server now. Trial: this request finds out whether the content crashes servers,
-/// and no other is sent meanwhile. Pending: such a request is under way or about to begin, and none has ended a server
-/// yet. Blocked: a trial has ended a server.
-enum class CrashAdmission { Admitted, Trial, Pending, Blocked };
+/// and no other is sent meanwhile. Announced: this process will send the trial to the server, when it is due. Pending:
+/// a trial is under way or announced, and none has ended a server yet. Blocked: a trial has ended a server.
+enum class CrashAdmission { Admitted, Trial, Announced, Pending, Blocked };
 
 /// An attempt under which a server ended.
 struct CrashReport {
@@ -76,14 +81,24 @@
         std::chrono::seconds(4), std::chrono::seconds(40), std::chrono::minutes(5) };
     static constexpr Duration longestBlock = std::chrono::minutes(5);
 
+    /// Time between the announcement of a trial and its sending. Other processes learn of it, and requests that the
+    /// server has may end.
+    static constexpr Duration announceTime = std::chrono::milliseconds(30);
+
+    /// Time after that in which the process has to send it; then another one may announce the next.
+    static constexpr Duration announceGrace = std::chrono::milliseconds(50);
+
     /// Time for the outcome of a trial to become known, in which no other is sent.
     static constexpr Duration trialTime = std::chrono::seconds(5);
     static constexpr Duration owedTrialTime = std::chrono::seconds(1);
 
-    /// A trial that no server ran is followed by another at once for this time after the content reached
-    /// blockThreshold; later it counts like one without an outcome.
+    /// A trial that no server ran, or under whose end another content may be the cause, is followed by another at once
+    /// if it was sent within this time after the content reached blockThreshold. The users' limit counts later ones.
     static constexpr Duration freeTrialTime = std::chrono::seconds(2);
 
+    /// Number of failed trials that another content excuses.
+    static constexpr size_t maxExcusedTrials = 1;
+
     /// Time after the last crash for which a record is kept.
     static constexpr Duration recordLifetime = std::chrono::minutes(10);
 
@@ -106,13 +121,16 @@
 
     bool isSuspect(const ContentId&) const;
 
-    /// Asked before each attempt at a server. A trial changes the record: the content is held back for trialTime, and
-    /// others keep away from the server. The first process that asks when a trial is due gets it after trialDelay,
-    /// which processes draw at random, since requests with the content may wait in several of them.
-    CrashAdmission admit(const ContentId&, const std::string& server, Duration trialDelay, Instant now);
+    /// Asked before each attempt at a server. Trial and Announced change the record: others keep away from the server,
+    /// and the content is held back until the trial ends. ticket: a number that is drawn at random for each call.
+    CrashAdmission admit(const ContentId&, const std::string& server, uint64_t ticket, Instant now);
+
+    /// The trial that this process has announced and not sent yet; nothing if there is none or it has expired.
+    std::optional<CrashTrial> ownAnnouncement(const ContentId&, Instant now) const;
 
-    /// No server ran an attempt that was sent at this time. wasReceived: one answered so.
-    void onNotRun(const ContentId&, Instant sentAt, bool wasReceived, Instant now);
+    /// No server ran an attempt that was sent at this time. wasReceived: one answered so. Returns whether the record
+    /// changed.
+    bool onNotRun(const ContentId&, Instant sentAt, bool wasReceived, Instant now);
 
     /// This process sent the content to a server; onEnd() follows.
     void onStart(const ContentId&, const std::string& server);
@@ -121,9 +139,12 @@
     /// Servers that have a suspect of this process other than the content.
     std::set<std::string> serversWithOtherSuspects(const ContentId&) const;
 
-    /// Servers that have a trial of another content, of any process.
+    /// Servers that have a trial of another content, of any process, or have one announced.
     std::set<std::string> serversWithOtherTrials(const ContentId&, Instant now) const;
 
+    /// True if the server has a trial of another content that precedes the last trial of this one.
+    bool isServerTaken(const ContentId&, const std::string& server, Instant now) const;
+
     /// A server ended while it had a content. Returns whether the record changed.
     bool onCrash(const CrashReport&, Instant now);
 
@@ -148,11 +169,8 @@
         Instant trialsSince = never;
         /// Whether that stays so, whatever is learned of other contents.
         bool isBlockFinal = false;
-        /// Since when a failed trial counts, and whether that stays so.
-        Instant provenSince = never;
-        bool isProofFinal = false;
-        /// When this process may send the trial that is due; `never` until a request asks for it.
-        Instant nextTrialAt = never;
+        /// Ticket of the last trial that this process has announced; 0 if it has announced none.
+        uint64_t ownTicket = 0;
     };
 
     /// Length of the block after this number of failed trials that count.
@@ -161,10 +179,14 @@
     bool hasBlock(const Entry&) const;
     /// True if a trial has shown that the content crashes servers.
     bool isProven(const Entry&) const;
-    /// Number of the failed trials that count: those without another content that may have ended the server as well.
+    /// Number of the failed trials that count: those that no other content excuses.
     size_t countedFailures(const CrashRecord&) const;
-    bool hadOtherCause(const ContentId&, const std::string& failedTrial) const;
+    /// True if another content was at the server as well, and has not been answered since.
+    bool hadOtherCause(const ContentId&, const FailedTrial&) const;
     bool wasTrial(const Entry&, Instant sentAt) const;
+    /// True if a crash of an attempt that was sent at this time is the outcome of the trial that is under way.
+    static bool endsTrial(const Entry&, Instant sentAt);
+    static bool isAnnouncedHere(const Entry&);
     /// Call after each change of a record.
     void settleBlocks(Instant now);
     /// Number of the record's crashes that no content with more crashes explains.
--- a/src/core/calls/CrashRegister.cpp
+++ b/src/core/calls/CrashRegister.cpp
@@ -23,10 +23,9 @@
     if (found == entries_.end() || !hasBlock(found->second))
         return Instant::min();
     const Entry& entry = found->second;
-    Instant end = entry.record.trialUntil;
-    if (entry.nextTrialAt != never)
-        end = std::max(end, entry.nextTrialAt);
-    return isProven(entry) ? std::max(end, entry.record.blockedUntil) : end;
+    const CrashTrial& trial = entry.record.trial;
+    const Instant trialEnd = trial.phase == CrashTrial::Phase::Ended ? Instant::min() : trial.until;
+    return isProven(entry) ? std::max(trialEnd, entry.record.blockedUntil) : trialEnd;
 }
 
 bool CrashRegister::isPending(const ContentId& content) const
@@ -42,27 +41,51 @@
 
 bool CrashRegister::isProven(const Entry& entry) const
 {
-    return entry.isProofFinal || countedFailures(entry.record) > 0;
+    return countedFailures(entry.record) > 0;
 }
 
 size_t CrashRegister::countedFailures(const CrashRecord& record) const
 {
-    return static_cast<size_t>(std::count_if(record.failedTrials.begin(), record.failedTrials.end(),
-        [&](const std::string& server) { return !hadOtherCause(record.content, server); }));
+    const auto excused = std::count_if(record.failedTrials.begin(), record.failedTrials.end(),
+        [&](const FailedTrial& failed) { return !failed.isLate && hadOtherCause(record.content, failed); });
+    return record.failedTrials.size() - std::min(static_cast<size_t>(excused), maxExcusedTrials);
 }
 
-bool CrashRegister::hadOtherCause(const ContentId& content, const std::string& failedTrial) const
+bool CrashRegister::hadOtherCause(const ContentId& content, const FailedTrial& failed) const
 {
-    const std::string serverStart = failedTrial.substr(0, failedTrial.find(repeatMark));
+    const std::string serverStart = failed.serverStart.substr(0, failed.serverStart.find(repeatMark));
     return std::any_of(entries_.begin(), entries_.end(), [&](const auto& entry) {
-        const std::set<std::string>& crashes = entry.second.record.crashedServers;
-        return entry.first != content && crashes.size() >= blockThreshold && crashes.contains(serverStart);
+        return entry.first != content && entry.second.record.crashedServers.contains(serverStart);
     });
 }
 
 bool CrashRegister::wasTrial(const Entry& entry, Instant sentAt) const
 {
-    return sentAt >= entry.trialsSince && hasBlock(entry);
+    return sentAt > entry.trialsSince && hasBlock(entry);
+}
+
+bool CrashRegister::endsTrial(const Entry& entry, Instant sentAt)
+{
+    const CrashTrial& trial = entry.record.trial;
+    // Of another process, the time of sending is known only to within the time of transmission.
+    const Duration tolerance = trial.ticket == entry.ownTicket ? Duration::zero() : mergeTolerance;
+    return trial.phase == CrashTrial::Phase::Sent && sentAt >= trial.sendAt - tolerance;
+}
+
+bool CrashRegister::isAnnouncedHere(const Entry& entry)
+{
+    const CrashTrial& trial = entry.record.trial;
+    return trial.phase == CrashTrial::Phase::Announced && trial.ticket == entry.ownTicket;
+}
+
+bool CrashRegister::isServerTaken(const ContentId& content, const std::string& server, Instant now) const
+{
+    const auto found = entries_.find(content);
+    const CrashTrial own = found == entries_.end() ? CrashTrial() : found->second.record.trial;
+    return std::any_of(entries_.begin(), entries_.end(), [&](const auto& entry) {
+        const CrashTrial& other = entry.second.record.trial;
+        return entry.first != content && other.isUnderWay(now) && other.server == server && other.precedes(own);
+    });
 }
 
 void CrashRegister::settleBlocks(Instant now)
@@ -76,15 +99,6 @@
             entry.trialsSince = now;
         entry.isBlockFinal = entry.trialsSince != never && now >= entry.trialsSince + settleTime;
     }
-    for (auto& [content, entry] : entries_) {
-        if (entry.isProofFinal || entry.record.failedTrials.empty())
-            continue;
-        if (!isProven(entry))
-            entry.provenSince = never;
-        else if (entry.provenSince == never)
-            entry.provenSince = now;
-        entry.isProofFinal = entry.provenSince != never && now >= entry.provenSince + settleTime;
-    }
 }
 
 size_t CrashRegister::unexplainedCrashes(const CrashRecord& record) const
@@ -108,8 +122,7 @@
     return found != entries_.end() && found->second.record.crashedServers.size() >= suspectThreshold;
 }
 
-CrashAdmission CrashRegister::admit(
-    const ContentId& content, const std::string& server, Duration trialDelay, Instant now)
+CrashAdmission CrashRegister::admit(const ContentId& content, const std::string& server, uint64_t ticket, Instant now)
 {
     const auto found = entries_.find(content);
     if (found == entries_.end())
@@ -118,29 +131,49 @@
     Entry& entry = found->second;
     if (!hasBlock(entry))
         return CrashAdmission::Admitted;
-    CrashRecord& record = entry.record;
     const CrashAdmission refusal = isProven(entry) ? CrashAdmission::Blocked : CrashAdmission::Pending;
-    const bool isBlocked = refusal == CrashAdmission::Blocked && record.blockedUntil > now;
-    if (isBlocked || record.trialUntil > now)
+    if (refusal == CrashAdmission::Blocked && entry.record.blockedUntil > now)
+        return refusal;
+    CrashTrial& trial = entry.record.trial;
+    const bool isUnderWay = trial.isUnderWay(now);
+    if (!isUnderWay || (isAnnouncedHere(entry) && trial.server != server)) {
+        const Instant sendAt = now + announceTime;
+        trial = { trial.round + 1, CrashTrial::Phase::Announced, ticket, server, sendAt, sendAt + announceGrace };
+        entry.ownTicket = ticket;
+        return CrashAdmission::Announced;
+    }
+    if (!isAnnouncedHere(entry) || trial.sendAt > now)
         return refusal;
-    if (entry.nextTrialAt == never)
-        entry.nextTrialAt = now + trialDelay;
-    if (entry.nextTrialAt > now)
+    if (isServerTaken(content, server, now)) {
+        trial.phase = CrashTrial::Phase::Ended;
         return refusal;
-    entry.nextTrialAt = never;
-    record.trialUntil = now + (record.kind == ContentKind::Owed ? owedTrialTime : trialTime);
-    record.trialServer = server;
+    }
+    trial.phase = CrashTrial::Phase::Sent;
+    trial.sendAt = now;
+    trial.until = now + (entry.record.kind == ContentKind::Owed ? owedTrialTime : trialTime);
     return CrashAdmission::Trial;
 }
 
-void CrashRegister::onNotRun(const ContentId& content, Instant sentAt, bool wasReceived, Instant now)
+std::optional<CrashTrial> CrashRegister::ownAnnouncement(const ContentId& content, Instant now) const
+{
+    const auto found = entries_.find(content);
+    if (found == entries_.end() || !isAnnouncedHere(found->second) || !found->second.record.trial.isUnderWay(now))
+        return std::nullopt;
+    return found->second.record.trial;
+}
+
+bool CrashRegister::onNotRun(const ContentId& content, Instant sentAt, bool wasReceived, Instant now)
 {
     const auto found = entries_.find(content);
     if (found == entries_.end() || !wasTrial(found->second, sentAt))
-        return;
-    const bool isFree = !isProven(found->second) && now < found->second.trialsSince + freeTrialTime;
-    if (!wasReceived || isFree)
-        found->second.record.trialUntil = now;
+        return false;
+    Entry& entry = found->second;
+    const bool isFree = !isProven(entry) && now < entry.trialsSince + freeTrialTime;
+    const bool isRepeated = !wasReceived || isFree;
+    if (!isRepeated || entry.record.trial.phase != CrashTrial::Phase::Sent)
+        return false;
+    entry.record.trial.phase = CrashTrial::Phase::Ended;
+    return true;
 }
 
 void CrashRegister::onStart(const ContentId& content, const std::string& server)
@@ -174,8 +207,8 @@
 {
     std::set<std::string> servers;
     for (const auto& [other, entry] : entries_) {
-        if (other != content && entry.record.trialUntil > now)
-            servers.insert(entry.record.trialServer);
+        if (other != content && entry.record.trial.isUnderWay(now))
+            servers.insert(entry.record.trial.server);
     }
     return servers;
 }
@@ -199,15 +232,17 @@
     // Only one process sends a trial, so this is another end of a server whose new start is not known yet.
     if (isFailedTrial && record.crashedServers.contains(server))
         server += repeatMark + std::to_string(record.failedTrials.size() + 1);
-    if (!record.crashedServers.insert(server).second)
-        return false;
+    const bool isNew = record.crashedServers.insert(server).second;
+    const bool isTrialOver = endsTrial(entry, report.sentAt);
+    if (isTrialOver)
+        record.trial.phase = CrashTrial::Phase::Ended;
+    if (!isNew)
+        return isTrialOver;
     if (isFailedTrial) {
-        record.failedTrials.insert(server);
-        record.trialUntil = now;
+        record.failedTrials.insert({ server, report.sentAt >= entry.trialsSince + freeTrialTime });
         const Duration block = blockAfter(countedFailures(record), record.kind);
         record.blockedUntil = std::max(record.blockedUntil, now + block);
     }
-    entry.nextTrialAt = never;
     entry.expiry = now + recordLifetime;
     removeExpired(now);
     settleBlocks(now);
@@ -228,14 +263,10 @@
     ++entry.record.generation;
     entry.record.crashedServers.clear();
     entry.record.failedTrials.clear();
-    entry.record.trialUntil = Instant::min();
-    entry.record.trialServer.clear();
+    entry.record.trial = {};
     entry.record.blockedUntil = Instant::min();
-    entry.provenSince = never;
-    entry.isProofFinal = false;
     entry.trialsSince = never;
     entry.isBlockFinal = false;
-    entry.nextTrialAt = never;
 }
 
 bool CrashRegister::merge(const CrashRecord& other, Instant now)
@@ -249,28 +280,19 @@
         record = other;
     } else if (other.generation == record.generation) {
         record.crashedServers.insert(other.crashedServers.begin(), other.crashedServers.end());
-        // A trial that failed is over.
-        const size_t failures = record.failedTrials.size();
         record.failedTrials.insert(other.failedTrials.begin(), other.failedTrials.end());
-        const bool hasNewFailure = record.failedTrials.size() > failures;
-        if (hasNewFailure || other.trialUntil > record.trialUntil) {
-            record.trialUntil = other.trialUntil;
-            record.trialServer = other.trialServer;
-        }
+        if (other.trial.supersedes(record.trial))
+            record.trial = other.trial;
         record.blockedUntil = std::max(record.blockedUntil, other.blockedUntil);
         record.kind = std::max(record.kind, other.kind);
     }
     const bool isChanged = record.generation != before.generation || record.crashedServers != before.crashedServers
         || record.failedTrials != before.failedTrials || record.kind != before.kind
-        || record.blockedUntil > before.blockedUntil + mergeTolerance
-        || record.trialUntil > before.trialUntil + mergeTolerance;
+        || record.blockedUntil > before.blockedUntil + mergeTolerance || record.trial.supersedes(before.trial);
     if (!isChanged) {
         record.blockedUntil = before.blockedUntil;
-        record.trialUntil = before.trialUntil;
-        record.trialServer = before.trialServer;
         return false;
     }
-    entry.nextTrialAt = never;
     entry.expiry = now + recordLifetime;
     removeExpired(now);
     settleBlocks(now);
--- a/src/io/CrashGuard.cpp
+++ b/src/io/CrashGuard.cpp
@@ -27,6 +27,45 @@
     return time.count() > 0 ? now() + std::min<Duration>(time, longest) : Instant::min();
 }
 
+wire::FailedTrial toWire(const FailedTrial& failed)
+{
+    wire::FailedTrial encoded;
+    encoded.serverStart = failed.serverStart;
+    encoded.isLate = failed.isLate;
+    return encoded;
+}
+
+wire::CrashTrial toWire(const CrashTrial& trial)
+{
+    wire::CrashTrial encoded;
+    encoded.round = trial.round;
+    encoded.ticket = static_cast<int64_t>(trial.ticket);
+    encoded.phase = static_cast<int32_t>(trial.phase);
+    encoded.server = trial.server;
+    if (trial.phase != CrashTrial::Phase::Ended) {
+        encoded.sendInMs = std::chrono::duration_cast<std::chrono::milliseconds>(trial.sendAt - now()).count();
+        encoded.leftMs = millisecondsUntil(trial.until);
+    }
+    return encoded;
+}
+
+CrashTrial fromWire(const wire::CrashTrial& encoded)
+{
+    const int32_t lastPhase = static_cast<int32_t>(CrashTrial::Phase::Ended);
+    const std::chrono::milliseconds longest
+        = std::chrono::duration_cast<std::chrono::milliseconds>(CrashRegister::trialTime);
+    CrashTrial trial;
+    trial.round = encoded.round;
+    trial.ticket = static_cast<uint64_t>(encoded.ticket);
+    trial.phase = static_cast<CrashTrial::Phase>(std::clamp(encoded.phase, 0, lastPhase));
+    trial.server = encoded.server;
+    if (trial.phase == CrashTrial::Phase::Ended)
+        return trial;
+    trial.sendAt = now() + std::clamp(std::chrono::milliseconds(encoded.sendInMs), -longest, longest);
+    trial.until = instantAfter(encoded.leftMs, longest);
+    return trial;
+}
+
 wire::CrashRecord toWire(const CrashRecord& record)
 {
     wire::CrashRecord encoded;
@@ -34,10 +73,10 @@
     encoded.contentLow = static_cast<int64_t>(record.content.low);
     encoded.generation = record.generation;
     encoded.crashedServers.assign(record.crashedServers.begin(), record.crashedServers.end());
-    encoded.failedTrials.assign(record.failedTrials.begin(), record.failedTrials.end());
+    for (const FailedTrial& failed : record.failedTrials)
+        encoded.failedTrials.push_back(toWire(failed));
     encoded.blockedForMs = millisecondsUntil(record.blockedUntil);
-    encoded.trialForMs = millisecondsUntil(record.trialUntil);
-    encoded.trialServer = record.trialServer;
+    encoded.trial = toWire(record.trial);
     encoded.isOwed = record.kind == ContentKind::Owed;
     return encoded;
 }
@@ -48,11 +87,11 @@
     record.content = { static_cast<uint64_t>(encoded.contentHigh), static_cast<uint64_t>(encoded.contentLow) };
     record.generation = encoded.generation;
     record.crashedServers = { encoded.crashedServers.begin(), encoded.crashedServers.end() };
-    record.failedTrials = { encoded.failedTrials.begin(), encoded.failedTrials.end() };
+    for (const wire::FailedTrial& failed : encoded.failedTrials)
+        record.failedTrials.insert({ failed.serverStart, failed.isLate });
     record.kind = encoded.isOwed ? ContentKind::Owed : ContentKind::Call;
     record.blockedUntil = instantAfter(encoded.blockedForMs, CrashRegister::longestBlock);
-    record.trialUntil = instantAfter(encoded.trialForMs, CrashRegister::trialTime);
-    record.trialServer = encoded.trialServer;
+    record.trial = fromWire(encoded.trial);
     return record;
 }
 
@@ -68,59 +107,79 @@
     HttpClient& http, CrashDetector::DirectorySource directory, CrashListener& listener, uint64_t seed)
     : listener_(listener)
     , detector_(http, std::move(directory), [this](const ServerAttempt& attempt) { onCrash(attempt); })
-    , random_(static_cast<uint32_t>(seed) | 1U)
+    , random_(seed)
 {
 }
 
-bool CrashGuard::admit(const ContentId& content, const std::string& server, ContentKind kind)
+bool CrashGuard::admit(const ContentId& content, const std::string& server)
 {
-    std::uniform_int_distribution<Duration::rep> anyDelay(0, maxTrialDelay.count());
-    const Duration delay = kind == ContentKind::Owed ? Duration::zero() : Duration(anyDelay(random_));
-    const CrashAdmission admission = register_.admit(content, server, delay, now());
-    if (admission == CrashAdmission::Trial) {
+    std::uniform_int_distribution<uint64_t> anyTicket(1);
+    const CrashAdmission admission = register_.admit(content, server, anyTicket(random_), now());
+    if (admission == CrashAdmission::Trial)
         log(Event::ContentTried, { { "content", content.text() }, { "server", server } });
-        publish(content);
-    }
+    if (admission == CrashAdmission::Trial || admission == CrashAdmission::Announced)
+        tellPeers(register_.record(content), nullptr);
     return admission == CrashAdmission::Admitted || admission == CrashAdmission::Trial;
 }
 
-asio::awaitable<bool> CrashGuard::admitUntil(ContentId content, std::string server, Instant deadline, ContentKind kind)
+asio::awaitable<bool> CrashGuard::admitUntil(ContentId content, std::string server, Instant deadline)
 {
-    while (!admit(content, server, kind)) {
-        if (!isPending(content) || now() >= deadline)
+    while (!admit(content, server)) {
+        if (blockedUntil(content) || now() >= deadline)
             co_return false;
-        co_await sleepFor(trialCheckInterval);
+        co_await sleepFor(nextCheckAt(content) - now());
     }
     co_return true;
 }
 
+std::optional<std::string> CrashGuard::announcedServer(const ContentId& content) const
+{
+    const auto trial = register_.ownAnnouncement(content, now());
+    return trial ? std::optional(trial->server) : std::nullopt;
+}
+
+Instant CrashGuard::nextCheckAt(const ContentId& content) const
+{
+    const auto trial = register_.ownAnnouncement(content, now());
+    const Instant interval = now() + trialCheckInterval;
+    return trial && trial->sendAt > now() ? std::min(trial->sendAt, interval) : interval;
+}
+
 std::optional<Instant> CrashGuard::blockedUntil(const ContentId& content) const
 {
     const Instant end = register_.blockedUntil(content);
-    if (end <= now() || register_.isPending(content))
+    if (end <= now() || register_.isPending(content) || register_.ownAnnouncement(content, now()))
         return std::nullopt;
     return end;
 }
 
 bool CrashGuard::isPending(const ContentId& content) const
 {
+    if (const auto trial = register_.ownAnnouncement(content, now()))
+        return trial->sendAt > now();
     return register_.isPending(content) && register_.blockedUntil(content) > now();
 }
 
 void CrashGuard::onRefused(const ServerAttempt& attempt)
 {
     detector_.onServerAnswered(attempt.start);
-    register_.onNotRun(attempt.content, attempt.sentAt, true, now());
+    endTrial(attempt, true);
 }
 
 void CrashGuard::onMisdirected(const ServerAttempt& attempt)
 {
-    register_.onNotRun(attempt.content, attempt.sentAt, true, now());
+    endTrial(attempt, true);
 }
 
 void CrashGuard::onNotSent(const ServerAttempt& attempt)
 {
-    register_.onNotRun(attempt.content, attempt.sentAt, false, now());
+    endTrial(attempt, false);
+}
+
+void CrashGuard::endTrial(const ServerAttempt& attempt, bool wasReceived)
+{
+    if (register_.onNotRun(attempt.content, attempt.sentAt, wasReceived, now()))
+        tellPeers(register_.record(attempt.content), nullptr);
 }
 
 std::set<std::string> CrashGuard::serversToAvoid(const ContentId& content) const
@@ -132,6 +191,13 @@
     return servers;
 }
 
+bool CrashGuard::isTakenByOther(const ContentId& content, const std::string& server) const
+{
+    return register_.isSuspect(content)
+        && (register_.isServerTaken(content, server, now())
+            || register_.serversWithOtherSuspects(content).contains(server));
+}
+
 std::set<std::string> CrashGuard::serversOnTrial(const ContentId& content) const
 {
     return register_.serversWithOtherTrials(content, now());
@@ -175,10 +241,15 @@
 void CrashGuard::publish(const ContentId& content)
 {
     const CrashRecord record = register_.record(content);
+    tellPeers(record, nullptr);
+    listener_.onCrashRecord(record);
+}
+
+void CrashGuard::tellPeers(const CrashRecord& record, const PeerConnection* origin)
+{
     wire::CrashNotice notice;
     notice.records.push_back(toWire(record));
-    listener_.publishCrashes(wire::encode(notice), nullptr);
-    listener_.onCrashRecord(record);
+    listener_.publishCrashes(wire::encode(notice), origin);
 }
 
 void CrashGuard::onNotice(const PeerConnection& origin, const std::string& payload)
@@ -187,11 +258,14 @@
     wire::CrashNotice changes;
     for (const wire::CrashRecord& encoded : notice.records) {
         const CrashRecord received = fromWire(encoded);
+        const CrashRecord before = register_.record(received.content);
         if (!register_.merge(received, now()))
             continue;
         const CrashRecord record = register_.record(received.content);
         changes.records.push_back(toWire(record));
-        listener_.onCrashRecord(record);
+        // News of a trial alone are not kept.
+        if (!record.isSameButTrial(before))
+            listener_.onCrashRecord(record);
     }
     if (!changes.records.empty())
         listener_.publishCrashes(wire::encode(changes), &origin);
@@ -201,9 +275,7 @@
 {
     if (!register_.merge(record, now()))
         return;
-    wire::CrashNotice notice;
-    notice.records.push_back(toWire(register_.record(record.content)));
-    listener_.publishCrashes(wire::encode(notice), nullptr);
+    tellPeers(register_.record(record.content), nullptr);
 }
 
 std::optional<std::string> CrashGuard::encodeAll() const
--- a/src/io/CrashGuard.h
+++ b/src/io/CrashGuard.h
@@ -45,20 +45,23 @@
     static constexpr Duration minSuspectPause = std::chrono::milliseconds(50);
     static constexpr Duration maxSuspectPause = std::chrono::milliseconds(150);
 
-    /// Longest delay, drawn at random, before this process sends a trial.
-    static constexpr Duration maxTrialDelay = std::chrono::milliseconds(500);
-
     /// Interval at which a request looks for the outcome of a trial.
     static constexpr Duration trialCheckInterval = std::chrono::milliseconds(25);
 
     CrashGuard(HttpClient&, CrashDetector::DirectorySource, CrashListener&, uint64_t seed);
 
-    /// Asked before each attempt at a server. True if the content may be sent now. An owed content that a trial is due
-    /// for gets it without delay.
-    bool admit(const ContentId&, const std::string& server, ContentKind = ContentKind::Call);
+    /// Asked before each attempt at a server. True if the content may be sent now. Otherwise this process may have
+    /// announced a trial, which a later call sends.
+    bool admit(const ContentId&, const std::string& server);
+
+    /// admit() that waits until the deadline while a trial is announced here or decides on the content.
+    asio::awaitable<bool> admitUntil(ContentId, std::string server, Instant deadline);
 
-    /// admit() that waits for the outcome of a trial until the deadline.
-    asio::awaitable<bool> admitUntil(ContentId, std::string server, Instant deadline, ContentKind = ContentKind::Call);
+    /// Server for which this process has announced a trial of the content; admit() admits it for no other.
+    std::optional<std::string> announcedServer(const ContentId&) const;
+
+    /// When a request that is not admitted yet should ask again.
+    Instant nextCheckAt(const ContentId&) const;
 
     /// End of the content's block; nothing if it is not blocked. A content whose first trial is due or under way is
     /// not.
@@ -73,6 +76,9 @@
     /// Servers that a suspect should not be sent to, because they have another one; empty if the content is none.
     std::set<std::string> serversToAvoid(const ContentId&) const;
 
+    /// True if the server has another content that may end it while the content is a suspect.
+    bool isTakenByOther(const ContentId&, const std::string& server) const;
+
     /// Servers that may end under a trial of another content; other requests keep away from them if they can.
     std::set<std::string> serversOnTrial(const ContentId&) const;
 
@@ -121,13 +127,15 @@
 
 private:
     void onCrash(const ServerAttempt&);
+    void endTrial(const ServerAttempt&, bool wasReceived);
     /// Tells the listener that the record of the content has changed here.
     void publish(const ContentId&);
+    void tellPeers(const CrashRecord&, const PeerConnection* origin);
 
     CrashListener& listener_;
     CrashRegister register_;
     CrashDetector detector_;
-    std::minstd_rand random_;
+    std::mt19937_64 random_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/agent/Generator.cpp
+++ b/src/io/agent/Generator.cpp
@@ -77,7 +77,7 @@
     const wire::GenerateRequest& request, SampleProgress& progress, Instant deadline, GenerationHandle& handle)
 {
     ServerAttempt attempt = attemptOf(request);
-    const bool isAdmitted = co_await crashGuard_.admitUntil(attempt.content, attempt.server, deadline, attempt.kind);
+    const bool isAdmitted = co_await crashGuard_.admitUntil(attempt.content, attempt.server, deadline);
     if (!isAdmitted)
         throw NotRunError("engines have ended under the prompt");
     attempt.sentAt = now();
--- a/src/io/hosted/CrashStore.cpp
+++ b/src/io/hosted/CrashStore.cpp
@@ -22,6 +22,24 @@
     return CrashStore::keyPrefix + content.text();
 }
 
+Json encodeTrials(const std::set<FailedTrial>& trials)
+{
+    Json rows = Json::array();
+    for (const FailedTrial& failed : trials)
+        rows.push_back({ { "serverStart", failed.serverStart }, { "isLate", failed.isLate } });
+    return rows;
+}
+
+std::set<FailedTrial> decodeTrials(const Json& record)
+{
+    std::set<FailedTrial> trials;
+    if (!record.contains("failedTrials"))
+        return trials;
+    for (const Json& row : record.at("failedTrials"))
+        trials.insert({ row.at("serverStart").get<std::string>(), row.at("isLate").get<bool>() });
+    return trials;
+}
+
 } // namespace
 
 std::string encodeCrashRecord(const CrashRecord& record)
@@ -32,7 +50,7 @@
         std::max(record.blockedUntil, currentTime) - currentTime);
     return Json {
         { "content", record.content.text() }, { "generation", record.generation },
-        { "crashedServers", record.crashedServers }, { "failedTrials", record.failedTrials },
+        { "crashedServers", record.crashedServers }, { "failedTrials", encodeTrials(record.failedTrials) },
         { "isOwed", record.kind == ContentKind::Owed }, { "blockedUntilMs", wallMs() + left.count() }
     }.dump();
 }
@@ -45,7 +63,7 @@
         record.content = ContentId::parse(object.at("content").get<std::string>());
         record.generation = object.at("generation").get<int64_t>();
         record.crashedServers = object.at("crashedServers").get<std::set<std::string>>();
-        record.failedTrials = object.value("failedTrials", std::set<std::string>());
+        record.failedTrials = decodeTrials(object);
         record.kind = object.value("isOwed", false) ? ContentKind::Owed : ContentKind::Call;
         const std::chrono::milliseconds left(object.at("blockedUntilMs").get<int64_t>() - wallMs());
         if (left.count() > 0)
@@ -161,7 +179,7 @@
         throw;
     }
     for (const CrashRecord& record : written) {
-        if (guard_.record(record.content) == record)
+        if (guard_.record(record.content).isSameButTrial(record))
             unwritten_.erase(record.content);
     }
 }
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -45,12 +45,13 @@
         co_await sleepFor(roundPause);
         const bool isBusy
             = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& entry) { return !entry.second->job.isEnded(); });
-        co_await wake_.wait(now() + (isBusy ? busyInterval : idleInterval));
+        co_await wake_.wait(std::min(trialAt_, now() + (isBusy ? busyInterval : idleInterval)));
     }
 }
 
 void ItemDispatcher::runRound()
 {
+    trialAt_ = never;
     for (const auto& [id, owned] : jobs_) {
         if (owned->job.isEnded())
             continue;
@@ -129,10 +130,12 @@
         const BatchJobSpec& spec = owned->job.spec();
         for (size_t item : owned->job.waiting(now())) {
             const ContentId& content = owned->contents[item];
+            if (crashGuard_.announcedServer(content))
+                trialAt_ = std::min(trialAt_, crashGuard_.nextCheckAt(content));
             if (crashGuard_.blockedUntil(content) || crashGuard_.isPending(content))
                 continue;
             waiting.push_back({ id, item, spec.items[item].group, spec.model, spec.oldestVersion,
-                owned->job.policy().dueAt, spec.items[item].expectedTokens, owned->agentsToAvoid(item) });
+                owned->job.policy().dueAt, spec.items[item].expectedTokens, agentsToAvoid(*owned, item) });
         }
     }
     for (const Placement& placement : placeItems(waiting, replicas)) {
@@ -141,11 +144,27 @@
             [&](const ReplicaView& replica) { return replica.agent == placement.agent; });
         const OwnedJobPtr& owned = jobs_.at(item.job);
         const std::string& server = reports_[placement.agent].last.server;
-        if (crashGuard_.admit(owned->contents[item.itemIndex], server, ContentKind::Owed))
+        const ContentId& content = owned->contents[item.itemIndex];
+        if (crashGuard_.admit(content, server))
             startItem(owned, item.itemIndex, *view);
+        else if (crashGuard_.announcedServer(content))
+            trialAt_ = std::min(trialAt_, crashGuard_.nextCheckAt(content));
     }
 }
 
+std::set<std::string> ItemDispatcher::agentsToAvoid(const OwnedJob& owned, size_t item) const
+{
+    const auto announced = crashGuard_.announcedServer(owned.contents[item]);
+    if (!announced)
+        return owned.agentsToAvoid(item);
+    std::set<std::string> agents;
+    for (const auto& [agent, report] : reports_) {
+        if (report.last.server != *announced)
+            agents.insert(agent);
+    }
+    return agents;
+}
+
 bool ItemDispatcher::isMoveDue(
     const OwnedJob& owned, size_t index, const ReplicaView& from, const std::vector<ReplicaView>& replicas) const
 {
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -138,6 +138,9 @@
     bool isMoveDue(const OwnedJob&, size_t item, const ReplicaView& from, const std::vector<ReplicaView>&) const;
     /// Withdraws runs that have exceeded silenceLimit.
     void withdrawSilentRuns(OwnedJob&);
+    /// Agents that get the item only if no other can run it now: those of OwnedJob, or all but the one that a trial of
+    /// the item is announced for.
+    std::set<std::string> agentsToAvoid(const OwnedJob&, size_t item) const;
     /// Requests weight loads from agents.
     void requestWeightLoads(const std::map<std::string, std::vector<ReplicaView>>&);
     /// Adopts a run that an agent started for an earlier owner, if BatchJob::onAdopted() allows it, and cancels the run
@@ -146,6 +149,8 @@
     /// Cancels the item's run; the item can continue at once on another replica.
     void withdraw(OwnedJob&, size_t item, const std::string& reason);
     void startItem(const OwnedJobPtr&, size_t item, const ReplicaView&);
+    /// A run that is sent to an agent's replica now.
+    ServerAttempt attemptAt(const OwnedJob&, size_t item, const std::string& agent) const;
     /// Sends the request to start a run. If the agent refuses or does not answer, the item waits again.
     asio::awaitable<void> sendStart(OwnedJobPtr, size_t item, std::string agent, wire::ItemStart);
     /// Message that cancels the runs of an item. With an empty item it says that the job has ended and cancels all of
@@ -160,6 +165,8 @@
     DirectorySource directory_;
     OnOwnershipUncertain onOwnershipUncertain_;
     Signal wake_;
+    /// When the trial of an item's content is due that this process has announced; `never` if it has announced none.
+    Instant trialAt_ = never;
     /// By agent.
     std::map<std::string, Report> reports_;
     WeightLoads loads_;
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -101,7 +101,7 @@
         return "the replica's weights are too old";
     if (running() >= slots)
         return "all slots are taken";
-    if (crashGuard_.serversToAvoid(contentOf(startRequest)).contains(engine_.server()))
+    if (crashGuard_.isTakenByOther(contentOf(startRequest), engine_.server()))
         return "another item under which replicas have ended starts here";
     return {};
 }
--- a/src/io/hosted/ItemRuns.cpp
+++ b/src/io/hosted/ItemRuns.cpp
@@ -48,9 +48,23 @@
     });
 }
 
+ServerAttempt ItemDispatcher::attemptAt(const OwnedJob& owned, size_t index, const std::string& agent) const
+{
+    ServerAttempt attempt;
+    attempt.request = owned.job.spec().items[index].id;
+    attempt.content = owned.contents[index];
+    attempt.sentAt = now();
+    attempt.kind = ContentKind::Owed;
+    const auto report = reports_.find(agent);
+    if (report != reports_.end())
+        attempt.server = report->second.last.server;
+    return attempt;
+}
+
 asio::awaitable<void> ItemDispatcher::sendStart(
     OwnedJobPtr owned, size_t index, std::string agent, wire::ItemStart startRequest)
 {
+    const ServerAttempt attempt = attemptAt(*owned, index, agent);
     ++reports_[agent].starting;
     std::string refusal;
     try {
@@ -77,6 +91,7 @@
     log(Event::ItemRefused,
         { { "job", startRequest.job }, { "item", startRequest.item }, { "run", std::to_string(startRequest.run) },
             { "agent", agent }, { "reason", refusal } });
+    crashGuard_.onNotSent(attempt);
     owned->withdrawnRuns.insert(startRequest.run);
     owned->avoidedAgents[index] = agent;
     owned->job.withdraw(index, now());
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -16,6 +16,15 @@
 
 constexpr int statusServerError = 500;
 
+std::set<std::string> idsWithout(const std::vector<ServerCandidate>& candidates, const std::string& server)
+{
+    std::set<std::string> ids;
+    for (const ServerCandidate& candidate : candidates)
+        ids.insert(candidate.id);
+    ids.erase(server);
+    return ids;
+}
+
 } // namespace
 
 /// State of a call, shared by its concurrent attempts.
@@ -188,10 +197,14 @@
     const std::set<std::string> onTrial = crashGuard_.serversOnTrial(state.content);
     std::set<std::string> excludedFirst = excluded;
     excludedFirst.insert(onTrial.begin(), onTrial.end());
-    auto server = chooseServer(state, excludedFirst);
+    std::optional<ChosenServer> server;
+    if (const auto announced = crashGuard_.announcedServer(state.content))
+        server = chooseServer(state, idsWithout(candidatesOf(state.route), *announced));
+    if (!server)
+        server = chooseServer(state, excludedFirst);
     if (!server && excludedFirst != excluded)
         server = chooseServer(state, excluded);
-    if (server && !crashGuard_.admit(state.content, server->server.id, state.kind)) {
+    if (server && !crashGuard_.admit(state.content, server->server.id)) {
         state.result.blockedUntil = crashGuard_.blockedUntil(state.content);
         return std::nullopt;
     }
@@ -224,7 +237,7 @@
     if (crashGuard_.isPending(state->content)) {
         // Others that wait for a server go first meanwhile.
         leaveQueue(state);
-        co_await state->changed.wait(std::min(state->deadline, now() + CrashGuard::trialCheckInterval));
+        co_await state->changed.wait(std::min(state->deadline, crashGuard_.nextCheckAt(state->content)));
         co_return;
     }
     const bool isPaused = now() < state->notBefore;
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -344,6 +344,19 @@
 /** Asks an agent to have its replica load at least this version of the model's weights. */
 struct LoadModelNotice { 1: string model  2: i64 version }
 
+/** CrashTrial.h; phase is the number of a CrashTrial::Phase. */
+struct CrashTrial {
+  1: i64 round
+  2: i64 ticket
+  3: i32 phase
+  4: string server
+  /** Time until it is due, in ms; since it was sent if negative. */
+  5: i64 sendInMs
+  /** Time until it counts as ended, in ms; 0 if it has. */
+  6: i64 leftMs
+}
+struct FailedTrial { 1: string serverStart  2: bool isLate }
+
 /** What the sender knows of a content under which servers ended; see CrashRecord in CrashRegister.h. */
 struct CrashRecord {
   /** Halves of the content id. */
@@ -355,11 +368,8 @@
   5: i64 blockedForMs
   /** Whether jobs owe the content (ContentKind in CrashRegister.h). */
   6: bool isOwed
-  /** Those of the crashed servers that ended under a trial. */
-  7: list<string> failedTrials
-  /** Time until a trial that is under way is given up, in ms; 0 if there is none. */
-  8: i64 trialForMs
-  9: string trialServer
+  7: list<FailedTrial> failedTrials
+  8: CrashTrial trial
 }
 struct CrashNotice { 1: list<CrashRecord> records }
 
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -6851,6 +6851,310 @@
 }
 
 
+CrashTrial::~CrashTrial() noexcept {
+}
+
+
+void CrashTrial::__set_round(const int64_t val) {
+  this->round = val;
+}
+
+void CrashTrial::__set_ticket(const int64_t val) {
+  this->ticket = val;
+}
+
+void CrashTrial::__set_phase(const int32_t val) {
+  this->phase = val;
+}
+
+void CrashTrial::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void CrashTrial::__set_sendInMs(const int64_t val) {
+  this->sendInMs = val;
+}
+
+void CrashTrial::__set_leftMs(const int64_t val) {
+  this->leftMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashTrial& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashTrial::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ticket);
+          this->__isset.ticket = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->phase);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sendInMs);
+          this->__isset.sendInMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leftMs);
+          this->__isset.leftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashTrial::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashTrial");
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ticket", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ticket);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->phase);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sendInMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sendInMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leftMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->leftMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashTrial &a, CrashTrial &b) {
+  using ::std::swap;
+  swap(a.round, b.round);
+  swap(a.ticket, b.ticket);
+  swap(a.phase, b.phase);
+  swap(a.server, b.server);
+  swap(a.sendInMs, b.sendInMs);
+  swap(a.leftMs, b.leftMs);
+  swap(a.__isset, b.__isset);
+}
+
+CrashTrial::CrashTrial(const CrashTrial& other167) {
+  round = other167.round;
+  ticket = other167.ticket;
+  phase = other167.phase;
+  server = other167.server;
+  sendInMs = other167.sendInMs;
+  leftMs = other167.leftMs;
+  __isset = other167.__isset;
+}
+CrashTrial& CrashTrial::operator=(const CrashTrial& other168) {
+  round = other168.round;
+  ticket = other168.ticket;
+  phase = other168.phase;
+  server = other168.server;
+  sendInMs = other168.sendInMs;
+  leftMs = other168.leftMs;
+  __isset = other168.__isset;
+  return *this;
+}
+void CrashTrial::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashTrial(";
+  out << "round=" << to_string(round);
+  out << ", " << "ticket=" << to_string(ticket);
+  out << ", " << "phase=" << to_string(phase);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "sendInMs=" << to_string(sendInMs);
+  out << ", " << "leftMs=" << to_string(leftMs);
+  out << ")";
+}
+
+
+FailedTrial::~FailedTrial() noexcept {
+}
+
+
+void FailedTrial::__set_serverStart(const std::string& val) {
+  this->serverStart = val;
+}
+
+void FailedTrial::__set_isLate(const bool val) {
+  this->isLate = val;
+}
+std::ostream& operator<<(std::ostream& out, const FailedTrial& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FailedTrial::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serverStart);
+          this->__isset.serverStart = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isLate);
+          this->__isset.isLate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FailedTrial::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FailedTrial");
+
+  xfer += oprot->writeFieldBegin("serverStart", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serverStart);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isLate", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isLate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FailedTrial &a, FailedTrial &b) {
+  using ::std::swap;
+  swap(a.serverStart, b.serverStart);
+  swap(a.isLate, b.isLate);
+  swap(a.__isset, b.__isset);
+}
+
+FailedTrial::FailedTrial(const FailedTrial& other169) {
+  serverStart = other169.serverStart;
+  isLate = other169.isLate;
+  __isset = other169.__isset;
+}
+FailedTrial& FailedTrial::operator=(const FailedTrial& other170) {
+  serverStart = other170.serverStart;
+  isLate = other170.isLate;
+  __isset = other170.__isset;
+  return *this;
+}
+void FailedTrial::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FailedTrial(";
+  out << "serverStart=" << to_string(serverStart);
+  out << ", " << "isLate=" << to_string(isLate);
+  out << ")";
+}
+
+
 CrashRecord::~CrashRecord() noexcept {
 }
 
@@ -6879,16 +7183,12 @@
   this->isOwed = val;
 }
 
-void CrashRecord::__set_failedTrials(const std::vector<std::string> & val) {
+void CrashRecord::__set_failedTrials(const std::vector<FailedTrial> & val) {
   this->failedTrials = val;
 }
 
-void CrashRecord::__set_trialForMs(const int64_t val) {
-  this->trialForMs = val;
-}
-
-void CrashRecord::__set_trialServer(const std::string& val) {
-  this->trialServer = val;
+void CrashRecord::__set_trial(const CrashTrial& val) {
+  this->trial = val;
 }
 std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
 {
@@ -6946,14 +7246,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashedServers.clear();
-            uint32_t _size167;
-            ::apache::thrift::protocol::TType _etype170;
-            xfer += iprot->readListBegin(_etype170, _size167);
-            this->crashedServers.resize(_size167);
-            uint32_t _i171;
-            for (_i171 = 0; _i171 < _size167; ++_i171)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->crashedServers.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              xfer += iprot->readString(this->crashedServers[_i171]);
+              xfer += iprot->readString(this->crashedServers[_i175]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6982,14 +7282,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failedTrials.clear();
-            uint32_t _size172;
-            ::apache::thrift::protocol::TType _etype175;
-            xfer += iprot->readListBegin(_etype175, _size172);
-            this->failedTrials.resize(_size172);
-            uint32_t _i176;
-            for (_i176 = 0; _i176 < _size172; ++_i176)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->failedTrials.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += iprot->readString(this->failedTrials[_i176]);
+              xfer += this->failedTrials[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6999,17 +7299,9 @@
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->trialForMs);
-          this->__isset.trialForMs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->trialServer);
-          this->__isset.trialServer = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->trial.read(iprot);
+          this->__isset.trial = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7046,10 +7338,10 @@
   xfer += oprot->writeFieldBegin("crashedServers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->crashedServers.size()));
-    std::vector<std::string> ::const_iterator _iter177;
-    for (_iter177 = this->crashedServers.begin(); _iter177 != this->crashedServers.end(); ++_iter177)
+    std::vector<std::string> ::const_iterator _iter181;
+    for (_iter181 = this->crashedServers.begin(); _iter181 != this->crashedServers.end(); ++_iter181)
     {
-      xfer += oprot->writeString((*_iter177));
+      xfer += oprot->writeString((*_iter181));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7065,22 +7357,18 @@
 
   xfer += oprot->writeFieldBegin("failedTrials", ::apache::thrift::protocol::T_LIST, 7);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failedTrials.size()));
-    std::vector<std::string> ::const_iterator _iter178;
-    for (_iter178 = this->failedTrials.begin(); _iter178 != this->failedTrials.end(); ++_iter178)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failedTrials.size()));
+    std::vector<FailedTrial> ::const_iterator _iter182;
+    for (_iter182 = this->failedTrials.begin(); _iter182 != this->failedTrials.end(); ++_iter182)
     {
-      xfer += oprot->writeString((*_iter178));
+      xfer += (*_iter182).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("trialForMs", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->trialForMs);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("trialServer", ::apache::thrift::protocol::T_STRING, 9);
-  xfer += oprot->writeString(this->trialServer);
+  xfer += oprot->writeFieldBegin("trial", ::apache::thrift::protocol::T_STRUCT, 8);
+  xfer += this->trial.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7097,34 +7385,31 @@
   swap(a.blockedForMs, b.blockedForMs);
   swap(a.isOwed, b.isOwed);
   swap(a.failedTrials, b.failedTrials);
-  swap(a.trialForMs, b.trialForMs);
-  swap(a.trialServer, b.trialServer);
+  swap(a.trial, b.trial);
   swap(a.__isset, b.__isset);
 }
 
-CrashRecord::CrashRecord(const CrashRecord& other179) {
-  contentHigh = other179.contentHigh;
-  contentLow = other179.contentLow;
-  generation = other179.generation;
-  crashedServers = other179.crashedServers;
-  blockedForMs = other179.blockedForMs;
-  isOwed = other179.isOwed;
-  failedTrials = other179.failedTrials;
-  trialForMs = other179.trialForMs;
-  trialServer = other179.trialServer;
-  __isset = other179.__isset;
-}
-CrashRecord& CrashRecord::operator=(const CrashRecord& other180) {
-  contentHigh = other180.contentHigh;
-  contentLow = other180.contentLow;
-  generation = other180.generation;
-  crashedServers = other180.crashedServers;
-  blockedForMs = other180.blockedForMs;
-  isOwed = other180.isOwed;
-  failedTrials = other180.failedTrials;
-  trialForMs = other180.trialForMs;
-  trialServer = other180.trialServer;
-  __isset = other180.__isset;
+CrashRecord::CrashRecord(const CrashRecord& other183) {
+  contentHigh = other183.contentHigh;
+  contentLow = other183.contentLow;
+  generation = other183.generation;
+  crashedServers = other183.crashedServers;
+  blockedForMs = other183.blockedForMs;
+  isOwed = other183.isOwed;
+  failedTrials = other183.failedTrials;
+  trial = other183.trial;
+  __isset = other183.__isset;
+}
+CrashRecord& CrashRecord::operator=(const CrashRecord& other184) {
+  contentHigh = other184.contentHigh;
+  contentLow = other184.contentLow;
+  generation = other184.generation;
+  crashedServers = other184.crashedServers;
+  blockedForMs = other184.blockedForMs;
+  isOwed = other184.isOwed;
+  failedTrials = other184.failedTrials;
+  trial = other184.trial;
+  __isset = other184.__isset;
   return *this;
 }
 void CrashRecord::printTo(std::ostream& out) const {
@@ -7137,8 +7422,7 @@
   out << ", " << "blockedForMs=" << to_string(blockedForMs);
   out << ", " << "isOwed=" << to_string(isOwed);
   out << ", " << "failedTrials=" << to_string(failedTrials);
-  out << ", " << "trialForMs=" << to_string(trialForMs);
-  out << ", " << "trialServer=" << to_string(trialServer);
+  out << ", " << "trial=" << to_string(trial);
   out << ")";
 }
 
@@ -7182,14 +7466,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size181;
-            ::apache::thrift::protocol::TType _etype184;
-            xfer += iprot->readListBegin(_etype184, _size181);
-            this->records.resize(_size181);
-            uint32_t _i185;
-            for (_i185 = 0; _i185 < _size181; ++_i185)
+            uint32_t _size185;
+            ::apache::thrift::protocol::TType _etype188;
+            xfer += iprot->readListBegin(_etype188, _size185);
+            this->records.resize(_size185);
+            uint32_t _i189;
+            for (_i189 = 0; _i189 < _size185; ++_i189)
             {
-              xfer += this->records[_i185].read(iprot);
+              xfer += this->records[_i189].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7218,10 +7502,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<CrashRecord> ::const_iterator _iter186;
-    for (_iter186 = this->records.begin(); _iter186 != this->records.end(); ++_iter186)
+    std::vector<CrashRecord> ::const_iterator _iter190;
+    for (_iter190 = this->records.begin(); _iter190 != this->records.end(); ++_iter190)
     {
-      xfer += (*_iter186).write(oprot);
+      xfer += (*_iter190).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7238,13 +7522,13 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNotice::CrashNotice(const CrashNotice& other187) {
-  records = other187.records;
-  __isset = other187.__isset;
+CrashNotice::CrashNotice(const CrashNotice& other191) {
+  records = other191.records;
+  __isset = other191.__isset;
 }
-CrashNotice& CrashNotice::operator=(const CrashNotice& other188) {
-  records = other188.records;
-  __isset = other188.__isset;
+CrashNotice& CrashNotice::operator=(const CrashNotice& other192) {
+  records = other192.records;
+  __isset = other192.__isset;
   return *this;
 }
 void CrashNotice::printTo(std::ostream& out) const {
@@ -7364,17 +7648,17 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingServer::LeavingServer(const LeavingServer& other189) {
-  id = other189.id;
-  startedMs = other189.startedMs;
-  isReplaced = other189.isReplaced;
-  __isset = other189.__isset;
+LeavingServer::LeavingServer(const LeavingServer& other193) {
+  id = other193.id;
+  startedMs = other193.startedMs;
+  isReplaced = other193.isReplaced;
+  __isset = other193.__isset;
 }
-LeavingServer& LeavingServer::operator=(const LeavingServer& other190) {
-  id = other190.id;
-  startedMs = other190.startedMs;
-  isReplaced = other190.isReplaced;
-  __isset = other190.__isset;
+LeavingServer& LeavingServer::operator=(const LeavingServer& other194) {
+  id = other194.id;
+  startedMs = other194.startedMs;
+  isReplaced = other194.isReplaced;
+  __isset = other194.__isset;
   return *this;
 }
 void LeavingServer::printTo(std::ostream& out) const {
@@ -7426,14 +7710,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size191;
-            ::apache::thrift::protocol::TType _etype194;
-            xfer += iprot->readListBegin(_etype194, _size191);
-            this->servers.resize(_size191);
-            uint32_t _i195;
-            for (_i195 = 0; _i195 < _size191; ++_i195)
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _etype198;
+            xfer += iprot->readListBegin(_etype198, _size195);
+            this->servers.resize(_size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
             {
-              xfer += this->servers[_i195].read(iprot);
+              xfer += this->servers[_i199].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7462,10 +7746,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<LeavingServer> ::const_iterator _iter196;
-    for (_iter196 = this->servers.begin(); _iter196 != this->servers.end(); ++_iter196)
+    std::vector<LeavingServer> ::const_iterator _iter200;
+    for (_iter200 = this->servers.begin(); _iter200 != this->servers.end(); ++_iter200)
     {
-      xfer += (*_iter196).write(oprot);
+      xfer += (*_iter200).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7482,13 +7766,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingNotice::LeavingNotice(const LeavingNotice& other197) {
-  servers = other197.servers;
-  __isset = other197.__isset;
+LeavingNotice::LeavingNotice(const LeavingNotice& other201) {
+  servers = other201.servers;
+  __isset = other201.__isset;
 }
-LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other198) {
-  servers = other198.servers;
-  __isset = other198.__isset;
+LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other202) {
+  servers = other202.servers;
+  __isset = other202.__isset;
   return *this;
 }
 void LeavingNotice::printTo(std::ostream& out) const {
@@ -7608,17 +7892,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemFailure::ItemFailure(const ItemFailure& other199) {
-  item = other199.item;
-  run = other199.run;
-  isUnprocessable = other199.isUnprocessable;
-  __isset = other199.__isset;
+ItemFailure::ItemFailure(const ItemFailure& other203) {
+  item = other203.item;
+  run = other203.run;
+  isUnprocessable = other203.isUnprocessable;
+  __isset = other203.__isset;
 }
-ItemFailure& ItemFailure::operator=(const ItemFailure& other200) {
-  item = other200.item;
-  run = other200.run;
-  isUnprocessable = other200.isUnprocessable;
-  __isset = other200.__isset;
+ItemFailure& ItemFailure::operator=(const ItemFailure& other204) {
+  item = other204.item;
+  run = other204.run;
+  isUnprocessable = other204.isUnprocessable;
+  __isset = other204.__isset;
   return *this;
 }
 void ItemFailure::printTo(std::ostream& out) const {
@@ -7670,14 +7954,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failures.clear();
-            uint32_t _size201;
-            ::apache::thrift::protocol::TType _etype204;
-            xfer += iprot->readListBegin(_etype204, _size201);
-            this->failures.resize(_size201);
-            uint32_t _i205;
-            for (_i205 = 0; _i205 < _size201; ++_i205)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->failures.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += this->failures[_i205].read(iprot);
+              xfer += this->failures[_i209].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7706,10 +7990,10 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<ItemFailure> ::const_iterator _iter206;
-    for (_iter206 = this->failures.begin(); _iter206 != this->failures.end(); ++_iter206)
+    std::vector<ItemFailure> ::const_iterator _iter210;
+    for (_iter210 = this->failures.begin(); _iter210 != this->failures.end(); ++_iter210)
     {
-      xfer += (*_iter206).write(oprot);
+      xfer += (*_iter210).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7726,13 +8010,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemFailureNotice::ItemFailureNotice(const ItemFailureNotice& other207) {
-  failures = other207.failures;
-  __isset = other207.__isset;
+ItemFailureNotice::ItemFailureNotice(const ItemFailureNotice& other211) {
+  failures = other211.failures;
+  __isset = other211.__isset;
 }
-ItemFailureNotice& ItemFailureNotice::operator=(const ItemFailureNotice& other208) {
-  failures = other208.failures;
-  __isset = other208.__isset;
+ItemFailureNotice& ItemFailureNotice::operator=(const ItemFailureNotice& other212) {
+  failures = other212.failures;
+  __isset = other212.__isset;
   return *this;
 }
 void ItemFailureNotice::printTo(std::ostream& out) const {
@@ -7886,21 +8170,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerLimit::ServerLimit(const ServerLimit& other209) {
-  server = other209.server;
-  startedMs = other209.startedMs;
-  limit = other209.limit;
-  issuer = other209.issuer;
-  sequence = other209.sequence;
-  __isset = other209.__isset;
-}
-ServerLimit& ServerLimit::operator=(const ServerLimit& other210) {
-  server = other210.server;
-  startedMs = other210.startedMs;
-  limit = other210.limit;
-  issuer = other210.issuer;
-  sequence = other210.sequence;
-  __isset = other210.__isset;
+ServerLimit::ServerLimit(const ServerLimit& other213) {
+  server = other213.server;
+  startedMs = other213.startedMs;
+  limit = other213.limit;
+  issuer = other213.issuer;
+  sequence = other213.sequence;
+  __isset = other213.__isset;
+}
+ServerLimit& ServerLimit::operator=(const ServerLimit& other214) {
+  server = other214.server;
+  startedMs = other214.startedMs;
+  limit = other214.limit;
+  issuer = other214.issuer;
+  sequence = other214.sequence;
+  __isset = other214.__isset;
   return *this;
 }
 void ServerLimit::printTo(std::ostream& out) const {
@@ -7954,14 +8238,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size211;
-            ::apache::thrift::protocol::TType _etype214;
-            xfer += iprot->readListBegin(_etype214, _size211);
-            this->limits.resize(_size211);
-            uint32_t _i215;
-            for (_i215 = 0; _i215 < _size211; ++_i215)
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _etype218;
+            xfer += iprot->readListBegin(_etype218, _size215);
+            this->limits.resize(_size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
             {
-              xfer += this->limits[_i215].read(iprot);
+              xfer += this->limits[_i219].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7990,10 +8274,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<ServerLimit> ::const_iterator _iter216;
-    for (_iter216 = this->limits.begin(); _iter216 != this->limits.end(); ++_iter216)
+    std::vector<ServerLimit> ::const_iterator _iter220;
+    for (_iter220 = this->limits.begin(); _iter220 != this->limits.end(); ++_iter220)
     {
-      xfer += (*_iter216).write(oprot);
+      xfer += (*_iter220).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8010,13 +8294,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitNotice::LimitNotice(const LimitNotice& other217) {
-  limits = other217.limits;
-  __isset = other217.__isset;
+LimitNotice::LimitNotice(const LimitNotice& other221) {
+  limits = other221.limits;
+  __isset = other221.__isset;
 }
-LimitNotice& LimitNotice::operator=(const LimitNotice& other218) {
-  limits = other218.limits;
-  __isset = other218.__isset;
+LimitNotice& LimitNotice::operator=(const LimitNotice& other222) {
+  limits = other222.limits;
+  __isset = other222.__isset;
   return *this;
 }
 void LimitNotice::printTo(std::ostream& out) const {
@@ -8170,21 +8454,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitRequest::PermitRequest(const PermitRequest& other219) {
-  known = other219.known;
-  process = other219.process;
-  priority = other219.priority;
-  count = other219.count;
-  isForwarded = other219.isForwarded;
-  __isset = other219.__isset;
-}
-PermitRequest& PermitRequest::operator=(const PermitRequest& other220) {
-  known = other220.known;
-  process = other220.process;
-  priority = other220.priority;
-  count = other220.count;
-  isForwarded = other220.isForwarded;
-  __isset = other220.__isset;
+PermitRequest::PermitRequest(const PermitRequest& other223) {
+  known = other223.known;
+  process = other223.process;
+  priority = other223.priority;
+  count = other223.count;
+  isForwarded = other223.isForwarded;
+  __isset = other223.__isset;
+}
+PermitRequest& PermitRequest::operator=(const PermitRequest& other224) {
+  known = other224.known;
+  process = other224.process;
+  priority = other224.priority;
+  count = other224.count;
+  isForwarded = other224.isForwarded;
+  __isset = other224.__isset;
   return *this;
 }
 void PermitRequest::printTo(std::ostream& out) const {
@@ -8325,19 +8609,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitAnswer::PermitAnswer(const PermitAnswer& other221) {
-  limit = other221.limit;
-  count = other221.count;
-  retryInMs = other221.retryInMs;
-  intervalMs = other221.intervalMs;
-  __isset = other221.__isset;
+PermitAnswer::PermitAnswer(const PermitAnswer& other225) {
+  limit = other225.limit;
+  count = other225.count;
+  retryInMs = other225.retryInMs;
+  intervalMs = other225.intervalMs;
+  __isset = other225.__isset;
 }
-PermitAnswer& PermitAnswer::operator=(const PermitAnswer& other222) {
-  limit = other222.limit;
-  count = other222.count;
-  retryInMs = other222.retryInMs;
-  intervalMs = other222.intervalMs;
-  __isset = other222.__isset;
+PermitAnswer& PermitAnswer::operator=(const PermitAnswer& other226) {
+  limit = other226.limit;
+  count = other226.count;
+  retryInMs = other226.retryInMs;
+  intervalMs = other226.intervalMs;
+  __isset = other226.__isset;
   return *this;
 }
 void PermitAnswer::printTo(std::ostream& out) const {
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -146,6 +146,10 @@
 
 class LoadModelNotice;
 
+class CrashTrial;
+
+class FailedTrial;
+
 class CrashRecord;
 
 class CrashNotice;
@@ -3096,8 +3100,145 @@
 
 std::ostream& operator<<(std::ostream& out, const LoadModelNotice& obj);
 
+typedef struct _CrashTrial__isset {
+  _CrashTrial__isset() : round(false), ticket(false), phase(false), server(false), sendInMs(false), leftMs(false) {}
+  bool round :1;
+  bool ticket :1;
+  bool phase :1;
+  bool server :1;
+  bool sendInMs :1;
+  bool leftMs :1;
+} _CrashTrial__isset;
+
+/**
+ * CrashTrial.h; phase is the number of a CrashTrial::Phase.
+ */
+class CrashTrial : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashTrial(const CrashTrial&);
+  CrashTrial& operator=(const CrashTrial&);
+  CrashTrial() noexcept
+             : round(0),
+               ticket(0),
+               phase(0),
+               server(),
+               sendInMs(0),
+               leftMs(0) {
+  }
+
+  virtual ~CrashTrial() noexcept;
+  int64_t round;
+  int64_t ticket;
+  int32_t phase;
+  std::string server;
+  /**
+   * Time until it is due, in ms; since it was sent if negative.
+   */
+  int64_t sendInMs;
+  /**
+   * Time until it counts as ended, in ms; 0 if it has.
+   */
+  int64_t leftMs;
+
+  _CrashTrial__isset __isset;
+
+  void __set_round(const int64_t val);
+
+  void __set_ticket(const int64_t val);
+
+  void __set_phase(const int32_t val);
+
+  void __set_server(const std::string& val);
+
+  void __set_sendInMs(const int64_t val);
+
+  void __set_leftMs(const int64_t val);
+
+  bool operator == (const CrashTrial & rhs) const
+  {
+    if (!(round == rhs.round))
+      return false;
+    if (!(ticket == rhs.ticket))
+      return false;
+    if (!(phase == rhs.phase))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(sendInMs == rhs.sendInMs))
+      return false;
+    if (!(leftMs == rhs.leftMs))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashTrial &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashTrial & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashTrial &a, CrashTrial &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashTrial& obj);
+
+typedef struct _FailedTrial__isset {
+  _FailedTrial__isset() : serverStart(false), isLate(false) {}
+  bool serverStart :1;
+  bool isLate :1;
+} _FailedTrial__isset;
+
+class FailedTrial : public virtual ::apache::thrift::TBase {
+ public:
+
+  FailedTrial(const FailedTrial&);
+  FailedTrial& operator=(const FailedTrial&);
+  FailedTrial() noexcept
+              : serverStart(),
+                isLate(0) {
+  }
+
+  virtual ~FailedTrial() noexcept;
+  std::string serverStart;
+  bool isLate;
+
+  _FailedTrial__isset __isset;
+
+  void __set_serverStart(const std::string& val);
+
+  void __set_isLate(const bool val);
+
+  bool operator == (const FailedTrial & rhs) const
+  {
+    if (!(serverStart == rhs.serverStart))
+      return false;
+    if (!(isLate == rhs.isLate))
+      return false;
+    return true;
+  }
+  bool operator != (const FailedTrial &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FailedTrial & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FailedTrial &a, FailedTrial &b);
+
+std::ostream& operator<<(std::ostream& out, const FailedTrial& obj);
+
 typedef struct _CrashRecord__isset {
-  _CrashRecord__isset() : contentHigh(false), contentLow(false), generation(false), crashedServers(false), blockedForMs(false), isOwed(false), failedTrials(false), trialForMs(false), trialServer(false) {}
+  _CrashRecord__isset() : contentHigh(false), contentLow(false), generation(false), crashedServers(false), blockedForMs(false), isOwed(false), failedTrials(false), trial(false) {}
   bool contentHigh :1;
   bool contentLow :1;
   bool generation :1;
@@ -3105,8 +3246,7 @@
   bool blockedForMs :1;
   bool isOwed :1;
   bool failedTrials :1;
-  bool trialForMs :1;
-  bool trialServer :1;
+  bool trial :1;
 } _CrashRecord__isset;
 
 /**
@@ -3122,9 +3262,7 @@
                 contentLow(0),
                 generation(0),
                 blockedForMs(0),
-                isOwed(0),
-                trialForMs(0),
-                trialServer() {
+                isOwed(0) {
   }
 
   virtual ~CrashRecord() noexcept;
@@ -3143,15 +3281,8 @@
    * Whether jobs owe the content (ContentKind in CrashRegister.h).
    */
   bool isOwed;
-  /**
-   * Those of the crashed servers that ended under a trial.
-   */
-  std::vector<std::string>  failedTrials;
-  /**
-   * Time until a trial that is under way is given up, in ms; 0 if there is none.
-   */
-  int64_t trialForMs;
-  std::string trialServer;
+  std::vector<FailedTrial>  failedTrials;
+  CrashTrial trial;
 
   _CrashRecord__isset __isset;
 
@@ -3167,11 +3298,9 @@
 
   void __set_isOwed(const bool val);
 
-  void __set_failedTrials(const std::vector<std::string> & val);
+  void __set_failedTrials(const std::vector<FailedTrial> & val);
 
-  void __set_trialForMs(const int64_t val);
-
-  void __set_trialServer(const std::string& val);
+  void __set_trial(const CrashTrial& val);
 
   bool operator == (const CrashRecord & rhs) const
   {
@@ -3189,9 +3318,7 @@
       return false;
     if (!(failedTrials == rhs.failedTrials))
       return false;
-    if (!(trialForMs == rhs.trialForMs))
-      return false;
-    if (!(trialServer == rhs.trialServer))
+    if (!(trial == rhs.trial))
       return false;
     return true;
   }
--- a/tests/core/CrashHistoryTest.cpp
+++ b/tests/core/CrashHistoryTest.cpp
@@ -17,7 +17,6 @@
 /// The users' bound on the time in which all processes learn of a third crash.
 constexpr Duration noticeBound = 3s;
 constexpr int maxAttempts = 3;
-constexpr Duration maxTrialDelay = 500ms;
 
 /// A call at an entry, which sends it to one server after the other as ServiceCaller does.
 struct Call {
@@ -157,9 +156,10 @@
             call.tried.clear();
             return;
         }
-        const CrashAdmission admission
-            = known.admit(call.content, name(*server), Duration(random_() % maxTrialDelay.count()), now_);
-        if (admission == CrashAdmission::Pending)
+        const CrashAdmission admission = known.admit(call.content, name(*server), random_(), now_);
+        if (admission == CrashAdmission::Announced)
+            publish(call);
+        if (admission == CrashAdmission::Pending || admission == CrashAdmission::Announced)
             return;
         if (admission == CrashAdmission::Blocked) {
             counts_.soundCallsBlocked += call.isCrashing ? 0 : 1;
@@ -181,6 +181,11 @@
     std::optional<size_t> chooseServer(const Call& call)
     {
         CrashRegister& known = registers_[call.entry];
+        const auto announced = known.ownAnnouncement(call.content, now_);
+        for (size_t i = 0; announced && i < servers_.size(); ++i) {
+            if (announced->server == name(i) && servers_[i].upFrom <= now_)
+                return i;
+        }
         std::set<std::string> avoided = known.serversWithOtherTrials(call.content, now_);
         if (known.isSuspect(call.content))
             avoided.merge(known.serversWithOtherSuspects(call.content));
--- a/tests/core/CrashRegisterTest.cpp
+++ b/tests/core/CrashRegisterTest.cpp
@@ -31,19 +31,35 @@
     }
 }
 
-/// Sends a trial under which a server ends.
-void failTrial(CrashRegister& crashes, const ContentId& content, Instant now)
+/// What a request with the content at server "s" is told.
+CrashAdmission ask(CrashRegister& crashes, const ContentId& content, Instant now)
 {
-    REQUIRE(crashes.admit(content, "s", 0s, now) == CrashAdmission::Trial);
+    return crashes.admit(content, "s", 7, now);
+}
+
+/// Announces a trial and sends it when it is due. Returns when it was sent.
+Instant sendTrial(CrashRegister& crashes, const ContentId& content, Instant now)
+{
+    REQUIRE(ask(crashes, content, now) == CrashAdmission::Announced);
+    const Instant sentAt = now + CrashRegister::announceTime;
+    REQUIRE(ask(crashes, content, sentAt) == CrashAdmission::Trial);
+    return sentAt;
+}
+
+/// Sends a trial under which a server ends at once. Returns when.
+Instant failTrial(CrashRegister& crashes, const ContentId& content, Instant now)
+{
+    const Instant sentAt = sendTrial(crashes, content, now);
     const std::string server = fmt::format("t{}/1", crashes.record(content).failedTrials.size());
-    crashes.onCrash({ content, server, now, crashes.record(content).kind }, now);
+    crashes.onCrash({ content, server, sentAt, crashes.record(content).kind }, sentAt);
+    return sentAt;
 }
 
-/// The content has ended three servers and one more under a trial.
-void block(CrashRegister& crashes, const ContentId& content, Instant now)
+/// The content has ended three servers and one more under a trial. Returns when the last one ended.
+Instant block(CrashRegister& crashes, const ContentId& content, Instant now)
 {
     crash(crashes, content, 3, now);
-    failTrial(crashes, content, now);
+    return failTrial(crashes, content, now);
 }
 
 } // namespace
@@ -65,20 +81,20 @@
 {
     CrashRegister crashes;
     crash(crashes, crashing, 2, start);
-    CHECK(crashes.admit(crashing, "s", 0s, start) == CrashAdmission::Admitted);
+    CHECK(ask(crashes, crashing, start) == CrashAdmission::Admitted);
     crash(crashes, crashing, 1, start);
     CHECK(crashes.isPending(crashing));
     Instant now = start;
     for (const Duration length : CrashRegister::callBlocks) {
-        failTrial(crashes, crashing, now);
+        const Instant failedAt = failTrial(crashes, crashing, now);
         CHECK_FALSE(crashes.isPending(crashing));
-        CHECK(crashes.admit(crashing, "s", 0s, now) == CrashAdmission::Blocked);
-        CHECK(crashes.blockedUntil(crashing) == now + length);
-        now += length;
+        CHECK(ask(crashes, crashing, failedAt) == CrashAdmission::Blocked);
+        CHECK(crashes.blockedUntil(crashing) == failedAt + length);
+        now = failedAt + length;
     }
-    failTrial(crashes, crashing, now);
+    now = failTrial(crashes, crashing, now);
     CHECK(crashes.blockedUntil(crashing) == now + CrashRegister::longestBlock);
-    CHECK(crashes.admit(sound, "s", 0s, now) == CrashAdmission::Admitted);
+    CHECK(ask(crashes, sound, now) == CrashAdmission::Admitted);
     CHECK(crashes.blockedCount(now) == 1);
 }
 
@@ -112,10 +128,10 @@
     crash(crashes, crashing, 3, start);
     Instant now = start;
     for (size_t failures = 1; failures <= CrashRegister::callBlocks.size(); ++failures) {
-        REQUIRE(crashes.admit(crashing, "s0", 0s, now) == CrashAdmission::Trial);
-        CHECK(crashes.onCrash({ crashing, "s0/1", now }, now));
+        const Instant sentAt = sendTrial(crashes, crashing, now);
+        CHECK(crashes.onCrash({ crashing, "s0/1", sentAt }, sentAt));
         CHECK(crashes.record(crashing).failedTrials.size() == failures);
-        CHECK(crashes.blockedUntil(crashing) == now + CrashRegister::callBlocks[failures - 1]);
+        CHECK(crashes.blockedUntil(crashing) == sentAt + CrashRegister::callBlocks[failures - 1]);
         now = crashes.blockedUntil(crashing);
     }
 }
@@ -123,28 +139,106 @@
 TEST_CASE("one trial is admitted at a time, and an answer ends the block", "[crashes]")
 {
     CrashRegister crashes;
-    block(crashes, crashing, start);
-    const Instant end = start + CrashRegister::callBlocks.front();
-    CHECK(crashes.admit(crashing, "s", 0s, end) == CrashAdmission::Trial);
-    CHECK(crashes.admit(crashing, "s", 0s, end) == CrashAdmission::Blocked);
-    CHECK(crashes.admit(crashing, "s", 0s, end + CrashRegister::trialTime) == CrashAdmission::Trial);
+    const Instant end = block(crashes, crashing, start) + CrashRegister::callBlocks.front();
+    const Instant sentAt = sendTrial(crashes, crashing, end);
+    CHECK(ask(crashes, crashing, sentAt) == CrashAdmission::Blocked);
+    CHECK(ask(crashes, crashing, sentAt + CrashRegister::trialTime) == CrashAdmission::Announced);
     CHECK(crashes.onAnswered(crashing));
-    CHECK(crashes.admit(crashing, "s", 0s, end) == CrashAdmission::Admitted);
+    CHECK(ask(crashes, crashing, end) == CrashAdmission::Admitted);
     CHECK_FALSE(crashes.isSuspect(crashing));
 }
 
-TEST_CASE("a trial begins after the delay that its process has drawn, unless another one was first", "[crashes]")
+TEST_CASE("of two processes that announce a trial at the same moment only one sends it", "[crashes]")
 {
     CrashRegister first;
     CrashRegister second;
     crash(first, crashing, 3, start);
     second.merge(first.record(crashing), start);
-    CHECK(first.admit(crashing, "s", 10ms, start) == CrashAdmission::Pending);
-    CHECK(second.admit(crashing, "s", 20ms, start) == CrashAdmission::Pending);
-    CHECK(first.admit(crashing, "s", 500ms, start + 10ms) == CrashAdmission::Trial);
-    CHECK(second.merge(first.record(crashing), start + 12ms));
-    CHECK(second.admit(crashing, "s", 0s, start + 20ms) == CrashAdmission::Pending);
-    CHECK(second.blockedUntil(crashing) == start + 10ms + CrashRegister::trialTime);
+    CHECK(first.admit(crashing, "s", 20, start) == CrashAdmission::Announced);
+    CHECK(second.admit(crashing, "s", 10, start) == CrashAdmission::Announced);
+    CHECK(first.merge(second.record(crashing), start));
+    CHECK_FALSE(second.merge(first.record(crashing), start));
+    const Instant dueAt = start + CrashRegister::announceTime;
+    CHECK(first.admit(crashing, "s", 30, dueAt) == CrashAdmission::Pending);
+    CHECK(second.admit(crashing, "s", 40, dueAt) == CrashAdmission::Trial);
+    CHECK(first.merge(second.record(crashing), dueAt));
+    CHECK(first.admit(crashing, "s", 50, dueAt + 1s) == CrashAdmission::Pending);
+    CHECK(first.blockedUntil(crashing) == dueAt + CrashRegister::trialTime);
+}
+
+TEST_CASE("a trial that its process does not send in time is announced by another one", "[crashes]")
+{
+    CrashRegister first;
+    CrashRegister second;
+    crash(first, crashing, 3, start);
+    CHECK(first.admit(crashing, "s", 20, start) == CrashAdmission::Announced);
+    second.merge(first.record(crashing), start);
+    const Instant end = start + CrashRegister::announceTime + CrashRegister::announceGrace;
+    CHECK(second.admit(crashing, "s", 30, end - 1ms) == CrashAdmission::Pending);
+    CHECK(second.admit(crashing, "s", 30, end) == CrashAdmission::Announced);
+    CHECK(first.merge(second.record(crashing), end));
+    CHECK_FALSE(first.ownAnnouncement(crashing, end));
+}
+
+TEST_CASE("a server has one trial at a time, and one that moves is announced again", "[crashes]")
+{
+    CrashRegister crashes;
+    crash(crashes, crashing, 3, start);
+    CrashRecord other;
+    other.content = sound;
+    other.crashedServers = { "x/1", "y/1", "z/1" };
+    crashes.merge(other, start);
+    CHECK(crashes.admit(crashing, "s", 20, start) == CrashAdmission::Announced);
+    CHECK(crashes.serversWithOtherTrials(sound, start) == std::set<std::string> { "s" });
+    CHECK(crashes.admit(sound, "s", 10, start) == CrashAdmission::Announced);
+    CHECK(crashes.isServerTaken(crashing, "s", start));
+    CHECK_FALSE(crashes.isServerTaken(sound, "s", start));
+    const Instant dueAt = start + CrashRegister::announceTime;
+    CHECK(crashes.admit(crashing, "s", 30, dueAt) == CrashAdmission::Pending);
+    CHECK(crashes.admit(crashing, "s2", 30, dueAt) == CrashAdmission::Announced);
+    CHECK(crashes.admit(crashing, "s3", 31, dueAt) == CrashAdmission::Announced);
+    CHECK(crashes.admit(sound, "s", 40, dueAt) == CrashAdmission::Trial);
+}
+
+TEST_CASE("a failed trial is excused once while another content that was there has not been answered", "[crashes]")
+{
+    CrashRegister crashes;
+    crash(crashes, sound, 3, start);
+    const Instant failedAt = failTrial(crashes, sound, start);
+    CHECK_FALSE(crashes.isPending(sound));
+    CrashRecord other;
+    other.content = crashing;
+    other.crashedServers = { "t0/1" };
+    crashes.merge(other, failedAt);
+    CHECK(crashes.isPending(sound));
+    const Instant secondAt = failTrial(crashes, sound, failedAt);
+    other.crashedServers.insert("t1/1");
+    crashes.merge(other, secondAt);
+    CHECK(ask(crashes, sound, secondAt) == CrashAdmission::Blocked);
+}
+
+TEST_CASE("a trial that fails late is not excused", "[crashes]")
+{
+    CrashRegister crashes;
+    crash(crashes, sound, 3, start);
+    const Instant failedAt = failTrial(crashes, sound, start + CrashRegister::freeTrialTime);
+    CrashRecord other;
+    other.content = crashing;
+    other.crashedServers = { "t0/1" };
+    crashes.merge(other, failedAt);
+    CHECK(ask(crashes, sound, failedAt) == CrashAdmission::Blocked);
+}
+
+TEST_CASE("only the attempt that was sent as a trial fails it", "[crashes]")
+{
+    CrashRegister crashes;
+    crash(crashes, sound, 3, start);
+    crashes.onCrash({ sound, "t0/1", start }, start);
+    CHECK(crashes.record(sound).failedTrials.empty());
+    const Instant sentAt = sendTrial(crashes, sound, start);
+    crashes.onCrash({ sound, "t1/1", start }, sentAt);
+    CHECK(ask(crashes, sound, sentAt) == CrashAdmission::Pending);
+    CHECK(crashes.record(sound).trial.phase == CrashTrial::Phase::Sent);
 }
 
 TEST_CASE("a content that many callers send goes on after one trial when its servers end together", "[crashes]")
@@ -152,18 +246,18 @@
     CrashRegister crashes;
     crash(crashes, sound, 5, start);
     CHECK(crashes.isPending(sound));
-    CHECK(crashes.admit(sound, "s", 0s, start) == CrashAdmission::Trial);
-    CHECK(crashes.admit(sound, "s", 0s, start) == CrashAdmission::Pending);
+    const Instant sentAt = sendTrial(crashes, sound, start);
+    CHECK(ask(crashes, sound, sentAt) == CrashAdmission::Pending);
     CHECK(crashes.onAnswered(sound));
-    CHECK(crashes.admit(sound, "s", 0s, start) == CrashAdmission::Admitted);
+    CHECK(ask(crashes, sound, sentAt) == CrashAdmission::Admitted);
 }
 
 TEST_CASE("a content that was answered just now is held back like any other once it crashes servers", "[crashes]")
 {
     CrashRegister crashes;
     crashes.onAnswered(crashing);
-    block(crashes, crashing, start);
-    CHECK(crashes.admit(crashing, "s", 0s, start) == CrashAdmission::Blocked);
+    const Instant now = block(crashes, crashing, start);
+    CHECK(ask(crashes, crashing, now) == CrashAdmission::Blocked);
 }
 
 TEST_CASE(
@@ -171,17 +265,17 @@
 {
     CrashRegister crashes;
     crash(crashes, sound, 3, start);
-    REQUIRE(crashes.admit(sound, "s", 0s, start) == CrashAdmission::Trial);
-    crashes.onNotRun(sound, start, true, start);
-    CHECK(crashes.admit(sound, "s", 0s, start) == CrashAdmission::Trial);
+    Instant sentAt = sendTrial(crashes, sound, start);
+    CHECK(crashes.onNotRun(sound, sentAt, true, sentAt));
+    sentAt = sendTrial(crashes, sound, sentAt);
     const Instant later = start + CrashRegister::freeTrialTime;
-    crashes.onNotRun(sound, start, true, later);
-    CHECK(crashes.admit(sound, "s", 0s, later) == CrashAdmission::Pending);
-    crashes.onNotRun(sound, start, false, later);
-    CHECK(crashes.admit(sound, "s", 0s, later) == CrashAdmission::Trial);
+    CHECK_FALSE(crashes.onNotRun(sound, sentAt, true, later));
+    CHECK(ask(crashes, sound, later) == CrashAdmission::Pending);
+    CHECK(crashes.onNotRun(sound, sentAt, false, later));
+    sendTrial(crashes, sound, later);
     // An attempt that was sent before the third crash was none.
-    crashes.onNotRun(sound, start - 1s, false, later);
-    CHECK(crashes.admit(sound, "s", 0s, later) == CrashAdmission::Pending);
+    CHECK_FALSE(crashes.onNotRun(sound, start - 1s, false, later));
+    CHECK(ask(crashes, sound, later) == CrashAdmission::Pending);
 }
 
 TEST_CASE("a content that was there at some of another one's crashes is not blocked", "[crashes]")
@@ -192,10 +286,10 @@
     neighbour.content = sound;
     neighbour.crashedServers = { "s1/1", "s2/1", "s3/1" };
     crashes.merge(neighbour, start);
-    CHECK(crashes.admit(sound, "s", 0s, start) == CrashAdmission::Admitted);
-    failTrial(crashes, crashing, start);
-    CHECK(crashes.admit(crashing, "s", 0s, start) == CrashAdmission::Blocked);
-    CHECK(crashes.blockedCount(start) == 1);
+    CHECK(ask(crashes, sound, start) == CrashAdmission::Admitted);
+    const Instant failedAt = failTrial(crashes, crashing, start);
+    CHECK(ask(crashes, crashing, failedAt) == CrashAdmission::Blocked);
+    CHECK(crashes.blockedCount(failedAt) == 1);
     neighbour.crashedServers = { "s7/1", "s8/1", "s9/1" };
     crashes.merge(neighbour, start);
     CHECK(crashes.isPending(sound));
@@ -206,9 +300,9 @@
     CrashRegister crashes;
     block(crashes, crashing, start);
     const Instant later = start + CrashRegister::settleTime;
-    CHECK(crashes.admit(crashing, "s", 0s, later) == CrashAdmission::Blocked);
+    CHECK(ask(crashes, crashing, later) == CrashAdmission::Blocked);
     crash(crashes, sound, 5, later);
-    CHECK(crashes.admit(crashing, "s", 0s, later) == CrashAdmission::Blocked);
+    CHECK(ask(crashes, crashing, later) == CrashAdmission::Blocked);
 }
 
 TEST_CASE("a suspect is kept apart from other suspects", "[crashes]")
@@ -231,11 +325,11 @@
     const CrashRecord blocked = first.record(crashing);
     CHECK(second.merge(blocked, start));
     CHECK_FALSE(second.merge(blocked, start));
-    CHECK(second.admit(crashing, "s", 0s, start) == CrashAdmission::Blocked);
+    CHECK(ask(second, crashing, start) == CrashAdmission::Blocked);
     CHECK(first.onAnswered(crashing));
     CHECK(second.merge(first.record(crashing), start));
     CHECK_FALSE(second.merge(blocked, start));
-    CHECK(second.admit(crashing, "s", 0s, start) == CrashAdmission::Admitted);
+    CHECK(ask(second, crashing, start) == CrashAdmission::Admitted);
 }
 
 TEST_CASE("records are forgotten some time after the last crash, and beyond their number", "[crashes]")
--- a/tests/io/CrashGuardTest.cpp
+++ b/tests/io/CrashGuardTest.cpp
@@ -81,7 +81,7 @@
     CrashRecord record;
     record.content = content;
     record.crashedServers = { "a/1", "b/1", "c/1", "d/1" };
-    record.failedTrials = { "d/1" };
+    record.failedTrials.insert({ "d/1", false });
     record.blockedUntil = now() + CrashRegister::callBlocks.front();
     return record;
 }
@@ -97,13 +97,17 @@
         for (int64_t startedMs = 1; startedMs <= 3; ++startedMs)
             co_await node.guard.inspect(attemptAt(address, startedMs));
         CHECK(node.notices.size() == 3);
-        CHECK(node.guard.admit(content, "s", ContentKind::Owed));
+        CHECK_FALSE(node.guard.admit(content, "s"));
+        CHECK(node.guard.isPending(content));
+        const Instant deadline = now() + 1s;
+        const bool isTried = co_await node.guard.admitUntil(content, "s", deadline);
+        CHECK(isTried);
         CHECK_FALSE(node.guard.admit(content, "s"));
         CHECK(node.guard.isPending(content));
         co_await node.guard.inspect(attemptAt(address, 4));
         CHECK(node.guard.blockedUntil(content));
         CHECK_FALSE(node.guard.admit(content, "s"));
-        CHECK(node.notices.size() == 5);
+        CHECK(node.notices.size() == 6);
     });
 }
 
