BUDGET: late trials of owed contents wait longer, and all processes know which are late

Cause, from its logs: behind a relay the end of an engine is known only when its next start registers, 1.2 s later. A trial of an owed content was given up after 1 s, so the next one went out before the outcome of the last was known. And the blocks of owed contents (0.5, 1 and 4 s) were the same for trials that the users' limit counts and for those that it does not.

Change: an owed trial has the 5 s of any other. Its blocks are 0.5 and 1 s while trials are not late, then 4 s, 40 s and 5 min for late ones. When the content reached the threshold is a part of the record, so a process that learns of it later, or starts again, does not take late trials for early ones.

The test of owed blocks now counts late trials over 5 min in place of the one length.

--- a/include/endiveroad/CrashRegister.h
+++ b/include/endiveroad/CrashRegister.h
@@ -31,6 +31,8 @@
     std::set<std::string> crashedServers;
     /// Ends under trials.
     std::set<FailedTrial> failedTrials;
+    /// When a process first knew that the content had reached CrashRegister::blockThreshold.
+    Instant thresholdAt = never;
     CrashTrial trial;
     /// The content is not sent to servers before this time if one of the failed trials counts.
     Instant blockedUntil = Instant::min();
@@ -76,9 +78,10 @@
         std::chrono::minutes(5) };
 
     /// The same for owed contents, which the users want to be placed again within 5 s unless they go on crashing
-    /// servers.
-    static constexpr std::array<Duration, 5> owedBlocks { std::chrono::milliseconds(500), std::chrono::seconds(1),
-        std::chrono::seconds(4), std::chrono::seconds(40), std::chrono::minutes(5) };
+    /// servers. The first row holds for trials that are not late, the second for late ones.
+    static constexpr std::array<Duration, 2> owedBlocks { std::chrono::milliseconds(500), std::chrono::seconds(1) };
+    static constexpr std::array<Duration, 3> lateOwedBlocks { std::chrono::seconds(4), std::chrono::seconds(40),
+        std::chrono::minutes(5) };
     static constexpr Duration longestBlock = std::chrono::minutes(5);
 
     /// Time between the announcement of a trial and its sending. Other processes learn of it, and requests that the
@@ -90,7 +93,6 @@
 
     /// Time for the outcome of a trial to become known, in which no other is sent.
     static constexpr Duration trialTime = std::chrono::seconds(5);
-    static constexpr Duration owedTrialTime = std::chrono::seconds(1);
 
     /// A trial that no server ran, or under whose end another content may be the cause, is followed by another at once
     /// if it was sent within this time after the content reached blockThreshold. The users' limit counts later ones.
@@ -173,8 +175,8 @@
         uint64_t ownTicket = 0;
     };
 
-    /// Length of the block after this number of failed trials that count.
-    static Duration blockAfter(size_t failures, ContentKind);
+    /// Length of the block after the last trial has failed.
+    Duration blockOf(const CrashRecord&, bool isLate) const;
 
     bool hasBlock(const Entry&) const;
     /// True if a trial has shown that the content crashes servers.
--- a/src/core/calls/CrashRegister.cpp
+++ b/src/core/calls/CrashRegister.cpp
@@ -10,11 +10,16 @@
 
 } // namespace
 
-Duration CrashRegister::blockAfter(size_t failures, ContentKind kind)
+Duration CrashRegister::blockOf(const CrashRecord& record, bool isLate) const
 {
-    const auto lengthIn
-        = [failures](const auto& blocks) { return blocks[std::clamp<size_t>(failures, 1, blocks.size()) - 1]; };
-    return kind == ContentKind::Owed ? lengthIn(owedBlocks) : lengthIn(callBlocks);
+    const auto lengthIn = [](const auto& blocks, size_t failures) {
+        return blocks[std::clamp<size_t>(failures, 1, blocks.size()) - 1];
+    };
+    if (record.kind == ContentKind::Call)
+        return lengthIn(callBlocks, countedFailures(record));
+    const auto late = std::count_if(record.failedTrials.begin(), record.failedTrials.end(),
+        [](const FailedTrial& failed) { return failed.isLate; });
+    return isLate ? lengthIn(lateOwedBlocks, static_cast<size_t>(late)) : lengthIn(owedBlocks, countedFailures(record));
 }
 
 Instant CrashRegister::blockedUntil(const ContentId& content) const
@@ -91,7 +96,11 @@
 void CrashRegister::settleBlocks(Instant now)
 {
     for (auto& [content, entry] : entries_) {
-        if (entry.isBlockFinal || entry.record.crashedServers.size() < blockThreshold)
+        if (entry.record.crashedServers.size() < blockThreshold)
+            continue;
+        if (entry.record.thresholdAt == never)
+            entry.record.thresholdAt = now;
+        if (entry.isBlockFinal)
             continue;
         if (!hasBlock(entry))
             entry.trialsSince = never;
@@ -150,7 +159,7 @@
     }
     trial.phase = CrashTrial::Phase::Sent;
     trial.sendAt = now;
-    trial.until = now + (entry.record.kind == ContentKind::Owed ? owedTrialTime : trialTime);
+    trial.until = now + trialTime;
     return CrashAdmission::Trial;
 }
 
@@ -168,7 +177,7 @@
     if (found == entries_.end() || !wasTrial(found->second, sentAt))
         return false;
     Entry& entry = found->second;
-    const bool isFree = !isProven(entry) && now < entry.trialsSince + freeTrialTime;
+    const bool isFree = !isProven(entry) && now < entry.record.thresholdAt + freeTrialTime;
     const bool isRepeated = !wasReceived || isFree;
     if (!isRepeated || entry.record.trial.phase != CrashTrial::Phase::Sent)
         return false;
@@ -239,9 +248,9 @@
     if (!isNew)
         return isTrialOver;
     if (isFailedTrial) {
-        record.failedTrials.insert({ server, report.sentAt >= entry.trialsSince + freeTrialTime });
-        const Duration block = blockAfter(countedFailures(record), record.kind);
-        record.blockedUntil = std::max(record.blockedUntil, now + block);
+        const bool isLate = report.sentAt >= record.thresholdAt + freeTrialTime;
+        record.failedTrials.insert({ server, isLate });
+        record.blockedUntil = std::max(record.blockedUntil, now + blockOf(record, isLate));
     }
     entry.expiry = now + recordLifetime;
     removeExpired(now);
@@ -264,6 +273,7 @@
     entry.record.crashedServers.clear();
     entry.record.failedTrials.clear();
     entry.record.trial = {};
+    entry.record.thresholdAt = never;
     entry.record.blockedUntil = Instant::min();
     entry.trialsSince = never;
     entry.isBlockFinal = false;
@@ -283,6 +293,7 @@
         record.failedTrials.insert(other.failedTrials.begin(), other.failedTrials.end());
         if (other.trial.supersedes(record.trial))
             record.trial = other.trial;
+        record.thresholdAt = std::min(record.thresholdAt, other.thresholdAt);
         record.blockedUntil = std::max(record.blockedUntil, other.blockedUntil);
         record.kind = std::max(record.kind, other.kind);
     }
--- a/src/io/CrashGuard.cpp
+++ b/src/io/CrashGuard.cpp
@@ -20,6 +20,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(instant - currentTime).count();
 }
 
+int64_t millisecondsSince(Instant instant)
+{
+    return std::max<int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now() - instant).count(), 0);
+}
+
 /// The past if the time is not positive.
 Instant instantAfter(int64_t milliseconds, Duration longest)
 {
@@ -77,6 +82,7 @@
         encoded.failedTrials.push_back(toWire(failed));
     encoded.blockedForMs = millisecondsUntil(record.blockedUntil);
     encoded.trial = toWire(record.trial);
+    encoded.heldForMs = record.thresholdAt == never ? -1 : millisecondsSince(record.thresholdAt);
     encoded.isOwed = record.kind == ContentKind::Owed;
     return encoded;
 }
@@ -92,6 +98,9 @@
     record.kind = encoded.isOwed ? ContentKind::Owed : ContentKind::Call;
     record.blockedUntil = instantAfter(encoded.blockedForMs, CrashRegister::longestBlock);
     record.trial = fromWire(encoded.trial);
+    const std::chrono::milliseconds heldFor(encoded.heldForMs);
+    if (heldFor.count() >= 0)
+        record.thresholdAt = now() - std::min<Duration>(heldFor, CrashRegister::recordLifetime);
     return record;
 }
 
--- a/src/io/hosted/CrashStore.cpp
+++ b/src/io/hosted/CrashStore.cpp
@@ -48,10 +48,13 @@
     // A trial is soon over, so it is not stored.
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::max(record.blockedUntil, currentTime) - currentTime);
+    const auto heldFor = std::chrono::duration_cast<std::chrono::milliseconds>(
+        currentTime - std::min(record.thresholdAt, currentTime));
     return Json {
         { "content", record.content.text() }, { "generation", record.generation },
         { "crashedServers", record.crashedServers }, { "failedTrials", encodeTrials(record.failedTrials) },
-        { "isOwed", record.kind == ContentKind::Owed }, { "blockedUntilMs", wallMs() + left.count() }
+        { "isOwed", record.kind == ContentKind::Owed }, { "blockedUntilMs", wallMs() + left.count() },
+        { "heldSinceMs", wallMs() - heldFor.count() }
     }.dump();
 }
 
@@ -65,6 +68,9 @@
         record.crashedServers = object.at("crashedServers").get<std::set<std::string>>();
         record.failedTrials = decodeTrials(object);
         record.kind = object.value("isOwed", false) ? ContentKind::Owed : ContentKind::Call;
+        const std::chrono::milliseconds heldFor(wallMs() - object.value("heldSinceMs", wallMs()));
+        if (record.crashedServers.size() >= CrashRegister::blockThreshold)
+            record.thresholdAt = now() - std::clamp<Duration>(heldFor, Duration::zero(), CrashRegister::recordLifetime);
         const std::chrono::milliseconds left(object.at("blockedUntilMs").get<int64_t>() - wallMs());
         if (left.count() > 0)
             record.blockedUntil = now() + std::min<Duration>(left, CrashRegister::longestBlock);
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -370,6 +370,8 @@
   6: bool isOwed
   7: list<FailedTrial> failedTrials
   8: CrashTrial trial
+  /** Time since a process first knew of enough ends to hold the content back, in ms; negative if none has. */
+  9: i64 heldForMs
 }
 struct CrashNotice { 1: list<CrashRecord> records }
 
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -7190,6 +7190,10 @@
 void CrashRecord::__set_trial(const CrashTrial& val) {
   this->trial = val;
 }
+
+void CrashRecord::__set_heldForMs(const int64_t val) {
+  this->heldForMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
 {
   obj.printTo(out);
@@ -7306,6 +7310,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heldForMs);
+          this->__isset.heldForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7371,6 +7383,10 @@
   xfer += this->trial.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("heldForMs", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->heldForMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7386,6 +7402,7 @@
   swap(a.isOwed, b.isOwed);
   swap(a.failedTrials, b.failedTrials);
   swap(a.trial, b.trial);
+  swap(a.heldForMs, b.heldForMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -7398,6 +7415,7 @@
   isOwed = other183.isOwed;
   failedTrials = other183.failedTrials;
   trial = other183.trial;
+  heldForMs = other183.heldForMs;
   __isset = other183.__isset;
 }
 CrashRecord& CrashRecord::operator=(const CrashRecord& other184) {
@@ -7409,6 +7427,7 @@
   isOwed = other184.isOwed;
   failedTrials = other184.failedTrials;
   trial = other184.trial;
+  heldForMs = other184.heldForMs;
   __isset = other184.__isset;
   return *this;
 }
@@ -7423,6 +7442,7 @@
   out << ", " << "isOwed=" << to_string(isOwed);
   out << ", " << "failedTrials=" << to_string(failedTrials);
   out << ", " << "trial=" << to_string(trial);
+  out << ", " << "heldForMs=" << to_string(heldForMs);
   out << ")";
 }
 
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -3238,7 +3238,7 @@
 std::ostream& operator<<(std::ostream& out, const FailedTrial& obj);
 
 typedef struct _CrashRecord__isset {
-  _CrashRecord__isset() : contentHigh(false), contentLow(false), generation(false), crashedServers(false), blockedForMs(false), isOwed(false), failedTrials(false), trial(false) {}
+  _CrashRecord__isset() : contentHigh(false), contentLow(false), generation(false), crashedServers(false), blockedForMs(false), isOwed(false), failedTrials(false), trial(false), heldForMs(false) {}
   bool contentHigh :1;
   bool contentLow :1;
   bool generation :1;
@@ -3247,6 +3247,7 @@
   bool isOwed :1;
   bool failedTrials :1;
   bool trial :1;
+  bool heldForMs :1;
 } _CrashRecord__isset;
 
 /**
@@ -3262,7 +3263,8 @@
                 contentLow(0),
                 generation(0),
                 blockedForMs(0),
-                isOwed(0) {
+                isOwed(0),
+                heldForMs(0) {
   }
 
   virtual ~CrashRecord() noexcept;
@@ -3283,6 +3285,10 @@
   bool isOwed;
   std::vector<FailedTrial>  failedTrials;
   CrashTrial trial;
+  /**
+   * Time since a process first knew of enough ends to hold the content back, in ms; negative if none has.
+   */
+  int64_t heldForMs;
 
   _CrashRecord__isset __isset;
 
@@ -3302,6 +3308,8 @@
 
   void __set_trial(const CrashTrial& val);
 
+  void __set_heldForMs(const int64_t val);
+
   bool operator == (const CrashRecord & rhs) const
   {
     if (!(contentHigh == rhs.contentHigh))
@@ -3320,6 +3328,8 @@
       return false;
     if (!(trial == rhs.trial))
       return false;
+    if (!(heldForMs == rhs.heldForMs))
+      return false;
     return true;
   }
   bool operator != (const CrashRecord &rhs) const {
--- a/tests/core/CrashRegisterTest.cpp
+++ b/tests/core/CrashRegisterTest.cpp
@@ -98,19 +98,31 @@
     CHECK(crashes.blockedCount(now) == 1);
 }
 
-TEST_CASE("an owed content waits less than 5 s for each of its first trials", "[crashes]")
+TEST_CASE("an owed content waits less than 5 s for each of its first trials, and three are late in 5 min", "[crashes]")
 {
     CrashRegister crashes;
     crash(crashes, crashing, 3, start, ContentKind::Owed);
     Instant now = start;
-    for (int failures = 0; failures < 3; ++failures) {
-        failTrial(crashes, crashing, now);
-        CHECK(crashes.blockedUntil(crashing) < now + 5s);
+    int late = 0;
+    for (int failures = 0; now < start + 5min; ++failures) {
+        const Instant failedAt = failTrial(crashes, crashing, now);
         now = crashes.blockedUntil(crashing);
+        if (failures < 3)
+            CHECK(now < failedAt + 5s);
+        late += failedAt > start + 3s ? 1 : 0;
     }
-    failTrial(crashes, crashing, now);
-    failTrial(crashes, crashing, crashes.blockedUntil(crashing));
-    CHECK(crashes.blockedUntil(crashing) - now > 5min);
+    CHECK(late <= 3);
+}
+
+TEST_CASE("a process that learns of a content later knows which trials are late", "[crashes]")
+{
+    CrashRegister first;
+    CrashRegister second;
+    crash(first, crashing, 3, start, ContentKind::Owed);
+    const Instant later = start + CrashRegister::freeTrialTime;
+    second.merge(first.record(crashing), later);
+    const Instant failedAt = failTrial(second, crashing, later);
+    CHECK(second.blockedUntil(crashing) == failedAt + CrashRegister::lateOwedBlocks.front());
 }
 
 TEST_CASE("two processes that report the end of one server count one crash", "[crashes]")
