--- a/tests/process/crashing_requests.py
+++ b/tests/process/crashing_requests.py
@@ -5,6 +5,7 @@
 import sys
 import threading
 import time
+import zlib
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts", "lib"))
 from hosted import CALL_PREFIX, run_case, wait_until  # noqa: E402
@@ -22,11 +23,13 @@
 class Repeats:
     """A caller that sends one request again and again, each time through the next entry, and sound ones beside it."""
 
-    def __init__(self, deployment, target, body=CRASHING, pause_s=0.15):
+    def __init__(self, deployment, target, body=CRASHING, pause_s=0.15, sound_bodies=0):
         self.deployment = deployment
         self.target = target
         self.body = body
         self.pause_s = pause_s
+        # Number of bodies that sound calls share; each has one of its own if it is 0.
+        self.sound_bodies = sound_bodies
         # (time, status, seconds, headers) of each answer; status 0 for none.
         self.answers = []
         self.sound = collections.Counter()
@@ -38,7 +41,7 @@
         entry = self.deployment.entries[number % len(self.deployment.entries)]
         started = time.monotonic()
         try:
-            status, _, headers = self.deployment.call(entry, "crash-%d" % number, self.target, self.body)
+            status, _, headers = self.deployment.call(entry, "crash-%08x-%d" % (zlib.crc32(self.body), number), self.target, self.body)
         except OSError:
             status, headers = 0, {}
         self.answers.append((started, status, time.monotonic() - started, headers))
@@ -46,7 +49,8 @@
     def send_sound(self, number):
         entry = self.deployment.entries[(number + 1) % len(self.deployment.entries)]
         try:
-            status, body, _ = self.deployment.call(entry, "sound-%d" % number, CALL_PREFIX + "x", b"sound %d" % number)
+            content = b"sound %d" % (number % self.sound_bodies if self.sound_bodies else number)
+            status, body, _ = self.deployment.call(entry, "sound-%d" % number, CALL_PREFIX + "x", content)
         except OSError:
             status, body = 0, b""
         self.sound[status] += 1
@@ -78,7 +82,8 @@
 
 def check_retries(servers, body=CRASHING):
     """After the third crash and STABLE_S more, at most RETRIES further attempts reach servers, run or not."""
-    times = crash_times(servers)
+    ran = {request for server in servers for _, request, reached in server.reached if reached == body}
+    times = sorted(moment for server in servers for request, moment in server.crashes if request in ran)
     print("servers ended:", len(times), ["%.2f" % (moment - times[0]) for moment in times])
     assert len(times) >= CRASHES, times
     known_at = times[CRASHES - 1] + STABLE_S
@@ -189,6 +194,44 @@
     assert repeats.sound[200] > 0, repeats.sound
 
 
+def crashing_calls_excuse_each_other(deployment):
+    """Three contents crash servers at once, beside sound calls that share three others."""
+    services = deployment.platform.services
+    repeats = []
+    for number in range(3):
+        body = b"crashes servers %d" % number
+        make_crashing(services, body)
+        repeats.append(Repeats(deployment, CALL_PREFIX + "x", body, sound_bodies=3))
+    threads = [threading.Thread(target=caller.run, args=(20,)) for caller in repeats]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    for caller in repeats:
+        check_retries(services, caller.body)
+    sound = sum((caller.sound for caller in repeats), collections.Counter())
+    print("sound:", sound)
+    assert not any(caller.condemned for caller in repeats), [caller.condemned for caller in repeats]
+    assert sound[200] >= 0.9 * sum(sound.values()), sound
+
+
+def restarts_between_the_ends_forget_a_crashing_call(deployment):
+    """All entries, then all coordinators, start again after the second end, before the call is held back."""
+    services = deployment.platform.services
+    make_crashing(services)
+    repeats = Repeats(deployment, CALL_PREFIX + "x", pause_s=0.5)
+    thread = threading.Thread(target=repeats.run, args=(24,))
+    thread.start()
+    wait_until(lambda: len(crash_times(services)) >= CRASHES - 1, 10)
+    for machine in deployment.entries:
+        machine.restart()
+    for machine in deployment.coordinators:
+        machine.restart()
+        time.sleep(0.5)
+    thread.join()
+    check_retries(services)
+
+
 def repeats_of_a_crashing_item_pile_up(deployment):
     """One item of a job crashes replicas; the others are completed, also in the next job, which has it again."""
     engines = deployment.platform.engines
@@ -220,7 +263,8 @@
     repeats_of_a_crashing_call_pile_up, servers_that_start_again_under_their_id_are_hit_without_end, repeats_of_a_crashing_call_that_may_not_be_repeated_pile_up,
     repeats_of_a_crashing_stream_pile_up, restarts_forget_a_crashing_call, repeats_of_a_crashing_item_pile_up,
     repeats_of_a_crashing_scoring_call_pile_up, a_call_that_was_answered_before_it_crashed_servers_piles_up,
-    repeats_of_a_crashing_call_pile_up_where_servers_start_under_new_ids)}
+    repeats_of_a_crashing_call_pile_up_where_servers_start_under_new_ids, crashing_calls_excuse_each_other,
+    restarts_between_the_ends_forget_a_crashing_call)}
 
 
 if __name__ == "__main__":
--- a/tests/process/replaced_servers.py
+++ b/tests/process/replaced_servers.py
@@ -100,8 +100,35 @@
     assert callers.statuses[200] >= 0.9 * sum(callers.statuses.values()), callers.statuses
 
 
+def addresses_of_servers_go_to_another_service(deployment):
+    """All servers end; all but one start again as servers of another service, at the addresses that they had."""
+    services = deployment.platform.services
+    for service in services:
+        service.down_s = 0.1
+    callers = Callers(deployment, "/call/x")
+    strangers = services[1:]
+    threads = [threading.Thread(target=callers.send_until_stopped, args=(caller,)) for caller in range(CALLERS)]
+    for thread in threads:
+        thread.start()
+    time.sleep(ROUND_S)
+    ended_at = time.monotonic()
+    for service in services:
+        service.service = "plain" if service not in strangers else "another"
+        deployment.platform.loop.call_soon_threadsafe(service.end)
+    time.sleep(3 * ROUND_S)
+    callers.is_stopped = True
+    for thread in threads:
+        thread.join()
+    print("answers:", callers.statuses)
+    check_misdirected(services)
+    stray = [expected for service in strangers for moment, _, expected in service.misdirected if moment > ended_at + ROUND_S]
+    assert not stray, stray
+    assert callers.statuses[200] >= 0.95 * sum(callers.statuses.values()), callers.statuses
+
+
 CASES = {case.__name__: case for case in (
-    calls_are_sent_to_servers_that_are_known_to_be_gone, streams_are_sent_to_servers_that_are_known_to_be_gone)}
+    calls_are_sent_to_servers_that_are_known_to_be_gone, streams_are_sent_to_servers_that_are_known_to_be_gone,
+    addresses_of_servers_go_to_another_service)}
 
 
 if __name__ == "__main__":
