The choice of servers is a class of its own

What it knows of servers (loads, limits, services by weight) and the choice among them moved to ServerChooser, unchanged; what a request needs of a server is one value, ServerDemand.

--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -16,15 +16,6 @@
 
 constexpr int statusServerError = 500;
 
-std::set<std::string> idsWithout(const std::vector<ServerCandidate>& candidates, const std::string& server)
-{
-    std::set<std::string> ids;
-    for (const ServerCandidate& candidate : candidates)
-        ids.insert(candidate.id);
-    ids.erase(server);
-    return ids;
-}
-
 } // namespace
 
 /// State of a call, shared by its concurrent attempts.
@@ -88,96 +79,30 @@
     CrashGuard& crashGuard, DirectorySource directory, uint64_t seed)
     : context_(context)
     , client_(client)
-    , limits_(limits)
     , crashGuard_(crashGuard)
-    , directory_(std::move(directory))
-    , loads_(seed)
-    , random_(static_cast<uint32_t>(seed) | 1U)
+    , servers_(limits, std::move(directory), seed)
 {
 }
 
 void ServiceCaller::onDirectory(const Directory& directory)
 {
-    std::set<std::string> ids;
-    for (const auto& [id, server] : directory.servers)
-        ids.insert(id);
-    loads_.retain(ids);
-    std::erase_if(explorations_, [&ids](const auto& entry) { return !ids.contains(entry.first); });
-}
-
-const std::string& ServiceCaller::chooseService(const RouteDeclaration& route)
-{
-    int64_t total = 0;
-    for (const WeightedService& weighted : route.services)
-        total += std::max(weighted.weight, 0);
-    if (total <= 0)
-        return route.services.front().service;
-    int64_t point = std::uniform_int_distribution<int64_t>(0, total - 1)(random_);
-    for (const WeightedService& weighted : route.services) {
-        point -= std::max(weighted.weight, 0);
-        if (point < 0)
-            return weighted.service;
-    }
-    return route.services.back().service;
-}
-
-std::optional<ChosenServer> ServiceCaller::chooseServer(const CallState& state, const std::set<std::string>& excluded)
-{
-    if (state.route.services.empty())
-        return std::nullopt;
-    const auto directory = directory_();
-    const bool isHedge = state.activeAttempts > 0;
-    std::vector<ServerCandidate> candidates;
-    std::vector<ServerRecord> limited;
-    for (const ServerRecord* server : directory->readyServers(chooseService(state.route))) {
-        const ServerIncarnation receiver = ServerIncarnation::of(*server);
-        const bool isLimited = limits_.isLimited(receiver);
-        if (isLimited && !excluded.contains(server->id))
-            limited.push_back(*server);
-        // A server in need gets no second copies of requests.
-        if (!isLimited || (!isHedge && limits_.mayTake(receiver)))
-            candidates.push_back({ server->id, server->slots });
-    }
-    const auto chosen = loads_.choose(candidates, excluded, now());
-    if (!isHedge)
-        demandPermits(state, limited, !chosen);
-    if (!chosen)
-        return std::nullopt;
-    const ServerRecord& server = directory->servers.at(*chosen);
-    auto permit = limits_.tryTake(ServerIncarnation::of(server), state.path);
-    if (!permit)
-        return std::nullopt;
-    return ChosenServer { server, *std::move(permit) };
+    servers_.onDirectory(directory);
 }
 
-void ServiceCaller::demandPermits(const CallState& state, const std::vector<ServerRecord>& limited, bool isWaiting)
+ServerDemand ServiceCaller::demandOf(const CallState& state) const
 {
-    if (limited.empty())
-        return;
-    const Duration latency = loads_.rateOf(candidatesOf(state.route)).latency;
-    for (const ServerRecord& server : limited) {
-        const ServerIncarnation receiver = ServerIncarnation::of(server);
-        if (limits_.permits(receiver) > 0)
-            continue;
-        if (isWaiting) {
-            const size_t waiting = std::max<size_t>(waitingCalls_.count(state.service()), 1);
-            // Any call that waits can use the permits.
-            const Instant deadline
-                = std::max(state.deadline, waitingCalls_.lastDeadline(state.service()).value_or(state.deadline));
-            limits_.demand(receiver, state.route.priority, waiting, deadline - latency);
-            continue;
-        }
-        Instant& exploreAt = explorations_[server.id];
-        if (now() < exploreAt)
-            continue;
-        exploreAt = now() + explorationInterval;
-        limits_.demand(receiver, explorationPriority, 1, now() + explorationWait);
-    }
+    ServerDemand demand;
+    demand.path = state.path;
+    demand.isHedge = state.activeAttempts > 0;
+    demand.waiting = std::max<size_t>(waitingCalls_.count(state.service()), 1);
+    const Instant lastDeadline = waitingCalls_.lastDeadline(state.service()).value_or(state.deadline);
+    demand.lastDeadline = std::max(state.deadline, lastDeadline);
+    return demand;
 }
 
 void ServiceCaller::onUnreachable(const std::string& server)
 {
-    loads_.onUnreachable(server, now());
+    servers_.loads().onUnreachable(server, now());
 }
 
 void ServiceCaller::onPermit()
@@ -197,13 +122,14 @@
     const std::set<std::string> onTrial = crashGuard_.serversOnTrial(state.content);
     std::set<std::string> excludedFirst = excluded;
     excludedFirst.insert(onTrial.begin(), onTrial.end());
+    const ServerDemand demand = demandOf(state);
     std::optional<ChosenServer> server;
     if (const auto announced = crashGuard_.announcedServer(state.content))
-        server = chooseServer(state, idsWithout(candidatesOf(state.route), *announced));
+        server = servers_.chooseOnly(state.route, demand, *announced);
     if (!server)
-        server = chooseServer(state, excludedFirst);
+        server = servers_.choose(state.route, demand, excludedFirst);
     if (!server && excludedFirst != excluded)
-        server = chooseServer(state, excluded);
+        server = servers_.choose(state.route, demand, excluded);
     if (server && !crashGuard_.admit(state.content, server->server.id)) {
         state.result.blockedUntil = crashGuard_.blockedUntil(state.content);
         return std::nullopt;
@@ -211,25 +137,9 @@
     return server;
 }
 
-std::vector<ServerCandidate> ServiceCaller::candidatesOf(const RouteDeclaration& route) const
-{
-    const auto directory = directory_();
-    std::vector<ServerCandidate> candidates;
-    for (const WeightedService& weighted : route.services) {
-        for (const ServerRecord* server : directory->readyServers(weighted.service)) {
-            const ServerIncarnation receiver = ServerIncarnation::of(*server);
-            ServerCandidate candidate { server->id, server->slots };
-            if (limits_.isLimited(receiver))
-                candidate.permits = limits_.outlook(receiver);
-            candidates.push_back(std::move(candidate));
-        }
-    }
-    return candidates;
-}
-
 bool ServiceCaller::hasReadyServer(const RouteDeclaration& route) const
 {
-    return !candidatesOf(route).empty();
+    return !servers_.candidatesOf(route).empty();
 }
 
 asio::awaitable<void> ServiceCaller::awaitServer(CallStatePtr state)
@@ -267,7 +177,7 @@
 void ServiceCaller::turnAwayHopeless(const CallState& waiting, bool isNewcomer)
 {
     const std::string service = waiting.service();
-    const ServiceRate rate = loads_.rateOf(candidatesOf(waiting.route));
+    const ServiceRate rate = servers_.rateOf(waiting.route);
     const auto newcomer = isNewcomer ? std::optional(waiting.ticket) : std::nullopt;
     const Instant startAt = std::max(now(), rate.startAt);
     const Instant retryAt = startAt + rate.interval * static_cast<Duration::rep>(waitingCalls_.count(service));
@@ -330,7 +240,7 @@
             // Either the limit of attempts is reached, or no ready server has room.
             if (!state->hasAttemptsLeft())
                 break;
-            if (!hasUsableServer(*state) && !isServerExpected(state->route)) {
+            if (!hasUsableServer(*state) && !servers_.isServerExpected(state->route)) {
                 if (!hasReadyServer(state->route))
                     state->result.reason = "no server of the route is ready";
                 break;
@@ -364,7 +274,7 @@
     std::optional<ChosenServer> chosen;
     while (!state->isDone && now() < deadline) {
         chosen = chooseNext(*state);
-        const bool mayWait = hasUsableServer(*state) || isServerExpected(state->route);
+        const bool mayWait = hasUsableServer(*state) || servers_.isServerExpected(state->route);
         if (chosen || state->result.blockedUntil || !mayWait)
             break;
         co_await awaitServer(state);
@@ -379,19 +289,12 @@
 bool ServiceCaller::hasUsableServer(const CallState& state) const
 {
     const TriedServers& tried = state.tried;
-    const std::vector<ServerCandidate> candidates = candidatesOf(state.route);
+    const std::vector<ServerCandidate> candidates = servers_.candidatesOf(state.route);
     return std::any_of(candidates.begin(), candidates.end(), [&tried](const ServerCandidate& candidate) {
         return !tried.misdirected.contains(candidate.id) && (tried.mayTryAgain || !tried.any.contains(candidate.id));
     });
 }
 
-bool ServiceCaller::isServerExpected(const RouteDeclaration& route) const
-{
-    const auto directory = directory_();
-    return std::any_of(route.services.begin(), route.services.end(),
-        [&directory](const WeightedService& weighted) { return directory->isServerExpected(weighted.service); });
-}
-
 void ServiceCaller::startAttempt(const std::shared_ptr<CallState>& state, const ChosenServer& chosen)
 {
     const ServerRecord& server = chosen.server;
@@ -402,7 +305,7 @@
     ++state->activeAttempts;
     ++state->possibleRuns;
     ++state->result.attempts;
-    loads_.onStart(server.id);
+    servers_.loads().onStart(server.id);
     HttpCancellation* cancellation = &state->cancellations.back();
     spawn(
         context_.get_executor(), [this, state, chosen, cancellation] { return attempt(state, chosen, cancellation); });
@@ -451,9 +354,9 @@
 {
     const bool wasAbandoned = state->isDone && now() < state->deadline;
     if (wasSent && !wasAbandoned)
-        loads_.onFailure(server.id, now());
+        servers_.loads().onFailure(server.id, now());
     else
-        loads_.onAbandoned(server.id);
+        servers_.loads().onAbandoned(server.id);
     if (!wasSent && !wasAbandoned)
         onUnreachable(server.id);
     if (!wasSent) {
@@ -483,16 +386,16 @@
 {
     const ReplicaAnswer answer = client_.protocol().decode(response);
     if (answer.load)
-        loads_.onLoadReport(server.id, answer.load->running, answer.load->waiting, now());
+        servers_.loads().onLoadReport(server.id, answer.load->running, answer.load->waiting, now());
     if (answer.verdict != ReplicaVerdict::Ran) {
         --state.possibleRuns;
         if (answer.verdict == ReplicaVerdict::ServerMismatch) {
             crashGuard_.onMisdirected(state.attemptAt(server, startedAt));
             state.tried.misdirected.insert(server.id);
-            loads_.onAbandoned(server.id);
+            servers_.loads().onAbandoned(server.id);
         } else {
             crashGuard_.onRefused(state.attemptAt(server, startedAt));
-            loads_.onRefused(server.id, now());
+            servers_.loads().onRefused(server.id, now());
         }
         state.result.reason = fmt::format("{} refused with {}", server.id, response.status);
         return;
@@ -500,7 +403,7 @@
     if (response.isSuccess() && answer.stamp.empty())
         throw AnswerBrokenError("the answer has a success status but lacks the server's stamp");
     crashGuard_.onAnswered(state.attemptAt(server, startedAt));
-    loads_.onAnswer(server.id, now() - startedAt, now());
+    servers_.loads().onAnswer(server.id, now() - startedAt, now());
     if (state.isDone)
         return;
     if (response.status == statusServerError)
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -3,13 +3,13 @@
 #include "io/CrashGuard.h"
 #include "io/PeerConnection.h"
 #include "io/hosted/Protocol.h"
+#include "io/hosted/ServerChooser.h"
 #include "io/hosted/ServerClient.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <endiveroad/Directory.h>
 #include <endiveroad/Error.h>
-#include <endiveroad/ServerLoads.h>
 #include <endiveroad/WaitingCalls.h>
 #include <functional>
 #include <map>
@@ -38,12 +38,6 @@
     Instant retryAt_;
 };
 
-/// A server that was chosen for a request, and the permit to send it.
-struct ChosenServer {
-    ServerRecord server;
-    ServerPermit permit;
-};
-
 /// The servers that one request has been sent to, by id.
 struct TriedServers {
     /// Tried again only if mayTryAgain is set and no other has room.
@@ -89,20 +83,12 @@
     /// divided by this has passed.
     static constexpr int hedgeDivisor = 2;
 
-    /// Time between two requests for permits for a limited server while others have room. They let the process use what
-    /// the limit leaves, and learn of its end.
-    static constexpr Duration explorationInterval = std::chrono::milliseconds(500);
-
-    /// Time for which a call may wait for such a permit, and its priority.
-    static constexpr Duration explorationWait = std::chrono::milliseconds(100);
-    static constexpr int32_t explorationPriority = 1000;
-
     /// Longest time between two looks for a server by a call that waits for one.
     static constexpr Duration waitInterval = ServerLoads::refusalPause;
 
     static constexpr Duration connectTimeout = std::chrono::milliseconds(250);
 
-    using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
+    using DirectorySource = ServerChooser::DirectorySource;
 
     ServiceCaller(asio::io_context&, ServerClient&, RequestLimits&, CrashGuard&, DirectorySource, uint64_t seed);
 
@@ -133,10 +119,7 @@
 
     using CallStatePtr = std::shared_ptr<CallState>;
 
-    /// Chooses a ready server of one of the route's services that is not excluded, with a permit; nothing if there is
-    /// none. Asks for permits for limited servers.
-    std::optional<ChosenServer> chooseServer(const CallState&, const std::set<std::string>& excluded);
-    void demandPermits(const CallState&, const std::vector<ServerRecord>& limited, bool isWaiting);
+    ServerDemand demandOf(const CallState&) const;
 
     /// Server for the next attempt, if one may start now and a server is free to be tried.
     std::optional<ChosenServer> chooseNext(CallState&);
@@ -156,14 +139,6 @@
     /// True if a ready server of the route may still be tried.
     bool hasUsableServer(const CallState&) const;
 
-    /// True if a server of the route was replaced by one whose registration is still to come.
-    bool isServerExpected(const RouteDeclaration&) const;
-
-    /// Ready servers of all services of the route.
-    std::vector<ServerCandidate> candidatesOf(const RouteDeclaration&) const;
-
-    /// Chooses one of the route's services at random by weight.
-    const std::string& chooseService(const RouteDeclaration&);
     void startAttempt(const std::shared_ptr<CallState>&, const ChosenServer&);
     asio::awaitable<void> attempt(std::shared_ptr<CallState>, ChosenServer, HttpCancellation*);
     asio::awaitable<void> processFailure(
@@ -172,16 +147,11 @@
 
     asio::io_context& context_;
     ServerClient& client_;
-    RequestLimits& limits_;
     CrashGuard& crashGuard_;
-    DirectorySource directory_;
-    ServerLoads loads_;
+    ServerChooser servers_;
     WaitingCalls waitingCalls_;
     /// The calls in waitingCalls_.
     std::map<CallTicket, CallStatePtr> waiting_;
-    /// When a permit for the server is requested again although others have room, by server id.
-    std::map<std::string, Instant> explorations_;
-    std::minstd_rand random_;
 };
 
 } // namespace endiveroad::io
