What a coordinator decides on permits takes time with the square of the demands, not with their cube

Cause: each demand was inserted and then moved back a place at a time, and each move looked at all demands again.

Change: the place of a demand is found in one pass from the end of the order, with the sums of permits kept beside it.

--- a/include/endiveroad/PermitQueue.h
+++ b/include/endiveroad/PermitQueue.h
@@ -84,14 +84,25 @@
     Duration intervalOfProcess(Instant now) const;
 
 private:
+    /// A demand in its place in the schedule.
+    struct Place {
+        uint64_t ticket = 0;
+        const PermitDemand* demand = nullptr;
+        /// Number of permits that it and those before it need.
+        double permitsUpTo = 0;
+    };
+
     double rate() const;
     void accumulate(Instant now);
     /// Number of permits that have to accumulate for the demand.
     double permitsFor(const PermitDemand&) const;
     /// When so many permits will have accumulated.
     Instant permitAt(double permits) const;
-    /// The tickets of the waiting demands in the order in which they get permits.
+    /// The tickets of the waiting demands in the order in which they get permits. Takes time with the square of their
+    /// number.
     std::vector<uint64_t> schedule() const;
+    /// Where a demand for so many permits goes.
+    size_t positionOf(const PermitDemand&, double permits, const std::vector<Place>& order) const;
     /// True if the demands from the position on get their permits in time.
     bool areInTime(const std::vector<uint64_t>& order, size_t from) const;
     /// The ticket that gets permits next; `order` is not empty.
--- a/src/core/routing/PermitQueue.cpp
+++ b/src/core/routing/PermitQueue.cpp
@@ -74,19 +74,32 @@
 
 std::vector<uint64_t> PermitQueue::schedule() const
 {
-    std::vector<uint64_t> order;
+    std::vector<Place> order;
     for (const auto& [ticket, demand] : waiting_) {
-        const int32_t priority = demand.priority;
-        const auto lessUrgent = std::find_if(order.begin(), order.end(),
-            [this, priority](uint64_t other) { return waiting_.at(other).priority > priority; });
-        auto position = static_cast<size_t>(lessUrgent - order.begin());
-        order.insert(lessUrgent, ticket);
-        while (position + 1 < order.size() && !areInTime(order, position + 1)) {
-            std::swap(order[position], order[position + 1]);
-            ++position;
-        }
+        const double permits = permitsFor(demand);
+        size_t position = positionOf(demand, permits, order);
+        const double before = position > 0 ? order[position - 1].permitsUpTo : 0;
+        order.insert(order.begin() + static_cast<std::ptrdiff_t>(position), { ticket, &demand, before + permits });
+        while (++position < order.size())
+            order[position].permitsUpTo += permits;
+    }
+    std::vector<uint64_t> tickets;
+    for (const Place& place : order)
+        tickets.push_back(place.ticket);
+    return tickets;
+}
+
+size_t PermitQueue::positionOf(const PermitDemand& demand, double permits, const std::vector<Place>& order) const
+{
+    const auto lessUrgent = std::find_if(
+        order.begin(), order.end(), [&demand](const Place& place) { return place.demand->priority > demand.priority; });
+    // Behind the last of the less urgent ones that would come too late if this one went before it.
+    for (auto place = order.end(); place != lessUrgent; --place) {
+        const Place& last = *std::prev(place);
+        if (permitAt(last.permitsUpTo + permits) > last.demand->latestStart)
+            return static_cast<size_t>(place - order.begin());
     }
-    return order;
+    return static_cast<size_t>(lessUrgent - order.begin());
 }
 
 uint64_t PermitQueue::nextOf(const std::vector<uint64_t>& order) const
