--- a/src/core/routing/PermitQueue.cpp
+++ b/src/core/routing/PermitQueue.cpp
@@ -84,6 +84,7 @@
             order[position].permitsUpTo += permits;
     }
     std::vector<uint64_t> tickets;
+    tickets.reserve(order.size());
     for (const Place& place : order)
         tickets.push_back(place.ticket);
     return tickets;
