Times in notices and records of crashes are bounded before they are converted

A time in milliseconds from a peer or the store was converted to microseconds before it was bounded, which overflows for absurd values: undefined, and at least a wrong block.

Change: boundedTime() clamps the number first. CrashGuardTest sends a notice with the largest values, a negative round and an unknown phase. The test was not run on the former code; it would not fail there without the undefined behaviour sanitizer.

--- a/include/endiveroad/CrashRegister.h
+++ b/include/endiveroad/CrashRegister.h
@@ -40,6 +40,7 @@
 
     auto operator<=>(const CrashRecord&) const = default;
 
+    /// True if the records differ in the last trial at most.
     bool isSameButTrial(CrashRecord other) const
     {
         other.trial = trial;
--- a/src/io/CrashGuard.cpp
+++ b/src/io/CrashGuard.cpp
@@ -25,11 +25,17 @@
     return std::max<int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now() - instant).count(), 0);
 }
 
+/// A time that a peer has named, from -longest to longest.
+Duration boundedTime(int64_t milliseconds, Duration longest)
+{
+    const int64_t most = std::chrono::duration_cast<std::chrono::milliseconds>(longest).count();
+    return std::chrono::milliseconds(std::clamp(milliseconds, -most, most));
+}
+
 /// The past if the time is not positive.
 Instant instantAfter(int64_t milliseconds, Duration longest)
 {
-    const std::chrono::milliseconds time(milliseconds);
-    return time.count() > 0 ? now() + std::min<Duration>(time, longest) : Instant::min();
+    return milliseconds > 0 ? now() + boundedTime(milliseconds, longest) : Instant::min();
 }
 
 wire::FailedTrial toWire(const FailedTrial& failed)
@@ -57,8 +63,6 @@
 CrashTrial fromWire(const wire::CrashTrial& encoded)
 {
     const int32_t lastPhase = static_cast<int32_t>(CrashTrial::Phase::Ended);
-    const std::chrono::milliseconds longest
-        = std::chrono::duration_cast<std::chrono::milliseconds>(CrashRegister::trialTime);
     CrashTrial trial;
     trial.round = encoded.round;
     trial.ticket = static_cast<uint64_t>(encoded.ticket);
@@ -66,8 +70,8 @@
     trial.server = encoded.server;
     if (trial.phase == CrashTrial::Phase::Ended)
         return trial;
-    trial.sendAt = now() + std::clamp(std::chrono::milliseconds(encoded.sendInMs), -longest, longest);
-    trial.until = instantAfter(encoded.leftMs, longest);
+    trial.sendAt = now() + boundedTime(encoded.sendInMs, CrashRegister::trialTime);
+    trial.until = instantAfter(encoded.leftMs, CrashRegister::trialTime);
     return trial;
 }
 
@@ -98,9 +102,8 @@
     record.kind = encoded.isOwed ? ContentKind::Owed : ContentKind::Call;
     record.blockedUntil = instantAfter(encoded.blockedForMs, CrashRegister::longestBlock);
     record.trial = fromWire(encoded.trial);
-    const std::chrono::milliseconds heldFor(encoded.heldForMs);
-    if (heldFor.count() >= 0)
-        record.thresholdAt = now() - std::min<Duration>(heldFor, CrashRegister::recordLifetime);
+    if (encoded.heldForMs >= 0)
+        record.thresholdAt = now() - boundedTime(encoded.heldForMs, CrashRegister::recordLifetime);
     return record;
 }
 
--- a/src/io/hosted/CrashStore.cpp
+++ b/src/io/hosted/CrashStore.cpp
@@ -68,9 +68,11 @@
         record.crashedServers = object.at("crashedServers").get<std::set<std::string>>();
         record.failedTrials = decodeTrials(object);
         record.kind = object.value("isOwed", false) ? ContentKind::Owed : ContentKind::Call;
-        const std::chrono::milliseconds heldFor(wallMs() - object.value("heldSinceMs", wallMs()));
+        const int64_t longestMs
+            = std::chrono::duration_cast<std::chrono::milliseconds>(CrashRegister::recordLifetime).count();
+        const int64_t heldSinceMs = std::max(object.value("heldSinceMs", wallMs()), wallMs() - longestMs);
         if (record.crashedServers.size() >= CrashRegister::blockThreshold)
-            record.thresholdAt = now() - std::clamp<Duration>(heldFor, Duration::zero(), CrashRegister::recordLifetime);
+            record.thresholdAt = now() - std::chrono::milliseconds(wallMs() - std::min(heldSinceMs, wallMs()));
         const std::chrono::milliseconds left(object.at("blockedUntilMs").get<int64_t>() - wallMs());
         if (left.count() > 0)
             record.blockedUntil = now() + std::min<Duration>(left, CrashRegister::longestBlock);
--- a/tests/io/CrashGuardTest.cpp
+++ b/tests/io/CrashGuardTest.cpp
@@ -5,9 +5,11 @@
 #include "VirtualTime.h"
 #include "io/Tasks.h"
 #include "io/hosted/CrashStore.h"
+#include "wire/Codec.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <limits>
 
 using namespace endiveroad;
 using namespace endiveroad::io;
@@ -248,6 +250,30 @@
     CHECK(receiver.guard.encodeAll());
 }
 
+TEST_CASE("times that no process would name are bounded", "[crashes]")
+{
+    asio::io_context context;
+    IgnoringHandler handler;
+    const PeerConnection origin(asio::ip::tcp::socket(context), handler);
+    Node node;
+    wire::CrashRecord record;
+    record.contentHigh = 1;
+    record.contentLow = 2;
+    record.crashedServers = { "a/1", "b/1", "c/1" };
+    record.blockedForMs = std::numeric_limits<int64_t>::max();
+    record.heldForMs = std::numeric_limits<int64_t>::max();
+    record.trial.round = std::numeric_limits<int64_t>::min();
+    record.trial.phase = 99;
+    wire::CrashNotice notice;
+    notice.records.push_back(record);
+    const Instant begin = now();
+    node.guard.onNotice(origin, wire::encode(notice));
+    CHECK(node.guard.record(content).thresholdAt >= begin - CrashRegister::recordLifetime);
+    CHECK(node.guard.record(content).blockedUntil <= now() + CrashRegister::longestBlock);
+    CHECK_FALSE(node.guard.admit(content, "s"));
+    CHECK(node.guard.announcedServer(content) == "s");
+}
+
 TEST_CASE("blocked contents outlast the loss of all processes", "[crashes]")
 {
     VirtualTime time;
