Tests: processes are asked to stop only once they handle signals

Their logs are empty, those of the entries begin 64 ms before.

Cause: a case begins when the entries are ready. A short one ended before the other processes, on a busy machine, had begun to run, and a process that has not begun cannot handle a signal. The check on exit codes is right and stays as it was.

Change: terminate_all() waits until each process has logged that it runs, or has ended; a process that never starts fails the case.

--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -40,6 +40,8 @@
         self.path = os.path.join(deployment.dir, name + ".conf")
         self.log_path = os.path.join(deployment.dir, name + ".log")
         self.handle = None
+        # Length of the log when the process was started.
+        self.log_start = 0
         # Exit codes of processes that ended by themselves other than well.
         self.bad_exits = []
 
@@ -47,10 +49,17 @@
         with open(self.path, "w", encoding="utf-8") as file:
             file.write("".join("%s=%s\n" % pair for pair in self.settings.items()))
         with open(self.log_path, "ab") as log:
+            self.log_start = log.tell()
             self.handle = subprocess.Popen([self.deployment.binary, self.role, "--hosted", "--metrics-port",
                                             str(self.deployment.port + 4)], stdout=log, stderr=log,
                                            stdin=subprocess.DEVNULL, env={**os.environ, "ENDIVEROAD_BOOT": self.path})
 
+    def has_started(self):
+        """True once the process handles signals, or has ended. One that gets SIGTERM earlier ends by it."""
+        with open(self.log_path, "rb") as log:
+            log.seek(self.log_start)
+            return b"ProcessStarted" in log.read() or self.handle.poll() is not None
+
     def signal(self, number):
         self.handle.send_signal(number)
 
@@ -276,6 +285,7 @@
 
     def terminate_all(self, patience_s=15):
         """Asks all processes to stop at once, and waits until they have."""
+        wait_until(lambda: all(machine.has_started() for machine in self.machines()), patience_s)
         for machine in self.machines():
             if machine.handle.poll() is None:
                 machine.signal(signal.SIGCONT)
