Observability: which software version wrote each piece of a stream and each run of a text

Registrations' Version is decoded (a value that is no text counts as unknown), StreamEnded names the servers that wrote an answer with their software, ItemPlaced the replica's, SoftwareChanged the versions of a service that serve side by side, ServerUp the start that the replica itself states beside the registered one. Choices are as before. Stand-ins: replicas of several versions, events that name their maker.

--- a/include/endiveroad/Directory.h
+++ b/include/endiveroad/Directory.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <endiveroad/Settings.h>
+#include <endiveroad/SoftwareVersion.h>
 #include <endiveroad/Time.h>
 #include <map>
 #include <optional>
@@ -103,6 +104,8 @@
     std::string service;
     Address address;
     std::string failureDomain;
+    /// SoftwareVersion::version; empty if the registration does not tell it.
+    std::string softwareVersion;
     bool isDraining = false;
     /// Number of requests that it can run at once.
     int32_t slots = 1;
@@ -112,6 +115,8 @@
     bool isReplaced = false;
 
     auto operator<=>(const ServerRecord&) const = default;
+
+    SoftwareVersion software() const { return { service, softwareVersion }; }
 };
 
 /// Registration of a coordinator.
@@ -150,6 +155,9 @@
     /// server started last.
     const ServerRecord* serverAt(const Address&) const;
 
+    /// The known software versions of the service's servers, draining ones included.
+    std::set<SoftwareVersion> softwareOf(std::string_view service) const;
+
     /// Marks servers as draining and replaced at whose addresses a server started later is registered.
     void markReplacedServers();
 
--- a/include/endiveroad/endiveroad.h
+++ b/include/endiveroad/endiveroad.h
@@ -30,6 +30,7 @@
 #include <endiveroad/SampleProgress.h>
 #include <endiveroad/ServerLoads.h>
 #include <endiveroad/Settings.h>
+#include <endiveroad/SoftwareVersion.h>
 #include <endiveroad/StallLimit.h>
 #include <endiveroad/Time.h>
 #include <endiveroad/Timeline.h>
--- a/src/core/directory/Directory.cpp
+++ b/src/core/directory/Directory.cpp
@@ -64,6 +64,16 @@
     return newest;
 }
 
+std::set<SoftwareVersion> Directory::softwareOf(std::string_view service) const
+{
+    std::set<SoftwareVersion> versions;
+    for (const auto& [id, server] : servers) {
+        if (server.service == service && server.software().isKnown())
+            versions.insert(server.software());
+    }
+    return versions;
+}
+
 void Directory::markReplacedServers()
 {
     std::map<Address, int64_t> lastStarts;
--- a/src/io/hosted/DirectorySync.cpp
+++ b/src/io/hosted/DirectorySync.cpp
@@ -36,6 +36,26 @@
         directory.routing ? directory.routing->version : 0, directory.servers.size(), directory.coordinators.size());
 }
 
+/// The software versions of the service that serve side by side, with the number of servers of each.
+std::string softwareSummary(const Directory& directory, const std::string& service)
+{
+    std::map<std::string, size_t> counts;
+    for (const ServerRecord* server : directory.readyServers(service))
+        ++counts[server->softwareVersion];
+    std::string text;
+    for (const auto& [version, count] : counts)
+        text += fmt::format("{}{}: {}", text.empty() ? "" : ", ", version.empty() ? "unknown" : version, count);
+    return text;
+}
+
+std::set<std::string> servicesOf(const Directory& directory)
+{
+    std::set<std::string> services;
+    for (const auto& [id, server] : directory.servers)
+        services.insert(server.service);
+    return services;
+}
+
 } // namespace
 
 DirectorySync::DirectorySync(
@@ -237,6 +257,11 @@
     if (*before == *current_)
         return;
     log(Event::DirectoryChanged, { { "state", summary(*current_) } });
+    for (const std::string& service : servicesOf(*current_)) {
+        const std::string versions = softwareSummary(*current_, service);
+        if (versions != softwareSummary(*before, service))
+            log(Event::SoftwareChanged, { { "service", service }, { "versions", versions } });
+    }
     listener_.onDirectory(before, current_);
 }
 
--- a/src/io/hosted/EngineController.cpp
+++ b/src/io/hosted/EngineController.cpp
@@ -139,7 +139,9 @@
     if (isAnswered != isUp_) {
         isUp_ = isAnswered;
         if (isUp_)
-            log(Event::ServerUp, { { "server", server_.id } });
+            log(Event::ServerUp,
+                { { "server", server_.id }, { "startedMs", std::to_string(state_.startedMs) },
+                    { "registeredStartMs", std::to_string(server_.startedMs) } });
         onChange_();
     }
     co_return isAnswered;
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -90,6 +90,15 @@
         owned.job.terminateAll();
 }
 
+SoftwareVersion ItemDispatcher::softwareOf(const std::string& agent) const
+{
+    const auto report = reports_.find(agent);
+    const auto directory = directory_();
+    const auto server = report == reports_.end() ? directory->servers.end()
+                                                 : directory->servers.find(report->second.last.server);
+    return server == directory->servers.end() ? SoftwareVersion() : server->second.software();
+}
+
 std::map<std::string, std::vector<ReplicaView>> ItemDispatcher::replicaViews() const
 {
     std::map<std::string, int32_t> ownRuns;
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -128,6 +128,8 @@
     /// Service with the greatest weight on the route that matches the path of the job's first item; empty if there is
     /// none. All items of the job run on its replicas.
     std::string serviceOf(const OwnedJob&) const;
+    /// Software of the agent's replica, as it is registered.
+    SoftwareVersion softwareOf(const std::string& agent) const;
     /// State of all replicas, by service.
     std::map<std::string, std::vector<ReplicaView>> replicaViews() const;
     /// Starts waiting items on replicas with free slots.
--- a/src/io/hosted/ItemRuns.cpp
+++ b/src/io/hosted/ItemRuns.cpp
@@ -39,7 +39,8 @@
     startRequest.stalls = owned->stalls(index);
     log(Event::ItemPlaced,
         { { "job", owned->id() }, { "item", spec.id }, { "run", std::to_string(startRequest.run) },
-            { "agent", replica.agent }, { "running", std::to_string(replica.running) },
+            { "agent", replica.agent }, { "software", softwareOf(replica.agent).text() },
+            { "running", std::to_string(replica.running) },
             { "version", std::to_string(replica.version(startRequest.model)) },
             { "events", std::to_string(startRequest.events.size()) },
             { "expected", fmt::format("{:.0f}", spec.expectedTokens) } });
--- a/src/io/hosted/Protocol.h
+++ b/src/io/hosted/Protocol.h
@@ -33,6 +33,10 @@
     std::string path;
     /// Time for which the caller waits for the answer; nothing if the request does not say.
     std::optional<Duration> timeout;
+    /// The caller has events of the stream that it asks for, and wants those that follow.
+    bool isResumption = false;
+    /// Id of the caller's request that brought the first event of that stream; empty if the caller does not say.
+    std::string resumedRequest;
     std::string job;
     std::string item;
     int64_t firstPosition = 0;
@@ -119,6 +123,8 @@
     bool isLoading = false;
     /// Number of orders that the replica has accepted since its start.
     int64_t acceptedOrders = 0;
+    /// Wall time of its start in ms since the epoch; 0 if the report does not tell it.
+    int64_t startedMs = 0;
 };
 
 /// An order to a replica to load a weight version. The replica carries it out only if `fencingToken` is not lower than
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -30,6 +30,15 @@
 
 } // namespace
 
+/// What one server wrote of an answer.
+struct StreamProxy::StreamPiece {
+    std::string server;
+    SoftwareVersion software;
+    size_t events = 0;
+
+    std::string text() const { return fmt::format("{} ({}): {}", server, software.text(), events); }
+};
+
 struct StreamProxy::ServerStream {
     ServerStream(asio::io_context& context, ServerAttempt sent)
         : attempt(std::move(sent))
@@ -38,6 +47,8 @@
     }
 
     ServerAttempt attempt;
+    /// Of the server, as its registration told when the request was sent.
+    SoftwareVersion software;
     Signal changed;
     HttpCancellation cancellation;
     std::optional<HttpResponse> head;
@@ -73,6 +84,8 @@
     bool mayResume = false;
     EventStreamReader reader;
     std::optional<int64_t> lastEventId;
+    /// The servers that wrote the answer so far, in order, with their software and number of events.
+    std::vector<StreamPiece> pieces;
     std::string failure;
 };
 
@@ -105,6 +118,7 @@
     const ServerRecord& server = chosen->server;
     ServerAttempt attempt { request.id, progress.content, server.id, ServerStart::of(server), now() };
     auto serverStream = std::make_shared<ServerStream>(context_, std::move(attempt));
+    serverStream->software = server.software();
     ReplicaRequest call = request;
     call.server = server.id;
     call.timeout = deadline - now();
@@ -189,6 +203,7 @@
         HeaderList headers = forwardedHeaders(serverStream->head->headers);
         co_await exchange.beginStream(statusOk, std::move(headers));
     }
+    progress.pieces.push_back({ serverStream->attempt.server, serverStream->software });
     while (!cancellation->isCancelled() && now() < deadline) {
         const size_t bytes = completeEventBytes(serverStream->pending);
         if (bytes > 0) {
@@ -197,8 +212,10 @@
                 crashGuard_.onAnswered(serverStream->attempt);
             const std::string piece = serverStream->pending.substr(0, bytes);
             serverStream->pending.erase(0, bytes);
-            for (const StreamEvent& event : progress.reader.feed(piece))
+            for (const StreamEvent& event : progress.reader.feed(piece)) {
                 progress.lastEventId = event.id ? event.id : progress.lastEventId;
+                ++progress.pieces.back().events;
+            }
             co_await exchange.sendPiece(piece);
             continue;
         }
@@ -276,8 +293,10 @@
         if (!serverStream)
             break;
         const AttemptEnd end = co_await attempt(exchange, route, serverStream, progress, deadline, cancellation);
-        if (end == AttemptEnd::Answered)
+        if (end == AttemptEnd::Answered) {
+            logEnd(request, progress);
             co_return;
+        }
         log(Event::CallAttemptFailed,
             { { "request", request.id }, { "server", serverStream->attempt.server },
                 { "content", progress.content.text() }, { "reason", progress.failure },
@@ -285,11 +304,22 @@
         if (end == AttemptEnd::Final)
             break;
     }
+    logEnd(request, progress);
     // The missing last chunk tells the caller that the answer is truncated.
     if (!progress.hasStarted)
         throwFailure(progress, deadline);
 }
 
+void StreamProxy::logEnd(const ReplicaRequest& request, const Progress& progress)
+{
+    std::string pieces;
+    for (const StreamPiece& piece : progress.pieces)
+        pieces += (pieces.empty() ? "" : ", ") + piece.text();
+    log(Event::StreamEnded,
+        { { "request", request.id }, { "pieces", pieces }, { "complete", progress.isDone ? "yes" : "no" },
+            { "reason", progress.failure } });
+}
+
 void StreamProxy::throwFailure(const Progress& progress, Instant deadline) const
 {
     const auto blockedUntil = crashGuard_.blockedUntil(progress.content);
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -37,6 +37,7 @@
     /// The stream of one server and the bytes of it that have not been forwarded yet.
     struct ServerStream;
     using ServerStreamPtr = std::shared_ptr<ServerStream>;
+    struct StreamPiece;
     /// State of an exchange across the servers that were tried.
     struct Progress;
     /// Answered: the caller has its whole answer. Final: no other server may be tried.
@@ -45,6 +46,8 @@
     /// Waits for a server's answer and passes it on as far as it comes.
     asio::awaitable<AttemptEnd> attempt(
         HttpExchange&, const RouteDeclaration&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
+    /// Logs which servers wrote the answer.
+    static void logEnd(const ReplicaRequest&, const Progress&);
     /// Throws the error for a caller to which nothing has been sent.
     [[noreturn]] void throwFailure(const Progress&, Instant deadline) const;
     /// Sends the request to a server that has not been tried and starts to read its stream; null if there is none in
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -57,6 +57,10 @@
         self.down_s = 1.0
         # Starts again under the id that it has; its registration tells the new start with its next beat.
         self.keeps_id = False
+        # Version of its software as the registration tells it; the registration has no version if None. What it runs
+        # after its next start, if that is not None.
+        self.software = "v1"
+        self.next_software = None
         # (request id, time) of each request under which the server crashed.
         self.crashes = []
         self.starts = 0
@@ -115,14 +119,17 @@
         await asyncio.sleep(self.down_s)
         self.starts += 1
         self.born = int(time.time() * 1000)
+        if self.next_software is not None:
+            self.software, self.next_software = self.next_software, None
         if not self.keeps_id:
             self.id = "%s.%d" % (self.id.split(".", 1)[0], self.starts)
         await self.start(host, port)
 
     def registration(self):
-        return {"Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "v1",
-                "Slots": self.slots, "State": "draining" if self.is_draining else "ready", "ColdLeftMs": 0,
-                "Seq": self.beats, "born": self.born}
+        registration = {"Service": self.service, "Address": self.address, "Zone": self.zone, "Slots": self.slots,
+                        "State": "draining" if self.is_draining else "ready", "ColdLeftMs": 0, "Seq": self.beats,
+                        "born": self.born}
+        return registration if self.software is None else {**registration, "Version": self.software}
 
     async def beat(self):
         while True:
@@ -189,6 +196,10 @@
         # Seconds that an order takes to be answered.
         self.order_s = 0.0
         self.is_dark = False
+        # Each event names the version of the software that made it.
+        self.names_software = False
+        # Its state reports tell the start that they come from.
+        self.reports_start = True
 
     async def start(self, host, port=0):
         # A replica that starts knows nothing of earlier orders.
@@ -201,8 +212,9 @@
             await asyncio.sleep(3600)
         if request.path == "/report":
             models = [{"Name": name, "Version": version, "Adapters": []} for name, version in self.versions.items()]
-            return await connection.answer(200, {"Stage": "both", "Models": models, "Busy": self.is_busy,
-                                                 "Seq": self.orders, "NumWaiting": 0, "NumRunning": self.running})
+            report = {"Stage": "both", "Models": models, "Busy": self.is_busy, "Seq": self.orders, "NumWaiting": 0,
+                      "NumRunning": self.running}
+            return await connection.answer(200, {**report, "born": self.born} if self.reports_start else report)
         if request.path == "/order":
             return await self.order(request, connection)
         await self.generate(request, connection)
@@ -244,8 +256,11 @@
             return await connection.answer(500, b"", headers)
         if item in self.unprocessable:
             return await connection.answer(422, b"", headers)
+        # All tries of a caller at one stream name it, so that they get parts of one text.
+        text_id = request.headers.get("x-stream", item)
         first = int(request.headers.get("last-event-id", -1)) + 1
         version = self.versions[model]
+        maker = "@%s" % self.software if self.names_software else ""
         self.running += 1
         try:
             await connection.begin_stream({**headers, "Endiveroad-Weight-Versions": str(version),
@@ -253,7 +268,7 @@
             while self.is_trickling and not connection.has_client_left():
                 await connection.send_piece(b": still here\n")
                 await asyncio.sleep(0.2)
-            for number in range(first, event_count(item)):
+            for number in range(first, event_count(text_id)):
                 await asyncio.sleep(self.EVENT_S + self.extra_s)
                 if connection.has_client_left():
                     return connection.cut()
@@ -263,7 +278,8 @@
                 if self.versions[model] != version:
                     version = self.versions[model]
                     change = b"endiveroad-weight-versions: %d\n" % version
-                await connection.send_piece(change + b"id: %d\ndata: %s\n\n" % (number, event_text(item, number).encode()))
+                text = event_text(text_id, number) + maker
+                await connection.send_piece(change + b"id: %d\ndata: %s\n\n" % (number, text.encode()))
             await connection.end_stream()
         finally:
             self.running -= 1
