A server states its start on each connection on which streams and runs need to know it

What callers saw: 37 of 96 streams held events of two software versions where replicas started again under their ids with other software. Cause: the registration, which tells the software, lags behind a new start by a beat, and a connection opened meanwhile leads to the new one. A request that is meant for the registered start alone is not sent to another one. Ruled out: telling it by breaks and refusals alone, as an entry without an open connection sees none of them.

--- a/include/endiveroad/Directory.h
+++ b/include/endiveroad/Directory.h
@@ -104,8 +104,6 @@
     std::string service;
     Address address;
     std::string failureDomain;
-    /// SoftwareVersion::version; empty if the registration does not tell it.
-    std::string softwareVersion;
     bool isDraining = false;
     /// Number of requests that it can run at once.
     int32_t slots = 1;
@@ -113,6 +111,8 @@
     int64_t startedMs = 0;
     /// Another server has answered at its address, so it has ended. Not a part of the registration.
     bool isReplaced = false;
+    /// SoftwareVersion::version; empty if the registration does not tell it.
+    std::string softwareVersion {};
 
     auto operator<=>(const ServerRecord&) const = default;
 
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -190,7 +190,7 @@
     return error == asio::error::would_block;
 }
 
-std::unique_ptr<beast::tcp_stream> HttpClient::takeIdle(const Address& address, Instant latestUse)
+std::optional<HttpClient::Connection> HttpClient::takeIdle(const Address& address, Instant latestUse)
 {
     auto& idle = idle_[address];
     // Connections are kept in the order of their last use. The one used last is the least likely to have been closed.
@@ -200,19 +200,19 @@
             continue;
         Idle taken = std::move(*candidate);
         idle.erase(candidate);
-        if (taken.expiry >= now() && isReusable(*taken.stream))
-            return std::move(taken.stream);
+        if (taken.expiry >= now() && isReusable(*taken.connection.stream))
+            return std::move(taken.connection);
     }
-    return nullptr;
+    return std::nullopt;
 }
 
-void HttpClient::keepIdle(
-    const Address& address, std::unique_ptr<beast::tcp_stream> stream, const HttpResponse& response)
+void HttpClient::keepIdle(const Address& address, Connection connection, const HttpResponse& response)
 {
     auto& idle = idle_[address];
-    stream->expires_never();
+    connection.stream->expires_never();
+    const Instant expiry = now() + std::min(idleLifetime, declaredIdleLifetime(response));
     if (idle.size() < maxIdlePerAddress)
-        idle.push_back({ std::move(stream), now(), now() + std::min(idleLifetime, declaredIdleLifetime(response)) });
+        idle.push_back({ std::move(connection), now(), expiry });
 }
 
 asio::awaitable<std::unique_ptr<beast::tcp_stream>> HttpClient::openNew(
@@ -237,11 +237,11 @@
     co_return error ? ListenerState::Silent : ListenerState::Listening;
 }
 
-asio::awaitable<std::unique_ptr<beast::tcp_stream>> HttpClient::open(
-    const Address& address, Instant latestUse, Instant deadline)
+asio::awaitable<HttpClient::Connection> HttpClient::open(const Address& address, Instant latestUse, Instant deadline)
 {
-    if (auto stream = takeIdle(address, latestUse))
-        co_return stream;
+    auto idle = takeIdle(address, latestUse);
+    if (idle)
+        co_return std::move(*idle);
     error_code error;
     auto stream = co_await openNew(address, deadline, error);
     if (error == asio::error::connection_refused)
@@ -249,7 +249,58 @@
     if (error)
         throw ServerUnavailableError(fmt::format("{}: {}", address.text(), error.message()));
     stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
-    co_return stream;
+    Connection connection;
+    connection.stream = std::move(stream);
+    co_return connection;
+}
+
+asio::awaitable<HttpClient::Connection> HttpClient::openFor(
+    const Address& address, const HttpRequest& request, Instant deadline, HttpCancellation& cancel)
+{
+    const Instant connectDeadline = std::min(deadline, request.connectDeadline);
+    Connection connection = co_await open(address, request.latestUse, connectDeadline);
+    if (cancel.isCancelled())
+        throw ServerUnavailableError("the request was cancelled before it was sent");
+    const std::shared_ptr<const StartQuery> query = request.startQuery;
+    if (!query)
+        co_return connection;
+    if (!connection.serverStartedMs && query->mayAsk())
+        co_await askStart(address, connection, request, deadline, cancel);
+    if (query->isAccepted(connection.serverStartedMs))
+        co_return connection;
+    keepIdle(address, std::move(connection), HttpResponse());
+    throw ServerStartError(fmt::format("{}: the server has started again", address.text()));
+}
+
+asio::awaitable<void> HttpClient::askStart(const Address& address, Connection& connection, const HttpRequest& request,
+    Instant deadline, HttpCancellation& cancel)
+{
+    std::string body;
+    auto collect = [&body](std::string_view piece) {
+        body.append(piece);
+        return body.size() <= maxStartAnswerBytes;
+    };
+    Exchanged exchanged;
+    std::string failure;
+    try {
+        const Instant answerDeadline = std::min(deadline, now() + startQueryTimeout);
+        HttpRequest query = request.startQuery->request;
+        exchanged
+            = co_await exchange(address, connection, std::move(query), answerDeadline, collect, cancel, nullptr);
+    } catch (const OutcomeUnknownError& error) {
+        failure = error.what();
+    }
+    if (!failure.empty())
+        throw ServerUnavailableError(fmt::format("{}; the server did not state its start", failure));
+    exchanged.response.body = std::move(body);
+    // A server that does not know the query states nothing.
+    const int64_t startedMs = exchanged.response.isSuccess() ? request.startQuery->startOf(exchanged.response) : 0;
+    if (!exchanged.isReusable) {
+        const Instant connectDeadline = std::min(deadline, request.connectDeadline);
+        connection = co_await open(address, request.latestUse, connectDeadline);
+        co_return;
+    }
+    connection.serverStartedMs = startedMs;
 }
 
 asio::awaitable<HttpResponse> HttpClient::request(
@@ -272,42 +323,55 @@
     HttpCancellation& cancel = cancellation ? *cancellation : unused;
     if (cancel.isCancelled())
         throw ServerUnavailableError("the request was cancelled before it was sent");
-    auto stream = co_await open(address, request.latestUse, std::min(deadline, request.connectDeadline));
+    Connection connection = co_await openFor(address, request, deadline, cancel);
+    if (cancel.isCancelled())
+        throw ServerUnavailableError("the request was cancelled before it was sent");
+    Exchanged exchanged = co_await exchange(
+        address, connection, std::move(request), deadline, std::move(onBody), cancel, std::move(onHead));
+    if (exchanged.isReusable)
+        keepIdle(address, std::move(connection), exchanged.response);
+    co_return std::move(exchanged.response);
+}
+
+asio::awaitable<HttpClient::Exchanged> HttpClient::exchange(const Address& address, Connection& connection,
+    HttpRequest request, Instant deadline, OnBody onBody, HttpCancellation& cancel, OnHead onHead)
+{
+    beast::tcp_stream& stream = *connection.stream;
     const HeaderList requestHeaders = request.echoedHeader.empty() ? HeaderList() : request.headers;
     const std::string echoedHeader = request.echoedHeader;
     const bool isCloseDelimitedBodyAllowed = request.isCloseDelimitedBodyAllowed;
-    if (cancel.isCancelled())
-        throw ServerUnavailableError("the request was cancelled before it was sent");
-    const CancellationScope scope(cancel.stream_, stream.get());
-    stream->expires_at(toSteadyTime(deadline));
+    const CancellationScope scope(cancel.stream_, &stream);
+    stream.expires_at(toSteadyTime(deadline));
     auto message = toBeast(address, std::move(request));
     error_code error;
-    co_await http::async_write(*stream, message, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         throwOutcomeUnknown(address, error);
 
     beast::flat_buffer buffer(maxParsedBytes);
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(maxResponseBytes);
-    co_await http::async_read_header(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         throwOutcomeUnknown(address, error);
-    HttpResponse response = toResponse(parser.get());
-    if (!isAnswerTo(requestHeaders, echoedHeader, response))
+    Exchanged exchanged;
+    exchanged.response = toResponse(parser.get());
+    exchanged.response.serverStartedMs = connection.serverStartedMs;
+    if (!isAnswerTo(requestHeaders, echoedHeader, exchanged.response))
         throw OutcomeUnknownError(fmt::format("{}: the answer belongs to another request", address.text()));
     if (onHead)
-        onHead(response);
+        onHead(exchanged.response);
     std::string piece(streamPieceBytes, '\0');
     while (!parser.is_done()) {
         parser.get().body().data = piece.data();
         parser.get().body().size = piece.size();
         parser.get().body().more = true;
-        co_await http::async_read_some(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error == http::error::need_buffer)
             error = {};
         const size_t received = piece.size() - parser.get().body().size;
         if (received > 0 && !onBody(std::string_view(piece).substr(0, received)))
-            co_return response;
+            co_return exchanged;
         if (error)
             throwOutcomeUnknown(address, error);
     }
@@ -317,9 +381,9 @@
             fmt::format("{}: the answer has neither a Content-Length nor chunked encoding, so it may be truncated",
                 address.text()));
     // Bytes after the answer belong to no request, so a connection that delivered any is not reused.
-    if (parser.get().keep_alive() && !parser.get().need_eof() && !cancel.isCancelled() && buffer.size() == 0)
-        keepIdle(address, std::move(stream), response);
-    co_return response;
+    exchanged.isReusable
+        = parser.get().keep_alive() && !parser.get().need_eof() && !cancel.isCancelled() && buffer.size() == 0;
+    co_return exchanged;
 }
 
 } // namespace endiveroad::io
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,6 +22,9 @@
 
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
+struct HttpResponse;
+struct StartQuery;
+
 struct HttpRequest {
     std::string method = "GET";
     std::string target = "/";
@@ -40,6 +44,21 @@
     bool isCloseDelimitedBodyAllowed = false;
     /// Longest body that HttpClient::request() returns.
     size_t maxAnswerBytes = 16U << 20;
+    /// If set, the connection's server states its start before the request is sent.
+    std::shared_ptr<const StartQuery> startQuery {};
+};
+
+/// Asks a server for its start. It is sent once on each connection, so that it speaks for the process that answers
+/// there: a server that starts again loses its connections.
+struct StartQuery {
+    HttpRequest request;
+    /// The query is not sent while this returns false.
+    std::function<bool()> mayAsk;
+    /// Start that the answer states, in ms since the epoch; 0 if it states none.
+    std::function<int64_t(const HttpResponse&)> startOf;
+    /// Called before the request is sent, with nothing if the server was not asked. If it returns false, the request is
+    /// not sent and fails with ServerStartError.
+    std::function<bool(std::optional<int64_t> startedMs)> isAccepted;
 };
 
 /// A request with a JSON body and its Content-Type.
@@ -49,6 +68,8 @@
     int status = 0;
     HeaderList headers;
     std::string body;
+    /// Start of the server that answered, if HttpRequest::startQuery asked for it; 0 if it does not state it.
+    std::optional<int64_t> serverStartedMs {};
 
     bool isSuccess() const { return status >= 200 && status < 300; }
 
@@ -78,6 +99,12 @@
     using ServerUnavailableError::ServerUnavailableError;
 };
 
+/// The server is another start than the one that the request is meant for; the request was not sent.
+class ServerStartError : public ServerUnavailableError {
+public:
+    using ServerUnavailableError::ServerUnavailableError;
+};
+
 /// Keeps a pool of idle connections for each address. A connection is reused only after a complete answer; after a
 /// timeout, an error or a cancellation it is closed.
 class HttpClient {
@@ -97,6 +124,10 @@
     static constexpr size_t maxHeldBytes = 32U << 20;
     static constexpr size_t smallAnswerBytes = 64U << 10;
 
+    /// Time for the answer to HttpRequest::startQuery, and its longest body.
+    static constexpr Duration startQueryTimeout = std::chrono::milliseconds(400);
+    static constexpr size_t maxStartAnswerBytes = 256U << 10;
+
     /// Called for each piece of a streamed body. Returns false to stop reading and close the connection.
     using OnBody = std::function<bool(std::string_view)>;
 
@@ -120,23 +151,42 @@
     void closeIdle() { idle_.clear(); }
 
 private:
-    struct Idle {
+    struct Connection {
         std::unique_ptr<boost::beast::tcp_stream> stream;
+        /// Answer to the start query; nothing if it has not been sent.
+        std::optional<int64_t> serverStartedMs;
+    };
+
+    struct Idle {
+        Connection connection;
         Instant since;
         Instant expiry;
     };
 
+    /// An answer, and whether its connection may be used for the next request.
+    struct Exchanged {
+        HttpResponse response;
+        bool isReusable = false;
+    };
+
     /// Sets the error if no connection could be opened.
     asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> openNew(
         const Address&, Instant deadline, boost::system::error_code&);
     /// Takes a connection that has been idle since latestUse, or opens a new one.
-    asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> open(
-        const Address&, Instant latestUse, Instant deadline);
-    /// Null if there is none.
-    std::unique_ptr<boost::beast::tcp_stream> takeIdle(const Address&, Instant latestUse);
+    asio::awaitable<Connection> open(const Address&, Instant latestUse, Instant deadline);
+    /// Nothing if there is none.
+    std::optional<Connection> takeIdle(const Address&, Instant latestUse);
+    /// Opens a connection for the request. If the request has a start query, the connection's start is known if the
+    /// server states it, and accepted.
+    asio::awaitable<Connection> openFor(const Address&, const HttpRequest&, Instant deadline, HttpCancellation&);
+    /// Sends the start query on a connection on which it has not been sent.
+    asio::awaitable<void> askStart(const Address&, Connection&, const HttpRequest&, Instant deadline, HttpCancellation&);
+    /// Sends a request and reads its answer.
+    asio::awaitable<Exchanged> exchange(
+        const Address&, Connection&, HttpRequest, Instant deadline, OnBody, HttpCancellation&, OnHead);
     /// Whether a connection has neither been closed by the server nor got bytes that belong to no request.
     static bool isReusable(boost::beast::tcp_stream&);
-    void keepIdle(const Address&, std::unique_ptr<boost::beast::tcp_stream>, const HttpResponse&);
+    void keepIdle(const Address&, Connection, const HttpResponse&);
 
     std::map<Address, std::vector<Idle>> idle_;
     /// Bytes of long answers that request() holds. Shared with its coroutines, which may outlive the client.
--- a/src/io/hosted/ServerClient.cpp
+++ b/src/io/hosted/ServerClient.cpp
@@ -1,5 +1,6 @@
 #include "io/hosted/ServerClient.h"
 
+#include "io/Log.h"
 #include "io/ProcessMetrics.h"
 
 namespace endiveroad::io {
@@ -59,11 +60,56 @@
 }
 
 asio::awaitable<HttpResponse> ServerClient::stream(ServerPermit permit, Address address, HttpRequest request,
-    Instant deadline, HttpClient::OnBody onBody, HttpCancellation* cancellation, HttpClient::OnHead onHead)
+    Instant deadline, HttpClient::OnBody onBody, HttpCancellation* cancellation, HttpClient::OnHead onHead,
+    StartCheck startCheck)
 {
+    if (startCheck != StartCheck::None)
+        request.startQuery = makeStartQuery(permit.receiver(), startCheck);
     HttpClient::OnHead onAnyHead = begin(permit, std::move(onHead));
     co_return co_await http_.stream(
         std::move(address), std::move(request), deadline, std::move(onBody), cancellation, std::move(onAnyHead));
 }
 
+std::shared_ptr<const StartQuery> ServerClient::makeStartQuery(const ServerIncarnation& receiver, StartCheck startCheck)
+{
+    auto query = std::make_shared<StartQuery>();
+    query->request = protocol_.encodeStateQuery();
+    query->mayAsk = [this, receiver] { return limits_.tryTake(receiver, RequestPath::StateQuery).has_value(); };
+    query->startOf = [this, receiver](const HttpResponse& response) { return statedStart(receiver, response); };
+    query->isAccepted = [receiver, startCheck](std::optional<int64_t> startedMs) {
+        const bool isOther = startedMs && *startedMs != 0 && *startedMs != receiver.startedMs;
+        if (isOther) {
+            processMetrics().count(Counter::ServerStartMismatches);
+            log(Event::ServerRestarted,
+                { { "server", receiver.id }, { "startedMs", std::to_string(*startedMs) },
+                    { "registeredStartMs", std::to_string(receiver.startedMs) } });
+        }
+        return startCheck == StartCheck::Learn || (startedMs && !isOther);
+    };
+    return query;
+}
+
+int64_t ServerClient::statedStart(const ServerIncarnation& receiver, const HttpResponse& response)
+{
+    processMetrics().count(Counter::StateQueriesToServers);
+    answerListener_.onAnswer(protocol_.decode(response), receiver);
+    try {
+        return protocol_.decodeState(response.body).startedMs;
+    } catch (const Error& error) {
+        log(Event::ServerDown, { { "server", receiver.id }, { "reason", error.what() } });
+        return 0;
+    }
+}
+
+SoftwareVersion ServerClient::softwareOf(const ServerRecord& server, const HttpResponse& head, StartCheck startCheck)
+{
+    const SoftwareVersion unknown { server.service, {} };
+    if (startCheck == StartCheck::None)
+        return server.software();
+    if (!head.serverStartedMs)
+        return unknown;
+    const bool isRegistered = *head.serverStartedMs == 0 || *head.serverStartedMs == server.startedMs;
+    return isRegistered ? server.software() : unknown;
+}
+
 } // namespace endiveroad::io
--- a/src/io/hosted/ServerClient.h
+++ b/src/io/hosted/ServerClient.h
@@ -8,6 +8,16 @@
 /// permit, so that no path passes by the limits that servers name, and every answer's head is heard.
 namespace endiveroad::io {
 
+/// What the sender wants to know of the start of the server that runs a request. Its software depends on it, and a
+/// registration may lag behind a server that starts again under its id.
+enum class StartCheck {
+    None,
+    /// The server is asked for its start.
+    Learn,
+    /// The request is sent only to the start that is registered; to another one it fails with ServerStartError.
+    Require,
+};
+
 class ServerClient {
 public:
     ServerClient(HttpClient&, const ReplicaProtocol&, ServerAnswerListener&, RequestLimits&);
@@ -20,11 +30,17 @@
 
     /// HttpClient::stream() to the server of the permit.
     asio::awaitable<HttpResponse> stream(ServerPermit, Address, HttpRequest, Instant deadline, HttpClient::OnBody,
-        HttpCancellation* = nullptr, HttpClient::OnHead = nullptr);
+        HttpCancellation* = nullptr, HttpClient::OnHead = nullptr, StartCheck = StartCheck::None);
+
+    /// Software of a server that answered a request of stream(): that of its registration, if it stated the registered
+    /// start or servers of its kind state none. Otherwise it is unknown.
+    static SoftwareVersion softwareOf(const ServerRecord&, const HttpResponse& head, StartCheck);
 
 private:
     /// Counts the request. The function returned passes the answer's head to those who listen to servers.
     HttpClient::OnHead begin(const ServerPermit&, HttpClient::OnHead);
+    std::shared_ptr<const StartQuery> makeStartQuery(const ServerIncarnation& receiver, StartCheck);
+    int64_t statedStart(const ServerIncarnation& receiver, const HttpResponse&);
 
     HttpClient& http_;
     const ReplicaProtocol& protocol_;
