--- a/include/endiveroad/endiveroad.h
+++ b/include/endiveroad/endiveroad.h
@@ -30,8 +30,10 @@
 #include <endiveroad/SampleProgress.h>
 #include <endiveroad/ServerLoads.h>
 #include <endiveroad/Settings.h>
+#include <endiveroad/SoftwareHistory.h>
 #include <endiveroad/SoftwareVersion.h>
 #include <endiveroad/StallLimit.h>
+#include <endiveroad/StreamOrigins.h>
 #include <endiveroad/Time.h>
 #include <endiveroad/Timeline.h>
 #include <endiveroad/VersionTracker.h>
--- a/src/io/Frame.h
+++ b/src/io/Frame.h
@@ -49,6 +49,8 @@
     LimitsInForce = 63,
     PermitRequest = 64,
     ItemFailures = 65,
+    StreamOrigins = 66,
+    StreamOriginQuery = 67,
 };
 
 /// Header of a frame. On the wire: magic u16, version u8, kind u8, type u16, zero u16, length u32, budgetMs u32,
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -37,6 +37,7 @@
     , dispatcher_(
           context(), owner_.jobs(), *this, scorer_, crashGuard(), [this] { return directory(); },
           [this](const OwnedJobPtr& owned) { owner_.requestOwnershipCheck(owned); })
+    , originKeeper_(*this)
     , nextScanAt_(startedAt() + startGrace)
 {
     owner_.setWorker(dispatcher_);
@@ -75,6 +76,12 @@
     return !names.empty() && names.front() == settings().name;
 }
 
+void HostedCoordinator::sendOrigins(const std::string& coordinator, const std::string& notice)
+{
+    if (const PeerConnectionPtr connection = peer(coordinator))
+        connection->notify(MessageType::StreamOrigins, notice);
+}
+
 PeerConnectionPtr HostedCoordinator::agent(const std::string& name) const
 {
     return isLeaving(name) ? nullptr : peer(name);
@@ -202,6 +209,8 @@
 
 asio::awaitable<std::string> HostedCoordinator::onNodeRequest(PeerConnectionPtr connection, PeerMessage message)
 {
+    if (message.type == MessageType::StreamOriginQuery)
+        co_return originKeeper_.answer(message.payload);
     if (message.type != MessageType::BatchCall)
         co_return co_await HostedNode::onNodeRequest(connection, std::move(message));
     auto call = wire::decode<wire::BatchCall>(message.payload);
@@ -222,6 +231,9 @@
     case MessageType::ItemFailures:
         dispatcher_.onFailures(wire::decode<wire::ItemFailureNotice>(message.payload));
         break;
+    case MessageType::StreamOrigins:
+        originKeeper_.onNotice(message.payload);
+        break;
     case MessageType::JobOwner: {
         const auto notice = wire::decode<wire::JobOwnerNotice>(message.payload);
         owner_.onOwner(notice);
@@ -241,6 +253,9 @@
         dispatcher_.onAgentUp(connection);
         return;
     }
+    const std::vector<std::string> coordinatorNames = originKeepers();
+    if (std::find(coordinatorNames.begin(), coordinatorNames.end(), connection->peerName) != coordinatorNames.end())
+        originKeeper_.onCoordinatorUp(connection->peerName);
     for (const auto& [id, owned] : owner_.jobs())
         dispatcher_.sendOwnerNotice(*owned, connection);
     // An entry ignores it.
@@ -260,6 +275,8 @@
     std::vector<Gauge> gauges { { "endiveroad_owned_jobs", "", "Batch jobs that this coordinator owns.",
                                     static_cast<double>(owner_.jobs().size()) },
         { "endiveroad_open_jobs", "", "Those of them that have not ended.", static_cast<double>(owner_.openJobs()) },
+        { "endiveroad_known_streams", "", "Streams whose first software version this process keeps for entries.",
+            static_cast<double>(originKeeper_.size()) },
         { "endiveroad_known_replicas", "", "Replicas whose agents have reported.",
             static_cast<double>(dispatcher_.replicaCount()) } };
     // The metric's label calls finished items "unlisted": they have a result that is not listed yet.
--- a/src/io/hosted/HostedCoordinator.h
+++ b/src/io/hosted/HostedCoordinator.h
@@ -5,12 +5,16 @@
 #include "io/hosted/ItemDispatcher.h"
 #include "io/hosted/ItemScorer.h"
 #include "io/hosted/ServiceCaller.h"
+#include "io/hosted/StreamOriginKeeper.h"
 
 /// The coordinator process on a shared platform: owns batch jobs, and reads the directory from the store for all
 /// processes. All durable state is in the platform's store, so a coordinator may be lost at any time.
 namespace endiveroad::io {
 
-class HostedCoordinator : public HostedNode, private CoordinatorView, private AgentConnections {
+class HostedCoordinator : public HostedNode,
+                          private CoordinatorView,
+                          private AgentConnections,
+                          private StreamOriginPeers {
 public:
     /// Lifetime of the lease that holds this coordinator's registration, and interval at which it is renewed.
     static constexpr std::chrono::milliseconds leaseLifetime { 9000 };
@@ -47,6 +51,10 @@
     void onPeerDown(const std::string&) override;
     std::vector<Gauge> gauges() const override;
 
+    const std::string& ownName() const override { return settings().name; }
+    std::vector<std::string> originKeepers() const override { return activePeers(HostedRole::Coordinator); }
+    void sendOrigins(const std::string& coordinator, const std::string& notice) override;
+
     bool isAlive(const std::string& coordinator) const override;
     std::vector<std::string> aliveCoordinators() const override;
     void announceOwner(const OwnedJob&) override;
@@ -75,6 +83,7 @@
     BatchOwner owner_;
     ItemScorer scorer_;
     ItemDispatcher dispatcher_;
+    StreamOriginKeeper originKeeper_;
     /// 0 if there is none.
     int64_t lease_ = 0;
     /// Lease under which this process has written its registration; 0 if it has not.
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -110,7 +110,8 @@
     , callerHandler_(std::make_unique<CallerHandler>(*this))
     , serviceCaller_(
           context(), servers(), requestLimits(), crashGuard(), [this] { return directory(); }, randomSeed())
-    , streamProxy_(context(), servers(), serviceCaller_, crashGuard())
+    , resumptions_(context(), *this, [this] { return directorySync().isFresh(); })
+    , streamProxy_(context(), servers(), serviceCaller_, resumptions_, crashGuard())
     , gateway_(*this)
 {
 }
@@ -135,6 +136,7 @@
 void HostedEntry::onDirectoryChanged(const Directory& before, const Directory& current)
 {
     serviceCaller_.onDirectory(current);
+    resumptions_.onDirectory(current);
     if (!current.routing || (before.routing && before.routing->limits == current.routing->limits))
         return;
     const CallerLimits& limits = current.routing->limits;
@@ -152,6 +154,20 @@
     gateway_.onOwner(notice.job, notice.owner);
 }
 
+void HostedEntry::sendOrigins(const std::string& coordinator, const std::string& notice)
+{
+    if (const PeerConnectionPtr connection = peer(coordinator))
+        connection->notify(MessageType::StreamOrigins, notice);
+}
+
+asio::awaitable<std::string> HostedEntry::askOrigin(std::string coordinator, std::string query, Instant deadline)
+{
+    const PeerConnectionPtr connection = peer(coordinator);
+    if (!connection)
+        throw PeerUnavailableError("the connection to the coordinator was lost");
+    co_return co_await connection->call(MessageType::StreamOriginQuery, std::move(query), deadline);
+}
+
 asio::awaitable<void> HostedEntry::serve(HttpExchange& exchange)
 {
     const Instant arrivedAt = now();
@@ -182,7 +198,8 @@
         } else if (route.kind == TrafficKind::BatchJobs) {
             response = co_await serveBatch(toSubmission(request, route, query), deadline, cancellation);
         } else if (route.kind == TrafficKind::Streaming) {
-            co_await streamProxy_.serve(exchange, route, forwardedRequest(query, request), deadline, cancellation);
+            ReplicaRequest forwarded = forwardedRequest(query, request);
+            co_await streamProxy_.serve(exchange, route, request, std::move(forwarded), deadline, cancellation);
             co_return;
         } else {
             response = co_await serveCall(query, request, route, deadline, cancellation);
@@ -269,6 +286,8 @@
 {
     return { { "endiveroad_ready", "", "1 while the process wants callers.", isReady() ? 1.0 : 0.0 },
         { "endiveroad_in_flight", "", "Callers' requests under way.", static_cast<double>(callerServer_->inFlight()) },
+        { "endiveroad_known_streams", "", "Streams whose first software version this process knows.",
+            static_cast<double>(resumptions_.size()) },
         { "endiveroad_caller_connections", "", "Open connections of callers.",
             static_cast<double>(callerServer_->connections()) } };
 }
--- a/src/io/hosted/HostedEntry.h
+++ b/src/io/hosted/HostedEntry.h
@@ -10,7 +10,7 @@
 /// coordinator, and has no persistent state.
 namespace endiveroad::io {
 
-class HostedEntry : public HostedNode, private CoordinatorConnections {
+class HostedEntry : public HostedNode, private CoordinatorConnections, private StreamOriginSources {
 public:
     /// Delay after which a caller is told to try again if its request was not run.
     static constexpr Duration retryAfter = std::chrono::milliseconds(500);
@@ -42,6 +42,14 @@
     std::vector<std::string> coordinators() const override { return activePeers(HostedRole::Coordinator); }
     PeerConnectionPtr coordinator(const std::string& name) const override { return peer(name); }
 
+    void onPeerUp(const PeerConnectionPtr&) override { resumptions_.onCoordinatorsChanged(); }
+    void onPeerDown(const std::string&) override { resumptions_.onCoordinatorsChanged(); }
+
+    const std::string& ownName() const override { return settings().name; }
+    std::vector<std::string> originKeepers() const override { return coordinators(); }
+    void sendOrigins(const std::string& coordinator, const std::string& notice) override;
+    asio::awaitable<std::string> askOrigin(std::string coordinator, std::string query, Instant deadline) override;
+
     asio::awaitable<void> serve(HttpExchange&);
     asio::awaitable<HttpResponse> serveCall(
         const HttpQuery&, const CallerRequest&, const RouteDeclaration&, Instant deadline, PeerCancellationPtr);
@@ -56,6 +64,7 @@
     std::unique_ptr<HttpServer> readinessServer_;
     std::unique_ptr<HttpServer> callerServer_;
     ServiceCaller serviceCaller_;
+    StreamResumptions resumptions_;
     StreamProxy streamProxy_;
     BatchGateway gateway_;
     bool wasReady_ = false;
--- a/src/io/hosted/ServerChooser.cpp
+++ b/src/io/hosted/ServerChooser.cpp
@@ -47,7 +47,9 @@
     const auto directory = directory_();
     std::vector<ServerCandidate> candidates;
     std::vector<ServerRecord> limited;
-    for (const ServerRecord* server : directory->readyServers(chooseService(route))) {
+    for (const ServerRecord* server : directory->readyServers(serviceFor(route, demand))) {
+        if (demand.software && server->software() != *demand.software)
+            continue;
         const ServerIncarnation receiver = ServerIncarnation::of(*server);
         const bool isLimited = limits_.isLimited(receiver);
         if (isLimited && !excluded.contains(server->id))
@@ -65,7 +67,19 @@
     auto permit = limits_.tryTake(ServerIncarnation::of(server), demand.path);
     if (!permit)
         return std::nullopt;
-    return ChosenServer { server, *std::move(permit) };
+    const auto declared = directory->routing->services.find(server.service);
+    const bool isEngine = declared != directory->routing->services.end() && !declared->second.models.empty();
+    return ChosenServer { server, *std::move(permit), isEngine };
+}
+
+const std::string& ServerChooser::serviceFor(const RouteDeclaration& route, const ServerDemand& demand)
+{
+    if (!demand.software)
+        return chooseService(route);
+    const auto found = std::find_if(route.services.begin(), route.services.end(),
+        [&](const WeightedService& weighted) { return weighted.service == demand.software->service; });
+    // The candidates of another service do not have the software.
+    return found == route.services.end() ? route.services.front().service : found->service;
 }
 
 std::optional<ChosenServer> ServerChooser::chooseOnly(
@@ -83,7 +97,7 @@
 {
     if (limited.empty())
         return;
-    const Duration latency = rateOf(route).latency;
+    const Duration latency = rateOf(route, demand.software).latency;
     for (const ServerRecord& server : limited) {
         const ServerIncarnation receiver = ServerIncarnation::of(server);
         if (limits_.permits(receiver) > 0)
@@ -101,12 +115,15 @@
     }
 }
 
-std::vector<ServerCandidate> ServerChooser::candidatesOf(const RouteDeclaration& route) const
+std::vector<ServerCandidate> ServerChooser::candidatesOf(
+    const RouteDeclaration& route, const std::optional<SoftwareVersion>& software) const
 {
     const auto directory = directory_();
     std::vector<ServerCandidate> candidates;
     for (const WeightedService& weighted : route.services) {
         for (const ServerRecord* server : directory->readyServers(weighted.service)) {
+            if (software && server->software() != *software)
+                continue;
             const ServerIncarnation receiver = ServerIncarnation::of(*server);
             ServerCandidate candidate { server->id, server->slots };
             if (limits_.isLimited(receiver))
--- a/src/io/hosted/ServerChooser.h
+++ b/src/io/hosted/ServerChooser.h
@@ -20,6 +20,8 @@
 struct ChosenServer {
     ServerRecord server;
     ServerPermit permit;
+    /// It runs models, so that it states its start.
+    bool isEngine = false;
 };
 
 /// What a request needs of a server.
@@ -27,6 +29,8 @@
     RequestPath path = RequestPath::Call;
     /// The request has another attempt under way.
     bool isHedge = false;
+    /// Only servers that run this software; nothing for any.
+    std::optional<SoftwareVersion> software;
     /// Number of requests that wait for a server of the service, this one among them, and the last of their deadlines.
     size_t waiting = 1;
     Instant lastDeadline;
@@ -54,11 +58,15 @@
     /// choose() among one server.
     std::optional<ChosenServer> chooseOnly(const RouteDeclaration&, const ServerDemand&, const std::string& server);
 
-    /// Ready servers of all services of the route.
-    std::vector<ServerCandidate> candidatesOf(const RouteDeclaration&) const;
+    /// Ready servers of all services of the route; only those with this software, if it is given.
+    std::vector<ServerCandidate> candidatesOf(
+        const RouteDeclaration&, const std::optional<SoftwareVersion>& = std::nullopt) const;
 
-    /// How fast the route's servers take requests.
-    ServiceRate rateOf(const RouteDeclaration& route) const { return loads_.rateOf(candidatesOf(route)); }
+    /// How fast these servers take requests.
+    ServiceRate rateOf(const RouteDeclaration& route, const std::optional<SoftwareVersion>& software) const
+    {
+        return loads_.rateOf(candidatesOf(route, software));
+    }
 
     /// True if a server of the route was replaced by one whose registration is still to come.
     bool isServerExpected(const RouteDeclaration&) const;
@@ -72,6 +80,8 @@
 private:
     /// Chooses one of the route's services at random by weight.
     const std::string& chooseService(const RouteDeclaration&);
+    /// The service that has the demanded software, or chooseService().
+    const std::string& serviceFor(const RouteDeclaration&, const ServerDemand&);
     void demandPermits(
         const RouteDeclaration&, const ServerDemand&, const std::vector<ServerRecord>& limited, bool isWaiting);
 
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -42,8 +42,13 @@
         return { request.id, content, server.id, ServerStart::of(server), sentAt, kind };
     }
 
-    /// The service in whose queue the call waits.
-    std::string service() const { return route.services.empty() ? std::string() : route.services.front().service; }
+    /// The queue in which the call waits: that of its service, or of those that wait for the same software of it.
+    std::string queue() const
+    {
+        if (software)
+            return software->service + "\n" + software->version;
+        return route.services.empty() ? std::string() : route.services.front().service;
+    }
 
     bool isQueued() const { return ticket.number != 0; }
 
@@ -64,6 +69,8 @@
     Signal changed;
     std::list<HttpCancellation> cancellations;
     TriedServers tried;
+    /// Only servers that run this software; nothing for any.
+    std::optional<SoftwareVersion> software;
     RequestPath path = RequestPath::Call;
     /// Number of attempts without an outcome yet.
     int32_t activeAttempts = 0;
@@ -93,9 +100,10 @@
 {
     ServerDemand demand;
     demand.path = state.path;
+    demand.software = state.software;
     demand.isHedge = state.activeAttempts > 0;
-    demand.waiting = std::max<size_t>(waitingCalls_.count(state.service()), 1);
-    const Instant lastDeadline = waitingCalls_.lastDeadline(state.service()).value_or(state.deadline);
+    demand.waiting = std::max<size_t>(waitingCalls_.count(state.queue()), 1);
+    const Instant lastDeadline = waitingCalls_.lastDeadline(state.queue()).value_or(state.deadline);
     demand.lastDeadline = std::max(state.deadline, lastDeadline);
     return demand;
 }
@@ -107,14 +115,14 @@
 
 void ServiceCaller::onPermit()
 {
-    for (const std::string& service : waitingCalls_.services())
-        wakeFirst(service);
+    for (const std::string& queue : waitingCalls_.services())
+        wakeFirst(queue);
 }
 
 std::optional<ChosenServer> ServiceCaller::chooseNext(CallState& state)
 {
     if (now() < state.notBefore || crashGuard_.isPending(state.content)
-        || !waitingCalls_.isFirst(state.service(), state.ticket))
+        || !waitingCalls_.isFirst(state.queue(), state.ticket))
         return std::nullopt;
     std::set<std::string> excluded = crashGuard_.serversToAvoid(state.content);
     excluded.insert(state.tried.any.begin(), state.tried.any.end());
@@ -142,6 +150,14 @@
     return !servers_.candidatesOf(route).empty();
 }
 
+bool ServiceCaller::hasReadyServer(
+    const RouteDeclaration& route, const SoftwareVersion& software, const std::string& except) const
+{
+    const std::vector<ServerCandidate> candidates = servers_.candidatesOf(route, software);
+    return std::any_of(candidates.begin(), candidates.end(),
+        [&except](const ServerCandidate& candidate) { return candidate.id != except; });
+}
+
 asio::awaitable<void> ServiceCaller::awaitServer(CallStatePtr state)
 {
     if (crashGuard_.isPending(state->content)) {
@@ -163,25 +179,25 @@
         state->tried.any.clear();
     const bool isNewcomer = !state->isQueued();
     if (isNewcomer) {
-        state->ticket = waitingCalls_.add(state->service(), state->route.priority, state->deadline);
+        state->ticket = waitingCalls_.add(state->queue(), state->route.priority, state->deadline);
         waiting_.emplace(state->ticket, state);
     }
     turnAwayHopeless(*state, isNewcomer);
     if (state->isDone)
         co_return;
     // Each call that leaves the queue wakes the next one.
-    const bool isFirst = waitingCalls_.isFirst(state->service(), state->ticket);
+    const bool isFirst = waitingCalls_.isFirst(state->queue(), state->ticket);
     co_await state->changed.wait(isFirst ? std::min(state->deadline, now() + waitInterval) : state->deadline);
 }
 
 void ServiceCaller::turnAwayHopeless(const CallState& waiting, bool isNewcomer)
 {
-    const std::string service = waiting.service();
-    const ServiceRate rate = servers_.rateOf(waiting.route);
+    const std::string queue = waiting.queue();
+    const ServiceRate rate = servers_.rateOf(waiting.route, waiting.software);
     const auto newcomer = isNewcomer ? std::optional(waiting.ticket) : std::nullopt;
     const Instant startAt = std::max(now(), rate.startAt);
-    const Instant retryAt = startAt + rate.interval * static_cast<Duration::rep>(waitingCalls_.count(service));
-    for (const CallTicket& ticket : waitingCalls_.hopeless(service, rate, now(), newcomer)) {
+    const Instant retryAt = startAt + rate.interval * static_cast<Duration::rep>(waitingCalls_.count(queue));
+    for (const CallTicket& ticket : waitingCalls_.hopeless(queue, rate, now(), newcomer)) {
         const auto found = waiting_.find(ticket);
         if (found == waiting_.end())
             continue;
@@ -197,16 +213,16 @@
 {
     if (!state->isQueued())
         return;
-    const std::string service = state->service();
-    waitingCalls_.remove(service, state->ticket);
+    const std::string queue = state->queue();
+    waitingCalls_.remove(queue, state->ticket);
     waiting_.erase(state->ticket);
     state->ticket = state->newTicket();
-    wakeFirst(service);
+    wakeFirst(queue);
 }
 
-void ServiceCaller::wakeFirst(const std::string& service)
+void ServiceCaller::wakeFirst(const std::string& queue)
 {
-    const auto first = waitingCalls_.first(service);
+    const auto first = waitingCalls_.first(queue);
     const auto found = first ? waiting_.find(*first) : waiting_.end();
     if (found != waiting_.end())
         found->second->changed.notifyAll();
@@ -262,11 +278,12 @@
 }
 
 asio::awaitable<std::optional<ChosenServer>> ServiceCaller::obtainServer(RouteDeclaration route, ReplicaRequest request,
-    TriedServers tried, Instant deadline, PeerCancellationPtr cancellation)
+    TriedServers tried, std::optional<SoftwareVersion> software, Instant deadline, PeerCancellationPtr cancellation)
 {
     auto state = std::make_shared<CallState>(context_, std::move(route), std::move(request), deadline);
     state->path = RequestPath::Stream;
     state->tried = std::move(tried);
+    state->software = std::move(software);
     cancellation->onCancel([state] {
         state->isDone = true;
         state->changed.notifyAll();
@@ -274,7 +291,9 @@
     std::optional<ChosenServer> chosen;
     while (!state->isDone && now() < deadline) {
         chosen = chooseNext(*state);
-        const bool mayWait = hasUsableServer(*state) || servers_.isServerExpected(state->route);
+        // Which software a server will run that has yet to register is not known.
+        const bool isServerExpected = !state->software && servers_.isServerExpected(state->route);
+        const bool mayWait = hasUsableServer(*state) || isServerExpected;
         if (chosen || state->result.blockedUntil || !mayWait)
             break;
         co_await awaitServer(state);
@@ -289,7 +308,7 @@
 bool ServiceCaller::hasUsableServer(const CallState& state) const
 {
     const TriedServers& tried = state.tried;
-    const std::vector<ServerCandidate> candidates = servers_.candidatesOf(state.route);
+    const std::vector<ServerCandidate> candidates = servers_.candidatesOf(state.route, state.software);
     return std::any_of(candidates.begin(), candidates.end(), [&tried](const ServerCandidate& candidate) {
         return !tried.misdirected.contains(candidate.id) && (tried.mayTryAgain || !tried.any.contains(candidate.id));
     });
@@ -344,7 +363,7 @@
     if (!failure.empty())
         co_await processFailure(state, server, failure, isSent, startedAt);
     crashGuard_.onEnd(state->attemptAt(server, startedAt));
-    wakeFirst(state->service());
+    wakeFirst(state->queue());
     --state->activeAttempts;
     state->changed.notifyAll();
 }
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -98,9 +98,9 @@
 
     /// Waits for a server that has room for one run of a request. Nothing if there is none by the deadline or when the
     /// request is cancelled, if no ready server is left for it, or if the content is blocked. Throws ServersFullError
-    /// if none can take the request in time.
-    asio::awaitable<std::optional<ChosenServer>> obtainServer(
-        RouteDeclaration, ReplicaRequest, TriedServers, Instant deadline, PeerCancellationPtr);
+    /// if none can take the request in time. If a software version is given, only servers that run it count.
+    asio::awaitable<std::optional<ChosenServer>> obtainServer(RouteDeclaration, ReplicaRequest, TriedServers,
+        std::optional<SoftwareVersion>, Instant deadline, PeerCancellationPtr);
 
     /// A server could not be reached.
     void onUnreachable(const std::string& server);
@@ -110,6 +110,8 @@
 
     /// True if a server of one of the route's services takes new requests.
     bool hasReadyServer(const RouteDeclaration&) const;
+    /// True if a server other than `except` with this software does.
+    bool hasReadyServer(const RouteDeclaration&, const SoftwareVersion&, const std::string& except = {}) const;
 
     /// Removes the load records of servers that are no longer registered.
     void onDirectory(const Directory&);
@@ -134,7 +136,7 @@
     void leaveQueue(const CallStatePtr&);
 
     /// A call has left a server or the queue, so the first one that waits may go.
-    void wakeFirst(const std::string& service);
+    void wakeFirst(const std::string& queue);
 
     /// True if a ready server of the route may still be tried.
     bool hasUsableServer(const CallState&) const;
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -2,6 +2,7 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
+#include "io/ProcessMetrics.h"
 #include "io/Signal.h"
 #include "io/Tasks.h"
 #include "io/hosted/Forwarding.h"
@@ -47,7 +48,9 @@
     }
 
     ServerAttempt attempt;
-    /// Of the server, as its registration told when the request was sent.
+    ServerRecord server;
+    StartCheck startCheck = StartCheck::None;
+    /// Of the server; unknown until the head has arrived.
     SoftwareVersion software;
     Signal changed;
     HttpCancellation cancellation;
@@ -68,11 +71,18 @@
 
     /// False if the request has certainly not reached the server.
     bool wasSent = true;
+    /// The server has started again since its registration.
+    bool isOtherStart = false;
     std::string failure;
 };
 
 struct StreamProxy::Progress {
+    CallerRequest caller;
     ContentId content;
+    /// The software that began the stream, which alone may go on with it; nothing before the first event.
+    std::optional<SoftwareVersion> origin;
+    /// Latest start of a further attempt once the stream has broken off.
+    Instant resumeBy = never;
     TriedServers tried;
     /// Number of servers that ran or may have run the request.
     int32_t runs = 0;
@@ -81,7 +91,6 @@
     /// Earliest time of the next attempt.
     Instant notBefore = Instant::min();
     bool isDone = false;
-    bool mayResume = false;
     EventStreamReader reader;
     std::optional<int64_t> lastEventId;
     /// The servers that wrote the answer so far, in order, with their software and number of events.
@@ -90,10 +99,12 @@
 };
 
 StreamProxy::StreamProxy(
-    asio::io_context& context, ServerClient& client, ServiceCaller& services, CrashGuard& crashGuard)
+    asio::io_context& context, ServerClient& client, ServiceCaller& services, StreamResumptions& resumptions,
+    CrashGuard& crashGuard)
     : context_(context)
     , client_(client)
     , serviceCaller_(services)
+    , resumptions_(resumptions)
     , crashGuard_(crashGuard)
 {
 }
@@ -102,12 +113,15 @@
     const ReplicaRequest& request, const Progress& progress, Instant deadline, PeerCancellationPtr cancellation)
 {
     const bool hasRun = progress.runs > 0 || progress.hasStarted;
-    const Instant latestStart = hasRun ? deadline : now() + (deadline - now()) / waitDivisor;
+    const Instant latestStart
+        = hasRun ? std::min(deadline, progress.resumeBy) : now() + (deadline - now()) / waitDivisor;
     TriedServers tried = progress.tried;
-    tried.mayTryAgain = !hasRun;
+    // Few servers may run the software that began the stream.
+    tried.mayTryAgain = !hasRun || progress.origin;
     std::optional<ChosenServer> chosen;
     try {
-        chosen = co_await serviceCaller_.obtainServer(route, request, std::move(tried), latestStart, cancellation);
+        chosen = co_await serviceCaller_.obtainServer(
+            route, request, std::move(tried), progress.origin, latestStart, cancellation);
     } catch (const ServersFullError&) {
         // A request that may have run is not reported as refused.
         if (!hasRun)
@@ -118,7 +132,9 @@
     const ServerRecord& server = chosen->server;
     ServerAttempt attempt { request.id, progress.content, server.id, ServerStart::of(server), now() };
     auto serverStream = std::make_shared<ServerStream>(context_, std::move(attempt));
-    serverStream->software = server.software();
+    serverStream->server = server;
+    if (chosen->isEngine)
+        serverStream->startCheck = progress.origin ? StartCheck::Require : StartCheck::Learn;
     ReplicaRequest call = request;
     call.server = server.id;
     call.timeout = deadline - now();
@@ -136,6 +152,7 @@
     ServerStreamPtr serverStream, ServerPermit permit, HttpRequest request, Instant deadline)
 {
     auto onHead = [serverStream](const HttpResponse& head) {
+        serverStream->software = ServerClient::softwareOf(serverStream->server, head, serverStream->startCheck);
         serverStream->head = head;
         serverStream->lastEventAt = now();
         serverStream->changed.notifyAll();
@@ -150,7 +167,7 @@
     };
     try {
         co_await client_.stream(permit, serverStream->attempt.start.address, std::move(request), deadline, onBody,
-            &serverStream->cancellation, onHead);
+            &serverStream->cancellation, onHead, serverStream->startCheck);
         serverStream->isComplete = !serverStream->isTooLong;
         if (serverStream->isTooLong)
             serverStream->failure = "the answer is too long, or the caller reads it too slowly";
@@ -159,6 +176,10 @@
         serverStream->failure = error.what();
         crashGuard_.onConnectionRefused(serverStream->attempt);
         serviceCaller_.onUnreachable(serverStream->attempt.server);
+    } catch (const ServerStartError& error) {
+        serverStream->wasSent = false;
+        serverStream->isOtherStart = true;
+        serverStream->failure = error.what();
     } catch (const ServerUnavailableError& error) {
         serverStream->wasSent = false;
         serverStream->failure = error.what();
@@ -195,38 +216,71 @@
     co_await exchange.answer(std::move(response));
 }
 
-asio::awaitable<void> StreamProxy::forward(HttpExchange& exchange, ServerStreamPtr serverStream, Progress& progress,
-    Instant deadline, PeerCancellationPtr cancellation)
+bool StreamProxy::mayRunAgain(const RouteDeclaration& route, const Progress& progress)
+{
+    const bool mayGoOn = !progress.origin || progress.origin->isKnown();
+    return progress.runs < std::max(route.maxAttempts, 1) && mayGoOn;
+}
+
+bool StreamProxy::mayLeave(
+    const RouteDeclaration& route, const ServerStream& serverStream, const Progress& progress) const
+{
+    if (!route.isResumable || !mayRunAgain(route, progress))
+        return false;
+    return !progress.origin
+        || serviceCaller_.hasReadyServer(route, *progress.origin, serverStream.attempt.server);
+}
+
+asio::awaitable<void> StreamProxy::forwardPiece(
+    HttpExchange& exchange, ServerStreamPtr serverStream, Progress& progress, std::string piece, Instant deadline)
+{
+    if (progress.pieces.empty() || progress.pieces.back().server != serverStream->attempt.server)
+        progress.pieces.push_back({ serverStream->attempt.server, serverStream->software });
+    if (!progress.lastEventId)
+        crashGuard_.onAnswered(serverStream->attempt);
+    const bool isFirst = progress.pieces.size() == 1 && progress.pieces.front().events == 0;
+    const std::vector<StreamEvent> events = progress.reader.feed(piece);
+    for (const StreamEvent& event : events)
+        progress.lastEventId = event.id ? event.id : progress.lastEventId;
+    progress.pieces.back().events += events.size();
+    if (isFirst && !events.empty()) {
+        if (!progress.origin)
+            progress.origin = serverStream->software;
+        // Told before the caller has the event, so that no stream goes on by a guess if this process ends.
+        resumptions_.onFirstEvent(progress.caller, *progress.origin, deadline);
+    }
+    co_await exchange.sendPiece(piece);
+}
+
+asio::awaitable<void> StreamProxy::forward(HttpExchange& exchange, const RouteDeclaration& route,
+    ServerStreamPtr serverStream, Progress& progress, Instant deadline, PeerCancellationPtr cancellation)
 {
     if (!progress.hasStarted) {
         progress.hasStarted = true;
         HeaderList headers = forwardedHeaders(serverStream->head->headers);
         co_await exchange.beginStream(statusOk, std::move(headers));
     }
-    progress.pieces.push_back({ serverStream->attempt.server, serverStream->software });
     while (!cancellation->isCancelled() && now() < deadline) {
         const size_t bytes = completeEventBytes(serverStream->pending);
         if (bytes > 0) {
             serverStream->lastEventAt = now();
-            if (!progress.lastEventId)
-                crashGuard_.onAnswered(serverStream->attempt);
-            const std::string piece = serverStream->pending.substr(0, bytes);
+            std::string piece = serverStream->pending.substr(0, bytes);
             serverStream->pending.erase(0, bytes);
-            for (const StreamEvent& event : progress.reader.feed(piece)) {
-                progress.lastEventId = event.id ? event.id : progress.lastEventId;
-                ++progress.pieces.back().events;
-            }
-            co_await exchange.sendPiece(piece);
+            co_await forwardPiece(exchange, serverStream, progress, std::move(piece), deadline);
             continue;
         }
-        // A stalled stream is abandoned only if the route is resumable and has attempts left.
-        const Instant stalledAt = progress.mayResume ? serverStream->lastEventAt + stallLimit : never;
+        // A stalled stream is abandoned only if another server may go on with it.
+        const bool isAbandoned = mayLeave(route, *serverStream, progress);
+        const Instant stalledAt = isAbandoned ? serverStream->lastEventAt + stallLimit : never;
         if (serverStream->hasEnded || now() > stalledAt)
             break;
-        co_await serverStream->changed.wait(std::min(deadline, stalledAt == never ? never : stalledAt + Duration(1)));
+        // Servers that may go on come and leave meanwhile.
+        const Instant wakeAt = isAbandoned ? stalledAt + Duration(1) : now() + stallLimit;
+        co_await serverStream->changed.wait(std::min(deadline, wakeAt));
     }
     progress.isDone = serverStream->isComplete && serverStream->pending.empty();
     progress.failure = serverStream->failure;
+    progress.resumeBy = now() + resumeTimeout;
 }
 
 asio::awaitable<void> StreamProxy::inspectBroken(ServerStreamPtr serverStream, Progress& progress)
@@ -251,6 +305,8 @@
     const ReplicaVerdict verdict
         = hasHead ? client_.protocol().decode(*serverStream->head).verdict : ReplicaVerdict::Ran;
     const bool isRefused = verdict != ReplicaVerdict::Ran;
+    if (serverStream->isOtherStart)
+        progress.tried.misdirected.insert(serverStream->attempt.server);
     if (verdict == ReplicaVerdict::ServerMismatch) {
         progress.tried.misdirected.insert(serverStream->attempt.server);
         crashGuard_.onMisdirected(serverStream->attempt);
@@ -258,14 +314,13 @@
         crashGuard_.onRefused(serverStream->attempt);
     } else if (serverStream->wasSent)
         ++progress.runs;
-    progress.mayResume = route.isResumable && progress.runs < route.maxAttempts;
     const bool isStream = hasHead && !isRefused && serverStream->head->status == statusOk;
     if (hasHead && !isRefused && !isStream && !progress.hasStarted) {
         co_await answerUnstreamed(exchange, serverStream, deadline);
         co_return AttemptEnd::Answered;
     }
     if (isStream) {
-        co_await forward(exchange, serverStream, progress, deadline, cancellation);
+        co_await forward(exchange, route, serverStream, progress, deadline, cancellation);
         co_await inspectBroken(serverStream, progress);
     }
     serverStream->cancellation.cancel();
@@ -278,12 +333,15 @@
     co_return mayRetry ? AttemptEnd::MayRetry : AttemptEnd::Final;
 }
 
-asio::awaitable<void> StreamProxy::serve(HttpExchange& exchange, RouteDeclaration route, ReplicaRequest request,
-    Instant deadline, PeerCancellationPtr cancellation)
+asio::awaitable<void> StreamProxy::serve(HttpExchange& exchange, RouteDeclaration route, CallerRequest caller,
+    ReplicaRequest request, Instant deadline, PeerCancellationPtr cancellation)
 {
     Progress progress;
+    progress.caller = std::move(caller);
     progress.content = ContentId::of(request.method, route.host, request.target, request.body);
-    while (now() < deadline && !cancellation->isCancelled() && progress.runs < std::max(route.maxAttempts, 1)
+    if (progress.caller.isResumption)
+        progress.origin = co_await resumptions_.originOf(route, progress.caller, deadline);
+    while (now() < deadline && !cancellation->isCancelled() && mayRunAgain(route, progress)
         && !crashGuard_.blockedUntil(progress.content)) {
         if (now() < progress.notBefore) {
             co_await sleepFor(progress.notBefore - now());
@@ -294,7 +352,7 @@
             break;
         const AttemptEnd end = co_await attempt(exchange, route, serverStream, progress, deadline, cancellation);
         if (end == AttemptEnd::Answered) {
-            logEnd(request, progress);
+            logEnd(progress);
             co_return;
         }
         log(Event::CallAttemptFailed,
@@ -304,27 +362,44 @@
         if (end == AttemptEnd::Final)
             break;
     }
-    logEnd(request, progress);
+    logEnd(progress);
+    if (progress.origin && !cancellation->isCancelled())
+        recordLoss(route, progress);
     // The missing last chunk tells the caller that the answer is truncated.
     if (!progress.hasStarted)
-        throwFailure(progress, deadline);
+        throwFailure(route, progress, deadline);
 }
 
-void StreamProxy::logEnd(const ReplicaRequest& request, const Progress& progress)
+void StreamProxy::logEnd(const Progress& progress)
 {
     std::string pieces;
     for (const StreamPiece& piece : progress.pieces)
         pieces += (pieces.empty() ? "" : ", ") + piece.text();
+    if (progress.caller.isResumption && progress.hasStarted)
+        processMetrics().count(Counter::StreamsGoneOn);
     log(Event::StreamEnded,
-        { { "request", request.id }, { "pieces", pieces }, { "complete", progress.isDone ? "yes" : "no" },
-            { "reason", progress.failure } });
+        { { "request", progress.caller.id }, { "resumes", progress.caller.resumedRequest }, { "pieces", pieces },
+            { "complete", progress.isDone ? "yes" : "no" }, { "reason", progress.failure } });
+}
+
+void StreamProxy::recordLoss(const RouteDeclaration& route, const Progress& progress) const
+{
+    const bool isKnown = progress.origin->isKnown();
+    if (isKnown && serviceCaller_.hasReadyServer(route, *progress.origin))
+        return;
+    processMetrics().count(isKnown ? Counter::StreamsWithoutServer : Counter::StreamsUnknownVersion);
+    log(Event::StreamRefused,
+        { { "request", progress.caller.id }, { "resumes", progress.caller.resumedRequest },
+            { "began", progress.origin->text() }, { "reason", isKnown ? "no server of the version" : "" } });
 }
 
-void StreamProxy::throwFailure(const Progress& progress, Instant deadline) const
+void StreamProxy::throwFailure(const RouteDeclaration& route, const Progress& progress, Instant deadline) const
 {
     const auto blockedUntil = crashGuard_.blockedUntil(progress.content);
     if (progress.runs == 0 && blockedUntil)
         throw ContentBlockedError(progress.content, *blockedUntil);
+    if (progress.runs == 0 && progress.origin && !serviceCaller_.hasReadyServer(route, *progress.origin))
+        throw StreamNotResumableError("no server runs the software that began the stream: " + progress.origin->text());
     if (progress.runs == 0)
         throw NotRunError(progress.failure.empty() ? "no server of the route is ready" : progress.failure);
     if (now() >= deadline)
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -3,6 +3,7 @@
 #include "io/HttpServer.h"
 #include "io/PeerConnection.h"
 #include "io/hosted/ServiceCaller.h"
+#include "io/hosted/StreamResumptions.h"
 
 #include <endiveroad/EventStream.h>
 #include <memory>
@@ -25,13 +26,18 @@
     /// Part of the time that a request has left for which it may wait for a server; the stream needs the rest.
     static constexpr int waitDivisor = 2;
 
-    StreamProxy(asio::io_context&, ServerClient&, ServiceCaller&, CrashGuard&);
+    /// Time for a stream that has broken off to go on within its answer; a caller that gets nothing may do better.
+    static constexpr Duration resumeTimeout = std::chrono::seconds(1);
 
-    /// Answers the exchange. Only complete events are forwarded. If a server's stream breaks, another server resumes it
-    /// within the same answer if the route allows that; otherwise the answer ends without its last chunk, so that the
-    /// caller detects the truncation. Throws if nothing has been sent to the caller: NotRunError or ContentBlockedError
-    /// if no server can have run the request, OutcomeUnknownError or DeadlineUnknownError if one may have.
-    asio::awaitable<void> serve(HttpExchange&, RouteDeclaration, ReplicaRequest, Instant deadline, PeerCancellationPtr);
+    StreamProxy(asio::io_context&, ServerClient&, ServiceCaller&, StreamResumptions&, CrashGuard&);
+
+    /// Answers the exchange. Only complete events are forwarded. If a server's stream breaks, a server that runs the
+    /// same software resumes it within the same answer if the route allows that; otherwise the answer ends without its
+    /// last chunk, so that the caller detects the truncation. Throws if nothing has been sent to the caller: NotRunError,
+    /// StreamNotResumableError or ContentBlockedError if no server can have run the request, OutcomeUnknownError or
+    /// DeadlineUnknownError if one may have.
+    asio::awaitable<void> serve(
+        HttpExchange&, RouteDeclaration, CallerRequest, ReplicaRequest, Instant deadline, PeerCancellationPtr);
 
 private:
     /// The stream of one server and the bytes of it that have not been forwarded yet.
@@ -47,14 +53,22 @@
     asio::awaitable<AttemptEnd> attempt(
         HttpExchange&, const RouteDeclaration&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
     /// Logs which servers wrote the answer.
-    static void logEnd(const ReplicaRequest&, const Progress&);
+    static void logEnd(const Progress&);
+    /// Counts and logs that a stream does not go on although its route allows it.
+    void recordLoss(const RouteDeclaration&, const Progress&) const;
     /// Throws the error for a caller to which nothing has been sent.
-    [[noreturn]] void throwFailure(const Progress&, Instant deadline) const;
+    [[noreturn]] void throwFailure(const RouteDeclaration&, const Progress&, Instant deadline) const;
     /// Sends the request to a server that has not been tried and starts to read its stream; null if there is none in
     /// time.
     asio::awaitable<ServerStreamPtr> openStream(
         const RouteDeclaration&, const ReplicaRequest&, const Progress&, Instant deadline, PeerCancellationPtr);
     asio::awaitable<void> readStream(ServerStreamPtr, ServerPermit, HttpRequest, Instant deadline);
+    /// Whether a server may still run the request, or go on with it.
+    static bool mayRunAgain(const RouteDeclaration&, const Progress&);
+    /// True if the stream should go on at another server rather than wait for the one that has it.
+    bool mayLeave(const RouteDeclaration&, const ServerStream&, const Progress&) const;
+    /// Forwards complete events to the caller.
+    asio::awaitable<void> forwardPiece(HttpExchange&, ServerStreamPtr, Progress&, std::string piece, Instant deadline);
     /// Returns whether the response head has arrived before the deadline.
     asio::awaitable<bool> awaitHead(ServerStreamPtr, Instant deadline, PeerCancellationPtr);
     /// Sends a response that is not an event stream as a whole.
@@ -62,11 +76,13 @@
     /// Finds out whether a server that broke its stream off before the first byte has ended.
     asio::awaitable<void> inspectBroken(ServerStreamPtr, Progress&);
     /// Forwards events until the stream ends, stalls or the caller disconnects.
-    asio::awaitable<void> forward(HttpExchange&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
+    asio::awaitable<void> forward(HttpExchange&, const RouteDeclaration&, ServerStreamPtr, Progress&, Instant deadline,
+        PeerCancellationPtr);
 
     asio::io_context& context_;
     ServerClient& client_;
     ServiceCaller& serviceCaller_;
+    StreamResumptions& resumptions_;
     CrashGuard& crashGuard_;
 };
 
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -207,6 +207,9 @@
 // The following messages are those of the processes on a hosted platform
 // (src/io/hosted).
 
+/** Software that a backend server of a pool runs; version is empty if it is not known. */
+struct SoftwareVersion { 1: string pool  2: string version }
+
 /** State of one key of the platform's store; a removed key has the revision of its removal. */
 struct Document { 1: string key  2: i64 revision  3: binary value  4: bool isRemoved }
 
@@ -278,6 +281,8 @@
   11: string model
   /** Number of the item's runs that stalled; see StallLimit.h. */
   12: i32 stalls
+  /** Software that wrote the events; the agent refuses the run if its replica runs another. */
+  13: SoftwareVersion software
 }
 /** Revision is the highest that the agent knows for the job's owner record. Reason is empty if the run is accepted. */
 struct ItemStartAnswer { 1: bool isAccepted  2: string reason  3: i64 revision  4: bool isJobEnded }
@@ -297,6 +302,8 @@
   7: i32 firstEvent
   /** The agent has cancelled the run because it delivered nothing for too long. */
   8: bool isStalled
+  /** Software that wrote the item's events, those before these included. */
+  9: SoftwareVersion software
 }
 struct ItemProgressNotice { 1: list<ItemProgress> items }
 
@@ -411,3 +418,19 @@
   3: i64 retryInMs
   4: i64 intervalMs
 }
+
+/** Streams that the same software began. */
+struct StreamOriginGroup {
+  1: SoftwareVersion software
+  /** Keys of the streams, 16 bytes each (StreamKey), without separators. */
+  2: binary keys
+  /** Time for which each stream is worth knowing, in ms, in the order of the keys. */
+  3: list<i32> lifetimesMs
+}
+
+/** Streams that an entry began, for those who keep them for other entries (StreamOrigins.h). */
+struct StreamOriginNotice { 1: string entry  2: list<StreamOriginGroup> groups }
+
+/** Asks a coordinator what began a stream. */
+struct StreamOriginQuery { 1: binary key }
+struct StreamOriginAnswer { 1: bool isKnown  2: SoftwareVersion software }
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -4035,6 +4035,118 @@
 }
 
 
+SoftwareVersion::~SoftwareVersion() noexcept {
+}
+
+
+void SoftwareVersion::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void SoftwareVersion::__set_version(const std::string& val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const SoftwareVersion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SoftwareVersion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SoftwareVersion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SoftwareVersion");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SoftwareVersion &a, SoftwareVersion &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+SoftwareVersion::SoftwareVersion(const SoftwareVersion& other91) {
+  pool = other91.pool;
+  version = other91.version;
+  __isset = other91.__isset;
+}
+SoftwareVersion& SoftwareVersion::operator=(const SoftwareVersion& other92) {
+  pool = other92.pool;
+  version = other92.version;
+  __isset = other92.__isset;
+  return *this;
+}
+void SoftwareVersion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SoftwareVersion(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
 Document::~Document() noexcept {
 }
 
@@ -4161,19 +4273,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Document::Document(const Document& other91) {
-  key = other91.key;
-  revision = other91.revision;
-  value = other91.value;
-  isRemoved = other91.isRemoved;
-  __isset = other91.__isset;
+Document::Document(const Document& other93) {
+  key = other93.key;
+  revision = other93.revision;
+  value = other93.value;
+  isRemoved = other93.isRemoved;
+  __isset = other93.__isset;
 }
-Document& Document::operator=(const Document& other92) {
-  key = other92.key;
-  revision = other92.revision;
-  value = other92.value;
-  isRemoved = other92.isRemoved;
-  __isset = other92.__isset;
+Document& Document::operator=(const Document& other94) {
+  key = other94.key;
+  revision = other94.revision;
+  value = other94.value;
+  isRemoved = other94.isRemoved;
+  __isset = other94.__isset;
   return *this;
 }
 void Document::printTo(std::ostream& out) const {
@@ -4230,14 +4342,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->documents.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->documents.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->documents.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->documents[_i97].read(iprot);
+              xfer += this->documents[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4274,10 +4386,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->documents.size()));
-    std::vector<Document> ::const_iterator _iter98;
-    for (_iter98 = this->documents.begin(); _iter98 != this->documents.end(); ++_iter98)
+    std::vector<Document> ::const_iterator _iter100;
+    for (_iter100 = this->documents.begin(); _iter100 != this->documents.end(); ++_iter100)
     {
-      xfer += (*_iter98).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4299,15 +4411,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DirectoryUpdate::DirectoryUpdate(const DirectoryUpdate& other99) {
-  documents = other99.documents;
-  isFresh = other99.isFresh;
-  __isset = other99.__isset;
+DirectoryUpdate::DirectoryUpdate(const DirectoryUpdate& other101) {
+  documents = other101.documents;
+  isFresh = other101.isFresh;
+  __isset = other101.__isset;
 }
-DirectoryUpdate& DirectoryUpdate::operator=(const DirectoryUpdate& other100) {
-  documents = other100.documents;
-  isFresh = other100.isFresh;
-  __isset = other100.__isset;
+DirectoryUpdate& DirectoryUpdate::operator=(const DirectoryUpdate& other102) {
+  documents = other102.documents;
+  isFresh = other102.isFresh;
+  __isset = other102.__isset;
   return *this;
 }
 void DirectoryUpdate::printTo(std::ostream& out) const {
@@ -4445,19 +4557,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreCall::StoreCall(const StoreCall& other101) {
-  method = other101.method;
-  target = other101.target;
-  body = other101.body;
-  mayWait = other101.mayWait;
-  __isset = other101.__isset;
+StoreCall::StoreCall(const StoreCall& other103) {
+  method = other103.method;
+  target = other103.target;
+  body = other103.body;
+  mayWait = other103.mayWait;
+  __isset = other103.__isset;
 }
-StoreCall& StoreCall::operator=(const StoreCall& other102) {
-  method = other102.method;
-  target = other102.target;
-  body = other102.body;
-  mayWait = other102.mayWait;
-  __isset = other102.__isset;
+StoreCall& StoreCall::operator=(const StoreCall& other104) {
+  method = other104.method;
+  target = other104.target;
+  body = other104.body;
+  mayWait = other104.mayWait;
+  __isset = other104.__isset;
   return *this;
 }
 void StoreCall::printTo(std::ostream& out) const {
@@ -4563,15 +4675,15 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreAnswer::StoreAnswer(const StoreAnswer& other103) {
-  status = other103.status;
-  body = other103.body;
-  __isset = other103.__isset;
+StoreAnswer::StoreAnswer(const StoreAnswer& other105) {
+  status = other105.status;
+  body = other105.body;
+  __isset = other105.__isset;
 }
-StoreAnswer& StoreAnswer::operator=(const StoreAnswer& other104) {
-  status = other104.status;
-  body = other104.body;
-  __isset = other104.__isset;
+StoreAnswer& StoreAnswer::operator=(const StoreAnswer& other106) {
+  status = other106.status;
+  body = other106.body;
+  __isset = other106.__isset;
   return *this;
 }
 void StoreAnswer::printTo(std::ostream& out) const {
@@ -4652,9 +4764,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast105;
-          xfer += iprot->readI32(ecast105);
-          this->operation = static_cast<BatchOperation::type>(ecast105);
+          int32_t ecast107;
+          xfer += iprot->readI32(ecast107);
+          this->operation = static_cast<BatchOperation::type>(ecast107);
           this->__isset.operation = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4720,14 +4832,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unreachable.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->unreachable.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->unreachable.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += iprot->readString(this->unreachable[_i110]);
+              xfer += iprot->readString(this->unreachable[_i112]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4788,10 +4900,10 @@
   xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unreachable.size()));
-    std::vector<std::string> ::const_iterator _iter111;
-    for (_iter111 = this->unreachable.begin(); _iter111 != this->unreachable.end(); ++_iter111)
+    std::vector<std::string> ::const_iterator _iter113;
+    for (_iter113 = this->unreachable.begin(); _iter113 != this->unreachable.end(); ++_iter113)
     {
-      xfer += oprot->writeString((*_iter111));
+      xfer += oprot->writeString((*_iter113));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4816,29 +4928,29 @@
   swap(a.__isset, b.__isset);
 }
 
-BatchCall::BatchCall(const BatchCall& other112) {
-  operation = other112.operation;
-  job = other112.job;
-  host = other112.host;
-  route = other112.route;
-  body = other112.body;
-  firstPosition = other112.firstPosition;
-  item = other112.item;
-  waitMs = other112.waitMs;
-  unreachable = other112.unreachable;
-  __isset = other112.__isset;
-}
-BatchCall& BatchCall::operator=(const BatchCall& other113) {
-  operation = other113.operation;
-  job = other113.job;
-  host = other113.host;
-  route = other113.route;
-  body = other113.body;
-  firstPosition = other113.firstPosition;
-  item = other113.item;
-  waitMs = other113.waitMs;
-  unreachable = other113.unreachable;
-  __isset = other113.__isset;
+BatchCall::BatchCall(const BatchCall& other114) {
+  operation = other114.operation;
+  job = other114.job;
+  host = other114.host;
+  route = other114.route;
+  body = other114.body;
+  firstPosition = other114.firstPosition;
+  item = other114.item;
+  waitMs = other114.waitMs;
+  unreachable = other114.unreachable;
+  __isset = other114.__isset;
+}
+BatchCall& BatchCall::operator=(const BatchCall& other115) {
+  operation = other115.operation;
+  job = other115.job;
+  host = other115.host;
+  route = other115.route;
+  body = other115.body;
+  firstPosition = other115.firstPosition;
+  item = other115.item;
+  waitMs = other115.waitMs;
+  unreachable = other115.unreachable;
+  __isset = other115.__isset;
   return *this;
 }
 void BatchCall::printTo(std::ostream& out) const {
@@ -4983,19 +5095,19 @@
   swap(a.__isset, b.__isset);
 }
 
-BatchAnswer::BatchAnswer(const BatchAnswer& other114) {
-  status = other114.status;
-  body = other114.body;
-  owner = other114.owner;
-  retryAfterMs = other114.retryAfterMs;
-  __isset = other114.__isset;
+BatchAnswer::BatchAnswer(const BatchAnswer& other116) {
+  status = other116.status;
+  body = other116.body;
+  owner = other116.owner;
+  retryAfterMs = other116.retryAfterMs;
+  __isset = other116.__isset;
 }
-BatchAnswer& BatchAnswer::operator=(const BatchAnswer& other115) {
-  status = other115.status;
-  body = other115.body;
-  owner = other115.owner;
-  retryAfterMs = other115.retryAfterMs;
-  __isset = other115.__isset;
+BatchAnswer& BatchAnswer::operator=(const BatchAnswer& other117) {
+  status = other117.status;
+  body = other117.body;
+  owner = other117.owner;
+  retryAfterMs = other117.retryAfterMs;
+  __isset = other117.__isset;
   return *this;
 }
 void BatchAnswer::printTo(std::ostream& out) const {
@@ -5118,17 +5230,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GeneratedEvent::GeneratedEvent(const GeneratedEvent& other116) {
-  id = other116.id;
-  data = other116.data;
-  version = other116.version;
-  __isset = other116.__isset;
+GeneratedEvent::GeneratedEvent(const GeneratedEvent& other118) {
+  id = other118.id;
+  data = other118.data;
+  version = other118.version;
+  __isset = other118.__isset;
 }
-GeneratedEvent& GeneratedEvent::operator=(const GeneratedEvent& other117) {
-  id = other117.id;
-  data = other117.data;
-  version = other117.version;
-  __isset = other117.__isset;
+GeneratedEvent& GeneratedEvent::operator=(const GeneratedEvent& other119) {
+  id = other119.id;
+  data = other119.data;
+  version = other119.version;
+  __isset = other119.__isset;
   return *this;
 }
 void GeneratedEvent::printTo(std::ostream& out) const {
@@ -5192,6 +5304,10 @@
 void ItemStart::__set_stalls(const int32_t val) {
   this->stalls = val;
 }
+
+void ItemStart::__set_software(const SoftwareVersion& val) {
+  this->software = val;
+}
 std::ostream& operator<<(std::ostream& out, const ItemStart& obj)
 {
   obj.printTo(out);
@@ -5272,14 +5388,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->headers.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->headers.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->headers[_i122].read(iprot);
+              xfer += this->headers[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5300,14 +5416,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->events.clear();
-            uint32_t _size123;
-            ::apache::thrift::protocol::TType _etype126;
-            xfer += iprot->readListBegin(_etype126, _size123);
-            this->events.resize(_size123);
-            uint32_t _i127;
-            for (_i127 = 0; _i127 < _size123; ++_i127)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->events.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->events[_i127].read(iprot);
+              xfer += this->events[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5340,6 +5456,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->software.read(iprot);
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5384,10 +5508,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter128;
-    for (_iter128 = this->headers.begin(); _iter128 != this->headers.end(); ++_iter128)
+    std::vector<Header> ::const_iterator _iter130;
+    for (_iter130 = this->headers.begin(); _iter130 != this->headers.end(); ++_iter130)
     {
-      xfer += (*_iter128).write(oprot);
+      xfer += (*_iter130).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5400,10 +5524,10 @@
   xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
-    std::vector<GeneratedEvent> ::const_iterator _iter129;
-    for (_iter129 = this->events.begin(); _iter129 != this->events.end(); ++_iter129)
+    std::vector<GeneratedEvent> ::const_iterator _iter131;
+    for (_iter131 = this->events.begin(); _iter131 != this->events.end(); ++_iter131)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter131).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5421,6 +5545,10 @@
   xfer += oprot->writeI32(this->stalls);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_STRUCT, 13);
+  xfer += this->software.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5440,38 +5568,41 @@
   swap(a.oldestVersion, b.oldestVersion);
   swap(a.model, b.model);
   swap(a.stalls, b.stalls);
+  swap(a.software, b.software);
   swap(a.__isset, b.__isset);
 }
 
-ItemStart::ItemStart(const ItemStart& other130) {
-  job = other130.job;
-  revision = other130.revision;
-  item = other130.item;
-  run = other130.run;
-  host = other130.host;
-  path = other130.path;
-  headers = other130.headers;
-  body = other130.body;
-  events = other130.events;
-  oldestVersion = other130.oldestVersion;
-  model = other130.model;
-  stalls = other130.stalls;
-  __isset = other130.__isset;
-}
-ItemStart& ItemStart::operator=(const ItemStart& other131) {
-  job = other131.job;
-  revision = other131.revision;
-  item = other131.item;
-  run = other131.run;
-  host = other131.host;
-  path = other131.path;
-  headers = other131.headers;
-  body = other131.body;
-  events = other131.events;
-  oldestVersion = other131.oldestVersion;
-  model = other131.model;
-  stalls = other131.stalls;
-  __isset = other131.__isset;
+ItemStart::ItemStart(const ItemStart& other132) {
+  job = other132.job;
+  revision = other132.revision;
+  item = other132.item;
+  run = other132.run;
+  host = other132.host;
+  path = other132.path;
+  headers = other132.headers;
+  body = other132.body;
+  events = other132.events;
+  oldestVersion = other132.oldestVersion;
+  model = other132.model;
+  stalls = other132.stalls;
+  software = other132.software;
+  __isset = other132.__isset;
+}
+ItemStart& ItemStart::operator=(const ItemStart& other133) {
+  job = other133.job;
+  revision = other133.revision;
+  item = other133.item;
+  run = other133.run;
+  host = other133.host;
+  path = other133.path;
+  headers = other133.headers;
+  body = other133.body;
+  events = other133.events;
+  oldestVersion = other133.oldestVersion;
+  model = other133.model;
+  stalls = other133.stalls;
+  software = other133.software;
+  __isset = other133.__isset;
   return *this;
 }
 void ItemStart::printTo(std::ostream& out) const {
@@ -5489,6 +5620,7 @@
   out << ", " << "oldestVersion=" << to_string(oldestVersion);
   out << ", " << "model=" << to_string(model);
   out << ", " << "stalls=" << to_string(stalls);
+  out << ", " << "software=" << to_string(software);
   out << ")";
 }
 
@@ -5619,19 +5751,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemStartAnswer::ItemStartAnswer(const ItemStartAnswer& other132) {
-  isAccepted = other132.isAccepted;
-  reason = other132.reason;
-  revision = other132.revision;
-  isJobEnded = other132.isJobEnded;
-  __isset = other132.__isset;
+ItemStartAnswer::ItemStartAnswer(const ItemStartAnswer& other134) {
+  isAccepted = other134.isAccepted;
+  reason = other134.reason;
+  revision = other134.revision;
+  isJobEnded = other134.isJobEnded;
+  __isset = other134.__isset;
 }
-ItemStartAnswer& ItemStartAnswer::operator=(const ItemStartAnswer& other133) {
-  isAccepted = other133.isAccepted;
-  reason = other133.reason;
-  revision = other133.revision;
-  isJobEnded = other133.isJobEnded;
-  __isset = other133.__isset;
+ItemStartAnswer& ItemStartAnswer::operator=(const ItemStartAnswer& other135) {
+  isAccepted = other135.isAccepted;
+  reason = other135.reason;
+  revision = other135.revision;
+  isJobEnded = other135.isJobEnded;
+  __isset = other135.__isset;
   return *this;
 }
 void ItemStartAnswer::printTo(std::ostream& out) const {
@@ -5680,6 +5812,10 @@
 void ItemProgress::__set_isStalled(const bool val) {
   this->isStalled = val;
 }
+
+void ItemProgress::__set_software(const SoftwareVersion& val) {
+  this->software = val;
+}
 std::ostream& operator<<(std::ostream& out, const ItemProgress& obj)
 {
   obj.printTo(out);
@@ -5734,9 +5870,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast134;
-          xfer += iprot->readI32(ecast134);
-          this->state = static_cast<RunState::type>(ecast134);
+          int32_t ecast136;
+          xfer += iprot->readI32(ecast136);
+          this->state = static_cast<RunState::type>(ecast136);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5754,14 +5890,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->events.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->events.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->events.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += this->events[_i139].read(iprot);
+              xfer += this->events[_i141].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5786,6 +5922,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->software.read(iprot);
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5826,10 +5970,10 @@
   xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
-    std::vector<GeneratedEvent> ::const_iterator _iter140;
-    for (_iter140 = this->events.begin(); _iter140 != this->events.end(); ++_iter140)
+    std::vector<GeneratedEvent> ::const_iterator _iter142;
+    for (_iter142 = this->events.begin(); _iter142 != this->events.end(); ++_iter142)
     {
-      xfer += (*_iter140).write(oprot);
+      xfer += (*_iter142).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5843,6 +5987,10 @@
   xfer += oprot->writeBool(this->isStalled);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_STRUCT, 9);
+  xfer += this->software.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5858,30 +6006,33 @@
   swap(a.events, b.events);
   swap(a.firstEvent, b.firstEvent);
   swap(a.isStalled, b.isStalled);
+  swap(a.software, b.software);
   swap(a.__isset, b.__isset);
 }
 
-ItemProgress::ItemProgress(const ItemProgress& other141) {
-  job = other141.job;
-  item = other141.item;
-  run = other141.run;
-  state = other141.state;
-  status = other141.status;
-  events = other141.events;
-  firstEvent = other141.firstEvent;
-  isStalled = other141.isStalled;
-  __isset = other141.__isset;
-}
-ItemProgress& ItemProgress::operator=(const ItemProgress& other142) {
-  job = other142.job;
-  item = other142.item;
-  run = other142.run;
-  state = other142.state;
-  status = other142.status;
-  events = other142.events;
-  firstEvent = other142.firstEvent;
-  isStalled = other142.isStalled;
-  __isset = other142.__isset;
+ItemProgress::ItemProgress(const ItemProgress& other143) {
+  job = other143.job;
+  item = other143.item;
+  run = other143.run;
+  state = other143.state;
+  status = other143.status;
+  events = other143.events;
+  firstEvent = other143.firstEvent;
+  isStalled = other143.isStalled;
+  software = other143.software;
+  __isset = other143.__isset;
+}
+ItemProgress& ItemProgress::operator=(const ItemProgress& other144) {
+  job = other144.job;
+  item = other144.item;
+  run = other144.run;
+  state = other144.state;
+  status = other144.status;
+  events = other144.events;
+  firstEvent = other144.firstEvent;
+  isStalled = other144.isStalled;
+  software = other144.software;
+  __isset = other144.__isset;
   return *this;
 }
 void ItemProgress::printTo(std::ostream& out) const {
@@ -5895,6 +6046,7 @@
   out << ", " << "events=" << to_string(events);
   out << ", " << "firstEvent=" << to_string(firstEvent);
   out << ", " << "isStalled=" << to_string(isStalled);
+  out << ", " << "software=" << to_string(software);
   out << ")";
 }
 
@@ -5938,14 +6090,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->items.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->items.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += this->items[_i147].read(iprot);
+              xfer += this->items[_i149].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5974,10 +6126,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<ItemProgress> ::const_iterator _iter148;
-    for (_iter148 = this->items.begin(); _iter148 != this->items.end(); ++_iter148)
+    std::vector<ItemProgress> ::const_iterator _iter150;
+    for (_iter150 = this->items.begin(); _iter150 != this->items.end(); ++_iter150)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5994,13 +6146,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemProgressNotice::ItemProgressNotice(const ItemProgressNotice& other149) {
-  items = other149.items;
-  __isset = other149.__isset;
+ItemProgressNotice::ItemProgressNotice(const ItemProgressNotice& other151) {
+  items = other151.items;
+  __isset = other151.__isset;
 }
-ItemProgressNotice& ItemProgressNotice::operator=(const ItemProgressNotice& other150) {
-  items = other150.items;
-  __isset = other150.__isset;
+ItemProgressNotice& ItemProgressNotice::operator=(const ItemProgressNotice& other152) {
+  items = other152.items;
+  __isset = other152.__isset;
   return *this;
 }
 void ItemProgressNotice::printTo(std::ostream& out) const {
@@ -6137,19 +6289,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemCancelNotice::ItemCancelNotice(const ItemCancelNotice& other151) {
-  job = other151.job;
-  revision = other151.revision;
-  item = other151.item;
-  isJobEnded = other151.isJobEnded;
-  __isset = other151.__isset;
+ItemCancelNotice::ItemCancelNotice(const ItemCancelNotice& other153) {
+  job = other153.job;
+  revision = other153.revision;
+  item = other153.item;
+  isJobEnded = other153.isJobEnded;
+  __isset = other153.__isset;
 }
-ItemCancelNotice& ItemCancelNotice::operator=(const ItemCancelNotice& other152) {
-  job = other152.job;
-  revision = other152.revision;
-  item = other152.item;
-  isJobEnded = other152.isJobEnded;
-  __isset = other152.__isset;
+ItemCancelNotice& ItemCancelNotice::operator=(const ItemCancelNotice& other154) {
+  job = other154.job;
+  revision = other154.revision;
+  item = other154.item;
+  isJobEnded = other154.isJobEnded;
+  __isset = other154.__isset;
   return *this;
 }
 void ItemCancelNotice::printTo(std::ostream& out) const {
@@ -6306,21 +6458,21 @@
   swap(a.__isset, b.__isset);
 }
 
-JobOwnerNotice::JobOwnerNotice(const JobOwnerNotice& other153) {
-  job = other153.job;
-  revision = other153.revision;
-  owner = other153.owner;
-  model = other153.model;
-  tokensPerSecond = other153.tokensPerSecond;
-  __isset = other153.__isset;
+JobOwnerNotice::JobOwnerNotice(const JobOwnerNotice& other155) {
+  job = other155.job;
+  revision = other155.revision;
+  owner = other155.owner;
+  model = other155.model;
+  tokensPerSecond = other155.tokensPerSecond;
+  __isset = other155.__isset;
 }
-JobOwnerNotice& JobOwnerNotice::operator=(const JobOwnerNotice& other154) {
-  job = other154.job;
-  revision = other154.revision;
-  owner = other154.owner;
-  model = other154.model;
-  tokensPerSecond = other154.tokensPerSecond;
-  __isset = other154.__isset;
+JobOwnerNotice& JobOwnerNotice::operator=(const JobOwnerNotice& other156) {
+  job = other156.job;
+  revision = other156.revision;
+  owner = other156.owner;
+  model = other156.model;
+  tokensPerSecond = other156.tokensPerSecond;
+  __isset = other156.__isset;
   return *this;
 }
 void JobOwnerNotice::printTo(std::ostream& out) const {
@@ -6427,15 +6579,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelVersion::ModelVersion(const ModelVersion& other155) {
-  model = other155.model;
-  version = other155.version;
-  __isset = other155.__isset;
+ModelVersion::ModelVersion(const ModelVersion& other157) {
+  model = other157.model;
+  version = other157.version;
+  __isset = other157.__isset;
 }
-ModelVersion& ModelVersion::operator=(const ModelVersion& other156) {
-  model = other156.model;
-  version = other156.version;
-  __isset = other156.__isset;
+ModelVersion& ModelVersion::operator=(const ModelVersion& other158) {
+  model = other158.model;
+  version = other158.version;
+  __isset = other158.__isset;
   return *this;
 }
 void ModelVersion::printTo(std::ostream& out) const {
@@ -6570,14 +6722,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->models.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->models.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              xfer += this->models[_i161].read(iprot);
+              xfer += this->models[_i163].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6654,10 +6806,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<ModelVersion> ::const_iterator _iter162;
-    for (_iter162 = this->models.begin(); _iter162 != this->models.end(); ++_iter162)
+    std::vector<ModelVersion> ::const_iterator _iter164;
+    for (_iter164 = this->models.begin(); _iter164 != this->models.end(); ++_iter164)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter164).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6695,31 +6847,31 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaReport::ReplicaReport(const ReplicaReport& other163) {
-  agent = other163.agent;
-  pool = other163.pool;
-  server = other163.server;
-  isUp = other163.isUp;
-  running = other163.running;
-  slots = other163.slots;
-  models = other163.models;
-  loadingModel = other163.loadingModel;
-  failureDomain = other163.failureDomain;
-  eventMs = other163.eventMs;
-  __isset = other163.__isset;
-}
-ReplicaReport& ReplicaReport::operator=(const ReplicaReport& other164) {
-  agent = other164.agent;
-  pool = other164.pool;
-  server = other164.server;
-  isUp = other164.isUp;
-  running = other164.running;
-  slots = other164.slots;
-  models = other164.models;
-  loadingModel = other164.loadingModel;
-  failureDomain = other164.failureDomain;
-  eventMs = other164.eventMs;
-  __isset = other164.__isset;
+ReplicaReport::ReplicaReport(const ReplicaReport& other165) {
+  agent = other165.agent;
+  pool = other165.pool;
+  server = other165.server;
+  isUp = other165.isUp;
+  running = other165.running;
+  slots = other165.slots;
+  models = other165.models;
+  loadingModel = other165.loadingModel;
+  failureDomain = other165.failureDomain;
+  eventMs = other165.eventMs;
+  __isset = other165.__isset;
+}
+ReplicaReport& ReplicaReport::operator=(const ReplicaReport& other166) {
+  agent = other166.agent;
+  pool = other166.pool;
+  server = other166.server;
+  isUp = other166.isUp;
+  running = other166.running;
+  slots = other166.slots;
+  models = other166.models;
+  loadingModel = other166.loadingModel;
+  failureDomain = other166.failureDomain;
+  eventMs = other166.eventMs;
+  __isset = other166.__isset;
   return *this;
 }
 void ReplicaReport::printTo(std::ostream& out) const {
@@ -6831,15 +6983,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadModelNotice::LoadModelNotice(const LoadModelNotice& other165) {
-  model = other165.model;
-  version = other165.version;
-  __isset = other165.__isset;
+LoadModelNotice::LoadModelNotice(const LoadModelNotice& other167) {
+  model = other167.model;
+  version = other167.version;
+  __isset = other167.__isset;
 }
-LoadModelNotice& LoadModelNotice::operator=(const LoadModelNotice& other166) {
-  model = other166.model;
-  version = other166.version;
-  __isset = other166.__isset;
+LoadModelNotice& LoadModelNotice::operator=(const LoadModelNotice& other168) {
+  model = other168.model;
+  version = other168.version;
+  __isset = other168.__isset;
   return *this;
 }
 void LoadModelNotice::printTo(std::ostream& out) const {
@@ -7011,23 +7163,23 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashTrial::CrashTrial(const CrashTrial& other167) {
-  round = other167.round;
-  ticket = other167.ticket;
-  phase = other167.phase;
-  server = other167.server;
-  sendInMs = other167.sendInMs;
-  leftMs = other167.leftMs;
-  __isset = other167.__isset;
+CrashTrial::CrashTrial(const CrashTrial& other169) {
+  round = other169.round;
+  ticket = other169.ticket;
+  phase = other169.phase;
+  server = other169.server;
+  sendInMs = other169.sendInMs;
+  leftMs = other169.leftMs;
+  __isset = other169.__isset;
 }
-CrashTrial& CrashTrial::operator=(const CrashTrial& other168) {
-  round = other168.round;
-  ticket = other168.ticket;
-  phase = other168.phase;
-  server = other168.server;
-  sendInMs = other168.sendInMs;
-  leftMs = other168.leftMs;
-  __isset = other168.__isset;
+CrashTrial& CrashTrial::operator=(const CrashTrial& other170) {
+  round = other170.round;
+  ticket = other170.ticket;
+  phase = other170.phase;
+  server = other170.server;
+  sendInMs = other170.sendInMs;
+  leftMs = other170.leftMs;
+  __isset = other170.__isset;
   return *this;
 }
 void CrashTrial::printTo(std::ostream& out) const {
@@ -7135,15 +7287,15 @@
   swap(a.__isset, b.__isset);
 }
 
-FailedTrial::FailedTrial(const FailedTrial& other169) {
-  serverStart = other169.serverStart;
-  isLate = other169.isLate;
-  __isset = other169.__isset;
+FailedTrial::FailedTrial(const FailedTrial& other171) {
+  serverStart = other171.serverStart;
+  isLate = other171.isLate;
+  __isset = other171.__isset;
 }
-FailedTrial& FailedTrial::operator=(const FailedTrial& other170) {
-  serverStart = other170.serverStart;
-  isLate = other170.isLate;
-  __isset = other170.__isset;
+FailedTrial& FailedTrial::operator=(const FailedTrial& other172) {
+  serverStart = other172.serverStart;
+  isLate = other172.isLate;
+  __isset = other172.__isset;
   return *this;
 }
 void FailedTrial::printTo(std::ostream& out) const {
@@ -7250,14 +7402,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashedServers.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->crashedServers.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->crashedServers.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += iprot->readString(this->crashedServers[_i175]);
+              xfer += iprot->readString(this->crashedServers[_i177]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7286,14 +7438,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failedTrials.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->failedTrials.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->failedTrials.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->failedTrials[_i180].read(iprot);
+              xfer += this->failedTrials[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7350,10 +7502,10 @@
   xfer += oprot->writeFieldBegin("crashedServers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->crashedServers.size()));
-    std::vector<std::string> ::const_iterator _iter181;
-    for (_iter181 = this->crashedServers.begin(); _iter181 != this->crashedServers.end(); ++_iter181)
+    std::vector<std::string> ::const_iterator _iter183;
+    for (_iter183 = this->crashedServers.begin(); _iter183 != this->crashedServers.end(); ++_iter183)
     {
-      xfer += oprot->writeString((*_iter181));
+      xfer += oprot->writeString((*_iter183));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7370,10 +7522,10 @@
   xfer += oprot->writeFieldBegin("failedTrials", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failedTrials.size()));
-    std::vector<FailedTrial> ::const_iterator _iter182;
-    for (_iter182 = this->failedTrials.begin(); _iter182 != this->failedTrials.end(); ++_iter182)
+    std::vector<FailedTrial> ::const_iterator _iter184;
+    for (_iter184 = this->failedTrials.begin(); _iter184 != this->failedTrials.end(); ++_iter184)
     {
-      xfer += (*_iter182).write(oprot);
+      xfer += (*_iter184).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7406,29 +7558,29 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashRecord::CrashRecord(const CrashRecord& other183) {
-  contentHigh = other183.contentHigh;
-  contentLow = other183.contentLow;
-  generation = other183.generation;
-  crashedServers = other183.crashedServers;
-  blockedForMs = other183.blockedForMs;
-  isOwed = other183.isOwed;
-  failedTrials = other183.failedTrials;
-  trial = other183.trial;
-  heldForMs = other183.heldForMs;
-  __isset = other183.__isset;
-}
-CrashRecord& CrashRecord::operator=(const CrashRecord& other184) {
-  contentHigh = other184.contentHigh;
-  contentLow = other184.contentLow;
-  generation = other184.generation;
-  crashedServers = other184.crashedServers;
-  blockedForMs = other184.blockedForMs;
-  isOwed = other184.isOwed;
-  failedTrials = other184.failedTrials;
-  trial = other184.trial;
-  heldForMs = other184.heldForMs;
-  __isset = other184.__isset;
+CrashRecord::CrashRecord(const CrashRecord& other185) {
+  contentHigh = other185.contentHigh;
+  contentLow = other185.contentLow;
+  generation = other185.generation;
+  crashedServers = other185.crashedServers;
+  blockedForMs = other185.blockedForMs;
+  isOwed = other185.isOwed;
+  failedTrials = other185.failedTrials;
+  trial = other185.trial;
+  heldForMs = other185.heldForMs;
+  __isset = other185.__isset;
+}
+CrashRecord& CrashRecord::operator=(const CrashRecord& other186) {
+  contentHigh = other186.contentHigh;
+  contentLow = other186.contentLow;
+  generation = other186.generation;
+  crashedServers = other186.crashedServers;
+  blockedForMs = other186.blockedForMs;
+  isOwed = other186.isOwed;
+  failedTrials = other186.failedTrials;
+  trial = other186.trial;
+  heldForMs = other186.heldForMs;
+  __isset = other186.__isset;
   return *this;
 }
 void CrashRecord::printTo(std::ostream& out) const {
@@ -7486,14 +7638,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size185;
-            ::apache::thrift::protocol::TType _etype188;
-            xfer += iprot->readListBegin(_etype188, _size185);
-            this->records.resize(_size185);
-            uint32_t _i189;
-            for (_i189 = 0; _i189 < _size185; ++_i189)
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->records.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
             {
-              xfer += this->records[_i189].read(iprot);
+              xfer += this->records[_i191].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7522,10 +7674,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<CrashRecord> ::const_iterator _iter190;
-    for (_iter190 = this->records.begin(); _iter190 != this->records.end(); ++_iter190)
+    std::vector<CrashRecord> ::const_iterator _iter192;
+    for (_iter192 = this->records.begin(); _iter192 != this->records.end(); ++_iter192)
     {
-      xfer += (*_iter190).write(oprot);
+      xfer += (*_iter192).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7542,13 +7694,13 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNotice::CrashNotice(const CrashNotice& other191) {
-  records = other191.records;
-  __isset = other191.__isset;
+CrashNotice::CrashNotice(const CrashNotice& other193) {
+  records = other193.records;
+  __isset = other193.__isset;
 }
-CrashNotice& CrashNotice::operator=(const CrashNotice& other192) {
-  records = other192.records;
-  __isset = other192.__isset;
+CrashNotice& CrashNotice::operator=(const CrashNotice& other194) {
+  records = other194.records;
+  __isset = other194.__isset;
   return *this;
 }
 void CrashNotice::printTo(std::ostream& out) const {
@@ -7668,17 +7820,17 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingServer::LeavingServer(const LeavingServer& other193) {
-  id = other193.id;
-  startedMs = other193.startedMs;
-  isReplaced = other193.isReplaced;
-  __isset = other193.__isset;
+LeavingServer::LeavingServer(const LeavingServer& other195) {
+  id = other195.id;
+  startedMs = other195.startedMs;
+  isReplaced = other195.isReplaced;
+  __isset = other195.__isset;
 }
-LeavingServer& LeavingServer::operator=(const LeavingServer& other194) {
-  id = other194.id;
-  startedMs = other194.startedMs;
-  isReplaced = other194.isReplaced;
-  __isset = other194.__isset;
+LeavingServer& LeavingServer::operator=(const LeavingServer& other196) {
+  id = other196.id;
+  startedMs = other196.startedMs;
+  isReplaced = other196.isReplaced;
+  __isset = other196.__isset;
   return *this;
 }
 void LeavingServer::printTo(std::ostream& out) const {
@@ -7730,14 +7882,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size195;
-            ::apache::thrift::protocol::TType _etype198;
-            xfer += iprot->readListBegin(_etype198, _size195);
-            this->servers.resize(_size195);
-            uint32_t _i199;
-            for (_i199 = 0; _i199 < _size195; ++_i199)
+            uint32_t _size197;
+            ::apache::thrift::protocol::TType _etype200;
+            xfer += iprot->readListBegin(_etype200, _size197);
+            this->servers.resize(_size197);
+            uint32_t _i201;
+            for (_i201 = 0; _i201 < _size197; ++_i201)
             {
-              xfer += this->servers[_i199].read(iprot);
+              xfer += this->servers[_i201].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7766,10 +7918,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<LeavingServer> ::const_iterator _iter200;
-    for (_iter200 = this->servers.begin(); _iter200 != this->servers.end(); ++_iter200)
+    std::vector<LeavingServer> ::const_iterator _iter202;
+    for (_iter202 = this->servers.begin(); _iter202 != this->servers.end(); ++_iter202)
     {
-      xfer += (*_iter200).write(oprot);
+      xfer += (*_iter202).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7786,13 +7938,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingNotice::LeavingNotice(const LeavingNotice& other201) {
-  servers = other201.servers;
-  __isset = other201.__isset;
+LeavingNotice::LeavingNotice(const LeavingNotice& other203) {
+  servers = other203.servers;
+  __isset = other203.__isset;
 }
-LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other202) {
-  servers = other202.servers;
-  __isset = other202.__isset;
+LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other204) {
+  servers = other204.servers;
+  __isset = other204.__isset;
   return *this;
 }
 void LeavingNotice::printTo(std::ostream& out) const {
@@ -7912,17 +8064,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemFailure::ItemFailure(const ItemFailure& other203) {
-  item = other203.item;
-  run = other203.run;
-  isUnprocessable = other203.isUnprocessable;
-  __isset = other203.__isset;
+ItemFailure::ItemFailure(const ItemFailure& other205) {
+  item = other205.item;
+  run = other205.run;
+  isUnprocessable = other205.isUnprocessable;
+  __isset = other205.__isset;
 }
-ItemFailure& ItemFailure::operator=(const ItemFailure& other204) {
-  item = other204.item;
-  run = other204.run;
-  isUnprocessable = other204.isUnprocessable;
-  __isset = other204.__isset;
+ItemFailure& ItemFailure::operator=(const ItemFailure& other206) {
+  item = other206.item;
+  run = other206.run;
+  isUnprocessable = other206.isUnprocessable;
+  __isset = other206.__isset;
   return *this;
 }
 void ItemFailure::printTo(std::ostream& out) const {
@@ -7974,14 +8126,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failures.clear();
-            uint32_t _size205;
-            ::apache::thrift::protocol::TType _etype208;
-            xfer += iprot->readListBegin(_etype208, _size205);
-            this->failures.resize(_size205);
-            uint32_t _i209;
-            for (_i209 = 0; _i209 < _size205; ++_i209)
+            uint32_t _size207;
+            ::apache::thrift::protocol::TType _etype210;
+            xfer += iprot->readListBegin(_etype210, _size207);
+            this->failures.resize(_size207);
+            uint32_t _i211;
+            for (_i211 = 0; _i211 < _size207; ++_i211)
             {
-              xfer += this->failures[_i209].read(iprot);
+              xfer += this->failures[_i211].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8010,10 +8162,10 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<ItemFailure> ::const_iterator _iter210;
-    for (_iter210 = this->failures.begin(); _iter210 != this->failures.end(); ++_iter210)
+    std::vector<ItemFailure> ::const_iterator _iter212;
+    for (_iter212 = this->failures.begin(); _iter212 != this->failures.end(); ++_iter212)
     {
-      xfer += (*_iter210).write(oprot);
+      xfer += (*_iter212).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8030,13 +8182,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemFailureNotice::ItemFailureNotice(const ItemFailureNotice& other211) {
-  failures = other211.failures;
-  __isset = other211.__isset;
+ItemFailureNotice::ItemFailureNotice(const ItemFailureNotice& other213) {
+  failures = other213.failures;
+  __isset = other213.__isset;
 }
-ItemFailureNotice& ItemFailureNotice::operator=(const ItemFailureNotice& other212) {
-  failures = other212.failures;
-  __isset = other212.__isset;
+ItemFailureNotice& ItemFailureNotice::operator=(const ItemFailureNotice& other214) {
+  failures = other214.failures;
+  __isset = other214.__isset;
   return *this;
 }
 void ItemFailureNotice::printTo(std::ostream& out) const {
@@ -8190,21 +8342,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerLimit::ServerLimit(const ServerLimit& other213) {
-  server = other213.server;
-  startedMs = other213.startedMs;
-  limit = other213.limit;
-  issuer = other213.issuer;
-  sequence = other213.sequence;
-  __isset = other213.__isset;
-}
-ServerLimit& ServerLimit::operator=(const ServerLimit& other214) {
-  server = other214.server;
-  startedMs = other214.startedMs;
-  limit = other214.limit;
-  issuer = other214.issuer;
-  sequence = other214.sequence;
-  __isset = other214.__isset;
+ServerLimit::ServerLimit(const ServerLimit& other215) {
+  server = other215.server;
+  startedMs = other215.startedMs;
+  limit = other215.limit;
+  issuer = other215.issuer;
+  sequence = other215.sequence;
+  __isset = other215.__isset;
+}
+ServerLimit& ServerLimit::operator=(const ServerLimit& other216) {
+  server = other216.server;
+  startedMs = other216.startedMs;
+  limit = other216.limit;
+  issuer = other216.issuer;
+  sequence = other216.sequence;
+  __isset = other216.__isset;
   return *this;
 }
 void ServerLimit::printTo(std::ostream& out) const {
@@ -8258,14 +8410,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size215;
-            ::apache::thrift::protocol::TType _etype218;
-            xfer += iprot->readListBegin(_etype218, _size215);
-            this->limits.resize(_size215);
-            uint32_t _i219;
-            for (_i219 = 0; _i219 < _size215; ++_i219)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->limits.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += this->limits[_i219].read(iprot);
+              xfer += this->limits[_i221].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8294,10 +8446,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<ServerLimit> ::const_iterator _iter220;
-    for (_iter220 = this->limits.begin(); _iter220 != this->limits.end(); ++_iter220)
+    std::vector<ServerLimit> ::const_iterator _iter222;
+    for (_iter222 = this->limits.begin(); _iter222 != this->limits.end(); ++_iter222)
     {
-      xfer += (*_iter220).write(oprot);
+      xfer += (*_iter222).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8314,13 +8466,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitNotice::LimitNotice(const LimitNotice& other221) {
-  limits = other221.limits;
-  __isset = other221.__isset;
+LimitNotice::LimitNotice(const LimitNotice& other223) {
+  limits = other223.limits;
+  __isset = other223.__isset;
 }
-LimitNotice& LimitNotice::operator=(const LimitNotice& other222) {
-  limits = other222.limits;
-  __isset = other222.__isset;
+LimitNotice& LimitNotice::operator=(const LimitNotice& other224) {
+  limits = other224.limits;
+  __isset = other224.__isset;
   return *this;
 }
 void LimitNotice::printTo(std::ostream& out) const {
@@ -8474,21 +8626,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitRequest::PermitRequest(const PermitRequest& other223) {
-  known = other223.known;
-  process = other223.process;
-  priority = other223.priority;
-  count = other223.count;
-  isForwarded = other223.isForwarded;
-  __isset = other223.__isset;
+PermitRequest::PermitRequest(const PermitRequest& other225) {
+  known = other225.known;
+  process = other225.process;
+  priority = other225.priority;
+  count = other225.count;
+  isForwarded = other225.isForwarded;
+  __isset = other225.__isset;
 }
-PermitRequest& PermitRequest::operator=(const PermitRequest& other224) {
-  known = other224.known;
-  process = other224.process;
-  priority = other224.priority;
-  count = other224.count;
-  isForwarded = other224.isForwarded;
-  __isset = other224.__isset;
+PermitRequest& PermitRequest::operator=(const PermitRequest& other226) {
+  known = other226.known;
+  process = other226.process;
+  priority = other226.priority;
+  count = other226.count;
+  isForwarded = other226.isForwarded;
+  __isset = other226.__isset;
   return *this;
 }
 void PermitRequest::printTo(std::ostream& out) const {
@@ -8629,19 +8781,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitAnswer::PermitAnswer(const PermitAnswer& other225) {
-  limit = other225.limit;
-  count = other225.count;
-  retryInMs = other225.retryInMs;
-  intervalMs = other225.intervalMs;
-  __isset = other225.__isset;
+PermitAnswer::PermitAnswer(const PermitAnswer& other227) {
+  limit = other227.limit;
+  count = other227.count;
+  retryInMs = other227.retryInMs;
+  intervalMs = other227.intervalMs;
+  __isset = other227.__isset;
 }
-PermitAnswer& PermitAnswer::operator=(const PermitAnswer& other226) {
-  limit = other226.limit;
-  count = other226.count;
-  retryInMs = other226.retryInMs;
-  intervalMs = other226.intervalMs;
-  __isset = other226.__isset;
+PermitAnswer& PermitAnswer::operator=(const PermitAnswer& other228) {
+  limit = other228.limit;
+  count = other228.count;
+  retryInMs = other228.retryInMs;
+  intervalMs = other228.intervalMs;
+  __isset = other228.__isset;
   return *this;
 }
 void PermitAnswer::printTo(std::ostream& out) const {
@@ -8654,4 +8806,492 @@
   out << ")";
 }
 
+
+StreamOriginGroup::~StreamOriginGroup() noexcept {
+}
+
+
+void StreamOriginGroup::__set_software(const SoftwareVersion& val) {
+  this->software = val;
+}
+
+void StreamOriginGroup::__set_keys(const std::string& val) {
+  this->keys = val;
+}
+
+void StreamOriginGroup::__set_lifetimesMs(const std::vector<int32_t> & val) {
+  this->lifetimesMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOriginGroup& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOriginGroup::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->software.read(iprot);
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->keys);
+          this->__isset.keys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lifetimesMs.clear();
+            uint32_t _size229;
+            ::apache::thrift::protocol::TType _etype232;
+            xfer += iprot->readListBegin(_etype232, _size229);
+            this->lifetimesMs.resize(_size229);
+            uint32_t _i233;
+            for (_i233 = 0; _i233 < _size229; ++_i233)
+            {
+              xfer += iprot->readI32(this->lifetimesMs[_i233]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lifetimesMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOriginGroup::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOriginGroup");
+
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->software.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->keys);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lifetimesMs", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->lifetimesMs.size()));
+    std::vector<int32_t> ::const_iterator _iter234;
+    for (_iter234 = this->lifetimesMs.begin(); _iter234 != this->lifetimesMs.end(); ++_iter234)
+    {
+      xfer += oprot->writeI32((*_iter234));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOriginGroup &a, StreamOriginGroup &b) {
+  using ::std::swap;
+  swap(a.software, b.software);
+  swap(a.keys, b.keys);
+  swap(a.lifetimesMs, b.lifetimesMs);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOriginGroup::StreamOriginGroup(const StreamOriginGroup& other235) {
+  software = other235.software;
+  keys = other235.keys;
+  lifetimesMs = other235.lifetimesMs;
+  __isset = other235.__isset;
+}
+StreamOriginGroup& StreamOriginGroup::operator=(const StreamOriginGroup& other236) {
+  software = other236.software;
+  keys = other236.keys;
+  lifetimesMs = other236.lifetimesMs;
+  __isset = other236.__isset;
+  return *this;
+}
+void StreamOriginGroup::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOriginGroup(";
+  out << "software=" << to_string(software);
+  out << ", " << "keys=" << to_string(keys);
+  out << ", " << "lifetimesMs=" << to_string(lifetimesMs);
+  out << ")";
+}
+
+
+StreamOriginNotice::~StreamOriginNotice() noexcept {
+}
+
+
+void StreamOriginNotice::__set_entry(const std::string& val) {
+  this->entry = val;
+}
+
+void StreamOriginNotice::__set_groups(const std::vector<StreamOriginGroup> & val) {
+  this->groups = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOriginNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOriginNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->entry);
+          this->__isset.entry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->groups.clear();
+            uint32_t _size237;
+            ::apache::thrift::protocol::TType _etype240;
+            xfer += iprot->readListBegin(_etype240, _size237);
+            this->groups.resize(_size237);
+            uint32_t _i241;
+            for (_i241 = 0; _i241 < _size237; ++_i241)
+            {
+              xfer += this->groups[_i241].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOriginNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOriginNotice");
+
+  xfer += oprot->writeFieldBegin("entry", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->entry);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
+    std::vector<StreamOriginGroup> ::const_iterator _iter242;
+    for (_iter242 = this->groups.begin(); _iter242 != this->groups.end(); ++_iter242)
+    {
+      xfer += (*_iter242).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOriginNotice &a, StreamOriginNotice &b) {
+  using ::std::swap;
+  swap(a.entry, b.entry);
+  swap(a.groups, b.groups);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOriginNotice::StreamOriginNotice(const StreamOriginNotice& other243) {
+  entry = other243.entry;
+  groups = other243.groups;
+  __isset = other243.__isset;
+}
+StreamOriginNotice& StreamOriginNotice::operator=(const StreamOriginNotice& other244) {
+  entry = other244.entry;
+  groups = other244.groups;
+  __isset = other244.__isset;
+  return *this;
+}
+void StreamOriginNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOriginNotice(";
+  out << "entry=" << to_string(entry);
+  out << ", " << "groups=" << to_string(groups);
+  out << ")";
+}
+
+
+StreamOriginQuery::~StreamOriginQuery() noexcept {
+}
+
+
+void StreamOriginQuery::__set_key(const std::string& val) {
+  this->key = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOriginQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOriginQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOriginQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOriginQuery");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOriginQuery &a, StreamOriginQuery &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOriginQuery::StreamOriginQuery(const StreamOriginQuery& other245) {
+  key = other245.key;
+  __isset = other245.__isset;
+}
+StreamOriginQuery& StreamOriginQuery::operator=(const StreamOriginQuery& other246) {
+  key = other246.key;
+  __isset = other246.__isset;
+  return *this;
+}
+void StreamOriginQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOriginQuery(";
+  out << "key=" << to_string(key);
+  out << ")";
+}
+
+
+StreamOriginAnswer::~StreamOriginAnswer() noexcept {
+}
+
+
+void StreamOriginAnswer::__set_isKnown(const bool val) {
+  this->isKnown = val;
+}
+
+void StreamOriginAnswer::__set_software(const SoftwareVersion& val) {
+  this->software = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOriginAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOriginAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isKnown);
+          this->__isset.isKnown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->software.read(iprot);
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOriginAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOriginAnswer");
+
+  xfer += oprot->writeFieldBegin("isKnown", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->isKnown);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->software.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOriginAnswer &a, StreamOriginAnswer &b) {
+  using ::std::swap;
+  swap(a.isKnown, b.isKnown);
+  swap(a.software, b.software);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOriginAnswer::StreamOriginAnswer(const StreamOriginAnswer& other247) {
+  isKnown = other247.isKnown;
+  software = other247.software;
+  __isset = other247.__isset;
+}
+StreamOriginAnswer& StreamOriginAnswer::operator=(const StreamOriginAnswer& other248) {
+  isKnown = other248.isKnown;
+  software = other248.software;
+  __isset = other248.__isset;
+  return *this;
+}
+void StreamOriginAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOriginAnswer(";
+  out << "isKnown=" << to_string(isKnown);
+  out << ", " << "software=" << to_string(software);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -114,6 +114,8 @@
 
 class TextAnswer;
 
+class SoftwareVersion;
+
 class Document;
 
 class DirectoryUpdate;
@@ -170,6 +172,14 @@
 
 class PermitAnswer;
 
+class StreamOriginGroup;
+
+class StreamOriginNotice;
+
+class StreamOriginQuery;
+
+class StreamOriginAnswer;
+
 typedef struct _Hello__isset {
   _Hello__isset() : node(false), role(false), incarnation(false), settingsRevision(false), organisation(false) {}
   bool node :1;
@@ -1884,6 +1894,59 @@
 
 std::ostream& operator<<(std::ostream& out, const TextAnswer& obj);
 
+typedef struct _SoftwareVersion__isset {
+  _SoftwareVersion__isset() : pool(false), version(false) {}
+  bool pool :1;
+  bool version :1;
+} _SoftwareVersion__isset;
+
+/**
+ * Software that a backend server of a pool runs; version is empty if it is not known.
+ */
+class SoftwareVersion : public virtual ::apache::thrift::TBase {
+ public:
+
+  SoftwareVersion(const SoftwareVersion&);
+  SoftwareVersion& operator=(const SoftwareVersion&);
+  SoftwareVersion() noexcept
+                  : pool(),
+                    version() {
+  }
+
+  virtual ~SoftwareVersion() noexcept;
+  std::string pool;
+  std::string version;
+
+  _SoftwareVersion__isset __isset;
+
+  void __set_pool(const std::string& val);
+
+  void __set_version(const std::string& val);
+
+  bool operator == (const SoftwareVersion & rhs) const
+  {
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const SoftwareVersion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SoftwareVersion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SoftwareVersion &a, SoftwareVersion &b);
+
+std::ostream& operator<<(std::ostream& out, const SoftwareVersion& obj);
+
 typedef struct _Document__isset {
   _Document__isset() : key(false), revision(false), value(false), isRemoved(false) {}
   bool key :1;
@@ -2378,7 +2441,7 @@
 std::ostream& operator<<(std::ostream& out, const GeneratedEvent& obj);
 
 typedef struct _ItemStart__isset {
-  _ItemStart__isset() : job(false), revision(false), item(false), run(false), host(false), path(false), headers(false), body(false), events(false), oldestVersion(false), model(false), stalls(false) {}
+  _ItemStart__isset() : job(false), revision(false), item(false), run(false), host(false), path(false), headers(false), body(false), events(false), oldestVersion(false), model(false), stalls(false), software(false) {}
   bool job :1;
   bool revision :1;
   bool item :1;
@@ -2391,6 +2454,7 @@
   bool oldestVersion :1;
   bool model :1;
   bool stalls :1;
+  bool software :1;
 } _ItemStart__isset;
 
 /**
@@ -2442,6 +2506,10 @@
    * Number of the item's runs that stalled; see StallLimit.h.
    */
   int32_t stalls;
+  /**
+   * Software that wrote the events; the agent refuses the run if its replica runs another.
+   */
+  SoftwareVersion software;
 
   _ItemStart__isset __isset;
 
@@ -2469,6 +2537,8 @@
 
   void __set_stalls(const int32_t val);
 
+  void __set_software(const SoftwareVersion& val);
+
   bool operator == (const ItemStart & rhs) const
   {
     if (!(job == rhs.job))
@@ -2495,6 +2565,8 @@
       return false;
     if (!(stalls == rhs.stalls))
       return false;
+    if (!(software == rhs.software))
+      return false;
     return true;
   }
   bool operator != (const ItemStart &rhs) const {
@@ -2581,7 +2653,7 @@
 std::ostream& operator<<(std::ostream& out, const ItemStartAnswer& obj);
 
 typedef struct _ItemProgress__isset {
-  _ItemProgress__isset() : job(false), item(false), run(false), state(false), status(false), events(false), firstEvent(false), isStalled(false) {}
+  _ItemProgress__isset() : job(false), item(false), run(false), state(false), status(false), events(false), firstEvent(false), isStalled(false), software(false) {}
   bool job :1;
   bool item :1;
   bool run :1;
@@ -2590,6 +2662,7 @@
   bool events :1;
   bool firstEvent :1;
   bool isStalled :1;
+  bool software :1;
 } _ItemProgress__isset;
 
 /**
@@ -2632,6 +2705,10 @@
    * The agent has cancelled the run because it delivered nothing for too long.
    */
   bool isStalled;
+  /**
+   * Software that wrote the item's events, those before these included.
+   */
+  SoftwareVersion software;
 
   _ItemProgress__isset __isset;
 
@@ -2651,6 +2728,8 @@
 
   void __set_isStalled(const bool val);
 
+  void __set_software(const SoftwareVersion& val);
+
   bool operator == (const ItemProgress & rhs) const
   {
     if (!(job == rhs.job))
@@ -2669,6 +2748,8 @@
       return false;
     if (!(isStalled == rhs.isStalled))
       return false;
+    if (!(software == rhs.software))
+      return false;
     return true;
   }
   bool operator != (const ItemProgress &rhs) const {
@@ -3850,6 +3931,217 @@
 
 std::ostream& operator<<(std::ostream& out, const PermitAnswer& obj);
 
+typedef struct _StreamOriginGroup__isset {
+  _StreamOriginGroup__isset() : software(false), keys(false), lifetimesMs(false) {}
+  bool software :1;
+  bool keys :1;
+  bool lifetimesMs :1;
+} _StreamOriginGroup__isset;
+
+/**
+ * Streams that the same software began.
+ */
+class StreamOriginGroup : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOriginGroup(const StreamOriginGroup&);
+  StreamOriginGroup& operator=(const StreamOriginGroup&);
+  StreamOriginGroup() noexcept
+                    : keys() {
+  }
+
+  virtual ~StreamOriginGroup() noexcept;
+  SoftwareVersion software;
+  /**
+   * Keys of the streams, 16 bytes each (StreamKey), without separators.
+   */
+  std::string keys;
+  /**
+   * Time for which each stream is worth knowing, in ms, in the order of the keys.
+   */
+  std::vector<int32_t>  lifetimesMs;
+
+  _StreamOriginGroup__isset __isset;
+
+  void __set_software(const SoftwareVersion& val);
+
+  void __set_keys(const std::string& val);
+
+  void __set_lifetimesMs(const std::vector<int32_t> & val);
+
+  bool operator == (const StreamOriginGroup & rhs) const
+  {
+    if (!(software == rhs.software))
+      return false;
+    if (!(keys == rhs.keys))
+      return false;
+    if (!(lifetimesMs == rhs.lifetimesMs))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOriginGroup &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOriginGroup & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOriginGroup &a, StreamOriginGroup &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginGroup& obj);
+
+typedef struct _StreamOriginNotice__isset {
+  _StreamOriginNotice__isset() : entry(false), groups(false) {}
+  bool entry :1;
+  bool groups :1;
+} _StreamOriginNotice__isset;
+
+/**
+ * Streams that an entry began, for those who keep them for other entries (StreamOrigins.h).
+ */
+class StreamOriginNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOriginNotice(const StreamOriginNotice&);
+  StreamOriginNotice& operator=(const StreamOriginNotice&);
+  StreamOriginNotice() noexcept
+                     : entry() {
+  }
+
+  virtual ~StreamOriginNotice() noexcept;
+  std::string entry;
+  std::vector<StreamOriginGroup>  groups;
+
+  _StreamOriginNotice__isset __isset;
+
+  void __set_entry(const std::string& val);
+
+  void __set_groups(const std::vector<StreamOriginGroup> & val);
+
+  bool operator == (const StreamOriginNotice & rhs) const
+  {
+    if (!(entry == rhs.entry))
+      return false;
+    if (!(groups == rhs.groups))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOriginNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOriginNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOriginNotice &a, StreamOriginNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginNotice& obj);
+
+typedef struct _StreamOriginQuery__isset {
+  _StreamOriginQuery__isset() : key(false) {}
+  bool key :1;
+} _StreamOriginQuery__isset;
+
+/**
+ * Asks a coordinator what began a stream.
+ */
+class StreamOriginQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOriginQuery(const StreamOriginQuery&);
+  StreamOriginQuery& operator=(const StreamOriginQuery&);
+  StreamOriginQuery() noexcept
+                    : key() {
+  }
+
+  virtual ~StreamOriginQuery() noexcept;
+  std::string key;
+
+  _StreamOriginQuery__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  bool operator == (const StreamOriginQuery & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOriginQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOriginQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOriginQuery &a, StreamOriginQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginQuery& obj);
+
+typedef struct _StreamOriginAnswer__isset {
+  _StreamOriginAnswer__isset() : isKnown(false), software(false) {}
+  bool isKnown :1;
+  bool software :1;
+} _StreamOriginAnswer__isset;
+
+class StreamOriginAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOriginAnswer(const StreamOriginAnswer&);
+  StreamOriginAnswer& operator=(const StreamOriginAnswer&);
+  StreamOriginAnswer() noexcept
+                     : isKnown(0) {
+  }
+
+  virtual ~StreamOriginAnswer() noexcept;
+  bool isKnown;
+  SoftwareVersion software;
+
+  _StreamOriginAnswer__isset __isset;
+
+  void __set_isKnown(const bool val);
+
+  void __set_software(const SoftwareVersion& val);
+
+  bool operator == (const StreamOriginAnswer & rhs) const
+  {
+    if (!(isKnown == rhs.isKnown))
+      return false;
+    if (!(software == rhs.software))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOriginAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOriginAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOriginAnswer &a, StreamOriginAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginAnswer& obj);
+
 }} // namespace
 
 #endif
