ORDER: a text goes on only at the software that wrote it, or begins anew

Cause: a text carried its events and the weights' versions, not what wrote it. Change: texts, runs, starts and progress carry the software; agents refuse to go on with a text of other software and check the start that they send to; a coordinator places a begun text on a replica of its software, waits for a full one as long as the text would take to generate, and else lets the item begin anew. Runs no longer move to replicas of other software.

--- a/include/endiveroad/BatchJob.h
+++ b/include/endiveroad/BatchJob.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <endiveroad/SoftwareVersion.h>
 #include <endiveroad/Time.h>
 #include <map>
 #include <optional>
@@ -111,6 +112,8 @@
     RunState state = RunState::Running;
     /// HTTP status that the replica answered; 0 if it did not answer.
     int32_t status = 0;
+    /// What wrote the item's events, those before these included.
+    SoftwareVersion software = {};
 
     auto operator<=>(const RunProgress&) const = default;
 };
@@ -120,6 +123,9 @@
     std::vector<GeneratedEvent> events;
     bool isComplete = false;
     std::string score;
+    /// The software that wrote all of the events, which alone may go on with them. A text of an unknown version is
+    /// finished by the run that writes it, or begins anew.
+    SoftwareVersion software = {};
 
     auto operator<=>(const GeneratedText&) const = default;
 };
@@ -186,12 +192,14 @@
     /// True if every item has a result.
     bool isFinished() const;
 
-    /// Marks an item as started on an agent whose replica has the given weight version. Returns the run's number. If
-    /// the job allows only a single version, text of another version is dropped first.
-    int64_t start(size_t item, std::string agent, int64_t version, Instant now);
+    /// Marks an item as started on an agent whose replica has the given weight version and software. Returns the run's
+    /// number. Text that other software wrote is dropped first, and so is, if the job allows only a single weight
+    /// version, text of another one.
+    int64_t start(size_t item, std::string agent, int64_t version, const SoftwareVersion&, Instant now);
 
     /// Applies progress of the item's current run; any other run is to be cancelled. Events already received are
-    /// skipped. If events are missing before the reported ones, the run is withdrawn, since the text would lack them.
+    /// skipped. If events are missing before the reported ones, the run is withdrawn, since the text would lack them; if
+    /// other software wrote the text known here, it is also dropped.
     ItemAction onProgress(size_t item, const RunProgress&, Instant now);
 
     /// Takes over a run that an agent started for an earlier owner of the job. The run must be running or completed,
@@ -239,7 +247,7 @@
     ItemAction finish(size_t item, ResultState);
     ItemAction applyRunState(size_t item, RunState, int32_t status, Instant now);
     bool areVersionsAllowed(const std::vector<GeneratedEvent>&) const;
-    void append(ItemState&, const std::vector<GeneratedEvent>&, Instant now);
+    void append(ItemState&, const RunProgress&, Instant now);
     bool isGroupFinished(const std::string& group) const;
 
     BatchJobSpec spec_;
--- a/include/endiveroad/BatchPlacement.h
+++ b/include/endiveroad/BatchPlacement.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <endiveroad/SoftwareVersion.h>
 #include <endiveroad/Time.h>
 #include <map>
 #include <optional>
@@ -27,6 +28,8 @@
     std::string loadingModel;
     /// Mean time between two events of a run in ms; 0 if unknown.
     double eventMs = 0;
+    /// What the replica runs, as it is registered.
+    SoftwareVersion software;
 
     auto operator<=>(const ReplicaView&) const = default;
 
@@ -48,6 +51,11 @@
     /// Agents on which the item's last run failed or was too slow, or any of its runs stalled. They get the item only
     /// if no other replica can run it now.
     std::set<std::string> avoidedAgents;
+    /// The software that began the item's text; nothing if it has none that could go on. Only a replica with this
+    /// software goes on with it; on any other one the item begins anew.
+    std::optional<SoftwareVersion> software = std::nullopt;
+    /// The text is worth no further wait for such a replica.
+    bool mayBeginAnew = false;
 
     auto operator<=>(const WaitingItem&) const = default;
 };
@@ -63,7 +71,8 @@
 
 /// Assigns waiting items to replicas with free slots. The job that is due first goes first, and within a job the item
 /// with the most expected tokens; each goes to the replica on which it is expected to run fastest. Increments `running`
-/// of the chosen replicas. Load pattern: a trainer submits all items of a step at once, more than there are slots, and
+/// of the chosen replicas. An item with a text that only some software may go on with goes to a replica that runs it, or
+/// waits while one is up, unless it may begin anew. Load pattern: a trainer submits all items of a step at once, more than there are slots, and
 /// the step is complete only when its longest item is.
 std::vector<Placement> placeItems(const std::vector<WaitingItem>&, std::vector<ReplicaView>&);
 
@@ -75,8 +84,8 @@
 
 bool isSlow(const ReplicaView&, double medianMs);
 
-/// True if a run on `from` should continue on another replica: `from` is slow, and a replica that is not slow has a
-/// free slot and weights of at least oldestVersion, and is not loading weights of this model. Load pattern: one replica
+/// True if a run on `from` should continue on another replica: `from` is slow, and a replica with the same software that
+/// is not slow has a free slot and weights of at least oldestVersion, and is not loading weights of this model. Load pattern: one replica
 /// in five runs several times slower for some seconds without failing its runs.
 bool shouldMove(
     const ReplicaView& from, const std::string& model, int64_t oldestVersion, const std::vector<ReplicaView>&);
@@ -84,8 +93,8 @@
 /// Smallest speedup that justifies moving one of the last runs of a job.
 inline constexpr double minMoveSpeedup = 1.2;
 
-/// True if another replica with a free slot and weights of at least oldestVersion, which is not loading weights of this
-/// model, is faster than `from` by at least minMoveSpeedup. An unknown speed of the other replica counts as the median.
+/// True if another replica with the same software, a free slot and weights of at least oldestVersion, which is not loading
+/// weights of this model, is faster than `from` by at least minMoveSpeedup. An unknown speed of the other replica counts as the median.
 /// Load pattern: a few long items determine when a step is complete, and a third of the replicas are a third slower
 /// than the rest, which are half empty by then.
 bool wouldSpeedUp(
--- a/src/core/batch/BatchJob.cpp
+++ b/src/core/batch/BatchJob.cpp
@@ -73,11 +73,14 @@
     return std::all_of(items_.begin(), items_.end(), isDone);
 }
 
-int64_t BatchJob::start(size_t index, std::string agent, int64_t version, Instant now)
+int64_t BatchJob::start(
+    size_t index, std::string agent, int64_t version, const SoftwareVersion& software, Instant now)
 {
     ItemState& item = items_.at(index);
     const auto& events = item.text.events;
-    if (policy_.isSingleVersion && !events.empty() && events.back().version != version)
+    const bool isOtherSoftware = !software.isKnown() || item.text.software != software;
+    const bool isOtherVersion = policy_.isSingleVersion && !events.empty() && events.back().version != version;
+    if (isOtherSoftware || isOtherVersion)
         item.text = {};
     item.stage = ItemStage::Running;
     item.agent = std::move(agent);
@@ -88,10 +91,12 @@
     return item.run;
 }
 
-void BatchJob::append(ItemState& item, const std::vector<GeneratedEvent>& events, Instant now)
+void BatchJob::append(ItemState& item, const RunProgress& progress, Instant now)
 {
     auto& received = item.text.events;
-    for (const GeneratedEvent& event : events) {
+    if (!progress.events.empty())
+        item.text.software = progress.software;
+    for (const GeneratedEvent& event : progress.events) {
         const bool isNext = received.empty() || event.id > received.back().id;
         if (!isNext)
             continue;
@@ -113,11 +118,17 @@
     ItemState& item = items_.at(index);
     if (item.stage != ItemStage::Running || item.run != progress.run)
         return progress.state == RunState::Running ? ItemAction::CancelRun : ItemAction::None;
-    if (progress.firstEvent > item.text.events.size()) {
+    const size_t ownEvents = item.text.events.size();
+    const bool hasEarlierText = ownEvents > item.runEventCount;
+    const bool isOtherSoftware
+        = hasEarlierText && !progress.events.empty() && progress.software != item.text.software;
+    if (isOtherSoftware)
+        item.text = {};
+    if (progress.firstEvent > ownEvents || isOtherSoftware) {
         withdraw(index, now);
         return progress.state == RunState::Running ? ItemAction::CancelRun : ItemAction::Restart;
     }
-    append(item, progress.events, now);
+    append(item, progress, now);
     return applyRunState(index, progress.state, progress.status, now);
 }
 
@@ -141,7 +152,7 @@
     item.startedAt = now;
     item.lastEventAt = now;
     item.runEventCount = 0;
-    append(item, progress.events, now);
+    append(item, progress, now);
     return applyRunState(index, progress.state, progress.status, now);
 }
 
--- a/src/core/batch/BatchPlacement.cpp
+++ b/src/core/batch/BatchPlacement.cpp
@@ -25,14 +25,27 @@
     return (eventMs > 0 ? eventMs : 1) * (1 + slowdownPerRun * replica.running);
 }
 
+/// True if a run of one replica may continue on the other.
+bool isSameSoftware(const ReplicaView& a, const ReplicaView& b)
+{
+    return a.software.isKnown() && a.software == b.software;
+}
+
+/// True if the item may run on the replica: any, or those whose software goes on with its text.
+bool isAllowed(const WaitingItem& item, const ReplicaView& replica, bool mayBeginAnew)
+{
+    return mayBeginAnew || !item.software || replica.software == *item.software;
+}
+
 /// Usable replica with the shortest expected time between events; one of item.avoidedAgents only if no other is usable.
-/// Among equally fast replicas, items of a group prefer the same one. Null if no replica is usable.
-ReplicaView* bestReplica(const WaitingItem& item, std::vector<ReplicaView>& replicas, double medianMs)
+/// Among equally fast replicas, items of a group prefer the same one. Null if no replica is usable and allowed.
+ReplicaView* bestReplica(
+    const WaitingItem& item, std::vector<ReplicaView>& replicas, double medianMs, bool mayBeginAnew)
 {
     ReplicaView* best = nullptr;
     std::tuple<bool, double, uint64_t> bestRank;
     for (ReplicaView& replica : replicas) {
-        if (!isUsable(replica, item.model, item.oldestVersion))
+        if (!isUsable(replica, item.model, item.oldestVersion) || !isAllowed(item, replica, mayBeginAnew))
             continue;
         const std::tuple rank(item.avoidedAgents.contains(replica.agent), expectedEventMs(replica, medianMs),
             rendezvousWeight(item.job + "/" + item.group, replica.agent));
@@ -44,6 +57,15 @@
     return best;
 }
 
+/// True if a replica that may go on with the item's text is up, though it may be full.
+bool isWorthWaiting(const WaitingItem& item, const std::vector<ReplicaView>& replicas)
+{
+    return std::any_of(replicas.begin(), replicas.end(), [&item](const ReplicaView& replica) {
+        return replica.isUp && item.software && replica.software == *item.software
+            && replica.version(item.model) >= item.oldestVersion;
+    });
+}
+
 const ReplicaView* findReplica(const std::vector<ReplicaView>& replicas, const std::string& agent)
 {
     const auto found = std::find_if(
@@ -190,7 +212,10 @@
     std::vector<Placement> placements;
     const double medianMs = medianEventMs(replicas);
     for (size_t index : order) {
-        ReplicaView* replica = bestReplica(waiting[index], replicas, medianMs);
+        const WaitingItem& item = waiting[index];
+        ReplicaView* replica = bestReplica(item, replicas, medianMs, false);
+        if (!replica && item.software && (item.mayBeginAnew || !isWorthWaiting(item, replicas)))
+            replica = bestReplica(item, replicas, medianMs, true);
         if (!replica)
             continue;
         ++replica->running;
@@ -224,7 +249,8 @@
     if (!isSlow(from, median))
         return false;
     return std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaView& other) {
-        return other.agent != from.agent && isUsable(other, model, oldestVersion) && !isSlow(other, median);
+        return other.agent != from.agent && isSameSoftware(from, other) && isUsable(other, model, oldestVersion)
+            && !isSlow(other, median);
     });
 }
 
@@ -236,7 +262,7 @@
     // cost of a move, so it is ignored.
     return std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaView& other) {
         const double otherMs = other.eventMs > 0 ? other.eventMs : median;
-        return other.agent != from.agent && isUsable(other, model, oldestVersion)
+        return other.agent != from.agent && isSameSoftware(from, other) && isUsable(other, model, oldestVersion)
             && otherMs * minMoveSpeedup <= from.eventMs;
     });
 }
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -23,6 +23,18 @@
 /// Maximum number of runs that are moved in one round, for each service.
 constexpr size_t maxMovesPerRound = 4;
 
+/// Assumed time between two events while no replica's is known.
+constexpr double defaultEventMs = 30;
+
+/// When an item has waited for a replica that may go on with its text as long as a new text would take.
+Instant beginAnewAt(const ItemState& item, double medianMs)
+{
+    const double eventMs = medianMs > 0 ? medianMs : defaultEventMs;
+    const std::chrono::duration<double, std::milli> cost(eventMs * static_cast<double>(item.text.events.size()));
+    return item.lastEventAt == Instant::min() ? item.lastEventAt
+                                              : item.lastEventAt + std::chrono::duration_cast<Duration>(cost);
+}
+
 } // namespace
 
 ItemDispatcher::ItemDispatcher(asio::io_context& context, const JobTable& jobs, AgentConnections& connections,
@@ -121,6 +133,7 @@
             view.versions[row.model] = row.version;
         view.loadingModel = report.last.loadingModel;
         view.eventMs = report.last.eventMs;
+        view.software = softwareOf(name);
         // The wire format calls the service a pool.
         byService[report.last.pool].push_back(std::move(view));
     }
@@ -131,6 +144,7 @@
 {
     if (!connections_.mayStartItems())
         return;
+    const double medianMs = medianEventMs(replicas);
     std::vector<WaitingItem> waiting;
     for (const auto& [id, owned] : jobs_) {
         if (owned->isLost || owned->isCheckingOwnership || now() < owned->startNotBefore
@@ -145,6 +159,11 @@
                 continue;
             waiting.push_back({ id, item, spec.items[item].group, spec.model, spec.oldestVersion,
                 owned->job.policy().dueAt, spec.items[item].expectedTokens, agentsToAvoid(*owned, item) });
+            const ItemState& state = owned->job.items()[item];
+            if (state.text.software.isKnown()) {
+                waiting.back().software = state.text.software;
+                waiting.back().mayBeginAnew = now() > beginAnewAt(state, medianMs);
+            }
         }
     }
     for (const Placement& placement : placeItems(waiting, replicas)) {
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -5,6 +5,7 @@
 #include "io/ProcessMetrics.h"
 #include "io/Tasks.h"
 #include "io/hosted/WireEvents.h"
+#include "io/hosted/WireOrigins.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -35,6 +36,10 @@
     std::optional<ServerPermit> permit;
     /// The attempt at the replica, until it has delivered an event.
     std::optional<ServerAttempt> unproven;
+    ServerRecord server;
+    StartCheck startCheck = StartCheck::Learn;
+    /// What writes the text; unknown until the replica's answer has begun, if it has no events.
+    SoftwareVersion software;
     HttpCancellation cancellation;
     EventStreamReader reader;
     /// All events of the item, including those of earlier runs.
@@ -84,14 +89,14 @@
     return pace_.meanMs(now());
 }
 
-std::string ItemRunner::refusalReason(const wire::ItemStart& startRequest, int32_t slots) const
+std::string ItemRunner::refusalReason(const wire::ItemStart& startRequest, const ServerRecord* server) const
 {
     if (endedJobs_.contains(startRequest.job))
         return "the job has ended";
     const auto owner = owners_.find(startRequest.job);
     if (owner != owners_.end() && startRequest.revision < owner->second.revision)
         return "the job has another owner";
-    if (engine_.server().empty())
+    if (!server || engine_.server().empty())
         return "the replica is not registered as ready";
     if (!engine_.isUp())
         return "the replica does not answer";
@@ -99,18 +104,21 @@
         return "the replica loads weights of the model";
     if (engine_.version(startRequest.model) < startRequest.oldestVersion)
         return "the replica's weights are too old";
-    if (running() >= slots)
+    if (running() >= server->slots)
         return "all slots are taken";
+    const SoftwareVersion software = fromWire(startRequest.software);
+    if (!startRequest.events.empty() && (!software.isKnown() || server->software() != software))
+        return "other software wrote the text";
     if (crashGuard_.isTakenByOther(contentOf(startRequest), engine_.server()))
         return "another item under which replicas have ended starts here";
     return {};
 }
 
 wire::ItemStartAnswer ItemRunner::start(
-    const PeerConnectionPtr& owner, const wire::ItemStart& startRequest, int32_t slots)
+    const PeerConnectionPtr& owner, const wire::ItemStart& startRequest, const ServerRecord* server)
 {
     wire::ItemStartAnswer answer;
-    answer.reason = refusalReason(startRequest, slots);
+    answer.reason = refusalReason(startRequest, server);
     std::optional<ServerPermit> permit;
     if (answer.reason.empty()) {
         permit = limits_.tryTake(engine_.lastServer(), RequestPath::Item);
@@ -136,6 +144,9 @@
     auto run = std::make_shared<Run>();
     run->startRequest = startRequest;
     run->permit = std::move(permit);
+    run->server = *server;
+    run->software = fromWire(startRequest.software);
+    run->startCheck = startRequest.events.empty() ? StartCheck::Learn : StartCheck::Require;
     run->events = fromWire(startRequest.events);
     for (const GeneratedEvent& event : run->events)
         run->textBytes += event.data.size();
@@ -181,7 +192,7 @@
             return true;
         };
         const HttpResponse response = co_await client_.stream(
-            *run->permit, replica_, std::move(request), now() + runLimit, onBody, &run->cancellation, onHead);
+            *run->permit, replica_, std::move(request), now() + runLimit, onBody, &run->cancellation, onHead, run->startCheck);
         const ReplicaAnswer answer = client_.protocol().decode(response);
         if (answer.verdict != ReplicaVerdict::Ran)
             finishRun(*run, RunState::NotRun, response.status, "the replica refused");
@@ -221,6 +232,7 @@
 {
     run.lastActivity = now();
     run.isStreaming = head.status == statusOk;
+    run.software = ServerClient::softwareOf(run.server, head, run.startCheck);
     const ReplicaAnswer answer = client_.protocol().decode(head);
     run.version = answer.version.value_or(engine_.version(run.startRequest.model));
     if (run.isStreaming && answer.version && !run.startRequest.model.empty())
@@ -275,6 +287,7 @@
     log(Event::ItemRunEnded,
         { { "job", run.startRequest.job }, { "item", run.startRequest.item },
             { "run", std::to_string(run.startRequest.run) }, { "server", engine_.server() },
+            { "software", run.software.text() },
             { "events", std::to_string(run.events.size()) },
             { "outcome",
                 state == RunState::Completed    ? "completed"
@@ -368,6 +381,7 @@
         progress.state = toWire(run->state);
         progress.status = run->status;
         progress.isStalled = run->isStalled;
+        progress.software = toWire(run->software);
         progress.firstEvent = static_cast<int32_t>(run->sentCount);
         progress.events = toWire(run->events, run->sentCount);
         run->sentCount = run->events.size();
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -46,7 +46,8 @@
     asio::awaitable<void> report();
 
     /// Starts a run, or refuses with the reason. A run of the same item that is still active is cancelled.
-    wire::ItemStartAnswer start(const PeerConnectionPtr& owner, const wire::ItemStart&, int32_t slots);
+    /// `server` is the one registered as ready; null if there is none.
+    wire::ItemStartAnswer start(const PeerConnectionPtr& owner, const wire::ItemStart&, const ServerRecord* server);
     void cancel(const wire::ItemCancelNotice&);
 
     /// Makes the coordinator of the connection the job's owner, unless the notice is older than the known owner, and
@@ -75,7 +76,7 @@
     };
 
     /// Reason for which the order is refused; empty to accept it.
-    std::string refusalReason(const wire::ItemStart&, int32_t slots) const;
+    std::string refusalReason(const wire::ItemStart&, const ServerRecord*) const;
     asio::awaitable<void> execute(RunPtr);
     ServerAttempt attemptOf(const Run&) const;
     /// The run no longer counts among those that may end the replica.
--- a/src/io/hosted/ItemRuns.cpp
+++ b/src/io/hosted/ItemRuns.cpp
@@ -2,8 +2,10 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
+#include "io/ProcessMetrics.h"
 #include "io/Tasks.h"
 #include "io/hosted/WireEvents.h"
+#include "io/hosted/WireOrigins.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -20,7 +22,8 @@
     BatchJob& job = owned->job;
     const BatchItem& spec = job.spec().items[index];
     wire::ItemStart startRequest;
-    startRequest.run = job.start(index, replica.agent, replica.version(job.spec().model), now());
+    const size_t earlierEvents = job.items()[index].text.events.size();
+    startRequest.run = job.start(index, replica.agent, replica.version(job.spec().model), replica.software, now());
     startRequest.job = owned->id();
     startRequest.revision = job.revision();
     startRequest.item = spec.id;
@@ -33,13 +36,21 @@
         startRequest.headers.push_back(std::move(header));
     }
     startRequest.body = spec.body;
-    startRequest.events = toWire(job.items()[index].text.events);
+    const GeneratedText& text = job.items()[index].text;
+    startRequest.events = toWire(text.events);
+    startRequest.software = toWire(text.software);
+    if (text.events.size() < earlierEvents) {
+        processMetrics().count(Counter::TextsBegunAnew);
+        log(Event::ItemBegunAnew,
+            { { "job", owned->id() }, { "item", spec.id }, { "events", std::to_string(earlierEvents) },
+                { "software", replica.software.text() } });
+    }
     startRequest.oldestVersion = job.spec().oldestVersion;
     startRequest.model = job.spec().model;
     startRequest.stalls = owned->stalls(index);
     log(Event::ItemPlaced,
         { { "job", owned->id() }, { "item", spec.id }, { "run", std::to_string(startRequest.run) },
-            { "agent", replica.agent }, { "software", softwareOf(replica.agent).text() },
+            { "agent", replica.agent }, { "software", replica.software.text() },
             { "running", std::to_string(replica.running) },
             { "version", std::to_string(replica.version(startRequest.model)) },
             { "events", std::to_string(startRequest.events.size()) },
@@ -206,7 +217,7 @@
             continue;
         const OwnedJobPtr owned = found->second;
         const RunProgress report { progress.run, static_cast<size_t>(std::max(progress.firstEvent, 0)),
-            fromWire(progress.events), fromWire(progress.state), progress.status };
+            fromWire(progress.events), fromWire(progress.state), progress.status, fromWire(progress.software) };
         const ItemState& item = owned->job.items()[*index];
         if (progress.isStalled && item.stage == ItemStage::Running && item.run == progress.run)
             owned->stalledAgents[*index].push_back(agent->peerName);
--- a/tests/core/BatchJobTest.cpp
+++ b/tests/core/BatchJobTest.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Instant start { 10s };
+const SoftwareVersion software { "engines", "v1" };
+const SoftwareVersion newer { "engines", "v2" };
 
 BatchJobSpec specOf(size_t groups, size_t size)
 {
@@ -52,7 +54,7 @@
 
 RunProgress progress(int64_t run, int64_t first, int64_t end, RunState state = RunState::Running, int32_t status = 200)
 {
-    return { run, static_cast<size_t>(first), events(first, end), state, status };
+    return { run, static_cast<size_t>(first), events(first, end), state, status, software };
 }
 
 } // namespace
@@ -61,7 +63,7 @@
 {
     BatchJob job = jobOf(1, 1);
     REQUIRE(job.waiting(start) == std::vector<size_t> { 0 });
-    const int64_t run = job.start(0, "a0", 3, start);
+    const int64_t run = job.start(0, "a0", 3, software, start);
     CHECK(job.onProgress(0, progress(run, 0, 2), start) == ItemAction::None);
     CHECK(job.onProgress(0, { run, 2, events(2, 3, 4), RunState::Completed, 200 }, start) == ItemAction::Score);
     CHECK(job.listable(start).empty());
@@ -79,7 +81,7 @@
 TEST_CASE("progress that skips events withdraws the run and adds no events", "[batch]")
 {
     BatchJob job = jobOf(1, 1);
-    const int64_t run = job.start(0, "a0", 3, start);
+    const int64_t run = job.start(0, "a0", 3, software, start);
     job.onProgress(0, progress(run, 0, 2), start);
     CHECK(job.onProgress(0, progress(run, 4, 6), start) == ItemAction::CancelRun);
     CHECK(job.items()[0].stage == ItemStage::Waiting);
@@ -89,7 +91,7 @@
 TEST_CASE("late progress of a lost agent that lacks the first events is not adopted", "[batch]")
 {
     BatchJob job = jobOf(1, 1);
-    const int64_t run = job.start(0, "a0", 3, start);
+    const int64_t run = job.start(0, "a0", 3, software, start);
     job.onProgress(0, progress(run, 0, 3), start);
     REQUIRE(job.onAgentLost("a0", start).size() == 1);
     CHECK(job.onAdopted(0, "a0", progress(run, 3, 8), start) == ItemAction::CancelRun);
@@ -101,7 +103,7 @@
 {
     // A restarted coordinator starts items again before all agents have connected to it and reported their runs.
     BatchJob job = jobOf(1, 1);
-    const int64_t run = job.start(0, "a0", 3, start);
+    const int64_t run = job.start(0, "a0", 3, software, start);
     job.onProgress(0, progress(run, 0, 2), start);
     CHECK(job.onAdopted(0, "a1", progress(77, 0, 2), start) == ItemAction::CancelRun);
     CHECK(job.items()[0].run == run);
@@ -128,25 +130,25 @@
 {
     BatchJob job = jobOf(1, 2);
     for (int i = 0; i < 10; ++i) {
-        const int64_t run = job.start(0, "a0", 3, start);
+        const int64_t run = job.start(0, "a0", 3, software, start);
         CHECK(job.onProgress(0, progress(run, 0, 0, RunState::Failed, 0), start) == ItemAction::Restart);
-        const int64_t again = job.start(0, "a0", 3, start);
+        const int64_t again = job.start(0, "a0", 3, software, start);
         CHECK(job.onProgress(0, progress(again, 0, 0, RunState::NotRun, 503), start) == ItemAction::Restart);
     }
     for (int i = 0; i < 3; ++i) {
-        const int64_t run = job.start(0, "a0", 3, start);
+        const int64_t run = job.start(0, "a0", 3, software, start);
         const ItemAction expected = i < 2 ? ItemAction::Restart : ItemAction::Finished;
         CHECK(job.onProgress(0, progress(run, 0, 0, RunState::Failed, 500), start) == expected);
     }
     CHECK(job.items()[0].result->state == ResultState::Terminated);
-    const int64_t run = job.start(1, "a0", 3, start);
+    const int64_t run = job.start(1, "a0", 3, software, start);
     CHECK(job.onProgress(1, progress(run, 0, 0, RunState::Failed, 422), start) == ItemAction::Finished);
 }
 
 TEST_CASE("only answers of 500 to scoring calls count towards terminating an item", "[batch]")
 {
     BatchJob job = jobOf(1, 1);
-    const int64_t run = job.start(0, "a0", 3, start);
+    const int64_t run = job.start(0, "a0", 3, software, start);
     job.onProgress(0, progress(run, 0, 1, RunState::Completed), start);
     for (int i = 0; i < 20; ++i)
         CHECK(job.onScoringFailed(0, 0) == ItemAction::Score);
@@ -158,7 +160,7 @@
 TEST_CASE("events of a version older than allowed are dropped and the item starts over", "[batch]")
 {
     BatchJob job = jobOf(1, 1);
-    const int64_t run = job.start(0, "a0", 2, start);
+    const int64_t run = job.start(0, "a0", 2, software, start);
     CHECK(job.onProgress(0, { run, 0, events(0, 2, 2), RunState::Running, 200 }, start) == ItemAction::CancelRun);
     CHECK(job.items()[0].text.events.empty());
     CHECK(job.items()[0].stage == ItemStage::Waiting);
@@ -169,10 +171,10 @@
     BatchJobPolicy single = policy();
     single.isSingleVersion = true;
     BatchJob job(specOf(1, 1), single, 5);
-    const int64_t run = job.start(0, "a0", 3, start);
+    const int64_t run = job.start(0, "a0", 3, software, start);
     job.onProgress(0, progress(run, 0, 2), start);
     job.withdraw(0, start);
-    job.start(0, "a1", 4, start);
+    job.start(0, "a1", 4, software, start);
     CHECK(job.items()[0].text.events.empty());
 }
 
@@ -180,7 +182,7 @@
 {
     BatchJob job = jobOf(2, 2);
     for (size_t item : { 0U, 2U, 3U }) {
-        const int64_t run = job.start(item, "a0", 3, start);
+        const int64_t run = job.start(item, "a0", 3, software, start);
         job.onProgress(item, progress(run, 0, 1, RunState::Completed), start);
         job.onScored(item, "stamp");
     }
@@ -201,9 +203,9 @@
 TEST_CASE("texts of an ended job are kept until they expire, except those of terminated items", "[batch]")
 {
     BatchJob job = jobOf(1, 3);
-    const int64_t run = job.start(0, "a0", 3, start);
+    const int64_t run = job.start(0, "a0", 3, software, start);
     job.onProgress(0, progress(run, 0, 4), start);
-    const int64_t failing = job.start(1, "a0", 3, start);
+    const int64_t failing = job.start(1, "a0", 3, software, start);
     job.onProgress(1, progress(failing, 0, 2, RunState::Failed, 422), start);
     GeneratedTextCache texts;
     texts.keep(job, start);
@@ -244,7 +246,7 @@
             switch (choice % 5) {
             case 0:
                 if (item.stage == ItemStage::Waiting)
-                    runs.push_back({ job.start(0, "a0", 3, now), known });
+                    runs.push_back({ job.start(0, "a0", 3, software, now), known });
                 break;
             case 1:
                 job.onAgentLost("a0", now);
@@ -268,3 +270,90 @@
         }
     });
 }
+
+TEST_CASE("text goes on only at the software that wrote it", "[batch]")
+{
+    BatchJob job = jobOf(1, 1);
+    const int64_t run = job.start(0, "a0", 3, software, start);
+    job.onProgress(0, progress(run, 0, 4), start);
+    job.withdraw(0, start);
+    SECTION("the same software goes on")
+    {
+        job.start(0, "a1", 3, software, start);
+        CHECK(job.items()[0].text.events.size() == 4);
+    }
+    SECTION("other software begins anew, and the item becomes whole")
+    {
+        const int64_t again = job.start(0, "a1", 3, newer, start);
+        CHECK(job.items()[0].text.events.empty());
+        RunProgress whole = progress(again, 0, 6, RunState::Completed);
+        whole.software = newer;
+        CHECK(job.onProgress(0, whole, start) == ItemAction::Score);
+        CHECK(job.items()[0].text.software == newer);
+    }
+    SECTION("a server of the same version in another service begins anew")
+    {
+        job.start(0, "a1", 3, { "other", "v1" }, start);
+        CHECK(job.items()[0].text.events.empty());
+    }
+    SECTION("a replica of an unknown version begins anew")
+    {
+        job.start(0, "a1", 3, { "engines", "" }, start);
+        CHECK(job.items()[0].text.events.empty());
+    }
+    SECTION("events of other software than the run was started for are not added")
+    {
+        const int64_t again = job.start(0, "a1", 3, software, start);
+        RunProgress other = progress(again, 4, 6);
+        other.software = newer;
+        CHECK(job.onProgress(0, other, start) == ItemAction::CancelRun);
+        CHECK(job.items()[0].stage == ItemStage::Waiting);
+        CHECK(job.items()[0].text.events.empty());
+    }
+}
+
+TEST_CASE("a text of an unknown version is finished by its run or begins anew", "[batch]")
+{
+    BatchJob job = jobOf(1, 1);
+    const int64_t run = job.start(0, "a0", 3, software, start);
+    RunProgress begun = progress(run, 0, 4);
+    begun.software = { "engines", "" };
+    job.onProgress(0, begun, start);
+    SECTION("its run goes on")
+    {
+        RunProgress rest = progress(run, 4, 6, RunState::Completed);
+        rest.software = { "engines", "" };
+        CHECK(job.onProgress(0, rest, start) == ItemAction::Score);
+        CHECK(job.items()[0].text.events.size() == 6);
+    }
+    SECTION("no other run does")
+    {
+        job.withdraw(0, start);
+        job.start(0, "a1", 3, software, start);
+        CHECK(job.items()[0].text.events.empty());
+    }
+}
+
+TEST_CASE("an adopted run brings the software that wrote its text", "[batch]")
+{
+    BatchJob job = jobOf(1, 1);
+    RunProgress adopted = progress(77, 0, 4);
+    adopted.software = newer;
+    CHECK(job.onAdopted(0, "a0", adopted, start) == ItemAction::None);
+    job.withdraw(0, start);
+    job.start(0, "a1", 3, software, start);
+    CHECK(job.items()[0].text.events.empty());
+}
+
+TEST_CASE("a text of an earlier job goes on only at the software that wrote it", "[batch]")
+{
+    GeneratedText text;
+    text.events = events(0, 5);
+    text.software = software;
+    for (const SoftwareVersion& current : { software, newer }) {
+        BatchJob job = jobOf(1, 1);
+        job.onEarlierText(0, text);
+        job.start(0, "a0", 3, current, start);
+        CHECK(job.items()[0].text.events.size() == (current == software ? 5 : 0));
+    }
+}
--- a/tests/core/BatchPlacementTest.cpp
+++ b/tests/core/BatchPlacementTest.cpp
@@ -19,6 +19,7 @@
     view.slots = 8;
     view.versions["m"] = 3;
     view.eventMs = eventMs;
+    view.software = { "engines", "v1" };
     return view;
 }
 
@@ -27,6 +28,21 @@
     return { "job", index, "group", "m", 3, dueAt, tokens, {} };
 }
 
+/// An item whose text some software has begun.
+WaitingItem begunItem(const std::string& version)
+{
+    WaitingItem begun = item(0, 10);
+    begun.software = SoftwareVersion { "engines", version };
+    return begun;
+}
+
+ReplicaView newerReplica(const std::string& agent, int32_t running = 0, double eventMs = 30)
+{
+    ReplicaView view = replica(agent, running, eventMs);
+    view.software.version = "v2";
+    return view;
+}
+
 } // namespace
 
 TEST_CASE("the longest item of the job that is due first is placed first", "[placement]")
@@ -267,3 +283,46 @@
     REQUIRE(choices.size() == 1);
     CHECK(choices.front().agent == "a1");
 }
+
+TEST_CASE("a begun text goes to a replica of its software, however slow", "[placement]")
+{
+    std::vector<ReplicaView> replicas { newerReplica("a0", 0, 10), replica("a1", 7, 90) };
+    const auto placed = placeItems({ begunItem("v1") }, replicas);
+    REQUIRE(placed.size() == 1);
+    CHECK(placed.front().agent == "a1");
+}
+
+TEST_CASE("a begun text waits for a full replica of its software as long as that is worth it", "[placement]")
+{
+    const std::vector<ReplicaView> replicas { newerReplica("a0"), replica("a1", 8) };
+    std::vector<ReplicaView> views = replicas;
+    CHECK(placeItems({ begunItem("v1") }, views).empty());
+    WaitingItem overdue = begunItem("v1");
+    overdue.mayBeginAnew = true;
+    views = replicas;
+    const auto placed = placeItems({ overdue }, views);
+    REQUIRE(placed.size() == 1);
+    CHECK(placed.front().agent == "a0");
+}
+
+TEST_CASE("a begun text of software that serves no more begins anew at once", "[placement]")
+{
+    ReplicaView down = replica("a1");
+    down.isUp = false;
+    std::vector<ReplicaView> replicas { newerReplica("a0"), down };
+    const auto placed = placeItems({ begunItem("v1") }, replicas);
+    REQUIRE(placed.size() == 1);
+    CHECK(placed.front().agent == "a0");
+}
+
+TEST_CASE("runs do not move to other software, where their texts would begin anew", "[placement]")
+{
+    const ReplicaView slow = replica("a0", 4, 200);
+    const std::vector<ReplicaView> others { slow, newerReplica("a1"), newerReplica("a2"), newerReplica("a3") };
+    CHECK_FALSE(shouldMove(slow, "m", 3, others));
+    CHECK_FALSE(wouldSpeedUp(slow, "m", 3, others));
+    std::vector<ReplicaView> withSame = others;
+    withSame.push_back(replica("a4"));
+    CHECK(shouldMove(slow, "m", 3, withSame));
+    CHECK(wouldSpeedUp(slow, "m", 3, withSame));
+}
--- a/tests/core/FailedRunsTest.cpp
+++ b/tests/core/FailedRunsTest.cpp
@@ -57,7 +57,7 @@
     CHECK(job.items()[0].result->state == ResultState::Terminated);
     CHECK(job.onKnownFailures(1, 0, true) == ItemAction::Finished);
     CHECK(job.onKnownFailures(2, 2, false) == ItemAction::None);
-    const int64_t run = job.start(2, "agent", 1, start);
+    const int64_t run = job.start(2, "agent", 1, { "engines", "v1" }, start);
     CHECK(job.onKnownFailures(2, 2, false) == ItemAction::None);
     RunProgress failed;
     failed.run = run;
--- a/tests/io/JobHistory.cpp
+++ b/tests/io/JobHistory.cpp
@@ -249,7 +249,7 @@
             continue;
         const size_t item = waiting[draw(static_cast<unsigned>(waiting.size()))];
         RunProgress progress;
-        progress.run = owned->job.start(item, "agent", 1, time_.now());
+        progress.run = owned->job.start(item, "agent", 1, { "engines", "v1" }, time_.now());
         progress.events.push_back({ 0, fmt::format("{}.{}", nameOf(index), ++textCount_), 1 });
         progress.state = RunState::Completed;
         progress.status = statusOk;
