--- a/include/endiveroad/SampleProgress.h
+++ b/include/endiveroad/SampleProgress.h
@@ -34,8 +34,8 @@
     /// The given sample has job, step, index, digest and agent set, and no tokens.
     SampleProgress(Sample sample, uint32_t maxTokens);
 
-    /// Drops all tokens if one is older than the oldest usable version, or if the objective prefers a restart under the
-    /// tracker's version. The objective restarts a sample only once: a sample that takes longer than the time between
+    /// Drops all tokens if other software than the engine's wrote them, if one is older than the oldest usable version, or
+    /// if the objective prefers a restart under the tracker's version. The objective restarts a sample only once: a sample that takes longer than the time between
     /// two swaps would otherwise never finish. Returns the number of dropped tokens.
     uint32_t discardForRestart(const VersionTracker&, WeightVersion oldestUsable, const RolloutObjective&);
 
@@ -66,6 +66,9 @@
     uint32_t maxTokens_;
     uint64_t streamEpoch_ = 0;
     WeightVersion streamVersion_ = unknownVersion;
+    /// VersionTracker::software() of the stream, and of the sample's tokens.
+    std::string streamSoftware_;
+    std::string software_;
     std::string streamText_;
     uint32_t streamTokens_ = 0;
     std::string finishReason_;
--- a/include/endiveroad/VersionTracker.h
+++ b/include/endiveroad/VersionTracker.h
@@ -25,6 +25,8 @@
         WeightVersion version = unknownVersion;
         /// Highest fencing token that the engine has accepted; 0 if it reports none.
         uint64_t fence = 0;
+        /// Version of its software; empty if it reports none.
+        std::string software {};
 
         auto operator<=>(const EngineStatus&) const = default;
     };
@@ -32,6 +34,11 @@
     /// Version that a stream opened now runs under; unknownVersion during a swap or without a valid status.
     WeightVersion version() const { return isSwapping_ ? unknownVersion : version_; }
     uint64_t epoch() const { return epoch_; }
+
+    /// The engine's software in this epoch; empty while its version is unknown. Of engines that do not report their
+    /// software, each start is software of its own.
+    std::string software() const;
+
     bool isSwapping() const { return isSwapping_; }
 
     /// True if the engine's last status showed no load in progress and nothing has invalidated it since. A swap
--- a/src/core/agent/VersionTracker.cpp
+++ b/src/core/agent/VersionTracker.cpp
@@ -8,6 +8,13 @@
     return order == newestOrder_ && this->version() == version;
 }
 
+std::string VersionTracker::software() const
+{
+    if (!lastStatus_)
+        return {};
+    return lastStatus_->software.empty() ? "boot " + lastStatus_->boot : "version " + lastStatus_->software;
+}
+
 bool VersionTracker::beginSwap(WeightVersion version, int64_t order)
 {
     if (order < newestOrder_ || !isReadyToSwap() || isCurrent(version, order))
--- a/src/core/sample/SampleProgress.cpp
+++ b/src/core/sample/SampleProgress.cpp
@@ -39,9 +39,10 @@
     if (sample_.segments.empty())
         return 0;
     const WeightVersion oldest = sample_.oldestVersion();
+    const bool isOtherSoftware = software_ != tracker.software();
     const bool isPreferred
-        = !hasRestarted_ && objective.prefersRestart(oldest, tracker.version(), sample_.tokens, maxTokens_);
-    if (oldest >= oldestUsable && !isPreferred)
+        = !isOtherSoftware && !hasRestarted_ && objective.prefersRestart(oldest, tracker.version(), sample_.tokens, maxTokens_);
+    if (oldest >= oldestUsable && !isPreferred && !isOtherSoftware)
         return 0;
     hasRestarted_ = hasRestarted_ || isPreferred;
     const uint32_t dropped = sample_.tokens;
@@ -55,6 +56,7 @@
 {
     streamEpoch_ = tracker.epoch();
     streamVersion_ = tracker.version();
+    streamSoftware_ = tracker.software();
     streamText_.clear();
     streamTokens_ = 0;
     finishReason_.clear();
@@ -89,6 +91,7 @@
             sample_.segments.back().endToken = end;
         else
             sample_.segments.push_back({ sample_.tokens, end, streamVersion_ });
+        software_ = streamSoftware_;
         sample_.text += streamText_;
         sample_.tokens = end;
     }
--- a/src/io/EngineClient.cpp
+++ b/src/io/EngineClient.cpp
@@ -76,6 +76,7 @@
         status.isLoading = json.at("loading").get<bool>();
         status.version = json.at("version").get<WeightVersion>();
         status.fence = json.value("fence", uint64_t { 0 });
+        status.software = json.value("software", "");
         co_return status;
     } catch (const Json::exception& error) {
         throw OutcomeUnknownError(fmt::format("the engine's status cannot be read: {}", error.what()));
--- a/standins/Engine.cpp
+++ b/standins/Engine.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// A model engine: OpenAI completions with server-sent events, load of weight versions, status. Each token names the
-/// version that truly made it, as " <version>.<random>~".
+/// version that truly made it, as " <version>.<random>~", with "@<software>" before the "~" if the engine has one.
 class Engine {
 public:
     explicit Engine(const cxxopts::ParseResult& options)
@@ -21,6 +21,7 @@
         , honoursFencing_(options["honours-fencing"].as<bool>())
         , statesVersion_(options["states-version"].as<bool>())
         , poison_(options["poison"].as<std::string>())
+        , software_(options["software"].as<std::string>())
         , store_(options["store"].as<std::string>())
         , random_(options["seed"].as<uint64_t>())
     {
@@ -47,7 +48,8 @@
     {
         return Json {
             { "boot", boot_ }, { "loads", loads_ }, { "loading", loading_ > 0 }, { "version", version_ },
-            { "fence", fence_ }, { "slots", slots_ }, { "running", running_ }, { "tokens", tokensMade_ }
+            { "fence", fence_ }, { "slots", slots_ }, { "running", running_ }, { "tokens", tokensMade_ },
+            { "software", software_ }
         }.dump();
     }
 
@@ -81,7 +83,7 @@
             due += tokenTime_;
             timer.expires_at(due);
             co_await timer.async_wait(asio::use_awaitable);
-            const std::string token = fmt::format(" {}.{:04x}~", version_, random_() & 0xffff);
+            const std::string token = fmt::format(" {}.{:04x}{}~", version_, random_() & 0xffff, software_.empty() ? "" : "@" + software_);
             ++tokensMade_;
             if (cutStreams_ > 0 && i == length / 2) {
                 --cutStreams_;
@@ -169,6 +171,7 @@
     bool honoursFencing_;
     bool statesVersion_;
     std::string poison_;
+    std::string software_;
     std::string store_;
     std::mt19937_64 random_;
     std::string boot_;
--- a/standins/Trainer.cpp
+++ b/standins/Trainer.cpp
@@ -84,7 +84,7 @@
         for (int step = 1; step <= steps_; ++step)
             missing += samples_ - received_[step].size();
         const Json verdict { { "samples_wanted", steps_ * samples_ }, { "samples_delivered", delivered_ },
-            { "duplicates", duplicates_ }, { "missing", missing }, { "misattributed", misattributed_ },
+            { "duplicates", duplicates_ }, { "missing", missing }, { "misattributed", misattributed_ }, { "mixed_software", mixedSoftware_ },
             { "stale", stale_ }, { "unscored", unscored_ }, { "steps_trained", trained_ }, { "restores", restores_ },
             { "trainer_idle_share", elapsed > 0 ? idle / elapsed : 0 },
             { "mean_staleness", judged_ > 0 ? stalenessSum_ / static_cast<double>(judged_) : 0 },
@@ -167,6 +167,8 @@
                 segment.at("version").get<int64_t>());
         if (truth != claimed)
             ++misattributed_;
+        if (softwareOf(sample.at("text").get<std::string>()).size() > 1)
+            ++mixedSoftware_;
         const int64_t oldest = truth.empty() ? version_ : *std::min_element(truth.begin(), truth.end());
         if (oldest < version_ - bound_)
             ++stale_;
@@ -182,6 +184,15 @@
         return versions;
     }
 
+    /// Software versions that the tokens name.
+    static std::set<std::string> softwareOf(const std::string& text)
+    {
+        std::set<std::string> versions;
+        for (size_t begin = text.find('@'); begin != std::string::npos; begin = text.find('@', begin + 1))
+            versions.insert(text.substr(begin + 1, text.find('~', begin) - begin - 1));
+        return versions;
+    }
+
     std::string job_;
     int steps_;
     int samples_;
@@ -199,6 +210,7 @@
     std::chrono::steady_clock::time_point start_;
     uint64_t duplicates_ = 0;
     uint64_t misattributed_ = 0;
+    uint64_t mixedSoftware_ = 0;
     uint64_t stale_ = 0;
     uint64_t unscored_ = 0;
     double stalenessSum_ = 0;
--- a/tests/core/SampleProgressTest.cpp
+++ b/tests/core/SampleProgressTest.cpp
@@ -155,3 +155,36 @@
     CHECK(restarts == 1);
     CHECK(progress.sample().tokens == 4);
 }
+
+namespace {
+
+VersionTracker::EngineStatus softwareStatus(const std::string& boot, const std::string& software)
+{
+    return { boot, 1, false, 3, 0, software };
+}
+
+/// Tokens left of a sample of two, once the engine has started again with the given status.
+uint32_t tokensAfter(const VersionTracker::EngineStatus& first, const VersionTracker::EngineStatus& second)
+{
+    VersionTracker tracker;
+    tracker.onStatus(first);
+    SampleProgress progress({}, 10);
+    progress.openStream(tracker);
+    progress.onTokens("ab", 2, unknownVersion, tracker);
+    progress.closeStream(true);
+    tracker.onStatus(second);
+    progress.discardForRestart(tracker, 3, { 4, 1.0 });
+    return progress.sample().tokens;
+}
+
+} // namespace
+
+TEST_CASE("tokens go on only at the software that wrote them", "[attribution]")
+{
+    CHECK(tokensAfter(softwareStatus("a", "v1"), softwareStatus("b", "v1")) == 2);
+    CHECK(tokensAfter(softwareStatus("a", "v1"), softwareStatus("b", "v2")) == 0);
+    CHECK(tokensAfter(softwareStatus("a", "v1"), softwareStatus("b", "")) == 0);
+    CHECK(tokensAfter(softwareStatus("a", ""), softwareStatus("a", "")) == 2);
+    // Which software a start runs that does not say so is not known.
+    CHECK(tokensAfter(softwareStatus("a", ""), softwareStatus("b", "")) == 0);
+}
--- a/tests/process/fault_steps.py
+++ b/tests/process/fault_steps.py
@@ -111,6 +111,41 @@
     case.check(trainer)
 
 
+def engines_start_again_with_other_software(case):
+    """Streams are cut in the middle, and engines start again with the other of two software versions."""
+    versions = {}
+
+    def restart(name, version):
+        process = case.deployment.processes["server-" + name]
+        command = process.command[:process.command.index("--software")] if "--software" in process.command else process.command
+        process.command = command + ["--software", version]
+        process.restart()
+        versions[name] = version
+        wait_for_engine(name)
+        call("POST", case.deployment.real[name + ".server"], "/fault", {"cutStreams": 24})
+
+    def wait_for_engine(name):
+        def is_up():
+            try:
+                return call("GET", case.deployment.real[name + ".server"], "/status", timeout=1)[0] == 200
+            except OSError:
+                return False
+        case.deployment.wait_for(is_up, "the engine")
+
+    engines = ["ledge-lm-%d" % number for number in range(3)]
+    for name in engines:
+        restart(name, "v1")
+    trainer = case.start_trainer(mean_tokens=160)
+    turn = 0
+    while trainer.poll() is None and turn < 12:
+        time.sleep(0.4)
+        name = engines[turn % len(engines)]
+        turn += 1
+        restart(name, "v2" if versions[name] == "v1" else "v1")
+    verdict = case.check(trainer)
+    assert verdict["mixed_software"] == 0, verdict
+
+
 def half_done_load_while_a_trainer_restores(case):
     for engine, fault in (("ledge-lm-0", "half"), ("ledge-lm-1", "late"), ("ledge-lm-2", "refuse")):
         call("POST", case.deployment.real[engine + ".server"], "/fault", {"nextLoad": fault})
@@ -278,6 +313,7 @@
 CASES = {case.__name__: case for case in (
     store_away_for_the_whole_step, coordinator_dies_in_mid_step, agent_dies_in_mid_sample_while_scores_are_crossed,
     paused_coordinator_wakes_and_still_believes, engine_restarts_while_connections_fall_silent,
+    engines_start_again_with_other_software,
     half_done_load_while_a_trainer_restores, hung_load_does_not_hold_the_steps,
     hung_load_does_not_hold_the_rollout,
     leaving_agent_cuts_nothing_and_gets_nothing, leaving_entry_cuts_nothing, settings_stay_in_force_without_the_store,
