A start query goes over a connection of its own, and its failure harms no request

What our tests saw: runs of items failed for ever at replicas that send each answer twice, as the copy of the query's answer came in the stream of the run (hosted.second_copies_of_answers_reach_nobody, 0 of 12 results); streams to replicas whose answers never end were refused as not run (endless.streams_without_end_take_no_memory). Cause: the query used the connection of the request. Change: the query goes over another connection while the request's is open, and the request follows it. An answer on the first connection then comes from the process that was there before and after the query. A query that fails leaves the start unknown; only a request that needs the registered start is not sent.

--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "io/HttpClient.h"
 
 #include "io/Clock.h"
+#include "io/Log.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -190,13 +191,15 @@
     return error == asio::error::would_block;
 }
 
-std::optional<HttpClient::Connection> HttpClient::takeIdle(const Address& address, Instant latestUse)
+std::optional<HttpClient::Connection> HttpClient::takeIdle(
+    const Address& address, Instant latestUse, bool mustHaveKnownStart)
 {
     auto& idle = idle_[address];
     // Connections are kept in the order of their last use. The one used last is the least likely to have been closed.
     for (size_t i = idle.size(); i > 0; --i) {
         const auto candidate = idle.begin() + static_cast<ptrdiff_t>(i) - 1;
-        if (candidate->since > latestUse)
+        const bool isLeftOut = mustHaveKnownStart && !candidate->connection.serverStartedMs;
+        if (candidate->since > latestUse || isLeftOut)
             continue;
         Idle taken = std::move(*candidate);
         idle.erase(candidate);
@@ -237,9 +240,14 @@
     co_return error ? ListenerState::Silent : ListenerState::Listening;
 }
 
-asio::awaitable<HttpClient::Connection> HttpClient::open(const Address& address, Instant latestUse, Instant deadline)
+asio::awaitable<HttpClient::Connection> HttpClient::open(
+    const Address& address, Instant latestUse, Instant deadline, bool prefersKnownStart)
 {
-    auto idle = takeIdle(address, latestUse);
+    std::optional<Connection> idle;
+    if (prefersKnownStart)
+        idle = takeIdle(address, latestUse, true);
+    if (!idle)
+        idle = takeIdle(address, latestUse, false);
     if (idle)
         co_return std::move(*idle);
     error_code error;
@@ -257,50 +265,44 @@
 asio::awaitable<HttpClient::Connection> HttpClient::openFor(
     const Address& address, const HttpRequest& request, Instant deadline, HttpCancellation& cancel)
 {
-    const Instant connectDeadline = std::min(deadline, request.connectDeadline);
-    Connection connection = co_await open(address, request.latestUse, connectDeadline);
-    if (cancel.isCancelled())
-        throw ServerUnavailableError("the request was cancelled before it was sent");
     const std::shared_ptr<const StartQuery> query = request.startQuery;
+    const Instant connectDeadline = std::min(deadline, request.connectDeadline);
+    Connection connection = co_await open(address, request.latestUse, connectDeadline, query != nullptr);
     if (!query)
         co_return connection;
-    if (!connection.serverStartedMs && query->mayAsk())
-        co_await askStart(address, connection, request, deadline, cancel);
+    if (!connection.serverStartedMs && !cancel.isCancelled() && query->mayAsk())
+        connection.serverStartedMs = co_await askStart(address, request, deadline, cancel);
     if (query->isAccepted(connection.serverStartedMs))
         co_return connection;
     keepIdle(address, std::move(connection), HttpResponse());
-    throw ServerStartError(fmt::format("{}: the server has started again", address.text()));
+    throw ServerStartError(fmt::format("{}: the server did not state the registered start", address.text()));
 }
 
-asio::awaitable<void> HttpClient::askStart(const Address& address, Connection& connection, const HttpRequest& request,
-    Instant deadline, HttpCancellation& cancel)
+asio::awaitable<std::optional<int64_t>> HttpClient::askStart(
+    const Address& address, const HttpRequest& request, Instant deadline, HttpCancellation& cancel)
 {
     std::string body;
     auto collect = [&body](std::string_view piece) {
         body.append(piece);
         return body.size() <= maxStartAnswerBytes;
     };
-    Exchanged exchanged;
-    std::string failure;
+    std::optional<int64_t> startedMs;
     try {
         const Instant answerDeadline = std::min(deadline, now() + startQueryTimeout);
+        Connection connection = co_await open(address, request.latestUse, answerDeadline);
         HttpRequest query = request.startQuery->request;
-        exchanged
+        Exchanged exchanged
             = co_await exchange(address, connection, std::move(query), answerDeadline, collect, cancel, nullptr);
-    } catch (const OutcomeUnknownError& error) {
-        failure = error.what();
-    }
-    if (!failure.empty())
-        throw ServerUnavailableError(fmt::format("{}; the server did not state its start", failure));
-    exchanged.response.body = std::move(body);
-    // A server that does not know the query states nothing.
-    const int64_t startedMs = exchanged.response.isSuccess() ? request.startQuery->startOf(exchanged.response) : 0;
-    if (!exchanged.isReusable) {
-        const Instant connectDeadline = std::min(deadline, request.connectDeadline);
-        connection = co_await open(address, request.latestUse, connectDeadline);
-        co_return;
+        exchanged.response.body = std::move(body);
+        // A server that does not know the query states nothing.
+        startedMs = exchanged.response.isSuccess() ? request.startQuery->startOf(exchanged.response) : 0;
+        connection.serverStartedMs = startedMs;
+        if (exchanged.isReusable)
+            keepIdle(address, std::move(connection), exchanged.response);
+    } catch (const Error& error) {
+        log(Event::ServerStartUnknown, { { "server", address.text() }, { "reason", error.what() } });
     }
-    connection.serverStartedMs = startedMs;
+    co_return startedMs;
 }
 
 asio::awaitable<HttpResponse> HttpClient::request(
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -48,16 +48,18 @@
     std::shared_ptr<const StartQuery> startQuery {};
 };
 
-/// Asks a server for its start. It is sent once on each connection, so that it speaks for the process that answers
-/// there: a server that starts again loses its connections.
+/// Asks a server for its start, once for each connection that a request with this query uses. The query goes over another
+/// connection while the request's own is open, and the request follows it. So an answer to the request comes from the
+/// start that was stated: the same process was there before the query and after it. Neither a late copy of the query's
+/// answer nor its failure harms the request.
 struct StartQuery {
     HttpRequest request;
     /// The query is not sent while this returns false.
     std::function<bool()> mayAsk;
     /// Start that the answer states, in ms since the epoch; 0 if it states none.
     std::function<int64_t(const HttpResponse&)> startOf;
-    /// Called before the request is sent, with nothing if the server was not asked. If it returns false, the request is
-    /// not sent and fails with ServerStartError.
+    /// Called before the request is sent, with nothing if the server was not asked or did not answer in time. If it
+    /// returns false, the request is not sent and fails with ServerStartError.
     std::function<bool(std::optional<int64_t> startedMs)> isAccepted;
 };
 
@@ -153,7 +155,7 @@
 private:
     struct Connection {
         std::unique_ptr<boost::beast::tcp_stream> stream;
-        /// Answer to the start query; nothing if it has not been sent.
+        /// Start that the server stated for this connection, 0 if it states none; nothing if it has not been asked.
         std::optional<int64_t> serverStartedMs;
     };
 
@@ -173,14 +175,14 @@
     asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> openNew(
         const Address&, Instant deadline, boost::system::error_code&);
     /// Takes a connection that has been idle since latestUse, or opens a new one.
-    asio::awaitable<Connection> open(const Address&, Instant latestUse, Instant deadline);
+    asio::awaitable<Connection> open(const Address&, Instant latestUse, Instant deadline, bool prefersKnownStart = false);
     /// Nothing if there is none.
-    std::optional<Connection> takeIdle(const Address&, Instant latestUse);
-    /// Opens a connection for the request. If the request has a start query, the connection's start is known if the
-    /// server states it, and accepted.
+    std::optional<Connection> takeIdle(const Address&, Instant latestUse, bool mustHaveKnownStart);
+    /// Opens a connection for the request. If the request has a start query, the connection's start is accepted.
     asio::awaitable<Connection> openFor(const Address&, const HttpRequest&, Instant deadline, HttpCancellation&);
-    /// Sends the start query on a connection on which it has not been sent.
-    asio::awaitable<void> askStart(const Address&, Connection&, const HttpRequest&, Instant deadline, HttpCancellation&);
+    /// Sends the start query of a request. Nothing if it is not answered.
+    asio::awaitable<std::optional<int64_t>> askStart(
+        const Address&, const HttpRequest&, Instant deadline, HttpCancellation&);
     /// Sends a request and reads its answer.
     asio::awaitable<Exchanged> exchange(
         const Address&, Connection&, HttpRequest, Instant deadline, OnBody, HttpCancellation&, OnHead);
