--- a/include/endiveroad/BatchJob.h
+++ b/include/endiveroad/BatchJob.h
@@ -198,8 +198,8 @@
     int64_t start(size_t item, std::string agent, int64_t version, const SoftwareVersion&, Instant now);
 
     /// Applies progress of the item's current run; any other run is to be cancelled. Events already received are
-    /// skipped. If events are missing before the reported ones, the run is withdrawn, since the text would lack them; if
-    /// other software wrote the text known here, it is also dropped.
+    /// skipped. If events are missing before the reported ones, the run is withdrawn, since the text would lack them;
+    /// if other software wrote the text known here, it is also dropped.
     ItemAction onProgress(size_t item, const RunProgress&, Instant now);
 
     /// Takes over a run that an agent started for an earlier owner of the job. The run must be running or completed,
--- a/include/endiveroad/BatchPlacement.h
+++ b/include/endiveroad/BatchPlacement.h
@@ -71,9 +71,9 @@
 
 /// Assigns waiting items to replicas with free slots. The job that is due first goes first, and within a job the item
 /// with the most expected tokens; each goes to the replica on which it is expected to run fastest. Increments `running`
-/// of the chosen replicas. An item with a text that only some software may go on with goes to a replica that runs it, or
-/// waits while one is up, unless it may begin anew. Load pattern: a trainer submits all items of a step at once, more than there are slots, and
-/// the step is complete only when its longest item is.
+/// of the chosen replicas. An item with a text that only some software may go on with goes to a replica that runs it,
+/// or waits while one is up, unless it may begin anew. Load pattern: a trainer submits all items of a step at once,
+/// more than there are slots, and the step is complete only when its longest item is.
 std::vector<Placement> placeItems(const std::vector<WaitingItem>&, std::vector<ReplicaView>&);
 
 /// Median of the known eventMs of replicas that are up; 0 if none is known.
@@ -84,19 +84,19 @@
 
 bool isSlow(const ReplicaView&, double medianMs);
 
-/// True if a run on `from` should continue on another replica: `from` is slow, and a replica with the same software that
-/// is not slow has a free slot and weights of at least oldestVersion, and is not loading weights of this model. Load pattern: one replica
-/// in five runs several times slower for some seconds without failing its runs.
+/// True if a run on `from` should continue on another replica: `from` is slow, and a replica with the same software
+/// that is not slow has a free slot and weights of at least oldestVersion, and is not loading weights of this model.
+/// Load pattern: one replica in five runs several times slower for some seconds without failing its runs.
 bool shouldMove(
     const ReplicaView& from, const std::string& model, int64_t oldestVersion, const std::vector<ReplicaView>&);
 
 /// Smallest speedup that justifies moving one of the last runs of a job.
 inline constexpr double minMoveSpeedup = 1.2;
 
-/// True if another replica with the same software, a free slot and weights of at least oldestVersion, which is not loading
-/// weights of this model, is faster than `from` by at least minMoveSpeedup. An unknown speed of the other replica counts as the median.
-/// Load pattern: a few long items determine when a step is complete, and a third of the replicas are a third slower
-/// than the rest, which are half empty by then.
+/// True if another replica with the same software, a free slot and weights of at least oldestVersion, which is not
+/// loading weights of this model, is faster than `from` by at least minMoveSpeedup. An unknown speed of the other
+/// replica counts as the median. Load pattern: a few long items determine when a step is complete, and a third of the
+/// replicas are a third slower than the rest, which are half empty by then.
 bool wouldSpeedUp(
     const ReplicaView& from, const std::string& model, int64_t oldestVersion, const std::vector<ReplicaView>&);
 
--- a/include/endiveroad/SampleProgress.h
+++ b/include/endiveroad/SampleProgress.h
@@ -34,9 +34,10 @@
     /// The given sample has job, step, index, digest and agent set, and no tokens.
     SampleProgress(Sample sample, uint32_t maxTokens);
 
-    /// Drops all tokens if other software than the engine's wrote them, if one is older than the oldest usable version, or
-    /// if the objective prefers a restart under the tracker's version. The objective restarts a sample only once: a sample that takes longer than the time between
-    /// two swaps would otherwise never finish. Returns the number of dropped tokens.
+    /// Drops all tokens if other software than the engine's wrote them, if one is older than the oldest usable version,
+    /// or if the objective prefers a restart under the tracker's version. The objective restarts a sample only once: a
+    /// sample that takes longer than the time between two swaps would otherwise never finish. Returns the number of
+    /// dropped tokens.
     uint32_t discardForRestart(const VersionTracker&, WeightVersion oldestUsable, const RolloutObjective&);
 
     /// Starts a stream in the tracker's current epoch. Precondition: the tracker's version is known.
--- a/include/endiveroad/StreamOrigins.h
+++ b/include/endiveroad/StreamOrigins.h
@@ -31,7 +31,8 @@
     static StreamKey decode(std::string_view bytes);
 };
 
-/// The software that wrote the first event of a stream. An unknown version is recorded too: nobody needs to look further.
+/// The software that wrote the first event of a stream. An unknown version is recorded too: nobody needs to look
+/// further.
 struct StreamOrigin {
     StreamKey key;
     SoftwareVersion software;
--- a/src/core/batch/BatchJob.cpp
+++ b/src/core/batch/BatchJob.cpp
@@ -73,8 +73,7 @@
     return std::all_of(items_.begin(), items_.end(), isDone);
 }
 
-int64_t BatchJob::start(
-    size_t index, std::string agent, int64_t version, const SoftwareVersion& software, Instant now)
+int64_t BatchJob::start(size_t index, std::string agent, int64_t version, const SoftwareVersion& software, Instant now)
 {
     ItemState& item = items_.at(index);
     const auto& events = item.text.events;
@@ -120,8 +119,7 @@
         return progress.state == RunState::Running ? ItemAction::CancelRun : ItemAction::None;
     const size_t ownEvents = item.text.events.size();
     const bool hasEarlierText = ownEvents > item.runEventCount;
-    const bool isOtherSoftware
-        = hasEarlierText && !progress.events.empty() && progress.software != item.text.software;
+    const bool isOtherSoftware = hasEarlierText && !progress.events.empty() && progress.software != item.text.software;
     if (isOtherSoftware)
         item.text = {};
     if (progress.firstEvent > ownEvents || isOtherSoftware) {
--- a/src/core/sample/SampleProgress.cpp
+++ b/src/core/sample/SampleProgress.cpp
@@ -40,8 +40,8 @@
         return 0;
     const WeightVersion oldest = sample_.oldestVersion();
     const bool isOtherSoftware = software_ != tracker.software();
-    const bool isPreferred
-        = !isOtherSoftware && !hasRestarted_ && objective.prefersRestart(oldest, tracker.version(), sample_.tokens, maxTokens_);
+    const bool isPreferred = !isOtherSoftware && !hasRestarted_
+        && objective.prefersRestart(oldest, tracker.version(), sample_.tokens, maxTokens_);
     if (oldest >= oldestUsable && !isPreferred && !isOtherSoftware)
         return 0;
     hasRestarted_ = hasRestarted_ || isPreferred;
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -48,10 +48,10 @@
     std::shared_ptr<const StartQuery> startQuery {};
 };
 
-/// Asks a server for its start, once for each connection that a request with this query uses. The query goes over another
-/// connection while the request's own is open, and the request follows it. So an answer to the request comes from the
-/// start that was stated: the same process was there before the query and after it. Neither a late copy of the query's
-/// answer nor its failure harms the request.
+/// Asks a server for its start, once for each connection that a request with this query uses. The query goes over
+/// another connection while the request's own is open, and the request follows it. So an answer to the request comes
+/// from the start that was stated: the same process was there before the query and after it. Neither a late copy of the
+/// query's answer nor its failure harms the request.
 struct StartQuery {
     HttpRequest request;
     /// The query is not sent while this returns false.
@@ -175,7 +175,8 @@
     asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> openNew(
         const Address&, Instant deadline, boost::system::error_code&);
     /// Takes a connection that has been idle since latestUse, or opens a new one.
-    asio::awaitable<Connection> open(const Address&, Instant latestUse, Instant deadline, bool prefersKnownStart = false);
+    asio::awaitable<Connection> open(
+        const Address&, Instant latestUse, Instant deadline, bool prefersKnownStart = false);
     /// Nothing if there is none.
     std::optional<Connection> takeIdle(const Address&, Instant latestUse, bool mustHaveKnownStart);
     /// Opens a connection for the request. If the request has a start query, the connection's start is accepted.
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -106,8 +106,8 @@
 {
     const auto report = reports_.find(agent);
     const auto directory = directory_();
-    const auto server = report == reports_.end() ? directory->servers.end()
-                                                 : directory->servers.find(report->second.last.server);
+    const auto server
+        = report == reports_.end() ? directory->servers.end() : directory->servers.find(report->second.last.server);
     return server == directory->servers.end() ? SoftwareVersion() : server->second.software();
 }
 
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -191,8 +191,8 @@
             processBody(*run, piece);
             return true;
         };
-        const HttpResponse response = co_await client_.stream(
-            *run->permit, replica_, std::move(request), now() + runLimit, onBody, &run->cancellation, onHead, run->startCheck);
+        const HttpResponse response = co_await client_.stream(*run->permit, replica_, std::move(request),
+            now() + runLimit, onBody, &run->cancellation, onHead, run->startCheck);
         const ReplicaAnswer answer = client_.protocol().decode(response);
         if (answer.verdict != ReplicaVerdict::Ran)
             finishRun(*run, RunState::NotRun, response.status, "the replica refused");
@@ -287,8 +287,7 @@
     log(Event::ItemRunEnded,
         { { "job", run.startRequest.job }, { "item", run.startRequest.item },
             { "run", std::to_string(run.startRequest.run) }, { "server", engine_.server() },
-            { "software", run.software.text() },
-            { "events", std::to_string(run.events.size()) },
+            { "software", run.software.text() }, { "events", std::to_string(run.events.size()) },
             { "outcome",
                 state == RunState::Completed    ? "completed"
                     : state == RunState::NotRun ? "not run"
--- a/src/io/hosted/StreamOriginAnnouncer.h
+++ b/src/io/hosted/StreamOriginAnnouncer.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-/// What an entry knows of the origins of streams. It has coordinators keep the origins of the streams that it begins, so
-/// that other entries can continue them when this one is gone, and asks them for those of other entries.
+/// What an entry knows of the origins of streams. It has coordinators keep the origins of the streams that it begins,
+/// so that other entries can continue them when this one is gone, and asks them for those of other entries.
 namespace endiveroad::io {
 
 class StreamOriginAnnouncer {
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -98,9 +98,8 @@
     std::string failure;
 };
 
-StreamProxy::StreamProxy(
-    asio::io_context& context, ServerClient& client, ServiceCaller& services, StreamResumptions& resumptions,
-    CrashGuard& crashGuard)
+StreamProxy::StreamProxy(asio::io_context& context, ServerClient& client, ServiceCaller& services,
+    StreamResumptions& resumptions, CrashGuard& crashGuard)
     : context_(context)
     , client_(client)
     , serviceCaller_(services)
@@ -227,8 +226,7 @@
 {
     if (!route.isResumable || !mayRunAgain(route, progress))
         return false;
-    return !progress.origin
-        || serviceCaller_.hasReadyServer(route, *progress.origin, serverStream.attempt.server);
+    return !progress.origin || serviceCaller_.hasReadyServer(route, *progress.origin, serverStream.attempt.server);
 }
 
 asio::awaitable<void> StreamProxy::forwardPiece(
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -33,9 +33,9 @@
 
     /// Answers the exchange. Only complete events are forwarded. If a server's stream breaks, a server that runs the
     /// same software resumes it within the same answer if the route allows that; otherwise the answer ends without its
-    /// last chunk, so that the caller detects the truncation. Throws if nothing has been sent to the caller: NotRunError,
-    /// StreamNotResumableError or ContentBlockedError if no server can have run the request, OutcomeUnknownError or
-    /// DeadlineUnknownError if one may have.
+    /// last chunk, so that the caller detects the truncation. Throws if nothing has been sent to the caller:
+    /// NotRunError, StreamNotResumableError or ContentBlockedError if no server can have run the request,
+    /// OutcomeUnknownError or DeadlineUnknownError if one may have.
     asio::awaitable<void> serve(
         HttpExchange&, RouteDeclaration, CallerRequest, ReplicaRequest, Instant deadline, PeerCancellationPtr);
 
@@ -76,8 +76,8 @@
     /// Finds out whether a server that broke its stream off before the first byte has ended.
     asio::awaitable<void> inspectBroken(ServerStreamPtr, Progress&);
     /// Forwards events until the stream ends, stalls or the caller disconnects.
-    asio::awaitable<void> forward(HttpExchange&, const RouteDeclaration&, ServerStreamPtr, Progress&, Instant deadline,
-        PeerCancellationPtr);
+    asio::awaitable<void> forward(
+        HttpExchange&, const RouteDeclaration&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
 
     asio::io_context& context_;
     ServerClient& client_;
--- a/src/io/hosted/StreamResumptions.cpp
+++ b/src/io/hosted/StreamResumptions.cpp
@@ -50,8 +50,7 @@
     return history_.onlyVersion(route.services.front().service, now() - route.timeout - StreamOrigins::takeUpTime);
 }
 
-void StreamResumptions::onFirstEvent(
-    const CallerRequest& request, const SoftwareVersion& software, Instant deadline)
+void StreamResumptions::onFirstEvent(const CallerRequest& request, const SoftwareVersion& software, Instant deadline)
 {
     const Instant expiry = deadline + StreamOrigins::takeUpTime;
     std::vector<StreamOrigin> origins { { StreamKey::of(request.id), software, expiry } };
--- a/standins/Engine.cpp
+++ b/standins/Engine.cpp
@@ -83,7 +83,8 @@
             due += tokenTime_;
             timer.expires_at(due);
             co_await timer.async_wait(asio::use_awaitable);
-            const std::string token = fmt::format(" {}.{:04x}{}~", version_, random_() & 0xffff, software_.empty() ? "" : "@" + software_);
+            const std::string token
+                = fmt::format(" {}.{:04x}{}~", version_, random_() & 0xffff, software_.empty() ? "" : "@" + software_);
             ++tokensMade_;
             if (cutStreams_ > 0 && i == length / 2) {
                 --cutStreams_;
--- a/standins/Trainer.cpp
+++ b/standins/Trainer.cpp
@@ -84,8 +84,9 @@
         for (int step = 1; step <= steps_; ++step)
             missing += samples_ - received_[step].size();
         const Json verdict { { "samples_wanted", steps_ * samples_ }, { "samples_delivered", delivered_ },
-            { "duplicates", duplicates_ }, { "missing", missing }, { "misattributed", misattributed_ }, { "mixed_software", mixedSoftware_ },
-            { "stale", stale_ }, { "unscored", unscored_ }, { "steps_trained", trained_ }, { "restores", restores_ },
+            { "duplicates", duplicates_ }, { "missing", missing }, { "misattributed", misattributed_ },
+            { "mixed_software", mixedSoftware_ }, { "stale", stale_ }, { "unscored", unscored_ },
+            { "steps_trained", trained_ }, { "restores", restores_ },
             { "trainer_idle_share", elapsed > 0 ? idle / elapsed : 0 },
             { "mean_staleness", judged_ > 0 ? stalenessSum_ / static_cast<double>(judged_) : 0 },
             { "seconds", elapsed } };
--- a/tests/io/HttpClientTest.cpp
+++ b/tests/io/HttpClientTest.cpp
@@ -3,6 +3,7 @@
 #include "io/Loop.h"
 
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <endiveroad/Error.h>
@@ -204,3 +205,141 @@
         CHECK(server.connections == 2);
     });
 }
+
+namespace {
+
+/// A server whose answers name its start, and that may start again between two connections.
+class StartingServer {
+public:
+    explicit StartingServer(asio::io_context& context)
+        : context_(context)
+        , acceptor_(listenOnLoopback(context))
+    {
+        spawn(context.get_executor(), [this] { return accept(); });
+    }
+
+    Address address() const { return addressOf(acceptor_); }
+
+    int64_t startedMs = 1000;
+    /// Sends each answer to a query twice.
+    bool isCopying = false;
+    /// Does not answer queries.
+    bool isSilent = false;
+    int queries = 0;
+    int requests = 0;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            auto socket = std::make_shared<tcp::socket>(co_await acceptor_.async_accept(asio::use_awaitable));
+            spawn(context_.get_executor(), [this, socket] { return serve(socket); });
+        }
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
+    {
+        std::string received;
+        while (true) {
+            boost::system::error_code error;
+            const size_t size = co_await asio::async_read_until(*socket, asio::dynamic_buffer(received), "\r\n\r\n",
+                asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+            const bool isQuery = received.starts_with("GET /start");
+            received.erase(0, size);
+            ++(isQuery ? queries : requests);
+            if (isQuery && isSilent)
+                continue;
+            const std::string body = std::to_string(startedMs);
+            std::string answer
+                = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            if (isQuery && isCopying)
+                answer += answer;
+            co_await asio::async_write(*socket, asio::buffer(answer), asio::use_awaitable);
+        }
+    }
+
+    asio::io_context& context_;
+    tcp::acceptor acceptor_;
+};
+
+/// A request to a server that is to state the start; nothing accepts any.
+HttpRequest requestTo(std::optional<int64_t> startedMs)
+{
+    auto query = std::make_shared<StartQuery>();
+    query->request.target = "/start";
+    query->mayAsk = [] { return true; };
+    query->startOf = [](const HttpResponse& response) { return std::stoll(response.body); };
+    query->isAccepted = [startedMs](std::optional<int64_t> stated) { return !startedMs || stated == startedMs; };
+    HttpRequest request;
+    request.startQuery = query;
+    return request;
+}
+
+asio::awaitable<Result> send(HttpClient& client, Address address, HttpRequest request)
+{
+    Result result;
+    try {
+        result.response = co_await client.request(address, request, now() + testTimeout);
+    } catch (const Error& error) {
+        result.code = error.code();
+    }
+    co_return result;
+}
+
+} // namespace
+
+TEST_CASE("a server states its start once for each connection, and the request goes to that start", "[http]")
+{
+    asio::io_context context;
+    StartingServer server(context);
+    HttpClient client;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        const Result first = co_await send(client, server.address(), requestTo(1000));
+        CHECK(first.response.serverStartedMs == 1000);
+        const Result second = co_await send(client, server.address(), requestTo(1000));
+        CHECK(second.response.serverStartedMs == 1000);
+        CHECK(server.queries == 1);
+        const Result other = co_await send(client, server.address(), requestTo(2000));
+        CHECK(other.code == ErrorCode::ServerUnavailable);
+        CHECK(server.requests == 2);
+        client.closeIdle();
+        server.startedMs = 2000;
+        const Result later = co_await send(client, server.address(), requestTo(2000));
+        CHECK(later.response.serverStartedMs == 2000);
+        CHECK(server.queries == 2);
+    });
+}
+
+TEST_CASE("a copy of the answer to a start query harms no request", "[http]")
+{
+    asio::io_context context;
+    StartingServer server(context);
+    server.isCopying = true;
+    HttpClient client;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        for (int i = 0; i < 4; ++i) {
+            const Result result = co_await send(client, server.address(), requestTo(1000));
+            CHECK(result.response.status == 200);
+        }
+        CHECK(server.requests == 4);
+    });
+}
+
+TEST_CASE("a server that states no start gets only requests that do not need one", "[http]")
+{
+    asio::io_context context;
+    StartingServer server(context);
+    server.isSilent = true;
+    HttpClient client;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        const Result any = co_await send(client, server.address(), requestTo(std::nullopt));
+        CHECK(any.response.status == 200);
+        CHECK_FALSE(any.response.serverStartedMs);
+        client.closeIdle();
+        const Result bound = co_await send(client, server.address(), requestTo(1000));
+        CHECK(bound.code == ErrorCode::ServerUnavailable);
+        CHECK(server.requests == 1);
+    });
+}
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -257,6 +257,8 @@
     CHECK(state.versions.at("m") == 3);
     CHECK(state.isLoading);
     CHECK(state.acceptedOrders == 2);
+    CHECK(state.startedMs == 0);
+    CHECK(codec.decodeState(R"({"Models":[],"Seq":2,"born":17})").startedMs == 17);
     CHECK_THROWS_AS(codec.decodeState("{}"), FrameInvalidError);
     HttpResponse response;
     const std::vector<std::pair<int, OrderOutcome>> outcomes { { 200, OrderOutcome::AlreadyLoaded },
@@ -295,3 +297,32 @@
     CHECK(whole["Results"][0]["Score"] == "stamp");
     CHECK(nlohmann::json::parse(codec.encodeResults(listed, 9, 5))["Results"].empty());
 }
+
+TEST_CASE("a registration's version is that of its software, and unknown unless it is a text", "[platform]")
+{
+    const auto versionIn = [](const std::string& version) {
+        const std::string text = R"({"Service":"engines","Address":"10.1.0.1:80","Zone":"z",)" + version
+            + R"("Slots":8,"State":"ready","ColdLeftMs":0,"Seq":4,"born":17})";
+        const Directory directory = decodeRegistration(text, 0);
+        REQUIRE(directory.servers.size() == 1);
+        return directory.servers.begin()->second.softwareVersion;
+    };
+    CHECK(versionIn(R"("Version":"v1.1",)") == "v1.1");
+    CHECK(versionIn("").empty());
+    CHECK(versionIn(R"("Version":7,)").empty());
+    CHECK(versionIn(R"("Version":null,)").empty());
+}
+
+TEST_CASE("a caller that takes a stream up names the request that began it", "[platform]")
+{
+    const CallerCodec codec;
+    HttpQuery query;
+    query.method = "POST";
+    query.target = "/x";
+    CHECK_FALSE(codec.decode(query).isResumption);
+    query.headers = { { "Last-Event-Id", "3" } };
+    CHECK(codec.decode(query).isResumption);
+    CHECK(codec.decode(query).resumedRequest.empty());
+    query.headers = { { "Last-Event-Id", "3" }, { "Resumes", "first" } };
+    CHECK(codec.decode(query).resumedRequest == "first");
+}
