A server that states no start is looked for when a stream or run breaks off

Change: when a request to such a server fails, its address is asked for a connection; a refusal shows that the start has ended, and the news goes to all processes like that of a replaced server, so that only its next registration brings the server into use. Servers that state their start are as before. Announcements of origins no longer name their sender.

--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -232,7 +232,7 @@
         dispatcher_.onFailures(wire::decode<wire::ItemFailureNotice>(message.payload));
         break;
     case MessageType::StreamOrigins:
-        originKeeper_.onNotice(message.payload);
+        originKeeper_.onNotice(connection->peerName, message.payload);
         break;
     case MessageType::JobOwner: {
         const auto notice = wire::decode<wire::JobOwnerNotice>(message.payload);
--- a/src/io/hosted/LeavingNews.cpp
+++ b/src/io/hosted/LeavingNews.cpp
@@ -57,6 +57,12 @@
         log(Event::ServerLeaving, { { "server", sender.id }, { "startedMs", std::to_string(sender.startedMs) } });
 }
 
+void LeavingNews::onEnded(const ServerIncarnation& server)
+{
+    if (learn({ server, Departure::Replaced }))
+        log(Event::ServerReplaced, { { "server", server.id }, { "successor", "" } });
+}
+
 bool LeavingNews::learn(const DepartedServer& departed)
 {
     const bool isNews = directorySync_.addLeaving(departed);
--- a/src/io/hosted/LeavingNews.h
+++ b/src/io/hosted/LeavingNews.h
@@ -21,6 +21,9 @@
     /// Publishes what the answer says if it is news.
     void onAnswer(const ReplicaAnswer&, const ServerIncarnation& receiver) override;
 
+    /// The server gets no new work until it registers again.
+    void onEnded(const ServerIncarnation&) override;
+
     /// Applies a notice of a peer. Returns an encoded notice of the part that is news, if any.
     std::optional<std::string> onNotice(const std::string& payload);
 
--- a/src/io/hosted/Protocol.h
+++ b/src/io/hosted/Protocol.h
@@ -114,6 +114,9 @@
     /// `receiver` is the server that the request was sent to. An answer with the verdict ServerMismatch comes from
     /// another one.
     virtual void onAnswer(const ReplicaAnswer&, const ServerIncarnation& receiver) = 0;
+
+    /// Nothing listens at the address of this start of a server, so it has ended.
+    virtual void onEnded(const ServerIncarnation&) { }
 };
 
 /// State that an engine replica reports.
--- a/src/io/hosted/ServerClient.cpp
+++ b/src/io/hosted/ServerClient.cpp
@@ -1,8 +1,11 @@
 #include "io/hosted/ServerClient.h"
 
+#include "io/Clock.h"
 #include "io/Log.h"
 #include "io/ProcessMetrics.h"
 
+#include <exception>
+
 namespace endiveroad::io {
 
 namespace {
@@ -66,8 +69,28 @@
     if (startCheck != StartCheck::None)
         request.startQuery = makeStartQuery(permit.receiver(), startCheck);
     HttpClient::OnHead onAnyHead = begin(permit, std::move(onHead));
-    co_return co_await http_.stream(
-        std::move(address), std::move(request), deadline, std::move(onBody), cancellation, std::move(onAnyHead));
+    const Address server = address;
+    HttpResponse response;
+    std::exception_ptr failure;
+    try {
+        response = co_await http_.stream(
+            std::move(address), std::move(request), deadline, std::move(onBody), cancellation, std::move(onAnyHead));
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    const bool isCancelled = cancellation && cancellation->isCancelled();
+    if (failure && !isCancelled && silentStarts_.contains(permit.receiver()))
+        co_await inspectEnd(permit.receiver(), server);
+    if (failure)
+        std::rethrow_exception(failure);
+    co_return response;
+}
+
+asio::awaitable<void> ServerClient::inspectEnd(ServerIncarnation server, Address address)
+{
+    const ListenerState state = co_await http_.probe(std::move(address), now() + probeTimeout);
+    if (state == ListenerState::Refusing)
+        answerListener_.onEnded(server);
 }
 
 std::shared_ptr<const StartQuery> ServerClient::makeStartQuery(const ServerIncarnation& receiver, StartCheck startCheck)
@@ -93,12 +116,15 @@
 {
     processMetrics().count(Counter::StateQueriesToServers);
     answerListener_.onAnswer(protocol_.decode(response), receiver);
+    int64_t startedMs = 0;
     try {
-        return protocol_.decodeState(response.body).startedMs;
+        startedMs = protocol_.decodeState(response.body).startedMs;
     } catch (const Error& error) {
-        log(Event::ServerDown, { { "server", receiver.id }, { "reason", error.what() } });
-        return 0;
+        log(Event::ServerStartUnknown, { { "server", receiver.id }, { "reason", error.what() } });
     }
+    if (startedMs == 0 && silentStarts_.size() < maxSilentStarts)
+        silentStarts_.insert(receiver);
+    return startedMs;
 }
 
 SoftwareVersion ServerClient::softwareOf(const ServerRecord& server, const HttpResponse& head, StartCheck startCheck)
--- a/src/io/hosted/ServerClient.h
+++ b/src/io/hosted/ServerClient.h
@@ -4,6 +4,8 @@
 #include "io/hosted/Protocol.h"
 #include "io/hosted/RequestLimits.h"
 
+#include <set>
+
 /// The only way to send requests to backend servers of a shared platform, whatever they are for. Every request needs a
 /// permit, so that no path passes by the limits that servers name, and every answer's head is heard.
 namespace endiveroad::io {
@@ -20,6 +22,12 @@
 
 class ServerClient {
 public:
+    /// Time for a server's host to accept or refuse a connection.
+    static constexpr Duration probeTimeout = std::chrono::milliseconds(100);
+
+    /// Beyond this number, servers that state no start are not told apart from others.
+    static constexpr size_t maxSilentStarts = 4096;
+
     ServerClient(HttpClient&, const ReplicaProtocol&, ServerAnswerListener&, RequestLimits&);
 
     const ReplicaProtocol& protocol() const { return protocol_; }
@@ -41,11 +49,16 @@
     HttpClient::OnHead begin(const ServerPermit&, HttpClient::OnHead);
     std::shared_ptr<const StartQuery> makeStartQuery(const ServerIncarnation& receiver, StartCheck);
     int64_t statedStart(const ServerIncarnation& receiver, const HttpResponse&);
+    /// A request to a server that states no start has failed: finds out whether the server has ended, since nothing
+    /// else will tell before its next start registers.
+    asio::awaitable<void> inspectEnd(ServerIncarnation, Address);
 
     HttpClient& http_;
     const ReplicaProtocol& protocol_;
     ServerAnswerListener& answerListener_;
     RequestLimits& limits_;
+    /// Servers that state no start when they are asked.
+    std::set<ServerIncarnation> silentStarts_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/hosted/StreamOriginAnnouncer.cpp
+++ b/src/io/hosted/StreamOriginAnnouncer.cpp
@@ -59,7 +59,7 @@
 void StreamOriginAnnouncer::sendPending()
 {
     nextNoticeAt_ = std::max(nextNoticeAt_, now()) + noticeInterval;
-    const std::vector<std::string> notices = encodeOrigins(peers_.ownName(), pending_, now());
+    const std::vector<std::string> notices = encodeOrigins({}, pending_, now());
     pending_.clear();
     for (const std::string& keeper : keepers()) {
         for (const std::string& notice : notices)
@@ -77,7 +77,7 @@
         if (before.contains(keeper))
             continue;
         if (notices.empty())
-            notices = encodeOrigins(peers_.ownName(), origins_.ofEntry(peers_.ownName(), now()), now());
+            notices = encodeOrigins({}, origins_.ofEntry(peers_.ownName(), now()), now());
         for (const std::string& notice : notices)
             peers_.sendOrigins(keeper, notice);
     }
--- a/src/io/hosted/StreamOriginKeeper.cpp
+++ b/src/io/hosted/StreamOriginKeeper.cpp
@@ -15,11 +15,12 @@
 {
 }
 
-void StreamOriginKeeper::onNotice(const std::string& payload)
+void StreamOriginKeeper::onNotice(const std::string& sender, const std::string& payload)
 {
     const auto notice = wire::decode<wire::StreamOriginNotice>(payload);
+    const std::string& entry = notice.entry.empty() ? sender : notice.entry;
     for (const StreamOrigin& origin : decodeOrigins(notice, now()))
-        origins_.add(notice.entry, origin, now());
+        origins_.add(entry, origin, now());
 }
 
 std::string StreamOriginKeeper::answer(const std::string& payload) const
--- a/src/io/hosted/StreamOriginKeeper.h
+++ b/src/io/hosted/StreamOriginKeeper.h
@@ -13,7 +13,7 @@
     explicit StreamOriginKeeper(StreamOriginPeers&);
 
     /// Applies an encoded wire::StreamOriginNotice. Throws FrameInvalidError.
-    void onNotice(const std::string& payload);
+    void onNotice(const std::string& sender, const std::string& payload);
 
     /// Answers an encoded wire::StreamOriginQuery. Throws FrameInvalidError.
     std::string answer(const std::string& query) const;
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -428,7 +428,7 @@
   3: list<i32> lifetimesMs
 }
 
-/** Streams that an entry began, for those who keep them for other entries (StreamOrigins.h). */
+/** Streams that an entry began, for those who keep them for other entries (StreamOrigins.h). No entry: the sender. */
 struct StreamOriginNotice { 1: string entry  2: list<StreamOriginGroup> groups }
 
 /** Asks a coordinator what began a stream. */
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -4002,7 +4002,7 @@
 } _StreamOriginNotice__isset;
 
 /**
- * Streams that an entry began, for those who keep them for other entries (StreamOrigins.h).
+ * Streams that an entry began, for those who keep them for other entries (StreamOrigins.h). No entry: the sender.
  */
 class StreamOriginNotice : public virtual ::apache::thrift::TBase {
  public:
--- a/tests/io/HttpClientTest.cpp
+++ b/tests/io/HttpClientTest.cpp
@@ -242,8 +242,8 @@
         std::string received;
         while (true) {
             boost::system::error_code error;
-            const size_t size = co_await asio::async_read_until(*socket, asio::dynamic_buffer(received), "\r\n\r\n",
-                asio::redirect_error(asio::use_awaitable, error));
+            const size_t size = co_await asio::async_read_until(
+                *socket, asio::dynamic_buffer(received), "\r\n\r\n", asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 co_return;
             const bool isQuery = received.starts_with("GET /start");
--- a/tests/io/StreamOriginSpreadTest.cpp
+++ b/tests/io/StreamOriginSpreadTest.cpp
@@ -152,7 +152,7 @@
     ++cluster_.notices;
     const auto receiver = cluster_.coordinators.find(coordinator);
     if (receiver != cluster_.coordinators.end())
-        receiver->second.keeper->onNotice(notice);
+        receiver->second.keeper->onNotice(name_, notice);
 }
 
 asio::awaitable<std::string> Process::askOrigin(std::string coordinator, std::string query, Instant deadline)
--- a/tests/process/mixed_versions.py
+++ b/tests/process/mixed_versions.py
@@ -133,6 +133,12 @@
     check(streams)
 
 
+def a_stream_goes_on_where_a_server_that_states_no_start_started_again(deployment):
+    for engine in deployment.platform.engines:
+        engine.reports_start = False
+    a_stream_goes_on_where_a_server_started_again_with_other_software(deployment)
+
+
 def a_stream_goes_on_where_a_server_started_again_with_other_software(deployment):
     """The registration tells the new start up to a beat later."""
     prepare(deployment, [OLD, NEW, OLD, NEW])
@@ -338,6 +344,7 @@
     a_stream_goes_on_at_another_version_at_another_entry,
     a_stream_goes_on_at_another_version_after_its_entry_was_killed,
     a_stream_goes_on_where_a_server_started_again_with_other_software,
+    a_stream_goes_on_where_a_server_that_states_no_start_started_again,
     a_stream_of_the_last_old_replica_goes_on_at_newer_ones,
     a_stream_that_nobody_knows_goes_on_by_a_guess,
     a_stream_without_a_server_of_its_version_waits_or_goes_on_elsewhere,
