--- a/src/io/hosted/StreamOriginAnnouncer.cpp
+++ b/src/io/hosted/StreamOriginAnnouncer.cpp
@@ -89,6 +89,16 @@
     if (known)
         co_return known;
     const Instant end = std::min(deadline, now() + lookUpTimeout);
+    known = co_await askAll(key, end);
+    if (known || now() + noticeInterval >= end)
+        co_return known;
+    co_await sleepFor(noticeInterval);
+    known = co_await askAll(key, end);
+    co_return known;
+}
+
+asio::awaitable<std::optional<SoftwareVersion>> StreamOriginAnnouncer::askAll(StreamKey key, Instant end)
+{
     auto lookUp = std::make_shared<LookUp>(context_);
     for (const std::string& coordinator : peers_.originKeepers()) {
         ++lookUp->openQueries;
--- a/src/io/hosted/StreamOriginAnnouncer.h
+++ b/src/io/hosted/StreamOriginAnnouncer.h
@@ -21,7 +21,7 @@
 
     /// Notices are sent at once, but no more often than one in this time after a burst; until the next one, origins are
     /// gathered.
-    static constexpr Duration noticeInterval = std::chrono::milliseconds(20);
+    static constexpr Duration noticeInterval = std::chrono::milliseconds(60);
     static constexpr int noticeBurst = 25;
 
     /// Time for the coordinators to tell the origin of a stream.
@@ -32,7 +32,8 @@
     /// Records the origins of streams, and announces them.
     void announce(const std::vector<StreamOrigin>&);
 
-    /// What this process or a coordinator knows; nothing if none of them knows the stream.
+    /// What this process or a coordinator knows; nothing if none of them knows the stream. Coordinators that do not are
+    /// asked once more, since the notice of another entry may be on its way.
     asio::awaitable<std::optional<SoftwareVersion>> find(StreamKey, Instant deadline);
 
     /// Tells coordinators that become keepers of this entry's streams. Called when the connected coordinators change.
@@ -43,6 +44,7 @@
 private:
     struct LookUp;
 
+    asio::awaitable<std::optional<SoftwareVersion>> askAll(StreamKey, Instant deadline);
     asio::awaitable<void> ask(std::shared_ptr<LookUp>, std::string coordinator, StreamKey, Instant deadline);
     std::vector<std::string> keepers() const;
     /// Sends what has been gathered once a notice may be sent.
--- a/tests/process/mixed_versions.py
+++ b/tests/process/mixed_versions.py
@@ -133,6 +133,22 @@
     check(streams)
 
 
+def streams_taken_up_are_lost_at_full_servers(deployment):
+    """More callers than places: of those taken up, nearly as many go on as new ones begin."""
+    prepare(deployment, [OLD, NEW, OLD, NEW])
+    for engine in deployment.platform.engines:
+        engine.queue = 0
+
+    def one_stream(stream, choices):
+        for _ in range(TRIES):
+            attempt = stream.attempt(deployment, entry_of(deployment, choices), choices.randrange(3, 13),
+                                     headers={"Endiveroad-Deadline-Ms": "800"})
+            if stream.is_complete or attempt.status != 200:
+                return
+
+    check(play(deployment, 160, 32, one_stream))
+
+
 def a_stream_goes_on_where_a_server_that_states_no_start_started_again(deployment):
     for engine in deployment.platform.engines:
         engine.reports_start = False
@@ -345,6 +361,7 @@
     a_stream_goes_on_at_another_version_after_its_entry_was_killed,
     a_stream_goes_on_where_a_server_started_again_with_other_software,
     a_stream_goes_on_where_a_server_that_states_no_start_started_again,
+    streams_taken_up_are_lost_at_full_servers,
     a_stream_of_the_last_old_replica_goes_on_at_newer_ones,
     a_stream_that_nobody_knows_goes_on_by_a_guess,
     a_stream_without_a_server_of_its_version_waits_or_goes_on_elsewhere,
