A stream is bound to the software of its first event, whatever a server sent before it

Found by reading: a stream whose first server sent a comment and broke off was bound to that server's software by the comment (conservative, streams lost), and would, were comments not counted, not have been bound by the first event of the next server. Change: only an id or data counts as an event, and the first one binds wherever it comes from. Also: a service without a configuration counts as one without models.

--- a/include/endiveroad/Directory.h
+++ b/include/endiveroad/Directory.h
@@ -155,8 +155,8 @@
     /// server started last.
     const ServerRecord* serverAt(const Address&) const;
 
-    /// The known software versions of the service's servers, draining ones included.
-    std::set<SoftwareVersion> softwareOf(std::string_view service) const;
+    /// True if the service is configured to run models, so that its servers are engines.
+    bool runsModels(const std::string& service) const;
 
     /// Marks servers as draining and replaced at whose addresses a server started later is registered.
     void markReplacedServers();
--- a/src/core/directory/Directory.cpp
+++ b/src/core/directory/Directory.cpp
@@ -64,14 +64,12 @@
     return newest;
 }
 
-std::set<SoftwareVersion> Directory::softwareOf(std::string_view service) const
+bool Directory::runsModels(const std::string& service) const
 {
-    std::set<SoftwareVersion> versions;
-    for (const auto& [id, server] : servers) {
-        if (server.service == service && server.software().isKnown())
-            versions.insert(server.software());
-    }
-    return versions;
+    if (!routing)
+        return false;
+    const auto declared = routing->services.find(service);
+    return declared != routing->services.end() && !declared->second.models.empty();
 }
 
 void Directory::markReplacedServers()
--- a/src/io/hosted/HostedAgent.cpp
+++ b/src/io/hosted/HostedAgent.cpp
@@ -60,7 +60,6 @@
     if (message.type != MessageType::ItemStart)
         co_return co_await HostedNode::onNodeRequest(connection, std::move(message));
     const auto startRequest = wire::decode<wire::ItemStart>(message.payload);
-    const std::shared_ptr<const Directory> current = directory();
     const ServerRecord* server = readyServer();
     wire::ItemStartAnswer answer;
     answer.reason = "the agent stops";
--- a/src/io/hosted/ServerChooser.cpp
+++ b/src/io/hosted/ServerChooser.cpp
@@ -67,9 +67,7 @@
     auto permit = limits_.tryTake(ServerIncarnation::of(server), demand.path);
     if (!permit)
         return std::nullopt;
-    const auto declared = directory->routing->services.find(server.service);
-    const bool isEngine = declared != directory->routing->services.end() && !declared->second.models.empty();
-    return ChosenServer { server, *std::move(permit), isEngine };
+    return ChosenServer { server, *std::move(permit), directory->runsModels(server.service) };
 }
 
 const std::string& ServerChooser::serviceFor(const RouteDeclaration& route, const ServerDemand& demand)
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -86,8 +86,9 @@
     TriedServers tried;
     /// Number of servers that ran or may have run the request.
     int32_t runs = 0;
-    /// The response head has been sent to the caller.
+    /// The response head, and at least one event, have been sent to the caller.
     bool hasStarted = false;
+    bool hasEvents = false;
     /// Earliest time of the next attempt.
     Instant notBefore = Instant::min();
     bool isDone = false;
@@ -236,12 +237,17 @@
         progress.pieces.push_back({ serverStream->attempt.server, serverStream->software });
     if (!progress.lastEventId)
         crashGuard_.onAnswered(serverStream->attempt);
-    const bool isFirst = progress.pieces.size() == 1 && progress.pieces.front().events == 0;
     const std::vector<StreamEvent> events = progress.reader.feed(piece);
-    for (const StreamEvent& event : events)
+    const size_t eventsBefore = progress.pieces.back().events;
+    for (const StreamEvent& event : events) {
         progress.lastEventId = event.id ? event.id : progress.lastEventId;
-    progress.pieces.back().events += events.size();
-    if (isFirst && !events.empty()) {
+        // A comment alone binds the stream to no software.
+        const bool hasContent = event.id || !event.data.empty();
+        progress.pieces.back().events += hasContent ? 1 : 0;
+    }
+    const bool isFirst = !progress.hasEvents && progress.pieces.back().events > eventsBefore;
+    progress.hasEvents = progress.hasEvents || isFirst;
+    if (isFirst) {
         if (!progress.origin)
             progress.origin = serverStream->software;
         // Told before the caller has the event, so that no stream goes on by a guess if this process ends.
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -198,6 +198,8 @@
         self.is_dark = False
         # Each event names the version of the software that made it.
         self.names_software = False
+        # Bytes without an event that it sends first in each stream.
+        self.greeting = b""
         # Its state reports tell the start that they come from.
         self.reports_start = True
 
@@ -265,6 +267,8 @@
         try:
             await connection.begin_stream({**headers, "Endiveroad-Weight-Versions": str(version),
                                            "Endiveroad-Upstream-Stamp": stamp(item)})
+            if self.greeting:
+                await connection.send_piece(self.greeting)
             while self.is_trickling and not connection.has_client_left():
                 await connection.send_piece(b": still here\n")
                 await asyncio.sleep(0.2)
--- a/tests/process/mixed_versions.py
+++ b/tests/process/mixed_versions.py
@@ -98,6 +98,19 @@
     assert whole > 0, "no stream went on within its answer"
 
 
+def a_stream_that_began_with_a_comment_goes_on_at_another_version(deployment):
+    """One replica breaks off before its first event, others after some."""
+    prepare(deployment, [OLD, NEW, OLD, NEW])
+    for number, engine in enumerate(deployment.platform.engines):
+        engine.greeting = b": welcome\n\n"
+        engine.cut_after = 4 * number
+
+    def one_stream(stream, choices):
+        stream.attempt(deployment, entry_of(deployment, choices))
+
+    check(play(deployment, 60, 6, one_stream))
+
+
 def a_stream_goes_on_at_another_version_at_another_entry(deployment):
     prepare(deployment, [OLD, NEW, OLD, NEW])
     check(play(deployment, 60, 6, leave_and_take_up(deployment)))
@@ -357,6 +370,7 @@
 
 CASES = {case.__name__: case for case in [
     a_stream_goes_on_at_another_version_within_one_answer,
+    a_stream_that_began_with_a_comment_goes_on_at_another_version,
     a_stream_goes_on_at_another_version_at_another_entry,
     a_stream_goes_on_at_another_version_after_its_entry_was_killed,
     a_stream_goes_on_where_a_server_started_again_with_other_software,
