--- a/tests/process/replaced_servers.py
+++ b/tests/process/replaced_servers.py
@@ -8,7 +8,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts", "lib"))
-from hosted import run_case  # noqa: E402
+from hosted import names, run_case  # noqa: E402
 
 # What one answer proves is known everywhere after this.
 NEWS_S = 0.3
@@ -89,6 +89,37 @@
     assert callers.statuses[200] >= 0.95 * sum(callers.statuses.values()), callers.statuses
 
 
+def unsafe_calls_are_sent_to_servers_that_are_known_to_be_gone(deployment):
+    services = deployment.platform.services
+    for service in services:
+        service.down_s = 0.1
+    callers = Callers(deployment, "/once/x")
+    replace_all(deployment, services, callers)
+    print("answers:", callers.statuses)
+    check_misdirected(services)
+    ran = [request for service in services for request, _, _ in service.ran]
+    assert len(ran) == len(set(ran)), "a call that may not be repeated ran twice"
+    assert callers.statuses[200] >= 0.9 * sum(callers.statuses.values()), callers.statuses
+
+
+def items_and_scoring_calls_are_sent_to_servers_that_are_known_to_be_gone(deployment):
+    engines, services = deployment.platform.engines, deployment.platform.services
+    for server in engines + services:
+        server.down_s = 0.1
+    jobs = {}
+    for number in range(ROUNDS):
+        jobs["job-%d" % number] = names("item-%d" % number, 18)
+        deployment.submit("job-%d" % number, jobs["job-%d" % number])
+        time.sleep(ROUND_S / 6)
+        for server in (engines, services)[number % 2]:
+            deployment.platform.loop.call_soon_threadsafe(server.end)
+        time.sleep(ROUND_S)
+    for job, items in jobs.items():
+        assert all(result["State"] == "completed" for result in deployment.read_all(job, len(items), patience_s=40))
+    check_misdirected(engines)
+    check_misdirected(services)
+
+
 def streams_are_sent_to_servers_that_are_known_to_be_gone(deployment):
     engines = deployment.platform.engines
     for engine in engines:
@@ -128,7 +159,8 @@
 
 CASES = {case.__name__: case for case in (
     calls_are_sent_to_servers_that_are_known_to_be_gone, streams_are_sent_to_servers_that_are_known_to_be_gone,
-    addresses_of_servers_go_to_another_service)}
+    unsafe_calls_are_sent_to_servers_that_are_known_to_be_gone,
+    items_and_scoring_calls_are_sent_to_servers_that_are_known_to_be_gone, addresses_of_servers_go_to_another_service)}
 
 
 if __name__ == "__main__":
