--- a/tests/io/StreamOriginSpreadTest.cpp
+++ b/tests/io/StreamOriginSpreadTest.cpp
@@ -2,10 +2,12 @@
 #include "io/Tasks.h"
 #include "io/hosted/StreamOriginAnnouncer.h"
 #include "io/hosted/StreamOriginKeeper.h"
+#include "wire/Codec.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <endiveroad/Error.h>
+#include <endiveroad_types.h>
 #include <map>
 #include <random>
 #include <set>
@@ -273,3 +275,23 @@
         CHECK(known > 0);
     }
 }
+
+TEST_CASE("malformed announcements and questions of peers are refused and change nothing", "[origins]")
+{
+    Cluster cluster;
+    StreamOriginKeeper& keeper = *cluster.coordinators.at("c0").keeper;
+    wire::StreamOriginNotice notice;
+    notice.groups.resize(1);
+    notice.groups.front().keys = std::string(StreamKey::encodedBytes + 1, 'x');
+    notice.groups.front().lifetimesMs = { 1000 };
+    CHECK_THROWS_AS(keeper.onNotice("e0", wire::encode(notice)), FrameInvalidError);
+    CHECK_THROWS_AS(keeper.onNotice("e0", "\xff\xff"), FrameInvalidError);
+    CHECK_THROWS_AS(keeper.answer("\xff\xff"), FrameInvalidError);
+    wire::StreamOriginQuery query;
+    query.key = "short";
+    CHECK_THROWS_AS(keeper.answer(wire::encode(query)), FrameInvalidError);
+    notice.groups.front().keys = std::string(StreamKey::encodedBytes, 'x');
+    notice.groups.front().lifetimesMs = { -5 };
+    keeper.onNotice("e0", wire::encode(notice));
+    CHECK(keeper.size() == 0);
+}
