--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -250,7 +250,7 @@
     if (isFirst) {
         if (!progress.origin)
             progress.origin = serverStream->software;
-        // Told before the caller has the event, so that no stream goes on by a guess if this process ends.
+        // Told before the caller has the event, so that other entries know the stream if this process ends.
         resumptions_.onFirstEvent(progress.caller, *progress.origin, deadline);
     }
     co_await exchange.sendPiece(piece);
