--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,78 +1,48 @@
-"""Full servers refuse requests, and some answers of one server come twice; what may run once must run once."""
-import http.client
+"""The configuration removes the route of a batch job; its results have to stay readable."""
 import os
 import sys
-import threading
 import time
-from collections import Counter
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
-from case import main  # noqa: E402
+from case import CannotRun, main  # noqa: E402
 import hosted  # noqa: E402
-import servers  # noqa: E402
 
-CALLERS = 40
-WORK_S = 0.03
-
-# One of two servers hands out second copies, for so long and so often.
-SPAN_S = 5.0
-PAUSE_S = 3.0
-SPANS = 8
+CONFIG_APPLY_S = 2.0
+SETTLE_S = 1.0
+WATCH_S = 8.0
 
 
 def run(case):
     deployment = case.deployment
-    services = deployment.platform.services
-    for service in services:
-        service.extra_s = WORK_S
+    items = hosted.names("item", 8)
+    case.submit("job-1", items)
+    seen = []
+    end = time.monotonic() + 15
+    while len(seen) < len(items) and time.monotonic() < end:
+        seen += case.read(deployment.entries[0], "job-1", len(seen), 500)[1]
+    if len(seen) < len(items):
+        raise CannotRun("the job brought no results")
+    # Every machine has run undisturbed for StableMs when the change comes.
     time.sleep(3.0)
-    answered = {}
-    is_over = threading.Event()
-
-    def caller(number):
-        turn = 0
-        while not is_over.is_set():
-            turn += 1
-            request = "once-%d-%d" % (number, turn)
-            try:
-                answered[request] = deployment.call(deployment.entries[turn % 2], request, "/once/x")[0]
-            except (OSError, http.client.HTTPException) as error:
-                answered[request] = repr(error)
-            case.record.add("sent %s, answered %s" % (request, answered[request]), is_shown=False)
-
-    callers = [threading.Thread(target=caller, args=(number,)) for number in range(CALLERS)]
-    for thread in callers:
-        thread.start()
-    for _ in range(SPANS):
-        services[0].has_copies = case.has_trouble
-        case.note("%s sends %g of its answers twice: %s" % (services[0].id, servers.COPIED_SHARE, case.has_trouble))
-        time.sleep(SPAN_S)
-        services[0].has_copies = False
-        case.note("%s is sound" % services[0].id)
-        time.sleep(PAUSE_S)
-    is_over.set()
-    for thread in callers:
-        thread.join()
-    time.sleep(0.5)
-    case.note("answered: %s" % dict(Counter(answered.values())))
-    for service in services:
-        case.note("%s: %d answers, of which %d refusals; second copies: %s" % (
-            service.id, service.answers, service.refused, service.copies))
-    places = {}
-    for service in services:
-        for request, _, _ in service.ran:
-            places.setdefault(request, []).append(service.id)
+    routes = hosted.configuration(2)["Routes"]
+    removed = "job" if case.has_trouble else "once"
+    deployment.platform.configure(2, [route for route in routes if route["Name"] != removed])
+    case.note("acknowledged: configuration 2 without the route %s" % removed)
+    time.sleep(CONFIG_APPLY_S + SETTLE_S)
     held = True
-    for request, ran_at in sorted(places.items()):
-        if len(ran_at) > 1:
-            case.note("TWICE: %s ran at %s; answered %s" % (request, " and ".join(ran_at), answered.get(request)))
-            held = False
-        if answered.get(request) in (408, 421, 429, 503):
-            case.note("REFUSED: %s was answered %s and has run at %s" % (request, answered[request], ran_at[0]))
-            held = False
+    end = time.monotonic() + WATCH_S
+    while time.monotonic() < end:
+        for entry in deployment.entries:
+            status, results = case.read(entry, "job-1")
+            if status in (404, 410):
+                case.note("LOST: %s answers %d for job-1, whose results had been read" % (entry.name, status))
+                held = False
+            elif status == 200 and results != seen:
+                case.note("LOST: results that had been read do not come again")
+                held = False
+        time.sleep(0.5)
     return held
 
 
-servers.install()
 main(run, FOLDER)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,99 +1,78 @@
-"""A coordinator is partitioned from the store and from the other coordinators; meanwhile an entry is restarted."""
-import base64
-import json
+"""Full servers refuse requests, and some answers of one server come twice; what may run once must run once."""
+import http.client
 import os
-import signal
 import sys
+import threading
 import time
+from collections import Counter
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
-from case import CannotRun, main  # noqa: E402
-from links import CuttableCoordinators  # noqa: E402
+from case import main  # noqa: E402
 import hosted  # noqa: E402
+import servers  # noqa: E402
 
-CUT_S = 7.4
-STABLE_S = 3.0
-SETTLE_S = 1.0
-ROUTES = 6
-ITEMS = 16
+CALLERS = 40
+WORK_S = 0.03
 
-
-def job_route(number):
-    return hosted.route("job-%d" % number, "/job%d/" % number, "rollout", "engines", ResultDueMs=20000, MaxQueueS=60)
-
-
-def submit(case, number, entry):
-    job = "lot-%d" % number
-    items = hosted.names(job + "-item", ITEMS)
-    rows = [{"Id": item, "Path": "/job%d/%s" % (number, item), "Headers": {"Endiveroad-Model": hosted.MODELS[0]},
-             "Body": base64.b64encode(b"prompt of " + item.encode()).decode(), "Tokens": 10,
-             "Scorer": {"Id": "score-" + item, "Host": hosted.HOST, "Path": hosted.SCORE_PREFIX + item, "Body": ""}}
-            for item in items]
-    body = json.dumps({"Step": 0, "Model": hosted.MODELS[0], "MinVersion": 1, "TargetGroups": 1, "Items": rows})
-    status = case.deployment.request(entry, "POST", "/job%d/x" % number, body.encode(), {
-        "Endiveroad-Request-Id": job, "Content-Type": "application/json"})[0]
-    case.note("submit %s: %d, owner %s" % (job, status, case.owner_of(job)))
-    if status != 202:
-        raise CannotRun("a job was not accepted")
-    return job
+# One of two servers hands out second copies, for so long and so often.
+SPAN_S = 5.0
+PAUSE_S = 3.0
+SPANS = 8
 
 
 def run(case):
     deployment = case.deployment
-    kept, restarted = deployment.entries
-    for engine in deployment.platform.engines:
-        engine.extra_s = 0.1
-    routes = hosted.configuration(2)["Routes"] + [job_route(number) for number in range(ROUTES)]
-    deployment.platform.configure(2, routes)
-    time.sleep(STABLE_S)
-    jobs = [submit(case, number, kept) for number in range(ROUTES)]
-    owners = {job: case.owner_of(job) for job in jobs}
-    cut_off = max(set(owners.values()), key=lambda name: (name, list(owners.values()).count(name)))
-    time.sleep(1.0)
-    began = time.monotonic()
-    if case.has_trouble:
-        case.links.cut_off.add(cut_off)
-    case.note("%s is partitioned from the store and the other coordinators: %s" % (cut_off, case.has_trouble))
-    time.sleep(0.2)
-    case.note("SIGTERM to %s" % restarted.name)
-    restarted.signal(signal.SIGTERM)
-    restarted.handle.wait()
-    restarted.start()
-    started = time.monotonic()
-    case.note("%s is started again" % restarted.name)
-    hosted.wait_until(lambda: deployment.is_ready(restarted), 5)
-    case.note("%s is ready" % restarted.name)
-    # (time, results) of what the entry that was not restarted has handed out.
-    seen = {job: [] for job in jobs}
-    held = True
-    while time.monotonic() < began + CUT_S - 0.1:
-        for job in jobs:
-            asked = time.monotonic()
-            known = [result for at, result in seen[job] if at + SETTLE_S < asked]
-            status, results = case.read(restarted, job)
-            if time.monotonic() > began + CUT_S:
-                break
-            is_in_touch = asked > max(started, began) + STABLE_S
-            is_lost = status in (404, 410) or (status == 200 and results[:len(known)] != known)
-            if is_in_touch and is_lost:
-                case.note("LOST: %s has %d results of %s (%s, owner now %s), of which %d were read over %g s ago" % (
-                    restarted.name, len(results), job, owners[job], case.owner_of(job), len(known), SETTLE_S))
-                held = False
-            results = case.read(kept, job, len(seen[job]))[1]
-            seen[job] += [(time.monotonic(), result) for result in results]
-        time.sleep(0.05)
-    case.links.cut_off.clear()
-    case.note("the partition has ended")
-    return held
+    services = deployment.platform.services
+    for service in services:
+        service.extra_s = WORK_S
+    time.sleep(3.0)
+    answered = {}
+    is_over = threading.Event()
 
+    def caller(number):
+        turn = 0
+        while not is_over.is_set():
+            turn += 1
+            request = "once-%d-%d" % (number, turn)
+            try:
+                answered[request] = deployment.call(deployment.entries[turn % 2], request, "/once/x")[0]
+            except (OSError, http.client.HTTPException) as error:
+                answered[request] = repr(error)
+            case.record.add("sent %s, answered %s" % (request, answered[request]), is_shown=False)
 
-def play(case):
-    return run(case)
-
-
-def prepare(case):
-    case.links = CuttableCoordinators(case.deployment)
+    callers = [threading.Thread(target=caller, args=(number,)) for number in range(CALLERS)]
+    for thread in callers:
+        thread.start()
+    for _ in range(SPANS):
+        services[0].has_copies = case.has_trouble
+        case.note("%s sends %g of its answers twice: %s" % (services[0].id, servers.COPIED_SHARE, case.has_trouble))
+        time.sleep(SPAN_S)
+        services[0].has_copies = False
+        case.note("%s is sound" % services[0].id)
+        time.sleep(PAUSE_S)
+    is_over.set()
+    for thread in callers:
+        thread.join()
+    time.sleep(0.5)
+    case.note("answered: %s" % dict(Counter(answered.values())))
+    for service in services:
+        case.note("%s: %d answers, of which %d refusals; second copies: %s" % (
+            service.id, service.answers, service.refused, service.copies))
+    places = {}
+    for service in services:
+        for request, _, _ in service.ran:
+            places.setdefault(request, []).append(service.id)
+    held = True
+    for request, ran_at in sorted(places.items()):
+        if len(ran_at) > 1:
+            case.note("TWICE: %s ran at %s; answered %s" % (request, " and ".join(ran_at), answered.get(request)))
+            held = False
+        if answered.get(request) in (408, 421, 429, 503):
+            case.note("REFUSED: %s was answered %s and has run at %s" % (request, answered[request], ran_at[0]))
+            held = False
+    return held
 
 
-main(play, FOLDER, prepare)
+servers.install()
+main(run, FOLDER)
