--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,13 +12,15 @@
 import hosted  # noqa: E402
 import servers  # noqa: E402
 
-CALLERS = 40
-WORK_S = 0.03
+CALLERS = 10
+ENTRIES = 5
+SLOTS = 1
+WORK_S = 0.02
 
 # One of two servers hands out second copies, for so long and so often.
 SPAN_S = 5.0
-PAUSE_S = 3.0
-SPANS = 8
+PAUSE_S = 2.0
+SPANS = 12
 
 
 def run(case):
@@ -26,7 +28,8 @@
     services = deployment.platform.services
     for service in services:
         service.extra_s = WORK_S
-    time.sleep(3.0)
+        service.slots = SLOTS
+    time.sleep(4.0)
     answered = {}
     is_over = threading.Event()
 
@@ -36,7 +39,7 @@
             turn += 1
             request = "once-%d-%d" % (number, turn)
             try:
-                answered[request] = deployment.call(deployment.entries[turn % 2], request, "/once/x")[0]
+                answered[request] = deployment.call(deployment.entries[number % ENTRIES], request, "/once/x")[0]
             except (OSError, http.client.HTTPException) as error:
                 answered[request] = repr(error)
             case.record.add("sent %s, answered %s" % (request, answered[request]), is_shown=False)
@@ -75,4 +78,4 @@
 
 
 servers.install()
-main(run, FOLDER)
+main(run, FOLDER, entries=ENTRIES)
--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -57,7 +57,7 @@
     for _ in range(50):
         number = random.randrange(1, 12000)
         prefix = "127.%d.%d" % (64 + number // 250 % 128, 1 + number % 250)
-        hosts = ["%s.%d" % (prefix, part) for part in (10, 11, 12, 40, 41, 42, 160, 161, 162)]
+        hosts = ["%s.%d" % (prefix, part) for part in (10, 11, 12, 13, 14, 40, 41, 42, 160, 161, 162)]
         ports = [20000 + number % 20000 + offset for offset in (0, 1, 2, 4, 100)]
         if all(is_free(host, port) for host in hosts for port in ports):
             return number
--- a/review/lib/servers.py
+++ b/review/lib/servers.py
@@ -1,4 +1,4 @@
-"""Servers that refuse as the pages' example of a server that sheds does, and hand out second copies of some answers."""
+"""Servers some of whose answers come twice: the second copy where the answer to the next request is expected."""
 import random
 
 import hosted
@@ -7,19 +7,19 @@
 # Of the answers of a server that hands out wrong bytes, the share that comes twice.
 COPIED_SHARE = 0.03
 
+# Requests that a server queues beyond its slots.
+QUEUE = 1
 
-class CopyingService(Service):
-    """A plain service. A refusal has the header of the pages' example and no other; every other answer is as ever.
 
-    The second copy of an answer comes late: where the answer to the next request on the connection is expected.
-    """
+class CopyingService(Service):
+    """A plain service with a short queue: what comes beyond it is refused. Every answer repeats the request's id."""
 
     has_copies = False
     random = random.Random(1)
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
-        self.queue = 0
+        self.queue = QUEUE
         self.answers = 0
         self.copies = {"refusal": 0, "answer": 0}
 
@@ -37,16 +37,6 @@
             connection.late_copy = connection.writer.written
             connection.writer = connection.writer.writer
 
-    async def handle(self, request, connection):
-        if "endiveroad-request-id" in request.headers and not self.is_for_another(request) \
-                and self.running >= self.slots + self.queue:
-            self.refused += 1
-            return await connection.answer(503, b"", {"Endiveroad-Not-Executed": "1"})
-        await super().handle(request, connection)
-
-    def is_for_another(self, request):
-        return request.headers.get("endiveroad-expect-instance", self.id) != self.id
-
 
 class Recorder:
     """A connection's writer that remembers what is written."""
