--- a/review/4/case.py
+++ b/review/4/case.py
@@ -15,12 +15,12 @@
 CALLERS = 10
 ENTRIES = 5
 SLOTS = 1
-WORK_S = 0.02
+WORK_S = 0.01
 
 # One of two servers hands out second copies, for so long and so often.
-SPAN_S = 5.0
-PAUSE_S = 2.0
-SPANS = 12
+SPAN_S = 4.9
+PAUSE_S = 1.0
+SPANS = 14
 
 
 def run(case):
@@ -60,8 +60,9 @@
     time.sleep(0.5)
     case.note("answered: %s" % dict(Counter(answered.values())))
     for service in services:
-        case.note("%s: %d answers, of which %d refusals; second copies: %s" % (
-            service.id, service.answers, service.refused, service.copies))
+        copied = sum(service.copies.values())
+        case.note("%s: %d answers, of which %d refusals; second copies: %s, %.4f of the answers in the spans" % (
+            service.id, service.answers, service.refused, service.copies, copied / max(1, service.answers_in_spans)))
     places = {}
     for service in services:
         for request, _, _ in service.ran:
