Operations on accepted batch jobs need no route

Cause: HostedEntry::serve() took a request for an operation on a job only on a host that has a route for batch jobs at present, and asked no coordinator otherwise. Change: what has the form of an operation on a job goes to a coordinator, whatever the configuration says. If a route matches as well and the request has an id, it goes to the servers once the coordinators know no such job; a request without an id can't be a call. A submission that no route for batch jobs matches is passed on if a coordinator has announced the job, so that unknown paths still cost no look-up. Who may see what is decided by the job's record: its own host, and as before hosts with routes for batch jobs.

--- a/src/io/hosted/BatchGateway.h
+++ b/src/io/hosted/BatchGateway.h
@@ -48,6 +48,9 @@
     /// idempotent, so a retry is safe after an attempt whose outcome is unknown.
     asio::awaitable<BatchOutcome> perform(wire::BatchCall, Instant deadline, PeerCancellationPtr);
 
+    /// True if a coordinator has announced that it owns the job.
+    bool knowsJob(const std::string& job) const { return owners_.contains(job); }
+
     /// Caches the owner of a job that a coordinator has announced.
     void onOwner(const std::string& job, const std::string& owner);
 
--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -200,7 +200,7 @@
     const auto directory = directory_();
     const RouteDeclaration* route = directory->routing ? directory->routing->route(call.route) : nullptr;
     if (!route)
-        throw NotReadyError("the coordinator has not read the configuration of the route yet");
+        co_return co_await submitWithoutRoute(call);
     BatchJobSpec spec = protocol_.decodeJob(call.job, call.host, call.route, call.body);
     const JobRecord record = newRecord(spec, *route);
     std::optional<int64_t> revision;
@@ -229,17 +229,25 @@
     co_return answerOf(statusAccepted);
 }
 
-asio::awaitable<wire::BatchAnswer> BatchOwner::read(const wire::BatchCall& call, Instant deadline)
+asio::awaitable<wire::BatchAnswer> BatchOwner::submitWithoutRoute(const wire::BatchCall& call)
 {
     const Location location = co_await locate(call.job, call.unreachable);
-    if (!location.isKnown())
+    if (location.isKnown())
+        co_return answerOf(statusAccepted);
+    if (call.route.empty())
         throw BatchJobUnknownError("there is no such job");
+    throw NotReadyError("the coordinator has not read the configuration of the route yet");
+}
+
+asio::awaitable<wire::BatchAnswer> BatchOwner::read(const wire::BatchCall& call, Instant deadline)
+{
+    const Location location = co_await locateFor(call);
     if (!location.owner.empty())
         co_return redirectTo(location.owner);
     const auto first = static_cast<size_t>(std::max<int64_t>(call.firstPosition, 0));
     if (location.endedJob)
         co_return answerOf(
-            statusOk, protocol_.encodeResults(location.endedJob->results, first, location.endedJob->items));
+            statusOk, protocol_.encodeResults(location.endedJob->results, first, location.endedJob->record.items));
     const OwnedJobPtr owned = location.owned;
     const Instant waitUntil = std::min(deadline, now() + std::chrono::milliseconds(call.waitMs));
     while (owned->job.listed().size() <= first && !owned->job.isEnded() && !owned->isLost && now() < waitUntil)
@@ -249,7 +257,7 @@
 
 asio::awaitable<wire::BatchAnswer> BatchOwner::readItem(const wire::BatchCall& call, Instant)
 {
-    const Location location = co_await locate(call.job, call.unreachable);
+    const Location location = co_await locateFor(call);
     if (!location.owner.empty())
         co_return redirectTo(location.owner);
     if (!location.owned || location.owned->job.isEnded())
@@ -264,9 +272,7 @@
 {
     const Instant storeDeadline = std::min(deadline, now() + maxStoreRetryTime);
     while (true) {
-        const Location location = co_await locate(call.job, call.unreachable);
-        if (!location.isKnown())
-            throw BatchJobUnknownError("there is no such job");
+        const Location location = co_await locateFor(call);
         if (!location.owner.empty())
             co_return redirectTo(location.owner);
         if (location.endedJob || location.owned->isEndStored)
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -123,9 +123,8 @@
 
     /// A job whose end is in the store.
     struct EndedJob {
+        JobRecord record;
         std::vector<BatchResult> results;
-        /// Number of items of the job.
-        size_t items = 0;
     };
 
     /// Where a job was found: owned here, ended, or owned by another coordinator. All empty if there is no such job.
@@ -137,6 +136,8 @@
     };
 
     asio::awaitable<wire::BatchAnswer> submit(const wire::BatchCall&, Instant deadline);
+    /// Answers a submission whose route is not configured here. A job that has been accepted outlives its route.
+    asio::awaitable<wire::BatchAnswer> submitWithoutRoute(const wire::BatchCall&);
     /// Writes a new job to the store, with retries until the deadline. Returns the revision of its record, or nothing
     /// if the job exists already.
     asio::awaitable<std::optional<int64_t>> accept(const wire::BatchCall&, const JobRecord&, Instant deadline);
@@ -145,6 +146,8 @@
     asio::awaitable<wire::BatchAnswer> readItem(const wire::BatchCall&, Instant deadline);
     asio::awaitable<wire::BatchAnswer> endJob(const wire::BatchCall&, Instant deadline);
 
+    /// locate() for a caller. Throws BatchJobUnknownError if there is no such job or the caller's host may not see it.
+    asio::awaitable<Location> locateFor(const wire::BatchCall&);
     asio::awaitable<Location> locate(std::string job, std::vector<std::string> unreachable);
     /// Looks a job up in the store and takes it over if its owner is not alive. The caller holds the job's lock.
     asio::awaitable<Location> locateOnce(std::string job, std::vector<std::string> unreachable);
--- a/src/io/hosted/BatchOwnership.cpp
+++ b/src/io/hosted/BatchOwnership.cpp
@@ -25,6 +25,22 @@
         co_await lockedJobs_->unlocked.wait(now() + JobStore::retryPause);
 }
 
+asio::awaitable<BatchOwner::Location> BatchOwner::locateFor(const wire::BatchCall& call)
+{
+    Location location = co_await locate(call.job, call.unreachable);
+    if (!location.isKnown())
+        throw BatchJobUnknownError("there is no such job");
+    const auto directory = directory_();
+    const RoutingTable* routing = directory->routing ? &*directory->routing : nullptr;
+    const JobRecord* record = location.owned ? &location.owned->record : nullptr;
+    if (location.endedJob)
+        record = &location.endedJob->record;
+    // Another owner decides itself.
+    if (record && !record->isVisibleOn(call.host, routing))
+        throw BatchJobUnknownError("there is no such job on this host");
+    co_return location;
+}
+
 asio::awaitable<BatchOwner::Location> BatchOwner::locate(std::string job, std::vector<std::string> unreachable)
 {
     co_await waitUntilUnlocked(job);
@@ -74,7 +90,7 @@
 asio::awaitable<const BatchOwner::EndedJob*> BatchOwner::loadEndedJob(StoredJob stored)
 {
     EndedJob endedJob;
-    endedJob.items = stored.record.items;
+    endedJob.record = stored.record;
     endedJob.results = co_await store_.readResults(stored.id);
     if (endedJobs_.size() >= maxCachedEndedJobs)
         endedJobs_.erase(endedJobs_.begin());
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -45,6 +45,7 @@
     return call;
 }
 
+/// A submission without the name of a route is accepted only if the job exists already.
 wire::BatchCall toSubmission(const CallerRequest& request, const RouteDeclaration& route, const HttpQuery& query)
 {
     wire::BatchCall call;
@@ -182,17 +183,16 @@
         if (!current->routing)
             throw NotReadyError("the process has no configuration yet");
         const RouteDeclaration* matched = current->routing->match(request.host, request.path);
-        // Operations on jobs need no route. They are recognised on hosts with a route for batch jobs, for paths that no
-        // route matches.
-        const bool isJobOperation
-            = request.operation != CallerOperation::Call && !matched && current->routing->hasBatchRoute(request.host);
-        if (!matched && !isJobOperation)
-            throw RouteUnknownError(fmt::format("no route for {}{}", request.host, request.path));
         const RouteDeclaration route = matched ? *matched : RouteDeclaration();
         const Duration timeout = std::min(request.timeout.value_or(route.timeout), route.timeout);
         const Instant deadline = arrivedAt + timeout - answerMargin;
-        if (isJobOperation) {
-            response = co_await serveBatch(toBatchCall(request), deadline, cancellation);
+        std::optional<HttpResponse> jobAnswer;
+        if (mayConcernJob(request, query, matched))
+            jobAnswer = co_await serveJob(request, query, matched, deadline, cancellation);
+        if (jobAnswer) {
+            response = std::move(*jobAnswer);
+        } else if (!matched) {
+            throw RouteUnknownError(fmt::format("no route for {}{}", request.host, request.path));
         } else if (request.id.empty()) {
             throw BadRequestError("the request has no id");
         } else if (route.kind == TrafficKind::BatchJobs) {
@@ -217,6 +217,29 @@
     co_await exchange.answer(std::move(response));
 }
 
+bool HostedEntry::mayConcernJob(
+    const CallerRequest& request, const HttpQuery& query, const RouteDeclaration* matched) const
+{
+    if (request.operation != CallerOperation::Call)
+        return true;
+    const bool isSubmission = matched && matched->kind == TrafficKind::BatchJobs;
+    return !isSubmission && query.method == "POST" && gateway_.knowsJob(request.id);
+}
+
+asio::awaitable<std::optional<HttpResponse>> HostedEntry::serveJob(const CallerRequest& request, const HttpQuery& query,
+    const RouteDeclaration* matched, Instant deadline, PeerCancellationPtr cancellation)
+{
+    // A call to a backend server has an id, so one without an id is certainly meant for a job.
+    const bool mayBeCall = request.operation == CallerOperation::Call || (matched && !request.id.empty());
+    wire::BatchCall call = request.operation == CallerOperation::Call ? toSubmission(request, RouteDeclaration(), query)
+                                                                      : toBatchCall(request);
+    const BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
+    const bool isUnknown = outcome.answer && outcome.answer->status == httpStatus(ErrorCode::BatchJobUnknown);
+    if (mayBeCall && isUnknown)
+        co_return std::nullopt;
+    co_return encodeOutcome(request.job.empty() ? request.id : request.job, outcome);
+}
+
 HttpResponse HostedEntry::encodeFailure(const CallerRequest& request, const Error& error, Duration retryDelay)
 {
     processMetrics().count(error.code());
@@ -262,7 +285,12 @@
     wire::BatchCall call, Instant deadline, PeerCancellationPtr cancellation)
 {
     const std::string job = call.job;
-    BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
+    const BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
+    co_return encodeOutcome(job, outcome);
+}
+
+HttpResponse HostedEntry::encodeOutcome(const std::string& job, const BatchOutcome& outcome) const
+{
     if (!outcome.answer) {
         if (outcome.mayHaveRun)
             throw OutcomeUnknownError(outcome.reason);
@@ -270,16 +298,15 @@
     }
     HttpResponse response;
     response.status = outcome.answer->status;
-    response.body = std::move(outcome.answer->body);
+    response.body = outcome.answer->body;
     const bool isError = response.status >= 400;
     if (isError) {
         const ErrorCode code = codeFromText(response.body);
         const Error error(code, fmt::format("batch job {}", job));
-        co_return platform().callerProtocol().encodeError(
-            error, std::chrono::milliseconds(outcome.answer->retryAfterMs));
+        return platform().callerProtocol().encodeError(error, std::chrono::milliseconds(outcome.answer->retryAfterMs));
     }
     response.headers.emplace_back("Content-Type", "application/json");
-    co_return response;
+    return response;
 }
 
 std::vector<Gauge> HostedEntry::gauges() const
--- a/src/io/hosted/JobStore.cpp
+++ b/src/io/hosted/JobStore.cpp
@@ -105,6 +105,11 @@
 
 } // namespace
 
+bool JobRecord::isVisibleOn(std::string_view callerHost, const RoutingTable* routing) const
+{
+    return callerHost == host || (routing && routing->hasBatchRoute(callerHost));
+}
+
 JobStore::JobStore(MetadataStore& store)
     : store_(store)
 {
--- a/src/io/hosted/JobStore.h
+++ b/src/io/hosted/JobStore.h
@@ -3,8 +3,10 @@
 #include "io/hosted/MetadataStore.h"
 
 #include <endiveroad/BatchJob.h>
+#include <endiveroad/Directory.h>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Storage of batch jobs in the platform's metadata store. Every change of an existing job, except its removal, is
@@ -30,6 +32,10 @@
     int64_t maxQueueMs = 0;
 
     auto operator<=>(const JobRecord&) const = default;
+
+    /// True if a caller on this host may see the job: on the job's own host always, since the job outlives its route,
+    /// and on any host that has routes for batch jobs.
+    bool isVisibleOn(std::string_view callerHost, const RoutingTable*) const;
 };
 
 struct StoredJob {
--- a/tests/io/JobHistory.cpp
+++ b/tests/io/JobHistory.cpp
@@ -218,6 +218,7 @@
     wire::BatchCall call;
     call.operation = wire::BatchOperation::Read;
     call.job = chosen->first;
+    call.host = "h";
     call.firstPosition = draw(static_cast<unsigned>(chosen->second.results.size()) + 1);
     call.waitMs = static_cast<int32_t>(draw(600));
     sendCall(draw(coordinators), call, 3);
@@ -231,6 +232,7 @@
     wire::BatchCall call;
     call.operation = wire::BatchOperation::Cancel;
     call.job = chosen->first;
+    call.host = "h";
     chosen->second.isEndAsked = true;
     sendCall(draw(coordinators), call, 3);
 }
