Items are given up only by a configuration that is newer than their job

Cause: terminateUnroutable() looked for any route that matches in whatever configuration the process has. Change: the record of a job has the version of the configuration under which it was accepted; only a newer one ends the items, and only a route for batch jobs serves them. A log line tells of it.

--- a/include/endiveroad/Directory.h
+++ b/include/endiveroad/Directory.h
@@ -94,6 +94,9 @@
     /// True if the host has a route for batch jobs.
     bool hasBatchRoute(std::string_view host) const;
 
+    /// Route of the host that matches the path, if it is one for batch jobs; null otherwise.
+    const RouteDeclaration* batchRoute(std::string_view host, std::string_view path) const;
+
     /// Sorted names of all models of all services.
     std::vector<std::string> models() const;
 };
--- a/src/core/directory/Directory.cpp
+++ b/src/core/directory/Directory.cpp
@@ -28,6 +28,12 @@
         [host](const RouteDeclaration& route) { return route.host == host && route.kind == TrafficKind::BatchJobs; });
 }
 
+const RouteDeclaration* RoutingTable::batchRoute(std::string_view host, std::string_view path) const
+{
+    const RouteDeclaration* matched = match(host, path);
+    return matched && matched->kind == TrafficKind::BatchJobs ? matched : nullptr;
+}
+
 std::vector<std::string> RoutingTable::models() const
 {
     std::set<std::string> names;
--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -139,6 +139,7 @@
     record.resultDueMs = milliseconds(route.resultDue);
     record.maxQueueMs = milliseconds(route.maxQueueTime);
     const auto directory = directory_();
+    record.configuration = directory->routing->version;
     for (const BatchItem& item : spec.items) {
         const RouteDeclaration* scoring
             = item.scoring ? directory->routing->match(item.scoring->host, item.scoring->path) : nullptr;
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -88,7 +88,7 @@
     const auto& items = owned.job.spec().items;
     if (!directory->routing || items.empty())
         return {};
-    const RouteDeclaration* route = directory->routing->match(owned.record.host, items.front().path);
+    const RouteDeclaration* route = directory->routing->batchRoute(owned.record.host, items.front().path);
     if (!route || route->services.empty())
         return {};
     const auto heaviest = std::max_element(route->services.begin(), route->services.end(),
@@ -98,8 +98,16 @@
 
 void ItemDispatcher::terminateUnroutable(OwnedJob& owned)
 {
-    if (directory_()->routing && serviceOf(owned).empty())
-        owned.job.terminateAll();
+    const auto directory = directory_();
+    const auto& items = owned.job.spec().items;
+    if (!directory->routing || items.empty() || !owned.record.isRouteRemoved(*directory->routing, items.front().path))
+        return;
+    const std::vector<size_t> terminated = owned.job.terminateAll();
+    if (!terminated.empty())
+        log(Event::JobRouteRemoved,
+            { { "job", owned.id() }, { "route", owned.record.route }, { "items", std::to_string(terminated.size()) },
+                { "acceptedUnder", std::to_string(owned.record.configuration) },
+                { "configuration", std::to_string(directory->routing->version) } });
 }
 
 SoftwareVersion ItemDispatcher::softwareOf(const std::string& agent) const
--- a/src/io/hosted/JobStore.cpp
+++ b/src/io/hosted/JobStore.cpp
@@ -46,7 +46,7 @@
         { "submittedMs", record.submittedMs }, { "isEnded", record.isEnded }, { "items", record.items },
         { "maxAttempts", record.maxAttempts }, { "maxScoringAttempts", record.maxScoringAttempts },
         { "isSingleVersion", record.isSingleVersion }, { "resultDueMs", record.resultDueMs },
-        { "maxQueueMs", record.maxQueueMs }
+        { "maxQueueMs", record.maxQueueMs }, { "configuration", record.configuration }
     }.dump();
 }
 
@@ -69,6 +69,7 @@
         record.isSingleVersion = object.at("isSingleVersion").get<bool>();
         record.resultDueMs = object.at("resultDueMs").get<int64_t>();
         record.maxQueueMs = object.at("maxQueueMs").get<int64_t>();
+        record.configuration = object.value("configuration", int64_t(0));
         return job;
     } catch (const Json::exception& error) {
         throw FrameInvalidError(fmt::format("the owner record {} cannot be decoded: {}", document.key, error.what()));
@@ -105,6 +106,11 @@
 
 } // namespace
 
+bool JobRecord::isRouteRemoved(const RoutingTable& routing, std::string_view itemPath) const
+{
+    return routing.version > configuration && !routing.batchRoute(host, itemPath);
+}
+
 bool JobRecord::isVisibleOn(std::string_view callerHost, const RoutingTable* routing) const
 {
     return callerHost == host || (routing && routing->hasBatchRoute(callerHost));
--- a/src/io/hosted/JobStore.h
+++ b/src/io/hosted/JobStore.h
@@ -30,9 +30,15 @@
     bool isSingleVersion = false;
     int64_t resultDueMs = 0;
     int64_t maxQueueMs = 0;
+    /// Version of the configuration under which the job was accepted; 0 in records that do not tell it.
+    int64_t configuration = 0;
 
     auto operator<=>(const JobRecord&) const = default;
 
+    /// True if the configuration is newer than the one under which the job was accepted, and has no route any more for
+    /// items with this path. An older one may not have the route yet.
+    bool isRouteRemoved(const RoutingTable&, std::string_view itemPath) const;
+
     /// True if a caller on this host may see the job: on the job's own host always, since the job outlives its route,
     /// and on any host that has routes for batch jobs.
     bool isVisibleOn(std::string_view callerHost, const RoutingTable*) const;
