A connection is not used again for a request that it has carried

Cause: answers are matched by the request's id, which is the caller's, so each sending of a request has the same; `latestUse` guards orders alone. Change: the client remembers of each connection what it carried last (64 requests) and takes another connection for a request that is among them. A failure without the id, which fits any request, counts only as the first answer of a connection. Counters tell connections opened, those opened for repeats, and answers that belonged to another request. Ruled out: to close the connection after each refusal, or to open one for each call.

--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -2,7 +2,9 @@
 
 #include "io/Clock.h"
 #include "io/Log.h"
+#include "io/ProcessMetrics.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -70,17 +72,22 @@
     return {};
 }
 
-/// True unless echoedHeader shows that the answer belongs to another request.
-bool isAnswerTo(const HeaderList& requestHeaders, const std::string& echoedHeader, const HttpResponse& response)
+/// Value of HttpRequest::echoedHeader; empty if the request has none.
+std::string echoedValue(const HttpRequest& request)
+{
+    return request.echoedHeader.empty() ? std::string() : headerValue(request.headers, request.echoedHeader);
+}
+
+/// True unless echoedHeader shows that the answer belongs to another request, or leaves it open.
+bool isAnswerTo(
+    const std::string& sent, const std::string& echoedHeader, const HttpResponse& response, bool isFirstOfConnection)
 {
     if (echoedHeader.empty())
         return true;
     const std::string_view echoed = response.header(echoedHeader);
-    const std::string sent = headerValue(requestHeaders, echoedHeader);
-    if (sent.empty())
-        return echoed.empty();
-    if (echoed.empty())
-        return !response.isSuccess();
+    // A failure may lack the header. On a connection with earlier answers it may be a copy of one of them.
+    if (echoed.empty() && !sent.empty())
+        return !response.isSuccess() && isFirstOfConnection;
     return echoed == sent;
 }
 
@@ -175,6 +182,22 @@
     return request;
 }
 
+void CarriedRequests::add(const std::string& value)
+{
+    const size_t hash = std::hash<std::string>()(value);
+    if (hashes_.size() < maxRequests) {
+        hashes_.push_back(hash);
+        return;
+    }
+    hashes_[oldest_] = hash;
+    oldest_ = (oldest_ + 1) % maxRequests;
+}
+
+bool CarriedRequests::contains(const std::string& value) const
+{
+    return std::find(hashes_.begin(), hashes_.end(), std::hash<std::string>()(value)) != hashes_.end();
+}
+
 void HttpCancellation::cancel()
 {
     isCancelled_ = true;
@@ -192,14 +215,15 @@
 }
 
 std::optional<HttpClient::Connection> HttpClient::takeIdle(
-    const Address& address, Instant latestUse, bool mustHaveKnownStart)
+    const Address& address, const ConnectionChoice& choice, bool mustHaveKnownStart)
 {
     auto& idle = idle_[address];
     // Connections are kept in the order of their last use. The one used last is the least likely to have been closed.
     for (size_t i = idle.size(); i > 0; --i) {
         const auto candidate = idle.begin() + static_cast<ptrdiff_t>(i) - 1;
         const bool isLeftOut = mustHaveKnownStart && !candidate->connection.serverStartedMs;
-        if (candidate->since > latestUse || isLeftOut)
+        const bool isRepeat = !choice.echoedValue.empty() && candidate->connection.carried.contains(choice.echoedValue);
+        if (candidate->since > choice.latestUse || isLeftOut || isRepeat)
             continue;
         Idle taken = std::move(*candidate);
         idle.erase(candidate);
@@ -209,6 +233,12 @@
     return std::nullopt;
 }
 
+void HttpClient::trimIdle(std::vector<Idle>& idle)
+{
+    if (idle.size() > maxIdleBesideRepeat)
+        idle.erase(idle.begin(), idle.end() - static_cast<ptrdiff_t>(maxIdleBesideRepeat));
+}
+
 void HttpClient::keepIdle(const Address& address, Connection connection, const HttpResponse& response)
 {
     auto& idle = idle_[address];
@@ -241,15 +271,20 @@
 }
 
 asio::awaitable<HttpClient::Connection> HttpClient::open(
-    const Address& address, Instant latestUse, Instant deadline, bool prefersKnownStart)
+    const Address& address, ConnectionChoice choice, Instant deadline, bool prefersKnownStart)
 {
     std::optional<Connection> idle;
     if (prefersKnownStart)
-        idle = takeIdle(address, latestUse, true);
+        idle = takeIdle(address, choice, true);
     if (!idle)
-        idle = takeIdle(address, latestUse, false);
+        idle = takeIdle(address, choice, false);
     if (idle)
         co_return std::move(*idle);
+    // What is left of the idle connections has carried the request, unless all that were used lately are left out.
+    const bool isRepeat = choice.latestUse == never && !idle_[address].empty();
+    if (isRepeat)
+        trimIdle(idle_[address]);
+    processMetrics().count(isRepeat ? Counter::ConnectionsForRepeats : Counter::ConnectionsOpened);
     error_code error;
     auto stream = co_await openNew(address, deadline, error);
     if (error == asio::error::connection_refused)
@@ -267,7 +302,8 @@
 {
     const std::shared_ptr<const StartQuery> query = request.startQuery;
     const Instant connectDeadline = std::min(deadline, request.connectDeadline);
-    Connection connection = co_await open(address, request.latestUse, connectDeadline, query != nullptr);
+    ConnectionChoice choice { request.latestUse, echoedValue(request) };
+    Connection connection = co_await open(address, std::move(choice), connectDeadline, query != nullptr);
     if (!query)
         co_return connection;
     if (!connection.serverStartedMs && !cancel.isCancelled() && query->mayAsk())
@@ -289,8 +325,9 @@
     std::optional<int64_t> startedMs;
     try {
         const Instant answerDeadline = std::min(deadline, now() + startQueryTimeout);
-        Connection connection = co_await open(address, request.latestUse, answerDeadline);
         HttpRequest query = request.startQuery->request;
+        ConnectionChoice choice { request.latestUse, echoedValue(query) };
+        Connection connection = co_await open(address, std::move(choice), answerDeadline);
         Exchanged exchanged
             = co_await exchange(address, connection, std::move(query), answerDeadline, collect, cancel, nullptr);
         exchanged.response.body = std::move(body);
@@ -339,8 +376,10 @@
     HttpRequest request, Instant deadline, OnBody onBody, HttpCancellation& cancel, OnHead onHead)
 {
     beast::tcp_stream& stream = *connection.stream;
-    const HeaderList requestHeaders = request.echoedHeader.empty() ? HeaderList() : request.headers;
+    const std::string sentValue = echoedValue(request);
     const std::string echoedHeader = request.echoedHeader;
+    const bool isFirstOfConnection = connection.carried.isEmpty();
+    connection.carried.add(sentValue);
     const bool isCloseDelimitedBodyAllowed = request.isCloseDelimitedBodyAllowed;
     const CancellationScope scope(cancel.stream_, &stream);
     stream.expires_at(toSteadyTime(deadline));
@@ -359,8 +398,10 @@
     Exchanged exchanged;
     exchanged.response = toResponse(parser.get());
     exchanged.response.serverStartedMs = connection.serverStartedMs;
-    if (!isAnswerTo(requestHeaders, echoedHeader, exchanged.response))
+    if (!isAnswerTo(sentValue, echoedHeader, exchanged.response, isFirstOfConnection)) {
+        processMetrics().count(Counter::ForeignAnswers);
         throw OutcomeUnknownError(fmt::format("{}: the answer belongs to another request", address.text()));
+    }
     if (onHead)
         onHead(exchanged.response);
     std::string piece(streamPieceBytes, '\0');
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -32,9 +32,10 @@
     std::string body;
     /// Deadline for opening a connection; the deadline of the request applies as well.
     Instant connectDeadline = never;
-    /// Name of a request header whose value the answer must repeat; empty for none. An answer with another value, or a
-    /// success without the header, is treated as the answer to another request and fails with OutcomeUnknownError. If
-    /// the request does not have the header, the answer must not have it either.
+    /// Name of a request header whose value the answer must repeat; empty for none. An answer with another value is
+    /// treated as the answer to another request and fails with OutcomeUnknownError. So does one without the header,
+    /// unless it is a failure and the first answer on its connection. If the request does not have the header, the
+    /// answer must not have it either. A connection is not used again for the same value, see CarriedRequests.
     std::string echoedHeader {};
     /// Only a connection that has been idle since this time is reused. For requests whose answer could not be told from
     /// a late second copy of another answer, which may arrive on a connection that was in use shortly before.
@@ -107,11 +108,35 @@
     using ServerUnavailableError::ServerUnavailableError;
 };
 
+/// The requests that a connection has carried lately, by the value that their answers repeat. A copy of an answer may
+/// arrive where the answer to the next request is expected; the repeated value tells it apart only if no two requests
+/// on the connection have the same one.
+class CarriedRequests {
+public:
+    /// Number of later requests after which no copy of an answer is expected any more.
+    static constexpr size_t maxRequests = 64;
+
+    /// An empty value stands for a request that has none.
+    void add(const std::string& value);
+
+    bool contains(const std::string& value) const;
+    bool isEmpty() const { return hashes_.empty(); }
+
+private:
+    /// Hashes of the values. Two values with the same hash only cost a connection.
+    std::vector<size_t> hashes_;
+    /// Index of the oldest one, which the next one replaces; used once there are maxRequests.
+    size_t oldest_ = 0;
+};
+
 /// Keeps a pool of idle connections for each address. A connection is reused only after a complete answer; after a
 /// timeout, an error or a cancellation it is closed.
 class HttpClient {
 public:
     static constexpr size_t maxIdlePerAddress = 64;
+    /// Idle connections to an address that are kept beside a new one for a repeated request, which may use none of
+    /// them. Servers take few connections from all processes together.
+    static constexpr size_t maxIdleBesideRepeat = 4;
     static constexpr Duration idleLifetime = std::chrono::seconds(20);
     /// Subtracted from the idle timeout that a server declares, so that no request is sent on a connection which the
     /// server is about to close.
@@ -157,6 +182,15 @@
         std::unique_ptr<boost::beast::tcp_stream> stream;
         /// Start that the server stated for this connection, 0 if it states none; nothing if it has not been asked.
         std::optional<int64_t> serverStartedMs;
+        CarriedRequests carried;
+    };
+
+    /// Which idle connections a request may use.
+    struct ConnectionChoice {
+        /// HttpRequest::latestUse.
+        Instant latestUse = never;
+        /// Value that the answer repeats; the connection must not have carried it. Empty for none.
+        std::string echoedValue;
     };
 
     struct Idle {
@@ -174,11 +208,13 @@
     /// Sets the error if no connection could be opened.
     asio::awaitable<std::unique_ptr<boost::beast::tcp_stream>> openNew(
         const Address&, Instant deadline, boost::system::error_code&);
-    /// Takes a connection that has been idle since latestUse, or opens a new one.
+    /// Takes an idle connection, or opens a new one.
     asio::awaitable<Connection> open(
-        const Address&, Instant latestUse, Instant deadline, bool prefersKnownStart = false);
+        const Address&, ConnectionChoice, Instant deadline, bool prefersKnownStart = false);
     /// Nothing if there is none.
-    std::optional<Connection> takeIdle(const Address&, Instant latestUse, bool mustHaveKnownStart);
+    std::optional<Connection> takeIdle(const Address&, const ConnectionChoice&, bool mustHaveKnownStart);
+    /// Makes room for a new connection for a repeated request: closes those that have been idle the longest.
+    void trimIdle(std::vector<Idle>&);
     /// Opens a connection for the request. If the request has a start query, the connection's start is accepted.
     asio::awaitable<Connection> openFor(const Address&, const HttpRequest&, Instant deadline, HttpCancellation&);
     /// Sends the start query of a request. Nothing if it is not answered.
--- a/standins/hosted_http.py
+++ b/standins/hosted_http.py
@@ -1,5 +1,6 @@
 """A small HTTP/1.1 server for the stand-ins of a shared platform; it shares no code with the product."""
 import asyncio
+import contextlib
 import json
 import urllib.parse
 
@@ -20,6 +21,21 @@
         return json.loads(self.body or b"{}")
 
 
+class Recorder:
+    """A connection's writer that keeps what is written."""
+
+    def __init__(self, writer):
+        self.writer = writer
+        self.written = b""
+
+    def write(self, data):
+        self.written += data
+        self.writer.write(data)
+
+    def __getattr__(self, name):
+        return getattr(self.writer, name)
+
+
 class Connection:
     """The way to answer a request. A stream that is left without end_stream() is cut visibly."""
 
@@ -31,6 +47,29 @@
         self.copy_after_s = None
         # Headers of every answer on this connection.
         self.common_headers = {}
+        self.has_answered = False
+        # An answer of which a copy is sent where the answer to the next request is due.
+        self.late_copy = None
+
+    @contextlib.contextmanager
+    def recorded(self, is_recorded):
+        """Keeps what is written meanwhile as the late copy, if is_recorded."""
+        writer = self.writer
+        if is_recorded:
+            self.writer = Recorder(writer)
+        try:
+            yield
+        finally:
+            if is_recorded:
+                self.late_copy = self.writer.written
+                self.writer = writer
+
+    def send_late_copy(self, counts):
+        if not self.late_copy:
+            return
+        counts[int(self.late_copy.split(b" ", 2)[1])] += 1
+        self.writer.write(self.late_copy)
+        self.late_copy = None
 
     async def answer(self, status, body=b"", headers=None):
         if not isinstance(body, bytes):
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -1,6 +1,8 @@
 """Stand-ins for the backend servers of a shared platform: engine replicas and plain services."""
 import asyncio
+import collections
 import json
+import random
 import time
 
 from hosted_http import serve
@@ -24,6 +26,13 @@
         self.is_draining = False
         # Fault: seconds after each answer at which it sends a second copy on the same connection.
         self.copy_after_s = None
+        # Fault: chance of an answer to come a second time, where the answer to the next request on the connection is due.
+        self.late_copy_chance = 0.0
+        self.random = random.Random(1)
+        # Late copies by status.
+        self.late_copies = collections.Counter()
+        # Connections that callers have opened.
+        self.connections = 0
         # Says in every answer that it is leaving, while its registration stays as it is.
         self.is_leaving = False
         # Names this limit in every answer, in requests a second from all processes together; none if None.
@@ -84,7 +93,11 @@
         connection.copy_after_s = self.copy_after_s
         if self.endless:
             return await connection.send_without_end(self.endless)
-        await self.handle(request, connection)
+        self.connections += 0 if connection.has_answered else 1
+        connection.has_answered = True
+        connection.send_late_copy(self.late_copies)
+        with connection.recorded(self.random.random() < self.late_copy_chance):
+            await self.handle(request, connection)
 
     def be_reborn(self, server_id):
         """Starts again at its address, under an id that may be the one it had; the registration tells the start."""
--- a/tests/io/HttpClientTest.cpp
+++ b/tests/io/HttpClientTest.cpp
@@ -343,3 +343,125 @@
         CHECK(server.requests == 1);
     });
 }
+
+namespace {
+
+/// A server that sends a second copy of each answer where the answer to the next request on the connection is due.
+/// Each answer names the request's id, unless hasIds is false, and the number of the request in its body.
+class CopyingServer {
+public:
+    explicit CopyingServer(asio::io_context& context)
+        : context_(context)
+        , acceptor_(listenOnLoopback(context))
+    {
+        spawn(context.get_executor(), [this] { return accept(); });
+    }
+
+    Address address() const { return addressOf(acceptor_); }
+
+    std::string firstLine = "HTTP/1.1 200 OK";
+    bool hasIds = true;
+    bool isCopying = true;
+    int connections = 0;
+    int requests = 0;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            auto socket = std::make_shared<tcp::socket>(co_await acceptor_.async_accept(asio::use_awaitable));
+            ++connections;
+            spawn(context_.get_executor(), [this, socket] { return serve(socket); });
+        }
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
+    {
+        std::string received;
+        std::string copy;
+        while (true) {
+            boost::system::error_code error;
+            const size_t size = co_await asio::async_read_until(
+                *socket, asio::dynamic_buffer(received), "\r\n\r\n", asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+            const size_t start = received.find("Id: ");
+            const std::string id = received.substr(start, received.find("\r\n", start) - start);
+            received.erase(0, size);
+            const std::string body = std::to_string(++requests);
+            const std::string answer = firstLine + "\r\n" + (hasIds ? id + "\r\n" : "")
+                + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            const std::string sent = copy.empty() ? answer : copy;
+            copy = isCopying ? answer : "";
+            co_await asio::async_write(*socket, asio::buffer(sent), asio::use_awaitable);
+        }
+    }
+
+    asio::io_context& context_;
+    tcp::acceptor acceptor_;
+};
+
+HttpRequest requestWithId(const std::string& id)
+{
+    HttpRequest request;
+    request.headers.emplace_back("Id", id);
+    request.echoedHeader = "Id";
+    return request;
+}
+
+} // namespace
+
+// Guards against a request that may run once and runs twice, as a copy of its refusal is taken for the answer to the
+// second time that it is sent.
+TEST_CASE("a copy of an answer is not taken for the answer to the same request sent again", "[http]")
+{
+    asio::io_context context;
+    CopyingServer server(context);
+    server.firstLine = GENERATE("HTTP/1.1 200 OK", "HTTP/1.1 503 Full", "HTTP/1.1 421 Other", "HTTP/1.1 500 Failed");
+    HttpClient client;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        for (int turn = 1; turn <= 4; ++turn) {
+            const Result result = co_await send(client, server.address(), requestWithId("once"));
+            REQUIRE_FALSE(result.code);
+            CHECK(result.response.body == std::to_string(turn));
+        }
+    });
+}
+
+TEST_CASE("a connection is reused for other requests, and for a request that it carried long ago", "[http]")
+{
+    asio::io_context context;
+    CopyingServer server(context);
+    server.isCopying = false;
+    HttpClient client;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        for (size_t number = 0; number <= CarriedRequests::maxRequests; ++number)
+            co_await send(client, server.address(), requestWithId(std::to_string(number)));
+        CHECK(server.connections == 1);
+        co_await send(client, server.address(), requestWithId("0"));
+        CHECK(server.connections == 1);
+        co_await send(client, server.address(), requestWithId("0"));
+        CHECK(server.connections == 2);
+        // Both connections serve what follows.
+        co_await send(client, server.address(), requestWithId("other"));
+        CHECK(server.connections == 2);
+    });
+}
+
+// Guards against a copy of a refusal without an id that is taken for the answer to any later request.
+TEST_CASE("a failure without the request's id is accepted only as the first answer on a connection", "[http]")
+{
+    asio::io_context context;
+    CopyingServer server(context);
+    server.firstLine = "HTTP/1.1 503 Full";
+    server.hasIds = false;
+    HttpClient client;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        const Result first = co_await send(client, server.address(), requestWithId("first"));
+        CHECK(first.response.status == 503);
+        const Result second = co_await send(client, server.address(), requestWithId("second"));
+        CHECK(second.code == ErrorCode::OutcomeUnknown);
+        const Result third = co_await send(client, server.address(), requestWithId("third"));
+        CHECK(third.response.body == "3");
+    });
+}
