A coordinator answers for a job from memory only if it can know that it still owns it

Cause, in two parts: a former owner that is cut from the store and the other coordinators answered from its memory for as long as it did not notice; and an entry kept the last news of an owner that it heard, whatever their revision. `isolationLimit` asks whether a coordinator is alone and stops starts of items only. Change: every frame between processes echoes the receiver's last heartbeat, so a coordinator knows when each other one has heard it. Else the owner record is read (0.3 s, valid for 0.8 s); if that fails the answer is marked, and the entry returns it only if no other coordinator knows better. So an outage of the whole store hides nothing. Item bodies and ends go the same way; a coordinator that does not reach the store no longer answers 503 for jobs that others know. A suspended machine's proofs are void, since its clock did not count. Entries keep news by revision. A redirect to an owner that the entry can't reach is no longer followed without a pause. Ruled out: to read the record at each read (a call for each), to refuse when unsure (503 in an outage), to take over only after a lease (seconds more). Not shown red before: a paused owner (its connections close at waking), an owner without the store.

--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -224,9 +224,9 @@
         return self.request(entry, "POST", target, body, {"Endiveroad-Request-Id": request_id,
                                                           "Endiveroad-Deadline-Ms": str(timeout_ms)}, kept=kept)
 
-    def submit(self, job, items, model=MODELS[0], oldest=1, patience_s=15):
+    def submit(self, job, items, model=MODELS[0], oldest=1, patience_s=15, prefix=JOB_PREFIX):
         """Submits a job, again after each failure, through one entry after the other. Returns the answers' statuses."""
-        rows = [{"Id": item, "Path": JOB_PREFIX + item, "Headers": {"Endiveroad-Model": model},
+        rows = [{"Id": item, "Path": prefix + item, "Headers": {"Endiveroad-Model": model},
                  "Body": base64.b64encode(b"prompt of " + item.encode()).decode(), "Tokens": 10,
                  "Group": "group-%d" % (number // 2),
                  "Scorer": {"Id": "score-" + item, "Host": HOST, "Path": SCORE_PREFIX + item,
@@ -238,7 +238,7 @@
         while time.monotonic() < end:
             entry = self.entries[len(statuses) % len(self.entries)]
             try:
-                statuses.append(self.request(entry, "POST", JOB_PREFIX + job, body.encode(),
+                statuses.append(self.request(entry, "POST", prefix + job, body.encode(),
                                              {"Endiveroad-Request-Id": job, "Content-Type": "application/json"})[0])
             except OSError:
                 statuses.append(0)
@@ -305,8 +305,11 @@
             subprocess.run(["rm", "-rf", self.dir], check=False)
 
 
-def run_case(description, cases, **sizes):
-    """Runs the case that the command line names on a deployment of its own; its processes have to end well."""
+def run_case(description, cases, prepare=None, **sizes):
+    """Runs the case that the command line names on a deployment of its own; its processes have to end well.
+
+    prepare(deployment) is called before the processes start.
+    """
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--bin", required=True)
     parser.add_argument("--case", choices=sorted(cases), required=True)
@@ -315,6 +318,8 @@
     deployment = HostedDeployment(arguments.bin, **sizes)
     is_passed = False
     try:
+        if prepare:
+            prepare(deployment)
         deployment.start()
         cases[arguments.case](deployment)
         deployment.terminate_all()
--- a/src/io/Clock.cpp
+++ b/src/io/Clock.cpp
@@ -1,11 +1,20 @@
 #include "io/Clock.h"
 
 #include <algorithm>
+#include <ctime>
 
 namespace endiveroad::io {
 
 namespace {
 
+Duration sinceBoot(clockid_t clock)
+{
+    timespec time {};
+    clock_gettime(clock, &time);
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 class MachineTime : public TimeSource {
 public:
     Instant now() const override
@@ -19,6 +28,8 @@
         return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
     }
 
+    Duration suspendedTime() const override { return sinceBoot(CLOCK_BOOTTIME) - sinceBoot(CLOCK_MONOTONIC); }
+
     void beginWait(boost::asio::steady_timer& timer, Instant instant) override
     {
         timer.expires_at(toSteadyTime(instant));
@@ -46,6 +57,11 @@
     return currentSource->now();
 }
 
+Duration suspendedTime()
+{
+    return currentSource->suspendedTime();
+}
+
 int64_t wallMs()
 {
     return currentSource->wallMs();
--- a/src/io/Clock.h
+++ b/src/io/Clock.h
@@ -14,6 +14,9 @@
     virtual Instant now() const = 0;
     virtual int64_t wallMs() const = 0;
 
+    /// Total time for which the machine has been suspended, which now() does not count.
+    virtual Duration suspendedTime() const { return Duration::zero(); }
+
     /// Called before a coroutine waits on the timer. Must make the wait end at the instant.
     virtual void beginWait(boost::asio::steady_timer&, Instant) = 0;
 
@@ -29,6 +32,9 @@
 /// Monotonic time since an arbitrary start.
 Instant now();
 
+/// Total time for which the machine has been suspended since it booted; now() does not count it.
+Duration suspendedTime();
+
 /// Wall-clock time in ms since the epoch; may jump forwards or backwards.
 int64_t wallMs();
 
--- a/src/io/PeerConnection.cpp
+++ b/src/io/PeerConnection.cpp
@@ -89,6 +89,7 @@
 void PeerConnection::start()
 {
     silenceDeadline_ = now() + silenceLimit;
+    restartConfirmation();
     if (auto keys = handler_.accessKeys()) {
         handshake_ = std::make_unique<Handshake>(side_, std::move(keys));
         notify(MessageType::AccessChallenge, handshake_->challenge());
@@ -327,6 +328,7 @@
         return onHandshake(header, payload);
     if (header.type == MessageType::AccessChallenge || header.type == MessageType::AccessProof)
         return;
+    onEcho(header);
     PeerMessage message { header.type, {}, never };
     if (header.budgetMs != 0)
         message.deadline = now() + std::chrono::milliseconds(header.budgetMs);
@@ -362,6 +364,35 @@
         firstHeartbeatWakeup_.cancel();
 }
 
+void PeerConnection::restartConfirmation()
+{
+    suspended_ = suspendedTime();
+    confirmedAt_ = Instant::min();
+    confirmedFrom_ = now() + heartbeatPrecision;
+}
+
+void PeerConnection::checkSuspension()
+{
+    if (suspendedTime() > suspended_ + minSuspension)
+        restartConfirmation();
+}
+
+Instant PeerConnection::confirmedAt()
+{
+    checkSuspension();
+    return confirmedAt_;
+}
+
+void PeerConnection::onEcho(const FrameHeader& header)
+{
+    if (header.echoMs == 0)
+        return;
+    checkSuspension();
+    const Instant sentAt = now() - std::chrono::milliseconds(static_cast<int32_t>(clockMs() - header.echoMs));
+    if (sentAt > confirmedFrom_)
+        confirmedAt_ = std::max(confirmedAt_, sentAt);
+}
+
 void PeerConnection::onRequest(const FrameHeader& header, PeerMessage message)
 {
     if (header.correlation <= lastRequestNumber_)
--- a/src/io/PeerConnection.h
+++ b/src/io/PeerConnection.h
@@ -95,6 +95,10 @@
     /// Greatest age at which a request is still served, measured by the receiver's clock from its heartbeat that the
     /// request echoes. The request was sent after that heartbeat, so this is an upper bound on its age.
     static constexpr Duration maxRequestAge = std::chrono::milliseconds(2500);
+    /// Heartbeats tell their time with this precision.
+    static constexpr Duration heartbeatPrecision = std::chrono::milliseconds(2);
+    /// Shorter suspensions are below the precision of the clocks.
+    static constexpr Duration minSuspension = std::chrono::milliseconds(20);
     static constexpr size_t maxQueuedBytes = 256U << 20;
 
     /// Greatest payload size accepted from a peer that has not yet proved a key.
@@ -120,6 +124,13 @@
 
     void notify(MessageType, const std::string& payload);
 
+    /// Time of this side's last heartbeat that the peer is known to have received, after it had handled what this side
+    /// had sent before restartConfirmation(); Instant::min() if there is none. A suspension of the machine voids it.
+    Instant confirmedAt();
+
+    /// What was confirmed so far no longer counts.
+    void restartConfirmation();
+
     void close();
     bool isOpen() const { return isOpen_; }
 
@@ -161,6 +172,9 @@
     asio::awaitable<void> waitForFirstHeartbeat(Instant deadline);
     void sendHeartbeat();
     void onHeartbeat(const FrameHeader&);
+    /// Every frame names the last heartbeat that its sender has received.
+    void onEcho(const FrameHeader&);
+    void checkSuspension();
     void onRequest(const FrameHeader&, PeerMessage);
     asio::awaitable<void> readLoop();
     void processFrames(FrameReader&);
@@ -199,6 +213,11 @@
     uint64_t lastRequestNumber_ = 0;
     uint32_t peerClockMs_ = 0;
     Instant silenceDeadline_ = never;
+    Instant confirmedAt_ = Instant::min();
+    /// Heartbeats from before this time confirm nothing.
+    Instant confirmedFrom_ = Instant::min();
+    /// suspendedTime() when it was last looked at.
+    Duration suspended_ = Duration::zero();
     bool isOpen_ = true;
 };
 
--- a/src/io/hosted/BatchGateway.h
+++ b/src/io/hosted/BatchGateway.h
@@ -2,9 +2,11 @@
 
 #include "io/hosted/HostedNode.h"
 
+#include <endiveroad/JobOwners.h>
 #include <endiveroad_types.h>
+#include <optional>
+#include <set>
 #include <string>
-#include <unordered_map>
 
 /// Forwards callers' operations on batch jobs from an entry to the coordinators that own the jobs.
 namespace endiveroad::io {
@@ -38,28 +40,44 @@
     /// Delay before the next round of attempts once every coordinator has failed.
     static constexpr Duration retryPause = std::chrono::milliseconds(100);
 
-    /// Maximum number of cached owners; when it is reached, the next update clears the cache.
-    static constexpr size_t maxOwners = 4096;
+    /// Time for each of the others to answer once one coordinator has answered without certainty.
+    static constexpr Duration secondOpinionTimeout = std::chrono::milliseconds(400);
 
     explicit BatchGateway(CoordinatorConnections&);
 
     /// Sends the operation to the job's owner if that is known, else to a coordinator that looks the owner up or takes
     /// the job over. Retries until a coordinator answers, the deadline passes or the caller cancels. Operations are
-    /// idempotent, so a retry is safe after an attempt whose outcome is unknown.
+    /// idempotent, so a retry is safe after an attempt whose outcome is unknown. The answer of a coordinator that can't
+    /// tell whether it still owns the job, or that does not reach the store, is returned only if no other one knows
+    /// better.
     asio::awaitable<BatchOutcome> perform(wire::BatchCall, Instant deadline, PeerCancellationPtr);
 
     /// True if a coordinator has announced that it owns the job.
     bool knowsJob(const std::string& job) const { return owners_.contains(job); }
 
-    /// Caches the owner of a job that a coordinator has announced.
-    void onOwner(const std::string& job, const std::string& owner);
+    /// A coordinator has announced that it owns a job.
+    void onOwner(const wire::JobOwnerNotice&);
 
 private:
+    /// An operation while it is tried at one coordinator after the other.
+    struct Attempts {
+        wire::BatchCall call;
+        std::set<std::string> tried;
+        BatchOutcome outcome;
+        /// Answer that is returned if no other coordinator knows better, and the one who gave it.
+        std::optional<wire::BatchAnswer> fallback;
+        std::string fallbackFrom;
+    };
+
     std::string nextCoordinator(const wire::BatchCall&, const std::set<std::string>& tried) const;
+    /// Handles an answer. Returns true if it settles the operation.
+    bool settle(Attempts&, const std::string& coordinator, wire::BatchAnswer);
+    void followRedirect(Attempts&, const std::string& coordinator, const wire::BatchAnswer&);
+    /// True if the answer names an owner that this process could not reach, although the coordinator knew that.
+    static bool isRedirectRepeated(const Attempts&, const wire::BatchAnswer&);
 
     CoordinatorConnections& coordinators_;
-    /// Last known owner by job.
-    std::unordered_map<std::string, std::string> owners_;
+    JobOwners owners_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -37,10 +37,11 @@
 
 /// Redirects the entry to the job's owner. If the entry passes the answer on to the caller, its error status keeps it
 /// from looking like success.
-wire::BatchAnswer redirectTo(const std::string& owner)
+wire::BatchAnswer redirectTo(const std::string& owner, int64_t revision)
 {
     wire::BatchAnswer answer = answerOf(statusBadGateway);
     answer.owner = owner;
+    answer.ownerRevision = revision;
     return answer;
 }
 
@@ -244,29 +245,45 @@
 {
     const Location location = co_await locateFor(call);
     if (!location.owner.empty())
-        co_return redirectTo(location.owner);
+        co_return redirectTo(location.owner, location.ownerRevision);
     const auto first = static_cast<size_t>(std::max<int64_t>(call.firstPosition, 0));
     if (location.endedJob)
         co_return answerOf(
             statusOk, protocol_.encodeResults(location.endedJob->results, first, location.endedJob->record.items));
     const OwnedJobPtr owned = location.owned;
-    const Instant waitUntil = std::min(deadline, now() + std::chrono::milliseconds(call.waitMs));
-    while (owned->job.listed().size() <= first && !owned->job.isEnded() && !owned->isLost && now() < waitUntil)
+    bool isConfirmed = location.isConfirmed;
+    // Whoever may know better is asked at once.
+    const Duration wait = isConfirmed ? std::chrono::milliseconds(call.waitMs) : Duration::zero();
+    const Instant waitUntil = std::min(deadline, now() + wait);
+    const auto hasNews
+        = [&owned, first] { return owned->job.listed().size() > first || owned->job.isEnded() || owned->isLost; };
+    const bool isWaiting = !hasNews() && now() < waitUntil;
+    while (!hasNews() && now() < waitUntil)
         co_await owned->changed.wait(waitUntil);
-    co_return answerOf(statusOk, protocol_.encodeResults(owned->job.listed(), first, owned->job.spec().items.size()));
+    if (isWaiting)
+        isConfirmed = co_await confirmOwnership(owned);
+    wire::BatchAnswer answer
+        = answerOf(statusOk, protocol_.encodeResults(owned->job.listed(), first, owned->job.spec().items.size()));
+    answer.isUnconfirmed = !isConfirmed;
+    co_return answer;
 }
 
 asio::awaitable<wire::BatchAnswer> BatchOwner::readItem(const wire::BatchCall& call, Instant)
 {
     const Location location = co_await locateFor(call);
     if (!location.owner.empty())
-        co_return redirectTo(location.owner);
-    if (!location.owned || location.owned->job.isEnded())
-        throw BatchJobUnknownError("there is no such open job");
-    const auto index = location.owned->job.indexOf(call.item);
-    if (!index)
+        co_return redirectTo(location.owner, location.ownerRevision);
+    const auto index = location.owned ? location.owned->job.indexOf(call.item) : std::nullopt;
+    if (location.owned && !index)
         throw BatchJobUnknownError("the job has no such item");
-    co_return answerOf(statusOk, location.owned->job.spec().items[*index].body);
+    const bool isOpen = location.owned && !location.owned->job.isEnded();
+    if (!isOpen && location.isConfirmed)
+        throw BatchJobUnknownError("there is no such open job");
+    if (!isOpen)
+        throw StoreUnavailableError("the end of the job is not in the store yet");
+    wire::BatchAnswer answer = answerOf(statusOk, location.owned->job.spec().items[*index].body);
+    answer.isUnconfirmed = !location.isConfirmed;
+    co_return answer;
 }
 
 asio::awaitable<wire::BatchAnswer> BatchOwner::endJob(const wire::BatchCall& call, Instant deadline)
@@ -275,11 +292,13 @@
     while (true) {
         const Location location = co_await locateFor(call);
         if (!location.owner.empty())
-            co_return redirectTo(location.owner);
+            co_return redirectTo(location.owner, location.ownerRevision);
         if (location.endedJob || location.owned->isEndStored)
             co_return answerOf(statusOk);
         const OwnedJobPtr owned = location.owned;
         stopWork(*owned);
+        if (!location.isConfirmed)
+            co_return endUnconfirmed(owned);
         if (co_await storeEnd(owned, storeDeadline))
             co_return answerOf(statusOk);
         if (owned->isLost && now() < storeDeadline)
@@ -287,13 +306,28 @@
             // job up again to find out which.
             continue;
         if (!owned->isLost)
-            // The runs are cancelled already; the end is written in the background once the store accepts it.
-            spawn(
-                context_.get_executor(), [this, owned]() -> asio::awaitable<void> { co_await storeEnd(owned, never); });
+            storeEndLater(owned);
         throw OutcomeUnknownError("the store has not accepted the end of the job yet");
     }
 }
 
+wire::BatchAnswer BatchOwner::endUnconfirmed(const OwnedJobPtr& owned)
+{
+    storeEndLater(owned);
+    wire::BatchAnswer answer
+        = answerOf(OutcomeUnknownError("the store has not accepted the end of the job yet"), retryAfter);
+    answer.isUnconfirmed = true;
+    return answer;
+}
+
+void BatchOwner::storeEndLater(const OwnedJobPtr& owned)
+{
+    if (owned->isEndPending)
+        return;
+    owned->isEndPending = true;
+    spawn(context_.get_executor(), [this, owned]() -> asio::awaitable<void> { co_await storeEnd(owned, never); });
+}
+
 void BatchOwner::stopWork(OwnedJob& owned)
 {
     if (owned.job.isEnded())
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -27,6 +27,10 @@
     /// or its VM retires.
     virtual std::vector<std::string> aliveCoordinators() const = 0;
 
+    /// True if each of the other coordinators is known to have heard this one so lately that none can have taken over
+    /// its jobs since.
+    virtual bool isHeardByAll() const = 0;
+
     /// Tells all connected entries, agents and coordinators that this coordinator owns the job.
     virtual void announceOwner(const OwnedJob&) = 0;
 };
@@ -47,6 +51,10 @@
     /// owner started.
     static constexpr Duration takeOverStartDelay = std::chrono::milliseconds(350);
 
+    /// Time for the store to confirm that a job is still owned, and pause after it did not.
+    static constexpr Duration confirmationTimeout = std::chrono::milliseconds(300);
+    static constexpr Duration confirmationPause = std::chrono::milliseconds(300);
+
     using DirectorySource = std::function<std::shared_ptr<const Directory>()>;
 
     BatchOwner(asio::io_context&, std::string name, const BatchProtocol&, MetadataStore&, CoordinatorView&,
@@ -132,6 +140,10 @@
         OwnedJobPtr owned;
         const EndedJob* endedJob = nullptr;
         std::string owner;
+        /// Of the record that names the owner.
+        int64_t ownerRevision = 0;
+        /// Whether the job is certainly owned here; see confirmOwnership().
+        bool isConfirmed = true;
         bool isKnown() const { return owned || endedJob || !owner.empty(); }
     };
 
@@ -148,6 +160,9 @@
 
     /// locate() for a caller. Throws BatchJobUnknownError if there is no such job or the caller's host may not see it.
     asio::awaitable<Location> locateFor(const wire::BatchCall&);
+    /// Returns false if this coordinator can't tell whether it still owns the job. A job that it turns out to have lost
+    /// is dropped.
+    asio::awaitable<bool> confirmOwnership(OwnedJobPtr);
     asio::awaitable<Location> locate(std::string job, std::vector<std::string> unreachable);
     /// Looks a job up in the store and takes it over if its owner is not alive. The caller holds the job's lock.
     asio::awaitable<Location> locateOnce(std::string job, std::vector<std::string> unreachable);
@@ -163,6 +178,10 @@
     /// Writes the end of the job to the store, with retries. Returns false if another coordinator owns the job now or
     /// the deadline has passed.
     asio::awaitable<bool> storeEnd(OwnedJobPtr, Instant deadline);
+    /// Writes the end in the background once the store accepts it. The runs are cancelled already.
+    void storeEndLater(const OwnedJobPtr&);
+    /// The answer to the end of a job that another coordinator may own.
+    wire::BatchAnswer endUnconfirmed(const OwnedJobPtr&);
     OwnedJobPtr insert(BatchJobSpec, JobRecord, int64_t revision, std::vector<BatchResult> listed);
     /// Drops a job that this coordinator no longer owns or whose record shows that it has ended.
     void dropJob(const OwnedJobPtr&, const std::string& reason);
--- a/src/io/hosted/BatchOwnership.cpp
+++ b/src/io/hosted/BatchOwnership.cpp
@@ -28,6 +28,10 @@
 asio::awaitable<BatchOwner::Location> BatchOwner::locateFor(const wire::BatchCall& call)
 {
     Location location = co_await locate(call.job, call.unreachable);
+    if (location.owned)
+        location.isConfirmed = co_await confirmOwnership(location.owned);
+    if (location.owned && location.owned->isLost)
+        location = co_await locate(call.job, call.unreachable);
     if (!location.isKnown())
         throw BatchJobUnknownError("there is no such job");
     const auto directory = directory_();
@@ -41,6 +45,27 @@
     co_return location;
 }
 
+asio::awaitable<bool> BatchOwner::confirmOwnership(OwnedJobPtr owned)
+{
+    // The record of a job that this coordinator has ended changes no more.
+    if (owned->isEndStored || coordinators_.isHeardByAll() || now() < owned->confirmedUntil)
+        co_return true;
+    if (now() < owned->nextConfirmationAt)
+        co_return false;
+    const Instant askedAt = now();
+    try {
+        const std::optional<StoredJob> stored = co_await store_.read(owned->id(), confirmationTimeout);
+        if (!stored || stored->record.owner != name_)
+            dropJob(owned, "the owner record names another coordinator or is gone");
+        owned->onConfirmed(askedAt);
+        co_return !owned->isLost;
+    } catch (const Error& error) {
+        log(Event::OwnershipUncertain, { { "job", owned->id() }, { "reason", error.what() } });
+    }
+    owned->nextConfirmationAt = now() + confirmationPause;
+    co_return false;
+}
+
 asio::awaitable<BatchOwner::Location> BatchOwner::locate(std::string job, std::vector<std::string> unreachable)
 {
     co_await waitUntilUnlocked(job);
@@ -73,6 +98,7 @@
         = std::find(unreachable.begin(), unreachable.end(), owner) == unreachable.end() || coordinators_.isAlive(owner);
     if (owner != name_ && coordinators_.isAlive(owner) && isOwnerReachable) {
         location.owner = owner;
+        location.ownerRevision = stored->revision;
         co_return location;
     }
     location.owned = co_await takeOverOnce(*stored);
@@ -80,8 +106,10 @@
         co_return location;
     // The record has changed since it was read: most likely another coordinator has taken the job over.
     const std::optional<StoredJob> present = co_await store_.read(job);
-    if (present && present->record.owner != name_)
+    if (present && present->record.owner != name_) {
         location.owner = present->record.owner;
+        location.ownerRevision = present->revision;
+    }
     if (!location.isKnown())
         throw StoreUnavailableError("the owner of the job is changing");
     co_return location;
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -93,6 +93,14 @@
     return !isAlone || now() < lastStoreAnswerAt() + isolationLimit;
 }
 
+bool HostedCoordinator::isHeardByAll() const
+{
+    const auto current = directory();
+    return std::all_of(current->coordinators.begin(), current->coordinators.end(), [this](const auto& entry) {
+        return entry.first == settings().name || now() < heardByPeerAt(entry.first) + hearingLifetime;
+    });
+}
+
 void HostedCoordinator::announceOwner(const OwnedJob& owned)
 {
     for (HostedRole role : { HostedRole::Entry, HostedRole::Agent, HostedRole::Coordinator }) {
--- a/src/io/hosted/HostedCoordinator.h
+++ b/src/io/hosted/HostedCoordinator.h
@@ -24,6 +24,10 @@
     /// long starts no items: another coordinator may have taken its jobs over and may have ended them.
     static constexpr Duration isolationLimit = std::chrono::milliseconds(3200);
 
+    /// A coordinator that has heard this one so lately has not taken over its jobs since: it would first have to miss
+    /// its heartbeats.
+    static constexpr Duration hearingLifetime = PeerConnection::silenceLimit;
+
     /// Timeout of the coordinator's own calls to the store; JobStore has its own for calls on jobs.
     static constexpr Duration storeTimeout = std::chrono::milliseconds(1600);
 
@@ -57,6 +61,7 @@
 
     bool isAlive(const std::string& coordinator) const override;
     std::vector<std::string> aliveCoordinators() const override;
+    bool isHeardByAll() const override;
     void announceOwner(const OwnedJob&) override;
     PeerConnectionPtr agent(const std::string& name) const override;
     std::vector<PeerConnectionPtr> agents() const override { return connectionsOf(HostedRole::Agent); }
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -57,6 +57,14 @@
     return call;
 }
 
+/// The operation on a job that a request without a matching route for batch jobs asks for.
+wire::BatchCall toJobCall(const CallerRequest& request, const HttpQuery& query)
+{
+    if (request.operation == CallerOperation::Call)
+        return toSubmission(request, RouteDeclaration(), query);
+    return toBatchCall(request);
+}
+
 ReplicaRequest forwardedRequest(const HttpQuery& query, const CallerRequest& request)
 {
     ReplicaRequest forwarded;
@@ -152,7 +160,7 @@
     if (message.type != MessageType::JobOwner)
         return;
     const auto notice = wire::decode<wire::JobOwnerNotice>(message.payload);
-    gateway_.onOwner(notice.job, notice.owner);
+    gateway_.onOwner(notice);
 }
 
 void HostedEntry::sendOrigins(const std::string& coordinator, const std::string& notice)
@@ -231,13 +239,13 @@
 {
     // A call to a backend server has an id, so one without an id is certainly meant for a job.
     const bool mayBeCall = request.operation == CallerOperation::Call || (matched && !request.id.empty());
-    wire::BatchCall call = request.operation == CallerOperation::Call ? toSubmission(request, RouteDeclaration(), query)
-                                                                      : toBatchCall(request);
-    const BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
+    wire::BatchCall call = toJobCall(request, query);
+    BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
     const bool isUnknown = outcome.answer && outcome.answer->status == httpStatus(ErrorCode::BatchJobUnknown);
     if (mayBeCall && isUnknown)
         co_return std::nullopt;
-    co_return encodeOutcome(request.job.empty() ? request.id : request.job, outcome);
+    const std::string& job = request.operation == CallerOperation::Call ? request.id : request.job;
+    co_return encodeOutcome(job, std::move(outcome));
 }
 
 HttpResponse HostedEntry::encodeFailure(const CallerRequest& request, const Error& error, Duration retryDelay)
@@ -285,11 +293,11 @@
     wire::BatchCall call, Instant deadline, PeerCancellationPtr cancellation)
 {
     const std::string job = call.job;
-    const BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
-    co_return encodeOutcome(job, outcome);
+    BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
+    co_return encodeOutcome(job, std::move(outcome));
 }
 
-HttpResponse HostedEntry::encodeOutcome(const std::string& job, const BatchOutcome& outcome) const
+HttpResponse HostedEntry::encodeOutcome(const std::string& job, BatchOutcome outcome) const
 {
     if (!outcome.answer) {
         if (outcome.mayHaveRun)
@@ -298,7 +306,7 @@
     }
     HttpResponse response;
     response.status = outcome.answer->status;
-    response.body = outcome.answer->body;
+    response.body = std::move(outcome.answer->body);
     const bool isError = response.status >= 400;
     if (isError) {
         const ErrorCode code = codeFromText(response.body);
--- a/src/io/hosted/HostedEntry.h
+++ b/src/io/hosted/HostedEntry.h
@@ -62,7 +62,7 @@
     asio::awaitable<std::optional<HttpResponse>> serveJob(
         const CallerRequest&, const HttpQuery&, const RouteDeclaration* matched, Instant deadline, PeerCancellationPtr);
     /// The answer to the caller of an operation on a job. Throws OutcomeUnknownError or NotRunError if there is none.
-    HttpResponse encodeOutcome(const std::string& job, const BatchOutcome&) const;
+    HttpResponse encodeOutcome(const std::string& job, BatchOutcome) const;
     /// Counts and logs the failure and returns the error answer, which tells the caller to try again after the delay;
     /// zero for no hint.
     HttpResponse encodeFailure(const CallerRequest&, const Error&, Duration retryDelay);
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -205,6 +205,7 @@
         connection->notify(MessageType::LimitsInForce, *limits);
     if (isDraining_)
         connection->notify(MessageType::Leaving, {});
+    connection->restartConfirmation();
 }
 
 void HostedNode::onHello(const PeerConnectionPtr& connection, const std::string& payload)
@@ -227,6 +228,17 @@
     return found->second.connections.back();
 }
 
+Instant HostedNode::heardByPeerAt(const std::string& name) const
+{
+    const auto found = peers_.find(name);
+    if (found == peers_.end())
+        return Instant::min();
+    Instant latest = Instant::min();
+    for (const PeerConnectionPtr& connection : found->second.connections)
+        latest = std::max(latest, connection->confirmedAt());
+    return latest;
+}
+
 std::vector<std::string> HostedNode::activePeers(HostedRole role) const
 {
     std::vector<std::string> names;
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -81,6 +81,9 @@
 
     /// An open connection to a peer; null if there is none.
     PeerConnectionPtr peer(const std::string& name) const;
+    /// Time of the last heartbeat of this process that a peer is known to have received, after it had handled this
+    /// process's Hello; Instant::min() if there is none.
+    Instant heardByPeerAt(const std::string& name) const;
     bool isLeaving(const std::string& peer) const { return leavingPeers_.contains(peer); }
 
     /// Names of the connected peers of a role, without those that are leaving.
--- a/src/io/hosted/JobStore.cpp
+++ b/src/io/hosted/JobStore.cpp
@@ -138,9 +138,9 @@
     co_return result.revision;
 }
 
-asio::awaitable<std::optional<StoredJob>> JobStore::read(std::string job)
+asio::awaitable<std::optional<StoredJob>> JobStore::read(std::string job, Duration timeout)
 {
-    const std::optional<Document> document = co_await store_.read(recordKey(job), now() + callTimeout);
+    const std::optional<Document> document = co_await store_.read(recordKey(job), now() + timeout);
     if (!document)
         co_return std::nullopt;
     co_return decodeRecord(*document);
--- a/src/io/hosted/JobStore.h
+++ b/src/io/hosted/JobStore.h
@@ -75,7 +75,7 @@
     asio::awaitable<std::optional<int64_t>> accept(std::string job, JobRecord, std::string body);
 
     /// Returns nothing if there is no such job.
-    asio::awaitable<std::optional<StoredJob>> read(std::string job);
+    asio::awaitable<std::optional<StoredJob>> read(std::string job, Duration timeout = callTimeout);
     asio::awaitable<std::vector<StoredJob>> readAll();
 
     /// Replaces a record that still has the given revision. Returns its new revision, or nothing if it has changed.
--- a/src/io/hosted/OwnedJob.h
+++ b/src/io/hosted/OwnedJob.h
@@ -4,6 +4,7 @@
 #include "io/hosted/JobStore.h"
 #include "io/hosted/Protocol.h"
 
+#include <algorithm>
 #include <endiveroad/BatchJob.h>
 #include <endiveroad/ContentId.h>
 #include <map>
@@ -44,6 +45,13 @@
         return agents;
     }
 
+    /// How long an owner record that was read from the store or written is taken to be unchanged. Another coordinator
+    /// needs longer to take a job over and to list results.
+    static constexpr Duration recordLifetime = std::chrono::milliseconds(800);
+
+    /// The store has confirmed, by a call that was sent at this time, that the job is owned here.
+    void onConfirmed(Instant sentAt) { confirmedUntil = std::max(confirmedUntil, sentAt + recordLifetime); }
+
     BatchJob job;
     /// Content of each item's request to a replica, by index of the item.
     std::vector<ContentId> contents;
@@ -58,8 +66,14 @@
     bool isLost = false;
     /// The owner record is being read again; no item starts meanwhile.
     bool isCheckingOwnership = false;
+    /// Until then the job is certainly owned here; see onConfirmed().
+    Instant confirmedUntil = Instant::min();
+    /// After a failed attempt, the store is not asked again before this.
+    Instant nextConfirmationAt = Instant::min();
     /// The store has committed the end of the job.
     bool isEndStored = false;
+    /// The end is being written to the store in the background.
+    bool isEndPending = false;
     /// No item starts before this. After a take-over agents may still run items for the earlier owner.
     Instant startNotBefore = Instant::min();
     /// Withdrawn runs; agents' later reports on them are ignored.
--- a/src/io/hosted/ResultLister.cpp
+++ b/src/io/hosted/ResultLister.cpp
@@ -60,6 +60,7 @@
     // While the outcome is unknown, the same results must be retried at the same positions: they may be stored already.
     while (!owned->isLost && !owned->isEndStored) {
         std::string reason;
+        const Instant sentAt = now();
         try {
             const AppendOutcome outcome = co_await store_.append(owned->id(), owned->job.revision(), first, results);
             if (outcome == AppendOutcome::Conflict) {
@@ -68,6 +69,7 @@
                     onLost_(owned);
                 break;
             }
+            owned->onConfirmed(sentAt);
             owned->job.onListed(results);
             log(Event::ResultsListed,
                 { { "job", owned->id() }, { "first", std::to_string(first) },
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -257,6 +257,10 @@
   /** Set if another coordinator owns the job; the sender then repeats the call there. */
   3: string owner
   4: i32 retryAfterMs
+  /** Revision of the record that names the owner; 0 if it is not known. */
+  5: i64 ownerRevision
+  /** The answer comes from the memory of a coordinator that can't tell whether it still owns the job. It holds only if no other coordinator knows better. */
+  6: bool isUnconfirmed
 }
 
 /** One event of an item's result stream, with the weight version that generated it. */
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -4988,6 +4988,14 @@
 void BatchAnswer::__set_retryAfterMs(const int32_t val) {
   this->retryAfterMs = val;
 }
+
+void BatchAnswer::__set_ownerRevision(const int64_t val) {
+  this->ownerRevision = val;
+}
+
+void BatchAnswer::__set_isUnconfirmed(const bool val) {
+  this->isUnconfirmed = val;
+}
 std::ostream& operator<<(std::ostream& out, const BatchAnswer& obj)
 {
   obj.printTo(out);
@@ -5048,6 +5056,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ownerRevision);
+          this->__isset.ownerRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isUnconfirmed);
+          this->__isset.isUnconfirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5081,6 +5105,14 @@
   xfer += oprot->writeI32(this->retryAfterMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ownerRevision", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->ownerRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isUnconfirmed", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->isUnconfirmed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5092,6 +5124,8 @@
   swap(a.body, b.body);
   swap(a.owner, b.owner);
   swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.ownerRevision, b.ownerRevision);
+  swap(a.isUnconfirmed, b.isUnconfirmed);
   swap(a.__isset, b.__isset);
 }
 
@@ -5100,6 +5134,8 @@
   body = other116.body;
   owner = other116.owner;
   retryAfterMs = other116.retryAfterMs;
+  ownerRevision = other116.ownerRevision;
+  isUnconfirmed = other116.isUnconfirmed;
   __isset = other116.__isset;
 }
 BatchAnswer& BatchAnswer::operator=(const BatchAnswer& other117) {
@@ -5107,6 +5143,8 @@
   body = other117.body;
   owner = other117.owner;
   retryAfterMs = other117.retryAfterMs;
+  ownerRevision = other117.ownerRevision;
+  isUnconfirmed = other117.isUnconfirmed;
   __isset = other117.__isset;
   return *this;
 }
@@ -5117,6 +5155,8 @@
   out << ", " << "body=" << to_string(body);
   out << ", " << "owner=" << to_string(owner);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ", " << "ownerRevision=" << to_string(ownerRevision);
+  out << ", " << "isUnconfirmed=" << to_string(isUnconfirmed);
   out << ")";
 }
 
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -2314,11 +2314,13 @@
 std::ostream& operator<<(std::ostream& out, const BatchCall& obj);
 
 typedef struct _BatchAnswer__isset {
-  _BatchAnswer__isset() : status(false), body(false), owner(false), retryAfterMs(false) {}
+  _BatchAnswer__isset() : status(false), body(false), owner(false), retryAfterMs(false), ownerRevision(false), isUnconfirmed(false) {}
   bool status :1;
   bool body :1;
   bool owner :1;
   bool retryAfterMs :1;
+  bool ownerRevision :1;
+  bool isUnconfirmed :1;
 } _BatchAnswer__isset;
 
 class BatchAnswer : public virtual ::apache::thrift::TBase {
@@ -2330,7 +2332,9 @@
               : status(0),
                 body(),
                 owner(),
-                retryAfterMs(0) {
+                retryAfterMs(0),
+                ownerRevision(0),
+                isUnconfirmed(0) {
   }
 
   virtual ~BatchAnswer() noexcept;
@@ -2341,6 +2345,14 @@
    */
   std::string owner;
   int32_t retryAfterMs;
+  /**
+   * Revision of the record that names the owner; 0 if it is not known.
+   */
+  int64_t ownerRevision;
+  /**
+   * The answer comes from the memory of a coordinator that can't tell whether it still owns the job. It holds only if no other coordinator knows better.
+   */
+  bool isUnconfirmed;
 
   _BatchAnswer__isset __isset;
 
@@ -2352,6 +2364,10 @@
 
   void __set_retryAfterMs(const int32_t val);
 
+  void __set_ownerRevision(const int64_t val);
+
+  void __set_isUnconfirmed(const bool val);
+
   bool operator == (const BatchAnswer & rhs) const
   {
     if (!(status == rhs.status))
@@ -2362,6 +2378,10 @@
       return false;
     if (!(retryAfterMs == rhs.retryAfterMs))
       return false;
+    if (!(ownerRevision == rhs.ownerRevision))
+      return false;
+    if (!(isUnconfirmed == rhs.isUnconfirmed))
+      return false;
     return true;
   }
   bool operator != (const BatchAnswer &rhs) const {
--- a/tests/io/JobHistory.cpp
+++ b/tests/io/JobHistory.cpp
@@ -12,6 +12,12 @@
 constexpr int statusAccepted = 202;
 constexpr int statusUnknown = 404;
 
+/// Time after which the notices of a coordinator that is seen again have arrived.
+constexpr Duration newsTime = 250ms;
+
+/// Results that a caller has read longer ago than this have to be readable at every coordinator.
+constexpr Duration settleTime = 1s;
+
 } // namespace
 
 JobHistory::JobHistory(uint64_t seed)
@@ -67,8 +73,11 @@
 
 void JobHistory::resume(size_t index)
 {
-    if (processes_[index])
-        processes_[index]->isPaused = false;
+    if (!processes_[index] || !processes_[index]->isPaused)
+        return;
+    processes_[index]->isPaused = false;
+    // While it was paused, nobody can have heard it.
+    hasNewsAt_[nameOf(index)] = time_.now() + newsTime;
 }
 
 bool JobHistory::canSee(const std::string& viewer, const std::string& seen) const
@@ -82,6 +91,32 @@
     return false;
 }
 
+bool JobHistory::isHeardByAll(const std::string& name) const
+{
+    for (size_t i = 0; i < coordinators; ++i) {
+        const bool isOther = nameOf(i) != name;
+        if (isOther && (!processes_[i] || !canSee(nameOf(i), name)))
+            return false;
+    }
+    const auto hasNewsAt = hasNewsAt_.find(name);
+    return hasNewsAt == hasNewsAt_.end() || time_.now() > hasNewsAt->second;
+}
+
+void JobHistory::reconnect(const std::string& viewer, const std::string& seen)
+{
+    for (size_t i = 0; i < coordinators; ++i) {
+        if (nameOf(i) != viewer || !processes_[i])
+            continue;
+        for (size_t receiver = 0; receiver < coordinators; ++receiver) {
+            for (const auto& [id, owned] : processes_[i]->owner.jobs()) {
+                if (nameOf(receiver) == seen)
+                    announceTo(receiver, *owned);
+            }
+        }
+    }
+    hasNewsAt_[seen] = time_.now() + newsTime;
+}
+
 void JobHistory::pollAll()
 {
     bool hasRun = true;
@@ -117,21 +152,25 @@
 }
 
 void JobHistory::announce(const OwnedJob& owned)
+{
+    for (size_t i = 0; i < coordinators; ++i) {
+        if (canSee(owned.record.owner, nameOf(i)) && nameOf(i) != owned.record.owner)
+            announceTo(i, owned);
+    }
+}
+
+void JobHistory::announceTo(size_t receiver, const OwnedJob& owned)
 {
     wire::JobOwnerNotice notice;
     notice.job = owned.id();
     notice.revision = owned.job.revision();
     notice.owner = owned.record.owner;
-    for (size_t i = 0; i < coordinators; ++i) {
-        if (!canSee(notice.owner, nameOf(i)) || nameOf(i) == notice.owner)
-            continue;
-        scheduleAt(time_.now() + std::chrono::milliseconds(1 + draw(200)), [this, i, notice] {
-            if (!processes_[i])
-                return;
-            Process& process = *processes_[i];
-            asio::post(*process.context, [&process, notice] { process.owner.onOwner(notice); });
-        });
-    }
+    scheduleAt(time_.now() + std::chrono::milliseconds(1 + draw(200)), [this, receiver, notice] {
+        if (!processes_[receiver])
+            return;
+        Process& process = *processes_[receiver];
+        asio::post(*process.context, [&process, notice] { process.owner.onOwner(notice); });
+    });
 }
 
 void JobHistory::takeOver(size_t index, bool isOwnOnly)
@@ -148,6 +187,17 @@
     });
 }
 
+size_t JobHistory::settledResults(const std::string& job) const
+{
+    size_t count = 0;
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end())
+        return 0;
+    for (const auto& [at, results] : found->second.read)
+        count = at + settleTime < time_.now() ? std::max(count, results) : count;
+    return count;
+}
+
 void JobHistory::sendCall(size_t index, const wire::BatchCall& call, int hops)
 {
     if (!processes_[index])
@@ -155,15 +205,18 @@
     Process& process = *processes_[index];
     const Instant deadline = time_.now() + 4s;
     const bool wasAccepted = jobs_[call.job].isAccepted;
+    const size_t known = settledResults(call.job);
     spawn(process.context->get_executor(),
-        [this, &process, call, hops, deadline, wasAccepted]() -> asio::awaitable<void> {
+        [this, &process, call, hops, deadline, wasAccepted, known]() -> asio::awaitable<void> {
             const wire::BatchAnswer answer = co_await process.owner.perform(call, deadline);
             // The answer reaches the caller even if the process is killed now.
-            scheduleAt(now(), [this, call, answer, hops, wasAccepted] { onAnswer(call, answer, hops, wasAccepted); });
+            scheduleAt(now(),
+                [this, call, answer, hops, wasAccepted, known] { onAnswer(call, answer, hops, wasAccepted, known); });
         });
 }
 
-void JobHistory::onAnswer(const wire::BatchCall& call, const wire::BatchAnswer& answer, int hops, bool wasAccepted)
+void JobHistory::onAnswer(
+    const wire::BatchCall& call, const wire::BatchAnswer& answer, int hops, bool wasAccepted, size_t knownResults)
 {
     checkStore();
     Job& job = jobs_[call.job];
@@ -178,7 +231,8 @@
         }
         return;
     }
-    if (!answer.owner.empty())
+    // An entry asks the other coordinators after an unconfirmed answer.
+    if (!answer.owner.empty() || answer.isUnconfirmed)
         return;
     if (answer.status == statusUnknown && wasAccepted)
         reportViolation(call.job + ": answered as unknown after it was accepted");
@@ -189,7 +243,7 @@
     if (answer.status != statusOk)
         return;
     if (call.operation == wire::BatchOperation::Read)
-        checkPage(call.job, static_cast<size_t>(call.firstPosition), answer.body);
+        checkPage(call.job, static_cast<size_t>(call.firstPosition), answer.body, knownResults);
     if (call.operation == wire::BatchOperation::Cancel) {
         ends_ += job.isEndAnswered ? 0 : 1;
         job.isEndAnswered = true;
@@ -263,10 +317,18 @@
 void JobHistory::toggleConnection()
 {
     const std::pair pair(nameOf(draw(coordinators)), nameOf(draw(coordinators)));
-    if (!disconnected_.erase(pair))
+    if (disconnected_.erase(pair))
+        reconnect(pair.first, pair.second);
+    else
         disconnected_.insert(pair);
 }
 
+void JobHistory::reconnectAll()
+{
+    for (const auto& [viewer, seen] : std::exchange(disconnected_, {}))
+        reconnect(viewer, seen);
+}
+
 void JobHistory::runAction()
 {
     const size_t index = draw(coordinators);
@@ -281,7 +343,7 @@
     case 5:
         return draw(3) == 0 ? endJob() : read();
     case 6:
-        return draw(2) == 0 ? toggleConnection() : disconnected_.clear();
+        return draw(2) == 0 ? toggleConnection() : reconnectAll();
     case 7:
         if (processes_[index] && draw(2) == 0)
             kill(index);
--- a/tests/io/JobHistory.h
+++ b/tests/io/JobHistory.h
@@ -61,6 +61,10 @@
     void pause(size_t);
     void resume(size_t);
     bool canSee(const std::string& viewer, const std::string& seen) const;
+    /// True if all other coordinators see this one, and have told it of the jobs that they took over before.
+    bool isHeardByAll(const std::string& name) const;
+    /// A coordinator sees another one again and tells it of its jobs.
+    void reconnect(const std::string& viewer, const std::string& seen);
     /// Advances virtual time step by step, running all that is due.
     void advance(Duration);
     /// Runs the coordinators that are not paused until none has work left.
@@ -73,16 +77,20 @@
     void endJob();
     void finishItem();
     void toggleConnection();
+    void reconnectAll();
     void takeOver(size_t, bool isOwnOnly);
     /// Sends a caller's call to a coordinator, and follows up to `hops` redirects.
     void sendCall(size_t, const wire::BatchCall&, int hops);
-    void onAnswer(const wire::BatchCall&, const wire::BatchAnswer&, int hops, bool wasAccepted);
+    void onAnswer(const wire::BatchCall&, const wire::BatchAnswer&, int hops, bool wasAccepted, size_t knownResults);
     void finishItems(size_t);
     void announce(const OwnedJob&);
+    void announceTo(size_t receiver, const OwnedJob&);
+    /// Number of the job's results that callers have read longer ago than settleTime.
+    size_t settledResults(const std::string& job) const;
 
     std::vector<std::string> durableResults(const std::string& job) const;
     void checkStore();
-    void checkPage(const std::string& job, size_t first, const std::string& page);
+    void checkPage(const std::string& job, size_t first, const std::string& page, size_t knownResults);
     void finishWithoutFaults();
     void checkFinalState();
     void reportViolation(const std::string&);
@@ -96,6 +104,8 @@
     std::vector<ProcessPtr> processes_;
     /// Pairs of names: the first coordinator does not see the second.
     std::set<std::pair<std::string, std::string>> disconnected_;
+    /// By name, when the news of all others have reached a coordinator after it was seen again.
+    std::map<std::string, Instant> hasNewsAt_;
     std::map<std::string, Job> jobs_;
     int acceptedJobs_ = 0;
     int takeOvers_ = 0;
--- a/tests/io/JobHistoryChecks.cpp
+++ b/tests/io/JobHistoryChecks.cpp
@@ -52,10 +52,16 @@
     }
 }
 
-void JobHistory::checkPage(const std::string& id, size_t first, const std::string& page)
+void JobHistory::checkPage(const std::string& id, size_t first, const std::string& page, size_t knownResults)
 {
-    const Job& job = jobs_[id];
+    Job& job = jobs_[id];
     const std::vector<std::string> lines = linesOf(page);
+    if (first + lines.size() < knownResults)
+        reportViolation(id + ": a result that had been read is missing");
+    if (!lines.empty()) {
+        size_t& read = job.read[time_.now()];
+        read = std::max(read, first + lines.size());
+    }
     for (size_t i = 0; i < lines.size(); ++i) {
         if (first + i >= job.results.size())
             reportViolation(id + ": a result was returned before it was stored");
@@ -68,7 +74,7 @@
 void JobHistory::finishWithoutFaults()
 {
     faultPercent_ = 0;
-    disconnected_.clear();
+    reconnectAll();
     // Long enough for delayed calls to take effect in the store before the final check.
     for (int round = 0; round < 24; ++round) {
         for (size_t i = 0; i < coordinators; ++i) {
--- a/tests/io/JobHistoryProcess.h
+++ b/tests/io/JobHistoryProcess.h
@@ -79,6 +79,8 @@
         return names;
     }
 
+    bool isHeardByAll() const override { return history_.isHeardByAll(name_); }
+
     void announceOwner(const OwnedJob& owned) override { history_.announce(owned); }
 
 private:
@@ -125,6 +127,8 @@
     bool isEndAsked = false;
     /// A caller was told that the job has ended.
     bool isEndAnswered = false;
+    /// Number of results that callers have read, by the time of the answer.
+    std::map<Instant, size_t> read;
     /// Lines of all results seen in the store so far, by position.
     std::vector<std::string> results;
 };
