--- a/scripts/lib/streams.py
+++ b/scripts/lib/streams.py
@@ -25,6 +25,8 @@
         self.seconds = 0.0
         self.events = []
         self.is_complete = False
+        # Nobody listened at the entry's address.
+        self.was_refused = False
 
     def went_on(self):
         return self.status == 200 and (self.is_complete or len(self.events) > 0)
@@ -63,6 +65,8 @@
             attempt.seconds = time.monotonic() - begun
             if response.status == 200:
                 self.read(response, attempt, leaves_after)
+        except ConnectionRefusedError:
+            attempt.was_refused = True
         except (OSError, http.client.HTTPException):
             pass
         finally:
--- a/tests/process/mixed_versions.py
+++ b/tests/process/mixed_versions.py
@@ -146,6 +146,84 @@
     check(streams)
 
 
+def play_kills_of_all_entries(deployment, during_kill):
+    """Callers take their streams up after all entries were killed at once and came back, again and again."""
+    prepare(deployment, [OLD, NEW, OLD, NEW])
+    for engine in deployment.platform.engines:
+        engine.extra_s = 0.05
+        engine.down_s = 0.4
+    has_ended = threading.Event()
+
+    def kill_entries():
+        choices = random.Random(1)
+        turn = 0
+        while not has_ended.wait(2.5):
+            turn += 1
+            for entry in deployment.entries:
+                entry.kill()
+            during_kill(turn)
+            has_ended.wait(choices.uniform(0.3, 2.2))
+            for entry in deployment.entries:
+                entry.start()
+
+    def one_stream(stream, choices):
+        for _ in range(12):
+            attempt = stream.attempt(deployment, entry_of(deployment, choices))
+            if stream.is_complete or stream.events and attempt.status == 503:
+                return
+            time.sleep(0.25)
+
+    killer = threading.Thread(target=kill_entries)
+    killer.start()
+    streams = play(deployment, 96, 8, one_stream)
+    has_ended.set()
+    killer.join()
+    # What was sent while no entry ran tells nothing of the entries.
+    for stream in streams:
+        stream.tries = [attempt for attempt in stream.tries if not attempt.was_refused]
+    return streams
+
+
+def streams_of_two_versions_are_joined_after_all_entries_were_killed(deployment):
+    """The text is joined from two versions, or the stream is rejected, once no entry remembers what began it."""
+    streams = play_kills_of_all_entries(deployment, lambda turn: None)
+    check(streams)
+    assert any(attempt.is_take_up for stream in streams for attempt in stream.tries), "no stream was taken up"
+
+
+def streams_are_joined_where_replicas_changed_while_all_entries_were_away(deployment):
+    """Two replicas leave for a new id, start and version in each kill; a coordinator starts again at the same moment."""
+    engines = deployment.platform.engines
+
+    def change(turn):
+        for number in (turn % 4, (turn + 1) % 4):
+            engine = engines[number]
+            engine.keeps_id = turn % 3 == 0
+            engine.next_software = NEW if engine.software == OLD else OLD
+            deployment.platform.loop.call_soon_threadsafe(engine.end)
+        deployment.coordinators[turn % 3].restart()
+
+    # At times one replica of a version serves, or none.
+    check(play_kills_of_all_entries(deployment, change), is_share_checked=False)
+
+
+def streams_are_joined_where_all_entries_return_while_the_store_is_away(deployment):
+    """Entries start again with what coordinators remember of servers, some of which have other software by then."""
+    engines = deployment.platform.engines
+    store = deployment.platform.store
+
+    def change(turn):
+        engine = engines[turn % 4]
+        engine.keeps_id = turn % 2 == 0
+        engine.next_software = NEW if engine.software == OLD else OLD
+        store.mode = "silent" if turn % 2 else "up"
+        deployment.platform.loop.call_soon_threadsafe(engine.end)
+
+    streams = play_kills_of_all_entries(deployment, change)
+    store.mode = "up"
+    check(streams, is_share_checked=False)
+
+
 def streams_taken_up_are_lost_at_full_servers(deployment):
     """More callers than places: of those taken up, nearly as many go on as new ones begin."""
     prepare(deployment, [OLD, NEW, OLD, NEW])
@@ -375,6 +453,9 @@
     a_stream_goes_on_at_another_version_after_its_entry_was_killed,
     a_stream_goes_on_where_a_server_started_again_with_other_software,
     a_stream_goes_on_where_a_server_that_states_no_start_started_again,
+    streams_of_two_versions_are_joined_after_all_entries_were_killed,
+    streams_are_joined_where_replicas_changed_while_all_entries_were_away,
+    streams_are_joined_where_all_entries_return_while_the_store_is_away,
     streams_taken_up_are_lost_at_full_servers,
     a_stream_of_the_last_old_replica_goes_on_at_newer_ones,
     a_stream_that_nobody_knows_goes_on_by_a_guess,
