--- a/scripts/lib/partitions.py
+++ b/scripts/lib/partitions.py
@@ -22,7 +22,8 @@
             machine.settings["Platform.Address"] = "%s:%d" % (machine.address, port)
 
     async def _relay_peers(self, deployment, machine, own):
-        await deployment.platform.relay_peers(machine.name, machine.address, deployment.port, own)
+        if machine.name not in deployment.platform.relays:
+            await deployment.platform.relay_peers(machine.name, machine.address, deployment.port, own)
         deployment.platform.relays[machine.name].is_cut = lambda caller: (
             caller.startswith("coordinator") and bool({caller, machine.name} & self.cut_off))
 
