--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -224,7 +224,8 @@
         return self.request(entry, "POST", target, body, {"Endiveroad-Request-Id": request_id,
                                                           "Endiveroad-Deadline-Ms": str(timeout_ms)}, kept=kept)
 
-    def submit(self, job, items, model=MODELS[0], oldest=1, patience_s=15, prefix=JOB_PREFIX):
+    def submit(self, job, items, model=MODELS[0], oldest=1, patience_s=15, prefix=JOB_PREFIX,
+               host=HOST):
         """Submits a job, again after each failure, through one entry after the other. Returns the answers' statuses."""
         rows = [{"Id": item, "Path": prefix + item, "Headers": {"Endiveroad-Model": model},
                  "Body": base64.b64encode(b"prompt of " + item.encode()).decode(), "Tokens": 10,
@@ -239,7 +240,8 @@
             entry = self.entries[len(statuses) % len(self.entries)]
             try:
                 statuses.append(self.request(entry, "POST", prefix + job, body.encode(),
-                                             {"Endiveroad-Request-Id": job, "Content-Type": "application/json"})[0])
+                                             {"Endiveroad-Request-Id": job, "Content-Type": "application/json",
+                                              "Host": host})[0])
             except OSError:
                 statuses.append(0)
             if statuses[-1] == 202:
@@ -247,9 +249,9 @@
             time.sleep(0.1)
         raise AssertionError("job %s was not accepted: %s" % (job, statuses))
 
-    def read(self, entry, job, after=0, wait_ms=500):
+    def read(self, entry, job, after=0, wait_ms=500, host=HOST):
         status, body, _ = self.request(entry, "GET", "/lots/%s?After=%d" % (job, after),
-                                       headers={"Endiveroad-Wait-Ms": str(wait_ms)})
+                                       headers={"Endiveroad-Wait-Ms": str(wait_ms), "Host": host})
         return status, json.loads(body) if status == 200 else None
 
     def read_all(self, job, count, patience_s=25):
