A VM that is retired is reported only if another coordinator can do its work

Cause: a coordinator reported its own VM as completed once it owned no open job, or 2.5 s after the request whatever else stood, and the platform removes such a VM at once. Nothing looked whether another coordinator was left.

Change: VmRetirement (core) decides: a coordinator hands over only to one that says that it serves (configuration, stored jobs read, store, entries, most engines) and goes back to work if it loses it. Of two that retire only the one whose name sorts first counts on the other. RetirementReporter writes the report in one transaction with the condition that the successor is registered, and with the removal of the VM's own registration, so two can never both count on each other. A registration written anew voids a report in doubt. While the last one stays it is no longer announced as leaving: it issues permits, acts for all, accepts and answers, and the operator reads State running. A substitute reports only VMs whose coordinator is not connected.

Related paths: a coordinator that is stopped by a signal no longer waits 1.5 s for others where there are none.

Tests: retiring.* (7, real processes).

--- a/include/endiveroad/Directory.h
+++ b/include/endiveroad/Directory.h
@@ -142,8 +142,8 @@
     std::map<std::string, int64_t> announcedVersions;
     /// By name.
     std::map<std::string, CoordinatorRecord> coordinators;
-    /// VMs that the operator is retiring; their processes have to drain.
-    std::set<std::string> retiringVms;
+    /// Revision of the operator's request to retire a VM, by VM.
+    std::map<std::string, int64_t> retirements;
 
     auto operator<=>(const Directory&) const = default;
 
--- a/include/endiveroad/endiveroad.h
+++ b/include/endiveroad/endiveroad.h
@@ -37,5 +37,6 @@
 #include <endiveroad/Time.h>
 #include <endiveroad/Timeline.h>
 #include <endiveroad/VersionTracker.h>
+#include <endiveroad/VmRetirement.h>
 #include <endiveroad/WaitingCalls.h>
 #include <endiveroad/WeightPlan.h>
--- a/src/io/Frame.h
+++ b/src/io/Frame.h
@@ -51,6 +51,8 @@
     ItemFailures = 65,
     StreamOrigins = 66,
     StreamOriginQuery = 67,
+    SuccessionQuery = 68,
+    Returning = 69,
 };
 
 /// Header of a frame. On the wire: magic u16, version u8, kind u8, type u16, zero u16, length u32, budgetMs u32,
--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -20,9 +20,6 @@
 /// Pause after a failed call to the store.
 constexpr Duration retryPause = std::chrono::milliseconds(400);
 
-/// Time for a retiring VM to become empty and report so itself.
-constexpr Duration retirementGrace = std::chrono::milliseconds(2500);
-
 } // namespace
 
 HostedCoordinator::HostedCoordinator(std::unique_ptr<Platform> platform, HostedOptions options)
@@ -39,6 +36,8 @@
           [this](const OwnedJobPtr& owned) { owner_.requestOwnershipCheck(owned); })
     , originKeeper_(*this)
     , nextScanAt_(startedAt() + startGrace)
+    , retirements_(
+          settings().name, this->platform().directoryProtocol(), store(), *this, [this] { return directory(); })
 {
     owner_.setWorker(dispatcher_);
 }
@@ -51,7 +50,7 @@
     spawnRestarting(executor, [this] { return runTakeOvers(); });
     spawnRestarting(executor, [this] { return dispatcher_.run(); });
     spawnRestarting(executor, [this] { return owner_.runListing(); });
-    spawnRestarting(executor, [this] { return reportRetirements(); });
+    spawnRestarting(executor, [this] { return retirements_.run(); });
 }
 
 bool HostedCoordinator::isAlive(const std::string& coordinator) const
@@ -64,7 +63,7 @@
 std::vector<std::string> HostedCoordinator::aliveCoordinators() const
 {
     std::vector<std::string> names = activePeers(HostedRole::Coordinator);
-    if (!isDraining() && !isRetiring())
+    if (!hasAnnouncedLeaving())
         names.push_back(settings().name);
     std::sort(names.begin(), names.end());
     return names;
@@ -113,6 +112,8 @@
 {
     if (lease_ != 0 && !co_await store().renewLease(lease_, now() + storeTimeout))
         lease_ = 0;
+    if (!retirements_.mayRegister())
+        co_return;
     const auto current = directory();
     // The registration is written again if it is missing although its lease has not ended.
     const bool isRegistered = current->coordinators.contains(settings().name);
@@ -122,10 +123,16 @@
         lease_ = co_await store().grantLease(leaseLifetime, now() + storeTimeout);
     CoordinatorRecord record { settings().name, settings().peers, settings().failureDomain };
     StoreTransaction transaction;
+    transaction.conditions = retirements_.registrationConditions();
     transaction.puts.push_back(
         { DirectorySync::coordinatorPrefix + settings().name, DirectorySync::encodeCoordinator(record), lease_ });
-    co_await store().commit(std::move(transaction), now() + storeTimeout);
+    const CommitResult result = co_await store().commit(std::move(transaction), now() + storeTimeout);
+    if (!result.isCommitted) {
+        retirements_.requireCheck();
+        co_return;
+    }
     registeredLease_ = lease_;
+    retirements_.onRegistered(result.revision);
 }
 
 asio::awaitable<void> HostedCoordinator::maintainRegistration()
@@ -144,11 +151,10 @@
 
 asio::awaitable<void> HostedCoordinator::runTakeOvers()
 {
-    bool hasRestoredOwnJobs = false;
     Instant removeAt = now() + scanInterval;
     while (!isDraining()) {
         const bool isScanDue = now() >= nextScanAt_;
-        if (hasRestoredOwnJobs && !isScanDue) {
+        if (hasRestoredJobs_ && !isScanDue) {
             co_await sleepFor(pollInterval);
             continue;
         }
@@ -156,7 +162,7 @@
         try {
             nextScanAt_ = isScanDue ? now() + scanInterval : nextScanAt_;
             co_await owner_.takeOverOrphanedJobs(!isScanDue);
-            hasRestoredOwnJobs = true;
+            hasRestoredJobs_ = true;
             if (now() >= removeAt && isScanDue) {
                 removeAt = now() + scanInterval;
                 co_await owner_.removeExpired();
@@ -170,37 +176,48 @@
     }
 }
 
-asio::awaitable<void> HostedCoordinator::reportRetirements()
+asio::awaitable<wire::SuccessionAnswer> HostedCoordinator::askSuccession(std::string coordinator, Instant deadline)
 {
-    std::map<std::string, Instant> seenAt;
-    while (true) {
-        co_await sleepFor(pollInterval);
-        const auto current = directory();
-        for (const std::string& vm : current->retiringVms) {
-            if (retirementsReported_.contains(vm))
-                continue;
-            const Instant firstSeenAt = seenAt.try_emplace(vm, now()).first->second;
-            const bool isOwn = vm == settings().name;
-            const bool isEmpty = isOwn && owner_.openJobs() == 0;
-            const bool isLate = now() > firstSeenAt + retirementGrace;
-            const bool isSubstitute = !isOwn && isLate && isFirst();
-            if (isEmpty || (isOwn && isLate) || isSubstitute)
-                co_await reportRetirement(vm);
-        }
-    }
+    const PeerConnectionPtr connection = peer(coordinator);
+    if (!connection)
+        throw PeerUnavailableError("the connection to the coordinator was lost");
+    const std::string answer = co_await connection->call(MessageType::SuccessionQuery, {}, deadline);
+    co_return wire::decode<wire::SuccessionAnswer>(answer);
 }
 
-asio::awaitable<void> HostedCoordinator::reportRetirement(std::string vm)
+wire::SuccessionAnswer HostedCoordinator::ownSuccession() const
 {
-    try {
-        StoreTransaction transaction;
-        transaction.puts.push_back(platform().directoryProtocol().makeRetirementReport(vm));
-        co_await store().commit(std::move(transaction), now() + storeTimeout);
-        retirementsReported_.insert(vm);
-        log(Event::RetirementDone, { { "vm", vm } });
-    } catch (const Error& error) {
-        log(Event::StoreUnavailable, { { "calling", "retirement" }, { "reason", error.what() } });
-    }
+    wire::SuccessionAnswer answer;
+    answer.isServing = isServing();
+    answer.isRetiring = retirements_.isRequested();
+    answer.entries = static_cast<int32_t>(activePeers(HostedRole::Entry).size());
+    answer.agents = static_cast<int32_t>(activePeers(HostedRole::Agent).size());
+    return answer;
+}
+
+bool HostedCoordinator::isServing() const
+{
+    const bool isStoreReachable = now() < lastStoreAnswerAt() + isolationLimit;
+    const bool hasEntries = !activePeers(HostedRole::Entry).empty();
+    return !hasAnnouncedLeaving() && retirements_.isSettled() && hasRestoredJobs_ && directory()->routing
+        && isStoreReachable && hasEntries && reachesEngines();
+}
+
+bool HostedCoordinator::reachesEngines() const
+{
+    const auto current = directory();
+    size_t engines = 0;
+    for (const auto& [service, declaration] : current->routing->services)
+        engines += current->runsModels(service) ? current->readyServers(service).size() : 0;
+    return 2 * activePeers(HostedRole::Agent).size() >= engines;
+}
+
+void HostedCoordinator::onReturn()
+{
+    announceReturn();
+    // A new revision of the registration voids a report that the store may still carry out.
+    registeredLease_ = 0;
+    nextScanAt_ = std::min(nextScanAt_, now() + scanDelayAfterLoss);
 }
 
 void HostedCoordinator::onDirectoryChanged(const Directory& before, const Directory& current)
@@ -210,8 +227,6 @@
         if (before.announcedVersion(model) != version)
             dispatcher_.onVersionAnnounced(model);
     }
-    if (before.retiringVms != current.retiringVms && isRetiring())
-        announceLeaving();
     dispatcher_.wake();
 }
 
@@ -219,6 +234,8 @@
 {
     if (message.type == MessageType::StreamOriginQuery)
         co_return originKeeper_.answer(message.payload);
+    if (message.type == MessageType::SuccessionQuery)
+        co_return wire::encode(ownSuccession());
     if (message.type != MessageType::BatchCall)
         co_return co_await HostedNode::onNodeRequest(connection, std::move(message));
     auto call = wire::decode<wire::BatchCall>(message.payload);
@@ -286,7 +303,10 @@
         { "endiveroad_known_streams", "", "Streams whose first software version this process keeps for entries.",
             static_cast<double>(originKeeper_.size()) },
         { "endiveroad_known_replicas", "", "Replicas whose agents have reported.",
-            static_cast<double>(dispatcher_.replicaCount()) } };
+            static_cast<double>(dispatcher_.replicaCount()) },
+        { "endiveroad_retirement_held", "",
+            "1 while the operator retires this VM and it stays, since no other coordinator could do its work.",
+            retirements_.isHeld() ? 1.0 : 0.0 } };
     // The metric's label calls finished items "unlisted": they have a result that is not listed yet.
     constexpr std::array stages { std::pair(ItemStage::Waiting, "waiting"), std::pair(ItemStage::Running, "running"),
         std::pair(ItemStage::Scoring, "scoring"), std::pair(ItemStage::Finished, "unlisted") };
@@ -306,7 +326,8 @@
 {
     announceLeaving();
     const Instant end = now() + handoverTime;
-    while (now() < end && owner_.openJobs() > 0)
+    // Without another coordinator nobody takes the jobs over before this process starts again.
+    while (now() < end && owner_.openJobs() > 0 && !aliveCoordinators().empty())
         co_await sleepFor(pollInterval / 4);
     try {
         if (lease_ != 0)
--- a/src/io/hosted/HostedCoordinator.h
+++ b/src/io/hosted/HostedCoordinator.h
@@ -4,6 +4,7 @@
 #include "io/hosted/HostedNode.h"
 #include "io/hosted/ItemDispatcher.h"
 #include "io/hosted/ItemScorer.h"
+#include "io/hosted/RetirementReporter.h"
 #include "io/hosted/ServiceCaller.h"
 #include "io/hosted/StreamOriginKeeper.h"
 
@@ -14,7 +15,8 @@
 class HostedCoordinator : public HostedNode,
                           private CoordinatorView,
                           private AgentConnections,
-                          private StreamOriginPeers {
+                          private StreamOriginPeers,
+                          private RetirementPeers {
 public:
     /// Lifetime of the lease that holds this coordinator's registration, and interval at which it is renewed.
     static constexpr std::chrono::milliseconds leaseLifetime { 9000 };
@@ -70,19 +72,29 @@
 
     /// True in the first coordinator by name of those that are alive.
     bool isFirst() const override;
-    bool mayIssuePermits() const override { return !isDraining() && !isRetiring(); }
-    bool isRetiring() const { return directory()->retiringVms.contains(settings().name); }
+    bool mayIssuePermits() const override { return !hasAnnouncedLeaving(); }
+    bool hasAnnouncedLeaving() const override { return isDraining() || retirements_.isLeaving(); }
+
+    std::vector<std::string> stayingCoordinators() const override { return activePeers(HostedRole::Coordinator); }
+    asio::awaitable<wire::SuccessionAnswer> askSuccession(std::string coordinator, Instant deadline) override;
+    wire::SuccessionAnswer ownSuccession() const override;
+    bool isConnected(const std::string& vm) const override { return peer(vm) != nullptr; }
+    bool actsForAll() const override { return isFirst(); }
+    void onLeaving() override { announceLeaving(); }
+    void onReturn() override;
+    size_t openJobs() const override { return owner_.openJobs(); }
+    /// True if this coordinator can do the work of all: it has the configuration, has read the stored jobs, reaches the
+    /// store, entries and most engines, and goes nowhere.
+    bool isServing() const;
+    /// True if at least half as many agents as engines are connected.
+    bool reachesEngines() const;
+
     /// Keeps this coordinator's registration in the store until the process drains.
     asio::awaitable<void> maintainRegistration();
     /// Renews the lease, and writes the registration if it is missing.
     asio::awaitable<void> registerOnce();
     /// Searches for jobs to take over or to remove until the process drains.
     asio::awaitable<void> runTakeOvers();
-    /// Reports retiring VMs as done, forever. A coordinator has the name of its VM. It reports its own VM as soon as it
-    /// owns no open job, or after retirementGrace. A VM that has not reported itself by then is reported by the
-    /// coordinator whose name sorts first.
-    asio::awaitable<void> reportRetirements();
-    asio::awaitable<void> reportRetirement(std::string vm);
 
     ServiceCaller serviceCaller_;
     BatchOwner owner_;
@@ -95,7 +107,9 @@
     int64_t registeredLease_ = 0;
     /// Time of the next search for orphaned jobs.
     Instant nextScanAt_;
-    std::set<std::string> retirementsReported_;
+    /// The open jobs of an earlier process of this name have been taken over.
+    bool hasRestoredJobs_ = false;
+    RetirementReporter retirements_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -203,7 +203,7 @@
     const auto limits = role_ == HostedRole::Coordinator ? requestLimits_.encodeAll() : std::nullopt;
     if (limits)
         connection->notify(MessageType::LimitsInForce, *limits);
-    if (isDraining_)
+    if (hasAnnouncedLeaving())
         connection->notify(MessageType::Leaving, {});
     connection->restartConfirmation();
 }
@@ -266,10 +266,12 @@
 
 void HostedNode::announceLeaving()
 {
-    for (const auto& [name, peer] : peers_) {
-        for (const PeerConnectionPtr& connection : peer.connections)
-            connection->notify(MessageType::Leaving, {});
-    }
+    notifyPeers(MessageType::Leaving, {});
+}
+
+void HostedNode::announceReturn()
+{
+    notifyPeers(MessageType::Returning, {});
 }
 
 asio::awaitable<std::string> HostedNode::onRequest(PeerConnectionPtr connection, PeerMessage message)
@@ -314,6 +316,9 @@
             leavingPeers_.insert(connection->peerName);
             onPeerDown(connection->peerName);
             break;
+        case MessageType::Returning:
+            leavingPeers_.erase(connection->peerName);
+            break;
         default:
             onNodeNotice(connection, message);
         }
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -73,6 +73,9 @@
     /// True in the one coordinator that acts for all.
     virtual bool isFirst() const { return false; }
 
+    /// True once the process has announced that it is leaving, unless it stays after all.
+    virtual bool hasAnnouncedLeaving() const { return isDraining_; }
+
     /// True in a coordinator that issues permits for limited servers.
     virtual bool mayIssuePermits() const { return false; }
 
@@ -92,8 +95,9 @@
     /// A connection to each connected peer of a role, those that are leaving included.
     std::vector<PeerConnectionPtr> connectionsOf(HostedRole) const;
 
-    /// Tells all peers that this process is leaving.
+    /// Tells all peers that this process is leaving, or that it stays after all.
     void announceLeaving();
+    void announceReturn();
 
     std::shared_ptr<const Directory> directory() const { return directorySync_->current(); }
     asio::io_context& context() { return context_; }
--- a/src/io/hosted/Protocol.h
+++ b/src/io/hosted/Protocol.h
@@ -180,6 +180,10 @@
         const std::vector<BatchResult>& listed, size_t firstPosition, size_t totalItems) const = 0;
 };
 
+/// State of the retirement of a VM, as it is reported to the operator. The platform removes a VM that is completed at
+/// once.
+enum class RetirementState { Running, Completed };
+
 /// Format of the documents in the platform's store from which every process builds its directory.
 class DirectoryProtocol {
 public:
@@ -197,8 +201,11 @@
     /// True if two revisions of a key have the same meaning, though their bytes may differ.
     virtual bool isEquivalent(const Document&, const Document&) const = 0;
 
-    /// Returns the document that reports that a VM no longer runs any work.
-    virtual StorePut makeRetirementReport(const std::string& vm) const = 0;
+    /// Key of the document in which the operator finds the state of a VM's retirement.
+    virtual std::string retirementReportKey(const std::string& vm) const = 0;
+    virtual std::string encodeRetirementReport(RetirementState) const = 0;
+    /// A value that cannot be decoded completes nothing.
+    virtual RetirementState decodeRetirementReport(const std::string& value) const = 0;
 };
 
 /// A platform on which the system runs.
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -438,3 +438,17 @@
 /** Asks a coordinator what began a stream. */
 struct StreamOriginQuery { 1: binary key }
 struct StreamOriginAnswer { 1: bool isKnown  2: SoftwareVersion software }
+
+/**
+ * What a coordinator answers when another one, whose VM is being retired,
+ * asks whether it could take the work over. The question has no content.
+ */
+struct SuccessionAnswer {
+  /** It works, and can do so without the one that asks. */
+  1: bool isServing
+  /** Its own VM is being retired as well. */
+  2: bool isRetiring
+  /** Number of entries and agents that are connected to it. */
+  3: i32 entries
+  4: i32 agents
+}
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -9334,4 +9334,156 @@
   out << ")";
 }
 
+
+SuccessionAnswer::~SuccessionAnswer() noexcept {
+}
+
+
+void SuccessionAnswer::__set_isServing(const bool val) {
+  this->isServing = val;
+}
+
+void SuccessionAnswer::__set_isRetiring(const bool val) {
+  this->isRetiring = val;
+}
+
+void SuccessionAnswer::__set_entries(const int32_t val) {
+  this->entries = val;
+}
+
+void SuccessionAnswer::__set_agents(const int32_t val) {
+  this->agents = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuccessionAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuccessionAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isServing);
+          this->__isset.isServing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isRetiring);
+          this->__isset.isRetiring = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entries);
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->agents);
+          this->__isset.agents = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SuccessionAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuccessionAnswer");
+
+  xfer += oprot->writeFieldBegin("isServing", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->isServing);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isRetiring", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isRetiring);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->entries);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("agents", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->agents);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuccessionAnswer &a, SuccessionAnswer &b) {
+  using ::std::swap;
+  swap(a.isServing, b.isServing);
+  swap(a.isRetiring, b.isRetiring);
+  swap(a.entries, b.entries);
+  swap(a.agents, b.agents);
+  swap(a.__isset, b.__isset);
+}
+
+SuccessionAnswer::SuccessionAnswer(const SuccessionAnswer& other249) noexcept {
+  isServing = other249.isServing;
+  isRetiring = other249.isRetiring;
+  entries = other249.entries;
+  agents = other249.agents;
+  __isset = other249.__isset;
+}
+SuccessionAnswer& SuccessionAnswer::operator=(const SuccessionAnswer& other250) noexcept {
+  isServing = other250.isServing;
+  isRetiring = other250.isRetiring;
+  entries = other250.entries;
+  agents = other250.agents;
+  __isset = other250.__isset;
+  return *this;
+}
+void SuccessionAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuccessionAnswer(";
+  out << "isServing=" << to_string(isServing);
+  out << ", " << "isRetiring=" << to_string(isRetiring);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "agents=" << to_string(agents);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -180,6 +180,8 @@
 
 class StreamOriginAnswer;
 
+class SuccessionAnswer;
+
 typedef struct _Hello__isset {
   _Hello__isset() : node(false), role(false), incarnation(false), settingsRevision(false), organisation(false) {}
   bool node :1;
@@ -4162,6 +4164,83 @@
 
 std::ostream& operator<<(std::ostream& out, const StreamOriginAnswer& obj);
 
+typedef struct _SuccessionAnswer__isset {
+  _SuccessionAnswer__isset() : isServing(false), isRetiring(false), entries(false), agents(false) {}
+  bool isServing :1;
+  bool isRetiring :1;
+  bool entries :1;
+  bool agents :1;
+} _SuccessionAnswer__isset;
+
+/**
+ * What a coordinator answers when another one, whose VM is being retired,
+ * asks whether it could take the work over. The question has no content.
+ */
+class SuccessionAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuccessionAnswer(const SuccessionAnswer&) noexcept;
+  SuccessionAnswer& operator=(const SuccessionAnswer&) noexcept;
+  SuccessionAnswer() noexcept
+                   : isServing(0),
+                     isRetiring(0),
+                     entries(0),
+                     agents(0) {
+  }
+
+  virtual ~SuccessionAnswer() noexcept;
+  /**
+   * It works, and can do so without the one that asks.
+   */
+  bool isServing;
+  /**
+   * Its own VM is being retired as well.
+   */
+  bool isRetiring;
+  /**
+   * Number of entries and agents that are connected to it.
+   */
+  int32_t entries;
+  int32_t agents;
+
+  _SuccessionAnswer__isset __isset;
+
+  void __set_isServing(const bool val);
+
+  void __set_isRetiring(const bool val);
+
+  void __set_entries(const int32_t val);
+
+  void __set_agents(const int32_t val);
+
+  bool operator == (const SuccessionAnswer & rhs) const
+  {
+    if (!(isServing == rhs.isServing))
+      return false;
+    if (!(isRetiring == rhs.isRetiring))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    if (!(agents == rhs.agents))
+      return false;
+    return true;
+  }
+  bool operator != (const SuccessionAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuccessionAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuccessionAnswer &a, SuccessionAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const SuccessionAnswer& obj);
+
 }} // namespace
 
 #endif
--- a/tests/io/DirectoryFakes.h
+++ b/tests/io/DirectoryFakes.h
@@ -25,7 +25,15 @@
         return directory;
     }
     bool isEquivalent(const Document& a, const Document& b) const override { return a.isRemoved == b.isRemoved; }
-    StorePut makeRetirementReport(const std::string&) const override { return {}; }
+    std::string retirementReportKey(const std::string& vm) const override { return "retired/" + vm; }
+    std::string encodeRetirementReport(RetirementState state) const override
+    {
+        return state == RetirementState::Completed ? "completed" : "running";
+    }
+    RetirementState decodeRetirementReport(const std::string& value) const override
+    {
+        return value == "completed" ? RetirementState::Completed : RetirementState::Running;
+    }
 };
 
 /// Lists a fixed set of keys, or fails as unreachable.
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -326,3 +326,17 @@
     query.headers = { { "Last-Event-Id", "3" }, { "Resumes", "first" } };
     CHECK(codec.decode(query).resumedRequest == "first");
 }
+
+TEST_CASE("the report on a VM's retirement completes it only if it says so", "[platform]")
+{
+    const DirectoryCodec codec;
+    for (const RetirementState state : { RetirementState::Running, RetirementState::Completed })
+        CHECK(codec.decodeRetirementReport(codec.encodeRetirementReport(state)) == state);
+    for (const char* malformed : { "", "completed", "[]", "{}", R"({"State":7})", R"({"State":"done"})" })
+        CHECK(codec.decodeRetirementReport(malformed) == RetirementState::Running);
+    DocumentSet documents;
+    documents.merge({ "op/retire/vm-1", 6, R"({"DurationS":8.8})", false });
+    std::vector<std::string> unreadable;
+    CHECK(codec.decode(documents, unreadable).retirements == std::map<std::string, int64_t> { { "vm-1", 6 } });
+    CHECK(codec.retirementReportKey("vm-1") == "status/retire/vm-1");
+}
