--- a/src/io/hosted/RetirementReporter.cpp
+++ b/src/io/hosted/RetirementReporter.cpp
@@ -226,15 +226,15 @@
         const wire::SuccessionAnswer answer = co_await peers_.askSuccession(coordinator, now() + queryTimeout);
         const wire::SuccessionAnswer own = peers_.ownSuccession();
         candidate.isRetiring = answer.isRetiring;
-        if (!answer.isServing)
-            candidate.servingSince = never;
-        else if (candidate.servingSince == Instant::min() || candidate.servingSince == never)
-            candidate.servingSince = now();
+        candidate.servingSince = answer.isServing ? std::min(candidate.servingSince, now()) : never;
         const bool isReachedByAll = answer.entries >= own.entries && answer.agents >= own.agents;
         const bool isReady = answer.isServing && (isReachedByAll || now() >= candidate.servingSince + connectTime);
         candidate.readyUntil = isReady ? now() + readinessLifetime : Instant::min();
+        candidate.isSilent = false;
     } catch (const Error& error) {
-        log(Event::SuccessorUnavailable, { { "coordinator", coordinator }, { "reason", error.what() } });
+        if (!candidate.isSilent)
+            log(Event::SuccessorUnavailable, { { "coordinator", coordinator }, { "reason", error.what() } });
+        candidate.isSilent = true;
     }
     co_return SuccessorState { coordinator, candidate.isRetiring, now() < candidate.readyUntil };
 }
--- a/src/io/hosted/RetirementReporter.h
+++ b/src/io/hosted/RetirementReporter.h
@@ -97,10 +97,12 @@
 
     /// What a coordinator has answered.
     struct Candidate {
-        /// Its last answer with isServing; Instant::min() if it does not serve.
-        Instant servingSince = Instant::min();
+        /// Since when all its answers have told that it serves; `never` if the last one did not.
+        Instant servingSince = never;
         Instant readyUntil = Instant::min();
         bool isRetiring = false;
+        /// It did not answer the last query.
+        bool isSilent = false;
     };
 
     asio::awaitable<void> followOwnRequest();
