Where no coordinator is registered, entries serve calls and reject operations on jobs at once

Cause: readiness asked for a connected coordinator whether or not one stood; BatchGateway waited for one in any case. Change: an entry that has read the registrations itself and found none is ready, and rejects operations on jobs with 503 and Retry-After. While registrations are listed (9 s after a kill) it waits as before: a coordinator that starts again serves the request.

--- a/src/io/hosted/BatchGateway.cpp
+++ b/src/io/hosted/BatchGateway.cpp
@@ -96,7 +96,8 @@
             if (attempts.outcome.reason.empty())
                 attempts.outcome.reason = "no coordinator is connected";
             attempts.tried.clear();
-            if (now() + retryPause >= deadline)
+            const bool isHopeless = coordinators_.coordinators().empty() && coordinators_.areNoneRegistered();
+            if (isHopeless || now() + retryPause >= deadline)
                 break;
             co_await sleepFor(retryPause);
             continue;
--- a/src/io/hosted/BatchGateway.h
+++ b/src/io/hosted/BatchGateway.h
@@ -20,6 +20,8 @@
     virtual std::vector<std::string> coordinators() const = 0;
     /// Null if the coordinator is not connected. One that is leaving is returned: it may still own jobs.
     virtual PeerConnectionPtr coordinator(const std::string& name) const = 0;
+    /// True if no coordinator is registered in the store.
+    virtual bool areNoneRegistered() const = 0;
 };
 
 /// Result of an operation.
@@ -46,10 +48,10 @@
     explicit BatchGateway(CoordinatorConnections&);
 
     /// Sends the operation to the job's owner if that is known, else to a coordinator that looks the owner up or takes
-    /// the job over. Retries until a coordinator answers, the deadline passes or the caller cancels. Operations are
-    /// idempotent, so a retry is safe after an attempt whose outcome is unknown. The answer of a coordinator that can't
-    /// tell whether it still owns the job, or that does not reach the store, is returned only if no other one knows
-    /// better.
+    /// the job over. Retries until a coordinator answers, the deadline passes, the caller cancels or no coordinator is
+    /// connected or registered. Operations are idempotent, so a retry is safe after an attempt whose outcome is
+    /// unknown. The answer of a coordinator that can't tell whether it still owns the job, or that does not reach the
+    /// store, is returned only if no other one knows better.
     asio::awaitable<BatchOutcome> perform(wire::BatchCall, Instant deadline, PeerCancellationPtr);
 
     /// True if a coordinator has announced that it owns the job.
--- a/src/io/hosted/DirectorySync.cpp
+++ b/src/io/hosted/DirectorySync.cpp
@@ -149,6 +149,7 @@
     for (Document& missing : documents_.missingIn(coordinatorPrefix, listing.documents, listing.asOf))
         documents.push_back(std::move(missing));
     applyDocuments(documents, true);
+    hasReadCoordinators_ = true;
     nextCoordinatorReadAt_ = now() + coordinatorInterval;
 }
 
--- a/src/io/hosted/DirectorySync.h
+++ b/src/io/hosted/DirectorySync.h
@@ -79,6 +79,10 @@
     /// True if this process or a connected coordinator has read the store recently.
     bool isFresh() const;
 
+    /// True if this process has read the coordinators' registrations itself, and found none in its last reading or in
+    /// news since.
+    bool areNoCoordinatorsRegistered() const { return hasReadCoordinators_ && current_->coordinators.empty(); }
+
     static std::string encodeCoordinator(const CoordinatorRecord&);
 
 private:
@@ -113,6 +117,7 @@
     Instant operatorFreshUntil_ = Instant::min();
     bool isReading_ = false;
     bool isStoreUnreachable_ = false;
+    bool hasReadCoordinators_ = false;
 };
 
 } // namespace endiveroad::io
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -139,7 +139,9 @@
 
 bool HostedEntry::isReady() const
 {
-    return !isDraining() && directory()->routing && !coordinators().empty();
+    // Where no coordinator stands, no other entry could do more than serve calls, which need none.
+    const bool hasCoordinator = !coordinators().empty();
+    return !isDraining() && directory()->routing && (hasCoordinator || areNoneRegistered());
 }
 
 void HostedEntry::onDirectoryChanged(const Directory& before, const Directory& current)
--- a/src/io/hosted/HostedEntry.h
+++ b/src/io/hosted/HostedEntry.h
@@ -41,6 +41,7 @@
 
     std::vector<std::string> coordinators() const override { return activePeers(HostedRole::Coordinator); }
     PeerConnectionPtr coordinator(const std::string& name) const override { return peer(name); }
+    bool areNoneRegistered() const override { return directorySync().areNoCoordinatorsRegistered(); }
 
     void onPeerUp(const PeerConnectionPtr&) override { resumptions_.onCoordinatorsChanged(); }
     void onPeerDown(const std::string&) override { resumptions_.onCoordinatorsChanged(); }
--- a/tests/process/retirements.py
+++ b/tests/process/retirements.py
@@ -204,11 +204,28 @@
         check_stays(deployment, operator, last, callers)
 
 
+def calls_are_refused_while_no_coordinator_stands(deployment):
+    """Guards against entries that serve nobody, and hold requests that can't be served, once all coordinators are lost."""
+    deployment.submit("job-lost", names("lost", 4))
+    for machine in deployment.coordinators:
+        machine.kill()
+    wait_until(lambda: not deployment.platform.store.keys("endiveroad/coordinators/"), 12)
+    entry = deployment.entries[0]
+    wait_until(lambda: deployment.is_ready(entry), 6)
+    assert deployment.call(entry, "plain")[0] == 200
+    began = time.monotonic()
+    status, _, headers = deployment.request(entry, "GET", "/lots/job-lost?After=0")
+    assert status == 503 and float(headers["Retry-After"]) > 0, (status, headers)
+    assert time.monotonic() - began < 0.3, "the rejection came late"
+    add_spare(deployment)
+    assert len(deployment.read_all("job-lost", 4)) == 4
+
+
 CASES = {case.__name__: case for case in (
     the_last_coordinator_is_asked_to_go_alone, a_successor_of_the_last_coordinator_comes_late,
     all_coordinators_are_asked_to_go_at_once, the_successor_freezes_while_it_takes_the_work_over,
     the_store_is_away_between_request_and_report, a_machine_comes_back_under_the_name_of_one_that_went,
-    a_frozen_coordinator_is_reported_by_another)}
+    a_frozen_coordinator_is_reported_by_another, calls_are_refused_while_no_coordinator_stands)}
 
 
 if __name__ == "__main__":
