A held VM's state is told to the operator until it is stored; a coordinator that stops does not announce its return

Found by reading: the State running was written once, and lost if the store failed just then; a coordinator that had got SIGTERM while it handed over could have announced its return to the others on losing its successor.

--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -214,7 +214,8 @@
 
 void HostedCoordinator::onReturn()
 {
-    announceReturn();
+    if (!isDraining())
+        announceReturn();
     // A new revision of the registration voids a report that the store may still carry out.
     registeredLease_ = 0;
     nextScanAt_ = std::min(nextScanAt_, now() + scanDelayAfterLoss);
--- a/src/io/hosted/RetirementReporter.cpp
+++ b/src/io/hosted/RetirementReporter.cpp
@@ -113,8 +113,8 @@
     if (isNewlyHeld)
         log(Event::RetirementHeld, { { "vm", name_ }, { "reason", describe(others) } });
     co_await act(action);
-    if (isNewlyHeld)
-        co_await reportRunning();
+    if (own_.isHeld() && runningReported_ != request)
+        co_await reportRunning(*request);
 }
 
 asio::awaitable<void> RetirementReporter::checkOwnReport(int64_t request)
@@ -158,17 +158,19 @@
     }
 }
 
-asio::awaitable<void> RetirementReporter::reportRunning()
+asio::awaitable<void> RetirementReporter::reportRunning(int64_t request)
 {
     StoreTransaction transaction;
     const std::string key = protocol_.retirementReportKey(name_);
     transaction.conditions.push_back({ key, checkedReport_ });
     transaction.puts.push_back({ key, protocol_.encodeRetirementReport(RetirementState::Running), 0 });
     const CommitResult result = co_await store_.commit(std::move(transaction), now() + storeTimeout);
-    if (result.isCommitted)
-        checkedReport_ = result.revision;
-    else
+    if (!result.isCommitted) {
         requireCheck();
+        co_return;
+    }
+    checkedReport_ = result.revision;
+    runningReported_ = request;
 }
 
 asio::awaitable<void> RetirementReporter::followOtherRequests()
--- a/src/io/hosted/RetirementReporter.h
+++ b/src/io/hosted/RetirementReporter.h
@@ -109,7 +109,7 @@
     asio::awaitable<void> checkOwnReport(int64_t request);
     asio::awaitable<void> act(RetirementAction);
     /// Tells the operator that the VM stays for now.
-    asio::awaitable<void> reportRunning();
+    asio::awaitable<void> reportRunning(int64_t request);
     asio::awaitable<void> followOtherRequests();
     asio::awaitable<void> reportAbsent(std::string vm, int64_t request);
 
@@ -135,6 +135,8 @@
     /// Request to retire this VM whose report has been read, and the revision of that report.
     std::optional<int64_t> checkedRequest_;
     int64_t checkedReport_ = 0;
+    /// Request for which the operator has been told that the VM stays for now.
+    std::optional<int64_t> runningReported_;
     /// Revision of the first registration that this process has written; 0 if there is none.
     int64_t firstRegistration_ = 0;
     /// Request to retire this VM that was completed under an earlier process.
