--- a/scripts/lib/retiring.py
+++ b/scripts/lib/retiring.py
@@ -7,14 +7,16 @@
 class Operator:
     """Requests retirements. As the platform does, removes a VM at once when it is reported as completed."""
 
-    def __init__(self, deployment):
+    def __init__(self, deployment, on_removal=lambda machine: None):
         self.deployment = deployment
+        self.on_removal = on_removal
         self.store = deployment.platform.store
         # Revision of the request, by machine name.
         self.requests = {}
         self.gone = set()
         self.is_over = threading.Event()
-        threading.Thread(target=self._remove, daemon=True).start()
+        self.thread = threading.Thread(target=self._remove, daemon=True)
+        self.thread.start()
 
     def retire(self, machine, duration_s=8.8):
         self.requests[machine.name] = self.store.revision
@@ -44,10 +46,16 @@
     def is_gone(self, machine):
         return machine.name in self.gone
 
+    def stop(self):
+        """Removes no more VMs."""
+        self.is_over.set()
+        self.thread.join()
+
     def _remove(self):
         while not self.is_over.is_set():
             for machine in list(self.deployment.coordinators):
                 if machine.name in self.requests and not self.is_gone(machine) and self.is_reported(machine):
                     machine.kill()
                     self.gone.add(machine.name)
+                    self.on_removal(machine)
             time.sleep(0.005)
