Each request to retire a VM is given the time of absence anew

Found in review of the diff: a coordinator kept since when a VM's coordinator had been absent beyond the end of that request. A new machine of that name whose request came later would have been reported by another the moment its coordinator was not connected, for example while it started again. The time is forgotten with the request. Test: RetirementReporterTest, "each request is given...", red before.

--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -266,12 +266,20 @@
 
 void HostedNode::announceLeaving()
 {
-    notifyPeers(MessageType::Leaving, {});
+    notifyOnAllConnections(MessageType::Leaving);
 }
 
 void HostedNode::announceReturn()
 {
-    notifyPeers(MessageType::Returning, {});
+    notifyOnAllConnections(MessageType::Returning);
+}
+
+void HostedNode::notifyOnAllConnections(MessageType type)
+{
+    for (const auto& [name, peer] : peers_) {
+        for (const PeerConnectionPtr& connection : peer.connections)
+            connection->notify(type, {});
+    }
 }
 
 asio::awaitable<std::string> HostedNode::onRequest(PeerConnectionPtr connection, PeerMessage message)
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -138,6 +138,9 @@
     /// Sends a notice to all connected peers but the one of the connection `origin`, which may be null.
     void notifyPeers(MessageType, const std::string& payload, const PeerConnection* origin = nullptr);
 
+    /// Sends an empty notice on every connection, as one of several to the same peer may be dead.
+    void notifyOnAllConnections(MessageType);
+
     void connectToCoordinators();
     void sendHello(const PeerConnectionPtr&);
     void onHello(const PeerConnectionPtr&, const std::string& payload);
--- a/src/io/hosted/RetirementReporter.cpp
+++ b/src/io/hosted/RetirementReporter.cpp
@@ -176,6 +176,7 @@
 asio::awaitable<void> RetirementReporter::followOtherRequests()
 {
     const auto current = directory_();
+    std::erase_if(absentSince_, [&current](const auto& entry) { return !current->retirements.contains(entry.first); });
     for (const auto& [vm, request] : current->retirements) {
         const auto completed = completedRequests_.find(vm);
         if (vm == name_ || (completed != completedRequests_.end() && completed->second == request))
@@ -197,8 +198,10 @@
 {
     const Report present = co_await readReport(vm);
     const bool isCompleted = present.completes(request) || co_await report(vm, name_);
-    if (isCompleted)
-        completedRequests_[vm] = request;
+    if (!isCompleted)
+        co_return;
+    completedRequests_[vm] = request;
+    absentSince_.erase(vm);
 }
 
 std::vector<std::string> RetirementReporter::othersToAsk() const
--- a/tests/io/RetirementReporterTest.cpp
+++ b/tests/io/RetirementReporterTest.cpp
@@ -59,20 +59,28 @@
     std::vector<std::string> stayingCoordinators() const override { return { "b" }; }
     asio::awaitable<wire::SuccessionAnswer> askSuccession(std::string, Instant) override { co_return answer; }
     wire::SuccessionAnswer ownSuccession() const override { return own; }
-    bool isConnected(const std::string&) const override { return true; }
-    bool actsForAll() const override { return false; }
+    bool isConnected(const std::string&) const override { return isOtherConnected; }
+    bool actsForAll() const override { return true; }
     size_t openJobs() const override { return 0; }
     void onLeaving() override { ++departures; }
     void onReturn() override { ++returns; }
 
     void runFor(Duration duration) { time.runFor(context, duration); }
 
-    bool isCompleted() const
+    bool isCompleted(const char* key = reportKey) const
     {
-        const auto report = contents.read(reportKey);
+        const auto report = contents.read(key);
         return report && report->value == "completed";
     }
 
+    /// The operator retires only the VM "x".
+    void requestOther(int64_t revision)
+    {
+        Directory requested;
+        requested.retirements["x"] = revision;
+        directory = std::make_shared<const Directory>(requested);
+    }
+
     VirtualTime time;
     asio::io_context context;
     std::mt19937_64 random;
@@ -85,6 +93,7 @@
     wire::SuccessionAnswer own = serving(2);
     int departures = 0;
     int returns = 0;
+    bool isOtherConnected = true;
     RetirementReporter reporter;
 
     static wire::SuccessionAnswer serving(int32_t entries)
@@ -156,3 +165,23 @@
     CHECK(fixture.reporter.mayRegister());
     CHECK(fixture.departures == 0);
 }
+
+// Guards against a VM that is reported while its coordinator only starts again, since an earlier VM of its name was
+// absent.
+TEST_CASE("each request is given the time of absence anew", "[retirement]")
+{
+    constexpr const char* otherKey = "retired/x";
+    Fixture fixture;
+    fixture.isOtherConnected = false;
+    fixture.requestOther(1);
+    fixture.runFor(RetirementReporter::absenceTime - 300ms);
+    CHECK_FALSE(fixture.isCompleted(otherKey));
+    fixture.runFor(1s);
+    CHECK(fixture.isCompleted(otherKey));
+    fixture.contents.apply({ {}, {}, { otherKey } });
+    fixture.requestOther(100);
+    fixture.runFor(RetirementReporter::absenceTime - 300ms);
+    CHECK_FALSE(fixture.isCompleted(otherKey));
+    fixture.runFor(1s);
+    CHECK(fixture.isCompleted(otherKey));
+}
