Soak: a machine that two timers restart has one process at a time

Its log has two ProcessStarted 0.1 s apart: the timer of a SIGTERM and the one that brings a removed machine back restarted it at once, each in a thread of its own. The product's exit is right; the soak's restart is now under a lock.

--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -40,6 +40,7 @@
         self.path = os.path.join(deployment.dir, name + ".conf")
         self.log_path = os.path.join(deployment.dir, name + ".log")
         self.handle = None
+        self.restart_lock = threading.Lock()
         # Length of the log when the process was started.
         self.log_start = 0
         # Exit codes of processes that ended by themselves other than well.
@@ -72,8 +73,10 @@
             self.bad_exits.append(self.handle.returncode)
 
     def restart(self):
-        self.kill()
-        self.start()
+        """Several threads may restart a machine; it has one process at a time."""
+        with self.restart_lock:
+            self.kill()
+            self.start()
 
 
 class Platform:
