--- a/include/endiveroad/Directory.h
+++ b/include/endiveroad/Directory.h
@@ -53,15 +53,40 @@
     /// Batch jobs: time from submission after which items without a result are terminated. Includes the time that items
     /// run.
     Duration maxQueueTime = std::chrono::seconds(40);
+    /// Callers need no API key, although the configuration declares organisations.
+    bool isPublic = false;
 
     auto operator<=>(const RouteDeclaration&) const = default;
 };
 
+/// An organisation whose callers authenticate with API keys.
+struct OrganisationDeclaration {
+    std::string name;
+    /// Takes precedence over the route's priority; 0 is the most urgent, 9 the least. Nothing if it has none.
+    std::optional<int32_t> priority;
+    /// Digests of its valid API keys; the keys themselves are not kept.
+    std::set<std::string> keyDigests;
+
+    auto operator<=>(const OrganisationDeclaration&) const = default;
+};
+
+/// Bounds for the number of replicas of a service that the system orders, in each failure domain.
+struct ReplicaBounds {
+    int32_t min = 0;
+    int32_t max = 0;
+    /// Time from the order of a replica until it serves.
+    Duration bootTime {};
+
+    auto operator<=>(const ReplicaBounds&) const = default;
+};
+
 /// A service as the operator configured it.
 struct ServiceDeclaration {
     std::string name;
     /// Models that its replicas serve; empty if the service runs no models.
     std::vector<std::string> models;
+    /// Nothing if the number of its replicas is not the system's to order.
+    std::optional<ReplicaBounds> scaling = std::nullopt;
 
     auto operator<=>(const ServiceDeclaration&) const = default;
 };
@@ -82,9 +107,23 @@
     std::vector<RouteDeclaration> routes;
     std::map<std::string, ServiceDeclaration> services;
     CallerLimits limits;
+    /// By name. Nothing if the configuration declares none: then callers need no keys.
+    std::optional<std::map<std::string, OrganisationDeclaration>> organisations;
 
     auto operator<=>(const RoutingTable&) const = default;
 
+    /// True if requests of the route need the key of an organisation.
+    bool requiresKey(const RouteDeclaration& route) const { return organisations && !route.isPublic; }
+
+    /// The organisation that alone holds the key with this digest; null if there is none.
+    const OrganisationDeclaration* organisationOf(const std::string& keyDigest) const;
+
+    /// Priority of requests of an organisation on a route: the organisation's, else the route's.
+    int32_t priorityOf(const RouteDeclaration&, const std::string& organisation) const;
+
+    /// Priority of an organisation towards engines; nothing if it has none or is not declared.
+    std::optional<int32_t> organisationPriority(const std::string& organisation) const;
+
     /// Route of the host with the longest prefix that matches the path; null if there is none.
     const RouteDeclaration* match(std::string_view host, std::string_view path) const;
 
--- a/src/core/directory/Directory.cpp
+++ b/src/core/directory/Directory.cpp
@@ -109,4 +109,33 @@
     return found == announcedVersions.end() ? 1 : found->second;
 }
 
+const OrganisationDeclaration* RoutingTable::organisationOf(const std::string& keyDigest) const
+{
+    if (!organisations || keyDigest.empty())
+        return nullptr;
+    const OrganisationDeclaration* holder = nullptr;
+    for (const auto& [name, organisation] : *organisations) {
+        if (!organisation.keyDigests.contains(keyDigest))
+            continue;
+        // A key that two organisations hold identifies neither.
+        if (holder)
+            return nullptr;
+        holder = &organisation;
+    }
+    return holder;
+}
+
+std::optional<int32_t> RoutingTable::organisationPriority(const std::string& organisation) const
+{
+    if (!organisations)
+        return std::nullopt;
+    const auto found = organisations->find(organisation);
+    return found == organisations->end() ? std::nullopt : found->second.priority;
+}
+
+int32_t RoutingTable::priorityOf(const RouteDeclaration& route, const std::string& organisation) const
+{
+    return organisationPriority(organisation).value_or(route.priority);
+}
+
 } // namespace endiveroad
--- a/src/io/Frame.h
+++ b/src/io/Frame.h
@@ -53,6 +53,8 @@
     StreamOriginQuery = 67,
     SuccessionQuery = 68,
     Returning = 69,
+    Usage = 70,
+    DutyHolder = 71,
 };
 
 /// Header of a frame. On the wire: magic u16, version u8, kind u8, type u16, zero u16, length u32, budgetMs u32,
--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -197,14 +197,17 @@
 asio::awaitable<wire::BatchAnswer> BatchOwner::submit(const wire::BatchCall& call, Instant deadline)
 {
     co_await waitUntilUnlocked(call.job);
-    if (jobs_.contains(call.job))
-        co_return answerOf(statusAccepted);
     const auto directory = directory_();
+    if (const auto owned = jobs_.find(call.job); owned != jobs_.end()) {
+        requireAccess(owned->second->record, call);
+        co_return answerOf(statusAccepted);
+    }
     const RouteDeclaration* route = directory->routing ? directory->routing->route(call.route) : nullptr;
     if (!route)
         co_return co_await submitWithoutRoute(call);
     BatchJobSpec spec = protocol_.decodeJob(call.job, call.host, call.route, call.body);
-    const JobRecord record = newRecord(spec, *route);
+    JobRecord record = newRecord(spec, *route);
+    record.organisation = call.organisation;
     std::optional<int64_t> revision;
     {
         const JobLock lock(*this, call.job);
@@ -218,6 +221,7 @@
         const Location location = co_await locate(call.job, call.unreachable);
         if (!location.isKnown())
             throw OutcomeUnknownError("the job existed at the submission, but has been removed since");
+        requireAccess(location, call);
         co_return answerOf(statusAccepted);
     }
     const OwnedJobPtr owned = jobs_.at(call.job);
@@ -231,11 +235,30 @@
     co_return answerOf(statusAccepted);
 }
 
+void BatchOwner::requireAccess(const JobRecord& record, const wire::BatchCall& call) const
+{
+    const auto directory = directory_();
+    const RoutingTable* routing = directory->routing ? &*directory->routing : nullptr;
+    if (!record.isAccessibleTo(call.organisation, routing))
+        throw BatchJobUnknownError("the job belongs to another organisation");
+}
+
+void BatchOwner::requireAccess(const Location& location, const wire::BatchCall& call) const
+{
+    // Another owner decides itself.
+    if (location.owned)
+        requireAccess(location.owned->record, call);
+    if (location.endedJob)
+        requireAccess(location.endedJob->record, call);
+}
+
 asio::awaitable<wire::BatchAnswer> BatchOwner::submitWithoutRoute(const wire::BatchCall& call)
 {
     const Location location = co_await locate(call.job, call.unreachable);
-    if (location.isKnown())
+    if (location.isKnown()) {
+        requireAccess(location, call);
         co_return answerOf(statusAccepted);
+    }
     if (call.route.empty())
         throw BatchJobUnknownError("there is no such job");
     throw NotReadyError("the coordinator has not read the configuration of the route yet");
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -147,6 +147,9 @@
         bool isKnown() const { return owned || endedJob || !owner.empty(); }
     };
 
+    /// Throw BatchJobUnknownError if the caller's organisation may not use the job.
+    void requireAccess(const JobRecord&, const wire::BatchCall&) const;
+    void requireAccess(const Location&, const wire::BatchCall&) const;
     asio::awaitable<wire::BatchAnswer> submit(const wire::BatchCall&, Instant deadline);
     /// Answers a submission whose route is not configured here. A job that has been accepted outlives its route.
     asio::awaitable<wire::BatchAnswer> submitWithoutRoute(const wire::BatchCall&);
--- a/src/io/hosted/BatchOwnership.cpp
+++ b/src/io/hosted/BatchOwnership.cpp
@@ -47,6 +47,7 @@
     // Another owner decides itself.
     if (record && !record->isVisibleOn(call.host, routing))
         throw BatchJobUnknownError("there is no such job on this host");
+    requireAccess(location, call);
     co_return location;
 }
 
--- a/src/io/hosted/DirectorySync.cpp
+++ b/src/io/hosted/DirectorySync.cpp
@@ -163,7 +163,7 @@
         // falls out of the store's history in time, and the call throws HistoryLostError.
         for (const Document& document : changes.documents)
             operatorRevision_ = std::max(*operatorRevision_, document.revision);
-        applyDocuments(changes.documents, false);
+        applyDocuments(withoutSecrets(changes.documents), false);
         co_return;
     }
     const StoreListing listing = co_await store_.list(prefix, false, now() + callTimeout);
@@ -171,7 +171,14 @@
     for (Document& missing : documents_.missingIn(prefix, listing.documents, listing.asOf))
         documents.push_back(std::move(missing));
     operatorRevision_ = listing.asOf;
-    applyDocuments(documents, false);
+    applyDocuments(withoutSecrets(std::move(documents)), false);
+}
+
+std::vector<Document> DirectorySync::withoutSecrets(std::vector<Document> documents) const
+{
+    for (Document& document : documents)
+        document = protocol_.withoutSecrets(std::move(document));
+    return documents;
 }
 
 void DirectorySync::onReadSucceeded()
--- a/src/io/hosted/DirectorySync.h
+++ b/src/io/hosted/DirectorySync.h
@@ -91,6 +91,8 @@
     asio::awaitable<void> readServersOnce();
     asio::awaitable<void> readCoordinatorsOnce();
     asio::awaitable<void> readOperatorDocuments();
+    /// DirectoryProtocol::withoutSecrets() of each.
+    std::vector<Document> withoutSecrets(std::vector<Document>) const;
     void onReadSucceeded();
     void onReadFailed(const char* what, const Error&);
     /// Merges the documents, publishes those whose meaning changed, and notifies the listener. With
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -33,7 +33,7 @@
     return wire::BatchOperation::Submit;
 }
 
-wire::BatchCall toBatchCall(const CallerRequest& request)
+wire::BatchCall toBatchCall(const CallerRequest& request, const std::string& organisation)
 {
     wire::BatchCall call;
     call.operation = toWire(request.operation);
@@ -42,11 +42,13 @@
     call.firstPosition = request.firstPosition;
     call.item = request.item;
     call.waitMs = static_cast<int32_t>(std::min(request.maxWait, maxReadWait).count());
+    call.organisation = organisation;
     return call;
 }
 
 /// A submission without the name of a route is accepted only if the job exists already.
-wire::BatchCall toSubmission(const CallerRequest& request, const RouteDeclaration& route, const HttpQuery& query)
+wire::BatchCall toSubmission(const CallerRequest& request, const RouteDeclaration& route, const HttpQuery& query,
+    const std::string& organisation)
 {
     wire::BatchCall call;
     call.operation = wire::BatchOperation::Submit;
@@ -54,18 +56,20 @@
     call.host = request.host;
     call.route = route.name;
     call.body = query.body;
+    call.organisation = organisation;
     return call;
 }
 
 /// The operation on a job that a request without a matching route for batch jobs asks for.
-wire::BatchCall toJobCall(const CallerRequest& request, const HttpQuery& query)
+wire::BatchCall toJobCall(const CallerRequest& request, const HttpQuery& query, const std::string& organisation)
 {
     if (request.operation == CallerOperation::Call)
-        return toSubmission(request, RouteDeclaration(), query);
-    return toBatchCall(request);
+        return toSubmission(request, RouteDeclaration(), query, organisation);
+    return toBatchCall(request, organisation);
 }
 
-ReplicaRequest forwardedRequest(const HttpQuery& query, const CallerRequest& request)
+ReplicaRequest forwardedRequest(
+    const HttpQuery& query, const CallerRequest& request, const RoutingTable& routing, const std::string& organisation)
 {
     ReplicaRequest forwarded;
     forwarded.method = query.method;
@@ -73,6 +77,9 @@
     forwarded.headers = forwardedHeaders(query.headers);
     forwarded.body = query.body;
     forwarded.id = request.id;
+    forwarded.isIdentityRemoved = routing.organisations.has_value();
+    forwarded.organisation = organisation;
+    forwarded.priority = routing.organisationPriority(organisation);
     return forwarded;
 }
 
@@ -193,12 +200,14 @@
         if (!current->routing)
             throw NotReadyError("the process has no configuration yet");
         const RouteDeclaration* matched = current->routing->match(request.host, request.path);
-        const RouteDeclaration route = matched ? *matched : RouteDeclaration();
+        RouteDeclaration route = matched ? *matched : RouteDeclaration();
+        const std::string organisation = authenticate(request, matched);
+        route.priority = current->routing->priorityOf(route, organisation);
         const Duration timeout = std::min(request.timeout.value_or(route.timeout), route.timeout);
         const Instant deadline = arrivedAt + timeout - answerMargin;
         std::optional<HttpResponse> jobAnswer;
         if (mayConcernJob(request, query, matched))
-            jobAnswer = co_await serveJob(request, query, matched, deadline, cancellation);
+            jobAnswer = co_await serveJob(request, query, matched, organisation, deadline, cancellation);
         if (jobAnswer) {
             response = std::move(*jobAnswer);
         } else if (!matched) {
@@ -206,13 +215,14 @@
         } else if (request.id.empty()) {
             throw BadRequestError("the request has no id");
         } else if (route.kind == TrafficKind::BatchJobs) {
-            response = co_await serveBatch(toSubmission(request, route, query), deadline, cancellation);
+            response = co_await serveBatch(toSubmission(request, route, query, organisation), deadline, cancellation);
         } else if (route.kind == TrafficKind::Streaming) {
-            ReplicaRequest forwarded = forwardedRequest(query, request);
+            ReplicaRequest forwarded = forwardedRequest(query, request, *current->routing, organisation);
             co_await streamProxy_.serve(exchange, route, request, std::move(forwarded), deadline, cancellation);
             co_return;
         } else {
-            response = co_await serveCall(query, request, route, deadline, cancellation);
+            ReplicaRequest forwarded = forwardedRequest(query, request, *current->routing, organisation);
+            response = co_await serveCall(request, route, std::move(forwarded), deadline, cancellation);
         }
     } catch (const ServersFullError& error) {
         response = encodeFailure(request, error, error.retryAt() - now());
@@ -227,6 +237,22 @@
     co_await exchange.answer(std::move(response));
 }
 
+std::string HostedEntry::authenticate(const CallerRequest& request, const RouteDeclaration* matched) const
+{
+    const auto current = directory();
+    const RoutingTable& routing = *current->routing;
+    const bool isJobOperation = request.operation != CallerOperation::Call;
+    const bool isKeyNeeded = matched ? routing.requiresKey(*matched) : routing.organisations && isJobOperation;
+    if (!isKeyNeeded)
+        return {};
+    const OrganisationDeclaration* organisation = routing.organisationOf(request.keyDigest);
+    if (!organisation)
+        throw KeyRefusedError(request.keyDigest.empty()
+                ? std::string("the request has no API key, or several")
+                : fmt::format("no organisation holds the API key with digest {}", request.keyDigest.substr(0, 8)));
+    return organisation->name;
+}
+
 bool HostedEntry::mayConcernJob(
     const CallerRequest& request, const HttpQuery& query, const RouteDeclaration* matched) const
 {
@@ -237,11 +263,12 @@
 }
 
 asio::awaitable<std::optional<HttpResponse>> HostedEntry::serveJob(const CallerRequest& request, const HttpQuery& query,
-    const RouteDeclaration* matched, Instant deadline, PeerCancellationPtr cancellation)
+    const RouteDeclaration* matched, const std::string& organisation, Instant deadline,
+    PeerCancellationPtr cancellation)
 {
     // A call to a backend server has an id, so one without an id is certainly meant for a job.
     const bool mayBeCall = request.operation == CallerOperation::Call || (matched && !request.id.empty());
-    wire::BatchCall call = toJobCall(request, query);
+    wire::BatchCall call = toJobCall(request, query, organisation);
     BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
     const bool isUnknown = outcome.answer && outcome.answer->status == httpStatus(ErrorCode::BatchJobUnknown);
     if (mayBeCall && isUnknown)
@@ -260,11 +287,10 @@
     return platform().callerProtocol().encodeError(error, retryDelay);
 }
 
-asio::awaitable<HttpResponse> HostedEntry::serveCall(const HttpQuery& query, const CallerRequest& request,
-    const RouteDeclaration& route, Instant deadline, PeerCancellationPtr cancellation)
+asio::awaitable<HttpResponse> HostedEntry::serveCall(const CallerRequest& request, const RouteDeclaration& route,
+    ReplicaRequest forwarded, Instant deadline, PeerCancellationPtr cancellation)
 {
     const Instant startedAt = now();
-    ReplicaRequest forwarded = forwardedRequest(query, request);
     ServiceResult result = co_await serviceCaller_.call(route, std::move(forwarded), deadline, cancellation);
     if (result.response) {
         log(Event::CallAnswered,
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -171,6 +171,10 @@
     call.id = run.startRequest.item;
     call.host = run.startRequest.host;
     call.server = engine_.server();
+    call.organisation = run.startRequest.organisation;
+    call.isIdentityRemoved = !call.organisation.empty();
+    if (run.startRequest.__isset.priority)
+        call.priority = run.startRequest.priority;
     if (!run.events.empty())
         call.lastEventId = run.events.back().id;
     HttpRequest request = client_.protocol().encode(std::move(call));
--- a/src/io/hosted/ItemRuns.cpp
+++ b/src/io/hosted/ItemRuns.cpp
@@ -48,6 +48,11 @@
     startRequest.oldestVersion = job.spec().oldestVersion;
     startRequest.model = job.spec().model;
     startRequest.stalls = owned->stalls(index);
+    startRequest.organisation = owned->record.organisation;
+    const auto directory = directory_();
+    if (const auto priority
+        = directory->routing ? directory->routing->organisationPriority(owned->record.organisation) : std::nullopt)
+        startRequest.__set_priority(*priority);
     log(Event::ItemPlaced,
         { { "job", owned->id() }, { "item", spec.id }, { "run", std::to_string(startRequest.run) },
             { "agent", replica.agent }, { "software", replica.software.text() },
--- a/src/io/hosted/JobStore.cpp
+++ b/src/io/hosted/JobStore.cpp
@@ -41,13 +41,14 @@
 
 std::string encode(const JobRecord& record)
 {
-    return Json {
-        { "owner", record.owner }, { "host", record.host }, { "route", record.route },
+    Json object { { "owner", record.owner }, { "host", record.host }, { "route", record.route },
         { "submittedMs", record.submittedMs }, { "isEnded", record.isEnded }, { "items", record.items },
         { "maxAttempts", record.maxAttempts }, { "maxScoringAttempts", record.maxScoringAttempts },
         { "isSingleVersion", record.isSingleVersion }, { "resultDueMs", record.resultDueMs },
-        { "maxQueueMs", record.maxQueueMs }, { "configuration", record.configuration }
-    }.dump();
+        { "maxQueueMs", record.maxQueueMs }, { "configuration", record.configuration } };
+    if (!record.organisation.empty())
+        object["organisation"] = record.organisation;
+    return object.dump();
 }
 
 StoredJob decodeRecord(const Document& document)
@@ -70,6 +71,7 @@
         record.resultDueMs = object.at("resultDueMs").get<int64_t>();
         record.maxQueueMs = object.at("maxQueueMs").get<int64_t>();
         record.configuration = object.value("configuration", int64_t(0));
+        record.organisation = object.value("organisation", std::string());
         return job;
     } catch (const Json::exception& error) {
         throw FrameInvalidError(fmt::format("the owner record {} cannot be decoded: {}", document.key, error.what()));
@@ -116,6 +118,12 @@
     return callerHost == host || (routing && routing->hasBatchRoute(callerHost));
 }
 
+bool JobRecord::isAccessibleTo(const std::string& callerOrganisation, const RoutingTable* routing) const
+{
+    const bool areAllAlike = organisation.empty() || (routing && !routing->organisations);
+    return areAllAlike || organisation == callerOrganisation;
+}
+
 JobStore::JobStore(MetadataStore& store)
     : store_(store)
 {
--- a/src/io/hosted/JobStore.h
+++ b/src/io/hosted/JobStore.h
@@ -32,6 +32,8 @@
     int64_t maxQueueMs = 0;
     /// Version of the configuration under which the job was accepted; 0 in records that do not tell it.
     int64_t configuration = 0;
+    /// Organisation that submitted the job; empty if the configuration declared none.
+    std::string organisation {};
 
     auto operator<=>(const JobRecord&) const = default;
 
@@ -42,6 +44,10 @@
     /// True if a caller on this host may see the job: on the job's own host always, since the job outlives its route,
     /// and on any host that has routes for batch jobs.
     bool isVisibleOn(std::string_view callerHost, const RoutingTable*) const;
+
+    /// True if callers of the organisation may use the job: those of the one that submitted it; all, if none did or the
+    /// configuration no longer declares any.
+    bool isAccessibleTo(const std::string& callerOrganisation, const RoutingTable*) const;
 };
 
 struct StoredJob {
--- a/src/io/hosted/Protocol.h
+++ b/src/io/hosted/Protocol.h
@@ -42,6 +42,8 @@
     int64_t firstPosition = 0;
     /// Time for which a read waits for new results.
     std::chrono::milliseconds maxWait {};
+    /// Digest of the caller's API key; empty if the request has none, an empty one, or several that differ.
+    std::string keyDigest;
 };
 
 class CallerProtocol {
@@ -76,6 +78,13 @@
     std::optional<Duration> timeout;
     /// Id of the last event that the sender has received, if a stream is to be resumed after it.
     std::optional<int64_t> lastEventId;
+    /// Drops what the caller sent as its API key and organisation. Set where the configuration declares organisations;
+    /// elsewhere these headers mean nothing and are forwarded like any other.
+    bool isIdentityRemoved = false;
+    /// Organisation on whose behalf the request is made; empty for none.
+    std::string organisation;
+    /// Priority towards an engine, from 0, the most urgent, to 9; nothing to leave it to the engine.
+    std::optional<int32_t> priority;
 };
 
 /// Whether the server has run the request. NotRun: the server refused it. ServerMismatch: another server than the one
@@ -198,6 +207,9 @@
     /// and listed in `unreadable`.
     virtual Directory decode(const DocumentSet&, std::vector<std::string>& unreadable) const = 0;
 
+    /// The document as processes keep it and send it to each other: API keys are replaced by digests.
+    virtual Document withoutSecrets(Document) const = 0;
+
     /// True if two revisions of a key have the same meaning, though their bytes may differ.
     virtual bool isEquivalent(const Document&, const Document&) const = 0;
 
@@ -208,6 +220,46 @@
     virtual RetirementState decodeRetirementReport(const std::string& value) const = 0;
 };
 
+/// Usage of one window, to be reported once and never with other counts.
+struct UsageReport {
+    int64_t window = 0;
+    /// Requests that backend servers began to run in the window, by organisation.
+    std::map<std::string, int64_t> counts;
+
+    auto operator<=>(const UsageReport&) const = default;
+};
+
+/// Number of replicas that a service is to have in a failure domain.
+struct ScaleOrder {
+    std::string service;
+    std::string failureDomain;
+    int32_t replicas = 0;
+
+    auto operator<=>(const ScaleOrder&) const = default;
+};
+
+/// Who performs a duty towards the platform, and under which fencing token.
+struct DutyAuthority {
+    std::string holder;
+    int64_t fencingToken = 0;
+
+    auto operator<=>(const DutyAuthority&) const = default;
+};
+
+/// Done: the platform carried the call out. Fenced: it has seen a higher fencing token. Rejected: it has not carried it
+/// out and may do so if the call is repeated later.
+enum class DutyOutcome { Done, Fenced, Rejected };
+
+/// Calls to the platform that only the holder of the duties makes.
+class DutyProtocol {
+public:
+    virtual ~DutyProtocol() = default;
+
+    virtual HttpRequest encodeUsage(const UsageReport&, const DutyAuthority&) const = 0;
+    virtual HttpRequest encodeScaleOrder(const ScaleOrder&, const DutyAuthority&) const = 0;
+    virtual DutyOutcome decodeOutcome(const HttpResponse&) const = 0;
+};
+
 /// A platform on which the system runs.
 class Platform {
 public:
@@ -220,6 +272,7 @@
     virtual const ReplicaProtocol& replicaProtocol() const = 0;
     virtual const BatchProtocol& batchProtocol() const = 0;
     virtual const DirectoryProtocol& directoryProtocol() const = 0;
+    virtual const DutyProtocol& dutyProtocol() const = 0;
 };
 
 } // namespace endiveroad::io
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -249,6 +249,8 @@
   8: i32 waitMs
   /** Coordinators that the sender could not reach. */
   9: list<string> unreachable
+  /** Organisation of the caller's API key; empty if the configuration declares no organisations. */
+  10: string organisation
 }
 
 struct BatchAnswer {
@@ -287,6 +289,10 @@
   12: i32 stalls
   /** Software that wrote the events; the agent refuses the run if its replica runs another. */
   13: SoftwareVersion software
+  /** Organisation that the job belongs to; empty if none. */
+  14: string organisation
+  /** Priority of the organisation towards the replica; not set if it has none. */
+  15: optional i32 priority
 }
 /** Revision is the highest that the agent knows for the job's owner record. Reason is empty if the run is accepted. */
 struct ItemStartAnswer { 1: bool isAccepted  2: string reason  3: i64 revision  4: bool isJobEnded }
@@ -452,3 +458,29 @@
   3: i32 entries
   4: i32 agents
 }
+
+struct OrganisationUsage { 1: string organisation  2: i64 requests }
+
+/** Requests that backend servers began to run in one window, as one entry has counted them so far. */
+struct UsageWindow {
+  1: i64 window
+  2: list<OrganisationUsage> counts
+}
+
+/** Cumulative counts of an entry; a later notice replaces an earlier one window by window. */
+struct UsageNotice {
+  1: string entry
+  /** Increases each time the entry's process starts. */
+  2: i64 incarnation
+  3: list<UsageWindow> windows
+}
+
+/** The sender holds the duties towards the platform. */
+struct DutyHolderNotice {
+  1: string holder
+  2: i64 fencingToken
+  /** All windows up to this one have a report that can no longer change. */
+  3: i64 reportedWindow
+  /** Time for which the sender holds the duties at least, in ms. */
+  4: i64 validForMs
+}
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -4734,6 +4734,10 @@
 void BatchCall::__set_unreachable(const std::vector<std::string> & val) {
   this->unreachable = val;
 }
+
+void BatchCall::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
 std::ostream& operator<<(std::ostream& out, const BatchCall& obj)
 {
   obj.printTo(out);
@@ -4848,6 +4852,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4909,6 +4921,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4925,6 +4941,7 @@
   swap(a.item, b.item);
   swap(a.waitMs, b.waitMs);
   swap(a.unreachable, b.unreachable);
+  swap(a.organisation, b.organisation);
   swap(a.__isset, b.__isset);
 }
 
@@ -4938,6 +4955,7 @@
   item = other114.item;
   waitMs = other114.waitMs;
   unreachable = other114.unreachable;
+  organisation = other114.organisation;
   __isset = other114.__isset;
 }
 BatchCall& BatchCall::operator=(const BatchCall& other115) {
@@ -4950,6 +4968,7 @@
   item = other115.item;
   waitMs = other115.waitMs;
   unreachable = other115.unreachable;
+  organisation = other115.organisation;
   __isset = other115.__isset;
   return *this;
 }
@@ -4965,6 +4984,7 @@
   out << ", " << "item=" << to_string(item);
   out << ", " << "waitMs=" << to_string(waitMs);
   out << ", " << "unreachable=" << to_string(unreachable);
+  out << ", " << "organisation=" << to_string(organisation);
   out << ")";
 }
 
@@ -5348,6 +5368,15 @@
 void ItemStart::__set_software(const SoftwareVersion& val) {
   this->software = val;
 }
+
+void ItemStart::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void ItemStart::__set_priority(const int32_t val) {
+  this->priority = val;
+__isset.priority = true;
+}
 std::ostream& operator<<(std::ostream& out, const ItemStart& obj)
 {
   obj.printTo(out);
@@ -5504,6 +5533,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5589,6 +5634,15 @@
   xfer += this->software.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 14);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.priority) {
+    xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 15);
+    xfer += oprot->writeI32(this->priority);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5609,6 +5663,8 @@
   swap(a.model, b.model);
   swap(a.stalls, b.stalls);
   swap(a.software, b.software);
+  swap(a.organisation, b.organisation);
+  swap(a.priority, b.priority);
   swap(a.__isset, b.__isset);
 }
 
@@ -5626,6 +5682,8 @@
   model = other132.model;
   stalls = other132.stalls;
   software = other132.software;
+  organisation = other132.organisation;
+  priority = other132.priority;
   __isset = other132.__isset;
 }
 ItemStart& ItemStart::operator=(const ItemStart& other133) {
@@ -5642,6 +5700,8 @@
   model = other133.model;
   stalls = other133.stalls;
   software = other133.software;
+  organisation = other133.organisation;
+  priority = other133.priority;
   __isset = other133.__isset;
   return *this;
 }
@@ -5661,6 +5721,8 @@
   out << ", " << "model=" << to_string(model);
   out << ", " << "stalls=" << to_string(stalls);
   out << ", " << "software=" << to_string(software);
+  out << ", " << "organisation=" << to_string(organisation);
+  out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9486,4 +9548,552 @@
   out << ")";
 }
 
+
+OrganisationUsage::~OrganisationUsage() noexcept {
+}
+
+
+void OrganisationUsage::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void OrganisationUsage::__set_requests(const int64_t val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const OrganisationUsage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OrganisationUsage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OrganisationUsage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OrganisationUsage");
+
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OrganisationUsage &a, OrganisationUsage &b) {
+  using ::std::swap;
+  swap(a.organisation, b.organisation);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+OrganisationUsage::OrganisationUsage(const OrganisationUsage& other251) {
+  organisation = other251.organisation;
+  requests = other251.requests;
+  __isset = other251.__isset;
+}
+OrganisationUsage& OrganisationUsage::operator=(const OrganisationUsage& other252) {
+  organisation = other252.organisation;
+  requests = other252.requests;
+  __isset = other252.__isset;
+  return *this;
+}
+void OrganisationUsage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OrganisationUsage(";
+  out << "organisation=" << to_string(organisation);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
+UsageWindow::~UsageWindow() noexcept {
+}
+
+
+void UsageWindow::__set_window(const int64_t val) {
+  this->window = val;
+}
+
+void UsageWindow::__set_counts(const std::vector<OrganisationUsage> & val) {
+  this->counts = val;
+}
+std::ostream& operator<<(std::ostream& out, const UsageWindow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UsageWindow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->window);
+          this->__isset.window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->counts.clear();
+            uint32_t _size253;
+            ::apache::thrift::protocol::TType _etype256;
+            xfer += iprot->readListBegin(_etype256, _size253);
+            this->counts.resize(_size253);
+            uint32_t _i257;
+            for (_i257 = 0; _i257 < _size253; ++_i257)
+            {
+              xfer += this->counts[_i257].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UsageWindow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UsageWindow");
+
+  xfer += oprot->writeFieldBegin("window", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->window);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
+    std::vector<OrganisationUsage> ::const_iterator _iter258;
+    for (_iter258 = this->counts.begin(); _iter258 != this->counts.end(); ++_iter258)
+    {
+      xfer += (*_iter258).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UsageWindow &a, UsageWindow &b) {
+  using ::std::swap;
+  swap(a.window, b.window);
+  swap(a.counts, b.counts);
+  swap(a.__isset, b.__isset);
+}
+
+UsageWindow::UsageWindow(const UsageWindow& other259) {
+  window = other259.window;
+  counts = other259.counts;
+  __isset = other259.__isset;
+}
+UsageWindow& UsageWindow::operator=(const UsageWindow& other260) {
+  window = other260.window;
+  counts = other260.counts;
+  __isset = other260.__isset;
+  return *this;
+}
+void UsageWindow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UsageWindow(";
+  out << "window=" << to_string(window);
+  out << ", " << "counts=" << to_string(counts);
+  out << ")";
+}
+
+
+UsageNotice::~UsageNotice() noexcept {
+}
+
+
+void UsageNotice::__set_entry(const std::string& val) {
+  this->entry = val;
+}
+
+void UsageNotice::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void UsageNotice::__set_windows(const std::vector<UsageWindow> & val) {
+  this->windows = val;
+}
+std::ostream& operator<<(std::ostream& out, const UsageNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UsageNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->entry);
+          this->__isset.entry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->windows.clear();
+            uint32_t _size261;
+            ::apache::thrift::protocol::TType _etype264;
+            xfer += iprot->readListBegin(_etype264, _size261);
+            this->windows.resize(_size261);
+            uint32_t _i265;
+            for (_i265 = 0; _i265 < _size261; ++_i265)
+            {
+              xfer += this->windows[_i265].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.windows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UsageNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UsageNotice");
+
+  xfer += oprot->writeFieldBegin("entry", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->entry);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
+    std::vector<UsageWindow> ::const_iterator _iter266;
+    for (_iter266 = this->windows.begin(); _iter266 != this->windows.end(); ++_iter266)
+    {
+      xfer += (*_iter266).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UsageNotice &a, UsageNotice &b) {
+  using ::std::swap;
+  swap(a.entry, b.entry);
+  swap(a.incarnation, b.incarnation);
+  swap(a.windows, b.windows);
+  swap(a.__isset, b.__isset);
+}
+
+UsageNotice::UsageNotice(const UsageNotice& other267) {
+  entry = other267.entry;
+  incarnation = other267.incarnation;
+  windows = other267.windows;
+  __isset = other267.__isset;
+}
+UsageNotice& UsageNotice::operator=(const UsageNotice& other268) {
+  entry = other268.entry;
+  incarnation = other268.incarnation;
+  windows = other268.windows;
+  __isset = other268.__isset;
+  return *this;
+}
+void UsageNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UsageNotice(";
+  out << "entry=" << to_string(entry);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "windows=" << to_string(windows);
+  out << ")";
+}
+
+
+DutyHolderNotice::~DutyHolderNotice() noexcept {
+}
+
+
+void DutyHolderNotice::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void DutyHolderNotice::__set_fencingToken(const int64_t val) {
+  this->fencingToken = val;
+}
+
+void DutyHolderNotice::__set_reportedWindow(const int64_t val) {
+  this->reportedWindow = val;
+}
+
+void DutyHolderNotice::__set_validForMs(const int64_t val) {
+  this->validForMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const DutyHolderNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DutyHolderNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fencingToken);
+          this->__isset.fencingToken = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reportedWindow);
+          this->__isset.reportedWindow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->validForMs);
+          this->__isset.validForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DutyHolderNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DutyHolderNotice");
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fencingToken", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->fencingToken);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reportedWindow", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->reportedWindow);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("validForMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->validForMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DutyHolderNotice &a, DutyHolderNotice &b) {
+  using ::std::swap;
+  swap(a.holder, b.holder);
+  swap(a.fencingToken, b.fencingToken);
+  swap(a.reportedWindow, b.reportedWindow);
+  swap(a.validForMs, b.validForMs);
+  swap(a.__isset, b.__isset);
+}
+
+DutyHolderNotice::DutyHolderNotice(const DutyHolderNotice& other269) {
+  holder = other269.holder;
+  fencingToken = other269.fencingToken;
+  reportedWindow = other269.reportedWindow;
+  validForMs = other269.validForMs;
+  __isset = other269.__isset;
+}
+DutyHolderNotice& DutyHolderNotice::operator=(const DutyHolderNotice& other270) {
+  holder = other270.holder;
+  fencingToken = other270.fencingToken;
+  reportedWindow = other270.reportedWindow;
+  validForMs = other270.validForMs;
+  __isset = other270.__isset;
+  return *this;
+}
+void DutyHolderNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DutyHolderNotice(";
+  out << "holder=" << to_string(holder);
+  out << ", " << "fencingToken=" << to_string(fencingToken);
+  out << ", " << "reportedWindow=" << to_string(reportedWindow);
+  out << ", " << "validForMs=" << to_string(validForMs);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -182,6 +182,14 @@
 
 class SuccessionAnswer;
 
+class OrganisationUsage;
+
+class UsageWindow;
+
+class UsageNotice;
+
+class DutyHolderNotice;
+
 typedef struct _Hello__isset {
   _Hello__isset() : node(false), role(false), incarnation(false), settingsRevision(false), organisation(false) {}
   bool node :1;
@@ -2190,7 +2198,7 @@
 std::ostream& operator<<(std::ostream& out, const StoreAnswer& obj);
 
 typedef struct _BatchCall__isset {
-  _BatchCall__isset() : operation(false), job(false), host(false), route(false), body(false), firstPosition(false), item(false), waitMs(false), unreachable(false) {}
+  _BatchCall__isset() : operation(false), job(false), host(false), route(false), body(false), firstPosition(false), item(false), waitMs(false), unreachable(false), organisation(false) {}
   bool operation :1;
   bool job :1;
   bool host :1;
@@ -2200,6 +2208,7 @@
   bool item :1;
   bool waitMs :1;
   bool unreachable :1;
+  bool organisation :1;
 } _BatchCall__isset;
 
 /**
@@ -2218,7 +2227,8 @@
               body(),
               firstPosition(0),
               item(),
-              waitMs(0) {
+              waitMs(0),
+              organisation() {
   }
 
   virtual ~BatchCall() noexcept;
@@ -2256,6 +2266,10 @@
    * Coordinators that the sender could not reach.
    */
   std::vector<std::string>  unreachable;
+  /**
+   * Organisation of the caller's API key; empty if the configuration declares no organisations.
+   */
+  std::string organisation;
 
   _BatchCall__isset __isset;
 
@@ -2277,6 +2291,8 @@
 
   void __set_unreachable(const std::vector<std::string> & val);
 
+  void __set_organisation(const std::string& val);
+
   bool operator == (const BatchCall & rhs) const
   {
     if (!(operation == rhs.operation))
@@ -2297,6 +2313,8 @@
       return false;
     if (!(unreachable == rhs.unreachable))
       return false;
+    if (!(organisation == rhs.organisation))
+      return false;
     return true;
   }
   bool operator != (const BatchCall &rhs) const {
@@ -2463,7 +2481,7 @@
 std::ostream& operator<<(std::ostream& out, const GeneratedEvent& obj);
 
 typedef struct _ItemStart__isset {
-  _ItemStart__isset() : job(false), revision(false), item(false), run(false), host(false), path(false), headers(false), body(false), events(false), oldestVersion(false), model(false), stalls(false), software(false) {}
+  _ItemStart__isset() : job(false), revision(false), item(false), run(false), host(false), path(false), headers(false), body(false), events(false), oldestVersion(false), model(false), stalls(false), software(false), organisation(false), priority(false) {}
   bool job :1;
   bool revision :1;
   bool item :1;
@@ -2477,6 +2495,8 @@
   bool model :1;
   bool stalls :1;
   bool software :1;
+  bool organisation :1;
+  bool priority :1;
 } _ItemStart__isset;
 
 /**
@@ -2497,7 +2517,9 @@
               body(),
               oldestVersion(0),
               model(),
-              stalls(0) {
+              stalls(0),
+              organisation(),
+              priority(0) {
   }
 
   virtual ~ItemStart() noexcept;
@@ -2532,6 +2554,14 @@
    * Software that wrote the events; the agent refuses the run if its replica runs another.
    */
   SoftwareVersion software;
+  /**
+   * Organisation that the job belongs to; empty if none.
+   */
+  std::string organisation;
+  /**
+   * Priority of the organisation towards the replica; not set if it has none.
+   */
+  int32_t priority;
 
   _ItemStart__isset __isset;
 
@@ -2561,6 +2591,10 @@
 
   void __set_software(const SoftwareVersion& val);
 
+  void __set_organisation(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
   bool operator == (const ItemStart & rhs) const
   {
     if (!(job == rhs.job))
@@ -2589,6 +2623,12 @@
       return false;
     if (!(software == rhs.software))
       return false;
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (__isset.priority != rhs.__isset.priority)
+      return false;
+    else if (__isset.priority && !(priority == rhs.priority))
+      return false;
     return true;
   }
   bool operator != (const ItemStart &rhs) const {
@@ -4241,6 +4281,243 @@
 
 std::ostream& operator<<(std::ostream& out, const SuccessionAnswer& obj);
 
+typedef struct _OrganisationUsage__isset {
+  _OrganisationUsage__isset() : organisation(false), requests(false) {}
+  bool organisation :1;
+  bool requests :1;
+} _OrganisationUsage__isset;
+
+class OrganisationUsage : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrganisationUsage(const OrganisationUsage&);
+  OrganisationUsage& operator=(const OrganisationUsage&);
+  OrganisationUsage() noexcept
+                    : organisation(),
+                      requests(0) {
+  }
+
+  virtual ~OrganisationUsage() noexcept;
+  std::string organisation;
+  int64_t requests;
+
+  _OrganisationUsage__isset __isset;
+
+  void __set_organisation(const std::string& val);
+
+  void __set_requests(const int64_t val);
+
+  bool operator == (const OrganisationUsage & rhs) const
+  {
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const OrganisationUsage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrganisationUsage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrganisationUsage &a, OrganisationUsage &b);
+
+std::ostream& operator<<(std::ostream& out, const OrganisationUsage& obj);
+
+typedef struct _UsageWindow__isset {
+  _UsageWindow__isset() : window(false), counts(false) {}
+  bool window :1;
+  bool counts :1;
+} _UsageWindow__isset;
+
+/**
+ * Requests that backend servers began to run in one window, as one entry has counted them so far.
+ */
+class UsageWindow : public virtual ::apache::thrift::TBase {
+ public:
+
+  UsageWindow(const UsageWindow&);
+  UsageWindow& operator=(const UsageWindow&);
+  UsageWindow() noexcept
+              : window(0) {
+  }
+
+  virtual ~UsageWindow() noexcept;
+  int64_t window;
+  std::vector<OrganisationUsage>  counts;
+
+  _UsageWindow__isset __isset;
+
+  void __set_window(const int64_t val);
+
+  void __set_counts(const std::vector<OrganisationUsage> & val);
+
+  bool operator == (const UsageWindow & rhs) const
+  {
+    if (!(window == rhs.window))
+      return false;
+    if (!(counts == rhs.counts))
+      return false;
+    return true;
+  }
+  bool operator != (const UsageWindow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UsageWindow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UsageWindow &a, UsageWindow &b);
+
+std::ostream& operator<<(std::ostream& out, const UsageWindow& obj);
+
+typedef struct _UsageNotice__isset {
+  _UsageNotice__isset() : entry(false), incarnation(false), windows(false) {}
+  bool entry :1;
+  bool incarnation :1;
+  bool windows :1;
+} _UsageNotice__isset;
+
+/**
+ * Cumulative counts of an entry; a later notice replaces an earlier one window by window.
+ */
+class UsageNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  UsageNotice(const UsageNotice&);
+  UsageNotice& operator=(const UsageNotice&);
+  UsageNotice() noexcept
+              : entry(),
+                incarnation(0) {
+  }
+
+  virtual ~UsageNotice() noexcept;
+  std::string entry;
+  /**
+   * Increases each time the entry's process starts.
+   */
+  int64_t incarnation;
+  std::vector<UsageWindow>  windows;
+
+  _UsageNotice__isset __isset;
+
+  void __set_entry(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_windows(const std::vector<UsageWindow> & val);
+
+  bool operator == (const UsageNotice & rhs) const
+  {
+    if (!(entry == rhs.entry))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(windows == rhs.windows))
+      return false;
+    return true;
+  }
+  bool operator != (const UsageNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UsageNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UsageNotice &a, UsageNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const UsageNotice& obj);
+
+typedef struct _DutyHolderNotice__isset {
+  _DutyHolderNotice__isset() : holder(false), fencingToken(false), reportedWindow(false), validForMs(false) {}
+  bool holder :1;
+  bool fencingToken :1;
+  bool reportedWindow :1;
+  bool validForMs :1;
+} _DutyHolderNotice__isset;
+
+/**
+ * The sender holds the duties towards the platform.
+ */
+class DutyHolderNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  DutyHolderNotice(const DutyHolderNotice&);
+  DutyHolderNotice& operator=(const DutyHolderNotice&);
+  DutyHolderNotice() noexcept
+                   : holder(),
+                     fencingToken(0),
+                     reportedWindow(0),
+                     validForMs(0) {
+  }
+
+  virtual ~DutyHolderNotice() noexcept;
+  std::string holder;
+  int64_t fencingToken;
+  /**
+   * All windows up to this one have a report that can no longer change.
+   */
+  int64_t reportedWindow;
+  /**
+   * Time for which the sender holds the duties at least, in ms.
+   */
+  int64_t validForMs;
+
+  _DutyHolderNotice__isset __isset;
+
+  void __set_holder(const std::string& val);
+
+  void __set_fencingToken(const int64_t val);
+
+  void __set_reportedWindow(const int64_t val);
+
+  void __set_validForMs(const int64_t val);
+
+  bool operator == (const DutyHolderNotice & rhs) const
+  {
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(fencingToken == rhs.fencingToken))
+      return false;
+    if (!(reportedWindow == rhs.reportedWindow))
+      return false;
+    if (!(validForMs == rhs.validForMs))
+      return false;
+    return true;
+  }
+  bool operator != (const DutyHolderNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DutyHolderNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DutyHolderNotice &a, DutyHolderNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const DutyHolderNotice& obj);
+
 }} // namespace
 
 #endif
--- a/tests/io/DirectoryFakes.h
+++ b/tests/io/DirectoryFakes.h
@@ -24,6 +24,7 @@
             directory.servers[document->key].id = document->key;
         return directory;
     }
+    Document withoutSecrets(Document document) const override { return document; }
     bool isEquivalent(const Document& a, const Document& b) const override { return a.isRemoved == b.isRemoved; }
     std::string retirementReportKey(const std::string& vm) const override { return "retired/" + vm; }
     std::string encodeRetirementReport(RetirementState state) const override
