Keep no API key in documents, and no forged organisation towards servers

Callers saw no fault; an operator's slip told keys, and a caller's could name another organisation:

- A configuration whose field name of the keys was written with an escape, or whose keys stood outside the rows of organisations, was kept and sent with the keys in it.
One without organisations in which the text "ApiKeys" stood anywhere was dropped whole.
Cause: the document was searched as text.
Now it is parsed; keys are erased wherever they stand, and rows that are no objects, which may be keys, become null.
- A row whose keys are no list was accepted without keys and without a log line.
It is left out and logged now, as are a second row of the same name and a name with control characters, which would end the header that it is sent in.
- A caller's own priority header reached servers when its organisation has none, and the organisation header of an item passed where the job has no organisation.
Both are removed now where organisations are declared.

Not run on its own: the headers of items of jobs on a public route.

--- a/src/io/hosted/HostedAgent.cpp
+++ b/src/io/hosted/HostedAgent.cpp
@@ -61,10 +61,11 @@
         co_return co_await HostedNode::onNodeRequest(connection, std::move(message));
     const auto startRequest = wire::decode<wire::ItemStart>(message.payload);
     const ServerRecord* server = readyServer();
+    const bool hasOrganisations = directory()->routing && directory()->routing->organisations;
     wire::ItemStartAnswer answer;
     answer.reason = "the agent stops";
     if (!isDraining())
-        answer = runner_.start(connection, startRequest, server);
+        answer = runner_.start(connection, startRequest, server, hasOrganisations);
     co_return wire::encode(answer);
 }
 
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -32,6 +32,8 @@
 /// One run of an item.
 struct ItemRunner::Run {
     wire::ItemStart startRequest;
+    /// ReplicaRequest::isIdentityRemoved.
+    bool isIdentityRemoved = false;
     /// For the request that starts the run.
     std::optional<ServerPermit> permit;
     /// The attempt at the replica, until it has delivered an event.
@@ -114,8 +116,8 @@
     return {};
 }
 
-wire::ItemStartAnswer ItemRunner::start(
-    const PeerConnectionPtr& owner, const wire::ItemStart& startRequest, const ServerRecord* server)
+wire::ItemStartAnswer ItemRunner::start(const PeerConnectionPtr& owner, const wire::ItemStart& startRequest,
+    const ServerRecord* server, bool isIdentityRemoved)
 {
     wire::ItemStartAnswer answer;
     answer.reason = refusalReason(startRequest, server);
@@ -143,6 +145,7 @@
     }
     auto run = std::make_shared<Run>();
     run->startRequest = startRequest;
+    run->isIdentityRemoved = isIdentityRemoved || !startRequest.organisation.empty();
     run->permit = std::move(permit);
     run->server = *server;
     run->software = fromWire(startRequest.software);
@@ -172,7 +175,7 @@
     call.host = run.startRequest.host;
     call.server = engine_.server();
     call.organisation = run.startRequest.organisation;
-    call.isIdentityRemoved = !call.organisation.empty();
+    call.isIdentityRemoved = run.isIdentityRemoved;
     if (run.startRequest.__isset.priority)
         call.priority = run.startRequest.priority;
     if (!run.events.empty())
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -46,8 +46,9 @@
     asio::awaitable<void> report();
 
     /// Starts a run, or refuses with the reason. A run of the same item that is still active is cancelled.
-    /// `server` is the one registered as ready; null if there is none.
-    wire::ItemStartAnswer start(const PeerConnectionPtr& owner, const wire::ItemStart&, const ServerRecord* server);
+    /// `server` is the one registered as ready; null if there is none. isIdentityRemoved: see ReplicaRequest.
+    wire::ItemStartAnswer start(
+        const PeerConnectionPtr& owner, const wire::ItemStart&, const ServerRecord* server, bool isIdentityRemoved);
     void cancel(const wire::ItemCancelNotice&);
 
     /// Makes the coordinator of the connection the job's owner, unless the notice is older than the known owner, and
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -1,9 +1,11 @@
+#include "platform/ApiKey.h"
 #include "platform/BatchCodec.h"
 #include "platform/CallerCodec.h"
 #include "platform/DirectoryCodec.h"
 #include "platform/ReplicaCodec.h"
 #include "platform/SettingsFile.h"
 
+#include <boost/beast/core/string.hpp>
 #include <catch2/catch.hpp>
 #include <endiveroad/Error.h>
 #include <nlohmann/json.hpp>
@@ -61,6 +63,53 @@
     return directory;
 }
 
+/// The configuration with these rows of organisations, as a process keeps it.
+Document redactedConfiguration(const nlohmann::json& rows)
+{
+    return DirectoryCodec().withoutSecrets({ "op/config", 5, withField(configurationText, "Tenants", rows), false });
+}
+
+RoutingTable decodeOrganisations(const nlohmann::json& rows, size_t expectedUnreadable)
+{
+    DocumentSet documents;
+    documents.merge(redactedConfiguration(rows));
+    std::vector<std::string> unreadable;
+    const Directory directory = DirectoryCodec().decode(documents, unreadable);
+    CAPTURE(rows.dump(), unreadable);
+    CHECK(unreadable.size() == expectedUnreadable);
+    REQUIRE(directory.routing);
+    REQUIRE(directory.routing->organisations);
+    return *directory.routing;
+}
+
+std::string holderOf(const RoutingTable& routing, const std::string& key)
+{
+    const OrganisationDeclaration* holder = routing.organisationOf(apiKeyDigest(key));
+    return holder ? holder->name : std::string();
+}
+
+HttpRequest encodeFor(const std::string& organisation, bool isIdentityRemoved, std::optional<int32_t> priority)
+{
+    ReplicaRequest call;
+    call.headers = { { "x-api-key", "secret" }, { "endiveroad-tenant", "forged" },
+        { "ENDIVEROAD-REQUEST-PRIORITY", "0" }, { "X-Other", "kept" } };
+    call.isIdentityRemoved = isIdentityRemoved;
+    call.organisation = organisation;
+    call.priority = priority;
+    return ReplicaCodec().encode(std::move(call));
+}
+
+/// Values of all headers of this name, whatever its case.
+std::vector<std::string> valuesOf(const HttpRequest& request, std::string_view name)
+{
+    std::vector<std::string> values;
+    for (const auto& [other, value] : request.headers) {
+        if (boost::beast::iequals(other, name))
+            values.push_back(value);
+    }
+    return values;
+}
+
 } // namespace
 
 TEST_CASE("unknown keys of a settings file are ignored, missing and invalid ones refused", "[platform]")
@@ -340,3 +389,138 @@
     CHECK(codec.decode(documents, unreadable).retirements == std::map<std::string, int64_t> { { "vm-1", 6 } });
     CHECK(codec.retirementReportKey("vm-1") == "status/retire/vm-1");
 }
+
+TEST_CASE("rows of organisations that cannot be decoded are left out and the others apply", "[platform]")
+{
+    const nlohmann::json sound { { "Name", "lab" }, { "ApiKeys", { "key-1" } } };
+    const std::vector<nlohmann::json> malformed { nullptr, 7, "key-2", nlohmann::json::array({ "key-2" }),
+        { { "ApiKeys", { "key-2" } } }, { { "Name", "" }, { "ApiKeys", { "key-2" } } },
+        { { "Name", 7 }, { "ApiKeys", { "key-2" } } }, { { "Name", "x" }, { "ApiKeys", "key-2" } },
+        { { "Name", "x\r\nX-Forged: 1" }, { "ApiKeys", { "key-2" } } } };
+    for (const nlohmann::json& row : malformed) {
+        const RoutingTable routing = decodeOrganisations(nlohmann::json::array({ row, sound }), 1);
+        CHECK(routing.organisations->size() == 1);
+        CHECK(holderOf(routing, "key-1") == "lab");
+        CHECK(holderOf(routing, "key-2").empty());
+    }
+    CHECK(decodeOrganisations(nlohmann::json::array(), 0).organisations->empty());
+}
+
+TEST_CASE("an organisation that is declared twice has the keys of the first row", "[platform]")
+{
+    const RoutingTable routing = decodeOrganisations(
+        { { { "Name", "lab" }, { "ApiKeys", { "key-1" } } }, { { "Name", "lab" }, { "ApiKeys", { "key-2" } } } }, 1);
+    CHECK(holderOf(routing, "key-1") == "lab");
+    CHECK(holderOf(routing, "key-2").empty());
+}
+
+TEST_CASE("a key that two organisations hold is valid for neither", "[platform]")
+{
+    const RoutingTable routing = decodeOrganisations({ { { "Name", "a" }, { "ApiKeys", { "shared", "key-a" } } },
+                                                         { { "Name", "b" }, { "ApiKeys", { "shared", "key-b" } } } },
+        1);
+    CHECK(holderOf(routing, "shared").empty());
+    CHECK(holderOf(routing, "key-a") == "a");
+    CHECK(holderOf(routing, "key-b") == "b");
+}
+
+TEST_CASE("keys that are empty, no text or not visible ASCII are ignored", "[platform]")
+{
+    const nlohmann::json keys { "", " ", "a b", "tab\t", "line\n", "\x7f", "sch\u00f6n", 7, nullptr, "!~" };
+    const RoutingTable routing = decodeOrganisations({ { { "Name", "a" }, { "ApiKeys", keys } } }, 0);
+    CHECK(routing.organisations->at("a").keyDigests == std::set<std::string> { apiKeyDigest("!~") });
+}
+
+TEST_CASE("a priority that is no whole number from 0 to 9 is ignored", "[platform]")
+{
+    for (const nlohmann::json& priority : { nlohmann::json(-1), nlohmann::json(10), nlohmann::json(2.5),
+             nlohmann::json("2"), nlohmann::json(true), nlohmann::json(nullptr), nlohmann::json(4294967297) }) {
+        const RoutingTable routing
+            = decodeOrganisations({ { { "Name", "a" }, { "ApiKeys", { "k" } }, { "Priority", priority } } }, 1);
+        CHECK_FALSE(routing.organisationPriority("a"));
+        CHECK(holderOf(routing, "k") == "a");
+    }
+    for (const int priority : { 0, 9 }) {
+        const RoutingTable routing
+            = decodeOrganisations({ { { "Name", "a" }, { "ApiKeys", { "k" } }, { "Priority", priority } } }, 0);
+        CHECK(routing.organisationPriority("a") == priority);
+    }
+}
+
+TEST_CASE("a document that processes keep and send has no key, wherever the operator put it", "[platform]")
+{
+    const DirectoryCodec codec;
+    const std::string secret = "secret-7";
+    const nlohmann::json row { { "Name", "a" }, { "ApiKeys", { secret } } };
+    std::vector<std::string> texts { withField(configurationText, "Tenants", nlohmann::json::array({ row })),
+        withField(configurationText, "Tenants", row),
+        withField(configurationText, "Tenants", nlohmann::json::array({ secret })),
+        withField(configurationText, "Tenants", secret),
+        withField(configurationText, "Tenants", nlohmann::json::array({ nlohmann::json::array({ row }) })),
+        withField(configurationText, "Tenants", { { { "Name", "a" }, { "ApiKeys", secret } } }),
+        withField(configurationText, "Tenant", nlohmann::json::array({ row })),
+        withField(configurationText, "ApiKeys", nlohmann::json::array({ secret })),
+        R"({"Version":1,"Tenants":[{"Name":"a","\u0041piKeys":["secret-7"]}]})",
+        R"({"Tenants":[{"Name":"a","\u0041piKeys":["secret-7"]}])" };
+    for (const std::string& text : texts) {
+        const Document redacted = codec.withoutSecrets({ "op/config", 5, text, false });
+        CAPTURE(text, redacted.value);
+        CHECK(redacted.value.find(secret) == std::string::npos);
+        CHECK(codec.withoutSecrets(redacted) == redacted);
+        DocumentSet documents;
+        documents.merge(redacted);
+        std::vector<std::string> unreadable;
+        codec.decode(documents, unreadable);
+        for (const std::string& entry : unreadable)
+            CHECK(entry.find(secret) == std::string::npos);
+    }
+    const Document redacted = redactedConfiguration(nlohmann::json::array({ row }));
+    CHECK(redacted.value.find(apiKeyDigest(secret)) != std::string::npos);
+    const Document plain { "op/config", 5, configurationText, false };
+    CHECK(codec.withoutSecrets(plain) == plain);
+}
+
+TEST_CASE("a request with no key, an empty one or two different ones has no key digest", "[platform]")
+{
+    const auto digestOf = [](const HeaderList& headers) {
+        HttpQuery query;
+        query.method = "POST";
+        query.target = "/x";
+        query.headers = headers;
+        return CallerCodec().decode(query).keyDigest;
+    };
+    CHECK(digestOf({ { "x-API-key", "k1" } }) == apiKeyDigest("k1"));
+    CHECK(digestOf({ { "X-Api-Key", "k1" }, { "x-api-key", "k1" } }) == apiKeyDigest("k1"));
+    CHECK(digestOf({}).empty());
+    CHECK(digestOf({ { "X-Api-Key", "" } }).empty());
+    CHECK(digestOf({ { "X-Api-Key", "k 1" } }).empty());
+    CHECK(digestOf({ { "X-Api-Key", "k1" }, { "x-api-key", "k2" } }).empty());
+    CHECK(digestOf({ { "X-Api-Key", "" }, { "x-api-key", "k2" } }).empty());
+}
+
+TEST_CASE("a server gets the organisation and its priority in place of what the caller sent", "[platform]")
+{
+    const HttpRequest named = encodeFor("lab", true, 3);
+    CHECK(valuesOf(named, "X-Api-Key").empty());
+    CHECK(valuesOf(named, "Endiveroad-Tenant") == std::vector<std::string> { "lab" });
+    CHECK(valuesOf(named, "Endiveroad-Request-Priority") == std::vector<std::string> { "3" });
+    CHECK(valuesOf(named, "X-Other") == std::vector<std::string> { "kept" });
+    const HttpRequest withoutPriority = encodeFor("lab", true, std::nullopt);
+    CHECK(valuesOf(withoutPriority, "Endiveroad-Request-Priority").empty());
+    const HttpRequest ofPublicRoute = encodeFor("", true, std::nullopt);
+    CHECK(valuesOf(ofPublicRoute, "X-Api-Key").empty());
+    CHECK(valuesOf(ofPublicRoute, "Endiveroad-Tenant").empty());
+    // Without declared organisations the headers mean nothing and pass unchanged.
+    CHECK(valuesOf(encodeFor("", false, std::nullopt), "Endiveroad-Tenant") == std::vector<std::string> { "forged" });
+}
+
+TEST_CASE(
+    "requests that need a key go on without a confirmed configuration unless the settings say otherwise", "[platform]")
+{
+    const HostedSettings settings = parseSettings(settingsText);
+    CHECK_FALSE(settings.isFailClosed);
+    CHECK(settings.revocationTime == Duration(5s));
+    const std::string text = std::string(settingsText) + "Bounds.FailClosed=true\nBounds.RevokeMs=1500\n";
+    CHECK(parseSettings(text).isFailClosed);
+    CHECK(parseSettings(text).revocationTime == Duration(1500ms));
+}
