Test which organisation holds a key, and whose priority applies

RoutingTable::organisationOf() and priorityOf() had no tests; a key held twice or a request without a key that matched an organisation would have gone unnoticed. Callers see no change.

Evidence: core_tests [directory] passes.

--- a/tests/core/DirectoryTest.cpp
+++ b/tests/core/DirectoryTest.cpp
@@ -138,3 +138,40 @@
     CHECK_FALSE(entry.shouldRead(begin + 5s));
     CHECK(entry.hasRecentRead(begin + 5s));
 }
+
+TEST_CASE("a key identifies the one organisation that holds it", "[directory]")
+{
+    RoutingTable table;
+    CHECK_FALSE(table.organisationOf("d1"));
+    table.organisations.emplace();
+    CHECK_FALSE(table.organisationOf("d1"));
+    table.organisations->emplace("a", OrganisationDeclaration { "a", std::nullopt, { "d1", "shared", "" } });
+    table.organisations->emplace("b", OrganisationDeclaration { "b", 0, { "d2", "shared" } });
+    REQUIRE(table.organisationOf("d1"));
+    CHECK(table.organisationOf("d1")->name == "a");
+    CHECK(table.organisationOf("d2")->name == "b");
+    CHECK_FALSE(table.organisationOf("shared"));
+    CHECK_FALSE(table.organisationOf("d3"));
+    // A request without a key has an empty digest.
+    CHECK_FALSE(table.organisationOf(""));
+}
+
+TEST_CASE("an organisation's priority takes precedence over the route's", "[directory]")
+{
+    RoutingTable table;
+    RouteDeclaration declared = route("r", "h", "/");
+    declared.priority = 4;
+    CHECK(table.priorityOf(declared, "a") == 4);
+    table.organisations.emplace();
+    table.organisations->emplace("a", OrganisationDeclaration { "a", 0, {} });
+    table.organisations->emplace("b", OrganisationDeclaration { "b", std::nullopt, {} });
+    CHECK(table.priorityOf(declared, "a") == 0);
+    CHECK(table.priorityOf(declared, "b") == 4);
+    CHECK(table.priorityOf(declared, "unknown") == 4);
+    CHECK(table.priorityOf(declared, "") == 4);
+    CHECK(table.organisationPriority("a") == 0);
+    CHECK_FALSE(table.organisationPriority("b"));
+    CHECK(table.requiresKey(declared));
+    declared.isPublic = true;
+    CHECK_FALSE(table.requiresKey(declared));
+}
