Refuse calls that wait when their API key is removed

A call that waited for a server, or paused between two attempts, was still sent after the configuration had dropped its key, and its caller got the answer. Entries asked for the key once, when the request arrived.

Now every attempt asks an Authorisation first: calls and streams in ServiceCaller, and operations on jobs in BatchGateway. A change of the organisations wakes the calls in the queues that are no longer authorised. They get 401 (key_refused) if no server can have run them; one that may have run ends with outcome_unknown, as key_refused promises that it was not run. What has been sent is finished, without further hedged requests, retries or resumptions. Scoring calls and deployments without organisations have no authorisation to ask.

Not run: a key removed between two attempts the first of which may have run, and one removed while a submission waits for a coordinator.

--- a/src/io/hosted/BatchGateway.cpp
+++ b/src/io/hosted/BatchGateway.cpp
@@ -83,11 +83,16 @@
 }
 
 asio::awaitable<BatchOutcome> BatchGateway::perform(
-    wire::BatchCall call, Instant deadline, PeerCancellationPtr cancellation)
+    wire::BatchCall call, Instant deadline, PeerCancellationPtr cancellation, Authorisation authorisation)
 {
     Attempts attempts;
     attempts.call = std::move(call);
     while (now() < deadline && !(cancellation && cancellation->isCancelled())) {
+        const std::optional<Error> refusal = authorisation ? authorisation() : std::nullopt;
+        if (refusal && attempts.outcome.mayHaveRun)
+            break;
+        if (refusal)
+            throw Error(*refusal);
         const std::string name = nextCoordinator(attempts.call, attempts.tried);
         const PeerConnectionPtr connection = name.empty() ? nullptr : coordinators_.coordinator(name);
         if (!connection && attempts.fallback)
--- a/src/io/hosted/BatchGateway.h
+++ b/src/io/hosted/BatchGateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "io/hosted/Authorisation.h"
 #include "io/hosted/HostedNode.h"
 
 #include <endiveroad/JobOwners.h>
@@ -51,8 +52,9 @@
     /// the job over. Retries until a coordinator answers, the deadline passes, the caller cancels or no coordinator is
     /// connected or registered. Operations are idempotent, so a retry is safe after an attempt whose outcome is
     /// unknown. The answer of a coordinator that can't tell whether it still owns the job, or that does not reach the
-    /// store, is returned only if no other one knows better.
-    asio::awaitable<BatchOutcome> perform(wire::BatchCall, Instant deadline, PeerCancellationPtr);
+    /// store, is returned only if no other one knows better. Throws the error of the authorisation if that ends before
+    /// an attempt and no earlier one may have taken effect.
+    asio::awaitable<BatchOutcome> perform(wire::BatchCall, Instant deadline, PeerCancellationPtr, Authorisation);
 
     /// True if a coordinator has announced that it owns the job.
     bool knowsJob(const std::string& job) const { return owners_.contains(job); }
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -154,6 +154,10 @@
 void HostedEntry::onDirectoryChanged(const Directory& before, const Directory& current)
 {
     serviceCaller_.onDirectory(current);
+    const bool areKeysChanged
+        = before.routing && current.routing && before.routing->organisations != current.routing->organisations;
+    if (areKeysChanged)
+        serviceCaller_.onAuthorisationsChanged();
     resumptions_.onDirectory(current);
     if (!current.routing || (before.routing && before.routing->limits == current.routing->limits))
         return;
@@ -201,13 +205,17 @@
             throw NotReadyError("the process has no configuration yet");
         const RouteDeclaration* matched = current->routing->match(request.host, request.path);
         RouteDeclaration route = matched ? *matched : RouteDeclaration();
-        const std::string organisation = authenticate(request, matched);
+        const bool isKeyNeeded = needsKey(request, matched, *current->routing);
+        const std::string organisation = isKeyNeeded ? authenticate(request.keyDigest) : std::string();
+        Authorisation authorisation;
+        if (isKeyNeeded)
+            authorisation = authorisationOf(request.keyDigest, organisation);
         route.priority = current->routing->priorityOf(route, organisation);
         const Duration timeout = std::min(request.timeout.value_or(route.timeout), route.timeout);
         const Instant deadline = arrivedAt + timeout - answerMargin;
         std::optional<HttpResponse> jobAnswer;
         if (mayConcernJob(request, query, matched))
-            jobAnswer = co_await serveJob(request, query, matched, organisation, deadline, cancellation);
+            jobAnswer = co_await serveJob(request, query, matched, organisation, deadline, cancellation, authorisation);
         if (jobAnswer) {
             response = std::move(*jobAnswer);
         } else if (!matched) {
@@ -215,14 +223,16 @@
         } else if (request.id.empty()) {
             throw BadRequestError("the request has no id");
         } else if (route.kind == TrafficKind::BatchJobs) {
-            response = co_await serveBatch(toSubmission(request, route, query, organisation), deadline, cancellation);
+            wire::BatchCall submission = toSubmission(request, route, query, organisation);
+            response = co_await serveBatch(std::move(submission), deadline, cancellation, authorisation);
         } else if (route.kind == TrafficKind::Streaming) {
             ReplicaRequest forwarded = forwardedRequest(query, request, *current->routing, organisation);
-            co_await streamProxy_.serve(exchange, route, request, std::move(forwarded), deadline, cancellation);
+            co_await streamProxy_.serve(
+                exchange, route, request, std::move(forwarded), deadline, cancellation, authorisation);
             co_return;
         } else {
             ReplicaRequest forwarded = forwardedRequest(query, request, *current->routing, organisation);
-            response = co_await serveCall(request, route, std::move(forwarded), deadline, cancellation);
+            response = co_await serveCall(request, route, std::move(forwarded), deadline, cancellation, authorisation);
         }
     } catch (const ServersFullError& error) {
         response = encodeFailure(request, error, error.retryAt() - now());
@@ -237,22 +247,39 @@
     co_await exchange.answer(std::move(response));
 }
 
-std::string HostedEntry::authenticate(const CallerRequest& request, const RouteDeclaration* matched) const
+bool HostedEntry::needsKey(const CallerRequest& request, const RouteDeclaration* matched, const RoutingTable& routing)
 {
-    const auto current = directory();
-    const RoutingTable& routing = *current->routing;
     const bool isJobOperation = request.operation != CallerOperation::Call;
-    const bool isKeyNeeded = matched ? routing.requiresKey(*matched) : routing.organisations && isJobOperation;
-    if (!isKeyNeeded)
-        return {};
-    const OrganisationDeclaration* organisation = routing.organisationOf(request.keyDigest);
+    return matched ? routing.requiresKey(*matched) : routing.organisations && isJobOperation;
+}
+
+std::string HostedEntry::authenticate(const std::string& keyDigest) const
+{
+    const auto current = directory();
+    const OrganisationDeclaration* organisation = current->routing->organisationOf(keyDigest);
     if (!organisation)
-        throw KeyRefusedError(request.keyDigest.empty()
+        throw KeyRefusedError(keyDigest.empty()
                 ? std::string("the request has no API key, or several")
-                : fmt::format("no organisation holds the API key with digest {}", request.keyDigest.substr(0, 8)));
+                : fmt::format("no organisation holds the API key with digest {}", keyDigest.substr(0, 8)));
     return organisation->name;
 }
 
+Authorisation HostedEntry::authorisationOf(std::string keyDigest, std::string organisation) const
+{
+    return [this, keyDigest = std::move(keyDigest), organisation = std::move(organisation)]() -> std::optional<Error> {
+        // Where the configuration declares no organisations any more, no request needs a key.
+        if (!directory()->routing->organisations)
+            return std::nullopt;
+        try {
+            if (authenticate(keyDigest) == organisation)
+                return std::nullopt;
+        } catch (const Error& error) {
+            return error;
+        }
+        return KeyRefusedError("the API key belongs to another organisation now");
+    };
+}
+
 bool HostedEntry::mayConcernJob(
     const CallerRequest& request, const HttpQuery& query, const RouteDeclaration* matched) const
 {
@@ -264,12 +291,12 @@
 
 asio::awaitable<std::optional<HttpResponse>> HostedEntry::serveJob(const CallerRequest& request, const HttpQuery& query,
     const RouteDeclaration* matched, const std::string& organisation, Instant deadline,
-    PeerCancellationPtr cancellation)
+    PeerCancellationPtr cancellation, Authorisation authorisation)
 {
     // A call to a backend server has an id, so one without an id is certainly meant for a job.
     const bool mayBeCall = request.operation == CallerOperation::Call || (matched && !request.id.empty());
     wire::BatchCall call = toJobCall(request, query, organisation);
-    BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
+    BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation, std::move(authorisation));
     const bool isUnknown = outcome.answer && outcome.answer->status == httpStatus(ErrorCode::BatchJobUnknown);
     if (mayBeCall && isUnknown)
         co_return std::nullopt;
@@ -288,10 +315,11 @@
 }
 
 asio::awaitable<HttpResponse> HostedEntry::serveCall(const CallerRequest& request, const RouteDeclaration& route,
-    ReplicaRequest forwarded, Instant deadline, PeerCancellationPtr cancellation)
+    ReplicaRequest forwarded, Instant deadline, PeerCancellationPtr cancellation, Authorisation authorisation)
 {
     const Instant startedAt = now();
-    ServiceResult result = co_await serviceCaller_.call(route, std::move(forwarded), deadline, cancellation);
+    ServiceResult result = co_await serviceCaller_.call(
+        route, std::move(forwarded), deadline, cancellation, ContentKind::Call, std::move(authorisation));
     if (result.response) {
         log(Event::CallAnswered,
             { { "request", request.id }, { "route", route.name }, { "status", std::to_string(result.response->status) },
@@ -306,6 +334,8 @@
         co_return response;
     }
     const std::string tried = result.servers.empty() ? "" : " (tried " + result.servers + ")";
+    if (!result.mayHaveRun && result.refusal)
+        throw Error(*result.refusal);
     if (!result.mayHaveRun && result.blockedUntil)
         throw ContentBlockedError(result.content, *result.blockedUntil);
     if (!result.mayHaveRun && result.retryAt)
@@ -318,10 +348,10 @@
 }
 
 asio::awaitable<HttpResponse> HostedEntry::serveBatch(
-    wire::BatchCall call, Instant deadline, PeerCancellationPtr cancellation)
+    wire::BatchCall call, Instant deadline, PeerCancellationPtr cancellation, Authorisation authorisation)
 {
     const std::string job = call.job;
-    BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
+    BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation, std::move(authorisation));
     co_return encodeOutcome(job, std::move(outcome));
 }
 
--- a/src/io/hosted/HostedEntry.h
+++ b/src/io/hosted/HostedEntry.h
@@ -52,18 +52,23 @@
     asio::awaitable<std::string> askOrigin(std::string coordinator, std::string query, Instant deadline) override;
 
     asio::awaitable<void> serve(HttpExchange&);
-    /// Name of the organisation whose API key the request has; empty if it needs none. Throws KeyRefusedError.
-    std::string authenticate(const CallerRequest&, const RouteDeclaration* matched) const;
-    asio::awaitable<HttpResponse> serveCall(
-        const CallerRequest&, const RouteDeclaration&, ReplicaRequest, Instant deadline, PeerCancellationPtr);
-    asio::awaitable<HttpResponse> serveBatch(wire::BatchCall, Instant deadline, PeerCancellationPtr);
+    /// True if the request needs the API key of an organisation.
+    static bool needsKey(const CallerRequest&, const RouteDeclaration* matched, const RoutingTable&);
+    /// Name of the organisation that holds the key with this digest. Throws KeyRefusedError.
+    std::string authenticate(const std::string& keyDigest) const;
+    /// Authorises attempts for as long as the organisation holds the key with this digest.
+    Authorisation authorisationOf(std::string keyDigest, std::string organisation) const;
+    asio::awaitable<HttpResponse> serveCall(const CallerRequest&, const RouteDeclaration&, ReplicaRequest,
+        Instant deadline, PeerCancellationPtr, Authorisation);
+    asio::awaitable<HttpResponse> serveBatch(wire::BatchCall, Instant deadline, PeerCancellationPtr, Authorisation);
     /// True if the request is or may be an operation on a batch job that no route of the configuration declares: a job
     /// outlives its route. Operations are recognised by their form, a repeated submission by the job's id.
     bool mayConcernJob(const CallerRequest&, const HttpQuery&, const RouteDeclaration* matched) const;
     /// Has a coordinator carry the operation out. Nothing if there is no such job and the request may be meant for the
     /// backend servers of the route that it matches.
     asio::awaitable<std::optional<HttpResponse>> serveJob(const CallerRequest&, const HttpQuery&,
-        const RouteDeclaration* matched, const std::string& organisation, Instant deadline, PeerCancellationPtr);
+        const RouteDeclaration* matched, const std::string& organisation, Instant deadline, PeerCancellationPtr,
+        Authorisation);
     /// The answer to the caller of an operation on a job. Throws OutcomeUnknownError or NotRunError if there is none.
     HttpResponse encodeOutcome(const std::string& job, BatchOutcome) const;
     /// Counts and logs the failure and returns the error answer, which tells the caller to try again after the delay;
--- a/src/io/hosted/ItemScorer.cpp
+++ b/src/io/hosted/ItemScorer.cpp
@@ -57,8 +57,9 @@
     request.id = scoring.id;
     request.host = scoring.host;
     const Instant startedAt = now();
+    Authorisation always;
     const ServiceResult result = co_await serviceCaller_.call(
-        route, std::move(request), startedAt + route.timeout, nullptr, ContentKind::Owed);
+        route, std::move(request), startedAt + route.timeout, nullptr, ContentKind::Owed, std::move(always));
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt).count();
     if (result.response && result.response->isSuccess()) {
         processMetrics().record(Latency::Scoring, now() - startedAt, now());
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -50,6 +50,8 @@
         return route.services.empty() ? std::string() : route.services.front().service;
     }
 
+    std::optional<Error> refusal() const { return authorisation ? authorisation() : std::nullopt; }
+
     bool isQueued() const { return ticket.number != 0; }
 
     /// Place of a call that has not begun to wait.
@@ -63,6 +65,7 @@
     ReplicaRequest request;
     ContentId content;
     ContentKind kind = ContentKind::Call;
+    Authorisation authorisation;
     Instant deadline;
     /// Its number is 0 while the call does not wait.
     CallTicket ticket;
@@ -96,6 +99,14 @@
     servers_.onDirectory(directory);
 }
 
+void ServiceCaller::onAuthorisationsChanged()
+{
+    for (const auto& [ticket, state] : waiting_) {
+        if (state->refusal())
+            state->changed.notifyAll();
+    }
+}
+
 ServerDemand ServiceCaller::demandOf(const CallState& state) const
 {
     ServerDemand demand;
@@ -229,10 +240,11 @@
 }
 
 asio::awaitable<ServiceResult> ServiceCaller::call(RouteDeclaration route, ReplicaRequest request, Instant deadline,
-    PeerCancellationPtr cancellation, ContentKind kind)
+    PeerCancellationPtr cancellation, ContentKind kind, Authorisation authorisation)
 {
     auto state = std::make_shared<CallState>(context_, std::move(route), std::move(request), deadline);
     state->kind = kind;
+    state->authorisation = std::move(authorisation);
     if (cancellation)
         cancellation->onCancel([state] {
             state->result.isCancelled = true;
@@ -245,8 +257,12 @@
         const bool mayHedge = state->activeAttempts == 0 || (isIdempotent && now() >= hedgeAt);
         if (state->activeAttempts == 0)
             state->result.blockedUntil = crashGuard_.blockedUntil(state->content);
+        // Without authorisation only attempts that have been sent are finished.
+        state->result.refusal = state->refusal();
+        if (state->result.refusal && state->activeAttempts == 0)
+            break;
         std::optional<ChosenServer> server;
-        if (mayHedge && state->hasAttemptsLeft())
+        if (mayHedge && state->hasAttemptsLeft() && !state->result.refusal)
             server = chooseNext(*state);
         if (server) {
             leaveQueue(state);
@@ -278,18 +294,23 @@
 }
 
 asio::awaitable<std::optional<ChosenServer>> ServiceCaller::obtainServer(RouteDeclaration route, ReplicaRequest request,
-    TriedServers tried, std::optional<SoftwareVersion> software, Instant deadline, PeerCancellationPtr cancellation)
+    TriedServers tried, std::optional<SoftwareVersion> software, Instant deadline, PeerCancellationPtr cancellation,
+    Authorisation authorisation)
 {
     auto state = std::make_shared<CallState>(context_, std::move(route), std::move(request), deadline);
     state->path = RequestPath::Stream;
     state->tried = std::move(tried);
     state->software = std::move(software);
+    state->authorisation = std::move(authorisation);
     cancellation->onCancel([state] {
         state->isDone = true;
         state->changed.notifyAll();
     });
     std::optional<ChosenServer> chosen;
     while (!state->isDone && now() < deadline) {
+        state->result.refusal = state->refusal();
+        if (state->result.refusal)
+            break;
         chosen = chooseNext(*state);
         // Which software a server will run that has yet to register is not known.
         const bool isServerExpected = !state->software && servers_.isServerExpected(state->route);
@@ -300,6 +321,8 @@
     }
     leaveQueue(state);
     cancellation->onCancel(nullptr);
+    if (state->result.refusal)
+        throw Error(*state->result.refusal);
     if (state->result.retryAt)
         throw ServersFullError(state->result.reason, *state->result.retryAt);
     co_return chosen;
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -2,6 +2,7 @@
 
 #include "io/CrashGuard.h"
 #include "io/PeerConnection.h"
+#include "io/hosted/Authorisation.h"
 #include "io/hosted/Protocol.h"
 #include "io/hosted/ServerChooser.h"
 #include "io/hosted/ServerClient.h"
@@ -62,6 +63,8 @@
     std::optional<Instant> retryAt;
     /// The content is blocked until then, so it was not sent to any further server.
     std::optional<Instant> blockedUntil;
+    /// The request was no longer authorised when an attempt was due, so it was not sent again.
+    std::optional<Error> refusal;
     /// The caller has disconnected.
     bool isCancelled = false;
     int32_t attempts = 0;
@@ -92,15 +95,17 @@
 
     ServiceCaller(asio::io_context&, ServerClient&, RequestLimits&, CrashGuard&, DirectorySource, uint64_t seed);
 
-    /// Sets the request's server and timeout for each attempt.
+    /// Sets the request's server and timeout for each attempt. An attempt that was sent before the authorisation ended
+    /// is finished.
     asio::awaitable<ServiceResult> call(RouteDeclaration, ReplicaRequest, Instant deadline,
-        PeerCancellationPtr cancellation, ContentKind = ContentKind::Call);
+        PeerCancellationPtr cancellation, ContentKind, Authorisation);
 
     /// Waits for a server that has room for one run of a request. Nothing if there is none by the deadline or when the
     /// request is cancelled, if no ready server is left for it, or if the content is blocked. Throws ServersFullError
-    /// if none can take the request in time. If a software version is given, only servers that run it count.
+    /// if none can take the request in time, and the error of the authorisation if that has ended. If a software
+    /// version is given, only servers that run it count.
     asio::awaitable<std::optional<ChosenServer>> obtainServer(RouteDeclaration, ReplicaRequest, TriedServers,
-        std::optional<SoftwareVersion>, Instant deadline, PeerCancellationPtr);
+        std::optional<SoftwareVersion>, Instant deadline, PeerCancellationPtr, Authorisation);
 
     /// A server could not be reached.
     void onUnreachable(const std::string& server);
@@ -113,6 +118,9 @@
     /// True if a server other than `except` with this software does.
     bool hasReadyServer(const RouteDeclaration&, const SoftwareVersion&, const std::string& except = {}) const;
 
+    /// Wakes the queued calls whose authorisation has ended, so that they are refused.
+    void onAuthorisationsChanged();
+
     /// Removes the load records of servers that are no longer registered.
     void onDirectory(const Directory&);
 
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -78,6 +78,7 @@
 
 struct StreamProxy::Progress {
     CallerRequest caller;
+    Authorisation authorisation;
     ContentId content;
     /// The software that began the stream, which alone may go on with it; nothing before the first event.
     std::optional<SoftwareVersion> origin;
@@ -121,8 +122,8 @@
     std::optional<ChosenServer> chosen;
     try {
         chosen = co_await serviceCaller_.obtainServer(
-            route, request, std::move(tried), progress.origin, latestStart, cancellation);
-    } catch (const ServersFullError&) {
+            route, request, std::move(tried), progress.origin, latestStart, cancellation, progress.authorisation);
+    } catch (const Error&) {
         // A request that may have run is not reported as refused.
         if (!hasRun)
             throw;
@@ -338,9 +339,10 @@
 }
 
 asio::awaitable<void> StreamProxy::serve(HttpExchange& exchange, RouteDeclaration route, CallerRequest caller,
-    ReplicaRequest request, Instant deadline, PeerCancellationPtr cancellation)
+    ReplicaRequest request, Instant deadline, PeerCancellationPtr cancellation, Authorisation authorisation)
 {
     Progress progress;
+    progress.authorisation = std::move(authorisation);
     progress.caller = std::move(caller);
     progress.content = ContentId::of(request.method, route.host, request.target, request.body);
     if (progress.caller.isResumption)
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -34,10 +34,11 @@
     /// Answers the exchange. Only complete events are forwarded. If a server's stream breaks, a server that runs the
     /// same software resumes it within the same answer if the route allows that; otherwise the answer ends without its
     /// last chunk, so that the caller detects the truncation. Throws if nothing has been sent to the caller:
-    /// NotRunError, StreamNotResumableError or ContentBlockedError if no server can have run the request,
-    /// OutcomeUnknownError or DeadlineUnknownError if one may have.
-    asio::awaitable<void> serve(
-        HttpExchange&, RouteDeclaration, CallerRequest, ReplicaRequest, Instant deadline, PeerCancellationPtr);
+    /// NotRunError, StreamNotResumableError, ContentBlockedError or the error of the authorisation if no server can
+    /// have run the request, OutcomeUnknownError or DeadlineUnknownError if one may have. A stream that a server has
+    /// begun to send goes on when the authorisation ends, but no further server is asked.
+    asio::awaitable<void> serve(HttpExchange&, RouteDeclaration, CallerRequest, ReplicaRequest, Instant deadline,
+        PeerCancellationPtr, Authorisation);
 
 private:
     /// The stream of one server and the bytes of it that have not been forwarded yet.
