Refuse requests that need a key while the configuration is unconfirmed, if the settings say so

With FailClosed set, a process that was cut off from the store and the coordinators served requests with a removed key for as long as it was cut off; the setting was read and not used.

DirectorySync keeps the time of the last confirmation: its own successful reading or watch of the operator's documents, or a fresh update of a coordinator. An entry with isFailClosed answers requests that need a key with 503 (not_ready) once that is revocationTime ago, and becomes ready after its start only when its configuration is confirmed.

--- a/src/io/hosted/DirectorySync.cpp
+++ b/src/io/hosted/DirectorySync.cpp
@@ -84,6 +84,11 @@
     return election_.hasRecentRead(now());
 }
 
+bool DirectorySync::isConfirmedWithin(Duration time) const
+{
+    return now() < confirmedAt_ + time;
+}
+
 asio::awaitable<void> DirectorySync::readServers()
 {
     while (true) {
@@ -116,6 +121,7 @@
         try {
             co_await readOperatorDocuments();
             operatorFreshUntil_ = now() + operatorFreshness;
+            confirmedAt_ = now();
         } catch (const HistoryLostError&) {
             operatorRevision_.reset();
             pause = electionInterval;
@@ -207,6 +213,8 @@
     for (const wire::Document& document : update.documents)
         documents.push_back({ document.key, document.revision, document.value, document.isRemoved });
     applyDocuments(documents, false);
+    if (update.isFresh)
+        confirmedAt_ = now();
 }
 
 bool DirectorySync::addLeaving(const DepartedServer& server)
--- a/src/io/hosted/DirectorySync.h
+++ b/src/io/hosted/DirectorySync.h
@@ -83,6 +83,10 @@
     /// True if this process or a connected coordinator has read the store recently.
     bool isFresh() const;
 
+    /// True if the operator's documents that this process has were confirmed within the time: it read or watched them
+    /// itself, or a coordinator that had done so sent a fresh update.
+    bool isConfirmedWithin(Duration) const;
+
     /// True if this process has read the coordinators' registrations itself, and found none in its last reading or in
     /// news since.
     bool areNoCoordinatorsRegistered() const { return hasReadCoordinators_ && current_->coordinators.empty(); }
@@ -121,6 +125,8 @@
     Instant removalsAllowedFrom_ = Instant::min();
     /// Until this time the operator's documents count as freshly read.
     Instant operatorFreshUntil_ = Instant::min();
+    /// Last confirmation of the operator's documents.
+    Instant confirmedAt_ = Instant::min();
     bool isReading_ = false;
     bool isStoreUnreachable_ = false;
     bool hasReadCoordinators_ = false;
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -148,7 +148,13 @@
 {
     // Where no coordinator stands, no other entry could do more than serve calls, which need none.
     const bool hasCoordinator = !coordinators().empty();
-    return !isDraining() && directory()->routing && (hasCoordinator || areNoneRegistered());
+    const auto current = directory();
+    if (isDraining() || !current->routing || !(hasCoordinator || areNoneRegistered()))
+        return false;
+    // A process that starts would refuse requests that need a key until its configuration is confirmed for the first
+    // time. Later it stays ready, since requests of public routes are served.
+    const bool needsConfirmation = settings().isFailClosed && current->routing->organisations && !wasReady_;
+    return !needsConfirmation || directorySync().isConfirmedWithin(settings().revocationTime);
 }
 
 void HostedEntry::onDirectoryChanged(const Directory& before, const Directory& current)
@@ -255,6 +261,8 @@
 
 std::string HostedEntry::authenticate(const std::string& keyDigest) const
 {
+    if (settings().isFailClosed && !directorySync().isConfirmedWithin(settings().revocationTime))
+        throw NotReadyError("neither the store nor a coordinator has confirmed the configuration recently");
     const auto current = directory();
     const OrganisationDeclaration* organisation = current->routing->organisationOf(keyDigest);
     if (!organisation)
--- a/src/io/hosted/HostedEntry.h
+++ b/src/io/hosted/HostedEntry.h
@@ -54,7 +54,8 @@
     asio::awaitable<void> serve(HttpExchange&);
     /// True if the request needs the API key of an organisation.
     static bool needsKey(const CallerRequest&, const RouteDeclaration* matched, const RoutingTable&);
-    /// Name of the organisation that holds the key with this digest. Throws KeyRefusedError.
+    /// Name of the organisation that holds the key with this digest. Throws KeyRefusedError, or NotReadyError if the
+    /// configuration has not been confirmed for too long.
     std::string authenticate(const std::string& keyDigest) const;
     /// Authorises attempts for as long as the organisation holds the key with this digest.
     Authorisation authorisationOf(std::string keyDigest, std::string organisation) const;
--- a/tests/io/DirectorySyncTest.cpp
+++ b/tests/io/DirectorySyncTest.cpp
@@ -35,6 +35,13 @@
     DirectorySync directorySync;
 };
 
+std::string encodeUpdate(bool isFresh)
+{
+    wire::DirectoryUpdate update;
+    update.isFresh = isFresh;
+    return wire::encode(update);
+}
+
 } // namespace
 
 TEST_CASE("a coordinator that reads the store marks its updates as fresh", "[directory]")
@@ -102,6 +109,37 @@
     }
 }
 
+TEST_CASE("the configuration is confirmed by own reads, and no longer once the store is away", "[directory]")
+{
+    Fixture fixture("c1");
+    CHECK_FALSE(fixture.directorySync.isConfirmedWithin(5s));
+    fixture.runFor(10s);
+    CHECK(fixture.directorySync.isConfirmedWithin(100ms));
+    fixture.store.isUnreachable = true;
+    fixture.runFor(4900ms);
+    CHECK(fixture.directorySync.isConfirmedWithin(5s));
+    fixture.runFor(200ms);
+    CHECK_FALSE(fixture.directorySync.isConfirmedWithin(5s));
+    fixture.store.isUnreachable = false;
+    fixture.runFor(600ms);
+    CHECK(fixture.directorySync.isConfirmedWithin(5s));
+}
+
+TEST_CASE("the configuration is confirmed by fresh updates of a peer, not by others", "[directory]")
+{
+    Fixture fixture(std::nullopt);
+    fixture.store.isUnreachable = true;
+    fixture.directorySync.onPeerUpdate("c1", encodeUpdate(false));
+    CHECK_FALSE(fixture.directorySync.isConfirmedWithin(5s));
+    fixture.directorySync.onPeerUpdate("c1", encodeUpdate(true));
+    CHECK(fixture.directorySync.isConfirmedWithin(5s));
+    fixture.runFor(4900ms);
+    fixture.directorySync.onPeerUpdate("c1", encodeUpdate(false));
+    CHECK(fixture.directorySync.isConfirmedWithin(5s));
+    fixture.runFor(100ms);
+    CHECK_FALSE(fixture.directorySync.isConfirmedWithin(5s));
+}
+
 TEST_CASE("a change of which the watch's answer is lost is read again within 2.5 s", "[directory]")
 {
     Fixture fixture("c1");
