Play callers of organisations against real processes

No test had organisations in the configuration, so what callers and servers see of API keys was unchecked.

Not run: under asan or tsan.

--- a/scripts/lib/hosted.py
+++ b/scripts/lib/hosted.py
@@ -91,6 +91,8 @@
         self.sizes = (entries, coordinators, engines, services)
         self.loop = asyncio.new_event_loop()
         self.store = None
+        # Rows of organisations in the configuration; it declares none if None.
+        self.organisations = None
         self.engines = []
         self.services = []
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
@@ -137,6 +139,8 @@
 
     def configure(self, version, routes=None):
         document = configuration(version) if routes is None else {**configuration(version), "Routes": routes}
+        if self.organisations is not None:
+            document["Tenants"] = self.organisations
         self.run(self.store.write("op/config", json.dumps(document)))
 
     def name_version(self, model, version):
@@ -173,6 +177,8 @@
         self.platform = Platform(prefix, entries, coordinators, engines, services, is_relayed)
         self.prefix = prefix
         self.port = 20000 + number % 20000
+        # API key of each request that states none itself; none if None.
+        self.key = None
         # Bodies of scoring calls that are not empty, by item.
         self.scoring_bodies = {}
         self.entries = [Machine(self, "entry-%d" % i, "entry", "edge", "%s.%d" % (prefix, 10 + i), {
@@ -215,8 +221,9 @@
     def request(self, entry, method, target, body=b"", headers=None, timeout=10, port=None, kept=None):
         """One request, over a connection of its own unless one is given that the caller keeps."""
         connection = kept or self.connect(entry, timeout, port)
+        key = {} if self.key is None else {"X-Api-Key": self.key}
         try:
-            connection.request(method, target, body, {"Host": HOST, **(headers or {})})
+            connection.request(method, target, body, {"Host": HOST, **key, **(headers or {})})
             response = connection.getresponse()
             return response.status, response.read(), dict(response.getheaders())
         finally:
