--- a/scripts/lib/streams.py
+++ b/scripts/lib/streams.py
@@ -53,6 +53,8 @@
         self.tries.append(attempt)
         sent = {"Host": HOST, "Endiveroad-Request-Id": attempt.request_id, "Endiveroad-Model": MODELS[0],
                 "Endiveroad-Deadline-Ms": "6000", "X-Stream": self.name, **(headers or {})}
+        if deployment.key is not None:
+            sent["X-Api-Key"] = deployment.key
         if is_take_up:
             sent["Last-Event-Id"] = str(self.events[-1][0])
             sent["Resumes"] = resumes or self.first_request
