--- a/src/io/hosted/DirectorySync.cpp
+++ b/src/io/hosted/DirectorySync.cpp
@@ -84,6 +84,11 @@
     return election_.hasRecentRead(now());
 }
 
+bool DirectorySync::isConfirmedWithin(Duration time) const
+{
+    return now() < confirmedAt_ + time;
+}
+
 asio::awaitable<void> DirectorySync::readServers()
 {
     while (true) {
@@ -116,6 +121,7 @@
         try {
             co_await readOperatorDocuments();
             operatorFreshUntil_ = now() + operatorFreshness;
+            confirmedAt_ = now();
         } catch (const HistoryLostError&) {
             operatorRevision_.reset();
             pause = electionInterval;
@@ -157,7 +163,7 @@
 {
     const std::string prefix = protocol_.operatorPrefix();
     if (operatorRevision_) {
-        const Instant deadline = now() + callTimeout + std::chrono::duration_cast<Duration>(watchTime);
+        const Instant deadline = now() + watchMargin + std::chrono::duration_cast<Duration>(watchTime);
         const StoreChanges changes = co_await store_.watch(prefix, *operatorRevision_, watchTime, deadline);
         // Keep the revision after an empty answer: if the watch has silently stopped delivering changes, its revision
         // falls out of the store's history in time, and the call throws HistoryLostError.
@@ -207,6 +213,8 @@
     for (const wire::Document& document : update.documents)
         documents.push_back({ document.key, document.revision, document.value, document.isRemoved });
     applyDocuments(documents, false);
+    if (update.isFresh)
+        confirmedAt_ = now();
 }
 
 bool DirectorySync::addLeaving(const DepartedServer& server)
