--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -6,6 +6,7 @@
 #include "io/hosted/Protocol.h"
 #include "io/hosted/ServerChooser.h"
 #include "io/hosted/ServerClient.h"
+#include "io/hosted/ServerRunListener.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -95,6 +96,9 @@
 
     ServiceCaller(asio::io_context&, ServerClient&, RequestLimits&, CrashGuard&, DirectorySource, uint64_t seed);
 
+    /// Null for none. The listener is told of the calls that servers run.
+    void setRunListener(ServerRunListener* listener) { runListener_ = listener; }
+
     /// Sets the request's server and timeout for each attempt. An attempt that was sent before the authorisation ended
     /// is finished.
     asio::awaitable<ServiceResult> call(RouteDeclaration, ReplicaRequest, Instant deadline,
@@ -158,6 +162,7 @@
     asio::io_context& context_;
     ServerClient& client_;
     CrashGuard& crashGuard_;
+    ServerRunListener* runListener_ = nullptr;
     ServerChooser servers_;
     WaitingCalls waitingCalls_;
     /// The calls in waitingCalls_.
