Make the fake store lose the answers of watches that begin after the fault only

The test "a change of which the watch's answer is lost is read again within 2.5 s" passed also with the longer time for the answer: the watch that was waiting when the fault began failed at once, 0.05 s later, and the change was listed soon. Now only watches that begin after the fault lose their answers, which is the slowest case. No caller sees a change.

--- a/tests/io/DirectoryFakes.h
+++ b/tests/io/DirectoryFakes.h
@@ -60,8 +60,9 @@
     }
     asio::awaitable<StoreChanges> watch(std::string, int64_t, std::chrono::milliseconds, Instant deadline) override
     {
-        co_await sleepFor(isWatchSilent ? deadline - now() : std::chrono::milliseconds(50));
-        if (isUnreachable || isWatchSilent)
+        const bool isSilent = isWatchSilent;
+        co_await sleepFor(isSilent ? deadline - now() : std::chrono::milliseconds(50));
+        if (isUnreachable || isSilent)
             throw StoreUnavailableError("away");
         StoreChanges answer;
         answer.documents = std::move(changes);
