Test that a submission that waits for a coordinator is refused when its key is removed

BatchGateway asks the authorisation before each attempt; no test showed it. Without it, a submission that an entry holds while no coordinator is connected could be accepted with a removed key.

Evidence: organisations.a_submission_that_waits_for_a_coordinator_is_refused passed twice. With the authorisation of ServiceCaller taken out, organisations.waiting_calls_of_a_removed_key_are_refused fails, as it should. Not run: the new case without the check in BatchGateway.

--- a/tests/process/organisations.py
+++ b/tests/process/organisations.py
@@ -154,6 +154,24 @@
     assert served and served == ran, (served, ran)
 
 
+def a_submission_that_waits_for_a_coordinator_is_refused(deployment):
+    outcomes = []
+
+    def submit():
+        status = call(deployment, deployment.entries[0], "job-waits", LAB, JOB_PREFIX + "job-waits", timeout_ms=7500)
+        outcomes.append((status, time.monotonic()))
+
+    for coordinator in deployment.coordinators:
+        coordinator.kill()
+    caller = threading.Thread(target=submit)
+    caller.start()
+    time.sleep(0.3)
+    began = configure(deployment, 2, lab=[])
+    caller.join()
+    status, at = outcomes[0]
+    assert status == 401 and at - began < REMOVAL_S, (status, at - began)
+
+
 def a_stream_goes_on_after_its_key_is_removed(deployment):
     for engine in deployment.platform.engines:
         engine.extra_s = 0.2
@@ -254,7 +272,8 @@
 
 CASES = {case.__name__: without_keys_told(case) for case in (
     requests_need_a_key_that_no_server_sees, a_removed_key_is_refused_on_kept_connections,
-    waiting_calls_of_a_removed_key_are_refused, a_stream_goes_on_after_its_key_is_removed,
+    waiting_calls_of_a_removed_key_are_refused, a_submission_that_waits_for_a_coordinator_is_refused,
+    a_stream_goes_on_after_its_key_is_removed,
     processes_without_the_store_or_the_reader_learn_of_a_removal, jobs_belong_to_the_organisation_that_submitted_them,
     a_process_without_a_confirmed_configuration_refuses_if_told_so)}
 
