A request may be held back until its connection is open

Cause: a sender whose right to send ends at some time can check it only before the connection is opened. A process that is frozen while it connects wrote the request after that time.

Change: HttpRequest::maySend is asked directly before the request is written; if it refuses, the request fails as not sent. Requests without it are sent as before.

--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -365,6 +365,8 @@
     Connection connection = co_await openFor(address, request, deadline, cancel);
     if (cancel.isCancelled())
         throw ServerUnavailableError("the request was cancelled before it was sent");
+    if (request.maySend && !request.maySend())
+        throw ServerUnavailableError("the request may no longer be sent");
     Exchanged exchanged = co_await exchange(
         address, connection, std::move(request), deadline, std::move(onBody), cancel, std::move(onHead));
     if (exchanged.isReusable)
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -47,6 +47,10 @@
     size_t maxAnswerBytes = 16U << 20;
     /// If set, the connection's server states its start before the request is sent.
     std::shared_ptr<const StartQuery> startQuery {};
+    /// If set, called once the connection is open, directly before the request is written. If it returns false, the
+    /// request is not sent and fails with ServerUnavailableError. For requests that are allowed only until some time,
+    /// which may pass while the connection is opened.
+    std::function<bool()> maySend {};
 };
 
 /// Asks a server for its start, once for each connection that a request with this query uses. The query goes over
--- a/tests/io/HttpClientTest.cpp
+++ b/tests/io/HttpClientTest.cpp
@@ -465,3 +465,28 @@
         CHECK(third.response.body == "3");
     });
 }
+
+// Guards against a request that is written after its sender lost the right to send it while the connection was opened.
+TEST_CASE("a request that may no longer be sent once its connection is open is not written")
+{
+    asio::io_context context;
+    HttpClient client;
+    // Its connection closes without a request, which ends it.
+    RawServer refused(context);
+    RawServer server(context);
+    server.answer = sizedAnswer;
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        HttpRequest request;
+        request.maySend = [] { return false; };
+        std::optional<ErrorCode> code;
+        try {
+            co_await client.request(refused.address(), request, now() + testTimeout);
+        } catch (const ServerUnavailableError& error) {
+            code = error.code();
+        }
+        CHECK(code);
+        request.maySend = [] { return true; };
+        const HttpResponse response = co_await client.request(server.address(), request, now() + testTimeout);
+        CHECK(response.body == "0123456789");
+    });
+}
