--- a/src/io/hosted/Protocol.h
+++ b/src/io/hosted/Protocol.h
@@ -9,6 +9,7 @@
 #include <endiveroad/DocumentSet.h>
 #include <endiveroad/HostedSettings.h>
 #include <endiveroad/LeavingServers.h>
+#include <endiveroad/UsageReport.h>
 #include <map>
 #include <memory>
 #include <optional>
@@ -220,15 +221,6 @@
     virtual RetirementState decodeRetirementReport(const std::string& value) const = 0;
 };
 
-/// Usage of one window, to be reported once and never with other counts.
-struct UsageReport {
-    int64_t window = 0;
-    /// Requests that backend servers began to run in the window, by organisation.
-    std::map<std::string, int64_t> counts;
-
-    auto operator<=>(const UsageReport&) const = default;
-};
-
 /// Number of replicas that a service is to have in a failure domain.
 struct ScaleOrder {
     std::string service;
