The callers' requests that servers began to run are told to a listener

Cause: usage is to be counted where requests are forwarded, and only the code of calls and streams sees whether a server ran them.

Change: ServiceCaller and StreamProxy tell a ServerRunListener of answered calls, of first events, and of requests that were sent and whose answer was lost; not of refusals and of requests that were not sent. Nobody listens yet; callers see no difference.

--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -378,6 +378,8 @@
         servers_.loads().onAbandoned(server.id);
     if (!wasSent && !wasAbandoned)
         onUnreachable(server.id);
+    if (wasSent && runListener_)
+        runListener_->onBegun(state->request, startedAt);
     if (!wasSent) {
         --state->possibleRuns;
         crashGuard_.onNotSent(state->attemptAt(server, startedAt));
@@ -421,6 +423,8 @@
     }
     if (response.isSuccess() && answer.stamp.empty())
         throw AnswerBrokenError("the answer has a success status but lacks the server's stamp");
+    if (runListener_)
+        runListener_->onCallAnswered(state.route, state.request, startedAt);
     crashGuard_.onAnswered(state.attemptAt(server, startedAt));
     servers_.loads().onAnswer(server.id, now() - startedAt, now());
     if (state.isDone)
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -5,6 +5,7 @@
 #include "io/hosted/Protocol.h"
 #include "io/hosted/ServerChooser.h"
 #include "io/hosted/ServerClient.h"
+#include "io/hosted/ServerRunListener.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -92,6 +93,9 @@
 
     ServiceCaller(asio::io_context&, ServerClient&, RequestLimits&, CrashGuard&, DirectorySource, uint64_t seed);
 
+    /// Null for none. The listener is told of the calls that servers run.
+    void setRunListener(ServerRunListener* listener) { runListener_ = listener; }
+
     /// Sets the request's server and timeout for each attempt.
     asio::awaitable<ServiceResult> call(RouteDeclaration, ReplicaRequest, Instant deadline,
         PeerCancellationPtr cancellation, ContentKind = ContentKind::Call);
@@ -150,6 +154,7 @@
     asio::io_context& context_;
     ServerClient& client_;
     CrashGuard& crashGuard_;
+    ServerRunListener* runListener_ = nullptr;
     ServerChooser servers_;
     WaitingCalls waitingCalls_;
     /// The calls in waitingCalls_.
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -78,6 +78,7 @@
 
 struct StreamProxy::Progress {
     CallerRequest caller;
+    ReplicaRequest request;
     ContentId content;
     /// The software that began the stream, which alone may go on with it; nothing before the first event.
     std::optional<SoftwareVersion> origin;
@@ -250,6 +251,7 @@
     if (isFirst) {
         if (!progress.origin)
             progress.origin = serverStream->software;
+        recordRun(progress, serverStream->lastEventAt);
         // Told before the caller has the event, so that other entries know the stream if this process ends.
         resumptions_.onFirstEvent(progress.caller, *progress.origin, deadline);
     }
@@ -318,8 +320,10 @@
         crashGuard_.onRefused(serverStream->attempt);
     } else if (serverStream->wasSent)
         ++progress.runs;
+    const bool mayHaveRun = !isRefused && serverStream->wasSent;
     const bool isStream = hasHead && !isRefused && serverStream->head->status == statusOk;
     if (hasHead && !isRefused && !isStream && !progress.hasStarted) {
+        recordRun(progress, serverStream->lastEventAt);
         co_await answerUnstreamed(exchange, serverStream, deadline);
         co_return AttemptEnd::Answered;
     }
@@ -327,6 +331,9 @@
         co_await forward(exchange, route, serverStream, progress, deadline, cancellation);
         co_await inspectBroken(serverStream, progress);
     }
+    // A stream without an event may have begun. One that has brought an event is counted already.
+    if (mayHaveRun && !progress.hasEvents)
+        recordRun(progress, serverStream->lastEventAt);
     serverStream->cancellation.cancel();
     if (progress.isDone) {
         co_await exchange.endStream();
@@ -342,6 +349,8 @@
 {
     Progress progress;
     progress.caller = std::move(caller);
+    progress.request.id = request.id;
+    progress.request.organisation = request.organisation;
     progress.content = ContentId::of(request.method, route.host, request.target, request.body);
     if (progress.caller.isResumption)
         progress.origin = co_await resumptions_.originOf(route, progress.caller, deadline);
@@ -374,6 +383,12 @@
         throwFailure(route, progress, deadline);
 }
 
+void StreamProxy::recordRun(const Progress& progress, Instant beganAt)
+{
+    if (runListener_)
+        runListener_->onBegun(progress.request, beganAt);
+}
+
 void StreamProxy::logEnd(const Progress& progress)
 {
     std::string pieces;
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -31,6 +31,9 @@
 
     StreamProxy(asio::io_context&, ServerClient&, ServiceCaller&, StreamResumptions&, CrashGuard&);
 
+    /// Null for none. The listener is told of the streams that servers run.
+    void setRunListener(ServerRunListener* listener) { runListener_ = listener; }
+
     /// Answers the exchange. Only complete events are forwarded. If a server's stream breaks, a server that runs the
     /// same software resumes it within the same answer if the route allows that; otherwise the answer ends without its
     /// last chunk, so that the caller detects the truncation. Throws if nothing has been sent to the caller:
@@ -52,6 +55,7 @@
     /// Waits for a server's answer and passes it on as far as it comes.
     asio::awaitable<AttemptEnd> attempt(
         HttpExchange&, const RouteDeclaration&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
+    void recordRun(const Progress&, Instant beganAt);
     /// Logs which servers wrote the answer.
     static void logEnd(const Progress&);
     /// Counts and logs that a stream does not go on although its route allows it.
@@ -84,6 +88,7 @@
     ServiceCaller& serviceCaller_;
     StreamResumptions& resumptions_;
     CrashGuard& crashGuard_;
+    ServerRunListener* runListener_ = nullptr;
 };
 
 } // namespace endiveroad::io
