One coordinator at a time reports usage to the platform

Callers are served as before; usage was not reported at all.

Cause: no process counted requests by organisation or called the platform's API.

Change: DutyHolder acquires a lease in the store, collects the counts that the entries' UsageReporter sends, fixes the report of each window in the store and sends it. Both exist only where the settings name the API and the duty; elsewhere there is no timer, message or store key.

Not run at this commit: the whole of io_tests, process tests.

--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -40,6 +40,12 @@
           settings().name, this->platform().directoryProtocol(), store(), *this, [this] { return directory(); })
 {
     owner_.setWorker(dispatcher_);
+    const DutySettings& duties = settings().duties;
+    if (!duties.api || !duties.reportsUsage)
+        return;
+    dutyTransport_ = std::make_unique<HttpDutyTransport>(http(), *duties.api);
+    dutyHolder_ = std::make_unique<DutyHolder>(context(), settings().name, incarnation(), duties, store(),
+        this->platform().dutyProtocol(), *dutyTransport_, static_cast<DutyPeers&>(*this));
 }
 
 void HostedCoordinator::start()
@@ -51,6 +57,31 @@
     spawnRestarting(executor, [this] { return dispatcher_.run(); });
     spawnRestarting(executor, [this] { return owner_.runListing(); });
     spawnRestarting(executor, [this] { return retirements_.run(); });
+    if (dutyHolder_)
+        startDuties();
+}
+
+void HostedCoordinator::startDuties()
+{
+    const auto executor = context().get_executor();
+    spawnRestarting(executor, [this] { return dutyHolder_->runLease(); });
+    spawnRestarting(executor, [this] { return dutyHolder_->runReports(); });
+    spawnRestarting(executor, [this] { return dutyHolder_->runNotices(); });
+}
+
+void HostedCoordinator::announceHolder(const wire::DutyHolderNotice& notice)
+{
+    const std::string payload = wire::encode(notice);
+    for (HostedRole role : { HostedRole::Entry, HostedRole::Coordinator }) {
+        for (const PeerConnectionPtr& connection : connectionsOf(role))
+            connection->notify(MessageType::DutyHolder, payload);
+    }
+}
+
+void HostedCoordinator::sendUsage(const std::string& coordinator, const wire::UsageNotice& notice)
+{
+    if (const PeerConnectionPtr connection = peer(coordinator))
+        connection->notify(MessageType::Usage, wire::encode(notice));
 }
 
 bool HostedCoordinator::isAlive(const std::string& coordinator) const
@@ -260,6 +291,14 @@
     case MessageType::StreamOrigins:
         originKeeper_.onNotice(connection->peerName, message.payload);
         break;
+    case MessageType::Usage:
+        if (dutyHolder_)
+            dutyHolder_->onUsage(wire::decode<wire::UsageNotice>(message.payload));
+        break;
+    case MessageType::DutyHolder:
+        if (dutyHolder_)
+            dutyHolder_->onHolder(wire::decode<wire::DutyHolderNotice>(message.payload));
+        break;
     case MessageType::JobOwner: {
         const auto notice = wire::decode<wire::JobOwnerNotice>(message.payload);
         owner_.onOwner(notice);
@@ -308,6 +347,13 @@
         { "endiveroad_retirement_held", "",
             "1 while the operator retires this VM and it stays, since no other coordinator could do its work.",
             retirements_.isHeld() ? 1.0 : 0.0 } };
+    if (dutyHolder_) {
+        gauges.push_back({ "endiveroad_duty_holder", "", "1 while this process holds the duties towards the platform.",
+            dutyHolder_->isHolder() ? 1.0 : 0.0 });
+        gauges.push_back({ "endiveroad_usage_pending", "",
+            "Usage reports that are fixed and not known to be carried out; of the holder only.",
+            dutyHolder_->isHolder() ? static_cast<double>(dutyHolder_->pendingReports()) : 0.0 });
+    }
     // The metric's label calls finished items "unlisted": they have a result that is not listed yet.
     constexpr std::array stages { std::pair(ItemStage::Waiting, "waiting"), std::pair(ItemStage::Running, "running"),
         std::pair(ItemStage::Scoring, "scoring"), std::pair(ItemStage::Finished, "unlisted") };
@@ -330,6 +376,8 @@
     // Without another coordinator nobody takes the jobs over before this process starts again.
     while (now() < end && owner_.openJobs() > 0 && !aliveCoordinators().empty())
         co_await sleepFor(pollInterval / 4);
+    if (dutyHolder_)
+        co_await dutyHolder_->end();
     try {
         if (lease_ != 0)
             co_await store().endLease(lease_, now() + handoverTime);
--- a/src/io/hosted/HostedCoordinator.h
+++ b/src/io/hosted/HostedCoordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "io/hosted/BatchOwner.h"
+#include "io/hosted/DutyHolder.h"
 #include "io/hosted/HostedNode.h"
 #include "io/hosted/ItemDispatcher.h"
 #include "io/hosted/ItemScorer.h"
@@ -16,7 +17,8 @@
                           private CoordinatorView,
                           private AgentConnections,
                           private StreamOriginPeers,
-                          private RetirementPeers {
+                          private RetirementPeers,
+                          private DutyPeers {
 public:
     /// Lifetime of the lease that holds this coordinator's registration, and interval at which it is renewed.
     static constexpr std::chrono::milliseconds leaseLifetime { 9000 };
@@ -83,6 +85,13 @@
     void onLeaving() override { announceLeaving(); }
     void onReturn() override;
     size_t openJobs() const override { return owner_.openJobs(); }
+
+    bool isDutyCandidate() const override { return isFirst(); }
+    bool mayHoldDuties() const override { return !hasAnnouncedLeaving(); }
+    void announceHolder(const wire::DutyHolderNotice&) override;
+    void sendUsage(const std::string& coordinator, const wire::UsageNotice&) override;
+    void startDuties();
+
     /// True if this coordinator can do the work of all: it has the configuration, has read the stored jobs, reaches the
     /// store, entries and most engines, and goes nowhere.
     bool isServing() const;
@@ -110,6 +119,9 @@
     /// The open jobs of an earlier process of this name have been taken over.
     bool hasRestoredJobs_ = false;
     RetirementReporter retirements_;
+    /// Null if there are no duties towards the platform.
+    std::unique_ptr<DutyTransport> dutyTransport_;
+    std::unique_ptr<DutyHolder> dutyHolder_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -130,6 +130,13 @@
     , streamProxy_(context(), servers(), serviceCaller_, resumptions_, crashGuard())
     , gateway_(*this)
 {
+    const DutySettings& duties = settings().duties;
+    if (!duties.api || !duties.reportsUsage)
+        return;
+    usageReporter_ = std::make_unique<UsageReporter>(
+        context(), settings().name, incarnation(), duties.usageWindow, static_cast<UsagePeers&>(*this));
+    serviceCaller_.setRunListener(usageReporter_.get());
+    streamProxy_.setRunListener(usageReporter_.get());
 }
 
 void HostedEntry::start()
@@ -142,6 +149,8 @@
     readinessServer_->start(context(), *settings().readiness);
     callerServer_ = std::make_unique<HttpServer>(*callerHandler_);
     callerServer_->start(context(), *settings().callers);
+    if (usageReporter_)
+        spawnRestarting(context().get_executor(), [this] { return usageReporter_->run(); });
 }
 
 bool HostedEntry::isReady() const
@@ -166,12 +175,27 @@
 
 void HostedEntry::onNodeNotice(const PeerConnectionPtr&, const PeerMessage& message)
 {
+    if (message.type == MessageType::DutyHolder && usageReporter_)
+        usageReporter_->onHolder(wire::decode<wire::DutyHolderNotice>(message.payload));
     if (message.type != MessageType::JobOwner)
         return;
     const auto notice = wire::decode<wire::JobOwnerNotice>(message.payload);
     gateway_.onOwner(notice);
 }
 
+void HostedEntry::onPeerUp(const PeerConnectionPtr& connection)
+{
+    resumptions_.onCoordinatorsChanged();
+    if (usageReporter_)
+        usageReporter_->onCoordinatorUp(connection->peerName);
+}
+
+void HostedEntry::sendUsage(const std::string& coordinator, const wire::UsageNotice& notice)
+{
+    if (const PeerConnectionPtr connection = peer(coordinator))
+        connection->notify(MessageType::Usage, wire::encode(notice));
+}
+
 void HostedEntry::sendOrigins(const std::string& coordinator, const std::string& notice)
 {
     if (const PeerConnectionPtr connection = peer(coordinator))
@@ -363,6 +387,8 @@
     callerServer_->stopAccepting();
     while (callerServer_->connections() > 0 && now() < end)
         co_await sleepFor(std::chrono::milliseconds(20));
+    if (usageReporter_)
+        usageReporter_->send();
 }
 
 } // namespace endiveroad::io
--- a/src/io/hosted/HostedEntry.h
+++ b/src/io/hosted/HostedEntry.h
@@ -5,12 +5,13 @@
 #include "io/hosted/HostedNode.h"
 #include "io/hosted/ServiceCaller.h"
 #include "io/hosted/StreamProxy.h"
+#include "io/hosted/UsageReporter.h"
 
 /// Entry on a shared platform. It forwards service calls directly to a backend server and operations on batch jobs to a
 /// coordinator, and has no persistent state.
 namespace endiveroad::io {
 
-class HostedEntry : public HostedNode, private CoordinatorConnections, private StreamOriginSources {
+class HostedEntry : public HostedNode, private CoordinatorConnections, private StreamOriginSources, private UsagePeers {
 public:
     /// Delay after which a caller is told to try again if its request was not run.
     static constexpr Duration retryAfter = std::chrono::milliseconds(500);
@@ -43,12 +44,13 @@
     PeerConnectionPtr coordinator(const std::string& name) const override { return peer(name); }
     bool areNoneRegistered() const override { return directorySync().areNoCoordinatorsRegistered(); }
 
-    void onPeerUp(const PeerConnectionPtr&) override { resumptions_.onCoordinatorsChanged(); }
+    void onPeerUp(const PeerConnectionPtr&) override;
     void onPeerDown(const std::string&) override { resumptions_.onCoordinatorsChanged(); }
 
     const std::string& ownName() const override { return settings().name; }
     std::vector<std::string> originKeepers() const override { return coordinators(); }
     void sendOrigins(const std::string& coordinator, const std::string& notice) override;
+    void sendUsage(const std::string& coordinator, const wire::UsageNotice&) override;
     asio::awaitable<std::string> askOrigin(std::string coordinator, std::string query, Instant deadline) override;
 
     asio::awaitable<void> serve(HttpExchange&);
@@ -79,6 +81,8 @@
     StreamResumptions resumptions_;
     StreamProxy streamProxy_;
     BatchGateway gateway_;
+    /// Null if usage is not reported.
+    std::unique_ptr<UsageReporter> usageReporter_;
     bool wasReady_ = false;
 };
 
--- a/src/io/hosted/HostedNode.h
+++ b/src/io/hosted/HostedNode.h
@@ -101,6 +101,9 @@
 
     std::shared_ptr<const Directory> directory() const { return directorySync_->current(); }
     asio::io_context& context() { return context_; }
+    HttpClient& http() { return http_; }
+    /// Wall-clock time of the start of this process in ms.
+    int64_t incarnation() const { return incarnation_; }
     CrashGuard& crashGuard() { return crashGuard_; }
     ServerClient& servers() { return servers_; }
     RequestLimits& requestLimits() { return requestLimits_; }
--- a/tests/io/UnreliableStore.h
+++ b/tests/io/UnreliableStore.h
@@ -14,9 +14,56 @@
 /// transactions.
 class StoreContents {
 public:
+    /// Leases end from now on; before, they have no effect.
+    void useLeases() { hasLeases_ = true; }
+    bool hasLeases() const { return hasLeases_; }
+
+    int64_t grantLease(endiveroad::Duration lifetime)
+    {
+        leases_[++lastLease_] = { lifetime, endiveroad::io::now() + lifetime };
+        return lastLease_;
+    }
+
+    bool renewLease(int64_t lease)
+    {
+        const auto found = leases_.find(lease);
+        if (found != leases_.end())
+            found->second.end = endiveroad::io::now() + found->second.lifetime;
+        return found != leases_.end();
+    }
+
+    void endLease(int64_t lease)
+    {
+        leases_.erase(lease);
+        for (auto key = leaseOfKey_.begin(); key != leaseOfKey_.end();) {
+            if (key->second != lease) {
+                ++key;
+                continue;
+            }
+            ++revision_;
+            documents_.erase(key->first);
+            key = leaseOfKey_.erase(key);
+        }
+    }
+
+    void endExpiredLeases()
+    {
+        std::vector<int64_t> expired;
+        for (const auto& [lease, state] : leases_) {
+            if (state.end <= endiveroad::io::now())
+                expired.push_back(lease);
+        }
+        for (int64_t lease : expired)
+            endLease(lease);
+    }
+
     endiveroad::io::CommitResult apply(const endiveroad::io::StoreTransaction& transaction)
     {
         endiveroad::io::CommitResult result;
+        const bool hasEndedLease = std::any_of(transaction.puts.begin(), transaction.puts.end(),
+            [this](const auto& put) { return hasLeases_ && put.lease != 0 && !leases_.contains(put.lease); });
+        if (hasEndedLease)
+            return result;
         result.isCommitted = std::all_of(transaction.conditions.begin(), transaction.conditions.end(),
             [this](const auto& condition) { return revisionOf(condition.key) == condition.revision; });
         if (!result.isCommitted) {
@@ -27,8 +74,12 @@
             return result;
         }
         result.revision = ++revision_;
-        for (const auto& put : transaction.puts)
+        for (const auto& put : transaction.puts) {
             documents_[put.key] = { put.key, revision_, put.value, false };
+            leaseOfKey_.erase(put.key);
+            if (hasLeases_ && put.lease != 0)
+                leaseOfKey_[put.key] = put.lease;
+        }
         for (const std::string& key : transaction.removals)
             documents_.erase(key);
         return result;
@@ -59,8 +110,17 @@
         return found == documents_.end() ? 0 : found->second.revision;
     }
 
+    struct Lease {
+        endiveroad::Duration lifetime {};
+        endiveroad::Instant end;
+    };
+
     std::map<std::string, endiveroad::Document> documents_;
     int64_t revision_ = 0;
+    bool hasLeases_ = false;
+    std::map<int64_t, Lease> leases_;
+    std::map<std::string, int64_t> leaseOfKey_;
+    int64_t lastLease_ = 0;
 };
 
 /// One process's client of a simulated store, with faults: calls are delayed, fail before they take effect, lose their
@@ -123,9 +183,33 @@
         co_return result;
     }
 
-    boost::asio::awaitable<int64_t> grantLease(std::chrono::milliseconds, endiveroad::Instant) override { co_return 1; }
-    boost::asio::awaitable<bool> renewLease(int64_t, endiveroad::Instant) override { co_return true; }
-    boost::asio::awaitable<void> endLease(int64_t, endiveroad::Instant) override { co_return; }
+    boost::asio::awaitable<int64_t> grantLease(std::chrono::milliseconds lifetime, endiveroad::Instant) override
+    {
+        if (!contents_.hasLeases())
+            co_return 1;
+        co_await delayOrFail();
+        const int64_t lease = contents_.grantLease(lifetime);
+        co_await delayOrFail();
+        co_return lease;
+    }
+
+    boost::asio::awaitable<bool> renewLease(int64_t lease, endiveroad::Instant) override
+    {
+        if (!contents_.hasLeases())
+            co_return true;
+        co_await delayOrFail();
+        const bool isRenewed = contents_.renewLease(lease);
+        co_await delayOrFail();
+        co_return isRenewed;
+    }
+
+    boost::asio::awaitable<void> endLease(int64_t lease, endiveroad::Instant) override
+    {
+        if (!contents_.hasLeases())
+            co_return;
+        co_await delayOrFail();
+        contents_.endLease(lease);
+    }
 
 private:
     unsigned draw(unsigned choices) { return static_cast<unsigned>(random_() % choices); }
