--- a/tests/io/HttpClientTest.cpp
+++ b/tests/io/HttpClientTest.cpp
@@ -471,6 +471,8 @@
 {
     asio::io_context context;
     HttpClient client;
+    // Its connection closes without a request, which ends it.
+    RawServer refused(context);
     RawServer server(context);
     server.answer = sizedAnswer;
     runToEnd(context, [&]() -> asio::awaitable<void> {
@@ -478,7 +480,7 @@
         request.maySend = [] { return false; };
         std::optional<ErrorCode> code;
         try {
-            co_await client.request(server.address(), request, now() + testTimeout);
+            co_await client.request(refused.address(), request, now() + testTimeout);
         } catch (const ServerUnavailableError& error) {
             code = error.code();
         }
--- a/tests/io/UsageReporterTest.cpp
+++ b/tests/io/UsageReporterTest.cpp
@@ -62,6 +62,7 @@
     Fixture f;
     RouteDeclaration route;
     route.name = "r";
+    f.time.runFor(f.context, 1s);
     f.reporter.onCallAnswered(route, Fixture::request("1", "a"), f.time.now() - 20ms);
     f.reporter.onBegun(Fixture::request("1", "a"), f.time.now());
     f.reporter.onBegun(Fixture::request("2", "a"), f.time.now());
