Number of groups that a trainer waits for, decoded from the submission of a batch job

Callers saw no difference between groups that they wait for and those beyond them: the field was ignored, and all groups had an equal claim on replicas.

Cause: the submission's field was not read. Nothing uses the number yet.

Not run: platform_tests as a whole, io_tests, process tests.

--- a/include/endiveroad/BatchJob.h
+++ b/include/endiveroad/BatchJob.h
@@ -51,6 +51,8 @@
     /// Oldest weight version that may generate events of the items.
     int64_t oldestVersion = 0;
     std::vector<BatchItem> items;
+    /// Number of complete groups that the trainer waits for; 0 if it waits for all.
+    size_t targetGroups = 0;
 
     auto operator<=>(const BatchJobSpec&) const = default;
 };
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -270,6 +270,16 @@
     }
 }
 
+// A job was accepted whatever stood in this field while it was ignored; a check of it must refuse none.
+TEST_CASE("the number of groups that a trainer waits for is read, and anything else means all", "[platform]")
+{
+    const BatchCodec codec;
+    CHECK(codec.decodeJob("j", "h", "b", R"({"TargetGroups":7,"Items":[]})").targetGroups == 7);
+    for (const std::string field : { "0", "-3", "2.5", "\"7\"", "null", "{}" })
+        CHECK(codec.decodeJob("j", "h", "b", R"({"Items":[],"TargetGroups":)" + field + "}").targetGroups == 0);
+    CHECK(codec.decodeJob("j", "h", "b", R"({"Items":[]})").targetGroups == 0);
+}
+
 TEST_CASE("a batch job is decoded and its results are encoded by page", "[platform]")
 {
     const BatchCodec codec;
