Placement of items in a given order, apart from the order by due time

Callers saw no difference, and see none now.

Cause: placeItems() both chose the order of the waiting items and placed them, so no other order could be tried or compared. Change: dueTimeOrder() and placeInOrder(); placeItems() calls both. ReplicaView::ownRuns tells a coordinator's own runs from those of others; ItemDispatcher does not fill it yet.

Evidence: the cases of BatchPlacementTest.cpp in core_tests. Not run: io_tests, process tests.

--- a/include/endiveroad/BatchPlacement.h
+++ b/include/endiveroad/BatchPlacement.h
@@ -30,6 +30,8 @@
     double eventMs = 0;
     /// What the replica runs, as it is registered.
     SoftwareVersion software;
+    /// Number of those in `running` that this coordinator started.
+    int32_t ownRuns = 0;
 
     auto operator<=>(const ReplicaView&) const = default;
 
@@ -76,6 +78,14 @@
 /// more than there are slots, and the step is complete only when its longest item is.
 std::vector<Placement> placeItems(const std::vector<WaitingItem>&, std::vector<ReplicaView>&);
 
+/// As placeItems(), with the waiting items in the given order of their indices. Items whose index is not in the order
+/// are not placed.
+std::vector<Placement> placeInOrder(
+    const std::vector<WaitingItem>&, const std::vector<size_t>& order, std::vector<ReplicaView>&);
+
+/// Order in which placeItems() places the waiting items.
+std::vector<size_t> dueTimeOrder(const std::vector<WaitingItem>&);
+
 /// Median of the known eventMs of replicas that are up; 0 if none is known.
 double medianEventMs(const std::vector<ReplicaView>&);
 
--- a/src/core/batch/BatchPlacement.cpp
+++ b/src/core/batch/BatchPlacement.cpp
@@ -200,7 +200,7 @@
     return found == versions.end() ? 0 : found->second;
 }
 
-std::vector<Placement> placeItems(const std::vector<WaitingItem>& waiting, std::vector<ReplicaView>& replicas)
+std::vector<size_t> dueTimeOrder(const std::vector<WaitingItem>& waiting)
 {
     std::vector<size_t> order(waiting.size());
     for (size_t i = 0; i < order.size(); ++i)
@@ -209,6 +209,17 @@
         return std::tuple(waiting[a].dueAt, -waiting[a].expectedTokens)
             < std::tuple(waiting[b].dueAt, -waiting[b].expectedTokens);
     });
+    return order;
+}
+
+std::vector<Placement> placeItems(const std::vector<WaitingItem>& waiting, std::vector<ReplicaView>& replicas)
+{
+    return placeInOrder(waiting, dueTimeOrder(waiting), replicas);
+}
+
+std::vector<Placement> placeInOrder(
+    const std::vector<WaitingItem>& waiting, const std::vector<size_t>& order, std::vector<ReplicaView>& replicas)
+{
     std::vector<Placement> placements;
     const double medianMs = medianEventMs(replicas);
     for (size_t index : order) {
