Process test: connections of strangers to the port of peers

Cause: processes accept any number of connections from outside on the port for peers. Callers of an entry whose descriptors are used up saw connections that were not accepted.

Not run: other tests, as no code of the product changes.

--- a/tests/process/crowds.py
+++ b/tests/process/crowds.py
@@ -152,11 +152,11 @@
         return False
 
 
-def hold(deployment, payloads, entries=None, trickles=False, watch=None):
+def hold(deployment, payloads, entries=None, trickles=False, watch=None, port=None):
     """Holds a crowd at entries; an ordinary request is answered at each of them while the crowd stands."""
     own = watch or Watch(deployment)
     entries = entries or deployment.entries[:1]
-    crowds = [Crowd(entry, deployment.port + 1, payloads, trickles) for entry in entries]
+    crowds = [Crowd(entry, port or deployment.port + 1, payloads, trickles) for entry in entries]
     time.sleep(CROWD_TIME_S)
     try:
         for entry in entries:
@@ -202,6 +202,10 @@
     hold(deployment, [b""] * SILENT_CROWD)
 
 
+def connections_of_strangers_to_the_port_of_peers(deployment):
+    hold(deployment, [b""] * SILENT_CROWD, port=deployment.port)
+
+
 def crowds_at_all_entries_at_once(deployment):
     hold(deployment, short_bodies(), entries=deployment.entries)
 
@@ -252,8 +256,9 @@
 
 CASES = {case.__name__: case for case in (
     one_byte_short, few_largest_bodies_one_byte_short, a_byte_a_second, chunked_bodies_without_end,
-    whole_bodies_beside_a_slow_service, connections_without_a_request, crowds_at_all_entries_at_once,
-    a_crowd_comes_again, the_largest_body_passes_in_calm, the_largest_batch_job_passes_in_calm,
+    whole_bodies_beside_a_slow_service, connections_without_a_request,
+    connections_of_strangers_to_the_port_of_peers, crowds_at_all_entries_at_once, a_crowd_comes_again,
+    the_largest_body_passes_in_calm, the_largest_batch_job_passes_in_calm,
     a_batch_job_too_large_for_the_store_harms_no_process)}
 
 
