Base64 by table, and no parts of a batch job that cannot be stored

Cause: base64 was converted through iterator adapters, and a job that does not fit into one transaction of the store was cut into parts before it was refused. A coordinator does nothing else meanwhile; beside other load its peers held it for silent, and callers that submitted a job of 20 MB or more saw 502.

Change: tables for both directions, the same results for all inputs (padding inside a text still has the value 0); JobStore::accept() compares the size first.

Not run: a comparison with the former code.

--- a/src/core/base/ByteCodec.cpp
+++ b/src/core/base/ByteCodec.cpp
@@ -1,12 +1,27 @@
 #include "core/base/ByteCodec.h"
 
-#include <boost/archive/iterators/base64_from_binary.hpp>
-#include <boost/archive/iterators/binary_from_base64.hpp>
-#include <boost/archive/iterators/transform_width.hpp>
+#include <array>
 
 namespace endiveroad {
 
-namespace iterators = boost::archive::iterators;
+namespace {
+
+constexpr std::string_view base64Digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+/// Value of each character; -1 for one that is no digit. Padding has the value 0.
+constexpr std::array<int8_t, 256> makeBase64Values()
+{
+    std::array<int8_t, 256> values {};
+    values.fill(-1);
+    for (size_t i = 0; i < base64Digits.size(); ++i)
+        values[static_cast<uint8_t>(base64Digits[i])] = static_cast<int8_t>(i);
+    values[static_cast<uint8_t>('=')] = 0;
+    return values;
+}
+
+constexpr std::array<int8_t, 256> base64Values = makeBase64Values();
+
+} // namespace
 
 void ByteWriter::integer(uint64_t value, int width)
 {
@@ -34,24 +49,38 @@
 
 std::string toBase64(std::string_view bytes)
 {
-    using Encoder = iterators::base64_from_binary<iterators::transform_width<const char*, 6, 8>>;
-    return std::string(Encoder(bytes.data()), Encoder(bytes.data() + bytes.size()));
+    std::string result;
+    result.reserve((bytes.size() * 8 + 5) / 6);
+    uint32_t buffer = 0;
+    int bits = 0;
+    for (const char byte : bytes) {
+        buffer = buffer << 8 | static_cast<uint8_t>(byte);
+        for (bits += 8; bits >= 6; bits -= 6)
+            result.push_back(base64Digits[buffer >> (bits - 6) & 0x3f]);
+    }
+    if (bits > 0)
+        result.push_back(base64Digits[buffer << (6 - bits) & 0x3f]);
+    return result;
 }
 
 std::string fromBase64(std::string_view text)
 {
-    using Decoder = iterators::transform_width<iterators::binary_from_base64<const char*>, 8, 6>;
     if (text.size() % 4 == 1)
         throw ByteCodecError("invalid length of a base64 text");
-    const size_t size = text.size() * 6 / 8;
     std::string result;
-    result.reserve(size);
-    try {
-        Decoder decoder(text.data());
-        for (size_t i = 0; i < size; ++i)
-            result.push_back(*decoder++);
-    } catch (const std::exception&) {
-        throw ByteCodecError("invalid character in a base64 text");
+    result.reserve(text.size() * 6 / 8);
+    uint32_t buffer = 0;
+    int bits = 0;
+    for (const char digit : text) {
+        const int value = base64Values[static_cast<uint8_t>(digit)];
+        if (value < 0)
+            throw ByteCodecError("invalid character in a base64 text");
+        buffer = buffer << 6 | static_cast<uint32_t>(value);
+        bits += 6;
+        if (bits < 8)
+            continue;
+        bits -= 8;
+        result.push_back(static_cast<char>(buffer >> bits & 0xff));
     }
     return result;
 }
--- a/src/io/hosted/JobStore.cpp
+++ b/src/io/hosted/JobStore.cpp
@@ -131,6 +131,8 @@
 
 asio::awaitable<std::optional<int64_t>> JobStore::accept(std::string job, JobRecord record, std::string body)
 {
+    if (body.size() > (maxTransactionEntries - 1) * maxValueBytes)
+        throw BodyTooLargeError("the batch job does not fit into one transaction of the store");
     StoreTransaction transaction;
     transaction.conditions.push_back({ recordKey(job), 0 });
     transaction.puts.push_back({ recordKey(job), encode(record), 0 });
@@ -138,8 +140,6 @@
         const std::string piece = body.substr(part * maxValueBytes, maxValueBytes);
         transaction.puts.push_back({ numberedKey(bodyPrefix(job), part), piece, 0 });
     }
-    if (transaction.puts.size() > maxTransactionEntries)
-        throw BodyTooLargeError("the batch job does not fit into one transaction of the store");
     const CommitResult result = co_await store_.commit(std::move(transaction), now() + callTimeout);
     if (!result.isCommitted)
         co_return std::nullopt;
