--- a/src/core/base/ByteCodec.cpp
+++ b/src/core/base/ByteCodec.cpp
@@ -9,17 +9,17 @@
 constexpr std::string_view base64Digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
 /// Value of each character; -1 for one that is no digit. Padding has the value 0.
-constexpr std::array<int8_t, 256> makeBase64Values()
+constexpr std::array<int, 256> makeBase64Values()
 {
-    std::array<int8_t, 256> values {};
+    std::array<int, 256> values {};
     values.fill(-1);
     for (size_t i = 0; i < base64Digits.size(); ++i)
-        values[static_cast<uint8_t>(base64Digits[i])] = static_cast<int8_t>(i);
+        values[static_cast<uint8_t>(base64Digits[i])] = static_cast<int>(i);
     values[static_cast<uint8_t>('=')] = 0;
     return values;
 }
 
-constexpr std::array<int8_t, 256> base64Values = makeBase64Values();
+constexpr std::array<int, 256> base64Values = makeBase64Values();
 
 } // namespace
 
