One budget for what a process holds for its callers

Cause: the body of one request was bounded, the sum of all was not, nor the number of connections. Callers saw entries that ended for lack of memory or accepted no connection. A body was held once more for each attempt, hedged ones included, and a submission of a batch job once more for each step through the entry, since the wire's structs have no move operations.

Change: CallerMemory (no I/O) decides which connection yields: the one whose last 64 KB of progress are the longest ago, never one whose request runs; an eighth of the memory is left to requests up to 64 KB. CallerBudget carries that out for all HTTP servers of a hosted process: bodies under way, whole bodies, large answers, pending bytes of streams. A body that was not read whole gets 503 not_run with Connection: close and Retry-After; others are closed. Above the bound of connections the one idle the longest is closed, and accepting pauses if all are served. Strangers on the port for peers have a bound of their own. Bodies are moved out of the request; one above 1 MB is sent in one attempt at a time. Memory is given back. The bounds follow from the memory and descriptors in the settings; without these, as in the product's own roles, nothing is bounded.

--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "io/HttpServer.h"
 
+#include "io/CallerBudget.h"
 #include "io/Clock.h"
 #include "io/Log.h"
 #include "io/ProcessMetrics.h"
@@ -23,6 +24,12 @@
 /// Bytes of a request that are parsed at once: its head, or what stands between the pieces of a chunked body.
 constexpr size_t maxParsedBytes = 1U << 20;
 
+/// Pause before a connection is accepted again after a failure, or while there are too many.
+constexpr Duration acceptPause = std::chrono::milliseconds(20);
+
+/// Retry-After of requests for which there is no room.
+constexpr Duration refusalPause = std::chrono::seconds(1);
+
 http::response<http::string_body> toBeast(HttpResponse response, bool isKeptAlive)
 {
     http::response<http::string_body> message;
@@ -36,6 +43,13 @@
     return message;
 }
 
+/// True while there are as many connections as may be and none of them may yield.
+bool isAcceptPaused()
+{
+    const auto budget = processCallerBudget();
+    return budget && budget->isFull() && !budget->mayYield();
+}
+
 HttpQuery toQuery(http::request<http::string_body> message)
 {
     HttpQuery query;
@@ -98,16 +112,24 @@
 }
 
 /// One connection of a caller. Reads a request, lets the handler answer it, then reads the next.
-class HttpServer::Session : public HttpExchange {
+class HttpServer::Session : public HttpExchange, public CallerConnection {
 public:
     Session(HttpServer& server, asio::ip::tcp::socket socket)
         : server_(server)
         , sessions_(server.sessions_)
         , stream_(std::move(socket))
+        , budget_(processCallerBudget())
     {
         sessions_->insert(this);
+        if (budget_)
+            account_ = budget_->open(callerId_, [this] { yield(); });
+    }
+    ~Session() override
+    {
+        sessions_->erase(this);
+        if (budget_)
+            budget_->close(callerId_);
     }
-    ~Session() override { sessions_->erase(this); }
 
     asio::awaitable<void> run(std::shared_ptr<Session> self)
     {
@@ -121,6 +143,11 @@
             co_await handle();
             --server_.inFlight_;
             onDisconnect_ = nullptr;
+            query_ = {};
+            if (account_) {
+                account_->holdRequest(0);
+                account_->holdAnswer(0);
+            }
             ++exchangeNumber_;
         }
         stream_.close();
@@ -140,6 +167,8 @@
     }
 
     const HttpQuery& query() const override { return query_; }
+    CallerAccountPtr account() const override { return account_; }
+    std::string releaseBody() override { return std::move(query_.body); }
     bool isDisconnected() const override { return isDisconnected_; }
     void onDisconnect(std::function<void()> callback) override { onDisconnect_ = std::move(callback); }
 
@@ -148,10 +177,17 @@
         isAnswered_ = true;
         if (hasPipelinedInput() || server_.isDraining_ || server_.isStopping_)
             isClosing_ = true;
+        setPhase(CallerPhase::Answering);
+        const bool isLarge = account_ && response.body.size() > CallerMemory::smallBytes;
+        if (isLarge && !beginLargeAnswer(response.body.size()))
+            co_return;
         auto message = toBeast(std::move(response), !isClosing_);
         deadline_ = now() + server_.timeouts_.write;
         error_code error;
-        co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, error));
+        if (isLarge)
+            co_await writeLarge(message, error);
+        else
+            co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             isClosing_ = true;
     }
@@ -192,12 +228,58 @@
     }
 
 private:
+    using RequestParser = http::request_parser<http::string_body>;
+
+    /// Called when this connection makes the least progress and others need what it holds. A request that is still
+    /// being received is refused; else the connection is closed.
+    void yield()
+    {
+        isYielding_ = true;
+        if (phase_ == CallerPhase::Receiving)
+            stream_.cancel();
+        else
+            stream_.close();
+    }
+
+    void setPhase(CallerPhase phase)
+    {
+        phase_ = phase;
+        if (account_)
+            account_->setPhase(phase);
+    }
+
+    /// False if there is no room for the answer; the connection is closed then.
+    bool beginLargeAnswer(size_t bytes)
+    {
+        // The body is needed no more.
+        query_.body = std::string();
+        account_->holdRequest(0);
+        if (account_->holdAnswer(bytes))
+            return true;
+        isClosing_ = true;
+        stream_.close();
+        return false;
+    }
+
+    asio::awaitable<void> writeLarge(http::response<http::string_body>& message, error_code& error)
+    {
+        http::response_serializer<http::string_body> serializer(message);
+        while (!error && !serializer.is_done()) {
+            const size_t written = co_await http::async_write_some(
+                stream_, serializer, asio::redirect_error(asio::use_awaitable, error));
+            account_->onProgress(written);
+        }
+    }
+
     template <typename Write>
     asio::awaitable<void> writeChecked(Write write)
     {
         deadline_ = now() + server_.timeouts_.write;
         error_code error;
+        // A caller that does not read its stream makes no progress; a server that writes nothing is not its fault.
+        setPhase(CallerPhase::Answering);
         co_await write(error);
+        setPhase(CallerPhase::Served);
         deadline_ = never;
         if (error) {
             isClosing_ = true;
@@ -227,17 +309,19 @@
 
     asio::awaitable<bool> readRequest()
     {
-        http::request_parser<http::string_body> parser;
+        RequestParser parser;
         parser.header_limit(server_.sizes_.maxHeaderBytes);
         parser.body_limit(server_.sizes_.maxBodyBytes);
         error_code error;
         isIdle_ = buffer_.size() == 0;
+        setPhase(isIdle_ ? CallerPhase::Idle : CallerPhase::Receiving);
         deadline_ = now() + (isIdle_ ? server_.timeouts_.idle : server_.timeouts_.request);
         if (isIdle_) {
             co_await stream_.socket().async_wait(
                 asio::socket_base::wait_read, asio::redirect_error(asio::use_awaitable, error));
             isIdle_ = false;
             deadline_ = now() + server_.timeouts_.request;
+            setPhase(CallerPhase::Receiving);
         }
         if (!error)
             co_await http::async_read_header(
@@ -245,7 +329,12 @@
         if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue"))
             co_await sendContinue(error);
         if (!error)
-            co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+            co_await readBody(parser, error);
+        if (isYielding_ || isRefused_) {
+            parser.get().body() = std::string();
+            co_await refuse(std::string(parser.get().target()));
+            co_return false;
+        }
         if (error) {
             co_await answerReadError(error);
             co_return false;
@@ -263,10 +352,46 @@
         }
         isClosing_ = !parser.get().keep_alive();
         isAnswered_ = false;
+        setPhase(CallerPhase::Served);
         query_ = toQuery(parser.release());
         co_return true;
     }
 
+    /// Reads the body, in one operation if there is no budget or the body is small.
+    asio::awaitable<void> readBody(RequestParser& parser, error_code& error)
+    {
+        const auto length = parser.content_length();
+        const bool isSmall = parser.is_done() || (length && *length <= CallerMemory::smallBytes);
+        if (!account_ || isSmall) {
+            isRefused_ = account_ && !parser.is_done() && !account_->holdRequest(*length);
+            if (!isRefused_)
+                co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+            co_return;
+        }
+        parser.eager(true);
+        while (!error && !isRefused_ && !parser.is_done()) {
+            const size_t received = co_await http::async_read_some(
+                stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+            account_->onProgress(received);
+            isRefused_ = !account_->holdRequest(parser.get().body().size());
+        }
+    }
+
+    /// Answers a request that was not read whole, and so has not run.
+    asio::awaitable<void> refuse(std::string target)
+    {
+        isClosing_ = true;
+        account_->holdRequest(0);
+        if (!stream_.socket().is_open())
+            co_return;
+        const NotRunError error("the process holds too much for callers; the request was not read whole");
+        log(Event::CallGivenUp,
+            { { "target", std::move(target) }, { "code", std::string(codeText(error.code())) },
+                { "reason", error.what() }, { "heldBytes", std::to_string(budget_->heldBytes()) } });
+        HttpResponse response = errorResponse(error, refusalPause);
+        co_await answer(std::move(response));
+    }
+
     asio::awaitable<void> sendContinue(error_code& error)
     {
         http::response<http::empty_body> message(http::status::continue_, 11);
@@ -319,6 +444,14 @@
     std::shared_ptr<std::set<Session*>> sessions_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_ { maxParsedBytes };
+    std::shared_ptr<CallerBudget> budget_;
+    CallerAccountPtr account_;
+    CallerId callerId_ = 0;
+    CallerPhase phase_ = CallerPhase::Idle;
+    /// The budget has closed the account of this connection.
+    bool isYielding_ = false;
+    /// The budget has no room for the body.
+    bool isRefused_ = false;
     HttpQuery query_;
     std::function<void()> onDisconnect_;
     uint64_t exchangeNumber_ = 0;
@@ -380,11 +513,16 @@
 asio::awaitable<void> HttpServer::acceptLoop()
 {
     while (!isStopping_) {
+        // Further connections wait in the kernel's queue, so that descriptors are left for servers and peers.
+        if (isAcceptPaused()) {
+            co_await sleepFor(acceptPause);
+            continue;
+        }
         error_code error;
         auto socket = co_await acceptor_->async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             if (!isStopping_)
-                co_await sleepFor(std::chrono::milliseconds(20));
+                co_await sleepFor(acceptPause);
             continue;
         }
         serve(std::move(socket));
@@ -394,6 +532,8 @@
 void HttpServer::serve(asio::ip::tcp::socket socket)
 {
     auto session = std::make_shared<Session>(*this, std::move(socket));
+    if (const auto budget = processCallerBudget())
+        budget->closeExcess();
     spawn(acceptor_->get_executor(), [session] { return session->run(session); });
 }
 
--- a/src/io/PeerAcceptor.cpp
+++ b/src/io/PeerAcceptor.cpp
@@ -1,5 +1,6 @@
 #include "io/PeerAcceptor.h"
 
+#include "io/CallerBudget.h"
 #include "io/HttpServer.h"
 #include "io/Tasks.h"
 
@@ -8,6 +9,34 @@
 
 namespace endiveroad::io {
 
+namespace {
+
+/// Connections that have not said which process they come from may be this part of those that callers may have. All
+/// processes of a deployment may connect at once after a pause.
+constexpr size_t strangersDivisor = 4;
+
+/// Closes one connection that has not said which process it comes from, if there are too many of them.
+void closeExcessStranger(const std::set<PeerConnectionPtr>& connections, const PeerConnectionPtr& newest)
+{
+    const auto budget = processCallerBudget();
+    const size_t bound = budget ? budget->bounds().connections / strangersDivisor : 0;
+    if (bound == 0 || connections.size() <= bound)
+        return;
+    size_t strangers = 0;
+    PeerConnectionPtr yielding;
+    for (const PeerConnectionPtr& connection : connections) {
+        if (!connection->peerName.empty())
+            continue;
+        ++strangers;
+        if (connection != newest)
+            yielding = connection;
+    }
+    if (strangers > bound && yielding)
+        yielding->close();
+}
+
+} // namespace
+
 PeerAcceptor::PeerAcceptor(
     asio::io_context& context, PeerHandler& handler, std::function<void(const PeerConnectionPtr&)> onAccepted)
     : context_(context)
@@ -36,6 +65,7 @@
         connection->start();
         if (onAccepted_)
             onAccepted_(connection);
+        closeExcessStranger(connections_, connection);
     }
 }
 
--- a/src/io/hosted/BatchGateway.cpp
+++ b/src/io/hosted/BatchGateway.cpp
@@ -83,10 +83,11 @@
 }
 
 asio::awaitable<BatchOutcome> BatchGateway::perform(
-    wire::BatchCall call, Instant deadline, PeerCancellationPtr cancellation)
+    wire::BatchCall& call, Instant deadline, PeerCancellationPtr cancellation)
 {
     Attempts attempts;
-    attempts.call = std::move(call);
+    // Structs of the wire have no move operations; a copy would hold the body of a submission twice.
+    swap(attempts.call, call);
     while (now() < deadline && !(cancellation && cancellation->isCancelled())) {
         const std::string name = nextCoordinator(attempts.call, attempts.tried);
         const PeerConnectionPtr connection = name.empty() ? nullptr : coordinators_.coordinator(name);
--- a/src/io/hosted/BatchGateway.h
+++ b/src/io/hosted/BatchGateway.h
@@ -51,8 +51,8 @@
     /// the job over. Retries until a coordinator answers, the deadline passes, the caller cancels or no coordinator is
     /// connected or registered. Operations are idempotent, so a retry is safe after an attempt whose outcome is
     /// unknown. The answer of a coordinator that can't tell whether it still owns the job, or that does not reach the
-    /// store, is returned only if no other one knows better.
-    asio::awaitable<BatchOutcome> perform(wire::BatchCall, Instant deadline, PeerCancellationPtr);
+    /// store, is returned only if no other one knows better. The operation is moved out of `call`.
+    asio::awaitable<BatchOutcome> perform(wire::BatchCall& call, Instant deadline, PeerCancellationPtr);
 
     /// True if a coordinator has announced that it owns the job.
     bool knowsJob(const std::string& job) const { return owners_.contains(job); }
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -1,5 +1,6 @@
 #include "io/hosted/HostedEntry.h"
 
+#include "io/CallerBudget.h"
 #include "io/Clock.h"
 #include "io/Log.h"
 #include "io/ProcessMetrics.h"
@@ -47,15 +48,15 @@
 }
 
 /// A submission without the name of a route is accepted only if the job exists already.
-wire::BatchCall toSubmission(const CallerRequest& request, const RouteDeclaration& route, const HttpQuery& query,
-    const std::string& organisation)
+wire::BatchCall toSubmission(
+    const CallerRequest& request, const RouteDeclaration& route, std::string body, const std::string& organisation)
 {
     wire::BatchCall call;
     call.operation = wire::BatchOperation::Submit;
     call.job = request.id;
     call.host = request.host;
     call.route = route.name;
-    call.body = query.body;
+    call.body = std::move(body);
     call.organisation = organisation;
     return call;
 }
@@ -64,18 +65,29 @@
 wire::BatchCall toJobCall(const CallerRequest& request, const HttpQuery& query, const std::string& organisation)
 {
     if (request.operation == CallerOperation::Call)
-        return toSubmission(request, RouteDeclaration(), query, organisation);
+        return toSubmission(request, RouteDeclaration(), query.body, organisation);
     return toBatchCall(request, organisation);
 }
 
+/// A body is held as received and as it is sent. Throws NotRunError if there is no room for both.
+void holdCopies(const HttpExchange& exchange)
+{
+    const size_t size = exchange.query().body.size();
+    const CallerAccountPtr account = size > CallerMemory::smallBytes ? accountOf(exchange) : nullptr;
+    if (account && !account->holdRequest(2 * size))
+        throw NotRunError("the process holds too much for callers");
+}
+
 ReplicaRequest forwardedRequest(
-    const HttpQuery& query, const CallerRequest& request, const RoutingTable& routing, const std::string& organisation)
+    HttpExchange& exchange, const CallerRequest& request, const RoutingTable& routing, const std::string& organisation)
 {
+    holdCopies(exchange);
+    const HttpQuery& query = exchange.query();
     ReplicaRequest forwarded;
     forwarded.method = query.method;
     forwarded.target = query.target;
     forwarded.headers = forwardedHeaders(query.headers);
-    forwarded.body = query.body;
+    forwarded.body = releaseBody(exchange);
     forwarded.id = request.id;
     forwarded.isIdentityRemoved = routing.organisations.has_value();
     forwarded.organisation = organisation;
@@ -215,13 +227,15 @@
         } else if (request.id.empty()) {
             throw BadRequestError("the request has no id");
         } else if (route.kind == TrafficKind::BatchJobs) {
-            response = co_await serveBatch(toSubmission(request, route, query, organisation), deadline, cancellation);
+            holdCopies(exchange);
+            wire::BatchCall call = toSubmission(request, route, releaseBody(exchange), organisation);
+            response = co_await serveBatch(call, deadline, cancellation);
         } else if (route.kind == TrafficKind::Streaming) {
-            ReplicaRequest forwarded = forwardedRequest(query, request, *current->routing, organisation);
+            ReplicaRequest forwarded = forwardedRequest(exchange, request, *current->routing, organisation);
             co_await streamProxy_.serve(exchange, route, request, std::move(forwarded), deadline, cancellation);
             co_return;
         } else {
-            ReplicaRequest forwarded = forwardedRequest(query, request, *current->routing, organisation);
+            ReplicaRequest forwarded = forwardedRequest(exchange, request, *current->routing, organisation);
             response = co_await serveCall(request, route, std::move(forwarded), deadline, cancellation);
         }
     } catch (const ServersFullError& error) {
@@ -269,7 +283,7 @@
     // A call to a backend server has an id, so one without an id is certainly meant for a job.
     const bool mayBeCall = request.operation == CallerOperation::Call || (matched && !request.id.empty());
     wire::BatchCall call = toJobCall(request, query, organisation);
-    BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
+    BatchOutcome outcome = co_await gateway_.perform(call, deadline, cancellation);
     const bool isUnknown = outcome.answer && outcome.answer->status == httpStatus(ErrorCode::BatchJobUnknown);
     if (mayBeCall && isUnknown)
         co_return std::nullopt;
@@ -318,10 +332,10 @@
 }
 
 asio::awaitable<HttpResponse> HostedEntry::serveBatch(
-    wire::BatchCall call, Instant deadline, PeerCancellationPtr cancellation)
+    wire::BatchCall& call, Instant deadline, PeerCancellationPtr cancellation)
 {
     const std::string job = call.job;
-    BatchOutcome outcome = co_await gateway_.perform(std::move(call), deadline, cancellation);
+    BatchOutcome outcome = co_await gateway_.perform(call, deadline, cancellation);
     co_return encodeOutcome(job, std::move(outcome));
 }
 
--- a/src/io/hosted/HostedEntry.h
+++ b/src/io/hosted/HostedEntry.h
@@ -56,7 +56,7 @@
     std::string authenticate(const CallerRequest&, const RouteDeclaration* matched) const;
     asio::awaitable<HttpResponse> serveCall(
         const CallerRequest&, const RouteDeclaration&, ReplicaRequest, Instant deadline, PeerCancellationPtr);
-    asio::awaitable<HttpResponse> serveBatch(wire::BatchCall, Instant deadline, PeerCancellationPtr);
+    asio::awaitable<HttpResponse> serveBatch(wire::BatchCall&, Instant deadline, PeerCancellationPtr);
     /// True if the request is or may be an operation on a batch job that no route of the configuration declares: a job
     /// outlives its route. Operations are recognised by their form, a repeated submission by the job's id.
     bool mayConcernJob(const CallerRequest&, const HttpQuery&, const RouteDeclaration* matched) const;
--- a/src/io/hosted/HostedNode.cpp
+++ b/src/io/hosted/HostedNode.cpp
@@ -1,5 +1,6 @@
 #include "io/hosted/HostedNode.h"
 
+#include "io/CallerBudget.h"
 #include "io/Clock.h"
 #include "io/Log.h"
 #include "io/ProcessMetrics.h"
@@ -103,6 +104,8 @@
     log(Event::ProcessStarted,
         { { "role", roleName(role_) }, { "incarnation", std::to_string(incarnation_) },
             { "failureDomain", settings_.failureDomain } });
+    const CallerBounds bounds = CallerBounds::of(settings_.memoryBytes, settings_.maxDescriptors);
+    setProcessCallerBudget(std::make_shared<CallerBudget>(bounds));
     waitForSignal();
     acceptor_.listen(settings_.peers);
     if (options_.metricsPort) {
@@ -449,6 +452,17 @@
         static_cast<double>(requestLimits_.limitedCount()) });
     allGauges.push_back(
         { "endiveroad_draining", "", "1 while the process takes no new work.", isDraining_ ? 1.0 : 0.0 });
+    const CallerBudget& budget = *processCallerBudget();
+    allGauges.push_back({ "endiveroad_caller_held_bytes", "", "Bytes that the process holds for callers.",
+        static_cast<double>(budget.heldBytes()) });
+    allGauges.push_back({ "endiveroad_caller_held_bytes_max", "",
+        "Most bytes that the process may hold for callers; 0 if that is not bounded.",
+        static_cast<double>(budget.bounds().bytes) });
+    allGauges.push_back({ "endiveroad_callers_yielded", "reason=\"memory\"",
+        "Connections of callers that were closed or refused since the start, since others needed their room.",
+        static_cast<double>(budget.yieldedForMemory()) });
+    allGauges.push_back({ "endiveroad_callers_yielded", "reason=\"connections\"", "",
+        static_cast<double>(budget.yieldedForConnections()) });
     HttpResponse response;
     response.status = 200;
     response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -16,6 +16,9 @@
 
 constexpr int statusServerError = 500;
 
+/// A longer body is sent to one server at a time, since each attempt holds a copy of it.
+constexpr size_t maxHedgedBytes = 1U << 20;
+
 } // namespace
 
 /// State of a call, shared by its concurrent attempts.
@@ -239,10 +242,10 @@
             state->isDone = true;
             state->changed.notifyAll();
         });
-    const bool isIdempotent = state->route.kind == TrafficKind::Idempotent;
+    const bool isHedged = state->route.kind == TrafficKind::Idempotent && state->request.body.size() <= maxHedgedBytes;
     Instant hedgeAt = now();
     while (!state->isDone && now() < deadline) {
-        const bool mayHedge = state->activeAttempts == 0 || (isIdempotent && now() >= hedgeAt);
+        const bool mayHedge = state->activeAttempts == 0 || (isHedged && now() >= hedgeAt);
         if (state->activeAttempts == 0)
             state->result.blockedUntil = crashGuard_.blockedUntil(state->content);
         std::optional<ChosenServer> server;
@@ -264,7 +267,7 @@
             co_await awaitServer(state);
             continue;
         }
-        const bool canHedgeLater = isIdempotent && state->hasAttemptsLeft() && hedgeAt > now();
+        const bool canHedgeLater = isHedged && state->hasAttemptsLeft() && hedgeAt > now();
         co_await state->changed.wait(canHedgeLater ? std::min(deadline, hedgeAt) : deadline);
     }
     leaveQueue(state);
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -1,5 +1,6 @@
 #include "io/hosted/StreamProxy.h"
 
+#include "io/CallerBudget.h"
 #include "io/Clock.h"
 #include "io/Log.h"
 #include "io/ProcessMetrics.h"
@@ -48,6 +49,8 @@
     }
 
     ServerAttempt attempt;
+    /// Account of the caller, for the bytes that have not been forwarded; null if there is no budget.
+    CallerAccountPtr account;
     ServerRecord server;
     StartCheck startCheck = StartCheck::None;
     /// Of the server; unknown until the head has arrived.
@@ -78,6 +81,7 @@
 
 struct StreamProxy::Progress {
     CallerRequest caller;
+    CallerAccountPtr account;
     ContentId content;
     /// The software that began the stream, which alone may go on with it; nothing before the first event.
     std::optional<SoftwareVersion> origin;
@@ -133,6 +137,7 @@
     ServerAttempt attempt { request.id, progress.content, server.id, ServerStart::of(server), now() };
     auto serverStream = std::make_shared<ServerStream>(context_, std::move(attempt));
     serverStream->server = server;
+    serverStream->account = progress.account;
     if (chosen->isEngine)
         serverStream->startCheck = progress.origin ? StartCheck::Require : StartCheck::Learn;
     ReplicaRequest call = request;
@@ -142,9 +147,10 @@
         call.lastEventId = progress.lastEventId;
     HttpRequest encoded = client_.protocol().encode(std::move(call));
     encoded.connectDeadline = now() + ServiceCaller::connectTimeout;
-    spawn(context_.get_executor(), [this, serverStream, permit = chosen->permit, encoded, deadline] {
-        return readStream(serverStream, permit, encoded, deadline);
-    });
+    spawn(context_.get_executor(),
+        [this, serverStream, permit = chosen->permit, encoded = std::move(encoded), deadline]() mutable {
+            return readStream(serverStream, permit, std::move(encoded), deadline);
+        });
     co_return serverStream;
 }
 
@@ -159,7 +165,10 @@
     };
     auto onBody = [serverStream](std::string_view piece) {
         serverStream->hasBody = true;
-        serverStream->isTooLong = serverStream->pending.size() + piece.size() > maxPendingBytes;
+        const size_t pending = serverStream->pending.size() + piece.size();
+        const size_t held = pending > CallerMemory::smallBytes ? pending : 0;
+        const bool isOverBudget = serverStream->account && !serverStream->account->holdAnswer(held);
+        serverStream->isTooLong = pending > maxPendingBytes || isOverBudget;
         if (!serverStream->isTooLong)
             serverStream->pending.append(piece);
         serverStream->changed.notifyAll();
@@ -342,6 +351,7 @@
 {
     Progress progress;
     progress.caller = std::move(caller);
+    progress.account = accountOf(exchange);
     progress.content = ContentId::of(request.method, route.host, request.target, request.body);
     if (progress.caller.isResumption)
         progress.origin = co_await resumptions_.originOf(route, progress.caller, deadline);
