--- a/src/io/hosted/BatchGateway.cpp
+++ b/src/io/hosted/BatchGateway.cpp
@@ -83,10 +83,11 @@
 }
 
 asio::awaitable<BatchOutcome> BatchGateway::perform(
-    wire::BatchCall call, Instant deadline, PeerCancellationPtr cancellation, Authorisation authorisation)
+    wire::BatchCall& call, Instant deadline, PeerCancellationPtr cancellation, Authorisation authorisation)
 {
     Attempts attempts;
-    attempts.call = std::move(call);
+    // Structs of the wire have no move operations; a copy would hold the body of a submission twice.
+    swap(attempts.call, call);
     while (now() < deadline && !(cancellation && cancellation->isCancelled())) {
         const std::optional<Error> refusal = authorisation ? authorisation() : std::nullopt;
         if (refusal && attempts.outcome.mayHaveRun)
--- a/src/io/hosted/BatchGateway.h
+++ b/src/io/hosted/BatchGateway.h
@@ -53,8 +53,8 @@
     /// connected or registered. Operations are idempotent, so a retry is safe after an attempt whose outcome is
     /// unknown. The answer of a coordinator that can't tell whether it still owns the job, or that does not reach the
     /// store, is returned only if no other one knows better. Throws the error of the authorisation if that ends before
-    /// an attempt and no earlier one may have taken effect.
-    asio::awaitable<BatchOutcome> perform(wire::BatchCall, Instant deadline, PeerCancellationPtr, Authorisation);
+    /// an attempt and no earlier one may have taken effect. The operation is moved out of `call`.
+    asio::awaitable<BatchOutcome> perform(wire::BatchCall& call, Instant deadline, PeerCancellationPtr, Authorisation);
 
     /// True if a coordinator has announced that it owns the job.
     bool knowsJob(const std::string& job) const { return owners_.contains(job); }
