Waiting calls: those that can meet their objective go first, organisations in turn, rejections with their reason

Callers of a service that got more calls than it could answer in time were all answered late, and rejections named neither the queue nor the rate.

Cause: among equal priority the earliest deadline went first, so each call waited until it was late; the expected rate left out the pauses after refusals. Now calls that can still meet the route's objective go first by latest start, the others by deadline on the share of starts that late calls had of late. Organisations of equal calls have turns. The reason of a rejection names the calls that wait, the rate and the time at which there is room, which is also the Retry-After.

Evidence: core tests [waiting], "a process whose calls are refused again and again expects a lower rate", "the diagnosis of a rejected call says how many calls wait and when there is room". isFirst() and first() take the time in the existing tests, whose checks are unchanged.

--- a/include/endiveroad/ServerLoads.h
+++ b/include/endiveroad/ServerLoads.h
@@ -35,6 +35,8 @@
     Instant startAt = Instant::min();
     /// Share by which calls may begin later than worked out, since others share request limits.
     double uncertainty = 0;
+    /// Mean latency of the calls that begin.
+    Duration meanLatency {};
 
     auto operator<=>(const ServiceRate&) const = default;
 };
@@ -74,7 +76,8 @@
         const std::vector<ServerCandidate>& servers, const std::set<std::string>& tried, Instant now);
 
     /// How fast the servers take this process's calls while all of them are busy, or as fast as their request limits
-    /// allow.
+    /// allow. Load pattern: so many processes share a service that each has fewer slots than its least limit assumes,
+    /// and spends much of its time in refusalPause.
     ServiceRate rateOf(const std::vector<ServerCandidate>& servers) const;
 
     /// A call was sent to the server; one of onAnswer(), onFailure() and onAbandoned() follows.
@@ -116,6 +119,9 @@
         /// Largest limit, from the server's slots.
         double maxLimit = 0;
         Instant fullUntil = Instant::min();
+        /// Bursts of refusals since the last answer, and their moving average for each answer.
+        int32_t refusals = 0;
+        double refusalsPerAnswer = 0;
         Instant unreachableUntil = Instant::min();
     };
 
--- a/src/core/routing/ServerLoads.cpp
+++ b/src/core/routing/ServerLoads.cpp
@@ -73,6 +73,8 @@
     state.latencyMs = state.latencyMs > 0 ? state.latencyMs + newestLatencyWeight * (ms - state.latencyMs) : ms;
     state.suspendedUntil = Instant::min();
     state.unreachableUntil = Instant::min();
+    state.refusalsPerAnswer += newestLatencyWeight * (state.refusals - state.refusalsPerAnswer);
+    state.refusals = 0;
     if (state.limit > 0)
         state.limit = std::min(state.maxLimit, state.limit + 1 / state.limit);
 }
@@ -83,32 +85,39 @@
     double callsPerMs = 0;
     double lowestMs = std::numeric_limits<double>::max();
     double limitedCallsPerMs = 0;
+    double callsInFlight = 0;
     Instant startAt = never;
     for (const auto& [id, slots, permits] : servers) {
         const auto found = servers_.find(id);
         const Server state = found == servers_.end() ? Server() : found->second;
         const double limit = state.limit > 0 ? state.limit : slots;
-        double serverCallsPerMs = std::min<double>(limit, slots) / latencyOf(state.latencyMs);
+        const double pausedMs
+            = std::max<double>(state.refusals, state.refusalsPerAnswer) * Milliseconds(refusalPause).count();
+        double serverCallsPerMs = std::min<double>(limit, slots) / (latencyOf(state.latencyMs) + pausedMs);
         if (permits)
             serverCallsPerMs = std::min(serverCallsPerMs, 1 / Milliseconds(permits->interval).count());
         callsPerMs += serverCallsPerMs;
+        callsInFlight += serverCallsPerMs * latencyOf(state.latencyMs);
         limitedCallsPerMs += permits ? serverCallsPerMs : 0;
         startAt = std::min(startAt, permits ? permits->nextAt : Instant::min());
         lowestMs = std::min(lowestMs, latencyOf(state.latencyMs));
     }
     if (callsPerMs <= 0)
-        return { Duration::max(), Duration::max(), never };
+        return { Duration::max(), Duration::max(), never, 0, Duration::max() };
     return { std::chrono::duration_cast<Duration>(Milliseconds(1 / callsPerMs)),
         std::chrono::duration_cast<Duration>(Milliseconds(lowestMs)), startAt,
-        limitUncertainty * limitedCallsPerMs / callsPerMs };
+        limitUncertainty * limitedCallsPerMs / callsPerMs,
+        std::chrono::duration_cast<Duration>(Milliseconds(callsInFlight / callsPerMs)) };
 }
 
 void ServerLoads::onRefused(std::string_view id, Instant now)
 {
     Server& state = server(id);
     // Calls that were sent before the first refusal say nothing new.
-    if (state.fullUntil <= now)
+    if (state.fullUntil <= now) {
         state.limit = std::max(leastLimit, std::min<double>(state.limit, state.inFlight) * refusalFactor);
+        ++state.refusals;
+    }
     state.inFlight = std::max(0, state.inFlight - 1);
     state.fullUntil = now + refusalPause;
 }
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -26,6 +26,7 @@
         , request(std::move(call))
         , content(ContentId::of(request.method, route.host, request.target, request.body))
         , deadline(end)
+        , objectiveAt(now() + route.latencyObjective)
         , ticket(newTicket())
         , changed(context)
     {
@@ -53,7 +54,7 @@
     bool isQueued() const { return ticket.number != 0; }
 
     /// Place of a call that has not begun to wait.
-    CallTicket newTicket() const { return { route.priority, deadline, 0 }; }
+    CallTicket newTicket() const { return { route.priority, deadline, 0, objectiveAt, request.organisation }; }
 
     /// Whether another server may be tried. Refused attempts do not count towards the limit, since the server ran
     /// nothing.
@@ -64,6 +65,8 @@
     ContentId content;
     ContentKind kind = ContentKind::Call;
     Instant deadline;
+    /// When the caller wants the answer.
+    Instant objectiveAt;
     /// Its number is 0 while the call does not wait.
     CallTicket ticket;
     Signal changed;
@@ -122,7 +125,7 @@
 std::optional<ChosenServer> ServiceCaller::chooseNext(CallState& state)
 {
     if (now() < state.notBefore || crashGuard_.isPending(state.content)
-        || !waitingCalls_.isFirst(state.queue(), state.ticket))
+        || !waitingCalls_.isFirst(state.queue(), state.ticket, now()))
         return std::nullopt;
     std::set<std::string> excluded = crashGuard_.serversToAvoid(state.content);
     excluded.insert(state.tried.any.begin(), state.tried.any.end());
@@ -179,14 +182,18 @@
         state->tried.any.clear();
     const bool isNewcomer = !state->isQueued();
     if (isNewcomer) {
-        state->ticket = waitingCalls_.add(state->queue(), state->route.priority, state->deadline);
+        state->ticket = waitingCalls_.add(
+            state->queue(), state->route.priority, state->deadline, state->objectiveAt, state->request.organisation);
         waiting_.emplace(state->ticket, state);
     }
     turnAwayHopeless(*state, isNewcomer);
     if (state->isDone)
         co_return;
-    // Each call that leaves the queue wakes the next one.
-    const bool isFirst = waitingCalls_.isFirst(state->queue(), state->ticket);
+    // Each call that leaves the queue wakes the next one. The order changes as calls become late, so a call that is no
+    // longer the first wakes the one that is.
+    const bool isFirst = waitingCalls_.isFirst(state->queue(), state->ticket, now());
+    if (!isFirst && !isNewcomer)
+        wakeFirst(state->queue());
     co_await state->changed.wait(isFirst ? std::min(state->deadline, now() + waitInterval) : state->deadline);
 }
 
@@ -194,16 +201,16 @@
 {
     const std::string queue = waiting.queue();
     const ServiceRate rate = servers_.rateOf(waiting.route, waiting.software);
+    waitingCalls_.setLatency(queue, rate.meanLatency);
     const auto newcomer = isNewcomer ? std::optional(waiting.ticket) : std::nullopt;
-    const Instant startAt = std::max(now(), rate.startAt);
-    const Instant retryAt = startAt + rate.interval * static_cast<Duration::rep>(waitingCalls_.count(queue));
-    for (const CallTicket& ticket : waitingCalls_.hopeless(queue, rate, now(), newcomer)) {
+    const WaitingOutlook outlook = waitingCalls_.outlook(queue, rate, now(), newcomer);
+    for (const CallTicket& ticket : outlook.hopeless) {
         const auto found = waiting_.find(ticket);
         if (found == waiting_.end())
             continue;
         CallState& state = *found->second;
-        state.result.reason = "the servers of the route are full";
-        state.result.retryAt = retryAt;
+        state.result.reason = describeRejection(outlook, rate, now());
+        state.result.retryAt = outlook.roomAt;
         state.isDone = true;
         state.changed.notifyAll();
     }
@@ -222,7 +229,7 @@
 
 void ServiceCaller::wakeFirst(const std::string& queue)
 {
-    const auto first = waitingCalls_.first(queue);
+    const auto first = waitingCalls_.first(queue, now());
     const auto found = first ? waiting_.find(*first) : waiting_.end();
     if (found != waiting_.end())
         found->second->changed.notifyAll();
@@ -249,6 +256,7 @@
         if (mayHedge && state->hasAttemptsLeft())
             server = chooseNext(*state);
         if (server) {
+            waitingCalls_.onStart(state->queue(), state->ticket, now());
             leaveQueue(state);
             startAttempt(state, *server);
             hedgeAt = now() + state->route.latencyObjective / hedgeDivisor;
@@ -298,6 +306,8 @@
             break;
         co_await awaitServer(state);
     }
+    if (chosen)
+        waitingCalls_.onStart(state->queue(), state->ticket, now());
     leaveQueue(state);
     cancellation->onCancel(nullptr);
     if (state->result.retryAt)
--- a/tests/core/RequestDiagnosisTest.cpp
+++ b/tests/core/RequestDiagnosisTest.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <endiveroad/RequestDiagnosis.h>
+#include <endiveroad/WaitingCalls.h>
 
 using namespace endiveroad;
 
@@ -71,3 +72,18 @@
     CHECK(logs.diagnose("r").responsibleParty == ResponsibleParty::System);
     CHECK(logs.diagnose("k").responsibleParty == ResponsibleParty::Store);
 }
+
+// Guards against rejections whose diagnosis does not say what would have let the call in.
+TEST_CASE("the diagnosis of a rejected call says how many calls wait and when there is room", "[diagnosis]")
+{
+    WaitingOutlook outlook;
+    outlook.remaining = 14;
+    outlook.roomAt = Instant(std::chrono::milliseconds(310));
+    const std::string reason = describeRejection(outlook, { std::chrono::milliseconds(12) }, Instant());
+    const RequestDiagnosis diagnosis = diagnoseRequest(
+        { line(1, Event::CallGivenUp, { { "request", "r" }, { "code", "not_run" }, { "reason", reason } }) }, "r");
+    CHECK(diagnosis.responsibleParty == ResponsibleParty::System);
+    CHECK(diagnosis.cause
+        == "node answered 503 (not_run) after 0 failed attempts: the servers of the route are full: 14 calls wait, one "
+           "begins each 12.0 ms, there is room in 310 ms");
+}
--- a/tests/core/ServerLoadsTest.cpp
+++ b/tests/core/ServerLoadsTest.cpp
@@ -194,3 +194,26 @@
     CHECK(both.interval < 100ms);
     CHECK(both.uncertainty < 0.1);
 }
+
+// Guards against rates that count the time in which a full server gets no call as if it answered calls.
+TEST_CASE("a process whose calls are refused again and again expects a lower rate", "[loads]")
+{
+    ServerLoads loads(1);
+    const std::vector<ServerCandidate> one { { "s0", 6 } };
+    Instant now = start;
+    for (int i = 0; i < 100; ++i) {
+        for (int refusals = 0; refusals < 3; ++refusals) {
+            now += ServerLoads::refusalPause;
+            loads.choose(one, {}, now);
+            loads.onStart("s0");
+            loads.onRefused("s0", now);
+        }
+        now += ServerLoads::refusalPause;
+        loads.choose(one, {}, now);
+        loads.onStart("s0");
+        loads.onAnswer("s0", 25ms, now);
+    }
+    // Three pauses and an answer for each call at the least limit.
+    CHECK(loads.rateOf(one).interval > 45ms);
+    CHECK(loads.rateOf(one).latency == 25ms);
+}
--- a/tests/core/WaitingCallsTest.cpp
+++ b/tests/core/WaitingCallsTest.cpp
@@ -16,13 +16,13 @@
     const CallTicket late = waiting.add("s", 1, start + 2s);
     const CallTicket early = waiting.add("s", 1, start + 1s);
     const CallTicket urgent = waiting.add("s", 0, start + 3s);
-    CHECK(waiting.isFirst("s", urgent));
-    CHECK_FALSE(waiting.isFirst("s", early));
+    CHECK(waiting.isFirst("s", urgent, start));
+    CHECK_FALSE(waiting.isFirst("s", early, start));
     waiting.remove("s", urgent);
-    CHECK(waiting.isFirst("s", early));
+    CHECK(waiting.isFirst("s", early, start));
     waiting.remove("s", early);
-    CHECK(waiting.isFirst("s", late));
-    CHECK(waiting.first("s") == late);
+    CHECK(waiting.isFirst("s", late, start));
+    CHECK(waiting.first("s", start) == late);
     CHECK(waiting.count("s") == 1);
 }
 
@@ -31,9 +31,9 @@
     WaitingCalls waiting;
     waiting.add("s", 0, start);
     const CallTicket other = waiting.add("t", 9, start + 9s);
-    CHECK(waiting.isFirst("t", other));
-    CHECK(waiting.isFirst("u", { 9, start + 9s, 0 }));
-    CHECK_FALSE(waiting.isFirst("s", { 9, start + 9s, 0 }));
+    CHECK(waiting.isFirst("t", other, start));
+    CHECK(waiting.isFirst("u", { 9, start + 9s, 0 }, start));
+    CHECK_FALSE(waiting.isFirst("s", { 9, start + 9s, 0 }, start));
     waiting.remove("u", other);
     waiting.remove("s", other);
     CHECK(waiting.count("s") == 1);
@@ -73,3 +73,82 @@
     CHECK(calls.hopeless("s", rate, start, newcomer).empty());
     CHECK(calls.services() == std::vector<std::string> { "s" });
 }
+
+// Guards against a queue that serves late calls while others become late.
+TEST_CASE("calls that can still meet their objective go first, by their latest start", "[waiting]")
+{
+    WaitingCalls calls;
+    const CallTicket late = calls.add("s", 1, start + 500ms, start + 30ms);
+    const CallTicket soon = calls.add("s", 1, start + 1s, start + 100ms);
+    const CallTicket later = calls.add("s", 1, start + 900ms, start + 150ms);
+    const CallTicket urgent = calls.add("s", 0, start + 2s, start - 1s);
+    calls.setLatency("s", 50ms);
+    CHECK(calls.first("s", start) == urgent);
+    calls.remove("s", urgent);
+    CHECK(calls.first("s", start) == soon);
+    // The order follows the time: at 60 ms only the last can be in time, at 110 ms none, so that deadlines decide.
+    CHECK(calls.first("s", start + 60ms) == later);
+    CHECK(calls.first("s", start + 110ms) == late);
+    CHECK_FALSE(calls.isFirst("s", soon, start + 60ms));
+}
+
+// Guards against rejections of late calls that leftover capacity would serve, and against calls that are held although
+// the share of late calls leaves them no capacity.
+TEST_CASE("late calls keep their chance while the share of late calls allows it", "[waiting]")
+{
+    WaitingCalls calls;
+    const ServiceRate rate { 10ms, 20ms };
+    for (int i = 0; i < 10; ++i)
+        calls.add("s", 1, start + 500ms, start);
+    CHECK(calls.outlook("s", rate, start).hopeless.empty());
+    CHECK(calls.outlook("s", rate, start).roomAt == start + 100ms);
+    const CallTicket prompt = calls.add("s", 1, start + 1s, start + 150ms);
+    for (int i = 0; i < 100; ++i)
+        calls.onStart("s", prompt, start);
+    // One of ten calls that begin is a late one, each 100 ms.
+    const WaitingOutlook outlook = calls.outlook("s", rate, start);
+    CHECK(outlook.hopeless.size() == 5);
+    CHECK(outlook.remaining == 6);
+    CHECK(outlook.roomAt == start + 500ms);
+    CHECK(describeRejection(outlook, rate, start)
+        == "the servers of the route are full: 6 calls wait, one begins each 10.0 ms, there is room in 500 ms");
+}
+
+// Guards against an organisation whose burst takes the capacity of others.
+TEST_CASE("organisations of equal priority are served in turn", "[waiting]")
+{
+    WaitingCalls calls;
+    for (int i = 0; i < 20; ++i)
+        calls.add("s", 1, start + 1s, start + 500ms, "large");
+    for (int i = 0; i < 3; ++i)
+        calls.add("s", 1, start + 1s, start + 600ms, "small");
+    // Ten calls begin in time, at least three of each organisation.
+    const auto hopeless = calls.hopeless("s", { 100ms, 50ms }, start);
+    CHECK(hopeless.size() == 13);
+    std::string order;
+    for (int i = 0; i < 8; ++i) {
+        const CallTicket first = *calls.first("s", start);
+        calls.onStart("s", first, start);
+        calls.remove("s", first);
+        order += first.organisation.front();
+    }
+    CHECK(order == "lslslsll");
+}
+
+TEST_CASE("one organisation alone has the whole capacity", "[waiting]")
+{
+    WaitingCalls named;
+    WaitingCalls unnamed;
+    for (int i = 0; i < 20; ++i) {
+        named.add("s", i % 3, start + 100ms * i, start + 50ms * i, "only");
+        unnamed.add("s", i % 3, start + 100ms * i, start + 50ms * i);
+    }
+    while (const auto first = named.first("s", start)) {
+        CHECK(first->number == unnamed.first("s", start)->number);
+        const auto other = *unnamed.first("s", start);
+        named.onStart("s", *first, start);
+        named.remove("s", *first);
+        unnamed.onStart("s", other, start);
+        unnamed.remove("s", other);
+    }
+}
