Scoring calls with time in hand leave full servers to callers' calls

Callers' calls were late behind scoring calls of steps that had seconds left.

Cause: scoring calls had the deadline of any call of the route, and coordinators do not see the entries' queues. Now the objective of a scoring call follows from the due time of its job, within the first half of the call's time, and until it is near the call avoids servers that others have filled by a report of the last 100 ms.

--- a/include/endiveroad/ServerLoads.h
+++ b/include/endiveroad/ServerLoads.h
@@ -51,6 +51,9 @@
     /// Age from which a load that a server reported is ignored.
     static constexpr Duration loadLifetime = std::chrono::milliseconds(500);
 
+    /// Age from which a call that yields ignores a reported load, so that it learns of the room that others leave.
+    static constexpr Duration yieldTime = std::chrono::milliseconds(100);
+
     /// Calls that a process may have at a server beyond its slots, so that a slot that becomes free has work at once.
     static constexpr int32_t queuedCalls = 2;
 
@@ -72,8 +75,9 @@
     /// only if no other is left; never those in `tried`, those that refused or could not be reached just now, and those
     /// that have as many calls of this process as its limit allows. Nothing if none is left. Ties are broken at random.
     /// Load pattern: few servers of unequal speed, some of which become slow or stop answering.
-    std::optional<std::string> choose(
-        const std::vector<ServerCandidate>& servers, const std::set<std::string>& tried, Instant now);
+    /// A call that yields has time in hand and is not sent to servers that other processes have just filled.
+    std::optional<std::string> choose(const std::vector<ServerCandidate>& servers, const std::set<std::string>& tried,
+        Instant now, bool isYielding = false);
 
     /// How fast the servers take this process's calls while all of them are busy, or as fast as their request limits
     /// allow. Load pattern: so many processes share a service that each has fewer slots than its least limit assumes,
@@ -113,6 +117,8 @@
         double latencyMs = 0;
         int32_t reportedLoad = 0;
         Instant reportedLoadExpiry = Instant::min();
+        /// Calls of other processes in reportedLoad.
+        int32_t othersLoad = 0;
         Instant suspendedUntil = Instant::min();
         /// Calls that this process may have at the server; 0 until it is a candidate for the first time.
         double limit = 0;
--- a/src/core/routing/ServerLoads.cpp
+++ b/src/core/routing/ServerLoads.cpp
@@ -36,7 +36,7 @@
 }
 
 std::optional<std::string> ServerLoads::choose(
-    const std::vector<ServerCandidate>& servers, const std::set<std::string>& tried, Instant now)
+    const std::vector<ServerCandidate>& servers, const std::set<std::string>& tried, Instant now, bool isYielding)
 {
     std::optional<std::string> best;
     std::tuple<bool, double, uint64_t> bestRank;
@@ -49,6 +49,9 @@
         state.limit = std::min(state.limit > 0 ? state.limit : firstLimit, state.maxLimit);
         if (state.fullUntil > now || state.unreachableUntil > now || state.inFlight >= state.limit)
             continue;
+        const bool isReportNew = state.reportedLoadExpiry > now + loadLifetime - yieldTime;
+        if (isYielding && isReportNew && state.othersLoad > 0 && state.reportedLoad >= slots)
+            continue;
         const int32_t reported = state.reportedLoadExpiry > now ? state.reportedLoad : 0;
         const double cost = (1 + std::max(state.inFlight, reported)) * latencyOf(state.latencyMs);
         const std::tuple rank(state.suspendedUntil > now, cost, static_cast<uint64_t>(random_()));
@@ -146,6 +149,7 @@
 {
     Server& state = server(id);
     state.reportedLoad = running + waiting;
+    state.othersLoad = state.reportedLoad - state.inFlight;
     state.reportedLoadExpiry = now + loadLifetime;
 }
 
--- a/src/io/hosted/ItemScorer.cpp
+++ b/src/io/hosted/ItemScorer.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <endiveroad/Error.h>
+#include <endiveroad/ScoringObjective.h>
 
 namespace endiveroad::io {
 
@@ -57,8 +58,11 @@
     request.id = scoring.id;
     request.host = scoring.host;
     const Instant startedAt = now();
-    const ServiceResult result = co_await serviceCaller_.call(
-        route, std::move(request), startedAt + route.timeout, nullptr, ContentKind::Owed);
+    const Instant deadline = startedAt + route.timeout;
+    const Instant objectiveAt
+        = scoringObjective(startedAt, route.latencyObjective, deadline, owned->job.policy().dueAt);
+    const ServiceResult result
+        = co_await serviceCaller_.call(route, std::move(request), deadline, nullptr, ContentKind::Owed, objectiveAt);
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt).count();
     if (result.response && result.response->isSuccess()) {
         processMetrics().record(Latency::Scoring, now() - startedAt, now());
--- a/src/io/hosted/ServerChooser.cpp
+++ b/src/io/hosted/ServerChooser.cpp
@@ -58,7 +58,7 @@
         if (!isLimited || (!demand.isHedge && limits_.mayTake(receiver)))
             candidates.push_back({ server->id, server->slots });
     }
-    const auto chosen = loads_.choose(candidates, excluded, now());
+    const auto chosen = loads_.choose(candidates, excluded, now(), demand.isYielding);
     if (!demand.isHedge)
         demandPermits(route, demand, limited, !chosen);
     if (!chosen)
--- a/src/io/hosted/ServerChooser.h
+++ b/src/io/hosted/ServerChooser.h
@@ -29,6 +29,8 @@
     RequestPath path = RequestPath::Call;
     /// The request has another attempt under way.
     bool isHedge = false;
+    /// The request has time in hand and leaves full servers to others.
+    bool isYielding = false;
     /// Only servers that run this software; nothing for any.
     std::optional<SoftwareVersion> software;
     /// Number of requests that wait for a server of the service, this one among them, and the last of their deadlines.
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <endiveroad/Error.h>
+#include <endiveroad/ScoringObjective.h>
 #include <fmt/format.h>
 #include <list>
 
@@ -105,6 +106,7 @@
     demand.path = state.path;
     demand.software = state.software;
     demand.isHedge = state.activeAttempts > 0;
+    demand.isYielding = shouldYield(now(), state.route.latencyObjective, state.objectiveAt);
     demand.waiting = std::max<size_t>(waitingCalls_.count(state.queue()), 1);
     const Instant lastDeadline = waitingCalls_.lastDeadline(state.queue()).value_or(state.deadline);
     demand.lastDeadline = std::max(state.deadline, lastDeadline);
@@ -236,10 +238,12 @@
 }
 
 asio::awaitable<ServiceResult> ServiceCaller::call(RouteDeclaration route, ReplicaRequest request, Instant deadline,
-    PeerCancellationPtr cancellation, ContentKind kind)
+    PeerCancellationPtr cancellation, ContentKind kind, std::optional<Instant> objectiveAt)
 {
     auto state = std::make_shared<CallState>(context_, std::move(route), std::move(request), deadline);
     state->kind = kind;
+    state->objectiveAt = objectiveAt.value_or(state->objectiveAt);
+    state->ticket = state->newTicket();
     if (cancellation)
         cancellation->onCancel([state] {
             state->result.isCancelled = true;
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -92,9 +92,11 @@
 
     ServiceCaller(asio::io_context&, ServerClient&, RequestLimits&, CrashGuard&, DirectorySource, uint64_t seed);
 
-    /// Sets the request's server and timeout for each attempt.
+    /// Sets the request's server and timeout for each attempt. The answer is wanted by `objectiveAt`; if that is not
+    /// given, within the route's latency objective.
     asio::awaitable<ServiceResult> call(RouteDeclaration, ReplicaRequest, Instant deadline,
-        PeerCancellationPtr cancellation, ContentKind = ContentKind::Call);
+        PeerCancellationPtr cancellation, ContentKind = ContentKind::Call,
+        std::optional<Instant> objectiveAt = std::nullopt);
 
     /// Waits for a server that has room for one run of a request. Nothing if there is none by the deadline or when the
     /// request is cancelled, if no ready server is left for it, or if the content is blocked. Throws ServersFullError
--- a/tests/core/ServerLoadsTest.cpp
+++ b/tests/core/ServerLoadsTest.cpp
@@ -217,3 +217,23 @@
     CHECK(loads.rateOf(one).interval > 45ms);
     CHECK(loads.rateOf(one).latency == 25ms);
 }
+
+// Guards against calls with time in hand at servers that callers' calls of other processes have filled, and against
+// calls that hold back because of their own process, or for long.
+TEST_CASE("a call that yields avoids servers that others have just filled", "[loads]")
+{
+    ServerLoads loads(1);
+    const std::vector<ServerCandidate> one { { "s0", 6 } };
+    loads.onLoadReport("s0", 5, 0, start);
+    CHECK(loads.choose(one, {}, start, true));
+    loads.onLoadReport("s0", 6, 1, start);
+    CHECK_FALSE(loads.choose(one, {}, start, true));
+    CHECK(loads.choose(one, {}, start, false));
+    CHECK(loads.choose(one, {}, start + ServerLoads::yieldTime, true));
+    for (int i = 0; i < 7; ++i)
+        loads.onStart("s0");
+    loads.onLoadReport("s0", 6, 1, start);
+    for (int i = 0; i < 5; ++i)
+        loads.onAbandoned("s0");
+    CHECK(loads.choose(one, {}, start, true));
+}
