--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -188,6 +188,8 @@
             state->queue(), state->route.priority, state->deadline, state->objectiveAt, state->request.organisation);
         waiting_.emplace(state->ticket, state);
     }
+    if (state->path == RequestPath::Call)
+        retryBudgets_[state->queue()].onWaiting(now());
     turnAwayHopeless(*state, isNewcomer);
     if (state->isDone)
         co_return;
@@ -218,6 +220,11 @@
     }
 }
 
+bool ServiceCaller::mayHedge(const CallState& state)
+{
+    return retryBudgets_[state.queue()].mayHedge(waitingCalls_.count(state.queue()), now());
+}
+
 void ServiceCaller::leaveQueue(const CallStatePtr& state)
 {
     if (!state->isQueued())
@@ -253,11 +260,14 @@
     const bool isIdempotent = state->route.kind == TrafficKind::Idempotent;
     Instant hedgeAt = now();
     while (!state->isDone && now() < deadline) {
-        const bool mayHedge = state->activeAttempts == 0 || (isIdempotent && now() >= hedgeAt);
+        const bool isHedgeDue = isIdempotent && state->hasAttemptsLeft() && now() >= hedgeAt;
+        const bool mayStart = state->activeAttempts == 0 || (isHedgeDue && mayHedge(*state));
+        if (isHedgeDue && !mayStart)
+            hedgeAt = now() + waitInterval;
         if (state->activeAttempts == 0)
             state->result.blockedUntil = crashGuard_.blockedUntil(state->content);
         std::optional<ChosenServer> server;
-        if (mayHedge && state->hasAttemptsLeft())
+        if (mayStart && state->hasAttemptsLeft())
             server = chooseNext(*state);
         if (server) {
             waitingCalls_.onStart(state->queue(), state->ticket, now());
@@ -331,6 +341,11 @@
 void ServiceCaller::startAttempt(const std::shared_ptr<CallState>& state, const ChosenServer& chosen)
 {
     const ServerRecord& server = chosen.server;
+    RetryBudget& budget = retryBudgets_[state->queue()];
+    if (state->possibleRuns > 0)
+        budget.onRepeat();
+    else if (state->result.attempts == 0)
+        budget.onFirstAttempt();
     state->tried.any.insert(server.id);
     state->result.servers += (state->result.servers.empty() ? "" : " ") + server.id;
     crashGuard_.onStart(state->attemptAt(server, now()));
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <endiveroad/Directory.h>
 #include <endiveroad/Error.h>
+#include <endiveroad/RetryBudget.h>
 #include <endiveroad/WaitingCalls.h>
 #include <functional>
 #include <map>
@@ -135,6 +136,9 @@
     /// wait.
     void turnAwayHopeless(const CallState&, bool isNewcomer);
 
+    /// Whether a call with an attempt under way may be sent to one more server.
+    bool mayHedge(const CallState&);
+
     void leaveQueue(const CallStatePtr&);
 
     /// A call has left a server or the queue, so the first one that waits may go.
@@ -154,6 +158,8 @@
     CrashGuard& crashGuard_;
     ServerChooser servers_;
     WaitingCalls waitingCalls_;
+    /// By queue. Streams have none, as they are not hedged.
+    std::map<std::string, RetryBudget> retryBudgets_;
     /// The calls in waitingCalls_.
     std::map<CallTicket, CallStatePtr> waiting_;
 };
