--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <endiveroad/Error.h>
+#include <endiveroad/ScoringObjective.h>
 #include <fmt/format.h>
 #include <list>
 
@@ -29,6 +30,7 @@
         , request(std::move(call))
         , content(ContentId::of(request.method, route.host, request.target, request.body))
         , deadline(end)
+        , objectiveAt(now() + route.latencyObjective)
         , ticket(newTicket())
         , changed(context)
     {
@@ -58,7 +60,7 @@
     bool isQueued() const { return ticket.number != 0; }
 
     /// Place of a call that has not begun to wait.
-    CallTicket newTicket() const { return { route.priority, deadline, 0 }; }
+    CallTicket newTicket() const { return { route.priority, deadline, 0, objectiveAt, request.organisation }; }
 
     /// Whether another server may be tried. Refused attempts do not count towards the limit, since the server ran
     /// nothing.
@@ -70,6 +72,8 @@
     ContentKind kind = ContentKind::Call;
     Authorisation authorisation;
     Instant deadline;
+    /// When the caller wants the answer.
+    Instant objectiveAt;
     /// Its number is 0 while the call does not wait.
     CallTicket ticket;
     Signal changed;
@@ -116,6 +120,7 @@
     demand.path = state.path;
     demand.software = state.software;
     demand.isHedge = state.activeAttempts > 0;
+    demand.isYielding = shouldYield(now(), state.route.latencyObjective, state.objectiveAt);
     demand.waiting = std::max<size_t>(waitingCalls_.count(state.queue()), 1);
     const Instant lastDeadline = waitingCalls_.lastDeadline(state.queue()).value_or(state.deadline);
     demand.lastDeadline = std::max(state.deadline, lastDeadline);
@@ -136,7 +141,7 @@
 std::optional<ChosenServer> ServiceCaller::chooseNext(CallState& state)
 {
     if (now() < state.notBefore || crashGuard_.isPending(state.content)
-        || !waitingCalls_.isFirst(state.queue(), state.ticket))
+        || !waitingCalls_.isFirst(state.queue(), state.ticket, now()))
         return std::nullopt;
     std::set<std::string> excluded = crashGuard_.serversToAvoid(state.content);
     excluded.insert(state.tried.any.begin(), state.tried.any.end());
@@ -193,14 +198,20 @@
         state->tried.any.clear();
     const bool isNewcomer = !state->isQueued();
     if (isNewcomer) {
-        state->ticket = waitingCalls_.add(state->queue(), state->route.priority, state->deadline);
+        state->ticket = waitingCalls_.add(
+            state->queue(), state->route.priority, state->deadline, state->objectiveAt, state->request.organisation);
         waiting_.emplace(state->ticket, state);
     }
+    if (state->path == RequestPath::Call)
+        retryBudgets_[state->queue()].onWaiting(now());
     turnAwayHopeless(*state, isNewcomer);
     if (state->isDone)
         co_return;
-    // Each call that leaves the queue wakes the next one.
-    const bool isFirst = waitingCalls_.isFirst(state->queue(), state->ticket);
+    // Each call that leaves the queue wakes the next one. The order changes as calls become late, so a call that is no
+    // longer the first wakes the one that is.
+    const bool isFirst = waitingCalls_.isFirst(state->queue(), state->ticket, now());
+    if (!isFirst && !isNewcomer)
+        wakeFirst(state->queue());
     co_await state->changed.wait(isFirst ? std::min(state->deadline, now() + waitInterval) : state->deadline);
 }
 
@@ -208,21 +219,26 @@
 {
     const std::string queue = waiting.queue();
     const ServiceRate rate = servers_.rateOf(waiting.route, waiting.software);
+    waitingCalls_.setLatency(queue, rate.meanLatency);
     const auto newcomer = isNewcomer ? std::optional(waiting.ticket) : std::nullopt;
-    const Instant startAt = std::max(now(), rate.startAt);
-    const Instant retryAt = startAt + rate.interval * static_cast<Duration::rep>(waitingCalls_.count(queue));
-    for (const CallTicket& ticket : waitingCalls_.hopeless(queue, rate, now(), newcomer)) {
+    const WaitingOutlook outlook = waitingCalls_.outlook(queue, rate, now(), newcomer);
+    for (const CallTicket& ticket : outlook.hopeless) {
         const auto found = waiting_.find(ticket);
         if (found == waiting_.end())
             continue;
         CallState& state = *found->second;
-        state.result.reason = "the servers of the route are full";
-        state.result.retryAt = retryAt;
+        state.result.reason = describeRejection(outlook, rate, now());
+        state.result.retryAt = outlook.roomAt;
         state.isDone = true;
         state.changed.notifyAll();
     }
 }
 
+bool ServiceCaller::mayHedge(const CallState& state)
+{
+    return retryBudgets_[state.queue()].mayHedge(waitingCalls_.count(state.queue()), now());
+}
+
 void ServiceCaller::leaveQueue(const CallStatePtr& state)
 {
     if (!state->isQueued())
@@ -236,18 +252,20 @@
 
 void ServiceCaller::wakeFirst(const std::string& queue)
 {
-    const auto first = waitingCalls_.first(queue);
+    const auto first = waitingCalls_.first(queue, now());
     const auto found = first ? waiting_.find(*first) : waiting_.end();
     if (found != waiting_.end())
         found->second->changed.notifyAll();
 }
 
 asio::awaitable<ServiceResult> ServiceCaller::call(RouteDeclaration route, ReplicaRequest request, Instant deadline,
-    PeerCancellationPtr cancellation, ContentKind kind, Authorisation authorisation)
+    PeerCancellationPtr cancellation, ContentKind kind, Authorisation authorisation, std::optional<Instant> objectiveAt)
 {
     auto state = std::make_shared<CallState>(context_, std::move(route), std::move(request), deadline);
     state->kind = kind;
     state->authorisation = std::move(authorisation);
+    state->objectiveAt = objectiveAt.value_or(state->objectiveAt);
+    state->ticket = state->newTicket();
     if (cancellation)
         cancellation->onCancel([state] {
             state->result.isCancelled = true;
@@ -257,7 +275,10 @@
     const bool isHedged = state->route.kind == TrafficKind::Idempotent && state->request.body.size() <= maxHedgedBytes;
     Instant hedgeAt = now();
     while (!state->isDone && now() < deadline) {
-        const bool mayHedge = state->activeAttempts == 0 || (isHedged && now() >= hedgeAt);
+        const bool isHedgeDue = isHedged && state->hasAttemptsLeft() && now() >= hedgeAt;
+        const bool mayStart = state->activeAttempts == 0 || (isHedgeDue && mayHedge(*state));
+        if (isHedgeDue && !mayStart)
+            hedgeAt = now() + waitInterval;
         if (state->activeAttempts == 0)
             state->result.blockedUntil = crashGuard_.blockedUntil(state->content);
         // Without authorisation only attempts that have been sent are finished.
@@ -265,9 +286,10 @@
         if (state->result.refusal && state->activeAttempts == 0)
             break;
         std::optional<ChosenServer> server;
-        if (mayHedge && state->hasAttemptsLeft() && !state->result.refusal)
+        if (mayStart && state->hasAttemptsLeft() && !state->result.refusal)
             server = chooseNext(*state);
         if (server) {
+            waitingCalls_.onStart(state->queue(), state->ticket, now());
             leaveQueue(state);
             startAttempt(state, *server);
             hedgeAt = now() + state->route.latencyObjective / hedgeDivisor;
@@ -322,6 +344,8 @@
             break;
         co_await awaitServer(state);
     }
+    if (chosen)
+        waitingCalls_.onStart(state->queue(), state->ticket, now());
     leaveQueue(state);
     cancellation->onCancel(nullptr);
     if (state->result.refusal)
@@ -343,6 +367,11 @@
 void ServiceCaller::startAttempt(const std::shared_ptr<CallState>& state, const ChosenServer& chosen)
 {
     const ServerRecord& server = chosen.server;
+    RetryBudget& budget = retryBudgets_[state->queue()];
+    if (state->possibleRuns > 0)
+        budget.onRepeat();
+    else if (state->result.attempts == 0)
+        budget.onFirstAttempt();
     state->tried.any.insert(server.id);
     state->result.servers += (state->result.servers.empty() ? "" : " ") + server.id;
     crashGuard_.onStart(state->attemptAt(server, now()));
--- a/src/io/hosted/ServiceCaller.h
+++ b/src/io/hosted/ServiceCaller.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <endiveroad/Directory.h>
 #include <endiveroad/Error.h>
+#include <endiveroad/RetryBudget.h>
 #include <endiveroad/WaitingCalls.h>
 #include <functional>
 #include <map>
@@ -100,9 +101,10 @@
     void setRunListener(ServerRunListener* listener) { runListener_ = listener; }
 
     /// Sets the request's server and timeout for each attempt. An attempt that was sent before the authorisation ended
-    /// is finished.
+    /// is finished. The answer is wanted by `objectiveAt`; if that is not given, within the route's latency objective.
     asio::awaitable<ServiceResult> call(RouteDeclaration, ReplicaRequest, Instant deadline,
-        PeerCancellationPtr cancellation, ContentKind, Authorisation);
+        PeerCancellationPtr cancellation, ContentKind, Authorisation,
+        std::optional<Instant> objectiveAt = std::nullopt);
 
     /// Waits for a server that has room for one run of a request. Nothing if there is none by the deadline or when the
     /// request is cancelled, if no ready server is left for it, or if the content is blocked. Throws ServersFullError
@@ -145,6 +147,9 @@
     /// wait.
     void turnAwayHopeless(const CallState&, bool isNewcomer);
 
+    /// Whether a call with an attempt under way may be sent to one more server.
+    bool mayHedge(const CallState&);
+
     void leaveQueue(const CallStatePtr&);
 
     /// A call has left a server or the queue, so the first one that waits may go.
@@ -165,6 +170,8 @@
     ServerRunListener* runListener_ = nullptr;
     ServerChooser servers_;
     WaitingCalls waitingCalls_;
+    /// By queue. Streams have none, as they are not hedged.
+    std::map<std::string, RetryBudget> retryBudgets_;
     /// The calls in waitingCalls_.
     std::map<CallTicket, CallStatePtr> waiting_;
 };
