Items wait in the order for overload where not all steps can be complete in time

Callers saw all groups of all steps come a little late when the engines had too little room, so that the steps earned little.

Cause: the job that is due first always went first, and in it the longest item. ItemDispatcher now asks orderItems(), with lengths in events: replicas tell their speed by events, items their length in tokens, and TextLengths learns the ratio from the texts that become complete. Until it is known, and without overload, the order is as before. A gauge tells how many services are overloaded.

--- a/src/io/hosted/HostedCoordinator.cpp
+++ b/src/io/hosted/HostedCoordinator.cpp
@@ -346,6 +346,9 @@
             static_cast<double>(originKeeper_.size()) },
         { "endiveroad_known_replicas", "", "Replicas whose agents have reported.",
             static_cast<double>(dispatcher_.replicaCount()) },
+        { "endiveroad_overloaded_services", "",
+            "Services whose items wait in the order for overload: not all of their steps can be complete in time.",
+            static_cast<double>(dispatcher_.overloadedServices()) },
         { "endiveroad_retirement_held", "",
             "1 while the operator retires this VM and it stays, since no other coordinator could do its work.",
             retirements_.isHeld() ? 1.0 : 0.0 } };
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -135,6 +135,7 @@
         view.failureDomain = report.last.failureDomain;
         view.isUp = report.last.isUp && connections_.agent(name);
         const auto own = ownRuns.find(name);
+        view.ownRuns = own == ownRuns.end() ? 0 : own->second;
         view.running = std::max(report.last.running + report.starting, own == ownRuns.end() ? 0 : own->second);
         view.slots = report.last.slots;
         for (const wire::ModelVersion& row : report.last.models)
@@ -148,6 +149,61 @@
     return byService;
 }
 
+std::optional<std::vector<StepView>> ItemDispatcher::stepViews(const std::string& service) const
+{
+    const auto directory = directory_();
+    if (!directory->routing)
+        return std::nullopt;
+    std::vector<StepView> steps;
+    for (const auto& [id, owned] : jobs_) {
+        const BatchJobSpec& spec = owned->job.spec();
+        if (owned->job.isEnded() || owned->isLost || spec.items.empty() || serviceOf(*owned) != service)
+            continue;
+        const auto eventsPerToken = textLengths_.eventsPerToken(spec.model);
+        const RouteDeclaration* route = directory->routing->batchRoute(owned->record.host, spec.items.front().path);
+        if (!eventsPerToken || !route)
+            return std::nullopt;
+        StepView step;
+        step.job = id;
+        step.organisation = owned->record.organisation;
+        step.priority = directory->routing->priorityOf(*route, step.organisation);
+        step.model = spec.model;
+        step.oldestVersion = spec.oldestVersion;
+        step.dueAt = owned->job.policy().dueAt;
+        step.terminateAt = owned->job.policy().terminateAt;
+        step.targetGroups = spec.targetGroups;
+        for (size_t i = 0; i < spec.items.size(); ++i) {
+            const ItemState& state = owned->job.items()[i];
+            StepItem item;
+            item.group = spec.items[i].group;
+            item.expectedTokens = spec.items[i].expectedTokens * *eventsPerToken;
+            item.generatedTokens = static_cast<double>(state.text.events.size());
+            item.agent = state.stage == ItemStage::Running ? state.agent : std::string();
+            item.isGenerated = state.stage != ItemStage::Waiting && state.stage != ItemStage::Running;
+            step.items.push_back(std::move(item));
+        }
+        steps.push_back(std::move(step));
+    }
+    return steps;
+}
+
+std::vector<size_t> ItemDispatcher::orderOf(
+    const std::string& service, const std::vector<WaitingItem>& waiting, const std::vector<ReplicaView>& replicas)
+{
+    overloaded_.erase(service);
+    const bool hasFreeSlot = std::any_of(
+        replicas.begin(), replicas.end(), [](const ReplicaView& replica) { return replica.hasFreeSlot(); });
+    if (waiting.empty() || !hasFreeSlot)
+        return {};
+    const auto steps = stepViews(service);
+    if (!steps)
+        return dueTimeOrder(waiting);
+    ItemOrder order = orderItems(waiting, *steps, replicas, now());
+    if (order.isOverloaded)
+        overloaded_.insert(service);
+    return std::move(order.order);
+}
+
 void ItemDispatcher::startWaitingItems(const std::string& service, std::vector<ReplicaView>& replicas)
 {
     if (!connections_.mayStartItems())
@@ -174,7 +230,7 @@
             }
         }
     }
-    for (const Placement& placement : placeItems(waiting, replicas)) {
+    for (const Placement& placement : placeInOrder(waiting, orderOf(service, waiting, replicas), replicas)) {
         const WaitingItem& item = waiting[placement.waitingIndex];
         const auto view = std::find_if(replicas.begin(), replicas.end(),
             [&](const ReplicaView& replica) { return replica.agent == placement.agent; });
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -11,9 +11,13 @@
 #include <endiveroad/Directory.h>
 #include <endiveroad/FailedRuns.h>
 #include <endiveroad/GeneratedTextCache.h>
+#include <endiveroad/ItemOrder.h>
+#include <endiveroad/TextLengths.h>
 #include <endiveroad_types.h>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 
 /// Starts items of owned jobs on agents, tracks their runs, moves runs to faster replicas, and requests weight
@@ -105,6 +109,9 @@
     /// Number of items of open jobs, by model and stage.
     std::map<std::string, std::map<ItemStage, size_t>> itemCounts() const;
 
+    /// Number of services whose items were ordered as under overload in the last round.
+    size_t overloadedServices() const { return overloaded_.size(); }
+
     /// Number of replicas whose agents have reported.
     size_t replicaCount() const { return reports_.size(); }
 
@@ -132,6 +139,12 @@
     SoftwareVersion softwareOf(const std::string& agent) const;
     /// State of all replicas, by service.
     std::map<std::string, std::vector<ReplicaView>> replicaViews() const;
+    /// The open jobs of a service as the order of items sees them, with lengths in events. Nothing while the lengths of
+    /// a job's texts cannot be estimated.
+    std::optional<std::vector<StepView>> stepViews(const std::string& service) const;
+    /// Order in which the waiting items of a service are placed.
+    std::vector<size_t> orderOf(
+        const std::string& service, const std::vector<WaitingItem>&, const std::vector<ReplicaView>&);
     /// Starts waiting items on replicas with free slots.
     void startWaitingItems(const std::string& service, std::vector<ReplicaView>&);
     /// Withdraws runs from slow replicas, so that their items continue on faster ones. Only runs of jobs without
@@ -175,6 +188,9 @@
     /// Texts of ended jobs' unlisted items.
     GeneratedTextCache textCache_;
     FailedRuns failedRuns_;
+    TextLengths textLengths_;
+    /// Services that are overloaded.
+    std::set<std::string> overloaded_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/hosted/ItemRuns.cpp
+++ b/src/io/hosted/ItemRuns.cpp
@@ -227,6 +227,9 @@
         if (progress.isStalled && item.stage == ItemStage::Running && item.run == progress.run)
             owned->stalledAgents[*index].push_back(agent->peerName);
         ItemAction action = ItemAction::None;
+        const BatchItem& spec = owned->job.spec().items[*index];
+        if (report.state == RunState::Completed && item.stage == ItemStage::Running)
+            textLengths_.add(owned->job.spec().model, spec.expectedTokens, report.firstEvent + report.events.size());
         if (item.stage == ItemStage::Running && item.run == progress.run)
             action = owned->job.onProgress(*index, report, now());
         else if (!owned->withdrawnRuns.contains(progress.run))
