Calls of servers with request limits wait by deadline again

Callers of servers that name a request limit were rejected after up to 1.2 s of waiting in place of at once.

Cause: permits come at times that are only estimated; with the order by objective, later calls kept going before those that had become late, which were rejected only when their time was over. Where servers have limits, the queue goes by deadline as before.

--- a/include/endiveroad/WaitingCalls.h
+++ b/include/endiveroad/WaitingCalls.h
@@ -47,7 +47,8 @@
 /// scoring calls become due within a few milliseconds, while callers' requests of the same service go on arriving.
 ///
 /// Order: urgent calls first. Among equals, calls that can still be answered within their objective, by the latest
-/// start that allows it, then the others by deadline. The organisations of equal calls have turns.
+/// start that allows it, then the others by deadline. Where servers have request limits, all go by deadline. The
+/// organisations of equal calls have turns.
 class WaitingCalls {
 public:
     CallTicket add(const std::string& service, int32_t priority, Instant deadline, Instant objectiveAt = never,
@@ -57,8 +58,8 @@
     /// A call was sent to a server while others wait for the service, so that its organisation has had its turn.
     void onStart(const std::string& service, const CallTicket&, Instant now);
 
-    /// Time that an answer of the service takes. Determines which calls can be answered within their objective.
-    void setLatency(const std::string& service, Duration);
+    /// How fast the service takes the calls. Determines which of them can be answered within their objective.
+    void setRate(const std::string& service, const ServiceRate&);
 
     std::optional<CallTicket> first(const std::string& service, Instant now) const;
 
@@ -93,12 +94,17 @@
     struct Queue {
         std::set<CallTicket> tickets;
         Duration latency {};
+        /// Servers have request limits, whose permits come at times that are only estimated. Calls that keep going
+        /// before others would then leave these to wait for long before they are rejected.
+        bool isByDeadline = false;
         /// Moving average of the share of late calls among those that begin.
         double lateShare = 1;
         uint64_t lastTurn = 0;
         /// Of the last call that began, by organisation.
         std::map<std::string, uint64_t> turns;
 
+        /// False also if isByDeadline.
+        bool canMeetObjective(const CallTicket&, Instant start) const;
         uint64_t turnOf(const std::string& organisation) const;
         bool goesBefore(const CallTicket&, const CallTicket& other, Instant now) const;
     };
--- a/src/core/routing/WaitingCalls.cpp
+++ b/src/core/routing/WaitingCalls.cpp
@@ -43,6 +43,11 @@
 
 } // namespace
 
+bool WaitingCalls::Queue::canMeetObjective(const CallTicket& ticket, Instant start) const
+{
+    return !isByDeadline && endiveroad::canMeetObjective(ticket, start, latency);
+}
+
 uint64_t WaitingCalls::Queue::turnOf(const std::string& organisation) const
 {
     const auto found = turns.find(organisation);
@@ -52,7 +57,7 @@
 bool WaitingCalls::Queue::goesBefore(const CallTicket& ticket, const CallTicket& other, Instant now) const
 {
     const auto rank = [&](const CallTicket& call) {
-        const bool isLate = !canMeetObjective(call, now, latency);
+        const bool isLate = !canMeetObjective(call, now);
         return std::tuple(call.priority, isLate, turnOf(call.organisation), isLate ? call.deadline : call.wantedAt(),
             call.deadline, call.number);
     };
@@ -90,15 +95,17 @@
         return;
     Queue& queue = found->second;
     queue.turns[ticket.organisation] = ++queue.lastTurn;
-    const double isLate = canMeetObjective(ticket, now, queue.latency) ? 0 : 1;
+    const double isLate = queue.canMeetObjective(ticket, now) ? 0 : 1;
     queue.lateShare += newestCallWeight * (isLate - queue.lateShare);
 }
 
-void WaitingCalls::setLatency(const std::string& service, Duration latency)
+void WaitingCalls::setRate(const std::string& service, const ServiceRate& rate)
 {
     const auto found = queues_.find(service);
-    if (found != queues_.end())
-        found->second.latency = latency;
+    if (found == queues_.end())
+        return;
+    found->second.latency = rate.meanLatency;
+    found->second.isByDeadline = rate.uncertainty > 0;
 }
 
 std::optional<CallTicket> WaitingCalls::first(const std::string& service, Instant now) const
@@ -169,7 +176,8 @@
         const auto byObjective
             = [](const CallTicket& call) { return std::tuple(call.wantedAt(), call.deadline, call.number); };
         offerInTurn(enqueue(equals, byObjective), [&](const CallTicket& call) {
-            if (canMeetObjective(call, begin, std::max(rate.latency, rate.meanLatency)))
+            const bool isByDeadline = rate.uncertainty > 0;
+            if (!isByDeadline && canMeetObjective(call, begin, std::max(rate.latency, rate.meanLatency)))
                 return plan(call);
             late.push_back(call);
             return false;
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -219,7 +219,7 @@
 {
     const std::string queue = waiting.queue();
     const ServiceRate rate = servers_.rateOf(waiting.route, waiting.software);
-    waitingCalls_.setLatency(queue, rate.meanLatency);
+    waitingCalls_.setRate(queue, rate);
     const auto newcomer = isNewcomer ? std::optional(waiting.ticket) : std::nullopt;
     const WaitingOutlook outlook = waitingCalls_.outlook(queue, rate, now(), newcomer);
     for (const CallTicket& ticket : outlook.hopeless) {
--- a/tests/core/CallReplay.h
+++ b/tests/core/CallReplay.h
@@ -260,7 +260,7 @@
     {
         sender.lookAt = now_ + ServerLoads::refusalPause;
         const ServiceRate rate = sender.loads.rateOf(candidates_);
-        sender.waiting.setLatency("s", std::max(rate.latency, rate.meanLatency));
+        sender.waiting.setRate("s", rate);
         for (const CallTicket& ticket : sender.waiting.hopeless("s", rate, now_)) {
             const uint64_t id = sender.callByTicket.at(ticket.number);
             const Call& call = sender.calls.at(id);
--- a/tests/core/WaitingCallsTest.cpp
+++ b/tests/core/WaitingCallsTest.cpp
@@ -82,7 +82,7 @@
     const CallTicket soon = calls.add("s", 1, start + 1s, start + 100ms);
     const CallTicket later = calls.add("s", 1, start + 900ms, start + 150ms);
     const CallTicket urgent = calls.add("s", 0, start + 2s, start - 1s);
-    calls.setLatency("s", 50ms);
+    calls.setRate("s", { 10ms, 50ms, start, 0, 50ms });
     CHECK(calls.first("s", start) == urgent);
     calls.remove("s", urgent);
     CHECK(calls.first("s", start) == soon);
@@ -152,3 +152,21 @@
         unnamed.remove("s", other);
     }
 }
+
+// Guards against calls that wait for long before they are rejected, since later ones that can still meet their
+// objective keep going before them on permits whose times are only estimated.
+TEST_CASE("waiting calls of servers with request limits go by deadline")
+{
+    WaitingCalls waiting;
+    const CallTicket early = waiting.add("service", 0, start + 1s, start + 10ms);
+    const CallTicket prompt = waiting.add("service", 0, start + 2s, start + 1500ms);
+    ServiceRate rate { 10ms, 20ms, start, 0, 20ms };
+    waiting.setRate("service", rate);
+    CHECK(waiting.first("service", start) == prompt);
+    rate.uncertainty = ServerLoads::limitUncertainty;
+    waiting.setRate("service", rate);
+    CHECK(waiting.first("service", start) == early);
+    rate.interval = 700ms;
+    CHECK(waiting.hopeless("service", rate, start).empty());
+    CHECK(waiting.hopeless("service", rate, start + 400ms, prompt) == std::vector<CallTicket> { prompt });
+}
