--- a/review/lib-2/cases.py
+++ b/review/lib-2/cases.py
@@ -2,6 +2,7 @@
 import base64
 import json
 import os
+import signal
 import sys
 import threading
 import time
@@ -141,6 +142,8 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record("disruption: %s" % ("yes" if has_trouble else "no"))
     code = NOT_RUN
+    # On a time-out of the script, all processes still end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     deployment = None
     try:
         deployment = hosted.HostedDeployment(BINARY, **sizes)
