--- a/review/lib-2/cases.py
+++ b/review/lib-2/cases.py
@@ -136,10 +136,9 @@
             machine.settings["Limits.MemoryMb"] = memory_mb[machine.role]
 
 
-def run(folder, case, **sizes):
+def run(folder, case, has_trouble, **sizes):
     """Runs case(deployment, record, has_trouble), which returns whether the rule was broken, and exits."""
     record = Record(folder)
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record("disruption: %s" % ("yes" if has_trouble else "no"))
     code = NOT_RUN
     # On a time-out of the script, all processes still end.
