A refusal holds for each attempt at an operation on a batch job

Callers saw 503 for a submission, or for the end of a job, that had taken effect: the entry returned the refusal of the coordinator that it asked last, although an earlier one may have carried the operation out.

Cause: BatchGateway noted the lost attempt, but HostedEntry looked at that note only if no coordinator had answered. The time of the store's answers does not matter: it is enough that the coordinator that wrote the job is killed and the others can't reach the store. Errors other than OutcomeUnknown, such as an answer that can't be decoded, counted as not sent.

AttemptEffects keeps what the attempts tell together, and the gateway returns an answer or throws an error that holds for all of them, so the entry can no longer combine them wrongly. A submission in doubt is tried again within the caller's time, until a coordinator reaches the store; at the end it is answered 502. The end of a job is answered 502 at once, as its owner writes it in the background.

--- /dev/null
+++ b/src/core/calls/AttemptEffects.cpp
@@ -0,0 +1,33 @@
+#include <endiveroad/AttemptEffects.h>
+
+namespace endiveroad {
+
+bool isRefusal(ErrorCode code) noexcept
+{
+    switch (code) {
+    case ErrorCode::NotRun:
+    case ErrorCode::NotReady:
+    case ErrorCode::PoisonRequest:
+    case ErrorCode::StoreUnavailable:
+    case ErrorCode::PeerUnavailable:
+    case ErrorCode::ServerUnavailable:
+    case ErrorCode::AccessRefused:
+        return true;
+    default:
+        return false;
+    }
+}
+
+void AttemptEffects::onFailure(const Error& error)
+{
+    mayHaveTakenEffect_ = mayHaveTakenEffect_ || !isRefusal(error.code());
+    reason_ = error.what();
+}
+
+void AttemptEffects::onNothingTried(const std::string& reason)
+{
+    if (reason_.empty())
+        reason_ = reason;
+}
+
+} // namespace endiveroad
--- a/src/io/hosted/BatchGateway.cpp
+++ b/src/io/hosted/BatchGateway.cpp
@@ -10,6 +10,30 @@
 
 namespace endiveroad::io {
 
+namespace {
+
+constexpr int lowestErrorStatus = 400;
+constexpr int statusUnavailable = 503;
+
+bool isError(const wire::BatchAnswer& answer)
+{
+    return answer.status >= lowestErrorStatus;
+}
+
+} // namespace
+
+bool BatchGateway::Attempts::hasEffect() const
+{
+    const bool isCreation = call.operation == wire::BatchOperation::Submit && !call.route.empty();
+    return isCreation || call.operation == wire::BatchOperation::Cancel;
+}
+
+bool BatchGateway::Attempts::isInDoubt(const wire::BatchAnswer& answer) const
+{
+    const bool isUnknown = codeFromText(answer.body) == ErrorCode::OutcomeUnknown;
+    return hasEffect() && isError(answer) && (isUnknown || effects.mayHaveTakenEffect());
+}
+
 BatchGateway::BatchGateway(CoordinatorConnections& coordinators)
     : coordinators_(coordinators)
 {
@@ -25,7 +49,7 @@
 std::string BatchGateway::nextCoordinator(const wire::BatchCall& call, const std::set<std::string>& tried) const
 {
     const std::string& owner = owners_.owner(call.job);
-    if (!owner.empty() && !tried.contains(owner) && coordinators_.coordinator(owner))
+    if (!owner.empty() && !tried.contains(owner) && coordinators_.isConnected(owner))
         return owner;
     const std::vector<std::string> names = coordinators_.coordinators();
     const std::string key = call.route.empty() ? call.job : call.route;
@@ -40,7 +64,7 @@
 {
     wire::BatchCall& call = attempts.call;
     owners_.update(call.job, answer.owner, answer.ownerRevision);
-    const bool isOwnerReachable = !attempts.tried.contains(answer.owner) && coordinators_.coordinator(answer.owner);
+    const bool isOwnerReachable = !attempts.tried.contains(answer.owner) && coordinators_.isConnected(answer.owner);
     if (isOwnerReachable)
         return;
     call.unreachable.push_back(answer.owner);
@@ -54,83 +78,108 @@
     return std::find(unreachable.begin(), unreachable.end(), answer.owner) != unreachable.end();
 }
 
-bool BatchGateway::settle(Attempts& attempts, const std::string& coordinator, wire::BatchAnswer answer)
+void BatchGateway::conclude(Attempts& attempts, wire::BatchAnswer answer)
+{
+    if (!attempts.isInDoubt(answer)) {
+        attempts.answer = std::move(answer);
+        return;
+    }
+    attempts.effects.onFailure(OutcomeUnknownError("a coordinator answered " + answer.body));
+    // Time changes neither a malformed job nor the end of a job, which its owner writes in the background.
+    const bool isSubmission = attempts.call.operation == wire::BatchOperation::Submit;
+    const bool isPassing = answer.status == statusUnavailable || codeFromText(answer.body) == ErrorCode::OutcomeUnknown;
+    attempts.isOver = !isSubmission || !isPassing;
+}
+
+void BatchGateway::settle(Attempts& attempts, const std::string& coordinator, wire::BatchAnswer answer)
 {
     const bool isRedirect = !answer.owner.empty() && answer.owner != coordinator;
     // The record in the store names the coordinator that was not certain.
     const bool isFallbackConfirmed
         = isRedirect && attempts.fallback && attempts.fallback->isUnconfirmed && answer.owner == attempts.fallbackFrom;
     if (isFallbackConfirmed) {
-        attempts.outcome.answer = std::move(attempts.fallback);
-        return true;
+        attempts.isOver = true;
+        return;
     }
     if (isRedirect) {
         followRedirect(attempts, coordinator, answer);
-        return false;
+        return;
     }
     const bool isWithoutStore = attempts.call.operation != wire::BatchOperation::Submit
-        && answer.body == codeText(ErrorCode::StoreUnavailable) && answer.status >= 400;
+        && answer.body == codeText(ErrorCode::StoreUnavailable) && isError(answer);
     if (!answer.isUnconfirmed && !isWithoutStore) {
-        attempts.outcome.answer = std::move(answer);
-        return true;
+        conclude(attempts, std::move(answer));
+        return;
     }
     const bool isBetter = !attempts.fallback || (answer.isUnconfirmed && !attempts.fallback->isUnconfirmed);
     if (isBetter) {
         attempts.fallback = std::move(answer);
         attempts.fallbackFrom = coordinator;
     }
-    return false;
 }
 
-asio::awaitable<BatchOutcome> BatchGateway::perform(
+asio::awaitable<void> BatchGateway::attempt(
+    Attempts& attempts, std::string coordinator, Instant deadline, PeerCancellationPtr cancellation)
+{
+    attempts.tried.insert(coordinator);
+    const Duration patience
+        = attempts.fallback ? secondOpinionTimeout : attemptTimeout + std::chrono::milliseconds(attempts.call.waitMs);
+    const Instant attemptDeadline = std::min(deadline, now() + patience);
+    bool isRepeated = false;
+    try {
+        std::string payload = wire::encode(attempts.call);
+        const std::string answered
+            = co_await coordinators_.callCoordinator(coordinator, std::move(payload), attemptDeadline, cancellation);
+        auto answer = wire::decode<wire::BatchAnswer>(answered);
+        isRepeated = isRedirectRepeated(attempts, answer);
+        settle(attempts, coordinator, std::move(answer));
+    } catch (const Error& error) {
+        attempts.effects.onFailure(error);
+        attempts.call.unreachable.push_back(coordinator);
+    }
+    if (isRepeated && !attempts.answer && !attempts.isOver)
+        co_await sleepFor(retryPause);
+}
+
+asio::awaitable<bool> BatchGateway::awaitCoordinators(Attempts& attempts, Instant deadline)
+{
+    if (attempts.fallback)
+        co_return false;
+    attempts.effects.onNothingTried("no coordinator is connected");
+    attempts.tried.clear();
+    const bool isHopeless = coordinators_.coordinators().empty() && coordinators_.areNoneRegistered();
+    if (isHopeless || now() + retryPause >= deadline)
+        co_return false;
+    co_await sleepFor(retryPause);
+    co_return true;
+}
+
+asio::awaitable<wire::BatchAnswer> BatchGateway::perform(
     wire::BatchCall& call, Instant deadline, PeerCancellationPtr cancellation, Authorisation authorisation)
 {
     Attempts attempts;
     // Structs of the wire have no move operations; a copy would hold the body of a submission twice.
     swap(attempts.call, call);
-    while (now() < deadline && !(cancellation && cancellation->isCancelled())) {
+    while (!attempts.answer && !attempts.isOver && now() < deadline && !(cancellation && cancellation->isCancelled())) {
         const std::optional<Error> refusal = authorisation ? authorisation() : std::nullopt;
-        if (refusal && attempts.outcome.mayHaveRun)
+        if (refusal && attempts.effects.mayHaveTakenEffect())
             break;
         if (refusal)
             throw Error(*refusal);
         const std::string name = nextCoordinator(attempts.call, attempts.tried);
-        const PeerConnectionPtr connection = name.empty() ? nullptr : coordinators_.coordinator(name);
-        if (!connection && attempts.fallback)
-            break;
-        if (!connection) {
-            if (attempts.outcome.reason.empty())
-                attempts.outcome.reason = "no coordinator is connected";
-            attempts.tried.clear();
-            const bool isHopeless = coordinators_.coordinators().empty() && coordinators_.areNoneRegistered();
-            if (isHopeless || now() + retryPause >= deadline)
-                break;
-            co_await sleepFor(retryPause);
+        if (!name.empty() && coordinators_.isConnected(name)) {
+            co_await attempt(attempts, name, deadline, cancellation);
             continue;
         }
-        attempts.tried.insert(name);
-        const Duration patience = attempts.fallback ? secondOpinionTimeout
-                                                    : attemptTimeout + std::chrono::milliseconds(attempts.call.waitMs);
-        const Instant attemptDeadline = std::min(deadline, now() + patience);
-        try {
-            std::string payload = wire::encode(attempts.call);
-            const std::string answered
-                = co_await connection->call(MessageType::BatchCall, std::move(payload), attemptDeadline, cancellation);
-            auto answer = wire::decode<wire::BatchAnswer>(answered);
-            const bool isRepeated = isRedirectRepeated(attempts, answer);
-            if (settle(attempts, name, std::move(answer)))
-                break;
-            if (isRepeated)
-                co_await sleepFor(retryPause);
-        } catch (const Error& error) {
-            attempts.outcome.reason = error.what();
-            attempts.outcome.mayHaveRun = attempts.outcome.mayHaveRun || error.code() == ErrorCode::OutcomeUnknown;
-            attempts.call.unreachable.push_back(name);
-        }
+        const bool mayGoOn = co_await awaitCoordinators(attempts, deadline);
+        if (!mayGoOn)
+            break;
     }
-    if (!attempts.outcome.answer && attempts.fallback)
-        attempts.outcome.answer = std::move(attempts.fallback);
-    co_return std::move(attempts.outcome);
+    if (!attempts.answer && attempts.fallback)
+        conclude(attempts, std::move(*attempts.fallback));
+    if (!attempts.answer)
+        attempts.effects.fail<NotRunError>();
+    co_return std::move(*attempts.answer);
 }
 
 } // namespace endiveroad::io
--- a/src/io/hosted/BatchGateway.h
+++ b/src/io/hosted/BatchGateway.h
@@ -3,6 +3,7 @@
 #include "io/hosted/Authorisation.h"
 #include "io/hosted/HostedNode.h"
 
+#include <endiveroad/AttemptEffects.h>
 #include <endiveroad/JobOwners.h>
 #include <endiveroad_types.h>
 #include <optional>
@@ -19,20 +20,15 @@
 
     /// Names of the coordinators that are connected and are not leaving.
     virtual std::vector<std::string> coordinators() const = 0;
-    /// Null if the coordinator is not connected. One that is leaving is returned: it may still own jobs.
-    virtual PeerConnectionPtr coordinator(const std::string& name) const = 0;
+    /// True also for a coordinator that is leaving: it may still own jobs.
+    virtual bool isConnected(const std::string& coordinator) const = 0;
     /// True if no coordinator is registered in the store.
     virtual bool areNoneRegistered() const = 0;
-};
-
-/// Result of an operation.
-struct BatchOutcome {
-    /// Nothing if no coordinator answered.
-    std::optional<wire::BatchAnswer> answer;
-    /// True if a coordinator that did not answer may have carried the operation out.
-    bool mayHaveRun = false;
-    /// Why the last attempt failed; empty if none did.
-    std::string reason;
+    /// Sends an encoded BatchCall and returns the encoded BatchAnswer. Throws as PeerConnection::call() does, and
+    /// PeerUnavailableError if the coordinator is not connected.
+    virtual asio::awaitable<std::string> callCoordinator(
+        std::string coordinator, std::string payload, Instant deadline, PeerCancellationPtr)
+        = 0;
 };
 
 class BatchGateway {
@@ -51,10 +47,14 @@
     /// Sends the operation to the job's owner if that is known, else to a coordinator that looks the owner up or takes
     /// the job over. Retries until a coordinator answers, the deadline passes, the caller cancels or no coordinator is
     /// connected or registered. Operations are idempotent, so a retry is safe after an attempt whose outcome is
-    /// unknown. The answer of a coordinator that can't tell whether it still owns the job, or that does not reach the
-    /// store, is returned only if no other one knows better. Throws the error of the authorisation if that ends before
-    /// an attempt and no earlier one may have taken effect. The operation is moved out of `call`.
-    asio::awaitable<BatchOutcome> perform(wire::BatchCall& call, Instant deadline, PeerCancellationPtr, Authorisation);
+    /// unknown; after one, an operation that changes something is retried until it succeeds, since the refusal of
+    /// another attempt would not be true of the request. The answer of a coordinator that can't tell whether it still
+    /// owns the job, or that does not reach the store, is returned only if no other one knows better.
+    /// Throws OutcomeUnknownError if an attempt may have taken effect and none succeeded, NotRunError if no coordinator
+    /// answered, and the error of the authorisation if that ends before an attempt and no earlier one may have taken
+    /// effect. The operation is moved out of `call`.
+    asio::awaitable<wire::BatchAnswer> perform(
+        wire::BatchCall& call, Instant deadline, PeerCancellationPtr, Authorisation);
 
     /// True if a coordinator has announced that it owns the job.
     bool knowsJob(const std::string& job) const { return owners_.contains(job); }
@@ -67,15 +67,30 @@
     struct Attempts {
         wire::BatchCall call;
         std::set<std::string> tried;
-        BatchOutcome outcome;
+        AttemptEffects effects;
+        /// The answer that settles the operation.
+        std::optional<wire::BatchAnswer> answer;
         /// Answer that is returned if no other coordinator knows better, and the one who gave it.
         std::optional<wire::BatchAnswer> fallback;
         std::string fallbackFrom;
+        /// No further attempt can settle the operation.
+        bool isOver = false;
+
+        /// Whether the operation changes the job. A submission without a route only looks for the job.
+        bool hasEffect() const;
+        /// Whether the answer leaves open what became of the operation, alone or beside the earlier attempts.
+        bool isInDoubt(const wire::BatchAnswer&) const;
     };
 
     std::string nextCoordinator(const wire::BatchCall&, const std::set<std::string>& tried) const;
-    /// Handles an answer. Returns true if it settles the operation.
-    bool settle(Attempts&, const std::string& coordinator, wire::BatchAnswer);
+    /// Waits for coordinators after all have been tried. Returns false if it is no use.
+    asio::awaitable<bool> awaitCoordinators(Attempts&, Instant deadline);
+    /// Sends the operation to a coordinator and handles its answer.
+    asio::awaitable<void> attempt(Attempts&, std::string coordinator, Instant deadline, PeerCancellationPtr);
+    /// Handles an answer, which may settle the operation.
+    void settle(Attempts&, const std::string& coordinator, wire::BatchAnswer);
+    /// Takes the answer as that of the operation, unless it leaves open what became of it.
+    static void conclude(Attempts&, wire::BatchAnswer);
     void followRedirect(Attempts&, const std::string& coordinator, const wire::BatchAnswer&);
     /// True if the answer names an owner that this process could not reach, although the coordinator knew that.
     static bool isRedirectRepeated(const Attempts&, const wire::BatchAnswer&);
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -224,6 +224,15 @@
         connection->notify(MessageType::StreamOrigins, notice);
 }
 
+asio::awaitable<std::string> HostedEntry::callCoordinator(
+    std::string coordinator, std::string payload, Instant deadline, PeerCancellationPtr cancellation)
+{
+    const PeerConnectionPtr connection = peer(coordinator);
+    if (!connection)
+        throw PeerUnavailableError("the coordinator is not connected");
+    co_return co_await connection->call(MessageType::BatchCall, std::move(payload), deadline, std::move(cancellation));
+}
+
 asio::awaitable<std::string> HostedEntry::askOrigin(std::string coordinator, std::string query, Instant deadline)
 {
     const PeerConnectionPtr connection = peer(coordinator);
@@ -341,12 +350,12 @@
     // A call to a backend server has an id, so one without an id is certainly meant for a job.
     const bool mayBeCall = request.operation == CallerOperation::Call || (matched && !request.id.empty());
     wire::BatchCall call = toJobCall(request, query, organisation);
-    BatchOutcome outcome = co_await gateway_.perform(call, deadline, cancellation, std::move(authorisation));
-    const bool isUnknown = outcome.answer && outcome.answer->status == httpStatus(ErrorCode::BatchJobUnknown);
+    wire::BatchAnswer answer = co_await gateway_.perform(call, deadline, cancellation, std::move(authorisation));
+    const bool isUnknown = answer.status == httpStatus(ErrorCode::BatchJobUnknown);
     if (mayBeCall && isUnknown)
         co_return std::nullopt;
     const std::string& job = request.operation == CallerOperation::Call ? request.id : request.job;
-    co_return encodeOutcome(job, std::move(outcome));
+    co_return encodeAnswer(job, std::move(answer));
 }
 
 HttpResponse HostedEntry::encodeFailure(const CallerRequest& request, const Error& error, Duration retryDelay)
@@ -396,25 +405,20 @@
     wire::BatchCall& call, Instant deadline, PeerCancellationPtr cancellation, Authorisation authorisation)
 {
     const std::string job = call.job;
-    BatchOutcome outcome = co_await gateway_.perform(call, deadline, cancellation, std::move(authorisation));
-    co_return encodeOutcome(job, std::move(outcome));
+    wire::BatchAnswer answer = co_await gateway_.perform(call, deadline, cancellation, std::move(authorisation));
+    co_return encodeAnswer(job, std::move(answer));
 }
 
-HttpResponse HostedEntry::encodeOutcome(const std::string& job, BatchOutcome outcome) const
+HttpResponse HostedEntry::encodeAnswer(const std::string& job, wire::BatchAnswer answer) const
 {
-    if (!outcome.answer) {
-        if (outcome.mayHaveRun)
-            throw OutcomeUnknownError(outcome.reason);
-        throw NotRunError(outcome.reason);
-    }
     HttpResponse response;
-    response.status = outcome.answer->status;
-    response.body = std::move(outcome.answer->body);
+    response.status = answer.status;
+    response.body = std::move(answer.body);
     const bool isError = response.status >= 400;
     if (isError) {
         const ErrorCode code = codeFromText(response.body);
         const Error error(code, fmt::format("batch job {}", job));
-        return platform().callerProtocol().encodeError(error, std::chrono::milliseconds(outcome.answer->retryAfterMs));
+        return platform().callerProtocol().encodeError(error, std::chrono::milliseconds(answer.retryAfterMs));
     }
     response.headers.emplace_back("Content-Type", "application/json");
     return response;
--- a/src/io/hosted/HostedEntry.h
+++ b/src/io/hosted/HostedEntry.h
@@ -41,8 +41,10 @@
     std::vector<Gauge> gauges() const override;
 
     std::vector<std::string> coordinators() const override { return activePeers(HostedRole::Coordinator); }
-    PeerConnectionPtr coordinator(const std::string& name) const override { return peer(name); }
+    bool isConnected(const std::string& coordinator) const override { return peer(coordinator) != nullptr; }
     bool areNoneRegistered() const override { return directorySync().areNoCoordinatorsRegistered(); }
+    asio::awaitable<std::string> callCoordinator(
+        std::string coordinator, std::string payload, Instant deadline, PeerCancellationPtr) override;
 
     void onPeerUp(const PeerConnectionPtr&) override;
     void onPeerDown(const std::string&) override { resumptions_.onCoordinatorsChanged(); }
@@ -72,8 +74,8 @@
     asio::awaitable<std::optional<HttpResponse>> serveJob(const CallerRequest&, const HttpQuery&,
         const RouteDeclaration* matched, const std::string& organisation, Instant deadline, PeerCancellationPtr,
         Authorisation);
-    /// The answer to the caller of an operation on a job. Throws OutcomeUnknownError or NotRunError if there is none.
-    HttpResponse encodeOutcome(const std::string& job, BatchOutcome) const;
+    /// The answer to the caller of an operation on a job.
+    HttpResponse encodeAnswer(const std::string& job, wire::BatchAnswer) const;
     /// Counts and logs the failure and returns the error answer, which tells the caller to try again after the delay;
     /// zero for no hint.
     HttpResponse encodeFailure(const CallerRequest&, const Error&, Duration retryDelay);
