A submission that finds its job in the store is not refused

Callers saw 503 from the first coordinator for a job that it had stored: the answer to the write was lost, the repeated write found the job, and the store failed when the coordinator then looked the owner up. The items ran.

The store's answer to the repeated write holds the record of the job, so the coordinator answers 202 from it; the job is taken over later if its owner is gone. Without a readable record the outcome is unknown. Likewise a job whose work has been stopped here is no longer refused its end.

--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -6,6 +6,7 @@
 #include "io/Tasks.h"
 
 #include <algorithm>
+#include <endiveroad/AttemptEffects.h>
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
 
@@ -171,25 +172,20 @@
     return owned;
 }
 
-asio::awaitable<std::optional<int64_t>> BatchOwner::accept(
-    const wire::BatchCall& call, const JobRecord& record, Instant deadline)
+asio::awaitable<Acceptance> BatchOwner::accept(const wire::BatchCall& call, const JobRecord& record, Instant deadline)
 {
-    bool mayHaveCommitted = false;
+    AttemptEffects effects;
     while (true) {
-        std::string reason;
         try {
             co_return co_await store_.accept(call.job, record, call.body);
-        } catch (const OutcomeUnknownError& error) {
-            mayHaveCommitted = true;
-            reason = error.what();
-        } catch (const StoreUnavailableError& error) {
-            reason = error.what();
-        }
-        if (now() + JobStore::retryPause >= deadline) {
-            if (mayHaveCommitted)
-                throw OutcomeUnknownError(reason);
-            throw StoreUnavailableError(reason);
+        } catch (const BodyTooLargeError&) {
+            // Known before the store is called.
+            throw;
+        } catch (const Error& error) {
+            effects.onFailure(error);
         }
+        if (now() + JobStore::retryPause >= deadline)
+            effects.fail<StoreUnavailableError>();
         co_await sleepFor(JobStore::retryPause);
     }
 }
@@ -208,33 +204,51 @@
     BatchJobSpec spec = protocol_.decodeJob(call.job, call.host, call.route, call.body);
     JobRecord record = newRecord(spec, *route);
     record.organisation = call.organisation;
-    std::optional<int64_t> revision;
+    Acceptance acceptance;
     {
         const JobLock lock(*this, call.job);
-        revision = co_await accept(call, record, std::min(deadline, now() + maxStoreRetryTime));
-        if (revision)
-            insert(spec, record, *revision, {});
-    }
-    if (!revision) {
-        // An earlier attempt of the submission, here or at another coordinator, created the job. Its owner may be
-        // gone; locate() takes it over then.
-        const Location location = co_await locate(call.job, call.unreachable);
-        if (!location.isKnown())
-            throw OutcomeUnknownError("the job existed at the submission, but has been removed since");
-        requireAccess(location, call);
-        co_return answerOf(statusAccepted);
+        acceptance = co_await accept(call, record, std::min(deadline, now() + maxStoreRetryTime));
+        if (acceptance.revision)
+            insert(spec, record, *acceptance.revision, {});
     }
+    if (!acceptance.revision)
+        co_return co_await answerForExisting(call, acceptance.existing);
     const OwnedJobPtr owned = jobs_.at(call.job);
     log(Event::BatchJobAccepted,
         { { "job", call.job }, { "route", call.route }, { "model", owned->job.spec().model },
             { "items", std::to_string(spec.items.size()) },
             { "oldestVersion", std::to_string(owned->job.spec().oldestVersion) },
-            { "revision", std::to_string(*revision) } });
+            { "revision", std::to_string(*acceptance.revision) } });
     worker_->onJob(owned);
     coordinators_.announceOwner(*owned);
     co_return answerOf(statusAccepted);
 }
 
+asio::awaitable<wire::BatchAnswer> BatchOwner::answerForExisting(
+    const wire::BatchCall& call, std::optional<JobRecord> existing)
+{
+    if (existing)
+        requireAccess(*existing, call);
+    Location location;
+    std::string failure = "the job existed at the submission, but has been removed since";
+    bool hasFailed = false;
+    try {
+        // The owner may be gone; locate() takes the job over then.
+        location = co_await locate(call.job, call.unreachable);
+    } catch (const Error& error) {
+        failure = error.what();
+        hasFailed = true;
+    }
+    if (hasFailed)
+        log(Event::BatchReadFailed, { { "job", call.job }, { "reason", failure } });
+    requireAccess(location, call);
+    // Who owns the job does not matter to the caller: a job in the store whose owner is gone is taken over later.
+    const bool isStored = location.isKnown() || (hasFailed && existing);
+    if (!isStored)
+        throw OutcomeUnknownError(failure);
+    co_return answerOf(statusAccepted);
+}
+
 void BatchOwner::requireAccess(const JobRecord& record, const wire::BatchCall& call) const
 {
     const auto directory = directory_();
@@ -328,14 +342,20 @@
 asio::awaitable<wire::BatchAnswer> BatchOwner::endJob(const wire::BatchCall& call, Instant deadline)
 {
     const Instant storeDeadline = std::min(deadline, now() + maxStoreRetryTime);
+    bool isWorkStopped = false;
     while (true) {
-        const Location location = co_await locateFor(call);
+        Location location;
+        if (isWorkStopped)
+            location = co_await locateStopped(call);
+        else
+            location = co_await locateFor(call);
         if (!location.owner.empty())
             co_return redirectTo(location.owner, location.ownerRevision);
         if (location.endedJob || location.owned->isEndStored)
             co_return answerOf(statusOk);
         const OwnedJobPtr owned = location.owned;
         stopWork(*owned);
+        isWorkStopped = true;
         if (!location.isConfirmed)
             co_return endUnconfirmed(owned);
         if (co_await storeEnd(owned, storeDeadline))
@@ -350,6 +370,15 @@
     }
 }
 
+asio::awaitable<BatchOwner::Location> BatchOwner::locateStopped(const wire::BatchCall& call)
+{
+    try {
+        co_return co_await locateFor(call);
+    } catch (const StoreUnavailableError& error) {
+        throw OutcomeUnknownError(error.what());
+    }
+}
+
 wire::BatchAnswer BatchOwner::endUnconfirmed(const OwnedJobPtr& owned)
 {
     storeEndLater(owned);
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -153,9 +153,12 @@
     asio::awaitable<wire::BatchAnswer> submit(const wire::BatchCall&, Instant deadline);
     /// Answers a submission whose route is not configured here. A job that has been accepted outlives its route.
     asio::awaitable<wire::BatchAnswer> submitWithoutRoute(const wire::BatchCall&);
-    /// Writes a new job to the store, with retries until the deadline. Returns the revision of its record, or nothing
-    /// if the job exists already.
-    asio::awaitable<std::optional<int64_t>> accept(const wire::BatchCall&, const JobRecord&, Instant deadline);
+    /// Writes a new job to the store, with retries until the deadline. Throws StoreUnavailableError if no attempt can
+    /// have written it.
+    asio::awaitable<Acceptance> accept(const wire::BatchCall&, const JobRecord&, Instant deadline);
+    /// Answers a submission of a job that is in the store, because of an earlier attempt here or at another
+    /// coordinator. Whatever fails from then on, the answer is no refusal. The record is empty if it can't be read.
+    asio::awaitable<wire::BatchAnswer> answerForExisting(const wire::BatchCall&, std::optional<JobRecord>);
     asio::awaitable<void> waitUntilUnlocked(const std::string& job);
     asio::awaitable<wire::BatchAnswer> read(const wire::BatchCall&, Instant deadline);
     /// Replaces the results by those in the store. Returns false if they cannot be read.
@@ -163,6 +166,8 @@
     asio::awaitable<wire::BatchAnswer> readItem(const wire::BatchCall&, Instant deadline);
     asio::awaitable<wire::BatchAnswer> endJob(const wire::BatchCall&, Instant deadline);
 
+    /// locateFor() for a job whose work has been stopped here, so that its end is no longer certainly not done.
+    asio::awaitable<Location> locateStopped(const wire::BatchCall&);
     /// locate() for a caller. Throws BatchJobUnknownError if there is no such job or the caller's host may not see it.
     asio::awaitable<Location> locateFor(const wire::BatchCall&);
     /// Returns false if this coordinator can't tell whether it still owns the job. A job that it turns out to have lost
--- a/src/io/hosted/JobStore.cpp
+++ b/src/io/hosted/JobStore.cpp
@@ -3,6 +3,7 @@
 #include "io/Clock.h"
 #include "io/Log.h"
 
+#include <algorithm>
 #include <endiveroad/Error.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -78,6 +79,21 @@
     }
 }
 
+/// The record with this key; nothing if there is none that can be decoded.
+std::optional<JobRecord> readableRecord(const std::vector<Document>& documents, const std::string& key)
+{
+    const auto found = std::find_if(
+        documents.begin(), documents.end(), [&key](const Document& document) { return document.key == key; });
+    if (found == documents.end())
+        return std::nullopt;
+    try {
+        return decodeRecord(*found).record;
+    } catch (const FrameInvalidError& error) {
+        log(Event::JobRecordUnreadable, { { "key", key }, { "reason", error.what() } });
+    }
+    return std::nullopt;
+}
+
 std::string encode(const std::vector<BatchResult>& results)
 {
     Json rows = Json::array();
@@ -129,7 +145,7 @@
 {
 }
 
-asio::awaitable<std::optional<int64_t>> JobStore::accept(std::string job, JobRecord record, std::string body)
+asio::awaitable<Acceptance> JobStore::accept(std::string job, JobRecord record, std::string body)
 {
     if (body.size() > (maxTransactionEntries - 1) * maxValueBytes)
         throw BodyTooLargeError("the batch job does not fit into one transaction of the store");
@@ -141,9 +157,12 @@
         transaction.puts.push_back({ numberedKey(bodyPrefix(job), part), piece, 0 });
     }
     const CommitResult result = co_await store_.commit(std::move(transaction), now() + callTimeout);
-    if (!result.isCommitted)
-        co_return std::nullopt;
-    co_return result.revision;
+    Acceptance acceptance;
+    if (result.isCommitted)
+        acceptance.revision = result.revision;
+    else
+        acceptance.existing = readableRecord(result.present, recordKey(job));
+    co_return acceptance;
 }
 
 asio::awaitable<std::optional<StoredJob>> JobStore::read(std::string job, Duration timeout)
--- a/src/io/hosted/JobStore.h
+++ b/src/io/hosted/JobStore.h
@@ -59,10 +59,18 @@
     auto operator<=>(const StoredJob&) const = default;
 };
 
+/// Outcome of the creation of a job.
+struct Acceptance {
+    /// Revision of the job's record; nothing if the job existed already.
+    std::optional<int64_t> revision;
+    /// Its record then; nothing if the store did not return one that can be read.
+    std::optional<JobRecord> existing;
+};
+
 enum class AppendOutcome { Appended, Conflict };
 
 /// All calls throw StoreUnavailableError and OutcomeUnknownError as MetadataStore does. After OutcomeUnknownError the
-/// call may be repeated with the same arguments until its outcome is known; but a repeated accept() returns nothing
+/// call may be repeated with the same arguments until its outcome is known; but a repeated accept() returns no revision
 /// also if an earlier attempt created the job. Reads throw FrameInvalidError if a record or results cannot be decoded.
 class JobStore {
 public:
@@ -76,9 +84,9 @@
 
     explicit JobStore(MetadataStore&);
 
-    /// Creates a job. Returns the revision of its record, or nothing if the job exists already. Throws
-    /// BodyTooLargeError if the body does not fit into one transaction.
-    asio::awaitable<std::optional<int64_t>> accept(std::string job, JobRecord, std::string body);
+    /// Creates a job unless it exists already. Throws BodyTooLargeError, before anything is sent, if the body does not
+    /// fit into one transaction.
+    asio::awaitable<Acceptance> accept(std::string job, JobRecord, std::string body);
 
     /// Returns nothing if there is no such job.
     asio::awaitable<std::optional<StoredJob>> read(std::string job, Duration timeout = callTimeout);
--- a/tests/process/unknown_outcomes.py
+++ b/tests/process/unknown_outcomes.py
@@ -115,6 +115,14 @@
     submit_and_judge(deployment)
 
 
+def a_job_that_is_found_stored_is_not_refused(deployment):
+    """Guards against 503 from the coordinator that wrote the job and can't look up afterwards who owns it."""
+    writes = LostWrites(deployment.platform.store, "job")
+    writes.on_repeated = writes.begin_outage
+    submit_and_judge(deployment)
+    assert writes.count >= 2, writes.count
+
+
 def an_end_whose_writer_is_killed_is_not_refused(deployment):
     """Guards against 503 for the end of a job that has taken effect."""
     for engine in deployment.platform.engines:
@@ -143,7 +151,7 @@
 
 CASES = {case.__name__: case for case in (
     a_job_whose_writer_is_killed_is_not_refused, a_job_that_the_store_stored_before_it_went_down_is_not_refused,
-    an_end_whose_writer_is_killed_is_not_refused)}
+    a_job_that_is_found_stored_is_not_refused, an_end_whose_writer_is_killed_is_not_refused)}
 
 
 if __name__ == "__main__":
