An answer of the store that can't be read leaves the outcome unknown

A transaction that the store had carried out, but whose answer could not be decoded, was reported as an error of the request (400): callers take that for not carried out. Relayed calls took any error but OutcomeUnknown for not sent, also one that arose while the answer was decoded.

--- a/src/io/hosted/StoreTransports.cpp
+++ b/src/io/hosted/StoreTransports.cpp
@@ -27,6 +27,11 @@
     return response.status == statusTooManyRequests || response.status == statusUnavailable;
 }
 
+StoreUnavailableError rejection(const HttpResponse& response)
+{
+    return StoreUnavailableError(fmt::format("answered {}", response.status));
+}
+
 } // namespace
 
 /// Adds a call to the pending ones and removes it on destruction, also when the call's coroutine is destroyed.
@@ -102,12 +107,9 @@
         attempt.answer = co_await direct_.send(std::move(copy), deadline, mayWait);
         if (!isRejected(*attempt.answer))
             co_return;
-        attempt.reason = fmt::format("answered {}", attempt.answer->status);
-    } catch (const OutcomeUnknownError& error) {
-        attempt.mayHaveTakenEffect = true;
-        attempt.reason = error.what();
+        attempt.effects.onFailure(rejection(*attempt.answer));
     } catch (const Error& error) {
-        attempt.reason = error.what();
+        attempt.effects.onFailure(error);
     }
     directPausedUntil_ = now() + directPause;
 }
@@ -133,15 +135,16 @@
             response.status = answer.status;
             response.body = answer.body;
             attempt.answer = std::move(response);
-            if (isRejected(*attempt.answer))
+            if (isRejected(*attempt.answer)) {
+                attempt.effects.onFailure(rejection(*attempt.answer));
                 continue;
+            }
             log(Event::StoreRelayed,
                 { { "peer", peer->peerName }, { "call", request.method + " " + request.target },
-                    { "reason", attempt.reason } });
+                    { "reason", attempt.effects.reason() } });
             co_return;
         } catch (const Error& error) {
-            attempt.mayHaveTakenEffect = attempt.mayHaveTakenEffect || error.code() == ErrorCode::OutcomeUnknown;
-            attempt.reason = error.what();
+            attempt.effects.onFailure(error);
         }
     }
 }
@@ -168,9 +171,7 @@
         lastAnswerAt_ = now();
         co_return std::move(*attempt.answer);
     }
-    if (attempt.mayHaveTakenEffect)
-        throw OutcomeUnknownError(attempt.reason);
-    throw StoreUnavailableError(attempt.reason);
+    attempt.effects.fail<StoreUnavailableError>();
 }
 
 asio::awaitable<std::string> relayStoreCall(StoreTransport& direct, PeerMessage message)
--- a/src/io/hosted/StoreTransports.h
+++ b/src/io/hosted/StoreTransports.h
@@ -4,6 +4,7 @@
 #include "io/PeerConnection.h"
 #include "io/hosted/MetadataStore.h"
 
+#include <endiveroad/AttemptEffects.h>
 #include <functional>
 #include <list>
 #include <memory>
@@ -68,9 +69,7 @@
 private:
     struct Attempt {
         std::optional<HttpResponse> answer;
-        /// The store may have carried out the call, although no answer arrived.
-        bool mayHaveTakenEffect = false;
-        std::string reason;
+        AttemptEffects effects;
     };
 
     asio::awaitable<void> tryDirect(const HttpRequest&, Instant deadline, bool mayWait, Attempt&);
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -110,3 +110,18 @@
     CHECK_FALSE(runToEnd(client.read("k", deadline)));
     CHECK(transport.requests[1].target == "/kv-keep/77");
 }
+
+// Guards against a transaction that the store carried out, but whose answer can't be read, being reported as an error
+// of the request, which callers take for one that was not carried out.
+TEST_CASE("an answer of the store that can't be read leaves the outcome unknown", "[platform]")
+{
+    for (const char* body : { "", "[]", "{}", R"({"Revision":"12"})" }) {
+        ScriptedTransport transport;
+        transport.answers = { { 200, body }, { 200, body } };
+        platform::StoreClient client(transport);
+        StoreTransaction transaction;
+        transaction.puts.push_back({ "k", "value", 0 });
+        CHECK_THROWS_AS(runToEnd(client.commit(std::move(transaction), deadline)), OutcomeUnknownError);
+        CHECK_THROWS_AS(runToEnd(client.grantLease(3000ms, deadline)), OutcomeUnknownError);
+    }
+}
