An answer without a valid final status is no answer

Callers got 'HTTP/1.1 000 <unknown-status>' when a replica in trouble sent such an answer, with its stamp, after one attempt on a route that allows more; likewise 101, 199 and statuses above 599. After an interim answer (100, 102, 103) callers got that as the answer, and the final one stood where the answer to the next request on the connection was due.

Cause: HttpClient took any three digits for the status of a final answer, and every reader behind it takes what is below 500 for the server's answer.

HttpClient reads past interim answers, at most 16, and fails with OutcomeUnknown for a status that RFC 9110 does not know and for 101, which no request asks for. That covers calls, streams, items, scoring calls, state queries, orders and the store: the attempt counts as broken, so it is repeated where the route allows that and answered 502 else, the load of the server counts a failure, and the crash register looks whether it still listens. Statuses from 200 to 599 pass unchanged.

--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -23,6 +23,16 @@
 
 constexpr size_t streamPieceBytes = 16 << 10;
 
+/// Statuses of final answers (RFC 9110, section 15); those from 100 up to them belong to interim answers.
+constexpr int lowestInterimStatus = 100;
+constexpr int lowestFinalStatus = 200;
+constexpr int highestFinalStatus = 599;
+
+/// An interim answer that no request asks for, since none has an Upgrade header.
+constexpr int statusSwitchingProtocols = 101;
+
+using AnswerParser = http::response_parser<http::buffer_body>;
+
 /// Registers the stream with the cancellation for the duration of a request.
 class CancellationScope {
 public:
@@ -124,6 +134,32 @@
     throw OutcomeUnknownError(fmt::format("{}: {}", address.text(), describe(error)));
 }
 
+bool isInterim(int status)
+{
+    return status >= lowestInterimStatus && status < lowestFinalStatus && status != statusSwitchingProtocols;
+}
+
+/// Reads the head of the answer, and past the interim answers before it. Throws OutcomeUnknownError.
+asio::awaitable<void> readHead(
+    const Address& address, beast::tcp_stream& stream, beast::flat_buffer& buffer, std::optional<AnswerParser>& parser)
+{
+    int status = lowestInterimStatus;
+    for (int answers = 0; isInterim(status); ++answers) {
+        if (answers > HttpClient::maxInterimAnswers)
+            throw OutcomeUnknownError(fmt::format("{}: too many interim answers", address.text()));
+        error_code error;
+        parser.emplace();
+        parser->body_limit(HttpClient::maxResponseBytes);
+        co_await http::async_read_header(stream, buffer, *parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            throwOutcomeUnknown(address, error);
+        status = static_cast<int>(parser->get().result_int());
+    }
+    const bool isFinal = status >= lowestFinalStatus && status <= highestFinalStatus;
+    if (!isFinal)
+        throw OutcomeUnknownError(fmt::format("{}: {:03} is no status of an answer", address.text(), status));
+}
+
 /// Collects a body, within the limits on one body and on all that are collected at the same time.
 class BodyCollector {
 public:
@@ -392,11 +428,9 @@
         throwOutcomeUnknown(address, error);
 
     beast::flat_buffer buffer(maxParsedBytes);
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(maxResponseBytes);
-    co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-        throwOutcomeUnknown(address, error);
+    std::optional<AnswerParser> answerParser;
+    co_await readHead(address, stream, buffer, answerParser);
+    AnswerParser& parser = *answerParser;
     Exchanged exchanged;
     exchanged.response = toResponse(parser.get());
     exchanged.response.serverStartedMs = connection.serverStartedMs;
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -150,6 +150,9 @@
     /// Bytes of an answer that are parsed at once: its head, or what stands between the pieces of a chunked body.
     static constexpr size_t maxParsedBytes = 128U << 10;
 
+    /// Interim answers (status 1xx) that are read past before the answer to a request.
+    static constexpr int maxInterimAnswers = 16;
+
     /// Most bytes of longer answers that all calls of request() may hold together, and the length up to which an answer
     /// does not count towards it. Servers that send without end must not take the memory that sound answers need.
     static constexpr size_t maxHeldBytes = 32U << 20;
@@ -165,9 +168,10 @@
     /// Called with the status and headers of an answer before the first piece of its body.
     using OnHead = std::function<void(const HttpResponse&)>;
 
-    /// Sends a request and reads the complete answer, if it is not too long. Throws ServerUnavailableError if no
-    /// connection could be opened or the request was cancelled before it was sent (the server did not run it),
-    /// OutcomeUnknownError if no complete answer arrived by the deadline.
+    /// Sends a request and reads the complete answer, if it is not too long. Interim answers are read past. Throws
+    /// ServerUnavailableError if no connection could be opened or the request was cancelled before it was sent (the
+    /// server did not run it), OutcomeUnknownError if no complete answer with a status from 200 to 599 arrived by the
+    /// deadline.
     asio::awaitable<HttpResponse> request(
         Address, HttpRequest, Instant deadline, HttpCancellation* = nullptr, OnHead = nullptr);
 
--- a/standins/hosted_http.py
+++ b/standins/hosted_http.py
@@ -74,7 +74,7 @@
     async def answer(self, status, body=b"", headers=None):
         if not isinstance(body, bytes):
             body = json.dumps(body).encode()
-        lines = ["HTTP/1.1 %d X" % status, "Content-Length: %d" % len(body)]
+        lines = ["HTTP/1.1 %s X" % status, "Content-Length: %d" % len(body)]
         lines += ["%s: %s" % pair for pair in {**(headers or {}), **self.common_headers}.items()]
         answer = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
         self.writer.write(answer)
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -39,6 +39,10 @@
         self.limit = None
         # Kind of bytes without end with which it answers each request (send_without_end()); sound if None.
         self.endless = None
+        # Fault: text that stands in place of the status in the answer to each request that it runs; sound if None.
+        self.wrong_status = None
+        # Fault: status of an answer that it sends before each of its answers; none if None.
+        self.interim_status = None
         # Time at which each request arrived, whatever became of it, with its target.
         self.arrivals = []
         # (time, request id, time left in ms) of each request with an id, None if it names no time.
@@ -100,6 +104,8 @@
         self.connections += 0 if connection.has_answered else 1
         connection.has_answered = True
         connection.send_late_copy(self.late_copies)
+        if self.interim_status:
+            connection.writer.write(b"HTTP/1.1 %s X\r\n\r\n" % self.interim_status.encode())
         with connection.recorded(self.random.random() < self.late_copy_chance):
             await self.handle(request, connection)
 
@@ -191,7 +197,7 @@
         headers["Endiveroad-Upstream-Stamp"] = stamp(request_id)
         headers["Endiveroad-Backend-Load"] = "%d,0,%d" % (self.running, self.slots)
         status = 500 if request_id in self.always_fails else 200
-        await connection.answer(status, b"answer to " + request_id.encode(), headers)
+        await connection.answer(self.wrong_status or status, b"answer to " + request_id.encode(), headers)
 
 
 class Engine(Server):
@@ -275,6 +281,9 @@
             return await connection.answer(500, b"", headers)
         if item in self.unprocessable:
             return await connection.answer(422, b"", headers)
+        if self.wrong_status:
+            return await connection.answer(self.wrong_status, b"no text", {
+                **headers, "Endiveroad-Upstream-Stamp": stamp(item)})
         # All tries of a caller at one stream name it, so that they get parts of one text.
         text_id = request.headers.get("x-stream", item)
         first = int(request.headers.get("last-event-id", -1)) + 1
--- a/tests/io/HttpClientTest.cpp
+++ b/tests/io/HttpClientTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <endiveroad/Error.h>
+#include <fmt/format.h>
 
 using namespace endiveroad;
 using namespace endiveroad::io;
@@ -113,6 +114,49 @@
     });
 }
 
+// Guards against an answer without a valid status, such as 000, that is taken for the server's answer.
+TEST_CASE("an answer whose status is none of a final answer leaves the outcome unknown", "[http]")
+{
+    asio::io_context context;
+    HttpClient client;
+    RawServer server(context);
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        for (const char* status : { "000", "001", "099", "101", "600", "999" }) {
+            server.answer = fmt::format("HTTP/1.1 {} X\r\nContent-Length: 2\r\n\r\nno", status);
+            const Result result = co_await get(client, server.address(), now() + testTimeout);
+            CHECK(result.code == ErrorCode::OutcomeUnknown);
+        }
+        for (const int status : { 200, 204, 299, 304, 404, 599 }) {
+            server.answer = fmt::format("HTTP/1.1 {} X\r\nContent-Length: 0\r\n\r\n", status);
+            const Result result = co_await get(client, server.address(), now() + testTimeout);
+            CHECK(result.response.status == status);
+        }
+    });
+}
+
+// Guards against an interim answer that is taken for the final one, which would then be read as the next answer.
+TEST_CASE("interim answers are read past, but not without end", "[http]")
+{
+    asio::io_context context;
+    HttpClient client;
+    RawServer server(context);
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+    runToEnd(context, [&]() -> asio::awaitable<void> {
+        for (const std::string& whole : { sizedAnswer, chunkedAnswer }) {
+            server.answer = "HTTP/1.1 100 Continue\r\n\r\n" + interim + whole;
+            const Result result = co_await get(client, server.address(), now() + testTimeout);
+            CHECK(result.response.status == 200);
+            CHECK(result.response.body == "0123456789");
+        }
+        server.answer.clear();
+        for (int i = 0; i <= HttpClient::maxInterimAnswers; ++i)
+            server.answer += interim;
+        server.answer += sizedAnswer;
+        const Result result = co_await get(client, server.address(), now() + testTimeout);
+        CHECK(result.code == ErrorCode::OutcomeUnknown);
+    });
+}
+
 TEST_CASE("a connection whose request timed out is not reused")
 {
     asio::io_context context;
