Attempts at coordinators that leave a change of a batch job open are logged

The gateway kept the reason of such an attempt to itself, so the logs of an entry did not tell why a submission took long or ended with 502. It logs CallAttemptFailed now, which 'endiveroad explain' counts as a failed attempt.

--- a/src/core/calls/AttemptEffects.cpp
+++ b/src/core/calls/AttemptEffects.cpp
@@ -4,6 +4,7 @@
 
 bool isRefusal(ErrorCode code) noexcept
 {
+    // A list of the refusals, so that a code that is added later leaves the outcome open.
     switch (code) {
     case ErrorCode::NotRun:
     case ErrorCode::NotReady:
--- a/src/io/hosted/BatchGateway.cpp
+++ b/src/io/hosted/BatchGateway.cpp
@@ -1,6 +1,7 @@
 #include "io/hosted/BatchGateway.h"
 
 #include "io/Clock.h"
+#include "io/Log.h"
 #include "io/Tasks.h"
 #include "wire/Codec.h"
 
@@ -22,6 +23,16 @@
 
 } // namespace
 
+void BatchGateway::Attempts::onFailure(const std::string& coordinator, const Error& error)
+{
+    effects.onFailure(error);
+    if (!hasEffect())
+        return;
+    log(Event::CallAttemptFailed,
+        { { "request", call.job }, { "server", coordinator }, { "sent", isRefusal(error.code()) ? "no" : "yes" },
+            { "reason", error.what() } });
+}
+
 bool BatchGateway::Attempts::hasEffect() const
 {
     const bool isCreation = call.operation == wire::BatchOperation::Submit && !call.route.empty();
@@ -78,13 +89,13 @@
     return std::find(unreachable.begin(), unreachable.end(), answer.owner) != unreachable.end();
 }
 
-void BatchGateway::conclude(Attempts& attempts, wire::BatchAnswer answer)
+void BatchGateway::conclude(Attempts& attempts, const std::string& coordinator, wire::BatchAnswer answer)
 {
     if (!attempts.isInDoubt(answer)) {
         attempts.answer = std::move(answer);
         return;
     }
-    attempts.effects.onFailure(OutcomeUnknownError("a coordinator answered " + answer.body));
+    attempts.onFailure(coordinator, OutcomeUnknownError("the coordinator answered " + answer.body));
     // Time changes neither a malformed job nor the end of a job, which its owner writes in the background.
     const bool isSubmission = attempts.call.operation == wire::BatchOperation::Submit;
     const bool isPassing = answer.status == statusUnavailable || codeFromText(answer.body) == ErrorCode::OutcomeUnknown;
@@ -108,7 +119,7 @@
     const bool isWithoutStore = attempts.call.operation != wire::BatchOperation::Submit
         && answer.body == codeText(ErrorCode::StoreUnavailable) && isError(answer);
     if (!answer.isUnconfirmed && !isWithoutStore) {
-        conclude(attempts, std::move(answer));
+        conclude(attempts, coordinator, std::move(answer));
         return;
     }
     const bool isBetter = !attempts.fallback || (answer.isUnconfirmed && !attempts.fallback->isUnconfirmed);
@@ -134,7 +145,7 @@
         isRepeated = isRedirectRepeated(attempts, answer);
         settle(attempts, coordinator, std::move(answer));
     } catch (const Error& error) {
-        attempts.effects.onFailure(error);
+        attempts.onFailure(coordinator, error);
         attempts.call.unreachable.push_back(coordinator);
     }
     if (isRepeated && !attempts.answer && !attempts.isOver)
@@ -176,7 +187,7 @@
             break;
     }
     if (!attempts.answer && attempts.fallback)
-        conclude(attempts, std::move(*attempts.fallback));
+        conclude(attempts, attempts.fallbackFrom, std::move(*attempts.fallback));
     if (!attempts.answer)
         attempts.effects.fail<NotRunError>();
     co_return std::move(*attempts.answer);
--- a/src/io/hosted/BatchGateway.h
+++ b/src/io/hosted/BatchGateway.h
@@ -76,6 +76,7 @@
         /// No further attempt can settle the operation.
         bool isOver = false;
 
+        void onFailure(const std::string& coordinator, const Error&);
         /// Whether the operation changes the job. A submission without a route only looks for the job.
         bool hasEffect() const;
         /// Whether the answer leaves open what became of the operation, alone or beside the earlier attempts.
@@ -90,7 +91,7 @@
     /// Handles an answer, which may settle the operation.
     void settle(Attempts&, const std::string& coordinator, wire::BatchAnswer);
     /// Takes the answer as that of the operation, unless it leaves open what became of it.
-    static void conclude(Attempts&, wire::BatchAnswer);
+    static void conclude(Attempts&, const std::string& coordinator, wire::BatchAnswer);
     void followRedirect(Attempts&, const std::string& coordinator, const wire::BatchAnswer&);
     /// True if the answer names an owner that this process could not reach, although the coordinator knew that.
     static bool isRedirectRepeated(const Attempts&, const wire::BatchAnswer&);
