A stream without its server's stamp is no success

Callers got 200 for a stream whose head lacked the server's stamp; a success counts only with it. ServiceCaller checked that for calls, StreamProxy did not. Such an answer counts as broken now: the stream is asked for at another server where its route is resumable, and answered 502 else.

Evidence: statuses.streams_without_a_stamp_reach_nobody fails before with 200 and passes now.

--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -318,12 +318,13 @@
     if (!hasHead)
         co_await inspectBroken(serverStream, progress);
     crashGuard_.onEnd(serverStream->attempt);
-    const ReplicaVerdict verdict
-        = hasHead ? client_.protocol().decode(*serverStream->head).verdict : ReplicaVerdict::Ran;
-    const bool isRefused = verdict != ReplicaVerdict::Ran;
+    const ReplicaAnswer answer = hasHead ? client_.protocol().decode(*serverStream->head) : ReplicaAnswer();
+    const bool isRefused = answer.verdict != ReplicaVerdict::Ran;
+    const bool isUnsigned = hasHead && !isRefused && serverStream->head->isSuccess() && answer.stamp.empty();
+    const bool isAnswer = hasHead && !isRefused && !isUnsigned;
     if (serverStream->isOtherStart)
         progress.tried.misdirected.insert(serverStream->attempt.server);
-    if (verdict == ReplicaVerdict::ServerMismatch) {
+    if (answer.verdict == ReplicaVerdict::ServerMismatch) {
         progress.tried.misdirected.insert(serverStream->attempt.server);
         crashGuard_.onMisdirected(serverStream->attempt);
     } else if (isRefused) {
@@ -331,8 +332,8 @@
     } else if (serverStream->wasSent)
         ++progress.runs;
     const bool mayHaveRun = !isRefused && serverStream->wasSent;
-    const bool isStream = hasHead && !isRefused && serverStream->head->status == statusOk;
-    if (hasHead && !isRefused && !isStream && !progress.hasStarted) {
+    const bool isStream = isAnswer && serverStream->head->status == statusOk;
+    if (isAnswer && !isStream && !progress.hasStarted) {
         recordRun(progress, serverStream->lastEventAt);
         co_await answerUnstreamed(exchange, serverStream, deadline);
         co_return AttemptEnd::Answered;
@@ -350,6 +351,8 @@
         co_return AttemptEnd::Answered;
     }
     progress.failure = isRefused ? "the server refused" : serverStream->failure;
+    if (isUnsigned)
+        progress.failure = "the answer has a success status but lacks the server's stamp";
     const bool mayRetry = isRefused || !serverStream->wasSent || route.isResumable;
     co_return mayRetry ? AttemptEnd::MayRetry : AttemptEnd::Final;
 }
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -41,6 +41,8 @@
         self.endless = None
         # Fault: text that stands in place of the status in the answer to each request that it runs; sound if None.
         self.wrong_status = None
+        # Fault: its answers lack its stamp.
+        self.is_unsigned = False
         # Fault: status of an answer that it sends before each of its answers; none if None.
         self.interim_status = None
         # Time at which each request arrived, whatever became of it, with its target.
@@ -291,8 +293,8 @@
         maker = "@%s" % self.software if self.names_software else ""
         self.running += 1
         try:
-            await connection.begin_stream({**headers, "Endiveroad-Weight-Versions": str(version),
-                                           "Endiveroad-Upstream-Stamp": stamp(item)})
+            signature = {} if self.is_unsigned else {"Endiveroad-Upstream-Stamp": stamp(item)}
+            await connection.begin_stream({**headers, "Endiveroad-Weight-Versions": str(version), **signature})
             if self.greeting:
                 await connection.send_piece(self.greeting)
             while self.is_trickling and not connection.has_client_left():
--- a/tests/process/invalid_statuses.py
+++ b/tests/process/invalid_statuses.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Servers in trouble whose answers have a status that HTTP doesn't know, and servers that send interim answers."""
+"""Servers in trouble whose answers are none: a status that HTTP doesn't know, no stamp, or an interim answer before it."""
 import os
 import sys
 import time
@@ -64,6 +64,22 @@
             assert body.count(b"data: ") == event_count(request), (wrong, body)
 
 
+def streams_without_a_stamp_reach_nobody(deployment):
+    """Guards against a success without the server's stamp that reaches the caller of a stream."""
+    engines = deployment.platform.engines
+    for engine in engines:
+        engine.is_unsigned = True
+    status, _, _ = stream(deployment, "unsigned")
+    assert status in (502, 504), status
+    for engine in engines[:2]:
+        engine.is_unsigned = False
+    for number in range(CALLS):
+        request = "signed-%d" % number
+        status, body, headers = stream(deployment, request, number % 2)
+        assert status == 200 and body.count(b"data: ") == event_count(request), (status, body)
+        assert headers["Endiveroad-Upstream-Stamp"] == stamp(request), headers
+
+
 def items_end_well_after_answers_without_a_valid_status(deployment):
     """Guards against items that end, or count as failed by their own fault, after such answers."""
     engines = deployment.platform.engines
@@ -103,7 +119,7 @@
 
 CASES = {case.__name__: case for case in (
     calls_get_no_answer_without_a_valid_status, streams_get_no_head_without_a_valid_status,
-    items_end_well_after_answers_without_a_valid_status, interim_answers_are_read_past)}
+    streams_without_a_stamp_reach_nobody, items_end_well_after_answers_without_a_valid_status, interim_answers_are_read_past)}
 
 
 if __name__ == "__main__":
