--- a/include/endiveroad/AttemptEffects.h
+++ b/include/endiveroad/AttemptEffects.h
@@ -8,6 +8,8 @@
 
 /// True if an error with this code states that the request has not taken effect and never will. Any other error of an
 /// attempt that may have reached its receiver leaves the outcome open, also one that arises while its answer is read.
+/// StoreUnavailable is a refusal as MetadataStore throws it; StoreClient, which has the settings, makes no such
+/// promise.
 bool isRefusal(ErrorCode) noexcept;
 
 /// What the failed attempts at one request tell together. A refusal promises that the request has not taken effect and
