Text of clients is checked where heads of requests are written

No line end is needed either: "Transfer-Encoding": "chunked, x", or the name with a space behind it, stayed beside the Content-Length that Beast adds, and a server that reads Transfer-Encoding takes a part of the item's body for a request.

Cause: a value crosses from JSON into HTTP/1.1 and nobody checks it against the grammar there; Beast writes what it is given.

HttpClient, which writes the heads of all requests, checks method, target, names, values, Host and framing (HttpHead.h) and throws RequestUnsendableError before it opens a connection. That counts neither as a failure of the server nor as an attempt. A submission with such an item is answered 400 with the item's place before anything is stored. Where an earlier version stored one, the item is terminated and the others go on; an agent refuses the order of a coordinator of an earlier version. Headers of an item that concern one connection only are dropped as those of calls are, since the writer owns the framing. Nothing is repaired: a changed path or value is another request.

The stand-ins of the shared platform read heads as leniently as a server may: LF ends a line, space before a colon is no part of a name, and Transfer-Encoding goes before Content-Length. They read Content-Length alone before, so that no test could see the second kind.

--- a/include/endiveroad/BatchJob.h
+++ b/include/endiveroad/BatchJob.h
@@ -238,6 +238,9 @@
     /// Terminates all items without a result. Returns their indices.
     std::vector<size_t> terminateAll();
 
+    /// Terminates an item that has no result yet.
+    ItemAction terminate(size_t item);
+
     /// Indices of the items to append to the result list, in order: finished items without a group or whose whole group
     /// is finished; from flushLeadTime before dueAt on, all finished items.
     std::vector<size_t> listable(Instant now) const;
--- a/src/core/batch/BatchJob.cpp
+++ b/src/core/batch/BatchJob.cpp
@@ -271,14 +271,17 @@
 {
     std::vector<size_t> terminated;
     for (size_t i = 0; i < items_.size(); ++i) {
-        if (isDone(items_[i]))
-            continue;
-        finish(i, ResultState::Terminated);
-        terminated.push_back(i);
+        if (terminate(i) == ItemAction::Finished)
+            terminated.push_back(i);
     }
     return terminated;
 }
 
+ItemAction BatchJob::terminate(size_t index)
+{
+    return isDone(items_.at(index)) ? ItemAction::None : finish(index, ResultState::Terminated);
+}
+
 bool BatchJob::isGroupFinished(const std::string& group) const
 {
     const auto& members = groups_.at(group);
--- a/src/core/calls/AttemptEffects.cpp
+++ b/src/core/calls/AttemptEffects.cpp
@@ -13,6 +13,7 @@
     case ErrorCode::PeerUnavailable:
     case ErrorCode::ServerUnavailable:
     case ErrorCode::AccessRefused:
+    case ErrorCode::RequestUnsendable:
         return true;
     default:
         return false;
--- a/src/io/hosted/Forwarding.cpp
+++ b/src/io/Forwarding.cpp
@@ -1,4 +1,4 @@
-#include "io/hosted/Forwarding.h"
+#include "io/Forwarding.h"
 
 #include <algorithm>
 #include <array>
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <endiveroad/Error.h>
+#include <endiveroad/HttpHead.h>
 #include <fmt/format.h>
 
 namespace endiveroad::io {
@@ -49,8 +50,20 @@
     beast::tcp_stream*& slot_;
 };
 
+/// Throws RequestUnsendableError.
+void requireSendable(const Address& address, const HttpRequest& request)
+{
+    const auto fault = requestHeadFault({ request.method, request.target, request.headers, request.body.size() });
+    if (!fault)
+        return;
+    log(Event::RequestUnsendable, { { "server", address.text() }, { "reason", *fault } });
+    throw RequestUnsendableError(*fault);
+}
+
+/// The only place that writes the head of a request. Throws RequestUnsendableError.
 http::request<http::string_body> toBeast(const Address& address, HttpRequest request)
 {
+    requireSendable(address, request);
     http::request<http::string_body> message;
     message.version(11);
     message.method_string(request.method);
@@ -396,6 +409,7 @@
 {
     HttpCancellation unused;
     HttpCancellation& cancel = cancellation ? *cancellation : unused;
+    requireSendable(address, request);
     if (cancel.isCancelled())
         throw ServerUnavailableError("the request was cancelled before it was sent");
     Connection connection = co_await openFor(address, request, deadline, cancel);
--- a/src/io/HttpClient.h
+++ b/src/io/HttpClient.h
@@ -170,8 +170,8 @@
 
     /// Sends a request and reads the complete answer, if it is not too long. Interim answers are read past. Throws
     /// ServerUnavailableError if no connection could be opened or the request was cancelled before it was sent (the
-    /// server did not run it), OutcomeUnknownError if no complete answer with a status from 200 to 599 arrived by the
-    /// deadline.
+    /// server did not run it), RequestUnsendableError if the request cannot be written (no connection is opened),
+    /// OutcomeUnknownError if no complete answer with a status from 200 to 599 arrived by the deadline.
     asio::awaitable<HttpResponse> request(
         Address, HttpRequest, Instant deadline, HttpCancellation* = nullptr, OnHead = nullptr);
 
--- a/src/io/hosted/BatchOwner.cpp
+++ b/src/io/hosted/BatchOwner.cpp
@@ -33,6 +33,8 @@
     if (answer.status == 503)
         answer.retryAfterMs
             = static_cast<int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter).count());
+    if (error.code() == ErrorCode::BadRequest)
+        answer.__set_detail(error.what());
     return answer;
 }
 
@@ -202,6 +204,7 @@
     if (!route)
         co_return co_await submitWithoutRoute(call);
     BatchJobSpec spec = protocol_.decodeJob(call.job, call.host, call.route, call.body);
+    protocol_.requireSendable(spec);
     JobRecord record = newRecord(spec, *route);
     record.organisation = call.organisation;
     Acceptance acceptance;
--- a/src/io/hosted/BatchOwner.h
+++ b/src/io/hosted/BatchOwner.h
@@ -181,6 +181,8 @@
     /// Takes a job over unless it is owned or locked here. Returns null then or if its record has changed.
     asio::awaitable<OwnedJobPtr> takeOver(StoredJob);
     asio::awaitable<OwnedJobPtr> takeOverOnce(StoredJob);
+    /// Terminates the items of a stored job that cannot be sent: earlier versions accepted them.
+    void terminateUnsendable(OwnedJob&);
     asio::awaitable<const EndedJob*> loadEndedJob(StoredJob);
     asio::awaitable<void> checkOwnership(OwnedJobPtr);
     /// Marks a job as ended, caches the texts of its unfinished items and cancels its runs.
--- a/src/io/hosted/BatchOwnership.cpp
+++ b/src/io/hosted/BatchOwnership.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <endiveroad/Error.h>
+#include <endiveroad/ItemFault.h>
 #include <endiveroad/Rendezvous.h>
 
 /// Ownership of jobs: looking up the owner, taking a job over and giving it up. Callers' operations are in
@@ -155,11 +156,25 @@
     log(Event::BatchJobClaimed,
         { { "job", stored.id }, { "from", stored.record.owner }, { "revision", std::to_string(*revision) },
             { "listed", std::to_string(listed) }, { "items", std::to_string(record.items) } });
+    terminateUnsendable(*owned);
     worker_->onJob(owned);
     coordinators_.announceOwner(*owned);
     co_return owned;
 }
 
+void BatchOwner::terminateUnsendable(OwnedJob& owned)
+{
+    const std::vector<BatchItem>& items = owned.job.spec().items;
+    for (size_t i = 0; i < items.size(); ++i) {
+        const auto fault = itemFault(items[i]);
+        if (fault && owned.job.terminate(i) == ItemAction::Finished)
+            log(Event::ItemTerminated,
+                { { "job", owned.id() }, { "item", items[i].id },
+                    { "reason", "it cannot be sent: " + fault->reason } });
+    }
+    lister_.wake();
+}
+
 asio::awaitable<void> BatchOwner::takeOverOrphanedJobs(bool isOwnOnly)
 {
     const std::vector<StoredJob> all = co_await store_.readAll();
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -2,10 +2,10 @@
 
 #include "io/CallerBudget.h"
 #include "io/Clock.h"
+#include "io/Forwarding.h"
 #include "io/Log.h"
 #include "io/ProcessMetrics.h"
 #include "io/Tasks.h"
-#include "io/hosted/Forwarding.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -81,12 +81,12 @@
 ReplicaRequest forwardedRequest(
     HttpExchange& exchange, const CallerRequest& request, const RoutingTable& routing, const std::string& organisation)
 {
-    holdCopies(exchange);
     const HttpQuery& query = exchange.query();
     ReplicaRequest forwarded;
     forwarded.method = query.method;
     forwarded.target = query.target;
     forwarded.headers = forwardedHeaders(query.headers);
+    holdCopies(exchange);
     forwarded.body = releaseBody(exchange);
     forwarded.id = request.id;
     forwarded.isIdentityRemoved = routing.organisations.has_value();
@@ -417,7 +417,8 @@
     const bool isError = response.status >= 400;
     if (isError) {
         const ErrorCode code = codeFromText(response.body);
-        const Error error(code, fmt::format("batch job {}", job));
+        const std::string detail = answer.__isset.detail ? ": " + answer.detail : std::string();
+        const Error error(code, fmt::format("batch job {}{}", job, detail));
         return platform().callerProtocol().encodeError(error, std::chrono::milliseconds(answer.retryAfterMs));
     }
     response.headers.emplace_back("Content-Type", "application/json");
--- a/src/io/hosted/ItemDispatcher.cpp
+++ b/src/io/hosted/ItemDispatcher.cpp
@@ -88,7 +88,7 @@
     const auto& items = owned.job.spec().items;
     if (!directory->routing || items.empty())
         return {};
-    const RouteDeclaration* route = directory->routing->batchRoute(owned.record.host, items.front().path);
+    const RouteDeclaration* route = directory->routing->batchRoute(owned.record.host, owned.routedPath());
     if (!route || route->services.empty())
         return {};
     const auto heaviest = std::max_element(route->services.begin(), route->services.end(),
@@ -100,7 +100,7 @@
 {
     const auto directory = directory_();
     const auto& items = owned.job.spec().items;
-    if (!directory->routing || items.empty() || !owned.record.isRouteRemoved(*directory->routing, items.front().path))
+    if (!directory->routing || items.empty() || !owned.record.isRouteRemoved(*directory->routing, owned.routedPath()))
         return;
     const std::vector<size_t> terminated = owned.job.terminateAll();
     if (!terminated.empty())
@@ -160,7 +160,7 @@
         if (owned->job.isEnded() || owned->isLost || spec.items.empty() || serviceOf(*owned) != service)
             continue;
         const auto eventsPerToken = textLengths_.eventsPerToken(spec.model);
-        const RouteDeclaration* route = directory->routing->batchRoute(owned->record.host, spec.items.front().path);
+        const RouteDeclaration* route = directory->routing->batchRoute(owned->record.host, owned->routedPath());
         if (!eventsPerToken || !route)
             return std::nullopt;
         StepView step;
--- a/src/io/hosted/ItemDispatcher.h
+++ b/src/io/hosted/ItemDispatcher.h
@@ -132,8 +132,8 @@
     void runRound();
     /// Terminates all items of a job if serviceOf() finds no service for it in the current configuration.
     void terminateUnroutable(OwnedJob&);
-    /// Service with the greatest weight on the route that matches the path of the job's first item; empty if there is
-    /// none. All items of the job run on its replicas.
+    /// Service with the greatest weight on the route that matches OwnedJob::routedPath(); empty if there is none. All
+    /// items of the job run on its replicas.
     std::string serviceOf(const OwnedJob&) const;
     /// Software of the agent's replica, as it is registered.
     SoftwareVersion softwareOf(const std::string& agent) const;
@@ -168,6 +168,8 @@
     ServerAttempt attemptAt(const OwnedJob&, size_t item, const std::string& agent) const;
     /// Sends the request to start a run. If the agent refuses or does not answer, the item waits again.
     asio::awaitable<void> sendStart(OwnedJobPtr, size_t item, std::string agent, wire::ItemStart);
+    /// An agent answered that the item cannot be written as a request, so no other agent could run it either.
+    static void terminateUnsendable(OwnedJob&, size_t item, const std::string& reason);
     /// Message that cancels the runs of an item. With an empty item it says that the job has ended and cancels all of
     /// its runs.
     static std::string encodeCancel(const OwnedJob&, const std::string& item);
--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -1,6 +1,7 @@
 #include "io/hosted/ItemRunner.h"
 
 #include "io/Clock.h"
+#include "io/Forwarding.h"
 #include "io/Log.h"
 #include "io/ProcessMetrics.h"
 #include "io/Tasks.h"
@@ -11,6 +12,7 @@
 #include <algorithm>
 #include <endiveroad/Error.h>
 #include <endiveroad/EventStream.h>
+#include <endiveroad/HttpHead.h>
 #include <endiveroad/StallLimit.h>
 #include <fmt/format.h>
 
@@ -22,6 +24,15 @@
 
 constexpr Duration connectTimeout = std::chrono::milliseconds(300);
 
+/// The item's headers but those that concern one connection only.
+HeaderList headersOf(const wire::ItemStart& start)
+{
+    HeaderList headers;
+    for (const wire::Header& header : start.headers)
+        headers.emplace_back(header.name, header.value);
+    return forwardedHeaders(headers);
+}
+
 ContentId contentOf(const wire::ItemStart& start)
 {
     return ContentId::of(itemMethod, start.host, start.path, start.body);
@@ -121,6 +132,10 @@
 {
     wire::ItemStartAnswer answer;
     answer.reason = refusalReason(startRequest, server);
+    if (const auto fault = answer.reason.empty() ? requestFault(startRequest, isIdentityRemoved) : std::nullopt) {
+        answer.reason = "it cannot be sent: " + *fault;
+        answer.__set_isUnsendable(true);
+    }
     std::optional<ServerPermit> permit;
     if (answer.reason.empty()) {
         permit = limits_.tryTake(engine_.lastServer(), RequestPath::Item);
@@ -145,7 +160,7 @@
     }
     auto run = std::make_shared<Run>();
     run->startRequest = startRequest;
-    run->isIdentityRemoved = isIdentityRemoved || !startRequest.organisation.empty();
+    run->isIdentityRemoved = isIdentityRemoved;
     run->permit = std::move(permit);
     run->server = *server;
     run->software = fromWire(startRequest.software);
@@ -163,21 +178,35 @@
     return answer;
 }
 
-HttpRequest ItemRunner::requestFor(const Run& run) const
+ReplicaRequest ItemRunner::callOf(const wire::ItemStart& startRequest, bool isIdentityRemoved) const
 {
     ReplicaRequest call;
     call.method = itemMethod;
-    call.target = run.startRequest.path;
-    for (const wire::Header& header : run.startRequest.headers)
-        call.headers.emplace_back(header.name, header.value);
-    call.body = run.startRequest.body;
-    call.id = run.startRequest.item;
-    call.host = run.startRequest.host;
+    call.target = startRequest.path;
+    call.headers = headersOf(startRequest);
+    call.id = startRequest.item;
+    call.host = startRequest.host;
     call.server = engine_.server();
-    call.organisation = run.startRequest.organisation;
-    call.isIdentityRemoved = run.isIdentityRemoved;
-    if (run.startRequest.__isset.priority)
-        call.priority = run.startRequest.priority;
+    call.organisation = startRequest.organisation;
+    call.isIdentityRemoved = isIdentityRemoved || !startRequest.organisation.empty();
+    if (startRequest.__isset.priority)
+        call.priority = startRequest.priority;
+    return call;
+}
+
+std::optional<std::string> ItemRunner::requestFault(const wire::ItemStart& startRequest, bool isIdentityRemoved) const
+{
+    // Without an id, that of the headers would be sent.
+    if (startRequest.item.empty())
+        return "the item has no id";
+    const HttpRequest request = client_.protocol().encode(callOf(startRequest, isIdentityRemoved));
+    return requestHeadFault({ request.method, request.target, request.headers, startRequest.body.size() });
+}
+
+HttpRequest ItemRunner::requestFor(const Run& run) const
+{
+    ReplicaRequest call = callOf(run.startRequest, run.isIdentityRemoved);
+    call.body = run.startRequest.body;
     if (!run.events.empty())
         call.lastEventId = run.events.back().id;
     HttpRequest request = client_.protocol().encode(std::move(call));
@@ -219,6 +248,9 @@
     } catch (const ServerUnavailableError& error) {
         failure = error.what();
         state = RunState::NotRun;
+    } catch (const RequestUnsendableError& error) {
+        failure = error.what();
+        state = RunState::NotRun;
     } catch (const std::exception& error) {
         failure = error.what();
     }
--- a/src/io/hosted/ItemRunner.h
+++ b/src/io/hosted/ItemRunner.h
@@ -10,6 +10,7 @@
 #include <endiveroad_types.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -76,6 +77,11 @@
         Instant expiry = never;
     };
 
+    /// The item's request without its body and its position in the text.
+    ReplicaRequest callOf(const wire::ItemStart&, bool isIdentityRemoved) const;
+    /// Why the item cannot be written as a request; nothing if it can. Coordinators of earlier versions order such
+    /// items.
+    std::optional<std::string> requestFault(const wire::ItemStart&, bool isIdentityRemoved) const;
     /// Reason for which the order is refused; empty to accept it.
     std::string refusalReason(const wire::ItemStart&, const ServerRecord*) const;
     asio::awaitable<void> execute(RunPtr);
--- a/src/io/hosted/ItemRuns.cpp
+++ b/src/io/hosted/ItemRuns.cpp
@@ -84,6 +84,7 @@
     const ServerAttempt attempt = attemptAt(*owned, index, agent);
     ++reports_[agent].starting;
     std::string refusal;
+    bool isUnsendable = false;
     try {
         const PeerConnectionPtr connection = connections_.agent(agent);
         if (!connection)
@@ -94,6 +95,7 @@
         const auto answer = wire::decode<wire::ItemStartAnswer>(answered);
         if (!answer.isAccepted)
             refusal = answer.reason;
+        isUnsendable = answer.__isset.isUnsendable && answer.isUnsendable;
         if (answer.isJobEnded || answer.revision > owned->job.revision())
             onOwnershipUncertain_(owned);
     } catch (const Error& error) {
@@ -110,11 +112,20 @@
             { "agent", agent }, { "reason", refusal } });
     crashGuard_.onNotSent(attempt);
     owned->withdrawnRuns.insert(startRequest.run);
+    if (isUnsendable)
+        terminateUnsendable(*owned, index, refusal);
     owned->avoidedAgents[index] = agent;
     owned->job.withdraw(index, now());
     wake();
 }
 
+void ItemDispatcher::terminateUnsendable(OwnedJob& owned, size_t index, const std::string& reason)
+{
+    if (owned.job.terminate(index) == ItemAction::Finished)
+        log(Event::ItemTerminated,
+            { { "job", owned.id() }, { "item", owned.job.spec().items[index].id }, { "reason", reason } });
+}
+
 void ItemDispatcher::withdraw(OwnedJob& owned, size_t index, const std::string& reason)
 {
     const ItemState& item = owned.job.items()[index];
--- a/src/io/hosted/ItemScorer.cpp
+++ b/src/io/hosted/ItemScorer.cpp
@@ -70,6 +70,12 @@
         log(Event::ItemScored, { { "item", spec.id }, { "ms", std::to_string(elapsed) } });
         co_return owned->job.onScored(item, result.stamp);
     }
+    const bool isUnsendable = result.refusal && result.refusal->code() == ErrorCode::RequestUnsendable;
+    if (isUnsendable) {
+        log(Event::ItemTerminated,
+            { { "job", owned->id() }, { "item", spec.id }, { "reason", "its scoring call cannot be sent" } });
+        co_return owned->job.terminate(item);
+    }
     retryAt = now() + retryPause;
     const std::optional<Instant> notBefore = result.blockedUntil ? result.blockedUntil : result.retryAt;
     if (notBefore)
--- a/src/io/hosted/OwnedJob.h
+++ b/src/io/hosted/OwnedJob.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <endiveroad/BatchJob.h>
 #include <endiveroad/ContentId.h>
+#include <endiveroad/HttpHead.h>
 #include <map>
 #include <memory>
 #include <set>
@@ -28,6 +29,16 @@
 
     const std::string& id() const { return job.spec().id; }
 
+    /// Path by which the job's route is found: that of the first item that can be sent, else of the first. The job must
+    /// have an item.
+    const std::string& routedPath() const
+    {
+        const std::vector<BatchItem>& items = job.spec().items;
+        const auto sendable
+            = std::find_if(items.begin(), items.end(), [](const BatchItem& item) { return isOriginForm(item.path); });
+        return sendable == items.end() ? items.front().path : sendable->path;
+    }
+
     int32_t stalls(size_t item) const
     {
         const auto found = stalledAgents.find(item);
--- a/src/io/hosted/Protocol.h
+++ b/src/io/hosted/Protocol.h
@@ -181,10 +181,13 @@
 public:
     virtual ~BatchProtocol() = default;
 
-    /// Throws BadRequestError.
+    /// Throws BadRequestError. Items that cannot be sent are decoded like others: earlier versions stored such jobs.
     virtual BatchJobSpec decodeJob(
         const std::string& id, const std::string& host, const std::string& route, const std::string& body) const = 0;
 
+    /// Throws BadRequestError with the place of the first item that cannot be sent; see itemFault().
+    virtual void requireSendable(const BatchJobSpec&) const = 0;
+
     /// Encodes results from a position on, up to the size limit of an answer.
     virtual std::string encodeResults(
         const std::vector<BatchResult>& listed, size_t firstPosition, size_t totalItems) const = 0;
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -2,11 +2,11 @@
 
 #include "io/CallerBudget.h"
 #include "io/Clock.h"
+#include "io/Forwarding.h"
 #include "io/Log.h"
 #include "io/ProcessMetrics.h"
 #include "io/Signal.h"
 #include "io/Tasks.h"
-#include "io/hosted/Forwarding.h"
 
 #include <algorithm>
 #include <endiveroad/Error.h>
--- a/src/wire/endiveroad.thrift
+++ b/src/wire/endiveroad.thrift
@@ -263,6 +263,8 @@
   5: i64 ownerRevision
   /** The answer comes from the memory of a coordinator that can't tell whether it still owns the job. It holds only if no other coordinator knows better. */
   6: bool isUnconfirmed
+  /** What is wrong with the call; set for a malformed one only. */
+  7: optional string detail
 }
 
 /** One event of an item's result stream, with the weight version that generated it. */
@@ -295,7 +297,14 @@
   15: optional i32 priority
 }
 /** Revision is the highest that the agent knows for the job's owner record. Reason is empty if the run is accepted. */
-struct ItemStartAnswer { 1: bool isAccepted  2: string reason  3: i64 revision  4: bool isJobEnded }
+struct ItemStartAnswer {
+  1: bool isAccepted
+  2: string reason
+  3: i64 revision
+  4: bool isJobEnded
+  /** The item cannot be written as a request, so no agent can run it. */
+  5: optional bool isUnsendable
+}
 
 enum RunState { Running = 1, Completed = 2, Failed = 3, NotRun = 4 }
 
--- a/src/wire/gen/endiveroad_types.cpp
+++ b/src/wire/gen/endiveroad_types.cpp
@@ -5016,6 +5016,11 @@
 void BatchAnswer::__set_isUnconfirmed(const bool val) {
   this->isUnconfirmed = val;
 }
+
+void BatchAnswer::__set_detail(const std::string& val) {
+  this->detail = val;
+__isset.detail = true;
+}
 std::ostream& operator<<(std::ostream& out, const BatchAnswer& obj)
 {
   obj.printTo(out);
@@ -5092,6 +5097,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->detail);
+          this->__isset.detail = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5133,6 +5146,11 @@
   xfer += oprot->writeBool(this->isUnconfirmed);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.detail) {
+    xfer += oprot->writeFieldBegin("detail", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->detail);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5146,6 +5164,7 @@
   swap(a.retryAfterMs, b.retryAfterMs);
   swap(a.ownerRevision, b.ownerRevision);
   swap(a.isUnconfirmed, b.isUnconfirmed);
+  swap(a.detail, b.detail);
   swap(a.__isset, b.__isset);
 }
 
@@ -5156,6 +5175,7 @@
   retryAfterMs = other116.retryAfterMs;
   ownerRevision = other116.ownerRevision;
   isUnconfirmed = other116.isUnconfirmed;
+  detail = other116.detail;
   __isset = other116.__isset;
 }
 BatchAnswer& BatchAnswer::operator=(const BatchAnswer& other117) {
@@ -5165,6 +5185,7 @@
   retryAfterMs = other117.retryAfterMs;
   ownerRevision = other117.ownerRevision;
   isUnconfirmed = other117.isUnconfirmed;
+  detail = other117.detail;
   __isset = other117.__isset;
   return *this;
 }
@@ -5177,6 +5198,7 @@
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
   out << ", " << "ownerRevision=" << to_string(ownerRevision);
   out << ", " << "isUnconfirmed=" << to_string(isUnconfirmed);
+  out << ", " << "detail="; (__isset.detail ? (out << to_string(detail)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5746,6 +5768,11 @@
 void ItemStartAnswer::__set_isJobEnded(const bool val) {
   this->isJobEnded = val;
 }
+
+void ItemStartAnswer::__set_isUnsendable(const bool val) {
+  this->isUnsendable = val;
+__isset.isUnsendable = true;
+}
 std::ostream& operator<<(std::ostream& out, const ItemStartAnswer& obj)
 {
   obj.printTo(out);
@@ -5806,6 +5833,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isUnsendable);
+          this->__isset.isUnsendable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5839,6 +5874,11 @@
   xfer += oprot->writeBool(this->isJobEnded);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.isUnsendable) {
+    xfer += oprot->writeFieldBegin("isUnsendable", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->isUnsendable);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5850,6 +5890,7 @@
   swap(a.reason, b.reason);
   swap(a.revision, b.revision);
   swap(a.isJobEnded, b.isJobEnded);
+  swap(a.isUnsendable, b.isUnsendable);
   swap(a.__isset, b.__isset);
 }
 
@@ -5858,6 +5899,7 @@
   reason = other134.reason;
   revision = other134.revision;
   isJobEnded = other134.isJobEnded;
+  isUnsendable = other134.isUnsendable;
   __isset = other134.__isset;
 }
 ItemStartAnswer& ItemStartAnswer::operator=(const ItemStartAnswer& other135) {
@@ -5865,6 +5907,7 @@
   reason = other135.reason;
   revision = other135.revision;
   isJobEnded = other135.isJobEnded;
+  isUnsendable = other135.isUnsendable;
   __isset = other135.__isset;
   return *this;
 }
@@ -5875,6 +5918,7 @@
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "isJobEnded=" << to_string(isJobEnded);
+  out << ", " << "isUnsendable="; (__isset.isUnsendable ? (out << to_string(isUnsendable)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/endiveroad_types.h
+++ b/src/wire/gen/endiveroad_types.h
@@ -2334,13 +2334,14 @@
 std::ostream& operator<<(std::ostream& out, const BatchCall& obj);
 
 typedef struct _BatchAnswer__isset {
-  _BatchAnswer__isset() : status(false), body(false), owner(false), retryAfterMs(false), ownerRevision(false), isUnconfirmed(false) {}
+  _BatchAnswer__isset() : status(false), body(false), owner(false), retryAfterMs(false), ownerRevision(false), isUnconfirmed(false), detail(false) {}
   bool status :1;
   bool body :1;
   bool owner :1;
   bool retryAfterMs :1;
   bool ownerRevision :1;
   bool isUnconfirmed :1;
+  bool detail :1;
 } _BatchAnswer__isset;
 
 class BatchAnswer : public virtual ::apache::thrift::TBase {
@@ -2354,7 +2355,8 @@
                 owner(),
                 retryAfterMs(0),
                 ownerRevision(0),
-                isUnconfirmed(0) {
+                isUnconfirmed(0),
+                detail() {
   }
 
   virtual ~BatchAnswer() noexcept;
@@ -2373,6 +2375,10 @@
    * The answer comes from the memory of a coordinator that can't tell whether it still owns the job. It holds only if no other coordinator knows better.
    */
   bool isUnconfirmed;
+  /**
+   * What is wrong with the call; set for a malformed one only.
+   */
+  std::string detail;
 
   _BatchAnswer__isset __isset;
 
@@ -2388,6 +2394,8 @@
 
   void __set_isUnconfirmed(const bool val);
 
+  void __set_detail(const std::string& val);
+
   bool operator == (const BatchAnswer & rhs) const
   {
     if (!(status == rhs.status))
@@ -2402,6 +2410,10 @@
       return false;
     if (!(isUnconfirmed == rhs.isUnconfirmed))
       return false;
+    if (__isset.detail != rhs.__isset.detail)
+      return false;
+    else if (__isset.detail && !(detail == rhs.detail))
+      return false;
     return true;
   }
   bool operator != (const BatchAnswer &rhs) const {
@@ -2648,11 +2660,12 @@
 std::ostream& operator<<(std::ostream& out, const ItemStart& obj);
 
 typedef struct _ItemStartAnswer__isset {
-  _ItemStartAnswer__isset() : isAccepted(false), reason(false), revision(false), isJobEnded(false) {}
+  _ItemStartAnswer__isset() : isAccepted(false), reason(false), revision(false), isJobEnded(false), isUnsendable(false) {}
   bool isAccepted :1;
   bool reason :1;
   bool revision :1;
   bool isJobEnded :1;
+  bool isUnsendable :1;
 } _ItemStartAnswer__isset;
 
 /**
@@ -2667,7 +2680,8 @@
                   : isAccepted(0),
                     reason(),
                     revision(0),
-                    isJobEnded(0) {
+                    isJobEnded(0),
+                    isUnsendable(0) {
   }
 
   virtual ~ItemStartAnswer() noexcept;
@@ -2675,6 +2689,10 @@
   std::string reason;
   int64_t revision;
   bool isJobEnded;
+  /**
+   * The item cannot be written as a request, so no agent can run it.
+   */
+  bool isUnsendable;
 
   _ItemStartAnswer__isset __isset;
 
@@ -2686,6 +2704,8 @@
 
   void __set_isJobEnded(const bool val);
 
+  void __set_isUnsendable(const bool val);
+
   bool operator == (const ItemStartAnswer & rhs) const
   {
     if (!(isAccepted == rhs.isAccepted))
@@ -2696,6 +2716,10 @@
       return false;
     if (!(isJobEnded == rhs.isJobEnded))
       return false;
+    if (__isset.isUnsendable != rhs.__isset.isUnsendable)
+      return false;
+    else if (__isset.isUnsendable && !(isUnsendable == rhs.isUnsendable))
+      return false;
     return true;
   }
   bool operator != (const ItemStartAnswer &rhs) const {
--- a/standins/hosted_http.py
+++ b/standins/hosted_http.py
@@ -136,16 +136,43 @@
         return self.reader.at_eof() or self.writer.is_closing()
 
 
+async def read_head(reader):
+    """Lines of a head. A line ends with LF, whether or not CR stands before it (RFC 9112, section 2.2)."""
+    lines = []
+    while not lines or lines[-1]:
+        line = await reader.readline()
+        if not line.endswith(b"\n"):
+            raise asyncio.IncompleteReadError(line, None)
+        lines.append(line.rstrip(b"\r\n").decode("latin-1"))
+    return lines[:-1]
+
+
+async def read_chunked(reader):
+    """A chunked body; trailers are dropped."""
+    body = b""
+    while True:
+        size = int((await reader.readline()).split(b";")[0], 16)
+        if size == 0:
+            await read_head(reader)
+            return body
+        body += await reader.readexactly(size)
+        await reader.readexactly(2)
+
+
 async def read_request(reader):
-    head = await reader.readuntil(b"\r\n\r\n")
-    first, *rest = head.decode("latin-1").split("\r\n")
+    """Reads as much into a head as any server may: white space before a colon is no part of the name, the last of
+    several header lines holds, and Transfer-Encoding goes before Content-Length (RFC 9112, section 6.1)."""
+    first, *rest = await read_head(reader)
     method, target, _ = first.split(" ", 2)
     headers = {}
     for line in rest:
         name, separator, value = line.partition(":")
         if separator:
             headers[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    if "chunked" in headers.get("transfer-encoding", ""):
+        body = await read_chunked(reader)
+    else:
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
     return Request(method, target, headers, body)
 
 
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -53,6 +53,8 @@
         self.reached = []
         # (request id, organisation, priority, whether it has an API key) as the headers of each request state them.
         self.identities = []
+        # Headers of the last request with each id, names in lower case.
+        self.headers_of = {}
         # (time, request id, the server that it names) of each request that named another server.
         self.misdirected = []
         # (request id, target, body) of each request that ran, in order.
@@ -95,6 +97,7 @@
             left = request.headers.get("endiveroad-deadline-ms")
             self.deadlines.append((time.monotonic(), request.headers["endiveroad-request-id"], left and int(left)))
             self.reached.append((time.monotonic(), request.headers["endiveroad-request-id"], request.body))
+            self.headers_of[request.headers["endiveroad-request-id"]] = request.headers
             self.identities.append((request.headers["endiveroad-request-id"], request.headers.get("endiveroad-tenant"),
                                     request.headers.get("endiveroad-request-priority"), "x-api-key" in request.headers))
         connection.common_headers = {"Server-Leaving": "1"} if self.is_leaving else {}
--- a/tests/core/AttemptEffectsTest.cpp
+++ b/tests/core/AttemptEffectsTest.cpp
@@ -8,6 +8,7 @@
 {
     AttemptEffects effects;
     effects.onFailure(PeerUnavailableError("not sent"));
+    effects.onFailure(RequestUnsendableError("not written"));
     CHECK_FALSE(effects.mayHaveTakenEffect());
     CHECK_THROWS_AS(effects.fail<NotRunError>(), NotRunError);
     effects.onFailure(OutcomeUnknownError("no answer"));
--- a/tests/core/BatchJobTest.cpp
+++ b/tests/core/BatchJobTest.cpp
@@ -357,3 +357,16 @@
         CHECK(job.items()[0].text.events.size() == (current == software ? 5 : 0));
     }
 }
+
+// Guards against an item that is terminated a second time, or after it has a result.
+TEST_CASE("an item is terminated once, and not if it has a result", "[batch]")
+{
+    BatchJob job = jobOf(1, 2);
+    CHECK(job.terminate(0) == ItemAction::Finished);
+    CHECK(job.terminate(0) == ItemAction::None);
+    CHECK(job.items()[0].result->state == ResultState::Terminated);
+    job.start(1, "agent", 3, software, start);
+    CHECK(job.terminate(1) == ItemAction::Finished);
+    CHECK(job.isFinished());
+    CHECK(job.waiting(never).empty());
+}
--- a/tests/io/JobHistoryProcess.h
+++ b/tests/io/JobHistoryProcess.h
@@ -34,6 +34,8 @@
         return spec;
     }
 
+    void requireSendable(const BatchJobSpec&) const override { }
+
     std::string encodeResults(const std::vector<BatchResult>& listed, size_t first, size_t) const override
     {
         std::string page;
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -357,6 +357,32 @@
     CHECK(nlohmann::json::parse(codec.encodeResults(listed, 9, 5))["Results"].empty());
 }
 
+// Guards against items whose text ends a head early, and against refusals that don't say which item is meant.
+TEST_CASE("a job with an item that cannot be sent is decoded, and refused with the item's place", "[platform]")
+{
+    const BatchCodec codec;
+    nlohmann::json job { { "Items",
+        { { { "Id", "i1" }, { "Path", "/b/1" }, { "Headers", { { "Content-Type", "text/plain" } } } },
+            { { "Id", "i2" }, { "Path", "/b/2" },
+                { "Scorer", { { "Id", "s2" }, { "Host", "h" }, { "Path", "/a/s" } } } } } } };
+    CHECK_NOTHROW(codec.requireSendable(codec.decodeJob("j", "h", "b", job.dump())));
+    const std::vector<std::pair<std::string, std::string>> faults { { "/Items/1/Id", "Items[1].Id: " },
+        { "/Items/1/Path", "Items[1].Path: " }, { "/Items/0/Headers/X-Note", "Items[0].Headers: " },
+        { "/Items/1/Scorer/Id", "Items[1].Scorer.Id: " }, { "/Items/1/Scorer/Host", "Items[1].Scorer.Host: " },
+        { "/Items/1/Scorer/Path", "Items[1].Scorer.Path: " } };
+    for (const auto& [pointer, place] : faults) {
+        nlohmann::json changed = job;
+        changed[nlohmann::json::json_pointer(pointer)] = "/x\r\nX-Forged: 1";
+        const BatchJobSpec spec = codec.decodeJob("j", "h", "b", changed.dump());
+        try {
+            codec.requireSendable(spec);
+            FAIL(pointer);
+        } catch (const BadRequestError& error) {
+            CHECK(std::string(error.what()).starts_with(place));
+        }
+    }
+}
+
 TEST_CASE("a registration's version is that of its software, and unknown unless it is a text", "[platform]")
 {
     const auto versionIn = [](const std::string& version) {
