An item's headers don't say where its text begins

Cause: the codec drops the caller's value only where the sender resumes itself, since callers may take streams up; items went the same way, though only the system knows the position in their text.

ReplicaRequest::isPositionRemoved drops it for items; the system sets its own where a run goes on.

--- a/src/io/hosted/ItemRunner.cpp
+++ b/src/io/hosted/ItemRunner.cpp
@@ -184,6 +184,7 @@
     call.method = itemMethod;
     call.target = startRequest.path;
     call.headers = headersOf(startRequest);
+    call.isPositionRemoved = true;
     call.id = startRequest.item;
     call.host = startRequest.host;
     call.server = engine_.server();
--- a/src/io/hosted/Protocol.h
+++ b/src/io/hosted/Protocol.h
@@ -79,6 +79,9 @@
     std::optional<Duration> timeout;
     /// Id of the last event that the sender has received, if a stream is to be resumed after it.
     std::optional<int64_t> lastEventId;
+    /// Drops what the headers say of a last event, since only the sender knows it. Not set for callers, who may take a
+    /// stream up.
+    bool isPositionRemoved = false;
     /// Drops what the caller sent as its API key and organisation. Set where the configuration declares organisations;
     /// elsewhere these headers mean nothing and are forwarded like any other.
     bool isIdentityRemoved = false;
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -231,6 +231,22 @@
     CHECK(request.target == "/a/b?x=1");
 }
 
+// Guards against an item that says where its text begins.
+TEST_CASE("a position in a stream is kept for callers and dropped where only the sender knows it", "[platform]")
+{
+    const ReplicaCodec codec;
+    for (const bool isRemoved : { false, true }) {
+        ReplicaRequest call;
+        call.headers = { { "last-event-ID", "2" } };
+        call.isPositionRemoved = isRemoved;
+        CHECK(codec.encode(call).headers.size() == (isRemoved ? 0 : 1));
+        call.lastEventId = 5;
+        const HttpRequest resumed = codec.encode(call);
+        REQUIRE(resumed.headers.size() == 1);
+        CHECK(resumed.headers[0].second == "5");
+    }
+}
+
 TEST_CASE("responses of servers are decoded into whether the request ran, its version and the load", "[platform]")
 {
     const ReplicaCodec codec;
