Calls that no head can carry are refused and count as nobody's failure

A call with a fragment in its path, with bytes beyond ASCII there or with two Host headers was passed on, so that a server could see another target or host than the one that chose the route. A TRACE with a body made Beast throw; that counted as a failure of the server at the entry, and on the own interface the exception left the agent's call without an end.

Cause: Beast's parser takes more than may be written, and its writer throws exceptions that callers of HttpClient took for a broken attempt.

Entries answer such calls with 400 before a server is chosen. Where only the writer notices, the attempt counts as not sent, no other server is tried, and neither breaker nor crash register hears of it. The own interface drops the headers that Connection names, by the same function as the hosted entry.

The own interface is covered by the unit test of the writer; its refusals have no test of their own.

--- a/src/io/agent/CallRunner.cpp
+++ b/src/io/agent/CallRunner.cpp
@@ -191,6 +191,9 @@
         wire::CallAnswer answer = toAnswer(outcome);
         admission_.finish(call, std::move(outcome), now());
         co_return answer;
+    } catch (const RequestUnsendableError& error) {
+        admission_.finishNotRun(call, now());
+        co_return makeRefusal(wire::Outcome::NotRun, ErrorCode::RequestUnsendable, error.what(), never);
     } catch (const ServerUnavailableError& error) {
         admission_.finishNotRun(call, now());
         co_return makeRefusal(wire::Outcome::NotRun, ErrorCode::NotRun, error.what(),
--- a/src/io/entry/CallRouter.cpp
+++ b/src/io/entry/CallRouter.cpp
@@ -1,12 +1,14 @@
 #include "io/entry/CallRouter.h"
 
 #include "io/Clock.h"
+#include "io/Forwarding.h"
 #include "io/Log.h"
 #include "wire/Codec.h"
 
 #include <charconv>
 #include <endiveroad/CallAttempts.h>
 #include <endiveroad/Error.h>
+#include <endiveroad/HttpHead.h>
 #include <endiveroad/Rendezvous.h>
 #include <endiveroad/RequestId.h>
 #include <endiveroad_types.h>
@@ -50,13 +52,10 @@
     Duration retryAfter_;
 };
 
-/// Whether a header is not forwarded, because it applies to one connection only (RFC 9110, section 7.6.1) or is set
-/// anew for the next one.
-bool isNotForwarded(std::string_view name)
+/// Whether a header is set anew for the server, or is meant for a proxy.
+bool isReplaced(std::string_view name)
 {
-    constexpr std::string_view headersNotForwarded[] { "Connection", "Keep-Alive", "Transfer-Encoding", "TE", "Trailer",
-        "Upgrade", "Host", "Content-Length", "Expect", "Proxy-Authorization", "Proxy-Authenticate",
-        CallRouter::requestIdHeader };
+    constexpr std::string_view headersNotForwarded[] { "Host", "Proxy-Authorization", CallRouter::requestIdHeader };
     for (std::string_view header : headersNotForwarded) {
         if (boost::beast::iequals(name, header))
             return true;
@@ -68,7 +67,7 @@
 {
     std::vector<wire::Header> result;
     for (const auto& [name, value] : headers) {
-        if (isNotForwarded(name))
+        if (isReplaced(name))
             continue;
         wire::Header header;
         header.name = name;
@@ -164,7 +163,10 @@
         call.request.pool = poolName;
         call.request.method = query.method;
         call.request.target = std::move(target);
-        call.request.headers = toWire(query.headers);
+        const HeaderList headers = forwardedHeaders(query.headers);
+        if (const auto fault = requestHeadFault({ query.method, call.request.target, headers, query.body.size() }))
+            throw BadRequestError(*fault);
+        call.request.headers = toWire(headers);
         call.request.body = query.body;
         call.request.idempotencyKey = std::string(query.header(keyHeader));
         call.request.keyCreatedMs = integerHeader(query, keyCreatedHeader, 0);
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <endiveroad/Error.h>
+#include <endiveroad/HttpHead.h>
 #include <fmt/format.h>
 
 namespace endiveroad::io {
@@ -78,6 +79,7 @@
         throw NotRunError("the process holds too much for callers");
 }
 
+/// Throws BadRequestError if the request cannot be written to a server, NotRunError if there is no room for it.
 ReplicaRequest forwardedRequest(
     HttpExchange& exchange, const CallerRequest& request, const RoutingTable& routing, const std::string& organisation)
 {
@@ -86,6 +88,8 @@
     forwarded.method = query.method;
     forwarded.target = query.target;
     forwarded.headers = forwardedHeaders(query.headers);
+    if (const auto fault = requestHeadFault({ query.method, query.target, forwarded.headers, query.body.size() }))
+        throw BadRequestError(*fault);
     holdCopies(exchange);
     forwarded.body = releaseBody(exchange);
     forwarded.id = request.id;
--- a/src/io/hosted/ServiceCaller.cpp
+++ b/src/io/hosted/ServiceCaller.cpp
@@ -410,6 +410,12 @@
     } catch (const ServerUnavailableError& error) {
         failure = error.what();
         isSent = false;
+    } catch (const RequestUnsendableError& error) {
+        failure = error.what();
+        isSent = false;
+        // No other server could be sent it either, and the server has no part in it.
+        state->result.refusal = error;
+        state->isDone = true;
     } catch (const std::exception& error) {
         failure = error.what();
     }
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -76,6 +76,8 @@
     bool wasSent = true;
     /// The server has started again since its registration.
     bool isOtherStart = false;
+    /// The request cannot be written, for this server or any other.
+    bool isUnsendable = false;
     std::string failure;
 };
 
@@ -196,6 +198,10 @@
         serverStream->failure = error.what();
         if (!serverStream->cancellation.isCancelled())
             serviceCaller_.onUnreachable(serverStream->attempt.server);
+    } catch (const RequestUnsendableError& error) {
+        serverStream->wasSent = false;
+        serverStream->isUnsendable = true;
+        serverStream->failure = error.what();
     } catch (const std::exception& error) {
         serverStream->failure = error.what();
     }
@@ -318,6 +324,8 @@
     if (!hasHead)
         co_await inspectBroken(serverStream, progress);
     crashGuard_.onEnd(serverStream->attempt);
+    if (serverStream->isUnsendable)
+        throw RequestUnsendableError(serverStream->failure);
     const ReplicaAnswer answer = hasHead ? client_.protocol().decode(*serverStream->head) : ReplicaAnswer();
     const bool isRefused = answer.verdict != ReplicaVerdict::Ran;
     const bool isUnsigned = hasHead && !isRefused && serverStream->head->isSuccess() && answer.stamp.empty();
