Answers are checked where their heads are written

On the own interface a server's answer with Transfer-Encoding "gzip, chunked" would have reached the caller with that header beside a Content-Length, as the relayed headers were written as they came.

Entries drop the headers of a connection from relayed answers, as hosted entries do, and HttpServer answers 502 in place of an answer whose headers end it early or state a framing.

Evidence: the new case of HttpServerTest. It was not run on the code before.

--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <endiveroad/Error.h>
+#include <endiveroad/HttpHead.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -43,6 +45,15 @@
     return message;
 }
 
+/// Logs why an answer cannot be written; nothing if it can.
+std::optional<std::string> loggedFault(const std::string& target, const HeaderList& headers)
+{
+    auto fault = answerHeadFault(headers);
+    if (fault)
+        log(Event::RequestUnsendable, { { "target", target }, { "reason", *fault } });
+    return fault;
+}
+
 /// True while there are as many connections as may be and none of them may yield.
 bool isAcceptPaused()
 {
@@ -175,6 +186,8 @@
     asio::awaitable<void> answer(HttpResponse response) override
     {
         isAnswered_ = true;
+        if (const auto fault = loggedFault(query_.target, response.headers))
+            response = errorResponse(OutcomeUnknownError("the answer cannot be passed on: " + *fault));
         if (hasPipelinedInput() || server_.isDraining_ || server_.isStopping_)
             isClosing_ = true;
         setPhase(CallerPhase::Answering);
@@ -194,6 +207,8 @@
 
     asio::awaitable<void> beginStream(int status, HeaderList headers) override
     {
+        if (const auto fault = loggedFault(query_.target, headers))
+            throw AnswerBrokenError("the answer cannot be passed on: " + *fault);
         isAnswered_ = true;
         isStreaming_ = true;
         http::response<http::empty_body> message;
--- a/src/io/entry/CallRouter.cpp
+++ b/src/io/entry/CallRouter.cpp
@@ -121,6 +121,7 @@
     response.status = answer.status;
     for (wire::Header& header : answer.headers)
         response.headers.emplace_back(std::move(header.name), std::move(header.value));
+    response.headers = forwardedHeaders(response.headers);
     response.body = std::move(answer.body);
     return response;
 }
--- a/tests/io/HttpServerTest.cpp
+++ b/tests/io/HttpServerTest.cpp
@@ -30,10 +30,16 @@
             HttpResponse response;
             response.status = 200;
             response.body = exchange.query().method;
+            if (target == "/forged")
+                response.headers.emplace_back("Retry-After", "1\r\n\r\nHTTP/1.1 200 OK");
+            if (target == "/framed")
+                response.headers.emplace_back("Transfer-Encoding", "gzip, chunked");
             co_await exchange.answer(std::move(response));
             co_return;
         }
         HeaderList headers;
+        if (exchange.query().method == "PUT")
+            headers.emplace_back("X-Forged", "1\r\n\r\nHTTP/1.1 200 OK");
         co_await exchange.beginStream(200, headers);
         co_await exchange.sendPiece("piece");
         if (target == "/stream")
@@ -120,6 +126,22 @@
     });
 }
 
+// Guards against an answer whose headers end it early or give it another framing, for example from a server's answer.
+TEST_CASE("an answer that cannot be written becomes an answer of unknown outcome", "[http]")
+{
+    Fixture fixture;
+    runToEnd(fixture.context, [&]() -> asio::awaitable<void> {
+        for (const char* request :
+            { "GET /forged HTTP/1.1\r\nConnection: close\r\n\r\n", "GET /framed HTTP/1.1\r\nConnection: close\r\n\r\n",
+                "PUT /stream HTTP/1.1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" }) {
+            const std::string answer = co_await fixture.send(request);
+            CHECK(answer.starts_with("HTTP/1.1 502 "));
+            CHECK(answer.find("HTTP/1.1 200") == std::string::npos);
+            CHECK(answer.find("gzip") == std::string::npos);
+        }
+    });
+}
+
 TEST_CASE("a caller that disconnects is noticed while its request is handled")
 {
     Fixture fixture;
