Server ids and organisations that no header can carry are unreadable

Both are written into requests. A registration whose id has a control character, or an organisation with space at an end of its name, would make each request to that server, or of that organisation, fail at the writer.

The row is left out and listed as unreadable, as other malformed rows are.

Evidence: CodecTest, with ids and names of this kind. The case is not known to have happened.

--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -52,11 +52,12 @@
     return object.dump();
 }
 
-Directory decodeRegistration(const std::string& registration, size_t expectedUnreadable)
+Directory decodeRegistration(
+    const std::string& registration, size_t expectedUnreadable, const std::string& server = "i-1")
 {
     DocumentSet documents;
     documents.merge({ "op/config", 5, configurationText, false });
-    documents.merge({ "servers/i-1", 6, registration, false });
+    documents.merge({ "servers/" + server, 6, registration, false });
     std::vector<std::string> unreadable;
     Directory directory = DirectoryCodec().decode(documents, unreadable);
     CHECK(unreadable.size() == expectedUnreadable);
@@ -152,6 +153,9 @@
     for (const auto& [field, value] : invalidFields)
         CHECK(decodeRegistration(withField(registrationText, field, value), 1).servers.empty());
     CHECK(decodeRegistration("\xff\xfe not json", 1).servers.empty());
+    // The id is written into requests.
+    for (const char* server : { "i-1\r\nX-Forged: 1", " i-1", "i-1 " })
+        CHECK(decodeRegistration(registrationText, 1, server).servers.empty());
 }
 
 TEST_CASE(
@@ -448,7 +452,8 @@
     const std::vector<nlohmann::json> malformed { nullptr, 7, "key-2", nlohmann::json::array({ "key-2" }),
         { { "ApiKeys", { "key-2" } } }, { { "Name", "" }, { "ApiKeys", { "key-2" } } },
         { { "Name", 7 }, { "ApiKeys", { "key-2" } } }, { { "Name", "x" }, { "ApiKeys", "key-2" } },
-        { { "Name", "x\r\nX-Forged: 1" }, { "ApiKeys", { "key-2" } } } };
+        { { "Name", "x\r\nX-Forged: 1" }, { "ApiKeys", { "key-2" } } },
+        { { "Name", " x" }, { "ApiKeys", { "key-2" } } } };
     for (const nlohmann::json& row : malformed) {
         const RoutingTable routing = decodeOrganisations(nlohmann::json::array({ row, sound }), 1);
         CHECK(routing.organisations->size() == 1);
