--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec python3 "$(dirname "$0")/case.py"
+exec python3 -B "$(dirname "$0")/case.py"
