--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,13 +1,11 @@
-"""One batch job of legal size ends the coordinators one after the other.
+"""An entry that stops takes requests for longer than it can finish them.
 
-The platform is played as DEPLOY.md tells: a process that uses more than Limits.MemoryMb is killed and starts again after
-a short delay.
+Callers with open connections send a streaming request each 3.1 to 3.2 s after the SIGTERM of their entry.
 """
-import base64
 import collections
 import http.client
-import json
 import os
+import signal
 import sys
 import threading
 import time
@@ -15,111 +13,94 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-3"))
 import deployment  # noqa: E402
-from hosted import HOST, JOB_PREFIX, MODELS, SCORE_PREFIX  # noqa: E402
+import hosted_servers  # noqa: E402
+from hosted import MODELS, configuration  # noqa: E402
 
-# The trainer gives a step up at its deadline of the sheet.
-DEADLINE_S = 12.0
-RETRY_PAUSE_S = 0.3
-RESTART_DELAY_S = 0.5
-# About 29 MB in all; MaxBodyBytes is 33.5 MB.
-LARGE_ITEMS = 90000
-# The sheet's job.
-SMALL_ITEMS = 40
-# RULES.md, "Faults".
-ENDS_OF_A_FAULT = 3
-MACHINES_OF_A_FAULT = 2
+CALLERS = 16
+# The sheet's streams have pauses of 120 ms at most, and up to 174 events.
+EVENTS = 45
+PAUSE_S = 0.1
+TIMEOUT_MS = 10000
+SEND_AT_S = 3.1
+SPREAD_S = 0.1
+# RULES.md: a request that was sent no later is excused if its replica was at work in the last sixth of GraceS.
+EXCUSED_UNTIL_S = 3.0
+GRACE_S = deployment.BOUNDS["GraceS"]
+# A resumable stream and one that may not be repeated.
+PREFIXES = ("/stream/", "/draft/")
 
+hosted_servers.event_count = lambda _: EVENTS
 
-class Keeper:
-    """Kills processes over their memory limit, and starts them again."""
 
-    def __init__(self, made, record):
-        self.made = made
-        self.record = record
-        self.ends = collections.Counter()
-        self.peaks_mb = collections.Counter()
-        self.is_over = False
-        self.threads = [threading.Thread(target=self.watch, args=(machine,), daemon=True)
-                        for machine in made.machines()]
-        for thread in self.threads:
-            thread.start()
-
-    @staticmethod
-    def resident_mb(machine):
-        try:
-            with open("/proc/%d/status" % machine.handle.pid, encoding="utf-8") as status:
-                return next(int(line.split()[1]) for line in status if line.startswith("VmRSS")) / 1024
-        except (OSError, StopIteration):
-            return 0
-
-    def watch(self, machine):
-        while not self.is_over:
-            used = self.resident_mb(machine)
-            self.peaks_mb[machine.name] = max(self.peaks_mb[machine.name], round(used))
-            if used > machine.settings["Limits.MemoryMb"]:
-                self.ends[machine.name] += 1
-                self.record.write("%s uses %.0f MB of %d MB; the platform kills it"
-                                  % (machine.name, used, machine.settings["Limits.MemoryMb"]))
-                machine.kill()
-                time.sleep(RESTART_DELAY_S)
-                machine.start()
-            time.sleep(0.005)
+def routes():
+    made = [{**route, "TimeoutMs": TIMEOUT_MS} for route in configuration(1)["Routes"]]
+    stream = next(route for route in made if route["Name"] == "stream")
+    return made + [{**stream, "Name": "draft", "PathPrefix": "/draft/", "Resumable": False}]
 
-    def close(self):
-        self.is_over = True
-        for thread in self.threads:
-            thread.join()
 
+class Caller(threading.Thread):
+    """Keeps its connection: one short stream before, then one request in the time after the signal."""
 
-def job_body(job, items):
-    prompt = base64.b64encode(b"a prompt.").decode()
-    rows = [{"Id": "%s-%x" % (job, number), "Path": JOB_PREFIX + "%x" % number, "Tokens": 940,
-             "Group": "g%x" % (number // 8), "Body": prompt,
-             "Headers": {"Endiveroad-Model": MODELS[0], "Endiveroad-Token-Usage": "540,400",
-                         "Endiveroad-Prefix-Hash": "9c2e41:300,5d07b8:240"},
-             "Scorer": {"Id": "s%s-%x" % (job, number), "Host": HOST, "Path": SCORE_PREFIX + "%x" % number,
-                        "Body": "3q2+7w=="}} for number in range(items)]
-    document = {"Step": 0, "Model": MODELS[0], "MinVersion": 1, "TargetGroups": max(items // 8, 1), "Items": rows}
-    return json.dumps(document, separators=(",", ":")).encode()
-
-
-def submit(made, record, job, body):
-    """Submits as a trainer does: again after each failure, at another entry, until its deadline."""
-    end = time.monotonic() + DEADLINE_S
-    turn = 0
-    while time.monotonic() < end:
-        entry = made.entries[turn % len(made.entries)]
-        turn += 1
+    def __init__(self, made, record, number):
+        super().__init__(daemon=True)
+        self.made = made
+        self.record = record
+        self.number = number
+        self.kept = made.connect(made.entries[0], timeout=15)
+        self.sent_at = None
+        self.ended_at = None
+        self.outcome = None
+
+    def warm_up(self):
+        assert self.made.call(self.made.entries[0], "warm-%d" % self.number, kept=self.kept)[0] == 200
+
+    def run(self):
+        start = self.signalled_at
+        time.sleep(max(start + SEND_AT_S + SPREAD_S * self.number / CALLERS - time.monotonic(), 0))
+        self.sent_at = time.monotonic() - start
+        target = PREFIXES[self.number % len(PREFIXES)] + "x"
         try:
-            status = made.request(entry, "POST", JOB_PREFIX + job, body, {
-                "Endiveroad-Request-Id": job, "Content-Type": "application/json"}, timeout=DEADLINE_S)[0]
+            status, body, headers = self.made.request(
+                self.made.entries[0], "POST", target, b"prompt", {
+                    "Endiveroad-Request-Id": "late-%d" % self.number, "Endiveroad-Deadline-Ms": str(TIMEOUT_MS),
+                    "Endiveroad-Model": MODELS[0]}, kept=self.kept)
+            is_whole = status != 200 or body.count(b"data:") == EVENTS
+            self.outcome = "%d, %s" % (status, "whole" if is_whole else "%d events" % body.count(b"data:"))
+            self.is_answered = is_whole
         except (OSError, http.client.HTTPException) as error:
-            status = repr(error)
-        record.write("job %s (%.1f MB) at %s: %s" % (job, len(body) / 1e6, entry.name, status))
-        if status in (202, 413):
-            return status
-        time.sleep(RETRY_PAUSE_S)
-    return None
+            self.outcome = "no whole answer: %r" % error
+            self.is_answered = False
+        self.ended_at = time.monotonic() - start
+        self.record.write("late-%d to %s sent %.2f s after SIGTERM, ended at %.2f s: %s" % (
+            self.number, target, self.sent_at, self.ended_at, self.outcome))
 
 
 def case(made, record, trouble):
-    keeper = Keeper(made, record)
-    assert len(job_body("x", LARGE_ITEMS)) <= deployment.LIMITS["MaxBodyBytes"]
-    large = job_body("a", LARGE_ITEMS if trouble else SMALL_ITEMS)
-    outcome = []
-    trainer = threading.Thread(target=lambda: outcome.append(submit(made, record, "a", large)))
-    trainer.start()
-    time.sleep(1.0)
-    # Another trainer's ordinary job meanwhile.
-    other = submit(made, record, "b", job_body("b", SMALL_ITEMS))
-    trainer.join()
-    keeper.close()
-    record.write("most memory in MB: %s" % dict(keeper.peaks_mb))
-    record.write("ends for memory: %s; job a: %s, job b: %s" % (dict(keeper.ends), outcome[0], other))
-    faulty = [name for name, ends in keeper.ends.items() if ends >= ENDS_OF_A_FAULT]
-    enough = max(MACHINES_OF_A_FAULT, len(made.machines()) // 10)
-    return len(faulty) < enough
+    for engine in made.platform.engines:
+        engine.EVENT_S = PAUSE_S
+    callers = [Caller(made, record, number) for number in range(CALLERS)]
+    for caller in callers:
+        caller.warm_up()
+    # StableMs before the requests nothing unplanned happens; nothing does at all.
+    time.sleep(deployment.BOUNDS["StableMs"] / 1000)
+    if trouble:
+        made.entries[0].signal(signal.SIGTERM)
+        record.write("SIGTERM to entry-0")
+    signalled_at = time.monotonic()
+    for caller in callers:
+        caller.signalled_at = signalled_at
+        caller.start()
+    for caller in callers:
+        caller.join()
+    ran = collections.Counter(run[0] for engine in made.platform.engines for run in engine.ran)
+    record.write("runs at replicas: %s" % {request: count for request, count in ran.items() if "late" in request})
+    lost = [caller for caller in callers if not caller.is_answered and ran["late-%d" % caller.number]
+            and caller.sent_at > EXCUSED_UNTIL_S and caller.ended_at <= GRACE_S + 1
+            and (caller.ended_at - caller.sent_at) * 1000 < TIMEOUT_MS]
+    record.write("requests that a replica ran and that got no whole answer, without an excuse: %d of %d" % (
+        len(lost), CALLERS))
+    return not lost
 
 
 if __name__ == "__main__":
-    deployment.run(FOLDER, case, entries=3, coordinators=3, engines=3, services=3)
+    deployment.run(FOLDER, case, routes=routes(), entries=2, coordinators=3, engines=4, services=2)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,11 +1,11 @@
-"""An entry that stops takes requests for longer than it can finish them.
+"""A replica's bytes without end put an HTTP error answer into the middle of a caller's stream.
 
-Callers with open connections send a streaming request each 3.1 to 3.2 s after the SIGTERM of their entry.
+A replica in trouble goes on, after two sound events, with bytes that are no event; after more than 1 MB an empty line
+stands among them. The caller's bytes are kept as they come.
 """
-import collections
-import http.client
+import asyncio
 import os
-import signal
+import socket
 import sys
 import threading
 import time
@@ -13,94 +13,101 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-3"))
 import deployment  # noqa: E402
-import hosted_servers  # noqa: E402
-from hosted import MODELS, configuration  # noqa: E402
+from hosted import HOST, MODELS, configuration  # noqa: E402
 
-CALLERS = 16
-# The sheet's streams have pauses of 120 ms at most, and up to 174 events.
-EVENTS = 45
-PAUSE_S = 0.1
-TIMEOUT_MS = 10000
-SEND_AT_S = 3.1
-SPREAD_S = 0.1
-# RULES.md: a request that was sent no later is excused if its replica was at work in the last sixth of GraceS.
-EXCUSED_UNTIL_S = 3.0
-GRACE_S = deployment.BOUNDS["GraceS"]
-# A resumable stream and one that may not be repeated.
-PREFIXES = ("/stream/", "/draft/")
-
-hosted_servers.event_count = lambda _: EVENTS
+CALLERS = 2
+SOUND_EVENTS = 2
+PIECE = b"x" * 16384
+PIECES = 66
+TIMEOUT_MS = 20000
 
 
 def routes():
-    made = [{**route, "TimeoutMs": TIMEOUT_MS} for route in configuration(1)["Routes"]]
+    made = configuration(1)["Routes"]
     stream = next(route for route in made if route["Name"] == "stream")
-    return made + [{**stream, "Name": "draft", "PathPrefix": "/draft/", "Resumable": False}]
+    return made + [{**stream, "Name": "draft", "PathPrefix": "/draft/", "Resumable": False, "TimeoutMs": TIMEOUT_MS}]
 
 
-class Caller(threading.Thread):
-    """Keeps its connection: one short stream before, then one request in the time after the signal."""
+def bytes_without_end(is_troubled):
+    async def answer(request, connection):
+        request_id = request.headers.get("endiveroad-request-id", "")
+        await connection.begin_stream({"Endiveroad-Request-Id": request_id, "Endiveroad-Weight-Versions": "1",
+                                       "Endiveroad-Upstream-Stamp": "stamp-" + request_id})
+        for number in range(SOUND_EVENTS):
+            await connection.send_piece(b"id: %d\ndata: sound %d\n\n" % (number, number))
+            await asyncio.sleep(0.02)
+        if not is_troubled:
+            return await connection.end_stream()
+        try:
+            while not connection.has_client_left():
+                for _ in range(PIECES):
+                    await connection.send_piece(PIECE)
+                await connection.send_piece(b"\n\n")
+        except ConnectionError:
+            pass
+        connection.cut()
+    return answer
+
+
+def chunks(body):
+    """The chunks of a body, and what stands where the next one is due; None if that is nothing or the last chunk."""
+    made = []
+    while body:
+        line, _, rest = body.partition(b"\r\n")
+        try:
+            size = int(line, 16)
+        except ValueError:
+            return made, body
+        if size == 0:
+            return made, None
+        made.append(rest[:size])
+        body = rest[size + 2:]
+    return made, None
 
-    def __init__(self, made, record, number):
+
+class Caller(threading.Thread):
+    def __init__(self, made, number):
         super().__init__(daemon=True)
         self.made = made
-        self.record = record
         self.number = number
-        self.kept = made.connect(made.entries[0], timeout=15)
-        self.sent_at = None
-        self.ended_at = None
-        self.outcome = None
-
-    def warm_up(self):
-        assert self.made.call(self.made.entries[0], "warm-%d" % self.number, kept=self.kept)[0] == 200
+        self.received = b""
 
     def run(self):
-        start = self.signalled_at
-        time.sleep(max(start + SEND_AT_S + SPREAD_S * self.number / CALLERS - time.monotonic(), 0))
-        self.sent_at = time.monotonic() - start
-        target = PREFIXES[self.number % len(PREFIXES)] + "x"
-        try:
-            status, body, headers = self.made.request(
-                self.made.entries[0], "POST", target, b"prompt", {
-                    "Endiveroad-Request-Id": "late-%d" % self.number, "Endiveroad-Deadline-Ms": str(TIMEOUT_MS),
-                    "Endiveroad-Model": MODELS[0]}, kept=self.kept)
-            is_whole = status != 200 or body.count(b"data:") == EVENTS
-            self.outcome = "%d, %s" % (status, "whole" if is_whole else "%d events" % body.count(b"data:"))
-            self.is_answered = is_whole
-        except (OSError, http.client.HTTPException) as error:
-            self.outcome = "no whole answer: %r" % error
-            self.is_answered = False
-        self.ended_at = time.monotonic() - start
-        self.record.write("late-%d to %s sent %.2f s after SIGTERM, ended at %.2f s: %s" % (
-            self.number, target, self.sent_at, self.ended_at, self.outcome))
+        head = ("POST /draft/x HTTP/1.1\r\nHost: %s\r\nEndiveroad-Request-Id: draft-%d\r\nEndiveroad-Deadline-Ms: %d\r\n"
+                "Endiveroad-Model: %s\r\nContent-Length: 6\r\n"
+                "Connection: close\r\n\r\nprompt" % (HOST, self.number, TIMEOUT_MS, MODELS[0]))
+        entry = self.made.entries[self.number % len(self.made.entries)]
+        with socket.create_connection((entry.address, self.made.port + 1), timeout=TIMEOUT_MS / 1000 + 2) as connection:
+            connection.sendall(head.encode())
+            try:
+                while not self.received.endswith(b"0\r\n\r\n"):
+                    piece = connection.recv(65536)
+                    if not piece:
+                        break
+                    self.received += piece
+            except OSError as error:
+                self.error = error
 
 
 def case(made, record, trouble):
+    # Until the entries know all replicas.
+    time.sleep(2)
     for engine in made.platform.engines:
-        engine.EVENT_S = PAUSE_S
-    callers = [Caller(made, record, number) for number in range(CALLERS)]
-    for caller in callers:
-        caller.warm_up()
-    # StableMs before the requests nothing unplanned happens; nothing does at all.
-    time.sleep(deployment.BOUNDS["StableMs"] / 1000)
-    if trouble:
-        made.entries[0].signal(signal.SIGTERM)
-        record.write("SIGTERM to entry-0")
-    signalled_at = time.monotonic()
+        engine.generate = bytes_without_end(trouble)
+    callers = [Caller(made, number) for number in range(CALLERS)]
     for caller in callers:
-        caller.signalled_at = signalled_at
         caller.start()
     for caller in callers:
         caller.join()
-    ran = collections.Counter(run[0] for engine in made.platform.engines for run in engine.ran)
-    record.write("runs at replicas: %s" % {request: count for request, count in ran.items() if "late" in request})
-    lost = [caller for caller in callers if not caller.is_answered and ran["late-%d" % caller.number]
-            and caller.sent_at > EXCUSED_UNTIL_S and caller.ended_at <= GRACE_S + 1
-            and (caller.ended_at - caller.sent_at) * 1000 < TIMEOUT_MS]
-    record.write("requests that a replica ran and that got no whole answer, without an excuse: %d of %d" % (
-        len(lost), CALLERS))
-    return not lost
+    is_broken = False
+    for caller in callers:
+        head, _, body = caller.received.partition(b"\r\n\r\n")
+        pieces, foreign = chunks(body)
+        record.write("caller %d: %s; %d chunks; where the next chunk is due: %r" % (
+            caller.number, head.split(b"\r\n")[0].decode(), len(pieces), foreign and foreign[:200]))
+        is_broken = is_broken or bool(foreign)
+    return not is_broken
 
 
 if __name__ == "__main__":
-    deployment.run(FOLDER, case, routes=routes(), entries=2, coordinators=3, engines=4, services=2)
+    deployment.run(FOLDER, case, routes=routes(), entries=2, coordinators=3, engines=2, services=2)
