--- a/review/13/case.py
+++ b/review/13/case.py
@@ -85,8 +85,9 @@
                     if not piece:
                         break
                     self.received += piece
-            except OSError as error:
-                self.error = error
+            except OSError:
+                # What has come until then is judged.
+                return
 
 
 def case(made, record, trouble):
