--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -17,6 +17,9 @@
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
+# A case that hangs ends its processes and counts as not run.
+TIME_LIMIT_S = 110
+
 # A page of a listing has at most about 500 items or 1 MB of values (PROTOCOL.md, "The platform's metadata store").
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
@@ -90,6 +93,16 @@
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
     outcome = NOT_RUN
     made = None
+
+    def give_up():
+        record.write("the case took over %d s" % TIME_LIMIT_S)
+        if made:
+            made.close()
+        os._exit(NOT_RUN)
+
+    limit = threading.Timer(TIME_LIMIT_S, give_up)
+    limit.daemon = True
+    limit.start()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         if not os.path.exists(BINARY):
