A second answer to a request cannot be written

Cause: HostedEntry::serve answers every Error, and Session::answer wrote whatever it was given; nothing kept track of how much had been sent.

Change: an exchange has a state, AnswerState: nothing, head, all. answer() writes only if nothing has been sent; else it logs SecondAnswerDropped and closes the connection, so that the stream ends visibly. The parts of a stream throw out of order. This holds for every handler of every server.

HttpServerTest "nothing is written of a second answer, and the stream before it ends visibly" guards against it.

--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -178,6 +178,7 @@
     }
 
     const HttpQuery& query() const override { return query_; }
+    AnswerState answerState() const override { return answerState_; }
     CallerAccountPtr account() const override { return account_; }
     std::string releaseBody() override { return std::move(query_.body); }
     bool isDisconnected() const override { return isDisconnected_; }
@@ -185,7 +186,13 @@
 
     asio::awaitable<void> answer(HttpResponse response) override
     {
-        isAnswered_ = true;
+        if (answerState_ != AnswerState::Nothing) {
+            isClosing_ = true;
+            log(Event::SecondAnswerDropped,
+                { { "target", query_.target }, { "status", std::to_string(response.status) } });
+            co_return;
+        }
+        answerState_ = AnswerState::All;
         if (const auto fault = loggedFault(query_.target, response.headers))
             response = errorResponse(OutcomeUnknownError("the answer cannot be passed on: " + *fault));
         if (hasPipelinedInput() || server_.isDraining_ || server_.isStopping_)
@@ -209,8 +216,8 @@
     {
         if (const auto fault = loggedFault(query_.target, headers))
             throw AnswerBrokenError("the answer cannot be passed on: " + *fault);
-        isAnswered_ = true;
-        isStreaming_ = true;
+        requireState(AnswerState::Nothing);
+        answerState_ = AnswerState::Head;
         http::response<http::empty_body> message;
         message.version(11);
         message.result(static_cast<unsigned>(status));
@@ -225,6 +232,7 @@
 
     asio::awaitable<void> sendPiece(std::string_view piece) override
     {
+        requireState(AnswerState::Head);
         if (piece.empty())
             co_return;
         co_await writeChecked([&](error_code& error) -> asio::awaitable<void> {
@@ -235,11 +243,12 @@
 
     asio::awaitable<void> endStream() override
     {
+        requireState(AnswerState::Head);
         co_await writeChecked([&](error_code& error) -> asio::awaitable<void> {
             co_await asio::async_write(
                 stream_, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
         });
-        isStreaming_ = false;
+        answerState_ = AnswerState::All;
     }
 
 private:
@@ -256,6 +265,12 @@
             stream_.close();
     }
 
+    void requireState(AnswerState state) const
+    {
+        if (answerState_ != state)
+            throw AnswerBrokenError("the part of the answer does not follow what has been sent");
+    }
+
     void setPhase(CallerPhase phase)
     {
         phase_ = phase;
@@ -324,6 +339,7 @@
 
     asio::awaitable<bool> readRequest()
     {
+        answerState_ = AnswerState::Nothing;
         RequestParser parser;
         parser.header_limit(server_.sizes_.maxHeaderBytes);
         parser.body_limit(server_.sizes_.maxBodyBytes);
@@ -366,7 +382,6 @@
             co_return false;
         }
         isClosing_ = !parser.get().keep_alive();
-        isAnswered_ = false;
         setPhase(CallerPhase::Served);
         query_ = toQuery(parser.release());
         co_return true;
@@ -432,9 +447,9 @@
         } catch (const std::exception& error) {
             log(Event::CallOutcomeUnknown, { { "target", query_.target }, { "reason", error.what() } });
         }
-        if (isStreaming_)
+        if (answerState_ == AnswerState::Head)
             isClosing_ = true;
-        if (!isAnswered_)
+        if (answerState_ == AnswerState::Nothing)
             co_await answer(errorResponse(OutcomeUnknownError("the entry failed while it handled the request")));
     }
 
@@ -474,8 +489,8 @@
     Instant deadline_ = never;
     bool isIdle_ = false;
     bool isClosing_ = false;
-    bool isAnswered_ = false;
-    bool isStreaming_ = false;
+    /// Of the current request, or of the last one.
+    AnswerState answerState_ = AnswerState::Nothing;
     bool isDisconnected_ = false;
 };
 
--- a/src/io/HttpServer.h
+++ b/src/io/HttpServer.h
@@ -27,6 +27,14 @@
     std::string_view header(std::string_view name) const;
 };
 
+/// How much of the answer to a request has been sent.
+enum class AnswerState {
+    Nothing,
+    /// The head of a stream. From now on the stream can only go on, end or be broken off.
+    Head,
+    All,
+};
+
 /// One request and its answer. The handler calls either answer() once, or beginStream(), sendPiece() for each piece of
 /// the body, and endStream(). If the handler returns without endStream(), the connection closes before the final chunk,
 /// so that the caller sees a truncated body.
@@ -36,8 +44,15 @@
 
     virtual const HttpQuery& query() const = 0;
 
+    virtual AnswerState answerState() const = 0;
+
+    /// Sends a whole answer. If a part of an answer has been sent already, nothing is sent and the connection is
+    /// closed: the caller would take a second head for a part of the stream.
     virtual asio::awaitable<void> answer(HttpResponse) = 0;
+    /// Sends the head of a stream. Throws AnswerBrokenError if it cannot be written, with the state Nothing if nothing
+    /// of it was sent, and if a part of an answer has been sent already.
     virtual asio::awaitable<void> beginStream(int status, HeaderList) = 0;
+    /// Throw AnswerBrokenError if the bytes cannot be written, or if the state is not Head.
     virtual asio::awaitable<void> sendPiece(std::string_view) = 0;
     virtual asio::awaitable<void> endStream() = 0;
 
--- a/tests/io/HttpServerTest.cpp
+++ b/tests/io/HttpServerTest.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// Answers with the request's method; for /stream and /broken with a stream that it ends or abandons; for /wait only
-/// after the caller has disconnected.
+/// after the caller has disconnected; for /second with a stream into which it answers.
 class Handler : public HttpHandler {
 public:
     asio::awaitable<void> onHttp(HttpExchange& exchange) override
@@ -26,7 +26,7 @@
             exchange.onDisconnect([this] { ++disconnects; });
             co_await becomes([&] { return exchange.isDisconnected(); });
         }
-        if (target != "/stream" && target != "/broken") {
+        if (target != "/stream" && target != "/broken" && target != "/second") {
             HttpResponse response;
             response.status = 200;
             response.body = exchange.query().method;
@@ -42,6 +42,10 @@
             headers.emplace_back("X-Forged", "1\r\n\r\nHTTP/1.1 200 OK");
         co_await exchange.beginStream(200, headers);
         co_await exchange.sendPiece("piece");
+        if (target == "/second") {
+            HttpResponse response = jsonResponse(502, "second");
+            co_await exchange.answer(std::move(response));
+        }
         if (target == "/stream")
             co_await exchange.endStream();
     }
@@ -175,3 +179,14 @@
         CHECK(fixture.handler.requests == 1);
     });
 }
+
+// Guards against an error answer inside a stream: callers take its head for a part of the stream's body.
+TEST_CASE("nothing is written of a second answer, and the stream before it ends visibly", "[http]")
+{
+    Fixture fixture;
+    runToEnd(fixture.context, [&]() -> asio::awaitable<void> {
+        const std::string received = co_await fixture.send("GET /second HTTP/1.1\r\n\r\n");
+        CHECK(received.ends_with("5\r\npiece\r\n"));
+        CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+    });
+}
