An entry that stops ends every request that it takes

It is wider: requests that waited for a server, calls, bodies whose last byte came late, and what was under way before SIGTERM were closed without an answer at the end, some without having been at any server.

Cause: the end of the process was a local variable of drain(), no deadline of any request. The 3.3 s of the entry against the 3 s of the rule are the smallest part of it.

Change: DrainSchedule holds when streams may be begun, connections are accepted, last answers are due and the process ends. Calls and operations on jobs have the last answers as their deadline. What has no answer when the last ones are due is aborted, and HttpServer answers for a handler that does not (outcome_unknown). onAbort replaces onDisconnect, and wakes a stream at once. The entry of the own interface answers before its drain ends too.

Ruled out: refusing all by the clock, since short calls end in time and are most of what comes then; the cases that were right stay right.

--- a/src/core/calls/AttemptEffects.cpp
+++ b/src/core/calls/AttemptEffects.cpp
@@ -9,6 +9,7 @@
     case ErrorCode::NotRun:
     case ErrorCode::NotReady:
     case ErrorCode::PoisonRequest:
+    case ErrorCode::ProcessStopping:
     case ErrorCode::StoreUnavailable:
     case ErrorCode::PeerUnavailable:
     case ErrorCode::ServerUnavailable:
--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -14,6 +14,7 @@
 #include <endiveroad/HttpHead.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace endiveroad::io {
 
@@ -29,6 +30,9 @@
 /// Pause before a connection is accepted again after a failure, or while there are too many.
 constexpr Duration acceptPause = std::chrono::milliseconds(20);
 
+/// Interval at which it is looked whether handlers have answered the requests that were aborted.
+constexpr Duration abortCheckInterval = std::chrono::milliseconds(10);
+
 /// Retry-After of requests for which there is no room.
 constexpr Duration refusalPause = std::chrono::seconds(1);
 
@@ -123,7 +127,7 @@
 }
 
 /// One connection of a caller. Reads a request, lets the handler answer it, then reads the next.
-class HttpServer::Session : public HttpExchange, public CallerConnection {
+class HttpServer::Session : public HttpExchange, public CallerConnection, public std::enable_shared_from_this<Session> {
 public:
     Session(HttpServer& server, asio::ip::tcp::socket socket)
         : server_(server)
@@ -142,8 +146,9 @@
             budget_->close(callerId_);
     }
 
-    asio::awaitable<void> run(std::shared_ptr<Session> self)
+    asio::awaitable<void> run()
     {
+        const std::shared_ptr<Session> self = shared_from_this();
         error_code ignored;
         stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
         while (!isClosing_ && (!server_.isStopping_ || hasInput())) {
@@ -151,9 +156,12 @@
                 break;
             watchForDisconnect(self);
             ++server_.inFlight_;
+            isHandled_ = true;
             co_await handle();
+            isHandled_ = false;
+            isAborted_ = false;
             --server_.inFlight_;
-            onDisconnect_ = nullptr;
+            onAbort_ = nullptr;
             query_ = {};
             if (account_) {
                 account_->holdRequest(0);
@@ -177,12 +185,36 @@
             stream_.close();
     }
 
+    /// Whether the handler works on a request whose answer has come this far.
+    bool isHandling(AnswerState state) const { return isHandled_ && answerState_ == state; }
+
+    /// Tells the handler to give the request up.
+    void abort()
+    {
+        if (std::exchange(isAborted_, true))
+            return;
+        if (onAbort_)
+            onAbort_();
+    }
+
+    /// Answers for the handler, which may still work on the request.
+    asio::awaitable<void> answerForHandler()
+    {
+        isClosing_ = true;
+        co_await answer(errorResponse(OutcomeUnknownError("the process ends before the request does")));
+    }
+
     const HttpQuery& query() const override { return query_; }
     AnswerState answerState() const override { return answerState_; }
     CallerAccountPtr account() const override { return account_; }
     std::string releaseBody() override { return std::move(query_.body); }
     bool isDisconnected() const override { return isDisconnected_; }
-    void onDisconnect(std::function<void()> callback) override { onDisconnect_ = std::move(callback); }
+    void onAbort(std::function<void()> callback) override
+    {
+        onAbort_ = std::move(callback);
+        if (isAborted_ && onAbort_)
+            onAbort_();
+    }
 
     asio::awaitable<void> answer(HttpResponse response) override
     {
@@ -218,11 +250,14 @@
             throw AnswerBrokenError("the answer cannot be passed on: " + *fault);
         requireState(AnswerState::Nothing);
         answerState_ = AnswerState::Head;
+        if (server_.isDraining_)
+            isClosing_ = true;
         http::response<http::empty_body> message;
         message.version(11);
         message.result(static_cast<unsigned>(status));
         for (const auto& [name, value] : headers)
             message.insert(name, value);
+        message.keep_alive(!isClosing_);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
         co_await writeChecked([&](error_code& error) -> asio::awaitable<void> {
@@ -465,8 +500,7 @@
                 return;
             self->isDisconnected_ = true;
             self->isClosing_ = true;
-            if (self->onDisconnect_)
-                self->onDisconnect_();
+            self->abort();
         });
     }
 
@@ -483,7 +517,7 @@
     /// The budget has no room for the body.
     bool isRefused_ = false;
     HttpQuery query_;
-    std::function<void()> onDisconnect_;
+    std::function<void()> onAbort_;
     uint64_t exchangeNumber_ = 0;
     /// When the current time limit of the caller ends; never while the handler works on its request.
     Instant deadline_ = never;
@@ -491,6 +525,8 @@
     bool isClosing_ = false;
     /// Of the current request, or of the last one.
     AnswerState answerState_ = AnswerState::Nothing;
+    bool isHandled_ = false;
+    bool isAborted_ = false;
     bool isDisconnected_ = false;
 };
 
@@ -540,6 +576,37 @@
         session->closeIfIdle();
 }
 
+bool HttpServer::abort(AnswerState state)
+{
+    const auto sessions = *sessions_;
+    bool hasAny = false;
+    for (Session* session : sessions) {
+        if (!session->isHandling(state))
+            continue;
+        hasAny = true;
+        session->abort();
+    }
+    return hasAny;
+}
+
+void HttpServer::abortStreams()
+{
+    abort(AnswerState::Head);
+}
+
+asio::awaitable<void> HttpServer::endUnanswered(Instant by)
+{
+    while (abort(AnswerState::Nothing) && now() < by)
+        co_await sleepFor(std::min<Duration>(abortCheckInterval, by - now()));
+    const auto sessions = *sessions_;
+    for (Session* session : sessions) {
+        if (!session->isHandling(AnswerState::Nothing))
+            continue;
+        const std::shared_ptr<Session> shared = session->shared_from_this();
+        spawn(acceptor_->get_executor(), [shared] { return shared->answerForHandler(); });
+    }
+}
+
 asio::awaitable<void> HttpServer::acceptLoop()
 {
     while (!isStopping_) {
@@ -564,7 +631,7 @@
     auto session = std::make_shared<Session>(*this, std::move(socket));
     if (const auto budget = processCallerBudget())
         budget->closeExcess();
-    spawn(acceptor_->get_executor(), [session] { return session->run(session); });
+    spawn(acceptor_->get_executor(), [session] { return session->run(); });
 }
 
 } // namespace endiveroad::io
--- a/src/io/HttpServer.h
+++ b/src/io/HttpServer.h
@@ -60,8 +60,9 @@
     /// is handled if the caller has sent further bytes before it.
     virtual bool isDisconnected() const = 0;
 
-    /// Sets the function to call if the caller closes its connection before the answer.
-    virtual void onDisconnect(std::function<void()>) = 0;
+    /// Sets the function to call when the request is to be given up: the caller has closed its connection, or this
+    /// process ends. Calls it at once if that has happened already.
+    virtual void onAbort(std::function<void()>) = 0;
 };
 
 class HttpHandler {
@@ -114,14 +115,21 @@
         timeouts_ = timeouts;
     }
 
-    /// Closes each connection after its next answer that is not streamed (Connection: close), so that callers move to
-    /// another server.
+    /// Closes each connection after its next answer (Connection: close), so that callers move to another server. A
+    /// stream whose head has been sent before does not announce that.
     void startDraining() { isDraining_ = true; }
 
     /// Stops accepting connections and closes idle ones. Requests in flight, and those already in the sockets' buffers,
     /// are still answered.
     void stopAccepting();
 
+    /// Has every request of which nothing has been answered yet answered: aborts it, and answers it itself with
+    /// OutcomeUnknownError if the handler has not done so by the instant.
+    asio::awaitable<void> endUnanswered(Instant by);
+
+    /// Aborts the streams that have begun.
+    void abortStreams();
+
     /// Number of requests passed to the handler and not yet answered.
     size_t inFlight() const { return inFlight_; }
 
@@ -135,6 +143,8 @@
     /// Closes sessions whose deadline has passed. One periodic check saves a timer for each request.
     asio::awaitable<void> closeOverdue();
     void serve(asio::ip::tcp::socket);
+    /// Aborts the requests whose answer has come this far. Returns whether there are any.
+    bool abort(AnswerState);
 
     HttpHandler& handler_;
     HttpTimeouts timeouts_;
--- a/src/io/entry/CallRouter.cpp
+++ b/src/io/entry/CallRouter.cpp
@@ -255,7 +255,7 @@
 {
     auto cancellation = std::make_shared<PeerCancellation>();
     call.cancellation = cancellation;
-    exchange.onDisconnect([cancellation] { cancellation->cancel(); });
+    exchange.onAbort([cancellation] { cancellation->cancel(); });
     co_return co_await callReplicas(pool, std::move(call), deadline);
 }
 
@@ -289,7 +289,8 @@
         if (!result.failure)
             throw CallFailure(result.code, result.detail, result.retryAfter);
         if (call.cancellation && call.cancellation->isCancelled())
-            throw CallFailure(ErrorCode::OutcomeUnknown, "the caller disconnected", retryAfter);
+            throw CallFailure(ErrorCode::OutcomeUnknown,
+                "the request was given up: its caller disconnected, or this process ends", retryAfter);
         if (const auto code = attempts.onFailure(*result.failure, now()))
             throw CallFailure(*code, result.detail, result.retryAfter);
         detail = result.detail;
--- a/src/io/entry/EntryNode.cpp
+++ b/src/io/entry/EntryNode.cpp
@@ -26,6 +26,8 @@
 /// Time after which an entry is ready even if the agents of a pool have not reported.
 constexpr Duration maxReportWait = std::chrono::seconds(3);
 constexpr Duration maxDrainTime = std::chrono::seconds(60);
+/// Time at the end of a drain for requests that are still under way to be given up and answered.
+constexpr Duration lastAnswerTime = std::chrono::milliseconds(300);
 
 /// Response for an error, with the headers that its status requires.
 HttpResponse toResponse(const Error& error, const HttpQuery& query)
@@ -370,9 +372,11 @@
     co_await sleepFor(readinessPropagationTime);
     if (server_)
         server_->stopAccepting();
-    const Instant deadline = now() + maxDrainTime;
-    while (server_ && server_->connections() > 0 && now() < deadline)
+    const Instant endsAt = now() + maxDrainTime;
+    while (server_ && server_->connections() > 0 && now() < endsAt - lastAnswerTime)
         co_await sleepFor(drainPollInterval);
+    if (server_)
+        co_await server_->endUnanswered(endsAt);
     for (const auto& [jobName, runner] : runners_)
         runner->stop();
 }
--- a/src/io/hosted/HostedEntry.cpp
+++ b/src/io/hosted/HostedEntry.cpp
@@ -20,6 +20,9 @@
 /// Longer waits for results that a caller requests (CallerRequest::maxWait) are cut to this.
 constexpr std::chrono::milliseconds maxReadWait { 5000 };
 
+/// Interval at which a process that drains looks whether callers still have connections.
+constexpr Duration connectionCheckInterval = std::chrono::milliseconds(20);
+
 wire::BatchOperation::type toWire(CallerOperation operation)
 {
     switch (operation) {
@@ -250,7 +253,7 @@
     const Instant arrivedAt = now();
     const HttpQuery& query = exchange.query();
     auto cancellation = std::make_shared<PeerCancellation>();
-    exchange.onDisconnect([cancellation] { cancellation->cancel(); });
+    exchange.onAbort([cancellation] { cancellation->cancel(); });
     CallerRequest request;
     HttpResponse response;
     try {
@@ -268,9 +271,11 @@
         route.priority = current->routing->priorityOf(route, organisation);
         const Duration timeout = std::min(request.timeout.value_or(route.timeout), route.timeout);
         const Instant deadline = arrivedAt + timeout - answerMargin;
+        const Instant answerDeadline = drainSchedule_ ? drainSchedule_->answerBy(deadline) : deadline;
         std::optional<HttpResponse> jobAnswer;
         if (mayConcernJob(request, query, matched))
-            jobAnswer = co_await serveJob(request, query, matched, organisation, deadline, cancellation, authorisation);
+            jobAnswer
+                = co_await serveJob(request, query, matched, organisation, answerDeadline, cancellation, authorisation);
         if (jobAnswer) {
             response = std::move(*jobAnswer);
         } else if (!matched) {
@@ -280,15 +285,19 @@
         } else if (route.kind == TrafficKind::BatchJobs) {
             holdCopies(exchange);
             wire::BatchCall submission = toSubmission(request, route, releaseBody(exchange), organisation);
-            response = co_await serveBatch(submission, deadline, cancellation, authorisation);
+            response = co_await serveBatch(submission, answerDeadline, cancellation, authorisation);
         } else if (route.kind == TrafficKind::Streaming) {
             ReplicaRequest forwarded = forwardedRequest(exchange, request, *current->routing, organisation);
+            if (const std::optional<Error> refusal = streamRefusal(deadline))
+                throw Error(*refusal);
+            StreamAuthorisation streamed = streamAuthorisation(std::move(authorisation), deadline);
             co_await streamProxy_.serve(
-                exchange, route, request, std::move(forwarded), deadline, cancellation, authorisation);
+                exchange, route, request, std::move(forwarded), deadline, cancellation, std::move(streamed));
             co_return;
         } else {
             ReplicaRequest forwarded = forwardedRequest(exchange, request, *current->routing, organisation);
-            response = co_await serveCall(request, route, std::move(forwarded), deadline, cancellation, authorisation);
+            response
+                = co_await serveCall(request, route, std::move(forwarded), answerDeadline, cancellation, authorisation);
         }
     } catch (const ServersFullError& error) {
         response = encodeFailure(request, error, error.retryAt() - now());
@@ -338,6 +347,24 @@
     };
 }
 
+std::optional<Error> HostedEntry::streamRefusal(Instant deadline) const
+{
+    if (!drainSchedule_ || drainSchedule_->mayBeginStream(now(), deadline))
+        return std::nullopt;
+    return ProcessStoppingError("the process may end before the stream does");
+}
+
+StreamAuthorisation HostedEntry::streamAuthorisation(Authorisation authorisation, Instant deadline) const
+{
+    StreamAuthorisation streamed;
+    streamed.begin = [this, authorisation, deadline]() -> std::optional<Error> {
+        const std::optional<Error> refusal = streamRefusal(deadline);
+        return refusal || !authorisation ? refusal : authorisation();
+    };
+    streamed.goOn = std::move(authorisation);
+    return streamed;
+}
+
 bool HostedEntry::mayConcernJob(
     const CallerRequest& request, const HttpQuery& query, const RouteDeclaration* matched) const
 {
@@ -354,6 +381,9 @@
     // A call to a backend server has an id, so one without an id is certainly meant for a job.
     const bool mayBeCall = request.operation == CallerOperation::Call || (matched && !request.id.empty());
     wire::BatchCall call = toJobCall(request, query, organisation);
+    // A read that waits for results is answered without any before the process ends.
+    if (drainSchedule_)
+        call.waitMs = static_cast<int32_t>(std::min<int64_t>(call.waitMs, millisecondsLeft(deadline) / 2));
     wire::BatchAnswer answer = co_await gateway_.perform(call, deadline, cancellation, std::move(authorisation));
     const bool isUnknown = answer.status == httpStatus(ErrorCode::BatchJobUnknown);
     if (mayBeCall && isUnknown)
@@ -398,10 +428,15 @@
         throw ContentBlockedError(result.content, *result.blockedUntil);
     if (!result.mayHaveRun && result.retryAt)
         throw ServersFullError(result.reason + tried, *result.retryAt);
+    const bool isEnding = drainSchedule_ && now() >= drainSchedule_->answersDueAt();
+    if (!result.mayHaveRun && isEnding)
+        throw ProcessStoppingError("the process ends before a server has taken the request" + tried);
     if (!result.mayHaveRun)
         throw NotRunError((result.reason.empty() ? "no server of the route is ready" : result.reason) + tried);
     if (now() >= deadline)
         throw DeadlineUnknownError((result.reason.empty() ? "the time ran out" : result.reason) + tried);
+    if (isEnding && result.reason.empty())
+        result.reason = "the process ends before the server's answer";
     throw OutcomeUnknownError(result.reason + tried);
 }
 
@@ -441,14 +476,26 @@
 
 asio::awaitable<void> HostedEntry::drain()
 {
-    const Instant end = now() + settings().graceTime - graceMargin;
+    const DrainSchedule schedule = DrainSchedule::within(now(), settings().graceTime);
+    drainSchedule_ = schedule;
     callerServer_->startDraining();
-    co_await sleepFor(acceptTimeAfterSigterm);
+    co_await sleepFor(schedule.streamsUntil() - now());
+    // Streams that still wait for a server are refused.
+    serviceCaller_.onAuthorisationsChanged();
+    co_await sleepFor(schedule.connectionsUntil() - now());
     callerServer_->stopAccepting();
-    while (callerServer_->connections() > 0 && now() < end)
-        co_await sleepFor(std::chrono::milliseconds(20));
+    co_await awaitNoConnections(schedule.answersDueAt());
+    co_await callerServer_->endUnanswered(schedule.endsAt() - lastAnswerTime);
+    co_await awaitNoConnections(schedule.endsAt());
+    callerServer_->abortStreams();
     if (usageReporter_)
         usageReporter_->send();
 }
 
+asio::awaitable<void> HostedEntry::awaitNoConnections(Instant until)
+{
+    while (callerServer_->connections() > 0 && now() < until)
+        co_await sleepFor(std::min<Duration>(connectionCheckInterval, until - now()));
+}
+
 } // namespace endiveroad::io
--- a/src/io/hosted/HostedEntry.h
+++ b/src/io/hosted/HostedEntry.h
@@ -7,6 +7,9 @@
 #include "io/hosted/StreamProxy.h"
 #include "io/hosted/UsageReporter.h"
 
+#include <endiveroad/DrainSchedule.h>
+#include <optional>
+
 /// Entry on a shared platform. It forwards service calls directly to a backend server and operations on batch jobs to a
 /// coordinator, and has no persistent state.
 namespace endiveroad::io {
@@ -19,12 +22,8 @@
     /// Time before a caller's deadline at which it gets an error answer, so that the error arrives in time.
     static constexpr Duration answerMargin = std::chrono::milliseconds(20);
 
-    /// Time after SIGTERM for which new connections are accepted, because the platform's readiness probe takes a while
-    /// to notice that the process drains.
-    static constexpr Duration acceptTimeAfterSigterm = std::chrono::milliseconds(3300);
-
-    /// Time before the end of the grace time at which draining stops.
-    static constexpr Duration graceMargin = std::chrono::milliseconds(500);
+    /// Time before the end of the drain at which requests are answered whose handlers have not done so.
+    static constexpr Duration lastAnswerTime = std::chrono::milliseconds(100);
 
     HostedEntry(std::unique_ptr<Platform>, HostedOptions);
 
@@ -56,6 +55,12 @@
     asio::awaitable<std::string> askOrigin(std::string coordinator, std::string query, Instant deadline) override;
 
     asio::awaitable<void> serve(HttpExchange&);
+    /// Refuses streams that cannot end before this process does. An empty optional for those that may begin.
+    std::optional<Error> streamRefusal(Instant deadline) const;
+    /// Asked before a stream with this deadline is sent to a server.
+    StreamAuthorisation streamAuthorisation(Authorisation, Instant deadline) const;
+    /// Waits until the callers have closed all connections or the instant.
+    asio::awaitable<void> awaitNoConnections(Instant until);
     /// True if the request needs the API key of an organisation.
     static bool needsKey(const CallerRequest&, const RouteDeclaration* matched, const RoutingTable&);
     /// Name of the organisation that holds the key with this digest. Throws KeyRefusedError, or NotReadyError if the
@@ -92,6 +97,8 @@
     /// Null if usage is not reported.
     std::unique_ptr<UsageReporter> usageReporter_;
     bool wasReady_ = false;
+    /// Set once the process has been told to stop.
+    std::optional<DrainSchedule> drainSchedule_;
 };
 
 } // namespace endiveroad::io
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -83,7 +83,7 @@
 
 struct StreamProxy::Progress {
     CallerRequest caller;
-    Authorisation authorisation;
+    StreamAuthorisation authorisation;
     ReplicaRequest request;
     CallerAccountPtr account;
     ContentId content;
@@ -126,10 +126,11 @@
     TriedServers tried = progress.tried;
     // Few servers may run the software that began the stream.
     tried.mayTryAgain = !hasRun || progress.origin;
+    const Authorisation authorisation = hasRun ? progress.authorisation.goOn : progress.authorisation.begin;
     std::optional<ChosenServer> chosen;
     try {
         chosen = co_await serviceCaller_.obtainServer(
-            route, request, std::move(tried), progress.origin, latestStart, cancellation, progress.authorisation);
+            route, request, std::move(tried), progress.origin, latestStart, cancellation, authorisation);
     } catch (const Error&) {
         // A request that may have run is not reported as refused.
         if (!hasRun)
@@ -212,19 +213,19 @@
 asio::awaitable<bool> StreamProxy::awaitHead(
     ServerStreamPtr serverStream, Instant deadline, PeerCancellationPtr cancellation)
 {
-    // Cancellation by the caller does not notify `changed`, so it is polled.
     while (!serverStream->head && !serverStream->hasEnded && now() < deadline && !cancellation->isCancelled())
-        co_await serverStream->changed.wait(std::min(deadline, now() + stallLimit / 8));
+        co_await serverStream->changed.wait(deadline);
     co_return serverStream->head.has_value();
 }
 
 asio::awaitable<void> StreamProxy::answerUnstreamed(
-    HttpExchange& exchange, ServerStreamPtr serverStream, Instant deadline)
+    HttpExchange& exchange, ServerStreamPtr serverStream, Instant deadline, PeerCancellationPtr cancellation)
 {
-    while (!serverStream->hasEnded && now() < deadline)
+    while (!serverStream->hasEnded && now() < deadline && !cancellation->isCancelled())
         co_await serverStream->changed.wait(deadline);
     if (!serverStream->isComplete)
-        throw OutcomeUnknownError(serverStream->failure.empty() ? "the time ran out" : serverStream->failure);
+        throw OutcomeUnknownError(
+            serverStream->failure.empty() ? "the answer did not end in time" : serverStream->failure);
     crashGuard_.onAnswered(serverStream->attempt);
     HttpResponse response;
     response.status = serverStream->head->status;
@@ -316,6 +317,7 @@
 asio::awaitable<StreamProxy::AttemptEnd> StreamProxy::attempt(HttpExchange& exchange, const RouteDeclaration& route,
     ServerStreamPtr serverStream, Progress& progress, Instant deadline, PeerCancellationPtr cancellation)
 {
+    cancellation->onCancel([serverStream] { serverStream->changed.notifyAll(); });
     progress.tried.any.insert(serverStream->attempt.server);
     crashGuard_.onStart(serverStream->attempt);
     const bool hasHead = co_await awaitHead(serverStream, deadline, cancellation);
@@ -343,7 +345,7 @@
     const bool isStream = isAnswer && serverStream->head->status == statusOk;
     if (isAnswer && !isStream && !progress.hasStarted) {
         recordRun(progress, serverStream->lastEventAt);
-        co_await answerUnstreamed(exchange, serverStream, deadline);
+        co_await answerUnstreamed(exchange, serverStream, deadline, cancellation);
         co_return AttemptEnd::Answered;
     }
     if (isStream) {
@@ -358,7 +360,10 @@
         co_await exchange.endStream();
         co_return AttemptEnd::Answered;
     }
+    const bool isGivenUp = cancellation->isCancelled() && serverStream->failure.empty();
     progress.failure = isRefused ? "the server refused" : serverStream->failure;
+    if (isGivenUp)
+        progress.failure = "the request was given up before the answer ended";
     if (isUnsigned)
         progress.failure = "the answer has a success status but lacks the server's stamp";
     const bool mayRetry = isRefused || !serverStream->wasSent || route.isResumable;
@@ -366,7 +371,7 @@
 }
 
 asio::awaitable<void> StreamProxy::serve(HttpExchange& exchange, RouteDeclaration route, CallerRequest caller,
-    ReplicaRequest request, Instant deadline, PeerCancellationPtr cancellation, Authorisation authorisation)
+    ReplicaRequest request, Instant deadline, PeerCancellationPtr cancellation, StreamAuthorisation authorisation)
 {
     Progress progress;
     progress.authorisation = std::move(authorisation);
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -13,6 +13,14 @@
 /// Forwards event streams from servers to callers without buffering whole answers.
 namespace endiveroad::io {
 
+/// Asked before a stream is sent to a server.
+struct StreamAuthorisation {
+    /// For a stream that no server may have begun.
+    Authorisation begin;
+    /// For one that goes on at a further server.
+    Authorisation goOn;
+};
+
 class StreamProxy {
 public:
     /// Time without a complete event after the response head after which a server's stream is cancelled, if the route
@@ -41,7 +49,7 @@
     /// have run the request, OutcomeUnknownError or DeadlineUnknownError if one may have. A stream that a server has
     /// begun to send goes on when the authorisation ends, but no further server is asked.
     asio::awaitable<void> serve(HttpExchange&, RouteDeclaration, CallerRequest, ReplicaRequest, Instant deadline,
-        PeerCancellationPtr, Authorisation);
+        PeerCancellationPtr, StreamAuthorisation);
 
 private:
     /// The stream of one server and the bytes of it that have not been forwarded yet.
@@ -77,10 +85,10 @@
     /// Returns whether the response head has arrived before the deadline.
     asio::awaitable<bool> awaitHead(ServerStreamPtr, Instant deadline, PeerCancellationPtr);
     /// Sends a response that is not an event stream as a whole.
-    asio::awaitable<void> answerUnstreamed(HttpExchange&, ServerStreamPtr, Instant deadline);
+    asio::awaitable<void> answerUnstreamed(HttpExchange&, ServerStreamPtr, Instant deadline, PeerCancellationPtr);
     /// Finds out whether a server that broke its stream off before the first byte has ended.
     asio::awaitable<void> inspectBroken(ServerStreamPtr, Progress&);
-    /// Forwards events until the stream ends, stalls or the caller disconnects.
+    /// Forwards events until the stream ends, stalls or is to be given up.
     asio::awaitable<void> forward(
         HttpExchange&, const RouteDeclaration&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
 
--- a/tests/io/HttpServerTest.cpp
+++ b/tests/io/HttpServerTest.cpp
@@ -1,10 +1,12 @@
 #include "io/HttpServer.h"
 #include "io/Loop.h"
+#include "io/Tasks.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <map>
 
 using namespace endiveroad;
 using namespace endiveroad::io;
@@ -15,7 +17,8 @@
 namespace {
 
 /// Answers with the request's method; for /stream and /broken with a stream that it ends or abandons; for /wait only
-/// after the caller has disconnected; for /second with a stream into which it answers.
+/// after the caller has disconnected; for /given-up once it is to give the request up, with 503; for /stuck later than
+/// that, with 503; for /second with a stream into which it answers.
 class Handler : public HttpHandler {
 public:
     asio::awaitable<void> onHttp(HttpExchange& exchange) override
@@ -23,9 +26,20 @@
         ++requests;
         const std::string target = exchange.query().target;
         if (target == "/wait") {
-            exchange.onDisconnect([this] { ++disconnects; });
+            exchange.onAbort([this] { ++disconnects; });
             co_await becomes([&] { return exchange.isDisconnected(); });
         }
+        if (target == "/given-up" || target == "/stuck") {
+            bool isAborted = false;
+            exchange.onAbort([&isAborted] { isAborted = true; });
+            co_await becomes([&] { return isAborted; });
+            if (target == "/stuck")
+                co_await becomes([&] { return isReleased; });
+            HttpResponse response = jsonResponse(503, "given up");
+            co_await exchange.answer(std::move(response));
+            ++late;
+            co_return;
+        }
         if (target != "/stream" && target != "/broken" && target != "/second") {
             HttpResponse response;
             response.status = 200;
@@ -52,6 +66,9 @@
 
     int requests = 0;
     int disconnects = 0;
+    /// Answers to requests that were to be given up.
+    int late = 0;
+    bool isReleased = false;
 };
 
 /// A server under test; send() returns everything that a caller receives until the server closes.
@@ -190,3 +207,44 @@
         CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
     });
 }
+
+// Guards against a process that ends under requests and closes their connections without an answer.
+TEST_CASE("requests without an answer are answered before the process ends, whatever their handlers do", "[http]")
+{
+    Fixture fixture;
+    runToEnd(fixture.context, [&]() -> asio::awaitable<void> {
+        std::map<std::string, std::string> answers;
+        for (const std::string target : { "/given-up", "/stuck" }) {
+            spawn(fixture.context.get_executor(), [&fixture, &answers, target]() -> asio::awaitable<void> {
+                answers[target] = co_await fixture.send("GET " + target + " HTTP/1.1\r\n\r\n");
+            });
+        }
+        co_await becomes([&] { return fixture.handler.requests == 2; });
+        fixture.server.startDraining();
+        const Instant by = now() + 200ms;
+        co_await fixture.server.endUnanswered(by);
+        co_await becomes([&] { return fixture.handler.late == 1; });
+        co_await sleepFor(50ms);
+        fixture.handler.isReleased = true;
+        co_await becomes([&] { return answers.size() == 2; });
+        CHECK(fixture.handler.late == 2);
+        CHECK(statusLine(answers["/given-up"]) == "HTTP/1.1 503 Service Unavailable");
+        CHECK(statusLine(answers["/stuck"]) == "HTTP/1.1 502 Bad Gateway");
+        CHECK(answers["/stuck"].find("outcome_unknown") != std::string::npos);
+        CHECK(answers["/stuck"].find("HTTP/1.1", 1) == std::string::npos);
+        for (const auto& [target, answer] : answers)
+            CHECK(answer.find("Connection: close") != std::string::npos);
+    });
+}
+
+// Guards against callers that keep a connection to a process that drains, and send their next request there.
+TEST_CASE("a stream that begins while the process drains announces the end of its connection", "[http]")
+{
+    Fixture fixture;
+    runToEnd(fixture.context, [&]() -> asio::awaitable<void> {
+        fixture.server.startDraining();
+        const std::string received = co_await fixture.send("GET /stream HTTP/1.1\r\n\r\n");
+        CHECK(received.find("Connection: close") != std::string::npos);
+        CHECK(received.ends_with("5\r\npiece\r\n0\r\n\r\n"));
+    });
+}
