An event that is too long ends the attempt at its server, not the answer

Cause: events were parsed when they were forwarded, so the parser's error left StreamProxy and skipped what stands behind the attempt: the cancellation of the server's stream, StreamEnded, the count of a loss, the next server. All bytes that were held were searched twice for each piece. That search knew LF LF and CRLF CRLF, the parser any empty line.

Change: EventStreamBuffer has the one reader, which looks at each byte once as it arrives and says how many bytes are whole events. An event that is too long ends the reading, as any broken answer: the connection is closed, a resumable stream goes on elsewhere. attempt() ends each attempt in one way whatever was thrown, and lets an error become an answer only if nothing has been sent.

EventStreamBufferTest counts the bytes that are looked at.

--- a/include/endiveroad/EventStream.h
+++ b/include/endiveroad/EventStream.h
@@ -30,13 +30,24 @@
     /// Throws AnswerBrokenError if an event is too long.
     std::vector<StreamEvent> feed(std::string_view piece);
 
+    /// The same, with the events appended to `events`. Those before an event that is too long are appended as well.
+    void feed(std::string_view piece, std::vector<StreamEvent>& events);
+
     /// True if the bytes so far end within an event.
     bool hasIncompleteEvent() const { return !line_.empty() || hasOpenEvent_; }
 
+    /// Bytes up to the end of the last whole event, or of the last empty line.
+    uint64_t wholeEventBytes() const { return wholeEventBytes_; }
+
+    /// Bytes that were looked at. Each byte of the stream is looked at once.
+    uint64_t inspectedBytes() const { return inspectedBytes_; }
+
 private:
     void processLine(std::vector<StreamEvent>& events);
 
     std::string line_;
+    uint64_t inspectedBytes_ = 0;
+    uint64_t wholeEventBytes_ = 0;
     StreamEvent event_;
     /// Bytes of the event's whole lines.
     size_t eventBytes_ = 0;
--- a/src/core/http/EventStream.cpp
+++ b/src/core/http/EventStream.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <charconv>
 #include <endiveroad/Error.h>
 #include <endiveroad/EventStream.h>
@@ -32,9 +33,17 @@
 std::vector<StreamEvent> EventStreamReader::feed(std::string_view piece)
 {
     std::vector<StreamEvent> events;
+    feed(piece, events);
+    return events;
+}
+
+void EventStreamReader::feed(std::string_view piece, std::vector<StreamEvent>& events)
+{
     while (!piece.empty()) {
         const size_t end = piece.find('\n');
-        line_.append(piece.substr(0, end));
+        const std::string_view linePart = piece.substr(0, end);
+        inspectedBytes_ += std::min(linePart.size() + 1, piece.size());
+        line_.append(linePart);
         if (eventBytes_ + line_.size() > maxEventBytes)
             throw AnswerBrokenError(fmt::format("an event of the stream is longer than {} bytes", maxEventBytes));
         if (end == std::string_view::npos)
@@ -44,7 +53,6 @@
         processLine(events);
         line_.clear();
     }
-    return events;
 }
 
 void EventStreamReader::processLine(std::vector<StreamEvent>& events)
@@ -56,6 +64,7 @@
             events.push_back(std::move(event_));
         event_ = {};
         eventBytes_ = 0;
+        wholeEventBytes_ = inspectedBytes_;
         hasOpenEvent_ = false;
         hasData_ = false;
         return;
--- a/src/io/hosted/StreamProxy.cpp
+++ b/src/io/hosted/StreamProxy.cpp
@@ -18,18 +18,6 @@
 
 constexpr int statusOk = 200;
 
-/// Number of bytes up to the end of the last complete event; 0 if there is none.
-size_t completeEventBytes(const std::string& text)
-{
-    size_t bytes = 0;
-    for (const std::string_view boundary : { "\n\n", "\r\n\r\n" }) {
-        const size_t end = text.rfind(boundary);
-        if (end != std::string::npos)
-            bytes = std::max(bytes, end + boundary.size());
-    }
-    return bytes;
-}
-
 } // namespace
 
 /// What one server wrote of an answer.
@@ -58,8 +46,10 @@
     Signal changed;
     HttpCancellation cancellation;
     std::optional<HttpResponse> head;
-    /// Bytes that have not been forwarded.
-    std::string pending;
+    /// Bytes of an event stream that have not been forwarded.
+    EventStreamBuffer events;
+    /// Bytes of an answer that is no event stream.
+    std::string body;
     /// When the head or the last complete event came.
     Instant lastEventAt = now();
     bool hasEnded = false;
@@ -69,6 +59,20 @@
     /// It was broken off because of maxPendingBytes.
     bool isTooLong = false;
 
+    bool isEventStream() const { return head && head->status == statusOk; }
+
+    /// Bytes that are held.
+    size_t heldBytes() const { return events.size() + body.size(); }
+
+    /// Throws AnswerBrokenError if an event is too long.
+    void append(std::string_view piece)
+    {
+        if (isEventStream())
+            events.append(piece);
+        else
+            body.append(piece);
+    }
+
     /// The server closed the connection before the first byte of the body.
     bool hasBrokenOff() const { return hasEnded && !isComplete && wasSent && !hasBody; }
 
@@ -94,13 +98,13 @@
     TriedServers tried;
     /// Number of servers that ran or may have run the request.
     int32_t runs = 0;
-    /// The response head, and at least one event, have been sent to the caller.
+    /// The head of the answer has been sent to the caller.
     bool hasStarted = false;
+    /// At least one event has been sent as well.
     bool hasEvents = false;
     /// Earliest time of the next attempt.
     Instant notBefore = Instant::min();
     bool isDone = false;
-    EventStreamReader reader;
     std::optional<int64_t> lastEventId;
     /// The servers that wrote the answer so far, in order, with their software and number of events.
     std::vector<StreamPiece> pieces;
@@ -170,12 +174,12 @@
     };
     auto onBody = [serverStream](std::string_view piece) {
         serverStream->hasBody = true;
-        const size_t pending = serverStream->pending.size() + piece.size();
+        const size_t pending = serverStream->heldBytes() + piece.size();
         const size_t held = pending > CallerMemory::smallBytes ? pending : 0;
         const bool isOverBudget = serverStream->account && !serverStream->account->holdAnswer(held);
         serverStream->isTooLong = pending > maxPendingBytes || isOverBudget;
         if (!serverStream->isTooLong)
-            serverStream->pending.append(piece);
+            serverStream->append(piece);
         serverStream->changed.notifyAll();
         return !serverStream->isTooLong;
     };
@@ -230,7 +234,7 @@
     HttpResponse response;
     response.status = serverStream->head->status;
     response.headers = forwardedHeaders(serverStream->head->headers);
-    response.body = std::move(serverStream->pending);
+    response.body = std::move(serverStream->body);
     co_await exchange.answer(std::move(response));
 }
 
@@ -248,22 +252,17 @@
     return !progress.origin || serviceCaller_.hasReadyServer(route, *progress.origin, serverStream.attempt.server);
 }
 
-asio::awaitable<void> StreamProxy::forwardPiece(
-    HttpExchange& exchange, ServerStreamPtr serverStream, Progress& progress, std::string piece, Instant deadline)
+asio::awaitable<void> StreamProxy::forwardEvents(
+    HttpExchange& exchange, ServerStreamPtr serverStream, Progress& progress, WholeEvents events, Instant deadline)
 {
     if (progress.pieces.empty() || progress.pieces.back().server != serverStream->attempt.server)
         progress.pieces.push_back({ serverStream->attempt.server, serverStream->software });
     if (!progress.lastEventId)
         crashGuard_.onAnswered(serverStream->attempt);
-    const std::vector<StreamEvent> events = progress.reader.feed(piece);
-    const size_t eventsBefore = progress.pieces.back().events;
-    for (const StreamEvent& event : events) {
-        progress.lastEventId = event.id ? event.id : progress.lastEventId;
-        // A comment alone binds the stream to no software.
-        const bool hasContent = event.id || !event.data.empty();
-        progress.pieces.back().events += hasContent ? 1 : 0;
-    }
-    const bool isFirst = !progress.hasEvents && progress.pieces.back().events > eventsBefore;
+    progress.lastEventId = events.lastId ? events.lastId : progress.lastEventId;
+    progress.pieces.back().events += events.count;
+    // A comment alone binds the stream to no software.
+    const bool isFirst = !progress.hasEvents && events.count > 0;
     progress.hasEvents = progress.hasEvents || isFirst;
     if (isFirst) {
         if (!progress.origin)
@@ -272,24 +271,22 @@
         // Told before the caller has the event, so that other entries know the stream if this process ends.
         resumptions_.onFirstEvent(progress.caller, *progress.origin, deadline);
     }
-    co_await exchange.sendPiece(piece);
+    co_await exchange.sendPiece(events.bytes);
 }
 
 asio::awaitable<void> StreamProxy::forward(HttpExchange& exchange, const RouteDeclaration& route,
     ServerStreamPtr serverStream, Progress& progress, Instant deadline, PeerCancellationPtr cancellation)
 {
     if (!progress.hasStarted) {
-        progress.hasStarted = true;
         HeaderList headers = forwardedHeaders(serverStream->head->headers);
         co_await exchange.beginStream(statusOk, std::move(headers));
+        progress.hasStarted = true;
     }
     while (!cancellation->isCancelled() && now() < deadline) {
-        const size_t bytes = completeEventBytes(serverStream->pending);
-        if (bytes > 0) {
+        WholeEvents events = serverStream->events.takeWhole();
+        if (!events.bytes.empty()) {
             serverStream->lastEventAt = now();
-            std::string piece = serverStream->pending.substr(0, bytes);
-            serverStream->pending.erase(0, bytes);
-            co_await forwardPiece(exchange, serverStream, progress, std::move(piece), deadline);
+            co_await forwardEvents(exchange, serverStream, progress, std::move(events), deadline);
             continue;
         }
         // A stalled stream is abandoned only if another server may go on with it.
@@ -301,7 +298,7 @@
         const Instant wakeAt = isAbandoned ? stalledAt + Duration(1) : now() + stallLimit;
         co_await serverStream->changed.wait(std::min(deadline, wakeAt));
     }
-    progress.isDone = serverStream->isComplete && serverStream->pending.empty();
+    progress.isDone = serverStream->isComplete && serverStream->events.isEmpty();
     progress.failure = serverStream->failure;
     progress.resumeBy = now() + resumeTimeout;
 }
@@ -318,6 +315,26 @@
     ServerStreamPtr serverStream, Progress& progress, Instant deadline, PeerCancellationPtr cancellation)
 {
     cancellation->onCancel([serverStream] { serverStream->changed.notifyAll(); });
+    AttemptEnd end = AttemptEnd::Final;
+    std::optional<Error> failure;
+    try {
+        end = co_await passOn(exchange, route, serverStream, progress, deadline, cancellation);
+    } catch (const Error& error) {
+        failure = error;
+    }
+    cancellation->onCancel(nullptr);
+    serverStream->cancellation.cancel();
+    if (failure && exchange.answerState() == AnswerState::Nothing)
+        throw Error(*failure);
+    // Once a part of the answer has been sent, its missing end is what tells the caller of a failure.
+    if (failure)
+        progress.failure = failure->what();
+    co_return end;
+}
+
+asio::awaitable<StreamProxy::AttemptEnd> StreamProxy::passOn(HttpExchange& exchange, const RouteDeclaration& route,
+    ServerStreamPtr serverStream, Progress& progress, Instant deadline, PeerCancellationPtr cancellation)
+{
     progress.tried.any.insert(serverStream->attempt.server);
     crashGuard_.onStart(serverStream->attempt);
     const bool hasHead = co_await awaitHead(serverStream, deadline, cancellation);
@@ -355,7 +372,6 @@
     // A stream without an event may have begun. One that has brought an event is counted already.
     if (mayHaveRun && !progress.hasEvents)
         recordRun(progress, serverStream->lastEventAt);
-    serverStream->cancellation.cancel();
     if (progress.isDone) {
         co_await exchange.endStream();
         co_return AttemptEnd::Answered;
@@ -407,7 +423,7 @@
     if (progress.origin && !cancellation->isCancelled())
         recordLoss(route, progress);
     // The missing last chunk tells the caller that the answer is truncated.
-    if (!progress.hasStarted)
+    if (exchange.answerState() == AnswerState::Nothing)
         throwFailure(route, progress, deadline);
 }
 
--- a/src/io/hosted/StreamProxy.h
+++ b/src/io/hosted/StreamProxy.h
@@ -5,7 +5,7 @@
 #include "io/hosted/ServiceCaller.h"
 #include "io/hosted/StreamResumptions.h"
 
-#include <endiveroad/EventStream.h>
+#include <endiveroad/EventStreamBuffer.h>
 #include <memory>
 #include <set>
 #include <string>
@@ -48,6 +48,7 @@
     /// NotRunError, StreamNotResumableError, ContentBlockedError or the error of the authorisation if no server can
     /// have run the request, OutcomeUnknownError or DeadlineUnknownError if one may have. A stream that a server has
     /// begun to send goes on when the authorisation ends, but no further server is asked.
+    /// A stream that breaks off because one of its events is too long is taken for one that its server broke off.
     asio::awaitable<void> serve(HttpExchange&, RouteDeclaration, CallerRequest, ReplicaRequest, Instant deadline,
         PeerCancellationPtr, StreamAuthorisation);
 
@@ -61,9 +62,13 @@
     /// Answered: the caller has its whole answer. Final: no other server may be tried.
     enum class AttemptEnd { Answered, MayRetry, Final };
 
-    /// Waits for a server's answer and passes it on as far as it comes.
+    /// Runs one attempt. Whatever its end, the server's stream is cancelled then. Throws as serve() does, if nothing
+    /// has been sent to the caller.
     asio::awaitable<AttemptEnd> attempt(
         HttpExchange&, const RouteDeclaration&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
+    /// Waits for a server's answer and passes it on as far as it comes.
+    asio::awaitable<AttemptEnd> passOn(
+        HttpExchange&, const RouteDeclaration&, ServerStreamPtr, Progress&, Instant deadline, PeerCancellationPtr);
     void recordRun(const Progress&, Instant beganAt);
     /// Logs which servers wrote the answer.
     static void logEnd(const Progress&);
@@ -80,8 +85,8 @@
     static bool mayRunAgain(const RouteDeclaration&, const Progress&);
     /// True if the stream should go on at another server rather than wait for the one that has it.
     bool mayLeave(const RouteDeclaration&, const ServerStream&, const Progress&) const;
-    /// Forwards complete events to the caller.
-    asio::awaitable<void> forwardPiece(HttpExchange&, ServerStreamPtr, Progress&, std::string piece, Instant deadline);
+    /// Forwards whole events to the caller.
+    asio::awaitable<void> forwardEvents(HttpExchange&, ServerStreamPtr, Progress&, WholeEvents, Instant deadline);
     /// Returns whether the response head has arrived before the deadline.
     asio::awaitable<bool> awaitHead(ServerStreamPtr, Instant deadline, PeerCancellationPtr);
     /// Sends a response that is not an event stream as a whole.
--- a/standins/hosted_servers.py
+++ b/standins/hosted_servers.py
@@ -224,6 +224,13 @@
         # Seconds that an order takes to be answered.
         self.order_s = 0.0
         self.is_dark = False
+        # Fault: events after which it goes on with bytes without end, made of this piece; an empty line stands among
+        # them after each overlong_bytes. None for no such event.
+        self.overlong_after = None
+        self.overlong_piece = b"x" * 16384
+        self.overlong_bytes = 1100000
+        # (request id, seconds until its client had left) of each such stream.
+        self.overlong_left = []
         # Each event names the version of the software that made it.
         self.names_software = False
         # Bytes without an event that it sends first in each stream.
@@ -309,6 +316,8 @@
                     return connection.cut()
                 if self.cut_after is not None and number - first >= self.cut_after:
                     return connection.cut()
+                if self.overlong_after is not None and number - first >= self.overlong_after:
+                    return await self.send_overlong(item, connection)
                 change = b""
                 if self.versions[model] != version:
                     version = self.versions[model]
@@ -319,6 +328,18 @@
         finally:
             self.running -= 1
 
+    async def send_overlong(self, item, connection):
+        begun = time.monotonic()
+        try:
+            while not connection.has_client_left():
+                for _ in range(self.overlong_bytes // len(self.overlong_piece) + 1):
+                    await connection.send_piece(self.overlong_piece)
+                await connection.send_piece(b"\n\n")
+        except ConnectionError:
+            pass
+        self.overlong_left.append((item, time.monotonic() - begun))
+        connection.cut()
+
 
 def stamp(request_id):
     return "stamp-" + request_id
